--- /dev/null
+++ b/src/base/ids.h
@@ -0,0 +1,82 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace waycove {
+
+/// A textual name that cannot be mixed up with a name of another kind.
+template <typename Tag> struct Name {
+  std::string Text;
+
+  Name() = default;
+  explicit Name(std::string Value) : Text(std::move(Value)) {}
+  auto operator<=>(const Name &) const = default;
+  bool empty() const { return this->Text.empty(); }
+};
+
+/// A number that cannot be mixed up with a number of another unit.
+template <typename Tag> struct Number {
+  std::uint64_t Value = 0;
+
+  constexpr Number() = default;
+  constexpr explicit Number(std::uint64_t Initial) : Value(Initial) {}
+  auto operator<=>(const Number &) const = default;
+  constexpr Number next() const { return Number(this->Value + 1); }
+};
+
+using VmId = Name<struct VmTag>;
+using DataCentreId = Name<struct DataCentreTag>;
+using DomainId = Name<struct DomainTag>;
+using WorkspaceId = Name<struct WorkspaceTag>;
+using DeploymentId = Name<struct DeploymentTag>;
+using ServiceId = Name<struct ServiceTag>;
+using NodeId = Name<struct NodeTag>;
+/// One life of a daemon process: a restart is another incarnation.
+using IncarnationId = Name<struct IncarnationTag>;
+using RequestId = Name<struct RequestTag>;
+using IdempotencyKey = Name<struct KeyTag>;
+
+/// Position of a record in the platform's log.
+using Offset = Number<struct OffsetTag>;
+/// Offset of the record that formed a group; it is also the group's identity.
+/// Zero stands for "no group".
+using Fence = Number<struct FenceTag>;
+using Slot = Number<struct SlotTag>;
+using Tokens = Number<struct TokensTag>;
+/// Milliseconds since the Unix epoch, as written into records.
+using WallMs = Number<struct WallTag>;
+/// Hash of a node's name and incarnation, as heartbeats carry it.
+using NodeHash = Number<struct NodeHashTag>;
+
+using Millis = std::chrono::milliseconds;
+using TimePoint = std::chrono::steady_clock::time_point;
+
+/// Deterministic 64-bit hash, the same on every node.
+std::uint64_t hashText(const std::string &Text, std::uint64_t Seed = 0);
+/// Mixes two hashes into one.
+std::uint64_t mixHash(std::uint64_t Left, std::uint64_t Right);
+/// A random 128-bit identifier in hexadecimal.
+std::string randomId();
+
+} // namespace waycove
+
+template <typename Tag> struct std::hash<waycove::Name<Tag>> {
+  std::size_t operator()(const waycove::Name<Tag> &Id) const {
+    return std::hash<std::string>{}(Id.Text);
+  }
+};
+
+template <typename Tag> struct std::hash<waycove::Number<Tag>> {
+  std::size_t operator()(const waycove::Number<Tag> &Id) const {
+    return std::hash<std::uint64_t>{}(Id.Value * 0x9E3779B97F4A7C15ULL);
+  }
+};
--- /dev/null
+++ b/src/base/metrics.cpp
@@ -0,0 +1,73 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "base/metrics.h"
+
+#include <sstream>
+#include <string_view>
+
+namespace waycove {
+
+namespace {
+
+constexpr unsigned Cells = 28;
+constexpr double LeastSeconds = 1e-6;
+constexpr double MostSeconds = 100;
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(Counter::Count)>
+    CounterNames{"requests_done",      "requests_refused", "requests_cut",
+                 "attempts",           "retries",          "resumes",
+                 "tokens_out",         "forwards",         "claims_bound",
+                 "appends_sent",       "records_folded",   "records_refused",
+                 "peer_bytes_in",      "peer_bytes_out",   "platform_bytes_in",
+                 "platform_bytes_out", "health_bytes_in",  "health_bytes_out",
+                 "target_bytes_in",    "target_bytes_out", "groups_formed",
+                 "affinity_hits",      "affinity_misses"};
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(Timer::Count)>
+    TimerNames{"first_token_seconds", "between_tokens_seconds",
+               "whole_answer_seconds", "queue_wait_seconds", "route_seconds"};
+
+} // namespace
+
+Metrics::Metrics() {
+  for (std::size_t I = 0; I < TimerNames.size(); ++I)
+    this->Timers.push_back({boost::histogram::make_histogram(
+                                Axis(Cells, LeastSeconds, MostSeconds)),
+                            0, 0});
+}
+
+void Metrics::observe(Timer Which, std::chrono::nanoseconds Took) {
+  double Seconds = std::chrono::duration<double>(Took).count();
+  std::lock_guard Lock(this->Mutex);
+  Series &Row = this->Timers[static_cast<std::size_t>(Which)];
+  Row.Cells(Seconds);
+  Row.Sum += Seconds;
+  ++Row.Samples;
+}
+
+std::string Metrics::text() const {
+  std::ostringstream Out;
+  for (std::size_t I = 0; I < CounterNames.size(); ++I)
+    Out << "# TYPE waycove_" << CounterNames[I] << "_total counter\nwaycove_"
+        << CounterNames[I] << "_total " << this->Counters[I].load() << "\n";
+  std::lock_guard Lock(this->Mutex);
+  for (std::size_t I = 0; I < TimerNames.size(); ++I) {
+    const Series &Row = this->Timers[I];
+    Out << "# TYPE waycove_" << TimerNames[I] << " histogram\n";
+    double Below = Row.Cells.at(-1);
+    for (unsigned C = 0; C < Cells; ++C) {
+      Below += Row.Cells.at(static_cast<int>(C));
+      Out << "waycove_" << TimerNames[I] << "_bucket{le=\""
+          << Row.Cells.axis().bin(static_cast<int>(C)).upper() << "\"} "
+          << static_cast<std::uint64_t>(Below) << "\n";
+    }
+    Out << "waycove_" << TimerNames[I] << "_bucket{le=\"+Inf\"} " << Row.Samples
+        << "\nwaycove_" << TimerNames[I] << "_sum " << Row.Sum << "\nwaycove_"
+        << TimerNames[I] << "_count " << Row.Samples << "\n";
+  }
+  return Out.str();
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/base/metrics.h
@@ -0,0 +1,82 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "base/ids.h"
+
+#include <array>
+#include <atomic>
+#include <boost/histogram.hpp>
+#include <mutex>
+#include <string>
+
+namespace waycove {
+
+/// Counters that a daemon exports; the table in metrics.cpp names each.
+enum class Counter {
+  RequestsDone,
+  RequestsRefused,
+  RequestsCut,
+  Attempts,
+  Retries,
+  Resumes,
+  TokensOut,
+  Forwards,
+  ClaimsBound,
+  AppendsSent,
+  RecordsFolded,
+  RecordsRefused,
+  PeerBytesIn,
+  PeerBytesOut,
+  PlatformBytesIn,
+  PlatformBytesOut,
+  HealthBytesIn,
+  HealthBytesOut,
+  TargetBytesIn,
+  TargetBytesOut,
+  GroupsFormed,
+  AffinityHits,
+  AffinityMisses,
+  Count
+};
+
+enum class Timer { FirstToken, BetweenTokens, Whole, QueueWait, Route, Count };
+
+/// A daemon's counters and time histograms. Thread-safe; adding to a counter
+/// takes no lock.
+class Metrics {
+public:
+  Metrics();
+  void add(Counter Which, std::uint64_t Amount = 1) {
+    this->Counters[static_cast<std::size_t>(Which)].fetch_add(
+        Amount, std::memory_order_relaxed);
+  }
+  std::uint64_t get(Counter Which) const {
+    return this->Counters[static_cast<std::size_t>(Which)].load();
+  }
+  void observe(Timer Which, std::chrono::nanoseconds Took);
+  /// All of it in Prometheus' text format.
+  std::string text() const;
+
+private:
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
+  using Histogram =
+      decltype(boost::histogram::make_histogram(std::declval<Axis>()));
+  struct Series {
+    Histogram Cells;
+    double Sum = 0;
+    std::uint64_t Samples = 0;
+  };
+
+  std::array<std::atomic<std::uint64_t>,
+             static_cast<std::size_t>(Counter::Count)>
+      Counters{};
+  mutable std::mutex Mutex;
+  std::vector<Series> Timers;
+};
+
+} // namespace waycove
--- /dev/null
+++ b/src/base/settings.cpp
@@ -0,0 +1,115 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "base/settings.h"
+
+#include <Poco/Net/IPAddress.h>
+
+namespace waycove {
+
+namespace {
+
+Endpoint readEndpoint(YamlMap &Map, const std::string &Field, Mistakes &Found) {
+  YAML::Node Child = Map.child(Field, false);
+  std::string Text = Map.text(Field, true);
+  Endpoint Result;
+  if (Child.IsDefined() && !parseEndpoint(Text, Result))
+    Found.add(Child, Map.pathOf(Field),
+              "an IP number and port, as "
+              "127.0.0.1:7000");
+  return Result;
+}
+
+Severity readLevel(YamlMap &Map, Mistakes &Found) {
+  YAML::Node Child = Map.child("log_level", false);
+  std::string Text = Map.text("log_level", false, "info");
+  if (Text == "debug")
+    return Severity::Debug;
+  if (Text == "info")
+    return Severity::Info;
+  if (Text == "warning")
+    return Severity::Warning;
+  if (Text == "error")
+    return Severity::Error;
+  Found.add(Child, "log_level", "debug, info, warning or error");
+  return Severity::Info;
+}
+
+Millis readMillis(YamlMap &Map, const std::string &Field, Millis Default,
+                  std::uint64_t Least, std::uint64_t Most) {
+  return Millis(static_cast<std::int64_t>(Map.number(
+      Field, false, static_cast<std::uint64_t>(Default.count()), Least, Most)));
+}
+
+} // namespace
+
+bool parseEndpoint(const std::string &Text, Endpoint &Into) {
+  std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos || Colon == 0 || Colon + 1 == Text.size() ||
+      Text.size() - Colon > 6)
+    return false;
+  std::string Digits = Text.substr(Colon + 1);
+  if (Digits.find_first_not_of("0123456789") != std::string::npos)
+    return false;
+  unsigned long Port = std::stoul(Digits);
+  Poco::Net::IPAddress Address;
+  if (Port == 0 || Port > 65535 ||
+      !Poco::Net::IPAddress::tryParse(Text.substr(0, Colon), Address))
+    return false;
+  Into = {Text.substr(0, Colon), static_cast<std::uint16_t>(Port)};
+  return true;
+}
+
+Settings parseSettings(const std::string &File, const std::string &Text,
+                       Mistakes &Found) {
+  Found.File = File;
+  Settings Result;
+  std::vector<YAML::Node> Documents = loadYaml(Text, Found);
+  if (Documents.size() != 1) {
+    if (Found.empty())
+      Found.Rows.push_back({File, 1, "file", "one YAML document"});
+    return Result;
+  }
+  YamlMap Map(Documents[0], "", Found);
+  Result.Node = NodeId(Map.text("node", true, "", 64));
+  Result.DataCentre = DataCentreId(Map.text("data_centre", true, "", 64));
+  Result.Http = readEndpoint(Map, "http", Found);
+  Result.PeerListen = readEndpoint(Map, "peer_listen", Found);
+  Result.Platform = readEndpoint(Map, "platform", Found);
+  YAML::Node Peers = Map.child("peers", false);
+  for (const std::string &Row : Map.list("peers")) {
+    Endpoint Address;
+    if (parseEndpoint(Row, Address))
+      Result.Peers.push_back(Address);
+    else
+      Found.add(Peers, "peers", "IP numbers and ports, as 127.0.0.1:7100");
+  }
+  Result.OperatorKeyDigest = Map.text("operator_key_digest", true);
+  Result.LogLevel = readLevel(Map, Found);
+  Result.DefaultDeadline = readMillis(Map, "default_deadline_ms",
+                                      Result.DefaultDeadline, 10, 3600000);
+  Result.TokenStall =
+      readMillis(Map, "token_stall_ms", Result.TokenStall, 10, 600000);
+  Result.HeartbeatEvery =
+      readMillis(Map, "heartbeat_ms", Result.HeartbeatEvery, 20, 10000);
+  Result.PollEvery = readMillis(Map, "poll_ms", Result.PollEvery, 20, 10000);
+  Result.MemberDeadAfter = readMillis(Map, "member_dead_after_ms",
+                                      Result.MemberDeadAfter, 50, 600000);
+  Result.ConnectTimeout =
+      readMillis(Map, "connect_timeout_ms", Result.ConnectTimeout, 10, 60000);
+  Result.DrainTime =
+      readMillis(Map, "drain_time_ms", Result.DrainTime, 0, 3600000);
+  Result.MaxStreams =
+      Map.number("max_streams", false, Result.MaxStreams, 1, 20000);
+  Result.MaxBodyBytes =
+      Map.number("max_body_bytes", false, Result.MaxBodyBytes, 1024, 64 << 20);
+  Result.QueuePerWorkspace = Map.number("queue_per_workspace", false,
+                                        Result.QueuePerWorkspace, 1, 100000);
+  Result.CheckpointEvery = Map.number("checkpoint_every_records", false,
+                                      Result.CheckpointEvery, 1, 10000000);
+  Map.finish();
+  return Result;
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/base/settings.h
@@ -0,0 +1,56 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "base/events.h"
+#include "base/yaml.h"
+
+#include <vector>
+
+namespace waycove {
+
+/// An address as settings give it.
+struct Endpoint {
+  std::string Host;
+  std::uint16_t Port = 0;
+  std::string text() const {
+    return this->Host + ":" + std::to_string(this->Port);
+  }
+};
+
+/// Reads "host:port" with a numeric host; nothing where it is not that.
+bool parseEndpoint(const std::string &Text, Endpoint &Into);
+
+/// Everything that a daemon learns from its settings file. Times are
+/// milliseconds.
+struct Settings {
+  NodeId Node;
+  DataCentreId DataCentre;
+  /// Where callers and operators connect.
+  Endpoint Http;
+  /// Where other daemons connect.
+  Endpoint PeerListen;
+  Endpoint Platform;
+  std::vector<Endpoint> Peers;
+  std::string OperatorKeyDigest;
+  Severity LogLevel = Severity::Info;
+  Millis DefaultDeadline{60000};
+  Millis TokenStall{2000};
+  Millis HeartbeatEvery{500};
+  Millis PollEvery{300};
+  Millis MemberDeadAfter{1500};
+  Millis ConnectTimeout{500};
+  Millis DrainTime{30000};
+  std::size_t MaxStreams = 2000;
+  std::size_t MaxBodyBytes = 1 << 20;
+  std::size_t QueuePerWorkspace = 64;
+  std::uint64_t CheckpointEvery = 2000;
+};
+
+/// Reads a settings file; all mistakes go to \p Found.
+Settings parseSettings(const std::string &File, const std::string &Text,
+                       Mistakes &Found);
+
+} // namespace waycove
--- /dev/null
+++ b/src/board/board.cpp
@@ -0,0 +1,84 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "board/board.h"
+
+#include "policy/rendezvous.h"
+
+namespace waycove {
+
+namespace {
+
+constexpr std::size_t MaxStoredAnswers = 32 << 20;
+constexpr std::uint64_t LeavingNewsMs = 120000;
+/// The group controller's rounds may lag by this many poll periods.
+constexpr int RoundsAllowed = 5;
+
+} // namespace
+
+ViewRef ViewTable::find(const ObjectKey &Key) const {
+  auto At = this->Rows.find(Key);
+  return At == this->Rows.end() ? nullptr : At->second;
+}
+
+Board::Board(const Settings &Config, IncarnationId Incarnation)
+    : Config(Config), Me{Config.Node, Incarnation, Config.DataCentre,
+                         hashNode(Config.Node, Incarnation)},
+      Log(Config.Node, this->Clock), Once(MaxStoredAnswers) {
+  this->Peers.write([&](PeerTable &Rows) {
+    Rows.LiveFor = std::max(Millis(600), 4 * Config.HeartbeatEvery);
+  });
+}
+
+bool Board::seesMembers(TimePoint Now) const {
+  TimePoint Last{Millis(this->LastRound.load())};
+  return Now - Last < RoundsAllowed * this->Config.PollEvery;
+}
+
+bool Board::groupServes(Fence Group, TimePoint Now) const {
+  std::optional<HealthEntry> Row = this->Health.read(
+      [&](const HealthTable &Rows) { return Rows.find(Group); });
+  if (!Row || !Row->Ready)
+    return false;
+  if (Row->Owner == this->Me.Hash)
+    return this->seesMembers(Now);
+  return this->Peers.read([&](const PeerTable &Rows) {
+    const Peer *Owner = Rows.find(Row->Owner);
+    return Owner && Rows.isLive(Row->Owner, Now) && Owner->has(SeesMembers);
+  });
+}
+
+bool Board::groupIsBroken(Fence Group) const {
+  return this->Health.read([&](const HealthTable &Rows) {
+    std::optional<HealthEntry> Row = Rows.find(Group);
+    return Row && !Row->Ready;
+  });
+}
+
+std::vector<NodeHash> Board::controllers(TimePoint Now) const {
+  std::vector<NodeHash> Rows = this->Peers.read([&](const PeerTable &Peers) {
+    std::vector<NodeHash> Found;
+    for (const Member &Row : Peers.live(Now))
+      if (Row.DataCentre == this->Me.DataCentre &&
+          !Peers.find(Row.Node)->has(StoppingNode))
+        Found.push_back(Row.Node);
+    return Found;
+  });
+  if (!this->Stopping)
+    Rows.push_back(this->Me.Hash);
+  return Rows;
+}
+
+std::vector<Member> Board::members(TimePoint Now) const {
+  std::vector<Member> Rows =
+      this->Peers.read([&](const PeerTable &Peers) { return Peers.live(Now); });
+  Rows.push_back({this->Me.Hash, this->Me.DataCentre});
+  return Rows;
+}
+
+WallMs Board::leavingUntil(WallMs Now) {
+  return WallMs(Now.Value + LeavingNewsMs);
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/control/claims.h
@@ -0,0 +1,112 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "control/submit.h"
+
+#include <condition_variable>
+
+namespace waycove {
+
+/// Claims in one record at most.
+constexpr std::size_t MaxClaimBatch = 512;
+/// The log takes a few hundred appends a second from all daemons together, so
+/// one daemon sends at most one batch in this time.
+constexpr Millis ClaimBatchPause(20);
+
+/// Binds idempotency keys to dispatchers through the log, many in one record.
+template <LogService Service> class ClaimBinder {
+public:
+  ClaimBinder(Board &Tables, Submitter<Service> &Submit)
+      : Tables(Tables), Submit(Submit),
+        Worker([this](std::stop_token Stop) { this->run(Stop); }) {}
+
+  /// The incarnation that may dispatch \p Id. Errors: LogUnavailable (nobody
+  /// has dispatched it on this call's behalf, so it has not run here) and
+  /// KeyExpired.
+  absl::StatusOr<IncarnationId> bind(const ClaimId &Id, WallMs Issued,
+                                     TimePoint Until) {
+    if (!this->Tables.LogUp)
+      return makeError(ErrorKind::LogUnavailable, "the log does not answer",
+                       Millis(1000));
+    auto Entry = std::make_shared<Waiter>();
+    Entry->Id = Id;
+    Entry->Issued = Issued;
+    std::unique_lock Lock(this->Mutex);
+    this->Queue.push_back(Entry);
+    this->Changed.notify_all();
+    this->Changed.wait_until(Lock, Until,
+                             [&] { return Entry->Result.has_value(); });
+    if (Entry->Result)
+      return *Entry->Result;
+    std::erase(this->Queue, Entry);
+    return makeError(ErrorKind::LogUnavailable,
+                     "the log did not confirm the key in time", Millis(1000));
+  }
+
+private:
+  struct Waiter {
+    ClaimId Id;
+    WallMs Issued;
+    std::optional<absl::StatusOr<IncarnationId>> Result;
+  };
+  using Batch = std::vector<std::shared_ptr<Waiter>>;
+
+  void run(const std::stop_token &Stop) {
+    while (!Stop.stop_requested()) {
+      Batch Rows = this->nextBatch(Stop);
+      if (Rows.empty())
+        continue;
+      wire::ClaimBatchT Body;
+      Body.dispatcher = this->Tables.Me.Incarnation.Text;
+      for (const auto &Row : Rows) {
+        auto Key = std::make_unique<wire::ClaimKeyT>();
+        Key->workspace = Row->Id.Workspace.Text;
+        Key->key = Row->Id.Key.Text;
+        Key->issued_ms = Row->Issued.Value;
+        Body.claims.push_back(std::move(Key));
+      }
+      TimePoint Until = SystemClock{}.now() + std::chrono::seconds(2);
+      this->settle(Rows, this->Submit.submit(std::move(Body), Until));
+      std::this_thread::sleep_for(ClaimBatchPause);
+    }
+  }
+
+  Batch nextBatch(const std::stop_token &Stop) {
+    std::unique_lock Lock(this->Mutex);
+    this->Changed.wait(Lock, Stop, [&] { return !this->Queue.empty(); });
+    std::size_t Count = std::min(this->Queue.size(), MaxClaimBatch);
+    Batch Rows(this->Queue.begin(),
+               this->Queue.begin() + static_cast<std::ptrdiff_t>(Count));
+    this->Queue.erase(this->Queue.begin(),
+                      this->Queue.begin() + static_cast<std::ptrdiff_t>(Count));
+    return Rows;
+  }
+
+  void settle(const Batch &Rows, const absl::StatusOr<FoldOutcome> &Outcome) {
+    std::lock_guard Lock(this->Mutex);
+    for (std::size_t I = 0; I < Rows.size(); ++I) {
+      if (!Outcome.ok() || Outcome->Holders.size() != Rows.size())
+        Rows[I]->Result =
+            makeError(ErrorKind::LogUnavailable,
+                      "the log did not confirm the key", Millis(1000));
+      else if (Outcome->Holders[I].empty())
+        Rows[I]->Result = makeError(ErrorKind::KeyExpired,
+                                    "the key's time is outside its window");
+      else
+        Rows[I]->Result = Outcome->Holders[I];
+    }
+    this->Changed.notify_all();
+  }
+
+  Board &Tables;
+  Submitter<Service> &Submit;
+  std::mutex Mutex;
+  std::condition_variable_any Changed;
+  Batch Queue;
+  std::jthread Worker;
+};
+
+} // namespace waycove
--- /dev/null
+++ b/src/control/folder.cpp
@@ -0,0 +1,101 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "control/folder.h"
+
+namespace waycove {
+
+void PendingRecord::resolve(const FoldOutcome &Result) {
+  std::lock_guard Lock(this->Mutex);
+  // The same record may stand in the log twice, after a lost acknowledgement:
+  // the first decides.
+  if (!this->Outcome)
+    this->Outcome = Result;
+  this->Changed.notify_all();
+}
+
+std::optional<FoldOutcome> PendingRecord::wait(TimePoint Until) {
+  std::unique_lock Lock(this->Mutex);
+  this->Changed.wait_until(Lock, Until,
+                           [&] { return this->Outcome.has_value(); });
+  return this->Outcome;
+}
+
+std::size_t Folder::take(const std::vector<LogRecord> &Records) {
+  std::size_t Taken = 0;
+  for (const LogRecord &Record : Records) {
+    std::optional<FoldOutcome> Outcome =
+        this->Tables.State.write([&](FoldState &State) {
+          if (State.next() != Record.At)
+            return std::optional<FoldOutcome>();
+          FoldOutcome Result = State.fold(Record.At, Record.Bytes);
+          this->Tables.Tail.write([&](RecordTail &Tail) { Tail.push(Record); });
+          return std::optional<FoldOutcome>(std::move(Result));
+        });
+    if (!Outcome)
+      continue;
+    ++Taken;
+    if (Outcome->TouchesRouting)
+      this->Tables.RoutingVersion.fetch_add(1);
+    this->Tables.Counters.add(Outcome->Accepted ? Counter::RecordsFolded
+                                                : Counter::RecordsRefused);
+    if (Outcome->Holders.empty())
+      this->Tables.Log.emit(Outcome->Accepted ? EventCode::RecordAccepted
+                                              : EventCode::RecordRefused,
+                            std::to_string(Record.At.Value), Outcome->Reason);
+    this->resolve(*Outcome);
+  }
+  return Taken;
+}
+
+absl::Status Folder::takeCheckpoint(const std::string &Bytes) {
+  absl::Status Result = this->Tables.State.write([&](FoldState &State) {
+    absl::Status Loaded = State.load(Bytes);
+    if (Loaded.ok())
+      this->Tables.Tail.write([](RecordTail &Tail) { Tail.clear(); });
+    return Loaded;
+  });
+  if (Result.ok()) {
+    this->Tables.RoutingVersion.fetch_add(1);
+    this->Tables.Log.emit(EventCode::CheckpointLoaded,
+                          std::to_string(this->next().Value));
+  }
+  return Result;
+}
+
+Offset Folder::next() const {
+  return this->Tables.State.read(
+      [](const FoldState &State) { return State.next(); });
+}
+
+std::shared_ptr<PendingRecord> Folder::expect(const std::string &RecordId) {
+  auto Row = std::make_shared<PendingRecord>();
+  std::lock_guard Lock(this->Mutex);
+  this->Waiting[RecordId] = Row;
+  return Row;
+}
+
+void Folder::forget(const std::string &RecordId) {
+  std::lock_guard Lock(this->Mutex);
+  this->Waiting.erase(RecordId);
+}
+
+bool Folder::hasPending() const {
+  std::lock_guard Lock(this->Mutex);
+  return !this->Waiting.empty();
+}
+
+void Folder::resolve(const FoldOutcome &Outcome) {
+  std::shared_ptr<PendingRecord> Row;
+  {
+    std::lock_guard Lock(this->Mutex);
+    auto At = this->Waiting.find(Outcome.RecordId);
+    if (At == this->Waiting.end())
+      return;
+    Row = At->second;
+  }
+  Row->resolve(Outcome);
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/control/peers.cpp
@@ -0,0 +1,490 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "control/peers.h"
+
+#include "policy/rendezvous.h"
+
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <cmath>
+
+namespace waycove {
+
+namespace {
+
+constexpr Millis FirstFrameWithin(3000);
+/// A link without frames for this long is broken: heartbeats flow all the
+/// time.
+constexpr Millis LinkSilence(15000);
+constexpr Millis AskAgainAfter(400);
+constexpr std::size_t MaxRecordBytes = 1 << 20;
+constexpr std::size_t MaxDialing = 8;
+constexpr std::size_t MaxLinks = 64;
+constexpr Millis UnwantedAfter(5000);
+/// Up to this size the ring's news needs one or two hops.
+constexpr std::size_t SmallCentre = 9;
+constexpr int PeriodsSilent = 4;
+
+class PeerConnection : public Poco::Net::TCPServerConnection {
+public:
+  PeerConnection(const Poco::Net::StreamSocket &Socket, PeerExchange &Owner)
+      : TCPServerConnection(Socket), Owner(Owner) {}
+  void run() override { this->Owner.serveConnection(this->socket()); }
+
+private:
+  PeerExchange &Owner;
+};
+
+class PeerConnections : public Poco::Net::TCPServerConnectionFactory {
+public:
+  explicit PeerConnections(PeerExchange &Owner) : Owner(Owner) {}
+  Poco::Net::TCPServerConnection *
+  createConnection(const Poco::Net::StreamSocket &Socket) override {
+    return new PeerConnection(Socket, this->Owner);
+  }
+
+private:
+  PeerExchange &Owner;
+};
+
+} // namespace
+
+PeerExchange::PeerExchange(Board &Tables, Folder &Fold,
+                           ForwardHandler OnForward)
+    : Tables(Tables), Fold(Fold), OnForward(std::move(OnForward)) {}
+
+PeerExchange::~PeerExchange() {
+  this->Closing = true;
+  if (this->Server)
+    this->Server->stop();
+  for (const LinkRef &Row : this->openLinks())
+    Row->Socket->shutdown();
+  std::vector<Dialer> Last;
+  {
+    std::lock_guard Lock(this->Mutex);
+    Last.swap(this->Dialers);
+  }
+  Last.clear();
+  if (this->Server)
+    while (this->Server->currentConnections() > 0)
+      std::this_thread::sleep_for(Millis(5));
+}
+
+void PeerExchange::start() {
+  auto Params =
+      Poco::AutoPtr<Poco::Net::TCPServerParams>(new Poco::Net::TCPServerParams);
+  Params->setMaxThreads(512);
+  Params->setMaxQueued(512);
+  const Endpoint &Where = this->Tables.Config.PeerListen;
+  Poco::Net::ServerSocket Socket;
+  Socket.bind(Poco::Net::SocketAddress(Where.Host, Where.Port), true, false);
+  Socket.listen(128);
+  static Poco::ThreadPool Pool("peers", 4, 512, 60, 256 << 10);
+  this->Server = std::make_unique<Poco::Net::TCPServer>(
+      new PeerConnections(*this), Pool, Socket, Params);
+  this->Server->start();
+}
+
+std::vector<PeerExchange::LinkRef> PeerExchange::openLinks() const {
+  std::lock_guard Lock(this->Mutex);
+  std::vector<LinkRef> Rows;
+  for (const LinkRef &Row : this->Links)
+    if (Row->Open)
+      Rows.push_back(Row);
+  return Rows;
+}
+
+std::size_t PeerExchange::linkCount() const { return this->openLinks().size(); }
+
+wire::PeerRowT PeerExchange::ownRow() const {
+  wire::PeerRowT Row;
+  Row.node = this->Tables.Me.Node.Text;
+  Row.incarnation = this->Tables.Me.Incarnation.Text;
+  Row.data_centre = this->Tables.Me.DataCentre.Text;
+  Row.host = this->Tables.Config.PeerListen.Host;
+  Row.peer_port = this->Tables.Config.PeerListen.Port;
+  Row.http_port = this->Tables.Config.Http.Port;
+  Row.sequence = 1;
+  return Row;
+}
+
+wire::Heartbeat PeerExchange::ownBeat() {
+  std::uint32_t Flags = 0;
+  if (this->Tables.seesMembers(SystemClock{}.now()))
+    Flags |= SeesMembers;
+  if (this->Tables.Ready)
+    Flags |= Serving;
+  if (this->Tables.Stopping)
+    Flags |= StoppingNode;
+  return {this->Tables.Me.Hash.Value, this->Beats.fetch_add(1) + 1,
+          this->Fold.next().Value, this->Tables.InFlight.load(), Flags};
+}
+
+wire::GossipT PeerExchange::gossipFor(const Link &To, TimePoint Now,
+                                      bool WithHeartbeat) {
+  bool Foreign = To.Centre != this->Tables.Me.DataCentre;
+  std::vector<Member> Members = this->Tables.members(Now);
+  auto Fresh = [&](const ChangeMark &Mark) {
+    return Mark.Count > To.SentUpTo && Mark.Link != To.Id;
+  };
+  wire::GossipT News;
+  if (WithHeartbeat)
+    News.heartbeats.push_back(this->ownBeat());
+  this->Tables.Health.read([&](const HealthTable &Rows) {
+    if (Foreign)
+      return;
+    for (const auto &[Id, Row] : Rows.rows())
+      if (Fresh(Row.Mark)) {
+        auto Out = std::make_unique<wire::HealthRowT>();
+        Out->fence = Id.Value;
+        Out->version = Row.Version;
+        Out->owner = Row.Owner.Value;
+        Out->ready = Row.Ready;
+        News.health.push_back(std::move(Out));
+      }
+  });
+  // Other data centres hear the heartbeats of relays only.
+  std::vector<NodeHash> Relays = relaysOf(Members, this->Tables.Me.DataCentre);
+  this->Tables.Peers.read([&](const PeerTable &Rows) {
+    for (const auto &[Node, Row] : Rows.rows()) {
+      if (Node == this->Tables.Me.Hash)
+        continue;
+      bool Relay =
+          Row.Row.data_centre != this->Tables.Me.DataCentre.Text ||
+          std::find(Relays.begin(), Relays.end(), Node) != Relays.end();
+      if (Fresh(Row.BeatMark) && Row.Sequence > 0 && (!Foreign || Relay))
+        News.heartbeats.emplace_back(Node.Value, Row.Sequence, Row.Folded,
+                                     Row.InFlight, Row.Flags);
+      if (Fresh(Row.RowMark) && Row.Known)
+        News.peers.push_back(std::make_unique<wire::PeerRowT>(Row.Row));
+    }
+  });
+  return News;
+}
+
+void PeerExchange::flush(TimePoint Now, bool WithHeartbeat) {
+  for (const LinkRef &Row : this->openLinks()) {
+    std::uint64_t UpTo = this->Tables.Changes.load();
+    wire::GossipT News = this->gossipFor(*Row, Now, WithHeartbeat);
+    if (Row->Centre == this->Tables.Me.DataCentre)
+      this->Tables.Vms.read([&](const VmTable &Vms) {
+        for (const auto &[Vm, Entry] : Vms.news())
+          if (Entry.Mark.Count > Row->SentUpTo && Entry.Mark.Link != Row->Id) {
+            auto Out = std::make_unique<wire::LeavingRowT>();
+            Out->vm = Vm.Text;
+            Out->until_ms = Entry.Until.Value;
+            News.leaving.push_back(std::move(Out));
+          }
+      });
+    Row->SentUpTo = UpTo;
+    bool Empty = News.heartbeats.empty() && News.peers.empty() &&
+                 News.health.empty() && News.leaving.empty();
+    if (!Empty)
+      this->send(*Row, frameOf(this->Tables.Clock.tick(SystemClock{}.wall()),
+                               std::move(News)));
+  }
+}
+
+void PeerExchange::send(Link &To, wire::FrameT Frame) {
+  if (!To.Socket->send(Frame)) {
+    To.Open = false;
+    To.Socket->shutdown();
+  }
+}
+
+/// Larger data centres need more hops, so silence has to last longer before it
+/// says anything.
+void PeerExchange::adaptToSize(TimePoint Now) {
+  std::size_t Here = this->Tables.controllers(Now).size();
+  long Hops = Here <= SmallCentre
+                  ? 0
+                  : std::lround(std::sqrt(static_cast<double>(Here)));
+  Millis LiveFor = std::max(
+      Millis(600), (PeriodsSilent + Hops) * this->Tables.Config.HeartbeatEvery);
+  this->Tables.Peers.write([&](PeerTable &Rows) { Rows.LiveFor = LiveFor; });
+}
+
+void PeerExchange::tick(TimePoint Now) {
+  ++this->Rounds;
+  // 1. Who fell silent?
+  this->adaptToSize(Now);
+  std::vector<NodeHash> Lost = this->Tables.Peers.write(
+      [&](PeerTable &Rows) { return Rows.sweep(Now); });
+  for (NodeHash Node : Lost) {
+    std::string Name = this->Tables.Peers.read([&](const PeerTable &Rows) {
+      const Peer *Row = Rows.find(Node);
+      return Row ? Row->Row.node : std::string("?");
+    });
+    this->Tables.Log.emit(EventCode::PeerLost, Name);
+  }
+  // 2. Speak.
+  this->flush(Now, true);
+  // 3. Links and records.
+  this->dialWanted(Now);
+  this->askForRecords(Now);
+  this->forgetOldHealth();
+  std::lock_guard Lock(this->Mutex);
+  std::erase_if(this->Links, [](const LinkRef &Row) { return !Row->Open; });
+}
+
+void PeerExchange::forgetOldHealth() {
+  std::vector<Fence> Gone;
+  this->Tables.State.read([&](const FoldState &State) {
+    this->Tables.Health.read([&](const HealthTable &Rows) {
+      // News of a group may come before the group's own record.
+      for (const auto &[Id, Row] : Rows.rows())
+        if (Id.Value <= State.next().Value && !State.group(Id))
+          Gone.push_back(Id);
+    });
+  });
+  if (!Gone.empty())
+    this->Tables.Health.write([&](HealthTable &Rows) {
+      for (Fence Id : Gone)
+        Rows.remove(Id);
+    });
+}
+
+void PeerExchange::dialWanted(TimePoint Now) {
+  std::vector<LinkRef> Open = this->openLinks();
+  std::vector<NodeHash> Wanted =
+      chooseLinks(this->Tables.Me.Hash, this->Tables.members(Now));
+  auto Linked = [&](NodeHash Node) {
+    return std::any_of(Open.begin(), Open.end(),
+                       [&](const LinkRef &Row) { return Row->Other == Node; });
+  };
+  // 1. Links that choice asks for.
+  std::vector<Endpoint> Targets;
+  std::vector<Endpoint> Known;
+  this->Tables.Peers.read([&](const PeerTable &Rows) {
+    for (const auto &[Node, Row] : Rows.rows()) {
+      Endpoint Where{Row.Row.host, Row.Row.peer_port};
+      if (Rows.isLive(Node, Now) || Linked(Node))
+        Known.push_back(Where);
+      if (std::find(Wanted.begin(), Wanted.end(), Node) != Wanted.end() &&
+          !Linked(Node))
+        Targets.push_back(Where);
+    }
+  });
+  // 2. One seed a round that is not among the live: a cut may have healed.
+  const auto &Seeds = this->Tables.Config.Peers;
+  if (!Seeds.empty() && (Open.empty() || this->Rounds % 4 == 0))
+    for (std::size_t I = 0; I < Seeds.size(); ++I) {
+      const Endpoint &Seed = Seeds[this->NextSeed++ % Seeds.size()];
+      bool IsKnown =
+          std::any_of(Known.begin(), Known.end(), [&](const Endpoint &Row) {
+            return Row.text() == Seed.text();
+          });
+      if (IsKnown || Seed.text() == this->Tables.Config.PeerListen.text())
+        continue;
+      Targets.push_back(Seed);
+      break;
+    }
+  for (const Endpoint &Where : Targets)
+    if (this->Dialing < static_cast<int>(MaxDialing))
+      this->dial(Where);
+  // 3. Links that this daemon opened and no longer wants.
+  for (const LinkRef &Row : Open)
+    if (Row->Dialed && Now - Row->Since > UnwantedAfter &&
+        std::find(Wanted.begin(), Wanted.end(), Row->Other) == Wanted.end()) {
+      Row->Open = false;
+      Row->Socket->shutdown();
+    }
+}
+
+void PeerExchange::dial(Endpoint Where) {
+  ++this->Dialing;
+  std::lock_guard Lock(this->Mutex);
+  auto Done = std::make_shared<std::atomic<bool>>(false);
+  std::jthread Thread([this, Where, Done] {
+    auto Socket = FrameSocket::dial(Where.Host, Where.Port,
+                                    this->Tables.Config.ConnectTimeout);
+    LinkRef Row;
+    if (Socket.ok() && !this->Closing) {
+      Row = std::make_shared<Link>();
+      Row->Id = this->NextLink++;
+      Row->Dialed = true;
+      Row->Socket =
+          std::make_unique<FrameSocket>(*Socket, this->Tables.Counters);
+      // The first frame says who dials; the answer, who was found.
+      wire::GossipT Hello;
+      Hello.peers.push_back(std::make_unique<wire::PeerRowT>(this->ownRow()));
+      this->send(*Row, frameOf(this->Tables.Clock.tick(SystemClock{}.wall()),
+                               std::move(Hello)));
+    }
+    --this->Dialing;
+    if (Row)
+      this->runLink(Row);
+    *Done = true;
+  });
+  // Only threads that ended are joined here, so this does not block.
+  std::erase_if(this->Dialers,
+                [](const Dialer &Row) { return Row.Done->load(); });
+  this->Dialers.push_back({std::move(Done), std::move(Thread)});
+}
+
+void PeerExchange::serveConnection(const Poco::Net::StreamSocket &Socket) {
+  auto Row = std::make_shared<Link>();
+  Row->Id = this->NextLink++;
+  Row->Socket = std::make_unique<FrameSocket>(Socket, this->Tables.Counters);
+  absl::StatusOr<wire::FrameT> First = Row->Socket->receive(FirstFrameWithin);
+  if (!First.ok() || this->Closing)
+    return;
+  this->Tables.Clock.merge(First->clock);
+  if (const auto *Asked = First->message.AsForward()) {
+    this->OnForward(*Row->Socket, *Asked);
+    return;
+  }
+  const auto *Hello = First->message.AsGossip();
+  if (!Hello || Hello->peers.empty() || this->linkCount() >= MaxLinks)
+    return;
+  wire::GossipT Answer;
+  Answer.peers.push_back(std::make_unique<wire::PeerRowT>(this->ownRow()));
+  this->send(*Row, frameOf(this->Tables.Clock.tick(SystemClock{}.wall()),
+                           std::move(Answer)));
+  this->receiveGossip(*Row, *Hello);
+  this->runLink(Row);
+}
+
+void PeerExchange::runLink(const LinkRef &Row) {
+  Row->Since = SystemClock{}.now();
+  bool Listed = false;
+  while (Row->Open && !this->Closing) {
+    if (!Listed && Row->Other != NodeHash()) {
+      std::lock_guard Lock(this->Mutex);
+      this->Links.push_back(Row);
+      Listed = true;
+      this->Tables.Urgent.set();
+    }
+    absl::StatusOr<wire::FrameT> Frame = Row->Socket->receive(LinkSilence);
+    if (!Frame.ok())
+      break;
+    this->Tables.Clock.merge(Frame->clock);
+    if (const auto *News = Frame->message.AsGossip())
+      this->receiveGossip(*Row, *News);
+    else if (const auto *Asked = Frame->message.AsRecordsWanted())
+      this->answerRecords(*Row, Offset(Asked->from));
+    else if (const auto *Records = Frame->message.AsRecords())
+      this->receiveRecords(*Records);
+    else
+      break;
+  }
+  Row->Open = false;
+  Row->Socket->shutdown();
+}
+
+void PeerExchange::receiveGossip(Link &From, const wire::GossipT &News) {
+  TimePoint Now = SystemClock{}.now();
+  auto Mark = [&] {
+    return ChangeMark{this->Tables.Changes.fetch_add(1) + 1, From.Id};
+  };
+  bool Urgent = false;
+  std::vector<std::string> Joined;
+  // 1. The first row of the first frame is the other end's own.
+  if (From.Other == NodeHash() && !News.peers.empty()) {
+    From.Other = hashNode(NodeId(News.peers[0]->node),
+                          IncarnationId(News.peers[0]->incarnation));
+    From.Centre = DataCentreId(News.peers[0]->data_centre);
+    if (From.Other == this->Tables.Me.Hash)
+      From.Open = false;
+  }
+  // 2. Health and leaving VMs, which others should hear of at once.
+  this->Tables.Vms.write([&](VmTable &Vms) {
+    for (const auto &Row : News.leaving)
+      Urgent |= Vms.noteLeaving(VmId(Row->vm), WallMs(Row->until_ms), Mark());
+  });
+  this->Tables.Health.write([&](HealthTable &Rows) {
+    for (const auto &Row : News.health)
+      Urgent |= Rows.put(Fence(Row->fence), {Row->version, NodeHash(Row->owner),
+                                             Row->ready, Mark()});
+  });
+  // 3. Daemons.
+  this->Tables.Peers.write([&](PeerTable &Rows) {
+    for (const auto &Row : News.peers) {
+      NodeHash Node =
+          hashNode(NodeId(Row->node), IncarnationId(Row->incarnation));
+      if (Node != this->Tables.Me.Hash && Rows.put(*Row, Now, Mark()))
+        Joined.push_back(Row->node);
+    }
+    for (const auto &Beat : News.heartbeats)
+      if (NodeHash(Beat.node()) != this->Tables.Me.Hash)
+        Rows.hear(Beat, Now, Mark());
+  });
+  for (const std::string &Name : Joined)
+    this->Tables.Log.emit(EventCode::PeerJoined, Name);
+  if (Urgent || !Joined.empty())
+    this->Tables.Urgent.set();
+}
+
+void PeerExchange::askForRecords(TimePoint Now) {
+  Offset Mine = this->Fold.next();
+  std::uint64_t Best = Mine.Value;
+  LinkRef From;
+  std::uint64_t Highest = 0;
+  bool AnyServes = false;
+  for (const LinkRef &Row : this->openLinks())
+    this->Tables.Peers.read([&](const PeerTable &Rows) {
+      const Peer *Other = Rows.find(Row->Other);
+      if (!Other || !Rows.isLive(Row->Other, Now) || !Other->has(Serving))
+        return;
+      AnyServes = true;
+      Highest = std::max(Highest, Other->Folded);
+      if (Other->Folded > Best && Now - Row->AskedAt > AskAgainAfter) {
+        Best = Other->Folded;
+        From = Row;
+      }
+    });
+  if (From) {
+    From->AskedAt = Now;
+    wire::RecordsWantedT Asked;
+    Asked.from = Mine.Value;
+    this->send(*From, frameOf(this->Tables.Clock.tick(SystemClock{}.wall()),
+                              std::move(Asked)));
+    return;
+  }
+  // A daemon that started while the platform is away serves as soon as it has
+  // all that its peers have.
+  if (!this->Tables.Ready && !this->Tables.LogUp && AnyServes &&
+      Mine.Value >= Highest && !this->Tables.Ready.exchange(true))
+    this->Tables.Log.emit(EventCode::DaemonReady, this->Tables.Me.Node.Text,
+                          "state taken from peers, up to " +
+                              std::to_string(Mine.Value));
+}
+
+void PeerExchange::answerRecords(Link &To, Offset From) {
+  wire::RecordsT Answer;
+  std::vector<LogRecord> Rows = this->Tables.Tail.read(
+      [&](const RecordTail &Tail) { return Tail.since(From, MaxRecordBytes); });
+  for (const LogRecord &Row : Rows) {
+    auto Out = std::make_unique<wire::LogEntryT>();
+    Out->offset = Row.At.Value;
+    Out->data.assign(Row.Bytes.begin(), Row.Bytes.end());
+    Answer.entries.push_back(std::move(Out));
+  }
+  Offset Next = this->Fold.next();
+  Answer.next = Next.Value;
+  // The tail no longer reaches back that far: then the whole state.
+  if (Rows.empty() && From < Next) {
+    std::string Saved = this->Tables.State.read(
+        [](const FoldState &State) { return State.save(); });
+    Answer.checkpoint.assign(Saved.begin(), Saved.end());
+  }
+  this->send(To, frameOf(this->Tables.Clock.tick(SystemClock{}.wall()),
+                         std::move(Answer)));
+}
+
+void PeerExchange::receiveRecords(const wire::RecordsT &Rows) {
+  if (!Rows.checkpoint.empty())
+    this->Fold.takeCheckpoint({Rows.checkpoint.begin(), Rows.checkpoint.end()})
+        .IgnoreError();
+  std::vector<LogRecord> Records;
+  for (const auto &Row : Rows.entries)
+    Records.push_back(
+        {Offset(Row->offset), {Row->data.begin(), Row->data.end()}});
+  std::size_t Taken = this->Fold.take(Records);
+  if (Taken > 0)
+    this->Tables.Log.emit(EventCode::RecordsFromPeer, std::to_string(Taken),
+                          "up to " + std::to_string(this->Fold.next().Value));
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/control/peers.h
@@ -0,0 +1,92 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "control/folder.h"
+#include "wire/frame.h"
+
+#include <Poco/Net/TCPServer.h>
+#include <functional>
+#include <list>
+#include <thread>
+
+namespace waycove {
+
+/// Handles a connection whose first frame asks for a request to be served.
+using ForwardHandler =
+    std::function<void(FrameSocket &, const wire::ForwardT &)>;
+
+/// Membership and news between daemons, over a bounded number of links: each
+/// link is sent the rows that changed since it was last sent any. Records of
+/// the log are passed on to daemons that cannot read it. Nothing here decides
+/// anything that must be unique; it only says who seems to be there.
+class PeerExchange {
+public:
+  PeerExchange(Board &Tables, Folder &Fold, ForwardHandler OnForward);
+  ~PeerExchange();
+  PeerExchange(const PeerExchange &) = delete;
+  PeerExchange &operator=(const PeerExchange &) = delete;
+
+  /// Listens for peers; throws Poco::Exception where the port is taken.
+  void start();
+  /// One round: heartbeat, deltas, links, records. The controller's loop calls
+  /// it each heartbeat period, and flush() in between where news is urgent.
+  void tick(TimePoint Now);
+  /// Sends all links what changed.
+  void flush(TimePoint Now, bool WithHeartbeat);
+  std::size_t linkCount() const;
+
+  /// Called by the listener with each new connection.
+  void serveConnection(const Poco::Net::StreamSocket &Socket);
+
+private:
+  struct Link {
+    std::uint64_t Id = 0;
+    std::unique_ptr<FrameSocket> Socket;
+    NodeHash Other;
+    DataCentreId Centre;
+    bool Dialed = false;
+    TimePoint Since;
+    std::atomic<bool> Open{true};
+    std::uint64_t SentUpTo = 0;
+    TimePoint AskedAt;
+  };
+  using LinkRef = std::shared_ptr<Link>;
+
+  wire::PeerRowT ownRow() const;
+  wire::Heartbeat ownBeat();
+  wire::GossipT gossipFor(const Link &To, TimePoint Now, bool WithHeartbeat);
+  void adaptToSize(TimePoint Now);
+  void dialWanted(TimePoint Now);
+  void dial(Endpoint Where);
+  void runLink(const LinkRef &Row);
+  void receiveGossip(Link &From, const wire::GossipT &News);
+  void receiveRecords(const wire::RecordsT &Rows);
+  void answerRecords(Link &To, Offset From);
+  void askForRecords(TimePoint Now);
+  void forgetOldHealth();
+  std::vector<LinkRef> openLinks() const;
+  void send(Link &To, wire::FrameT Frame);
+
+  Board &Tables;
+  Folder &Fold;
+  ForwardHandler OnForward;
+  std::unique_ptr<Poco::Net::TCPServer> Server;
+  mutable std::mutex Mutex;
+  std::list<LinkRef> Links;
+  struct Dialer {
+    std::shared_ptr<std::atomic<bool>> Done;
+    std::jthread Thread;
+  };
+  std::vector<Dialer> Dialers;
+  std::atomic<std::uint64_t> NextLink{1};
+  std::atomic<std::uint64_t> Beats{0};
+  std::atomic<int> Dialing{0};
+  std::atomic<bool> Closing{false};
+  std::size_t NextSeed = 0;
+  std::uint64_t Rounds = 0;
+};
+
+} // namespace waycove
--- /dev/null
+++ b/src/control/vmwatch.h
@@ -0,0 +1,75 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "board/board.h"
+#include "edge/platform.h"
+
+namespace waycove {
+
+/// Follows the platform's list of this data centre's VMs, and tells peers of
+/// VMs that leave.
+template <VmList List> class VmWatch {
+public:
+  VmWatch(Board &Tables, List &Platform) : Tables(Tables), Platform(Platform) {}
+
+  /// One question to the list. False where it did not answer.
+  bool step() {
+    std::uint64_t Since =
+        this->Tables.Vms.read([](const VmTable &Vms) { return Vms.Version; });
+    absl::StatusOr<VmPage> Page =
+        this->Platform.list(this->Tables.Me.DataCentre, Since);
+    if (!Page.ok())
+      return false;
+    // The list lags, and may come from a replica that lags more.
+    if (Page->Version < Since)
+      return true;
+    this->apply(*Page);
+    return true;
+  }
+
+private:
+  void apply(const VmPage &Page) {
+    bool Changed = false;
+    std::vector<VmId> Leaving;
+    WallMs Until = Board::leavingUntil(SystemClock{}.wall());
+    this->Tables.Vms.write([&](VmTable &Vms) {
+      if (Page.Whole)
+        Changed |= this->removeAbsent(Vms, Page);
+      for (const VmInfo &Row : Page.Rows) {
+        Changed |= Vms.put(Row);
+        if (Row.ListedLeaving &&
+            Vms.noteLeaving(Row.Id, Until, this->Tables.markHere()))
+          Leaving.push_back(Row.Id);
+      }
+      for (const VmId &Vm : Page.Gone)
+        Changed |= Vms.remove(Vm);
+      Vms.Version = Page.Version;
+      Vms.sweepNews(SystemClock{}.wall());
+    });
+    for (const VmId &Vm : Leaving)
+      this->Tables.Log.emit(EventCode::VmLeaving, Vm.Text, "listed");
+    if (!Leaving.empty())
+      this->Tables.Urgent.set();
+    if (Changed)
+      this->Tables.RoutingVersion.fetch_add(1);
+  }
+
+  static bool removeAbsent(VmTable &Vms, const VmPage &Page) {
+    std::vector<VmId> Absent;
+    for (const auto &[Vm, Row] : Vms.rows())
+      if (std::none_of(Page.Rows.begin(), Page.Rows.end(),
+                       [&](const VmInfo &Listed) { return Listed.Id == Vm; }))
+        Absent.push_back(Vm);
+    for (const VmId &Vm : Absent)
+      Vms.remove(Vm);
+    return !Absent.empty();
+  }
+
+  Board &Tables;
+  List &Platform;
+};
+
+} // namespace waycove
--- /dev/null
+++ b/src/edge/gate.cpp
@@ -0,0 +1,87 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "edge/gate.h"
+
+#include <algorithm>
+
+namespace waycove {
+
+namespace {
+
+constexpr Millis SlotsEvery(200);
+
+} // namespace
+
+absl::StatusOr<TicketId> Gate::enter(const FairOffer &Offer) {
+  std::unique_lock Lock(this->Mutex);
+  absl::StatusOr<TicketId> Ticket =
+      this->Queue.offer(Offer, SystemClock{}.now());
+  if (!Ticket.ok())
+    return Ticket;
+  this->grant(SystemClock{}.now());
+  auto IsGranted = [&] {
+    return std::find(this->Granted.begin(), this->Granted.end(), *Ticket) !=
+           this->Granted.end();
+  };
+  bool Entered = this->Changed.wait_until(Lock, Offer.Deadline, IsGranted);
+  if (!Entered) {
+    this->Queue.withdraw(*Ticket);
+    return makeError(
+        ErrorKind::DeadlineBeforeRun, "the deadline passed in the queue",
+        this->Queue.predictWait(Offer.Workspace, Offer.Weight, Offer.Cost));
+  }
+  std::erase(this->Granted, *Ticket);
+  return Ticket;
+}
+
+void Gate::leave(TicketId Ticket, Tokens Spent) {
+  std::lock_guard Lock(this->Mutex);
+  this->Queue.finish(Ticket, Spent, SystemClock{}.now());
+  this->grant(SystemClock{}.now());
+}
+
+void Gate::setSlots(std::size_t Slots) {
+  std::lock_guard Lock(this->Mutex);
+  this->Queue.setSlots(Slots);
+  this->grant(SystemClock{}.now());
+}
+
+bool Gate::slotsAreDue(TimePoint Now) {
+  std::lock_guard Lock(this->Mutex);
+  if (Now - this->SlotsAt < SlotsEvery)
+    return false;
+  this->SlotsAt = Now;
+  return true;
+}
+
+std::size_t Gate::waiting() const {
+  std::lock_guard Lock(this->Mutex);
+  return this->Queue.waiting();
+}
+
+void Gate::grant(TimePoint Now) {
+  bool Any = false;
+  while (auto Ticket = this->Queue.take(Now)) {
+    this->Granted.push_back(*Ticket);
+    Any = true;
+  }
+  if (Any)
+    this->Changed.notify_all();
+}
+
+std::shared_ptr<Gate> Gates::find(const ObjectKey &Key) {
+  std::lock_guard Lock(this->Mutex);
+  auto &Row = this->Rows[Key];
+  if (!Row) {
+    FairLimits Limits;
+    Limits.Slots = 1;
+    Limits.QueuePerWorkspace = this->Config.QueuePerWorkspace;
+    Limits.QueueTotal = 16 * this->Config.QueuePerWorkspace;
+    Row = std::make_shared<Gate>(Limits);
+  }
+  return Row;
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/edge/platform.cpp
@@ -0,0 +1,146 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "edge/platform.h"
+
+#include "base/json.h"
+
+#include <Poco/JSON/Array.h>
+
+namespace waycove {
+
+namespace {
+
+constexpr Millis CallTimeout(1500);
+constexpr ByteCounters PlatformBytes{Counter::PlatformBytesIn,
+                                     Counter::PlatformBytesOut};
+
+std::string pathOf(LogStream Stream) {
+  return Stream == LogStream::Records ? "/log/records" : "/log/checkpoints";
+}
+
+/// Callers of the log know two failures: certainly nothing was done, and
+/// perhaps something was.
+absl::Status asLogError(const absl::Status &Status) {
+  ErrorKind Kind = kindOf(Status) == ErrorKind::NoCapacity
+                       ? ErrorKind::LogUnavailable
+                       : ErrorKind::OutcomeUnknown;
+  return makeError(Kind, messageOf(Status), Millis(1000));
+}
+
+absl::StatusOr<JsonObject> jsonReply(const absl::StatusOr<HttpReply> &Reply) {
+  if (!Reply.ok())
+    return asLogError(Reply.status());
+  if (Reply->Status >= 400 && Reply->Status < 500)
+    return makeError(ErrorKind::LogUnavailable,
+                     "the platform refused: " + Reply->Body, Millis(1000));
+  if (Reply->Status != 200)
+    return makeError(ErrorKind::OutcomeUnknown,
+                     "the platform answered " + std::to_string(Reply->Status));
+  absl::StatusOr<JsonObject> Body = parseJson(Reply->Body);
+  if (!Body.ok())
+    return makeError(ErrorKind::OutcomeUnknown, messageOf(Body.status()));
+  return Body;
+}
+
+Poco::JSON::Array::Ptr arrayAt(const JsonObject &Object,
+                               const std::string &Key) {
+  Poco::JSON::Array::Ptr Rows = Object->getArray(Key);
+  return Rows.isNull() ? Poco::JSON::Array::Ptr(new Poco::JSON::Array) : Rows;
+}
+
+VmInfo vmFromJson(const JsonObject &Row) {
+  VmInfo Info;
+  Info.Id = VmId(textAt(Row, "id"));
+  Info.DataCentre = DataCentreId(textAt(Row, "data_centre"));
+  Info.Domain = DomainId(textAt(Row, "domain"));
+  Info.Address = {textAt(Row, "host"),
+                  static_cast<std::uint16_t>(numberAt(Row, "port"))};
+  Info.ListedLeaving = textAt(Row, "state") == "leaving";
+  if (JsonObject Pairs = Row->getObject("labels"); !Pairs.isNull())
+    for (const auto &[Key, Value] : *Pairs)
+      if (Value.isString())
+        Info.Own.set(Key, Value.extract<std::string>());
+  return Info;
+}
+
+} // namespace
+
+HttpLog::HttpLog(const Settings &Config, Metrics &Counters)
+    : Reader(Config.Platform, Config.ConnectTimeout, Counters, PlatformBytes),
+      Writer(Config.Platform, Config.ConnectTimeout, Counters, PlatformBytes) {}
+
+absl::StatusOr<Offset> HttpLog::append(LogStream Stream,
+                                       const std::string &Bytes) {
+  HttpCall Call{"POST", pathOf(Stream), Bytes, "application/octet-stream", {}};
+  absl::StatusOr<JsonObject> Body =
+      jsonReply(this->Writer.call(Call, CallTimeout));
+  if (!Body.ok())
+    return Body.status();
+  if (!(*Body)->has("offset"))
+    return makeError(ErrorKind::OutcomeUnknown, "no offset in the answer");
+  return Offset(numberAt(*Body, "offset"));
+}
+
+absl::StatusOr<LogPage> HttpLog::read(LogStream Stream, Offset From,
+                                      std::size_t Max, Millis Wait) {
+  HttpCall Call{"GET",
+                pathOf(Stream) + "?from=" + std::to_string(From.Value) +
+                    "&max=" + std::to_string(Max) +
+                    "&wait_ms=" + std::to_string(Wait.count()),
+                "",
+                "",
+                {}};
+  absl::StatusOr<JsonObject> Body =
+      jsonReply(this->Reader.call(Call, CallTimeout + Wait));
+  if (!Body.ok())
+    return Body.status();
+  LogPage Page{
+      Offset(numberAt(*Body, "first")), Offset(numberAt(*Body, "next")), {}};
+  Poco::JSON::Array::Ptr Rows = arrayAt(*Body, "records");
+  for (unsigned I = 0; I < Rows->size(); ++I) {
+    JsonObject Row = Rows->getObject(I);
+    if (Row.isNull())
+      continue;
+    absl::StatusOr<std::string> Bytes = fromBase64(textAt(Row, "data"));
+    if (!Bytes.ok())
+      return Bytes.status();
+    Page.Records.push_back({Offset(numberAt(Row, "offset")), *Bytes});
+  }
+  return Page;
+}
+
+HttpVmList::HttpVmList(const Settings &Config, Metrics &Counters)
+    : Caller(Config.Platform, Config.ConnectTimeout, Counters, PlatformBytes) {}
+
+absl::StatusOr<VmPage> HttpVmList::list(const DataCentreId &Centre,
+                                        std::uint64_t Since) {
+  HttpCall Call{"GET",
+                "/vms?data_centre=" + Centre.Text +
+                    "&since=" + std::to_string(Since),
+                "",
+                "",
+                {}};
+  absl::StatusOr<JsonObject> Body =
+      jsonReply(this->Caller.call(Call, CallTimeout));
+  if (!Body.ok())
+    return Body.status();
+  VmPage Page;
+  Page.Version = numberAt(*Body, "version");
+  Page.Whole = flagAt(*Body, "whole", false);
+  Poco::JSON::Array::Ptr Rows = arrayAt(*Body, "vms");
+  for (unsigned I = 0; I < Rows->size(); ++I) {
+    JsonObject Row = Rows->getObject(I);
+    if (Row.isNull())
+      continue;
+    VmInfo Info = vmFromJson(Row);
+    if (textAt(Row, "state") == "gone")
+      Page.Gone.push_back(Info.Id);
+    else
+      Page.Rows.push_back(std::move(Info));
+  }
+  return Page;
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/edge/platform.h
@@ -0,0 +1,61 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "board/vms.h"
+#include "control/log.h"
+#include "edge/http.h"
+
+namespace waycove {
+
+/// The platform's log over HTTP:
+///   POST /log/STREAM            body: the record; answer {"offset": N}
+///   GET  /log/STREAM?from=N&max=M&wait_ms=W
+///        answer {"first": F, "next": N, "records": [{"offset", "data"}]},
+///        data in base64. Waits up to W for a record.
+class HttpLog {
+public:
+  HttpLog(const Settings &Config, Metrics &Counters);
+  absl::StatusOr<Offset> append(LogStream Stream, const std::string &Bytes);
+  absl::StatusOr<LogPage> read(LogStream Stream, Offset From, std::size_t Max,
+                               Millis Wait);
+
+private:
+  HttpCaller Reader;
+  HttpCaller Writer;
+};
+
+/// Changes of the VM list since a version.
+struct VmPage {
+  std::uint64_t Version = 0;
+  /// The answer holds all VMs, not only changes.
+  bool Whole = false;
+  std::vector<VmInfo> Rows;
+  std::vector<VmId> Gone;
+};
+
+/// The platform's lagging list of VMs.
+template <typename T>
+concept VmList = requires(T &L, const DataCentreId &Centre,
+                          std::uint64_t Since) {
+  { L.list(Centre, Since) } -> std::same_as<absl::StatusOr<VmPage>>;
+};
+
+/// The list over HTTP: GET /vms?data_centre=X&since=V, answer {"version",
+/// "whole", "vms": [{"id", "data_centre", "domain", "host", "port", "state":
+/// "live"|"leaving"|"gone", "labels"}]}.
+class HttpVmList {
+public:
+  HttpVmList(const Settings &Config, Metrics &Counters);
+  absl::StatusOr<VmPage> list(const DataCentreId &Centre, std::uint64_t Since);
+
+private:
+  HttpCaller Caller;
+};
+
+static_assert(LogService<HttpLog>);
+static_assert(VmList<HttpVmList>);
+
+} // namespace waycove
--- /dev/null
+++ b/src/edge/target.cpp
@@ -0,0 +1,216 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "edge/target.h"
+
+#include "base/json.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/Net/NetException.h>
+
+namespace waycove {
+
+namespace {
+
+constexpr Millis OrderTimeout(1000);
+constexpr Millis ReportTimeout(400);
+constexpr Millis CancelTimeout(500);
+constexpr std::size_t MaxLineBytes = 64 << 10;
+/// Lines of another request on this connection before it is given up.
+constexpr unsigned MaxStrays = 1000;
+constexpr std::size_t MaxCallers = 20000;
+constexpr ByteCounters HealthBytes{Counter::HealthBytesIn,
+                                   Counter::HealthBytesOut};
+constexpr ByteCounters TargetBytes{Counter::TargetBytesIn,
+                                   Counter::TargetBytesOut};
+
+/// Reads one line of bounded length; false at the end of the stream or where
+/// the line is cut or too long.
+bool readLine(std::istream &In, std::string &Line) {
+  Line.clear();
+  for (int C = In.get(); C != std::char_traits<char>::eof(); C = In.get()) {
+    if (C == '\n')
+      return true;
+    if (Line.size() >= MaxLineBytes)
+      return false;
+    Line.push_back(static_cast<char>(C));
+  }
+  return false;
+}
+
+std::string generateBody(const EngineCall &Call) {
+  Poco::JSON::Object Body;
+  Body.set("request", Call.Request.Text);
+  Body.set("group", Call.Group.Value);
+  Body.set("prompt", Call.Prompt);
+  Body.set("max_tokens", Call.MaxTokens);
+  Body.set("resume_from", Call.ResumeFrom);
+  Body.set("prefix", Call.Prefix);
+  Body.set("priority", Call.Priority);
+  return dumpJson(Body);
+}
+
+/// Handles the lines of one answer until its last.
+AttemptEnd readAnswer(std::istream &In, const EngineCall &Call,
+                      const TokenHandler &OnToken, EngineDone &Done) {
+  std::string Line;
+  unsigned Strays = 0;
+  while (readLine(In, Line)) {
+    absl::StatusOr<JsonObject> Row = parseJson(Line);
+    if (!Row.ok())
+      return AttemptEnd::Broken;
+    // A late line of another request is not ours to pass on.
+    if (textAt(*Row, "request") != Call.Request.Text) {
+      if (++Strays > MaxStrays)
+        return AttemptEnd::Broken;
+      continue;
+    }
+    if (flagAt(*Row, "done", false)) {
+      Done.Tokens = numberAt(*Row, "tokens");
+      Done.Queue = static_cast<double>(numberAt(*Row, "queue"));
+      return AttemptEnd::Done;
+    }
+    EngineToken Token{Call.Request, numberAt(*Row, "index", UINT64_MAX),
+                      textAt(*Row, "text"), Fence(numberAt(*Row, "group")),
+                      numberAt(*Row, "members")};
+    switch (OnToken(Token)) {
+    case TokenVerdict::Go:
+    case TokenVerdict::Ignore:
+      break;
+    case TokenVerdict::CallerGone:
+      return AttemptEnd::CallerGone;
+    case TokenVerdict::Distrust:
+      Done.Reason = "the answer is not of this group, whole and in order";
+      return AttemptEnd::Broken;
+    }
+    if (std::chrono::steady_clock::now() >= Call.Deadline)
+      return AttemptEnd::Stalled;
+  }
+  return AttemptEnd::Broken;
+}
+
+} // namespace
+
+AttemptEnd HttpEngine::generate(const EngineCall &Call,
+                                const TokenHandler &OnToken, EngineDone &Done) {
+  bool Sent = false;
+  try {
+    Poco::Net::HTTPClientSession Session(Call.Address.Host, Call.Address.Port);
+    auto Left = std::chrono::duration_cast<Millis>(
+        Call.Deadline - std::chrono::steady_clock::now());
+    Millis Stall = std::clamp(Left, Millis(1), Call.Stall);
+    Session.setTimeout(timespanOf(this->Config.ConnectTimeout),
+                       timespanOf(Stall), timespanOf(Stall));
+    std::string Body = generateBody(Call);
+    Poco::Net::HTTPRequest Request("POST", "/v1/generate",
+                                   Poco::Net::HTTPMessage::HTTP_1_1);
+    Request.setContentType("application/json");
+    Request.setContentLength(static_cast<std::streamsize>(Body.size()));
+    Request.set("X-Request-Id", Call.Request.Text);
+    std::ostream &Out = Session.sendRequest(Request);
+    Sent = true;
+    Out << Body;
+    Poco::Net::HTTPResponse Response;
+    std::istream &In = Session.receiveResponse(Response);
+    Done.Leaving = Response.get("X-Waycove-Leaving", "") == "yes";
+    if (Response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
+      Done.Reason = "status " + std::to_string(Response.getStatus());
+      return Response.get("X-Waycove-Not-Run", "") == "yes"
+                 ? AttemptEnd::Refused
+                 : AttemptEnd::Broken;
+    }
+    return readAnswer(In, Call, OnToken, Done);
+  } catch (const Poco::TimeoutException &Error) {
+    Done.Reason = Error.displayText();
+    return Sent ? AttemptEnd::Stalled : AttemptEnd::NotSent;
+  } catch (const Poco::Exception &Error) {
+    Done.Reason = Error.displayText();
+    return Sent ? AttemptEnd::Broken : AttemptEnd::NotSent;
+  }
+}
+
+void HttpEngine::cancel(const VmAddress &At, const RequestId &Request) {
+  Metrics Unused;
+  HttpCaller Caller({At.Host, At.Port}, this->Config.ConnectTimeout, Unused,
+                    TargetBytes);
+  Poco::JSON::Object Body;
+  Body.set("request", Request.Text);
+  HttpCall Call{"POST", "/v1/cancel", dumpJson(Body), "", {}};
+  // An engine that misses this only wastes work of its own.
+  Caller.call(Call, CancelTimeout).status().IgnoreError();
+}
+
+std::shared_ptr<HttpCaller> HttpEngineControl::callerFor(const VmAddress &At) {
+  std::lock_guard Lock(this->Mutex);
+  if (this->Callers.size() > MaxCallers)
+    this->Callers.clear();
+  auto &Row = this->Callers[At.text()];
+  if (!Row)
+    Row = std::make_shared<HttpCaller>(Endpoint{At.Host, At.Port},
+                                       this->Config.ConnectTimeout,
+                                       this->Counters, HealthBytes);
+  return Row;
+}
+
+absl::Status HttpEngineControl::order(const EngineOrder &Order) {
+  Poco::JSON::Object Body;
+  Body.set("group", Order.Group.Value);
+  Body.set("deployment", Order.Deployment);
+  Body.set("model", Order.Model);
+  Body.set("version", Order.Version);
+  Body.set("rank", Order.Rank);
+  Poco::JSON::Array Members;
+  for (const std::string &Row : Order.Members)
+    Members.add(Row);
+  Body.set("members", Members);
+  HttpCall Call{"POST", "/v1/order", dumpJson(Body), "", {}};
+  absl::StatusOr<HttpReply> Reply =
+      this->callerFor(Order.Address)->call(Call, OrderTimeout);
+  if (!Reply.ok())
+    return Reply.status();
+  if (Reply->Status != 200)
+    return makeError(ErrorKind::TargetBusy,
+                     "the order was refused: " + Reply->Body);
+  return absl::OkStatus();
+}
+
+absl::StatusOr<MemberReport> HttpEngineControl::report(const VmAddress &At) {
+  HttpCall Call{"GET", "/v1/state", "", "", {}};
+  absl::StatusOr<HttpReply> Reply =
+      this->callerFor(At)->call(Call, ReportTimeout);
+  if (!Reply.ok())
+    return Reply.status();
+  absl::StatusOr<JsonObject> Body = parseJson(Reply->Body);
+  if (!Body.ok())
+    return Body.status();
+  MemberReport Report;
+  Report.Group = Fence(numberAt(*Body, "group"));
+  Report.Loaded = textAt(*Body, "state") == "loaded";
+  Report.Leaving = flagAt(*Body, "leaving", false);
+  Report.Running = numberAt(*Body, "running");
+  Report.Queue = static_cast<double>(numberAt(*Body, "queue"));
+  return Report;
+}
+
+AttemptEnd HttpPlain::call(const PlainCall &Call, HttpReply &Reply) {
+  HttpCaller Caller({Call.Address.Host, Call.Address.Port},
+                    this->Config.ConnectTimeout, this->Counters, TargetBytes);
+  HttpCall Http = Call.Http;
+  Http.Headers.push_back({"X-Request-Id", Call.Request.Text});
+  absl::StatusOr<HttpReply> Answer = Caller.call(Http, Call.Timeout);
+  if (!Answer.ok())
+    return kindOf(Answer.status()) == ErrorKind::NoCapacity
+               ? AttemptEnd::NotSent
+               : AttemptEnd::Broken;
+  Reply = *Answer;
+  if (Reply.NotRun)
+    return AttemptEnd::Refused;
+  // An answer to another request must not reach this caller.
+  if (!Reply.RequestId.empty() && Reply.RequestId != Call.Request.Text)
+    return AttemptEnd::Broken;
+  return AttemptEnd::Done;
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/policy/once.cpp
@@ -0,0 +1,140 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "policy/once.h"
+
+#include <algorithm>
+
+namespace waycove {
+
+namespace {
+
+constexpr std::size_t MaxKeyBytes = 200;
+constexpr std::size_t MostDigits = 15;
+/// A dispatcher remembers a key for longer than any node's fold accepts it.
+constexpr std::uint64_t KeepMs =
+    static_cast<std::uint64_t>((KeyWindow + 2 * KeySkew).count());
+
+std::optional<WallMs> readMs(const std::string &Text) {
+  bool Digits = !Text.empty() && Text.size() <= MostDigits &&
+                std::all_of(Text.begin(), Text.end(),
+                            [](unsigned char C) { return std::isdigit(C); });
+  if (!Digits)
+    return std::nullopt;
+  return WallMs(std::stoull(Text));
+}
+
+} // namespace
+
+OnceLook OnceTable::look(const ClaimId &Id, std::uint64_t Fingerprint) const {
+  auto At = this->Rows.find(Id);
+  if (At == this->Rows.end())
+    return {};
+  return {At->second.State, At->second.Fingerprint != Fingerprint,
+          At->second.Answer};
+}
+
+bool OnceTable::begin(const ClaimId &Id, std::uint64_t Fingerprint,
+                      WallMs Issued) {
+  auto [At, Fresh] = this->Rows.try_emplace(
+      Id, Row{OnceState::Running, Fingerprint, Issued, std::nullopt});
+  if (Fresh)
+    this->Ages.emplace(Issued, Id);
+  return Fresh;
+}
+
+void OnceTable::abandon(const ClaimId &Id) {
+  auto At = this->Rows.find(Id);
+  if (At == this->Rows.end())
+    return;
+  auto [From, To] = this->Ages.equal_range(At->second.Issued);
+  for (auto Age = From; Age != To; ++Age)
+    if (Age->second == Id) {
+      this->Ages.erase(Age);
+      break;
+    }
+  this->Rows.erase(At);
+}
+
+void OnceTable::finish(const ClaimId &Id, StoredAnswer Answer) {
+  auto At = this->Rows.find(Id);
+  if (At == this->Rows.end())
+    return;
+  At->second.State = OnceState::Done;
+  this->BodyBytes += Answer.Body.size();
+  At->second.Answer = std::move(Answer);
+  this->BodyOrder.push_back(Id);
+  // Over the bound, the oldest bodies go; that they ran stays known.
+  while (this->BodyBytes > this->MaxBodyBytes &&
+         this->BodyHead < this->BodyOrder.size()) {
+    auto Old = this->Rows.find(this->BodyOrder[this->BodyHead++]);
+    if (Old == this->Rows.end() || !Old->second.Answer)
+      continue;
+    this->BodyBytes -= Old->second.Answer->Body.size();
+    Old->second.Answer.reset();
+    Old->second.State = OnceState::Unknown;
+  }
+  if (this->BodyHead * 2 > this->BodyOrder.size()) {
+    this->BodyOrder.erase(this->BodyOrder.begin(),
+                          this->BodyOrder.begin() +
+                              static_cast<std::ptrdiff_t>(this->BodyHead));
+    this->BodyHead = 0;
+  }
+}
+
+void OnceTable::finishUnknown(const ClaimId &Id) {
+  if (auto At = this->Rows.find(Id); At != this->Rows.end())
+    At->second.State = OnceState::Unknown;
+}
+
+void OnceTable::prune(WallMs Now) {
+  while (!this->Ages.empty() &&
+         this->Ages.begin()->first.Value + KeepMs <= Now.Value) {
+    auto At = this->Rows.find(this->Ages.begin()->second);
+    if (At != this->Rows.end()) {
+      if (At->second.Answer)
+        this->BodyBytes -= At->second.Answer->Body.size();
+      this->Rows.erase(At);
+    }
+    this->Ages.erase(this->Ages.begin());
+  }
+}
+
+absl::StatusOr<KeyParts> parseKey(const IdempotencyKey &Key) {
+  auto Bad = [] {
+    return makeError(ErrorKind::KeyInvalid,
+                     "expected <unix milliseconds>-<text> or a ticket, of at "
+                     "most 200 printable characters");
+  };
+  const std::string &Text = Key.Text;
+  bool Printable = std::all_of(Text.begin(), Text.end(), [](unsigned char C) {
+    return C > 32 && C < 127;
+  });
+  if (Text.size() > MaxKeyBytes || !Printable)
+    return Bad();
+  bool IsTicket = Text.rfind("t-", 0) == 0;
+  std::size_t From = IsTicket ? 2 : 0;
+  std::size_t Dash = Text.find('-', From);
+  if (Dash == std::string::npos || Dash + 1 == Text.size())
+    return Bad();
+  std::optional<WallMs> Issued = readMs(Text.substr(From, Dash - From));
+  if (!Issued)
+    return Bad();
+  KeyParts Parts{*Issued, IncarnationId()};
+  if (!IsTicket)
+    return Parts;
+  std::size_t Last = Text.find('-', Dash + 1);
+  if (Last == std::string::npos || Last == Dash + 1)
+    return Bad();
+  Parts.Minter = IncarnationId(Text.substr(Dash + 1, Last - Dash - 1));
+  return Parts;
+}
+
+IdempotencyKey makeTicket(WallMs Now, const IncarnationId &Minter,
+                          std::uint64_t Number) {
+  return IdempotencyKey("t-" + std::to_string(Now.Value) + "-" + Minter.Text +
+                        "-" + std::to_string(Number));
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/policy/plan.cpp
@@ -0,0 +1,140 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "policy/plan.h"
+
+#include <algorithm>
+
+namespace waycove {
+
+namespace {
+
+/// Orders the candidates differently for each slot, so that controllers that
+/// plan at the same time seldom want the same VM.
+void shuffleFor(std::vector<PlanVm> &Rows, const SlotKey &Place) {
+  std::uint64_t Seed =
+      mixHash(hashText(Place.Deployment.Text), Place.Index.Value);
+  std::sort(
+      Rows.begin(), Rows.end(), [&](const PlanVm &Left, const PlanVm &Right) {
+        return hashText(Left.Vm.Text, Seed) < hashText(Right.Vm.Text, Seed);
+      });
+}
+
+/// The domain that \p Need VMs fill best: least room left over, so that large
+/// gaps stay whole for others. The slot's hash breaks ties.
+std::optional<DomainId> chooseDomain(const PlanPool &Pool, std::size_t Need,
+                                     const SlotKey &Place, bool FirstFit) {
+  std::optional<DomainId> Best;
+  std::size_t BestLeft = 0;
+  std::uint64_t BestTie = 0;
+  std::uint64_t Seed =
+      mixHash(hashText(Place.Deployment.Text), Place.Index.Value);
+  for (const DomainId &Domain : Pool.domains()) {
+    std::size_t Room = Pool.freeCount(Domain);
+    if (Room < Need)
+      continue;
+    if (FirstFit)
+      return Domain;
+    std::size_t Left = (Room - Need) % Need;
+    std::uint64_t Tie = hashText(Domain.Text, Seed);
+    if (!Best || Left < BestLeft || (Left == BestLeft && Tie < BestTie)) {
+      Best = Domain;
+      BestLeft = Left;
+      BestTie = Tie;
+    }
+  }
+  return Best;
+}
+
+} // namespace
+
+PlanPool::PlanPool(std::vector<PlanVm> Source) {
+  for (PlanVm &Row : Source) {
+    if (Row.Usable && Row.Group == Fence())
+      this->Free[Row.Domain].push_back(Row.Vm);
+    VmId Vm = Row.Vm;
+    this->Rows.emplace(std::move(Vm), std::move(Row));
+  }
+}
+
+const PlanVm *PlanPool::find(const VmId &Vm) const {
+  auto At = this->Rows.find(Vm);
+  return At == this->Rows.end() ? nullptr : &At->second;
+}
+
+void PlanPool::take(const VmId &Vm) {
+  const PlanVm *Row = this->find(Vm);
+  if (!Row)
+    return;
+  if (auto At = this->Free.find(Row->Domain); At != this->Free.end()) {
+    std::erase(At->second, Vm);
+    if (At->second.empty())
+      this->Free.erase(At);
+  }
+}
+
+std::vector<PlanVm> PlanPool::freeIn(const DomainId &Domain) const {
+  std::vector<PlanVm> Found;
+  if (auto At = this->Free.find(Domain); At != this->Free.end())
+    for (const VmId &Vm : At->second)
+      Found.push_back(this->Rows.at(Vm));
+  return Found;
+}
+
+std::size_t PlanPool::freeCount(const DomainId &Domain) const {
+  auto At = this->Free.find(Domain);
+  return At == this->Free.end() ? 0 : At->second.size();
+}
+
+std::vector<DomainId> PlanPool::domains() const {
+  std::vector<DomainId> Found;
+  for (const auto &[Domain, Vms] : this->Free)
+    Found.push_back(Domain);
+  return Found;
+}
+
+std::optional<Proposal> planSlot(const SlotKey &Place, const Deployment &Spec,
+                                 const Group *Present, PlanPool &Pool,
+                                 RepairPolicy Policy, bool Release) {
+  std::size_t Need = Spec.VmsPerReplica;
+  Proposal Plan{Place, Present ? Present->Id : Fence(), DomainId(), {}};
+  // 1. Who of the present group may stay?
+  std::vector<PlanVm> Stay;
+  if (Present)
+    for (const VmId &Vm : Present->Vms)
+      if (const PlanVm *Row = Pool.find(Vm); Row && Row->Usable)
+        Stay.push_back(*Row);
+  if (Present && Stay.size() == Need && Present->Vms.size() == Need)
+    return std::nullopt;
+  // 2. Fill up in the same domain, keeping what is loaded.
+  if (Present && Policy == RepairPolicy::KeepMembers && !Stay.empty() &&
+      Pool.freeCount(Present->Domain) + Stay.size() >= Need) {
+    std::vector<PlanVm> Spares = Pool.freeIn(Present->Domain);
+    shuffleFor(Spares, Place);
+    if (Stay.size() > Need)
+      Stay.resize(Need);
+    Plan.Domain = Present->Domain;
+    Plan.Vms = Stay;
+    for (const PlanVm &Row : Spares)
+      if (Plan.Vms.size() < Need)
+        Plan.Vms.push_back(Row);
+  }
+  // 3. Otherwise a domain with room for all.
+  if (Plan.Vms.empty())
+    if (auto Domain =
+            chooseDomain(Pool, Need, Place, Policy == RepairPolicy::Naive)) {
+      std::vector<PlanVm> Rows = Pool.freeIn(*Domain);
+      shuffleFor(Rows, Place);
+      Rows.resize(Need);
+      Plan.Domain = *Domain;
+      Plan.Vms = std::move(Rows);
+    }
+  if (Plan.Vms.empty() && !(Present && Release))
+    return std::nullopt;
+  for (const PlanVm &Row : Plan.Vms)
+    Pool.take(Row.Vm);
+  return Plan;
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/policy/retry.cpp
@@ -0,0 +1,68 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "policy/retry.h"
+
+#include <algorithm>
+#include <array>
+
+namespace waycove {
+
+namespace {
+
+constexpr double EarnedPerAttempt = 0.1;
+constexpr double MostBalance = 100;
+constexpr unsigned MaxAttempts = 4;
+
+/// What an attempt's end says about the target having run the request.
+struct EndRow {
+  AttemptEnd End;
+  bool Sent;
+  ErrorKind Kind;
+};
+
+constexpr std::array<EndRow, static_cast<std::size_t>(AttemptEnd::Count)> Ends{
+    {{AttemptEnd::Done, true, ErrorKind::Internal},
+     {AttemptEnd::NotSent, false, ErrorKind::NoCapacity},
+     {AttemptEnd::Refused, false, ErrorKind::TargetBusy},
+     {AttemptEnd::Broken, true, ErrorKind::OutcomeUnknown},
+     {AttemptEnd::Stalled, true, ErrorKind::OutcomeUnknown},
+     {AttemptEnd::CallerGone, true, ErrorKind::OutcomeUnknown}}};
+
+} // namespace
+
+void RetryBudget::onFirstAttempt() {
+  this->Balance = std::min(this->Balance + EarnedPerAttempt, MostBalance);
+}
+
+bool RetryBudget::take() {
+  if (this->Balance < 1)
+    return false;
+  this->Balance -= 1;
+  return true;
+}
+
+RetryDecision decideRetry(const AttemptFacts &Facts, RetryBudget &Budget) {
+  if (Facts.End == AttemptEnd::Done)
+    return {RetryChoice::Finish, ErrorKind::Internal};
+  const EndRow &Row = Ends[static_cast<std::size_t>(Facts.End)];
+  bool MayHaveRun = Facts.MayHaveRun || Row.Sent;
+  // 1. The honest answer, should this be the end.
+  ErrorKind Kind = MayHaveRun ? ErrorKind::OutcomeUnknown : Row.Kind;
+  if (Facts.DeadlinePassed)
+    Kind = MayHaveRun ? (Facts.Repeatable ? ErrorKind::DeadlineAfterRun
+                                          : ErrorKind::OutcomeUnknown)
+                      : ErrorKind::DeadlineBeforeRun;
+  if (Facts.End == AttemptEnd::CallerGone || Facts.DeadlinePassed)
+    return {RetryChoice::GiveUp, Kind};
+  // 2. May it be sent again at all?
+  if (MayHaveRun && !Facts.Repeatable)
+    return {RetryChoice::GiveUp, Kind};
+  // 3. Is it worth it?
+  if (Facts.Attempts >= MaxAttempts || !Budget.take())
+    return {RetryChoice::GiveUp, MayHaveRun ? ErrorKind::TargetFailed : Kind};
+  return {RetryChoice::Again, Kind};
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/wire/frame.cpp
@@ -0,0 +1,127 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "wire/frame.h"
+
+#include "base/errors.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <array>
+
+namespace waycove {
+
+namespace {
+
+constexpr std::size_t LengthBytes = 4;
+constexpr Millis SendTimeout(3000);
+
+Poco::Timespan spanOf(Millis Time) { return {Time.count() * 1000}; }
+
+} // namespace
+
+std::string packFrame(const wire::FrameT &Frame) {
+  flatbuffers::FlatBufferBuilder Builder;
+  Builder.Finish(wire::Frame::Pack(Builder, &Frame));
+  return {reinterpret_cast<const char *>(Builder.GetBufferPointer()),
+          Builder.GetSize()};
+}
+
+absl::StatusOr<wire::FrameT> unpackFrame(const std::string &Bytes) {
+  const auto *Data = reinterpret_cast<const std::uint8_t *>(Bytes.data());
+  flatbuffers::Verifier Verifier(Data, Bytes.size(), 64, 4'000'000);
+  if (Bytes.size() < 8 || Bytes.size() > MaxFrameBytes ||
+      !Verifier.VerifyBuffer<wire::Frame>(nullptr))
+    return makeError(ErrorKind::BadRequest, "damaged frame");
+  wire::FrameT Frame;
+  flatbuffers::GetRoot<wire::Frame>(Data)->UnPackTo(&Frame);
+  return Frame;
+}
+
+FrameSocket::FrameSocket(Poco::Net::StreamSocket Socket, Metrics &Counters)
+    : Socket(std::move(Socket)), Counters(Counters) {
+  this->Socket.setNoDelay(true);
+  this->Socket.setSendTimeout(spanOf(SendTimeout));
+}
+
+absl::StatusOr<Poco::Net::StreamSocket>
+FrameSocket::dial(const std::string &Host, std::uint16_t Port, Millis Timeout) {
+  try {
+    Poco::Net::StreamSocket Socket;
+    Socket.connect(Poco::Net::SocketAddress(Host, Port), spanOf(Timeout));
+    return Socket;
+  } catch (const Poco::Exception &Error) {
+    return makeError(ErrorKind::NoCapacity, Error.displayText());
+  }
+}
+
+bool FrameSocket::send(const wire::FrameT &Frame) {
+  std::string Bytes = packFrame(Frame);
+  auto Size = static_cast<std::uint32_t>(Bytes.size());
+  std::string Out(LengthBytes, '\0');
+  for (std::size_t I = 0; I < LengthBytes; ++I)
+    Out[I] = static_cast<char>((Size >> (8 * I)) & 0xFF);
+  Out += Bytes;
+  std::lock_guard Lock(this->SendMutex);
+  try {
+    std::size_t Sent = 0;
+    while (Sent < Out.size()) {
+      int Wrote = this->Socket.sendBytes(Out.data() + Sent,
+                                         static_cast<int>(Out.size() - Sent));
+      if (Wrote <= 0)
+        return false;
+      Sent += static_cast<std::size_t>(Wrote);
+    }
+    this->Counters.add(Counter::PeerBytesOut, Out.size());
+    return true;
+  } catch (const Poco::Exception &) {
+    // Half a frame may be out: nothing sensible can follow on this stream.
+    this->shutdown();
+    return false;
+  }
+}
+
+bool FrameSocket::readAll(char *Into, std::size_t Count) {
+  std::size_t Got = 0;
+  while (Got < Count) {
+    int Read =
+        this->Socket.receiveBytes(Into + Got, static_cast<int>(Count - Got));
+    if (Read <= 0)
+      return false;
+    Got += static_cast<std::size_t>(Read);
+  }
+  this->Counters.add(Counter::PeerBytesIn, Count);
+  return true;
+}
+
+absl::StatusOr<wire::FrameT> FrameSocket::receive(Millis Timeout) {
+  try {
+    this->Socket.setReceiveTimeout(spanOf(Timeout));
+    std::array<char, LengthBytes> Head{};
+    if (!this->readAll(Head.data(), Head.size()))
+      return makeError(ErrorKind::OutcomeUnknown, "the peer closed");
+    std::uint32_t Size = 0;
+    for (std::size_t I = 0; I < LengthBytes; ++I)
+      Size |= static_cast<std::uint32_t>(static_cast<unsigned char>(Head[I]))
+              << (8 * I);
+    if (Size > MaxFrameBytes)
+      return makeError(ErrorKind::BadRequest, "frame too large");
+    std::string Bytes(Size, '\0');
+    if (!this->readAll(Bytes.data(), Size))
+      return makeError(ErrorKind::OutcomeUnknown, "the peer closed");
+    return unpackFrame(Bytes);
+  } catch (const Poco::Exception &Error) {
+    return makeError(ErrorKind::OutcomeUnknown, Error.displayText());
+  }
+}
+
+void FrameSocket::shutdown() {
+  try {
+    this->Socket.shutdown();
+  } catch (const Poco::Exception &) {
+    // Closed already, which is what was wanted.
+  }
+}
+
+} // namespace waycove
--- /dev/null
+++ b/tests/standins/target.cpp
@@ -0,0 +1,318 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// Targets: any number of VMs in one process, each a model engine (with orders,
+// reports, streams, resume and cancel) or a plain service that counts its
+// calls by key. VMs are the rows of the platform's VM file; those on this
+// process's ports are served here. A process may hold one VM, to be killed or
+// frozen alone.
+//   POST /faults {"generate": "ok|die_after|cross|wrong_group|partial|gap|
+//        stall|refuse|reset", "after": K, "state": "ok|stall|old",
+//        "leaving": "yes|no", "service": "ok|reset|slow|busy|crossed"}
+//   GET  /counts   calls of the service by key and in all
+#include "base/json.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/StreamCopier.h>
+#include <csignal>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <yaml-cpp/yaml.h>
+
+DEFINE_string(vms, "", "YAML file: a list of VMs");
+DEFINE_string(only, "", "comma-separated VM ids to serve; empty for all");
+DEFINE_int32(token_ms, 5, "time between tokens");
+DEFINE_int32(load_ms, 200, "time to load a model");
+DEFINE_bool(checks_fence, true, "refuse orders with an older fence");
+
+namespace {
+
+using namespace waycove;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+using SteadyClock = std::chrono::steady_clock;
+
+struct Vm {
+  std::string Id;
+  std::mutex Mutex;
+  std::uint64_t Group = 0;
+  std::uint64_t Members = 0;
+  SteadyClock::time_point LoadedAt;
+  std::uint64_t Running = 0;
+  std::set<std::string> Cancelled;
+  std::map<std::string, std::string> Faults;
+  std::map<std::string, int> Calls;
+  int AllCalls = 0;
+  int Generates = 0;
+
+  std::string fault(const std::string &Name) {
+    std::lock_guard Lock(this->Mutex);
+    return this->Faults[Name];
+  }
+};
+
+class Handler : public Poco::Net::HTTPRequestHandler {
+public:
+  explicit Handler(Vm &Me) : Me(Me) {}
+
+  void handleRequest(HTTPServerRequest &Request,
+                     HTTPServerResponse &Response) override {
+    std::string Path = Request.getURI();
+    std::string Body;
+    Poco::StreamCopier::copyToString(Request.stream(), Body);
+    if (this->Me.fault("leaving") == "yes")
+      Response.set("X-Waycove-Leaving", "yes");
+    if (Path == "/faults")
+      this->setFaults(Response, Body);
+    else if (Path == "/counts")
+      this->counts(Response);
+    else if (Path == "/v1/order")
+      this->order(Response, Body);
+    else if (Path == "/v1/state")
+      this->state(Response);
+    else if (Path == "/v1/cancel")
+      this->cancel(Response, Body);
+    else if (Path == "/v1/generate")
+      this->generate(Request, Response, Body);
+    else
+      this->service(Request, Response, Body);
+  }
+
+private:
+  static void reply(HTTPServerResponse &Response, const std::string &Body,
+                    int Status = 200) {
+    Response.setStatusAndReason(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
+    Response.setContentType("application/json");
+    Response.sendBuffer(Body.data(), Body.size());
+  }
+  static void drop(HTTPServerRequest &Request, HTTPServerResponse &Response) {
+    Response.setKeepAlive(false);
+    dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(Request).socket().close();
+  }
+  static void busy(HTTPServerResponse &Response) {
+    Response.set("X-Waycove-Not-Run", "yes");
+    reply(Response, "{}", 503);
+  }
+
+  void setFaults(HTTPServerResponse &Response, const std::string &Body) {
+    auto Row = parseJson(Body);
+    std::lock_guard Lock(this->Me.Mutex);
+    for (const auto &[Key, Value] : **Row)
+      this->Me.Faults[Key] = Value.toString();
+    reply(Response, "{}");
+  }
+
+  void counts(HTTPServerResponse &Response) {
+    std::lock_guard Lock(this->Me.Mutex);
+    Poco::JSON::Object Keys;
+    for (const auto &[Key, Count] : this->Me.Calls)
+      Keys.set(Key, Count);
+    Poco::JSON::Object Out;
+    Out.set("keys", Keys);
+    Out.set("calls", this->Me.AllCalls);
+    Out.set("generates", this->Me.Generates);
+    Out.set("running", this->Me.Running);
+    Out.set("cancelled", this->Me.Cancelled.size());
+    reply(Response, dumpJson(Out));
+  }
+
+  void order(HTTPServerResponse &Response, const std::string &Body) {
+    auto Row = parseJson(Body);
+    std::uint64_t Fence = numberAt(*Row, "group");
+    std::lock_guard Lock(this->Me.Mutex);
+    if (FLAGS_checks_fence && Fence < this->Me.Group)
+      return reply(Response, "{\"error\":\"older fence\"}", 409);
+    if (Fence != this->Me.Group)
+      this->Me.LoadedAt =
+          SteadyClock::now() + std::chrono::milliseconds(FLAGS_load_ms);
+    this->Me.Group = Fence;
+    this->Me.Members = (*Row)->getArray("members")->size();
+    reply(Response, "{}");
+  }
+
+  void state(HTTPServerResponse &Response) {
+    if (this->Me.fault("state") == "stall")
+      std::this_thread::sleep_for(std::chrono::seconds(2));
+    std::lock_guard Lock(this->Me.Mutex);
+    bool Loaded = this->Me.Group > 0 && SteadyClock::now() >= this->Me.LoadedAt;
+    bool Old = this->Me.Faults["state"] == "old";
+    Poco::JSON::Object Out;
+    Out.set("group", Old ? 1 : this->Me.Group);
+    Out.set("state", std::string(Loaded ? "loaded" : "loading"));
+    Out.set("leaving", this->Me.Faults["leaving"] == "yes");
+    Out.set("running", this->Me.Running);
+    Out.set("queue", this->Me.Running);
+    reply(Response, dumpJson(Out));
+  }
+
+  void cancel(HTTPServerResponse &Response, const std::string &Body) {
+    auto Row = parseJson(Body);
+    std::lock_guard Lock(this->Me.Mutex);
+    this->Me.Cancelled.insert(textAt(*Row, "request"));
+    reply(Response, "{}");
+  }
+
+  static std::string line(const std::string &Request, std::uint64_t Index,
+                          std::uint64_t Group, std::uint64_t Members) {
+    Poco::JSON::Object Out;
+    Out.set("request", Request);
+    Out.set("index", Index);
+    Out.set("text", "w" + std::to_string(Index) + " ");
+    Out.set("group", Group);
+    Out.set("members", Members);
+    return dumpJson(Out) + "\n";
+  }
+
+  void generate(HTTPServerRequest &Request, HTTPServerResponse &Response,
+                const std::string &Body) {
+    auto Row = parseJson(Body);
+    std::string Id = textAt(*Row, "request");
+    std::uint64_t Group = 0;
+    std::uint64_t Members = 0;
+    std::string Fault;
+    std::uint64_t After = 0;
+    {
+      std::lock_guard Lock(this->Me.Mutex);
+      Group = this->Me.Group;
+      Members = this->Me.Members;
+      Fault = this->Me.Faults["generate"];
+      After = std::strtoull(this->Me.Faults["after"].c_str(), nullptr, 10);
+      ++this->Me.Generates;
+    }
+    if (Fault == "refuse" ||
+        (FLAGS_checks_fence && numberAt(*Row, "group") != Group))
+      return busy(Response);
+    if (Fault == "reset")
+      return drop(Request, Response);
+    if (Fault == "wrong_group")
+      Group += 1;
+    if (Fault == "partial")
+      Members -= 1;
+    {
+      std::lock_guard Lock(this->Me.Mutex);
+      ++this->Me.Running;
+    }
+    Response.setChunkedTransferEncoding(true);
+    std::ostream &Out = Response.send();
+    std::uint64_t From = numberAt(*Row, "resume_from");
+    std::uint64_t Count = numberAt(*Row, "max_tokens");
+    bool Whole = true;
+    for (std::uint64_t I = From; I < Count && Out.good(); ++I) {
+      if (I - From >= After && Fault == "die_after") {
+        Whole = false;
+        break;
+      }
+      if (I - From >= After && Fault == "stall")
+        std::this_thread::sleep_for(std::chrono::seconds(4));
+      if (Fault == "gap" && I - From >= After)
+        ++I;
+      if (Fault == "cross")
+        Out << line("someone-else", I, Group, Members);
+      if (Fault == "repeat" && I > From)
+        Out << line(Id, I - 1, Group, Members);
+      Out << line(Id, I, Group, Members) << std::flush;
+      std::this_thread::sleep_for(std::chrono::milliseconds(FLAGS_token_ms));
+      std::lock_guard Lock(this->Me.Mutex);
+      if (this->Me.Cancelled.contains(Id))
+        break;
+    }
+    if (Whole && Out.good())
+      Out << "{\"request\":\"" << Id << "\",\"done\":true,\"tokens\":" << Count
+          << ",\"queue\":0}\n"
+          << std::flush;
+    {
+      std::lock_guard Lock(this->Me.Mutex);
+      --this->Me.Running;
+    }
+    if (!Whole)
+      drop(Request, Response);
+  }
+
+  void service(HTTPServerRequest &Request, HTTPServerResponse &Response,
+               const std::string &Body) {
+    std::string Fault = this->Me.fault("service");
+    if (Fault == "busy")
+      return busy(Response);
+    if (Fault == "drop_before")
+      return drop(Request, Response);
+    if (Fault == "slow")
+      std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    std::string Key = Request.get("Idempotency-Key", "none");
+    int Count = 0;
+    {
+      std::lock_guard Lock(this->Me.Mutex);
+      Count = ++this->Me.Calls[Key];
+      ++this->Me.AllCalls;
+    }
+    if (Fault == "reset")
+      return drop(Request, Response);
+    Poco::JSON::Object Out;
+    Out.set("vm", this->Me.Id);
+    Out.set("path", Request.getURI());
+    Out.set("body", Body);
+    Out.set("workspace", Request.get("X-Waycove-Workspace", ""));
+    Out.set("count", Count);
+    Response.set("X-Request-Id", Fault == "crossed"
+                                     ? "someone-else"
+                                     : Request.get("X-Request-Id", ""));
+    reply(Response, dumpJson(Out));
+  }
+
+  Vm &Me;
+};
+
+class Handlers : public Poco::Net::HTTPRequestHandlerFactory {
+public:
+  explicit Handlers(Vm &Me) : Me(Me) {}
+  Poco::Net::HTTPRequestHandler *
+  createRequestHandler(const HTTPServerRequest &) override {
+    return new Handler(this->Me);
+  }
+
+private:
+  Vm &Me;
+};
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  Poco::ThreadPool Pool(16, 4000, 60, 128 << 10);
+  std::vector<std::unique_ptr<Vm>> Vms;
+  std::vector<std::unique_ptr<Poco::Net::HTTPServer>> Servers;
+  std::string Only = "," + FLAGS_only + ",";
+  for (const YAML::Node &Row : YAML::LoadFile(FLAGS_vms)) {
+    std::string Id = Row["id"].as<std::string>();
+    if (!FLAGS_only.empty() && Only.find("," + Id + ",") == std::string::npos)
+      continue;
+    Vms.push_back(std::make_unique<Vm>());
+    Vms.back()->Id = Id;
+    auto Params = Poco::AutoPtr<Poco::Net::HTTPServerParams>(
+        new Poco::Net::HTTPServerParams);
+    Params->setMaxThreads(2000);
+    Params->setMaxQueued(2000);
+    Poco::Net::ServerSocket Socket;
+    Socket.bind(Poco::Net::SocketAddress(Row["host"].as<std::string>(),
+                                         Row["port"].as<unsigned short>()),
+                true, false);
+    Socket.listen(512);
+    Servers.push_back(std::make_unique<Poco::Net::HTTPServer>(
+        new Handlers(*Vms.back()), Pool, Socket, Params));
+    Servers.back()->start();
+  }
+  std::cout << "ready" << std::endl;
+  pause();
+}
--- /dev/null
+++ b/tools/check.sh
@@ -0,0 +1,39 @@
+#!/usr/bin/env bash
+# Format, linter, generated code, events catalogue and bench signature.
+set -u
+build=${1:?build folder}
+bad=0
+complain() { echo "check: $1"; bad=1; }
+ours=$(git ls-files 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' | grep -v _generated)
+
+clang-format --dry-run -Werror $ours >/tmp/waycove-format.$$ 2>&1 ||
+  { head -20 /tmp/waycove-format.$$; complain "clang-format differs; run make format"; }
+rm -f /tmp/waycove-format.$$
+
+made=$(mktemp -d)
+flatc --cpp --gen-object-api --cpp-std c++17 --scoped-enums -o "$made" src/wire/wire.fbs &&
+  cmp -s "$made/wire_generated.h" src/wire/wire_generated.h ||
+  complain "src/wire/wire_generated.h is not what flatc makes of wire.fbs"
+rm -rf "$made"
+
+"$build/waycoved" --list_events | cmp -s - docs/EVENTS.md ||
+  complain "docs/EVENTS.md is not what waycoved --list_events prints"
+
+for file in $ours; do
+  grep -q "Licensed under the Apache License" "$file" || complain "$file: no licence note"
+done
+
+# The newest commit that names a signature has to name the present one.
+said=$(git log -100 --format=%B | grep -m1 -oE '^Bench: [0-9]+' | cut -d' ' -f2)
+is=$("$build/waycove" bench | grep -oE '^Bench: [0-9]+' | cut -d' ' -f2)
+[ -n "$is" ] && [ "$said" = "$is" ] ||
+  complain "bench prints '$is', but the history says '$said'"
+
+sources=$(git ls-files 'src/*.cpp' 'tests/*.cpp')
+tidy=$(echo $sources | tr ' ' '\n' | xargs -P "$(nproc)" -n 2 clang-tidy -p "$build" --quiet 2>/dev/null)
+if echo "$tidy" | grep -qE '(warning|error):'; then
+  echo "$tidy" | grep -E '(warning|error):' | sort -u | head -40
+  complain "clang-tidy"
+fi
+[ $bad = 0 ] && echo "check: all clean"
+exit $bad
