Test a member's death in the stream against an engine that counts its members

The stand-in head now counts the members that it reaches, as collective steps do, and says so in each token; tokens of a partial group are not passed on. The test of a member's restart read its state too early and now waits for it.

No functional change.

--- a/tests/failure/groups_test.cpp
+++ b/tests/failure/groups_test.cpp
@@ -150,8 +150,38 @@
   this->Run.startVm(Vm);
   for (int I = 0; I < 10; ++I)
     CHECK(this->Run.generate("n1", 3).Status == 200);
-  CHECK(eventually([&] { return this->whole(); }));
-  CHECK(this->Run.atVm(Vm, {.Path = "/v1/state"}).number("group") > 0);
+  CHECK(eventually([&] {
+    return this->Run.atVm(Vm, {.Path = "/v1/state"}).number("group") > 0 &&
+           this->whole();
+  }));
+}
+
+TEST_CASE_METHOD(GroupCluster,
+                 "groups: a member other than the head dies in the stream: no "
+                 "token of the partial group goes out",
+                 "[process]") {
+  std::vector<GroupRow> Rows = groupsOf(this->Run, "n1");
+  auto Call = std::async(std::launch::async,
+                         [&] { return this->Run.generate("n1", 250, true); });
+  std::string Member;
+  std::string Head;
+  REQUIRE(eventually([&] {
+    for (const GroupRow &Row : Rows)
+      if (this->Run.atVm(Row.Vms[0], {.Path = "/counts"}).number("running") ==
+          1) {
+        Head = Row.Vms[0];
+        Member = Row.Vms[1];
+      }
+    return !Member.empty();
+  }));
+  this->Run.killVm(Member);
+  Reply Answer = Call.get();
+  CHECK_FALSE(Answer.Cut);
+  CHECK(streamedIndexes(Answer.Body).size() == 250);
+  CHECK(this->Run.counter("n1", "resumes") == 1);
+  // The rest came from the other group.
+  CHECK(this->Run.atVm(Head, {.Path = "/counts"}).number("partial_tokens") <=
+        2);
 }
 
 TEST_CASE_METHOD(LaxCluster,
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -55,6 +55,10 @@
   std::map<std::string, int> Calls;
   int AllCalls = 0;
   int Generates = 0;
+  int PartialTokens = 0;
+  std::vector<std::string> MemberAddresses;
+  std::uint64_t Present = 0;
+  SteadyClock::time_point PresentAt;
 
   std::string fault(const std::string &Name) {
     std::lock_guard Lock(this->Mutex);
@@ -124,6 +128,7 @@
     Out.set("calls", this->Me.AllCalls);
     Out.set("generates", this->Me.Generates);
     Out.set("running", this->Me.Running);
+    Out.set("partial_tokens", this->Me.PartialTokens);
     Out.set("cancelled", this->Me.Cancelled.size());
     reply(Response, dumpJson(Out));
   }
@@ -139,6 +144,9 @@
           SteadyClock::now() + std::chrono::milliseconds(FLAGS_load_ms);
     this->Me.Group = Fence;
     this->Me.Members = (*Row)->getArray("members")->size();
+    this->Me.MemberAddresses.clear();
+    for (const auto &Address : *(*Row)->getArray("members"))
+      this->Me.MemberAddresses.push_back(Address.toString());
     reply(Response, "{}");
   }
 
@@ -164,6 +172,26 @@
     reply(Response, "{}");
   }
 
+  /// Members that can be reached, as a real engine's collective steps would
+  /// find out. Asked anew every few tokens.
+  std::uint64_t present(std::uint64_t Members) {
+    std::lock_guard Lock(this->Me.Mutex);
+    if (SteadyClock::now() - this->Me.PresentAt < std::chrono::milliseconds(10))
+      return std::min(this->Me.Present, Members);
+    this->Me.PresentAt = SteadyClock::now();
+    this->Me.Present = 0;
+    for (const std::string &Address : this->Me.MemberAddresses)
+      try {
+        Poco::Net::StreamSocket Socket;
+        Socket.connect(Poco::Net::SocketAddress(Address),
+                       Poco::Timespan(0, 50'000));
+        ++this->Me.Present;
+      } catch (const Poco::Exception &) {
+        continue;
+      }
+    return std::min(this->Me.Present, Members);
+  }
+
   static std::string line(const std::string &Request, std::uint64_t Index,
                           std::uint64_t Group, std::uint64_t Members) {
     Poco::JSON::Object Out;
@@ -222,7 +250,12 @@
         Out << line("someone-else", I, Group, Members);
       if (Fault == "repeat" && I > From)
         Out << line(Id, I - 1, Group, Members);
-      Out << line(Id, I, Group, Members) << std::flush;
+      std::uint64_t Present = this->present(Members);
+      Out << line(Id, I, Group, Present) << std::flush;
+      if (Present < Members) {
+        std::lock_guard Lock(this->Me.Mutex);
+        ++this->Me.PartialTokens;
+      }
       std::this_thread::sleep_for(std::chrono::milliseconds(FLAGS_token_ms));
       std::lock_guard Lock(this->Me.Mutex);
       if (this->Me.Cancelled.contains(Id))
