--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -14,6 +14,7 @@
 
 constexpr char KindPayload[] = "waycove/kind";
 constexpr char RetryPayload[] = "waycove/retry";
+constexpr char UnsurePayload[] = "waycove/unsure";
 constexpr auto KindCount = static_cast<std::size_t>(ErrorKind::Count);
 
 using enum ErrorKind;
@@ -95,6 +96,17 @@
   return static_cast<ErrorKind>(std::stoi(std::string(*Payload)));
 }
 
+Ran ranOf(const absl::Status &Status) {
+  return Status.GetPayload(UnsurePayload)
+             ? Ran::Unknown
+             : answerFor(kindOf(Status)).RequestRan;
+}
+
+absl::Status unsure(absl::Status Status) {
+  Status.SetPayload(UnsurePayload, absl::Cord("1"));
+  return Status;
+}
+
 Millis retryAfterOf(const absl::Status &Status) {
   auto Payload = Status.GetPayload(RetryPayload);
   return Millis(Payload ? std::stoll(std::string(*Payload)) : 0);
@@ -109,7 +121,7 @@
   Poco::JSON::Object Error;
   Error.set("kind", std::string(Answer.Name));
   Error.set("message", messageOf(Status));
-  Error.set("ran", std::string(ranText(Answer.RequestRan)));
+  Error.set("ran", std::string(ranText(ranOf(Status))));
   Error.set("retry_after_ms", retryAfterOf(Status).count());
   Poco::JSON::Object Body;
   Body.set("error", Error);
--- a/src/base/errors.h
+++ b/src/base/errors.h
@@ -61,6 +61,12 @@
                        Millis RetryAfter = Millis(0));
 /// The kind that makeError put in; Internal for a status from elsewhere.
 ErrorKind kindOf(const absl::Status &Status);
+/// What may be believed of the request that \p Status answers: what the table
+/// says of its kind, unless unsure() took it back.
+Ran ranOf(const absl::Status &Status);
+/// The same error for a request with a key that may have run before: that this
+/// attempt did not run says nothing about an earlier one.
+absl::Status unsure(absl::Status Status);
 Millis retryAfterOf(const absl::Status &Status);
 std::string messageOf(const absl::Status &Status);
 /// The JSON body that callers get for \p Status.
--- a/src/board/board.cpp
+++ b/src/board/board.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint64_t LeavingNewsMs = 120000;
 /// The group controller's rounds may lag by this many poll periods.
 constexpr int RoundsAllowed = 5;
+constexpr Millis LeastLag(1000);
 
 } // namespace
 
@@ -33,7 +34,8 @@
 
 bool Board::seesMembers(TimePoint Now) const {
   TimePoint Last{Millis(this->LastRound.load())};
-  return Now - Last < RoundsAllowed * this->Config.PollEvery;
+  return Now - Last <
+         std::max(LeastLag, RoundsAllowed * this->Config.PollEvery);
 }
 
 bool Board::groupServes(Fence Group, TimePoint Now) const {
--- a/src/board/board.h
+++ b/src/board/board.h
@@ -60,6 +60,8 @@
   std::atomic<bool> Stopping{false};
   /// The platform's log answered the last call.
   std::atomic<bool> LogUp{false};
+  /// The VM list was had once, from the platform or a peer.
+  std::atomic<bool> VmsKnown{false};
   /// Counts changes after which the views have to be made anew.
   std::atomic<std::uint64_t> RoutingVersion{1};
   std::atomic<std::uint32_t> InFlight{0};
--- a/src/control/grouper.h
+++ b/src/control/grouper.h
@@ -46,6 +46,9 @@
                     [](const PeerTable &Peers) { return Peers.LiveFor; });
     }
     this->LastStep = Now;
+    // What peers read of this daemon's rows is vouched for from here on.
+    this->Tables.LastRound =
+        std::chrono::duration_cast<Millis>(Now.time_since_epoch()).count();
     // 2. Look.
     std::vector<Job> Jobs = this->collect(Now);
     this->poll(Jobs, Now);
@@ -57,8 +60,6 @@
         if (!Verdict.Ready && Row.Mine)
           this->orderMembers(Row, Now);
       }
-    this->Tables.LastRound =
-        std::chrono::duration_cast<Millis>(Now.time_since_epoch()).count();
     // 4. Form and repair.
     if (Now >= this->HoldUntil)
       this->plan(Jobs, Now);
--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Millis OrderAgainAfter(1000);
-constexpr Millis LeastFresh(700);
+constexpr Millis LeastFresh(1000);
 
 } // namespace
 
--- a/src/control/peers.cpp
+++ b/src/control/peers.cpp
@@ -109,7 +109,7 @@
   return Row;
 }
 
-wire::Heartbeat PeerExchange::ownBeat() {
+std::uint32_t PeerExchange::ownFlags() const {
   std::uint32_t Flags = 0;
   if (this->Tables.seesMembers(SystemClock{}.now()))
     Flags |= SeesMembers;
@@ -117,6 +117,12 @@
     Flags |= Serving;
   if (this->Tables.Stopping)
     Flags |= StoppingNode;
+  return Flags;
+}
+
+wire::Heartbeat PeerExchange::ownBeat() {
+  std::uint32_t Flags = this->ownFlags();
+  this->SentFlags = Flags;
   return {this->Tables.Me.Hash.Value, this->Beats.fetch_add(1) + 1,
           this->Fold.next().Value, this->Tables.InFlight.load(), Flags};
 }
@@ -164,6 +170,8 @@
 }
 
 void PeerExchange::flush(TimePoint Now, bool WithHeartbeat) {
+  // Peers judge this daemon's rows by its flags, so both go out together.
+  WithHeartbeat |= this->ownFlags() != this->SentFlags;
   for (const LinkRef &Row : this->openLinks()) {
     std::uint64_t UpTo = this->Tables.Changes.load();
     wire::GossipT News = this->gossipFor(*Row, Now, WithHeartbeat);
@@ -223,6 +231,7 @@
   // 3. Links and records.
   this->dialWanted(Now);
   this->askForRecords(Now);
+  this->askForVms();
   this->forgetOldHealth();
   std::lock_guard Lock(this->Mutex);
   std::erase_if(this->Links, [](const LinkRef &Row) { return !Row->Open; });
@@ -363,7 +372,7 @@
     if (const auto *News = Frame->message.AsGossip())
       this->receiveGossip(*Row, *News);
     else if (const auto *Asked = Frame->message.AsRecordsWanted())
-      this->answerRecords(*Row, Offset(Asked->from));
+      this->answerRecords(*Row, *Asked);
     else if (const auto *Records = Frame->message.AsRecords())
       this->receiveRecords(*Records);
     else
@@ -451,8 +460,73 @@
                               std::to_string(Mine.Value));
 }
 
-void PeerExchange::answerRecords(Link &To, Offset From) {
+std::vector<std::unique_ptr<wire::VmRowT>>
+PeerExchange::vmRows(std::uint64_t &Version) {
+  std::vector<std::unique_ptr<wire::VmRowT>> Rows;
+  this->Tables.Vms.read([&](const VmTable &Vms) {
+    Version = Vms.Version;
+    for (const auto &[Id, Info] : Vms.rows()) {
+      auto Out = std::make_unique<wire::VmRowT>();
+      Out->id = Id.Text;
+      Out->domain = Info.Domain.Text;
+      Out->host = Info.Address.Host;
+      Out->port = Info.Address.Port;
+      Out->leaving = Info.ListedLeaving;
+      for (const Label &Row : Info.Own.rows()) {
+        auto Pair = std::make_unique<wire::HeaderT>();
+        Pair->name = Row.Key;
+        Pair->value = Row.Value;
+        Out->labels.push_back(std::move(Pair));
+      }
+      Rows.push_back(std::move(Out));
+    }
+  });
+  return Rows;
+}
+
+/// A daemon that started while the platform is away has its VMs from a peer of
+/// the same data centre.
+void PeerExchange::receiveVms(const wire::RecordsT &Rows) {
+  if (Rows.vms.empty() || this->Tables.VmsKnown)
+    return;
+  this->Tables.Vms.write([&](VmTable &Vms) {
+    for (const auto &Row : Rows.vms) {
+      VmInfo Info;
+      Info.Id = VmId(Row->id);
+      Info.DataCentre = this->Tables.Me.DataCentre;
+      Info.Domain = DomainId(Row->domain);
+      Info.Address = {Row->host, Row->port};
+      Info.ListedLeaving = Row->leaving;
+      for (const auto &Pair : Row->labels)
+        Info.Own.set(Pair->name, Pair->value);
+      Vms.put(Info);
+    }
+    Vms.Version = std::max(Vms.Version, Rows.vms_version);
+  });
+  this->Tables.VmsKnown = true;
+  this->Tables.RoutingVersion.fetch_add(1);
+}
+
+void PeerExchange::askForVms() {
+  if (this->Tables.VmsKnown || this->Tables.LogUp)
+    return;
+  for (const LinkRef &Row : this->openLinks())
+    if (Row->Centre == this->Tables.Me.DataCentre) {
+      wire::RecordsWantedT Asked;
+      Asked.from = this->Fold.next().Value;
+      Asked.vms = true;
+      this->send(*Row,
+                 frameOf(this->Tables.Clock.tick(SystemClock{}.wall()), Asked));
+      return;
+    }
+}
+
+void PeerExchange::answerRecords(Link &To, const wire::RecordsWantedT &Asked) {
+  Offset From(Asked.from);
   wire::RecordsT Answer;
+  if (Asked.vms && To.Centre == this->Tables.Me.DataCentre &&
+      this->Tables.VmsKnown)
+    Answer.vms = this->vmRows(Answer.vms_version);
   std::vector<LogRecord> Rows = this->Tables.Tail.read(
       [&](const RecordTail &Tail) { return Tail.since(From, MaxRecordBytes); });
   for (const LogRecord &Row : Rows) {
@@ -474,6 +548,7 @@
 }
 
 void PeerExchange::receiveRecords(const wire::RecordsT &Rows) {
+  this->receiveVms(Rows);
   if (!Rows.checkpoint.empty())
     this->Fold.takeCheckpoint({Rows.checkpoint.begin(), Rows.checkpoint.end()})
         .IgnoreError();
--- a/src/control/peers.h
+++ b/src/control/peers.h
@@ -56,6 +56,7 @@
   using LinkRef = std::shared_ptr<Link>;
 
   wire::PeerRowT ownRow() const;
+  std::uint32_t ownFlags() const;
   wire::Heartbeat ownBeat();
   wire::GossipT gossipFor(const Link &To, TimePoint Now, bool WithHeartbeat);
   void adaptToSize(TimePoint Now);
@@ -64,7 +65,10 @@
   void runLink(const LinkRef &Row);
   void receiveGossip(Link &From, const wire::GossipT &News);
   void receiveRecords(const wire::RecordsT &Rows);
-  void answerRecords(Link &To, Offset From);
+  void answerRecords(Link &To, const wire::RecordsWantedT &Asked);
+  std::vector<std::unique_ptr<wire::VmRowT>> vmRows(std::uint64_t &Version);
+  void receiveVms(const wire::RecordsT &Rows);
+  void askForVms();
   void askForRecords(TimePoint Now);
   void forgetOldHealth();
   std::vector<LinkRef> openLinks() const;
@@ -83,6 +87,7 @@
   std::vector<Dialer> Dialers;
   std::atomic<std::uint64_t> NextLink{1};
   std::atomic<std::uint64_t> Beats{0};
+  std::atomic<std::uint32_t> SentFlags{0};
   std::atomic<int> Dialing{0};
   std::atomic<bool> Closing{false};
   std::size_t NextSeed = 0;
--- a/src/control/vmwatch.h
+++ b/src/control/vmwatch.h
@@ -49,6 +49,7 @@
       Vms.Version = Page.Version;
       Vms.sweepNews(SystemClock{}.wall());
     });
+    this->Tables.VmsKnown = true;
     for (const VmId &Vm : Leaving)
       this->Tables.Log.emit(EventCode::VmLeaving, Vm.Text, "listed");
     if (!Leaving.empty())
--- /dev/null
+++ b/src/edge/attempts.cpp
@@ -0,0 +1,80 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "edge/attempts.h"
+
+namespace waycove {
+
+const RouteTarget *Attempts::choose(const Plan &Way,
+                                    const CallerRequest &Request,
+                                    const Course &Run, std::uint64_t Affinity) {
+  TimePoint Began = SystemClock{}.now();
+  RouteQuery Query{Way.Wanted, Affinity,
+                   mixHash(hashText(Request.Id.Text), Run.Attempts), Run.Avoid,
+                   Began};
+  const RouteTarget *Found = this->Tables.Load.read([&](const LoadTable &Load) {
+    return pickTarget(*Way.View, Load, Query, [&](const RouteTarget &Row) {
+      return this->Places.serves(Row);
+    });
+  });
+  if (Found)
+    this->Tables.Load.write(
+        [&](LoadTable &Load) { Load.onStart(Found->Head); });
+  this->Tables.Counters.observe(Timer::Route, SystemClock{}.now() - Began);
+  return Found;
+}
+
+/// Notes how an attempt ended, and ejects a target that keeps failing.
+void Attempts::noteEnd(const RouteTarget &Target, AttemptEnd End,
+                       std::size_t Known) {
+  bool Failed = End == AttemptEnd::NotSent || End == AttemptEnd::Broken ||
+                End == AttemptEnd::Stalled;
+  bool Ejected = this->Tables.Load.write([&](LoadTable &Load) {
+    TimePoint Now = SystemClock{}.now();
+    Load.onEnd(Target.Head, Failed, Now);
+    return Failed && Load.ejectIfFailing(Target.Head, Known, Now);
+  });
+  if (Ejected)
+    this->Tables.Log.emit(EventCode::TargetEjected, Target.Head.Text);
+}
+
+/// A target that says that it leaves is believed, here and by all peers.
+void Attempts::noteLeaving(const RouteTarget &Target) {
+  WallMs Now = SystemClock{}.wall();
+  bool News = this->Tables.Vms.write([&](VmTable &Vms) {
+    return !Vms.isLeaving(Target.Head, Now) &&
+           Vms.noteLeaving(Target.Head, Board::leavingUntil(Now),
+                           this->Tables.markHere());
+  });
+  if (!News)
+    return;
+  this->Tables.Log.emit(EventCode::VmLeaving, Target.Head.Text, "its own word");
+  this->Tables.Urgent.set();
+}
+
+RetryDecision Attempts::decide(const CallerRequest &Request, Course &Run,
+                               AttemptEnd End) {
+  AttemptFacts Facts{End, Request.Repeatable, Run.Attempts,
+                     SystemClock{}.now() >= Request.Deadline, Run.MayHaveRun};
+  std::lock_guard Lock(this->BudgetMutex);
+  RetryDecision Next = decideRetry(Facts, this->Budget);
+  Run.MayHaveRun |= End != AttemptEnd::NotSent && End != AttemptEnd::Refused;
+  return Next;
+}
+
+void Attempts::noteFirst() {
+  std::lock_guard Lock(this->BudgetMutex);
+  this->Budget.onFirstAttempt();
+}
+
+void Attempts::noteAgain(const CallerRequest &Request,
+                         const RouteTarget &Target, bool Resumed, Course &Run) {
+  Run.Avoid.push_back(Target.Head);
+  this->Tables.Counters.add(Resumed ? Counter::Resumes : Counter::Retries);
+  this->Tables.Log.emit(
+      Resumed ? EventCode::RequestResumed : EventCode::RequestRetried,
+      Request.Id.Text, "after " + Target.Head.Text + ": " + Run.Reason);
+}
+
+} // namespace waycove
--- a/src/edge/callers.cpp
+++ b/src/edge/callers.cpp
@@ -5,6 +5,7 @@
 #include "edge/callers.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/HTTPChunkedStream.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/URI.h>
 #include <algorithm>
@@ -111,6 +112,13 @@
   return absl::OkStatus();
 }
 
+/// A request with a key may have run elsewhere before.
+absl::Status notReady(const Poco::Net::HTTPServerRequest &Request) {
+  absl::Status Status = makeError(ErrorKind::NotReady,
+                                  "no current configuration yet", ComeBackSoon);
+  return Request.has("Idempotency-Key") ? unsure(Status) : Status;
+}
+
 absl::Status readHeaders(const Poco::Net::HTTPServerRequest &Request,
                          const Board &Tables, CallerRequest &Into) {
   Into.Id = RequestId(Request.get("X-Request-Id", ""));
@@ -147,7 +155,8 @@
 
 } // namespace
 
-bool HttpSink::head(int Status, const std::string &Type, Millis Retry) {
+bool HttpSink::head(int Status, const std::string &Type, Millis Retry,
+                    AnswerLength Length) {
   try {
     this->Response.setStatusAndReason(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
@@ -157,7 +166,11 @@
       this->Response.set("Retry-After",
                          std::to_string((Retry.count() + 999) / 1000));
     bool Bodyless = Status == 204 || Status == 304;
-    this->Response.setChunkedTransferEncoding(!Bodyless);
+    if (Length && !Bodyless)
+      this->Response.setContentLength64(static_cast<std::int64_t>(*Length));
+    this->Response.setChunkedTransferEncoding(!Length && !Bodyless);
+    if (!Length)
+      this->Response.setKeepAlive(false);
     this->Out = &this->Response.send();
     return this->Out->good();
   } catch (const Poco::Exception &) {
@@ -177,23 +190,41 @@
   }
 }
 
-bool HttpSink::end() { return this->Out && this->Out->good(); }
+bool HttpSink::end() {
+  if (!this->Out || !this->Out->good())
+    return false;
+  auto *Chunks = dynamic_cast<Poco::Net::HTTPChunkedOutputStream *>(this->Out);
+  if (!Chunks)
+    return true;
+  try {
+    // The last chunk goes out here and not when the library lets the stream
+    // go, so that an answer counts as given only once it is on its way whole.
+    // The library would write it a second time: no more can be sent.
+    Chunks->rdbuf()->close();
+    this->socket().shutdownSend();
+    return Chunks->good();
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+Poco::Net::StreamSocket &HttpSink::socket() {
+  return dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(this->Request)
+      .socket();
+}
 
 void HttpSink::cut() {
   this->Response.setKeepAlive(false);
   try {
     // Without the socket, the last chunk cannot go out.
-    auto &Whole =
-        dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(this->Request);
-    Whole.socket().shutdown();
+    this->socket().shutdown();
   } catch (const std::exception &) {
     // Broken already: the caller sees that as well.
   }
 }
 
-void HttpSink::note(ErrorKind Kind) {
-  this->Response.set("X-Waycove-Ran",
-                     std::string(ranText(answerFor(Kind).RequestRan)));
+void HttpSink::note(Ran Outcome) {
+  this->Response.set("X-Waycove-Ran", std::string(ranText(Outcome)));
 }
 
 absl::StatusOr<std::string> readBody(Poco::Net::HTTPServerRequest &Request,
@@ -233,8 +264,7 @@
   ObjectRef Owner = Tables.State.read(
       [&](const FoldState &State) { return State.workspaceByDigest(Digest); });
   if (!Owner && !Tables.Ready)
-    return makeError(ErrorKind::NotReady, "no current configuration yet",
-                     ComeBackSoon);
+    return notReady(Request);
   if (!Owner)
     return makeError(ErrorKind::Unauthenticated, "no workspace has this key");
   Result.Workspace = WorkspaceId(Owner->Key.Name);
--- a/src/edge/callers.h
+++ b/src/edge/callers.h
@@ -10,23 +10,28 @@
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/StreamSocket.h>
 
 namespace waycove {
 
-/// Writes an answer to a caller's HTTP connection. Streams are chunked; an
-/// answer that is not whole lacks its last chunk, so any client sees the cut.
+/// Writes an answer to a caller's HTTP connection. Answers of known length say
+/// it. Streams are chunked and end their connection; one that is not whole
+/// lacks its last chunk, so any client sees the cut.
 class HttpSink {
 public:
   HttpSink(Poco::Net::HTTPServerRequest &Request,
            Poco::Net::HTTPServerResponse &Response)
       : Request(Request), Response(Response) {}
-  bool head(int Status, const std::string &Type, Millis Retry);
+  bool head(int Status, const std::string &Type, Millis Retry,
+            AnswerLength Length);
   bool data(std::string_view Bytes);
   bool end();
   void cut();
-  void note(ErrorKind Kind);
+  void note(Ran Outcome);
 
 private:
+  Poco::Net::StreamSocket &socket();
+
   Poco::Net::HTTPServerRequest &Request;
   Poco::Net::HTTPServerResponse &Response;
   std::ostream *Out = nullptr;
--- a/src/edge/daemon.cpp
+++ b/src/edge/daemon.cpp
@@ -130,7 +130,8 @@
   void ready(HttpSink &Into) {
     if (this->Owner.Tables.Stopping)
       sendError(Into, makeError(ErrorKind::Stopping, "stopping"));
-    else if (!this->Owner.Tables.Ready)
+    else if (!this->Owner.Tables.Ready ||
+             (this->Owner.Tables.LogUp && !this->Owner.Tables.VmsKnown))
       sendError(Into, makeError(ErrorKind::NotReady, "not ready"));
     else
       sendWhole(Into, 200, "text/plain", "ready\n");
--- a/src/edge/forward.cpp
+++ b/src/edge/forward.cpp
@@ -6,11 +6,14 @@
 
 namespace waycove {
 
-bool PeerSink::head(int Status, const std::string &Type, Millis Retry) {
+bool PeerSink::head(int Status, const std::string &Type, Millis Retry,
+                    AnswerLength Length) {
   wire::ForwardHeadT Head;
   Head.status = static_cast<std::uint16_t>(Status);
   if (this->Error)
-    Head.error_kind = static_cast<std::uint8_t>(*this->Error) + 1;
+    Head.error_ran = static_cast<std::uint8_t>(*this->Error) + 1;
+  Head.has_length = Length.has_value();
+  Head.length = Length.value_or(0);
   Head.content_type = Type;
   Head.retry_after_ms = static_cast<std::uint64_t>(Retry.count());
   return this->send(std::move(Head));
--- a/src/edge/forward.h
+++ b/src/edge/forward.h
@@ -46,10 +46,14 @@
       this->Tables.Clock.merge(Frame->clock);
       if (const auto *Head = Frame->message.AsForwardHead()) {
         Begun = true;
-        if (Head->error_kind > 0)
-          Into.note(static_cast<ErrorKind>(Head->error_kind - 1));
+        if (Head->error_ran > 0)
+          Into.note(static_cast<Ran>(Head->error_ran - 1));
+        AnswerLength Length;
+        if (Head->has_length)
+          Length = Head->length;
         if (!Into.head(Head->status, Head->content_type,
-                       Millis(static_cast<std::int64_t>(Head->retry_after_ms))))
+                       Millis(static_cast<std::int64_t>(Head->retry_after_ms)),
+                       Length))
           return ForwardEnd::CallerGone;
       } else if (const auto *Data = Frame->message.AsForwardData()) {
         std::string_view Bytes(
@@ -88,11 +92,12 @@
 public:
   PeerSink(FrameSocket &Frames, HybridClock &Clock)
       : Frames(Frames), Clock(Clock) {}
-  bool head(int Status, const std::string &Type, Millis Retry);
+  bool head(int Status, const std::string &Type, Millis Retry,
+            AnswerLength Length);
   bool data(std::string_view Bytes);
   bool end();
   void cut();
-  void note(ErrorKind Kind) { this->Error = Kind; }
+  void note(Ran Outcome) { this->Error = Outcome; }
 
 private:
   template <typename T> bool send(T Message) {
@@ -101,7 +106,7 @@
   }
   FrameSocket &Frames;
   HybridClock &Clock;
-  std::optional<ErrorKind> Error;
+  std::optional<Ran> Error;
 };
 
 static_assert(AnswerSink<PeerSink>);
--- a/src/edge/operators.h
+++ b/src/edge/operators.h
@@ -151,13 +151,25 @@
         Out.set("domain", Formed.Domain.Text);
         Out.set("vms", Vms);
         bool Here = Formed.Place.DataCentre == this->Tables.Me.DataCentre;
-        Out.set("serves", Here && this->Tables.groupServes(Id, Now));
+        Out.set("serves", Here && this->isRouted(Formed) &&
+                              this->Tables.groupServes(Id, Now));
         Rows.add(Out);
       }
     });
     return Rows;
   }
 
+  /// Whether requests can find the group: it is in its deployment's view.
+  bool isRouted(const Group &Formed) const {
+    ViewRef View = this->Tables.Views.read([&](const ViewTable &Views) {
+      return Views.find({ObjectKind::Deployment, Formed.Place.Deployment.Text});
+    });
+    return View && std::any_of(View->Targets.begin(), View->Targets.end(),
+                               [&](const RouteTarget &Row) {
+                                 return Row.Group == Formed.Id;
+                               });
+  }
+
   Poco::JSON::Array peers(TimePoint Now) {
     Poco::JSON::Array Rows;
     this->Tables.Peers.read([&](const PeerTable &Peers) {
--- a/src/edge/request.cpp
+++ b/src/edge/request.cpp
@@ -12,7 +12,8 @@
 
 } // namespace
 
-bool MemorySink::head(int Status, const std::string &Type, Millis Retry) {
+bool MemorySink::head(int Status, const std::string &Type, Millis Retry,
+                      AnswerLength) {
   this->Answer.HttpStatus = Status;
   this->Answer.ContentType = Type;
   this->RetryAfter = Retry;
@@ -29,7 +30,7 @@
 Ran MemorySink::ran() const {
   if (!this->Whole)
     return Ran::Unknown;
-  return this->Error ? answerFor(*this->Error).RequestRan : Ran::Yes;
+  return this->Error.value_or(Ran::Yes);
 }
 
 bool MemorySink::end() {
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -40,16 +40,19 @@
   bool Bound = false;
 };
 
-/// Where an answer goes. note() tells which error the answer stands for, if
-/// any, and comes first; head() begins it; data() returns false where the
+/// Bytes of the answer's body; nothing for a stream of unknown length.
+using AnswerLength = std::optional<std::uint64_t>;
+
+/// Where an answer goes. note() tells, for an error, whether the request
+/// ran, and comes first; head() begins it; data() returns false where the
 /// receiver is gone; end() marks it whole; cut() makes the receiver see that
 /// it is not.
 template <typename T>
 concept AnswerSink = requires(T &S, int Status, const std::string &Type,
-                              Millis Retry, std::string_view Bytes,
-                              ErrorKind Kind) {
-  S.note(Kind);
-  { S.head(Status, Type, Retry) } -> std::same_as<bool>;
+                              Millis Retry, std::string_view Bytes, Ran Outcome,
+                              AnswerLength Length) {
+  S.note(Outcome);
+  { S.head(Status, Type, Retry, Length) } -> std::same_as<bool>;
   { S.data(Bytes) } -> std::same_as<bool>;
   { S.end() } -> std::same_as<bool>;
   S.cut();
@@ -59,24 +62,33 @@
 template <AnswerSink Sink>
 bool sendWhole(Sink &Into, int Status, const std::string &Type,
                const std::string &Body, Millis RetryAfter = Millis(0)) {
-  return Into.head(Status, Type, RetryAfter) && Into.data(Body) && Into.end();
+  return Into.head(Status, Type, RetryAfter, Body.size()) && Into.data(Body) &&
+         Into.end();
 }
 
 template <AnswerSink Sink>
 bool sendError(Sink &Into, const absl::Status &Status) {
-  Into.note(kindOf(Status));
+  Into.note(ranOf(Status));
   return sendWhole(Into, answerFor(kindOf(Status)).HttpStatus,
                    "application/json", errorJson(Status), retryAfterOf(Status));
 }
 
+/// Sends the error, and returns it.
+template <AnswerSink Sink>
+absl::Status refuse(Sink &Into, const absl::Status &Status) {
+  sendError(Into, Status);
+  return Status;
+}
+
 /// A sink that keeps a whole answer in memory, up to a bound.
 class MemorySink {
 public:
-  bool head(int Status, const std::string &Type, Millis Retry);
+  bool head(int Status, const std::string &Type, Millis Retry,
+            AnswerLength Length);
   bool data(std::string_view Bytes);
   bool end();
   void cut() { this->WasCut = true; }
-  void note(ErrorKind Kind) { this->Error = Kind; }
+  void note(Ran Outcome) { this->Error = Outcome; }
   /// What may be believed of the request whose answer this is.
   Ran ran() const;
 
@@ -84,7 +96,7 @@
   Millis RetryAfter{0};
   bool Whole = false;
   bool WasCut = false;
-  std::optional<ErrorKind> Error;
+  std::optional<Ran> Error;
 };
 
 wire::ForwardT toForward(const CallerRequest &Request, TimePoint Now);
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -78,6 +78,14 @@
 struct GossipBuilder;
 struct GossipT;
 
+struct Header;
+struct HeaderBuilder;
+struct HeaderT;
+
+struct VmRow;
+struct VmRowBuilder;
+struct VmRowT;
+
 struct RecordsWanted;
 struct RecordsWantedBuilder;
 struct RecordsWantedT;
@@ -90,10 +98,6 @@
 struct RecordsBuilder;
 struct RecordsT;
 
-struct Header;
-struct HeaderBuilder;
-struct HeaderT;
-
 struct Forward;
 struct ForwardBuilder;
 struct ForwardT;
@@ -2255,9 +2259,237 @@
 
 flatbuffers::Offset<Gossip> CreateGossip(flatbuffers::FlatBufferBuilder &_fbb, const GossipT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct HeaderT : public flatbuffers::NativeTable {
+  typedef Header TableType;
+  std::string name{};
+  std::string value{};
+};
+
+struct Header FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HeaderT NativeTableType;
+  typedef HeaderBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_VALUE = 6
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           verifier.EndTable();
+  }
+  HeaderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HeaderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Header> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeaderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HeaderBuilder {
+  typedef Header Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(Header::VT_NAME, name);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(Header::VT_VALUE, value);
+  }
+  explicit HeaderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Header> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Header>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Header> CreateHeader(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0) {
+  HeaderBuilder builder_(_fbb);
+  builder_.add_value(value);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+struct Header::Traits {
+  using type = Header;
+  static auto constexpr Create = CreateHeader;
+};
+
+inline flatbuffers::Offset<Header> CreateHeaderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *value = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return waycove::wire::CreateHeader(
+      _fbb,
+      name__,
+      value__);
+}
+
+flatbuffers::Offset<Header> CreateHeader(flatbuffers::FlatBufferBuilder &_fbb, const HeaderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct VmRowT : public flatbuffers::NativeTable {
+  typedef VmRow TableType;
+  std::string id{};
+  std::string domain{};
+  std::string host{};
+  uint16_t port = 0;
+  bool leaving = false;
+  std::vector<std::unique_ptr<waycove::wire::HeaderT>> labels{};
+  VmRowT() = default;
+  VmRowT(const VmRowT &o);
+  VmRowT(VmRowT&&) FLATBUFFERS_NOEXCEPT = default;
+  VmRowT &operator=(VmRowT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct VmRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef VmRowT NativeTableType;
+  typedef VmRowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_DOMAIN = 6,
+    VT_HOST = 8,
+    VT_PORT = 10,
+    VT_LEAVING = 12,
+    VT_LABELS = 14
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  const flatbuffers::String *domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
+  }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::Header>> *labels() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::Header>> *>(VT_LABELS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffset(verifier, VT_DOMAIN) &&
+           verifier.VerifyString(domain()) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyOffset(verifier, VT_LABELS) &&
+           verifier.VerifyVector(labels()) &&
+           verifier.VerifyVectorOfTables(labels()) &&
+           verifier.EndTable();
+  }
+  VmRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(VmRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<VmRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const VmRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct VmRowBuilder {
+  typedef VmRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(VmRow::VT_ID, id);
+  }
+  void add_domain(flatbuffers::Offset<flatbuffers::String> domain) {
+    fbb_.AddOffset(VmRow::VT_DOMAIN, domain);
+  }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(VmRow::VT_HOST, host);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(VmRow::VT_PORT, port, 0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(VmRow::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  void add_labels(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::Header>>> labels) {
+    fbb_.AddOffset(VmRow::VT_LABELS, labels);
+  }
+  explicit VmRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<VmRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<VmRow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<VmRow> CreateVmRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<flatbuffers::String> domain = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    uint16_t port = 0,
+    bool leaving = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::Header>>> labels = 0) {
+  VmRowBuilder builder_(_fbb);
+  builder_.add_labels(labels);
+  builder_.add_host(host);
+  builder_.add_domain(domain);
+  builder_.add_id(id);
+  builder_.add_port(port);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
+}
+
+struct VmRow::Traits {
+  using type = VmRow;
+  static auto constexpr Create = CreateVmRow;
+};
+
+inline flatbuffers::Offset<VmRow> CreateVmRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    const char *domain = nullptr,
+    const char *host = nullptr,
+    uint16_t port = 0,
+    bool leaving = false,
+    const std::vector<flatbuffers::Offset<waycove::wire::Header>> *labels = nullptr) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto domain__ = domain ? _fbb.CreateString(domain) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto labels__ = labels ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::Header>>(*labels) : 0;
+  return waycove::wire::CreateVmRow(
+      _fbb,
+      id__,
+      domain__,
+      host__,
+      port,
+      leaving,
+      labels__);
+}
+
+flatbuffers::Offset<VmRow> CreateVmRow(flatbuffers::FlatBufferBuilder &_fbb, const VmRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct RecordsWantedT : public flatbuffers::NativeTable {
   typedef RecordsWanted TableType;
   uint64_t from = 0;
+  bool vms = false;
 };
 
 struct RecordsWanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2265,14 +2497,19 @@
   typedef RecordsWantedBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_FROM = 4
+    VT_FROM = 4,
+    VT_VMS = 6
   };
   uint64_t from() const {
     return GetField<uint64_t>(VT_FROM, 0);
   }
+  bool vms() const {
+    return GetField<uint8_t>(VT_VMS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
+           VerifyField<uint8_t>(verifier, VT_VMS, 1) &&
            verifier.EndTable();
   }
   RecordsWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2287,6 +2524,9 @@
   void add_from(uint64_t from) {
     fbb_.AddElement<uint64_t>(RecordsWanted::VT_FROM, from, 0);
   }
+  void add_vms(bool vms) {
+    fbb_.AddElement<uint8_t>(RecordsWanted::VT_VMS, static_cast<uint8_t>(vms), 0);
+  }
   explicit RecordsWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2300,9 +2540,11 @@
 
 inline flatbuffers::Offset<RecordsWanted> CreateRecordsWanted(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t from = 0) {
+    uint64_t from = 0,
+    bool vms = false) {
   RecordsWantedBuilder builder_(_fbb);
   builder_.add_from(from);
+  builder_.add_vms(vms);
   return builder_.Finish();
 }
 
@@ -2399,6 +2641,8 @@
   std::vector<std::unique_ptr<waycove::wire::LogEntryT>> entries{};
   std::vector<uint8_t> checkpoint{};
   uint64_t next = 0;
+  std::vector<std::unique_ptr<waycove::wire::VmRowT>> vms{};
+  uint64_t vms_version = 0;
   RecordsT() = default;
   RecordsT(const RecordsT &o);
   RecordsT(RecordsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2412,7 +2656,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ENTRIES = 4,
     VT_CHECKPOINT = 6,
-    VT_NEXT = 8
+    VT_NEXT = 8,
+    VT_VMS = 10,
+    VT_VMS_VERSION = 12
   };
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::LogEntry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::LogEntry>> *>(VT_ENTRIES);
@@ -2423,6 +2669,12 @@
   uint64_t next() const {
     return GetField<uint64_t>(VT_NEXT, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::VmRow>> *vms() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::VmRow>> *>(VT_VMS);
+  }
+  uint64_t vms_version() const {
+    return GetField<uint64_t>(VT_VMS_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
@@ -2431,6 +2683,10 @@
            VerifyOffset(verifier, VT_CHECKPOINT) &&
            verifier.VerifyVector(checkpoint()) &&
            VerifyField<uint64_t>(verifier, VT_NEXT, 8) &&
+           VerifyOffset(verifier, VT_VMS) &&
+           verifier.VerifyVector(vms()) &&
+           verifier.VerifyVectorOfTables(vms()) &&
+           VerifyField<uint64_t>(verifier, VT_VMS_VERSION, 8) &&
            verifier.EndTable();
   }
   RecordsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2451,6 +2707,12 @@
   void add_next(uint64_t next) {
     fbb_.AddElement<uint64_t>(Records::VT_NEXT, next, 0);
   }
+  void add_vms(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::VmRow>>> vms) {
+    fbb_.AddOffset(Records::VT_VMS, vms);
+  }
+  void add_vms_version(uint64_t vms_version) {
+    fbb_.AddElement<uint64_t>(Records::VT_VMS_VERSION, vms_version, 0);
+  }
   explicit RecordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2466,9 +2728,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::LogEntry>>> entries = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> checkpoint = 0,
-    uint64_t next = 0) {
+    uint64_t next = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::VmRow>>> vms = 0,
+    uint64_t vms_version = 0) {
   RecordsBuilder builder_(_fbb);
+  builder_.add_vms_version(vms_version);
   builder_.add_next(next);
+  builder_.add_vms(vms);
   builder_.add_checkpoint(checkpoint);
   builder_.add_entries(entries);
   return builder_.Finish();
@@ -2483,101 +2749,23 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<waycove::wire::LogEntry>> *entries = nullptr,
     const std::vector<uint8_t> *checkpoint = nullptr,
-    uint64_t next = 0) {
+    uint64_t next = 0,
+    const std::vector<flatbuffers::Offset<waycove::wire::VmRow>> *vms = nullptr,
+    uint64_t vms_version = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::LogEntry>>(*entries) : 0;
   auto checkpoint__ = checkpoint ? _fbb.CreateVector<uint8_t>(*checkpoint) : 0;
+  auto vms__ = vms ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::VmRow>>(*vms) : 0;
   return waycove::wire::CreateRecords(
       _fbb,
       entries__,
       checkpoint__,
-      next);
+      next,
+      vms__,
+      vms_version);
 }
 
 flatbuffers::Offset<Records> CreateRecords(flatbuffers::FlatBufferBuilder &_fbb, const RecordsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct HeaderT : public flatbuffers::NativeTable {
-  typedef Header TableType;
-  std::string name{};
-  std::string value{};
-};
-
-struct Header FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef HeaderT NativeTableType;
-  typedef HeaderBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_NAME = 4,
-    VT_VALUE = 6
-  };
-  const flatbuffers::String *name() const {
-    return GetPointer<const flatbuffers::String *>(VT_NAME);
-  }
-  const flatbuffers::String *value() const {
-    return GetPointer<const flatbuffers::String *>(VT_VALUE);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_NAME) &&
-           verifier.VerifyString(name()) &&
-           VerifyOffset(verifier, VT_VALUE) &&
-           verifier.VerifyString(value()) &&
-           verifier.EndTable();
-  }
-  HeaderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(HeaderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Header> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeaderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct HeaderBuilder {
-  typedef Header Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
-    fbb_.AddOffset(Header::VT_NAME, name);
-  }
-  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
-    fbb_.AddOffset(Header::VT_VALUE, value);
-  }
-  explicit HeaderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<Header> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Header>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<Header> CreateHeader(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> name = 0,
-    flatbuffers::Offset<flatbuffers::String> value = 0) {
-  HeaderBuilder builder_(_fbb);
-  builder_.add_value(value);
-  builder_.add_name(name);
-  return builder_.Finish();
-}
-
-struct Header::Traits {
-  using type = Header;
-  static auto constexpr Create = CreateHeader;
-};
-
-inline flatbuffers::Offset<Header> CreateHeaderDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *name = nullptr,
-    const char *value = nullptr) {
-  auto name__ = name ? _fbb.CreateString(name) : 0;
-  auto value__ = value ? _fbb.CreateString(value) : 0;
-  return waycove::wire::CreateHeader(
-      _fbb,
-      name__,
-      value__);
-}
-
-flatbuffers::Offset<Header> CreateHeader(flatbuffers::FlatBufferBuilder &_fbb, const HeaderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct ForwardT : public flatbuffers::NativeTable {
   typedef Forward TableType;
   std::string request{};
@@ -2889,8 +3077,10 @@
 
 struct ForwardHeadT : public flatbuffers::NativeTable {
   typedef ForwardHead TableType;
+  bool has_length = false;
+  uint64_t length = 0;
   uint16_t status = 0;
-  uint8_t error_kind = 0;
+  uint8_t error_ran = 0;
   std::string content_type{};
   uint64_t retry_after_ms = 0;
 };
@@ -2900,16 +3090,24 @@
   typedef ForwardHeadBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_STATUS = 4,
-    VT_ERROR_KIND = 6,
-    VT_CONTENT_TYPE = 8,
-    VT_RETRY_AFTER_MS = 10
+    VT_HAS_LENGTH = 4,
+    VT_LENGTH = 6,
+    VT_STATUS = 8,
+    VT_ERROR_RAN = 10,
+    VT_CONTENT_TYPE = 12,
+    VT_RETRY_AFTER_MS = 14
   };
+  bool has_length() const {
+    return GetField<uint8_t>(VT_HAS_LENGTH, 0) != 0;
+  }
+  uint64_t length() const {
+    return GetField<uint64_t>(VT_LENGTH, 0);
+  }
   uint16_t status() const {
     return GetField<uint16_t>(VT_STATUS, 0);
   }
-  uint8_t error_kind() const {
-    return GetField<uint8_t>(VT_ERROR_KIND, 0);
+  uint8_t error_ran() const {
+    return GetField<uint8_t>(VT_ERROR_RAN, 0);
   }
   const flatbuffers::String *content_type() const {
     return GetPointer<const flatbuffers::String *>(VT_CONTENT_TYPE);
@@ -2919,8 +3117,10 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_LENGTH, 1) &&
+           VerifyField<uint64_t>(verifier, VT_LENGTH, 8) &&
            VerifyField<uint16_t>(verifier, VT_STATUS, 2) &&
-           VerifyField<uint8_t>(verifier, VT_ERROR_KIND, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ERROR_RAN, 1) &&
            VerifyOffset(verifier, VT_CONTENT_TYPE) &&
            verifier.VerifyString(content_type()) &&
            VerifyField<uint64_t>(verifier, VT_RETRY_AFTER_MS, 8) &&
@@ -2935,11 +3135,17 @@
   typedef ForwardHead Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_has_length(bool has_length) {
+    fbb_.AddElement<uint8_t>(ForwardHead::VT_HAS_LENGTH, static_cast<uint8_t>(has_length), 0);
+  }
+  void add_length(uint64_t length) {
+    fbb_.AddElement<uint64_t>(ForwardHead::VT_LENGTH, length, 0);
+  }
   void add_status(uint16_t status) {
     fbb_.AddElement<uint16_t>(ForwardHead::VT_STATUS, status, 0);
   }
-  void add_error_kind(uint8_t error_kind) {
-    fbb_.AddElement<uint8_t>(ForwardHead::VT_ERROR_KIND, error_kind, 0);
+  void add_error_ran(uint8_t error_ran) {
+    fbb_.AddElement<uint8_t>(ForwardHead::VT_ERROR_RAN, error_ran, 0);
   }
   void add_content_type(flatbuffers::Offset<flatbuffers::String> content_type) {
     fbb_.AddOffset(ForwardHead::VT_CONTENT_TYPE, content_type);
@@ -2960,15 +3166,19 @@
 
 inline flatbuffers::Offset<ForwardHead> CreateForwardHead(
     flatbuffers::FlatBufferBuilder &_fbb,
+    bool has_length = false,
+    uint64_t length = 0,
     uint16_t status = 0,
-    uint8_t error_kind = 0,
+    uint8_t error_ran = 0,
     flatbuffers::Offset<flatbuffers::String> content_type = 0,
     uint64_t retry_after_ms = 0) {
   ForwardHeadBuilder builder_(_fbb);
   builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_length(length);
   builder_.add_content_type(content_type);
   builder_.add_status(status);
-  builder_.add_error_kind(error_kind);
+  builder_.add_error_ran(error_ran);
+  builder_.add_has_length(has_length);
   return builder_.Finish();
 }
 
@@ -2979,15 +3189,19 @@
 
 inline flatbuffers::Offset<ForwardHead> CreateForwardHeadDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    bool has_length = false,
+    uint64_t length = 0,
     uint16_t status = 0,
-    uint8_t error_kind = 0,
+    uint8_t error_ran = 0,
     const char *content_type = nullptr,
     uint64_t retry_after_ms = 0) {
   auto content_type__ = content_type ? _fbb.CreateString(content_type) : 0;
   return waycove::wire::CreateForwardHead(
       _fbb,
+      has_length,
+      length,
       status,
-      error_kind,
+      error_ran,
       content_type__,
       retry_after_ms);
 }
@@ -3870,6 +4084,96 @@
       _gone);
 }
 
+inline HeaderT *Header::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<HeaderT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Header::UnPackTo(HeaderT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = value(); if (_e) _o->value = _e->str(); }
+}
+
+inline flatbuffers::Offset<Header> Header::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeaderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHeader(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Header> CreateHeader(flatbuffers::FlatBufferBuilder &_fbb, const HeaderT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeaderT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _value = _o->value.empty() ? 0 : _fbb.CreateString(_o->value);
+  return waycove::wire::CreateHeader(
+      _fbb,
+      _name,
+      _value);
+}
+
+inline VmRowT::VmRowT(const VmRowT &o)
+      : id(o.id),
+        domain(o.domain),
+        host(o.host),
+        port(o.port),
+        leaving(o.leaving) {
+  labels.reserve(o.labels.size());
+  for (const auto &labels_ : o.labels) { labels.emplace_back((labels_) ? new waycove::wire::HeaderT(*labels_) : nullptr); }
+}
+
+inline VmRowT &VmRowT::operator=(VmRowT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  std::swap(domain, o.domain);
+  std::swap(host, o.host);
+  std::swap(port, o.port);
+  std::swap(leaving, o.leaving);
+  std::swap(labels, o.labels);
+  return *this;
+}
+
+inline VmRowT *VmRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<VmRowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void VmRow::UnPackTo(VmRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = domain(); if (_e) _o->domain = _e->str(); }
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = port(); _o->port = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = labels(); if (_e) { _o->labels.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->labels[_i] = std::unique_ptr<waycove::wire::HeaderT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<VmRow> VmRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VmRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateVmRow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<VmRow> CreateVmRow(flatbuffers::FlatBufferBuilder &_fbb, const VmRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VmRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _domain = _o->domain.empty() ? 0 : _fbb.CreateString(_o->domain);
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _port = _o->port;
+  auto _leaving = _o->leaving;
+  auto _labels = _o->labels.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::Header>> (_o->labels.size(), [](size_t i, _VectorArgs *__va) { return CreateHeader(*__va->__fbb, __va->__o->labels[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return waycove::wire::CreateVmRow(
+      _fbb,
+      _id,
+      _domain,
+      _host,
+      _port,
+      _leaving,
+      _labels);
+}
+
 inline RecordsWantedT *RecordsWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<RecordsWantedT>();
   UnPackTo(_o.get(), _resolver);
@@ -3880,6 +4184,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = from(); _o->from = _e; }
+  { auto _e = vms(); _o->vms = _e; }
 }
 
 inline flatbuffers::Offset<RecordsWanted> RecordsWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordsWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3891,9 +4196,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RecordsWantedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _from = _o->from;
+  auto _vms = _o->vms;
   return waycove::wire::CreateRecordsWanted(
       _fbb,
-      _from);
+      _from,
+      _vms);
 }
 
 inline LogEntryT *LogEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3927,15 +4234,20 @@
 
 inline RecordsT::RecordsT(const RecordsT &o)
       : checkpoint(o.checkpoint),
-        next(o.next) {
+        next(o.next),
+        vms_version(o.vms_version) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new waycove::wire::LogEntryT(*entries_) : nullptr); }
+  vms.reserve(o.vms.size());
+  for (const auto &vms_ : o.vms) { vms.emplace_back((vms_) ? new waycove::wire::VmRowT(*vms_) : nullptr); }
 }
 
 inline RecordsT &RecordsT::operator=(RecordsT o) FLATBUFFERS_NOEXCEPT {
   std::swap(entries, o.entries);
   std::swap(checkpoint, o.checkpoint);
   std::swap(next, o.next);
+  std::swap(vms, o.vms);
+  std::swap(vms_version, o.vms_version);
   return *this;
 }
 
@@ -3951,6 +4263,8 @@
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<waycove::wire::LogEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = checkpoint(); if (_e) { _o->checkpoint.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->checkpoint.begin()); } }
   { auto _e = next(); _o->next = _e; }
+  { auto _e = vms(); if (_e) { _o->vms.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->vms[_i] = std::unique_ptr<waycove::wire::VmRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = vms_version(); _o->vms_version = _e; }
 }
 
 inline flatbuffers::Offset<Records> Records::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3964,40 +4278,15 @@
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::LogEntry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateLogEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _checkpoint = _o->checkpoint.size() ? _fbb.CreateVector(_o->checkpoint) : 0;
   auto _next = _o->next;
+  auto _vms = _o->vms.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::VmRow>> (_o->vms.size(), [](size_t i, _VectorArgs *__va) { return CreateVmRow(*__va->__fbb, __va->__o->vms[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _vms_version = _o->vms_version;
   return waycove::wire::CreateRecords(
       _fbb,
       _entries,
       _checkpoint,
-      _next);
-}
-
-inline HeaderT *Header::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<HeaderT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void Header::UnPackTo(HeaderT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = name(); if (_e) _o->name = _e->str(); }
-  { auto _e = value(); if (_e) _o->value = _e->str(); }
-}
-
-inline flatbuffers::Offset<Header> Header::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeaderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateHeader(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<Header> CreateHeader(flatbuffers::FlatBufferBuilder &_fbb, const HeaderT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeaderT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
-  auto _value = _o->value.empty() ? 0 : _fbb.CreateString(_o->value);
-  return waycove::wire::CreateHeader(
-      _fbb,
-      _name,
-      _value);
+      _next,
+      _vms,
+      _vms_version);
 }
 
 inline ForwardT *Forward::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4086,8 +4375,10 @@
 inline void ForwardHead::UnPackTo(ForwardHeadT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = has_length(); _o->has_length = _e; }
+  { auto _e = length(); _o->length = _e; }
   { auto _e = status(); _o->status = _e; }
-  { auto _e = error_kind(); _o->error_kind = _e; }
+  { auto _e = error_ran(); _o->error_ran = _e; }
   { auto _e = content_type(); if (_e) _o->content_type = _e->str(); }
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
 }
@@ -4100,14 +4391,18 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ForwardHeadT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _has_length = _o->has_length;
+  auto _length = _o->length;
   auto _status = _o->status;
-  auto _error_kind = _o->error_kind;
+  auto _error_ran = _o->error_ran;
   auto _content_type = _o->content_type.empty() ? 0 : _fbb.CreateString(_o->content_type);
   auto _retry_after_ms = _o->retry_after_ms;
   return waycove::wire::CreateForwardHead(
       _fbb,
+      _has_length,
+      _length,
       _status,
-      _error_kind,
+      _error_ran,
       _content_type,
       _retry_after_ms);
 }
--- a/tests/failure/path_test.cpp
+++ b/tests/failure/path_test.cpp
@@ -4,6 +4,8 @@
 
 #include "support/cluster.h"
 
+#include <Poco/Net/StreamSocket.h>
+#include <array>
 #include <catch2/catch.hpp>
 
 namespace waycove::test {
@@ -50,4 +52,35 @@
   CHECK(this->Run.callsOf(Key) == 1);
 }
 
+TEST_CASE_METHOD(SmallCluster,
+                 "path: raw bytes of answers: kept connections carry nothing "
+                 "but answers, streams end once",
+                 "[process]") {
+  REQUIRE(eventually([&] { return this->Run.serving("n1") == 2; }));
+  auto Raw = [&](const std::string &Bytes) {
+    Poco::Net::StreamSocket Socket(
+        Poco::Net::SocketAddress("127.0.0.1", this->Run.httpPort("n1")));
+    Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+    std::string Answer;
+    std::array<char, 4096> Part{};
+    while (int Got = Socket.receiveBytes(Part.data(), Part.size()))
+      Answer.append(Part.data(), static_cast<std::size_t>(Got));
+    return Answer;
+  };
+  std::string Two = Raw("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+                        "GET /healthz HTTP/1.1\r\nHost: x\r\n"
+                        "Connection: close\r\n\r\n");
+  std::size_t Second = Two.find("HTTP/1.1 200", 1);
+  REQUIRE(Second != std::string::npos);
+  CHECK(Two.substr(Second - 3, 3) == "ok\n");
+  std::string Body = R"({"prompt":"p","max_tokens":3,"stream":true})";
+  std::string Stream =
+      Raw("POST /v1/models/model/generate HTTP/1.1\r\nHost: x\r\n"
+          "Authorization: Bearer w1-key\r\nContent-Length: " +
+          std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  std::size_t Last = Stream.find("\r\n0\r\n\r\n");
+  REQUIRE(Last != std::string::npos);
+  CHECK(Last + 7 == Stream.size());
+}
+
 } // namespace waycove::test
--- a/tests/failure/stop_test.cpp
+++ b/tests/failure/stop_test.cpp
@@ -151,6 +151,10 @@
   auto Call = std::async(std::launch::async,
                          [&] { return this->Run.generate("n2", 1500, true); });
   REQUIRE(eventually([&] {
+    bool Ended =
+        Call.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+    if (Ended)
+      FAIL("ended early: " << Call.get().Body);
     return this->Run.status("n2")->optValue<int>("in_flight", 0) == 1;
   }));
   this->Run.node("n2").signal(SIGTERM);
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -55,6 +55,8 @@
   std::map<std::string, int> Calls;
   int AllCalls = 0;
   int Generates = 0;
+  /// Slow calls that came, ended or not.
+  int Entered = 0;
   int PartialTokens = 0;
   std::vector<std::string> MemberAddresses;
   std::uint64_t Present = 0;
@@ -127,6 +129,7 @@
     Out.set("keys", Keys);
     Out.set("calls", this->Me.AllCalls);
     Out.set("generates", this->Me.Generates);
+    Out.set("entered", this->Me.Entered);
     Out.set("running", this->Me.Running);
     Out.set("partial_tokens", this->Me.PartialTokens);
     Out.set("cancelled", this->Me.Cancelled.size());
@@ -280,6 +283,10 @@
       return busy(Response);
     if (Fault == "drop_before")
       return drop(Request, Response);
+    if (Fault == "slow") {
+      std::lock_guard Lock(this->Me.Mutex);
+      ++this->Me.Entered;
+    }
     if (Fault == "slow")
       std::this_thread::sleep_for(std::chrono::milliseconds(700));
     std::string Key = Request.get("Idempotency-Key", "none");
--- /dev/null
+++ b/tools/without.py
@@ -0,0 +1,156 @@
+#!/usr/bin/env python3
+"""Takes one mechanism at a time out of a scratch copy and runs the tests that
+prove it: each must fail there. Usage: tools/without.py [NAME...]
+
+Prints one line a mechanism: its name, and which tests failed without it."""
+import pathlib
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+
+# name: (file, text, what stands in its place, tests by ctest's -R)
+MECHANISMS = {
+    "members-counted": (
+        "src/edge/serve_model.h",
+        "Token.Members != Way.View->VmsPerReplica", "false",
+        "groups: a member other"),
+    "fresh-reports": (
+        "src/control/members.cpp",
+        "if (Now - Row->Heard > this->freshFor())", "if (false)",
+        "groups: a member dies idle|groups: a member is frozen"),
+    "fence-compared": (
+        "src/control/members.cpp",
+        "if (Row->Report.Group != Formed.Id)", "if (false)",
+        "groups: a late order|groups: a member restarts"),
+    "stamps-compared": (
+        "src/policy/fold.cpp",
+        "!Free ||\n        Now.Stamp != Row->seen", "false",
+        "stale proposers race"),
+    "group-size": (
+        "src/policy/fold.cpp",
+        "Spec->VmsPerReplica != Change.vms.size()", "false",
+        "stale proposers race"),
+    "token-order": (
+        "src/edge/serve_model.h",
+        "if (Token.Index > Have.Count)", "if (false)",
+        "answers: one engine is faulty"),
+    "token-repeat": (
+        "src/edge/serve_model.h",
+        "if (Token.Index < Have.Count)", "if (false)",
+        "answers: one engine is faulty"),
+    "request-id": (
+        "src/edge/target.cpp",
+        'if (textAt(*Row, "request") != Call.Request.Text)', "if (false)",
+        "answers: one engine is faulty"),
+    "visible-cut": (
+        "src/edge/callers.cpp",
+        "this->socket().shutdown();", "this->end();",
+        "answers: all engines die"),
+    "sent-is-sent": (
+        "src/edge/http.cpp",
+        "Sent = true;\n", "Sent = false;\n",
+        "not run: said only|once: key sent again"),
+    "service-answer-id": (
+        "src/edge/target.cpp",
+        "Reply.RequestId != Call.Request.Text", "false",
+        "not run: said only"),
+    "once-table": (
+        "src/policy/once.cpp",
+        "return Fresh;\n}\n\nvoid OnceTable::abandon",
+        "return true;\n}\n\nvoid OnceTable::abandon",
+        "once: key sent|once: any order"),
+    "claims-first-wins": (
+        "src/policy/fold.cpp",
+        "Outcome.Holders.push_back(At->second.Dispatcher);",
+        "At->second.Dispatcher = IncarnationId(Batch.dispatcher);\n"
+        "    Outcome.Holders.push_back(At->second.Dispatcher);",
+        "racing claims|once: key sent to three"),
+    "key-window": (
+        "src/policy/fold.cpp",
+        "!this->isKeyTimeValid(Issued)", "false",
+        "racing claims|once: bad, old"),
+    "leaving-news": (
+        "src/control/peers.cpp",
+        "News.leaving.push_back(std::move(Out));", "Out.reset();",
+        "leaving: the target itself"),
+    "drain-waits": (
+        "src/control/grouper.h",
+        "return Over || Now - Idle->second > IdleBeforeReplace;",
+        "return true;",
+        "leaving: a drained group"),
+    "stop-waits": (
+        "src/edge/daemon.cpp",
+        "if (this->inFlight() > 0)\n    return false;", "return true;",
+        "stop: a daemon is told"),
+    "compare-and-set": (
+        "src/policy/fold.cpp",
+        "if (Revision != Change.base)", "if (false)",
+        "config: two operators race|config: the append's answer"),
+    "never-back": (
+        "src/policy/fold.cpp",
+        "if (Saved.next < this->Next.Value)", "if (false)",
+        "checkpoint in the middle"),
+    "ready-means-newest": (
+        "src/edge/daemon.cpp",
+        "Loops.push_back(loop([&In] { return In.Follow.step(); }));",
+        "Tables.Ready = true;\n"
+        "  In.Loops.push_back(loop([&In] { return In.Follow.step(); }));",
+        "config: a daemon starts"),
+    "records-from-peers": (
+        "src/control/peers.cpp",
+        "this->askForRecords(Now);\n", "\n",
+        "config: a daemon cut|config: a daemon starts while"),
+    "checkpoint": (
+        "src/control/follow.h",
+        "if (Page->First > From || ", "if (false && ",
+        "config: the log forgot"),
+    "labels-deny": (
+        "src/policy/labels.cpp",
+        "if (!Value)\n      return false;", "if (!Value)\n      continue;",
+        "labels: a request|selector: random"),
+}
+
+
+def run(command, folder):
+    return subprocess.run(command, cwd=folder, capture_output=True, text=True)
+
+
+def main():
+    names = sys.argv[1:] or list(MECHANISMS)
+    root = pathlib.Path(__file__).resolve().parent.parent
+    scratch = pathlib.Path(tempfile.mkdtemp()) / "copy"
+    shutil.copytree(root, scratch, ignore=shutil.ignore_patterns(
+        "build*", ".git"))
+    launcher = shutil.which("ccache")
+    flags = [f"-DCMAKE_CXX_COMPILER_LAUNCHER={launcher}"] if launcher else []
+    run(["cmake", "-G", "Ninja", "-B", "build", *flags], scratch)
+    bad = False
+    for name in names:
+        file, old, new, tests = MECHANISMS[name]
+        path = scratch / file
+        whole = path.read_text()
+        if whole.count(old) < 1:
+            print(f"{name}: the text to take out is not in {file}")
+            bad = True
+            continue
+        path.write_text(whole.replace(old, new))
+        built = run(["ninja", "-C", "build"], scratch)
+        if built.returncode:
+            print(f"{name}: does not build\n{built.stdout[-2000:]}")
+            bad = True
+        else:
+            out = run(["ctest", "-j4", "--timeout", "120", "-R", tests],
+                      scratch / "build").stdout
+            failed = re.findall(r"Test +#\d+: (.*?) \.*\*\*\*", out)
+            print(f"{name}: without it {len(failed)} failed: "
+                  + "; ".join(failed), flush=True)
+            bad |= not failed
+        path.write_text(whole)
+    shutil.rmtree(scratch.parent)
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
