--- /dev/null
+++ b/src/bench/traffic.cpp
@@ -0,0 +1,555 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "bench/experiments.h"
+#include "bench/model.h"
+#include "policy/fair.h"
+#include "policy/retry.h"
+#include "policy/route.h"
+
+#include <algorithm>
+#include <array>
+#include <iomanip>
+#include <list>
+#include <ostream>
+#include <random>
+
+namespace waycove {
+
+namespace {
+
+constexpr std::uint64_t Seed = 7;
+constexpr Millis Step(5);
+constexpr TimePoint Start{std::chrono::seconds(1000)};
+
+double secondsOf(std::chrono::nanoseconds Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+// ---- Fairness. ----
+
+struct FairFigures {
+  double WorstShare = 0;
+  double FirstTokenP95 = 0;
+  double GreedyShare = 0;
+  std::size_t Refused = 0;
+};
+
+constexpr std::size_t Workspaces = 10;
+constexpr int FairSeconds = 60;
+
+/// Arrivals of one step: the first workspace sends ten times what each of the
+/// others does, and longer requests.
+std::vector<ModelJob> fairArrivals(std::mt19937_64 &Random, TimePoint Now,
+                                   std::uint64_t &NextId) {
+  std::vector<ModelJob> Jobs;
+  for (std::size_t W = 0; W < Workspaces; ++W) {
+    double PerSecond = W == 0 ? 6 : 0.6;
+    if (static_cast<double>(Random() % 1'000'000) / 1e6 >=
+        PerSecond * secondsOf(Step))
+      continue;
+    ModelJob Job;
+    Job.Id = ++NextId;
+    Job.Workspace = W;
+    Job.Arrived = Now;
+    Job.Deadline = Now + Millis(20000);
+    Job.Prompt = 200;
+    Job.Tokens = W == 0 ? 80 : 40;
+    Jobs.push_back(Job);
+  }
+  return Jobs;
+}
+
+FairFigures fairnessOf(bool Fair) {
+  std::mt19937_64 Random(Seed);
+  ReplicaShape Shape;
+  ModelReplica Replica(Shape);
+  FairQueue Queue(FairLimits{Shape.Slots, 64, 512});
+  std::vector<std::pair<TicketId, ModelJob>> Waiting;
+  std::vector<std::pair<std::uint64_t, TicketId>> Tickets;
+  std::array<double, Workspaces> Served{};
+  std::array<double, Workspaces> Asked{};
+  std::array<std::vector<double>, Workspaces> First;
+  FairFigures Figures;
+  std::uint64_t NextId = 0;
+  for (TimePoint Now = Start; Now < Start + std::chrono::seconds(FairSeconds);
+       Now += Step) {
+    for (ModelJob &Job : fairArrivals(Random, Now, NextId)) {
+      Asked[Job.Workspace] += static_cast<double>(Job.Tokens);
+      if (!Fair) {
+        Replica.push(Job);
+        continue;
+      }
+      auto Ticket =
+          Queue.offer({WorkspaceId("w" + std::to_string(Job.Workspace)), 1,
+                       Tokens(Job.Tokens + Job.Prompt / 4), Job.Deadline, 0},
+                      Now);
+      if (Ticket.ok())
+        Waiting.emplace_back(*Ticket, Job);
+      else
+        ++Figures.Refused;
+    }
+    while (auto Next = Queue.take(Now))
+      for (auto At = Waiting.begin(); At != Waiting.end(); ++At)
+        if (At->first == *Next) {
+          Tickets.emplace_back(At->second.Id, *Next);
+          Replica.push(At->second);
+          Waiting.erase(At);
+          break;
+        }
+    for (const ModelJob &Job : Replica.work(Now, Step)) {
+      Served[Job.Workspace] += static_cast<double>(Job.Tokens);
+      First[Job.Workspace].push_back(secondsOf(*Job.FirstToken - Job.Arrived));
+      for (const auto &[Id, Ticket] : Tickets)
+        if (Id == Job.Id)
+          Queue.finish(Ticket, Tokens(Job.Tokens + Job.Prompt / 4), Now);
+    }
+  }
+  Figures.WorstShare = 1;
+  for (std::size_t W = 1; W < Workspaces; ++W) {
+    Figures.WorstShare = std::min(Figures.WorstShare, Served[W] / Asked[W]);
+    Figures.FirstTokenP95 =
+        std::max(Figures.FirstTokenP95, quantile(First[W], 0.95));
+  }
+  Figures.GreedyShare = Served[0] / Asked[0];
+  return Figures;
+}
+
+// ---- Overload. ----
+
+enum class Balance { RoundRobin, LeastLoaded, Waycove };
+
+struct OverloadFigures {
+  double Goodput = 0;
+  double WastedShare = 0;
+  double FirstTokenP95 = 0;
+  double RefusedShare = 0;
+  double RefusalWait = 0;
+};
+
+constexpr std::size_t Replicas = 20;
+constexpr int OverloadSeconds = 60;
+
+OverloadFigures overloadOf(Balance Policy) {
+  std::mt19937_64 Random(Seed);
+  ReplicaShape Shape;
+  std::vector<ModelReplica> Models(Replicas, ModelReplica(Shape));
+  std::vector<std::size_t> Reported(Replicas, 0);
+  RouteView View;
+  for (std::size_t I = 0; I < Replicas; ++I) {
+    RouteTarget Row;
+    Row.Group = Fence(I);
+    Row.Head = VmId(std::to_string(I));
+    if (Row.MemberLabels.empty())
+      Row.addLabels(Labels());
+    View.Targets.push_back(Row);
+  }
+  View.makeRing();
+  View.SlotsPerReplica = Shape.Slots;
+  LoadTable Load;
+  FairQueue Queue(FairLimits{Shape.Slots * Replicas, 4096, 4096});
+  std::list<std::pair<TicketId, ModelJob>> Waiting;
+  std::unordered_map<std::uint64_t, TicketId> Tickets;
+  double Capacity = Shape.TokensPerSecond * Replicas;
+  double PerStep = 2 * Capacity / 60 * secondsOf(Step);
+  OverloadFigures Figures;
+  std::vector<double> First;
+  std::size_t Came = 0;
+  std::size_t Refused = 0;
+  double Good = 0;
+  double Made = 0;
+  double Credit = 0;
+  std::size_t Turn = 0;
+  std::uint64_t NextId = 0;
+  auto Send = [&](const ModelJob &Job, TimePoint Now) {
+    std::size_t To = 0;
+    if (Policy == Balance::RoundRobin) {
+      To = Turn++ % Replicas;
+    } else if (Policy == Balance::LeastLoaded) {
+      To = static_cast<std::size_t>(
+          std::min_element(Reported.begin(), Reported.end()) -
+          Reported.begin());
+    } else {
+      RouteQuery Query{Selector(), 0, Random(), {}, Now};
+      const RouteTarget *Found = pickTarget(
+          View, Load, Query, [](const RouteTarget &) { return true; });
+      Load.onStart(Found->Key);
+      To = Found->Group.Value;
+    }
+    Models[To].push(Job);
+  };
+  for (TimePoint Now = Start;
+       Now < Start + std::chrono::seconds(OverloadSeconds); Now += Step) {
+    // Reports lag by half a second.
+    if ((Now - Start) % Millis(500) == Millis(0))
+      for (std::size_t I = 0; I < Replicas; ++I)
+        Reported[I] = Models[I].load();
+    for (Credit += PerStep; Credit >= 1; Credit -= 1) {
+      ModelJob Job;
+      Job.Id = ++NextId;
+      Job.Arrived = Now;
+      Job.Deadline = Now + Millis(4000);
+      Job.Prompt = 200;
+      Job.Tokens = 20 + Random() % 80;
+      ++Came;
+      if (Policy != Balance::Waycove) {
+        Send(Job, Now);
+        continue;
+      }
+      auto Ticket = Queue.offer(
+          {WorkspaceId("w" + std::to_string(Random() % 10)), 1,
+           Tokens(Job.Tokens + Job.Prompt / 4),
+           // Room is needed for the answer itself.
+           Job.Deadline -
+               Millis(1000 * Job.Tokens /
+                      static_cast<std::uint64_t>(Shape.TokensPerSecond / 8)),
+           0},
+          Now);
+      if (Ticket.ok()) {
+        Waiting.emplace_back(*Ticket, Job);
+      } else {
+        ++Refused;
+        Figures.RefusalWait += secondsOf(retryAfterOf(Ticket.status()));
+      }
+    }
+    for (TicketId Gone : Queue.expire(Now)) {
+      std::erase_if(Waiting,
+                    [&](const auto &Row) { return Row.first == Gone; });
+      ++Refused;
+    }
+    while (auto Next = Queue.take(Now)) {
+      auto At = std::find_if(Waiting.begin(), Waiting.end(),
+                             [&](auto &Row) { return Row.first == *Next; });
+      Tickets[At->second.Id] = *Next;
+      Send(At->second, Now);
+      Waiting.erase(At);
+    }
+    for (std::size_t I = 0; I < Replicas; ++I)
+      for (const ModelJob &Job : Models[I].work(Now, Step)) {
+        Made += 1;
+        First.push_back(secondsOf(*Job.FirstToken - Job.Arrived));
+        Good += *Job.Finished <= Job.Deadline ? 1 : 0;
+        if (Policy == Balance::Waycove) {
+          Load.onEnd(hashVm(VmId(std::to_string(I))), false, Now);
+          Queue.finish(Tickets[Job.Id], Tokens(Job.Tokens + Job.Prompt / 4),
+                       Now);
+        }
+      }
+  }
+  Figures.Goodput = Good / OverloadSeconds;
+  Figures.WastedShare = Made > 0 ? 1 - Good / Made : 0;
+  Figures.FirstTokenP95 = quantile(First, 0.95);
+  Figures.RefusedShare =
+      static_cast<double>(Refused) / static_cast<double>(Came);
+  Figures.RefusalWait /= std::max<double>(1, static_cast<double>(Refused));
+  return Figures;
+}
+
+// ---- Retries. ----
+
+struct RetryFigures {
+  double AttemptsPerRequest = 0;
+  double FailedShare = 0;
+};
+
+constexpr std::size_t RetryTargets = 50;
+constexpr int RetryRequests = 20000;
+
+/// \p Budgeted is waycove; else every failure is tried again up to three
+/// times, anywhere. \p FailingShare of the targets fail.
+RetryFigures retriesOf(bool Budgeted, double FailingShare) {
+  std::mt19937_64 Random(Seed);
+  RouteView View;
+  for (std::size_t I = 0; I < RetryTargets; ++I) {
+    RouteTarget Row;
+    Row.Head = VmId(std::to_string(I));
+    if (Row.MemberLabels.empty())
+      Row.addLabels(Labels());
+    View.Targets.push_back(Row);
+  }
+  View.makeRing();
+  auto Fails = [&](const VmId &Vm) {
+    return std::stoul(Vm.Text) <
+           static_cast<std::size_t>(FailingShare * RetryTargets);
+  };
+  LoadTable Load;
+  RetryBudget Budget;
+  RetryFigures Figures;
+  TimePoint Now = Start;
+  for (int I = 0; I < RetryRequests; ++I) {
+    Now += Millis(5);
+    Budget.onFirstAttempt(Now);
+    std::vector<VmId> Avoid;
+    unsigned Attempts = 0;
+    while (true) {
+      ++Attempts;
+      RouteQuery Query{Selector(), 0, Random(),
+                       Budgeted ? Avoid : std::vector<VmId>(), Now};
+      LoadTable Blind;
+      const RouteTarget *Found =
+          pickTarget(View, Budgeted ? Load : Blind, Query,
+                     [](const RouteTarget &) { return true; });
+      bool Failed = !Found || Fails(Found->Head);
+      if (Found) {
+        Load.onStart(Found->Key);
+        Load.onEnd(Found->Key, Failed, Now);
+        Load.ejectIfFailing(Found->Key, RetryTargets, Now);
+        Avoid.push_back(Found->Head);
+      }
+      if (!Failed)
+        break;
+      bool Again = Attempts < 4;
+      if (Budgeted)
+        Again = decideRetry({AttemptEnd::Broken, true, Attempts, false, false},
+                            Budget)
+                    .Choice == RetryChoice::Again;
+      if (Again)
+        continue;
+      Figures.FailedShare += 1.0 / RetryRequests;
+      break;
+    }
+    Figures.AttemptsPerRequest += static_cast<double>(Attempts) / RetryRequests;
+  }
+  return Figures;
+}
+
+// ---- Prefix cache. ----
+
+enum class Affinity { None, Learned, Ring };
+
+constexpr std::size_t PrefixReplicas = 50;
+constexpr std::size_t PrefixNodes = 8;
+constexpr std::size_t CacheSessions = 60;
+constexpr std::size_t Sessions = 2000;
+constexpr int PrefixTurns = 40000;
+
+struct PrefixFigures {
+  double HitShare = 0;
+  double LoadSpread = 0;
+};
+
+/// \p Learned: each node keeps what cache events told it, of which a fifth is
+/// lost. \p Ring: what waycove does.
+PrefixFigures prefixOf(Affinity Policy) {
+  std::mt19937_64 Random(Seed);
+  RouteView View;
+  for (std::size_t I = 0; I < PrefixReplicas; ++I) {
+    RouteTarget Row;
+    Row.Group = Fence(I);
+    Row.Head = VmId(std::to_string(I));
+    if (Row.MemberLabels.empty())
+      Row.addLabels(Labels());
+    View.Targets.push_back(Row);
+  }
+  View.makeRing();
+  std::vector<LoadTable> Loads(PrefixNodes);
+  std::vector<std::list<std::uint64_t>> Caches(PrefixReplicas);
+  std::vector<std::unordered_map<std::uint64_t, std::size_t>> Known(
+      PrefixNodes);
+  std::vector<double> Served(PrefixReplicas, 0);
+  std::list<std::pair<std::size_t, VmId>> InFlight;
+  double Hits = 0;
+  double Later = 0;
+  std::vector<bool> Seen(Sessions, false);
+  TimePoint Now = Start;
+  for (int I = 0; I < PrefixTurns; ++I) {
+    Now += Millis(2);
+    std::size_t Node = Random() % PrefixNodes;
+    std::uint64_t Session = Random() % Sessions;
+    RouteQuery Query{Selector(), 0, Random(), {}, Now};
+    if (Policy == Affinity::Ring)
+      Query.Affinity = affinityOf("w", std::to_string(Session), "");
+    const RouteTarget *Found = pickTarget(
+        View, Loads[Node], Query, [](const RouteTarget &) { return true; });
+    std::size_t To = Found->Group.Value;
+    if (Policy == Affinity::Learned)
+      if (auto At = Known[Node].find(Session);
+          At != Known[Node].end() &&
+          Loads[Node].loadOf(hashVm(VmId(std::to_string(At->second))), Now) <=
+              4)
+        To = At->second;
+    VmId Head(std::to_string(To));
+    Loads[Node].onStart(hashVm(Head));
+    InFlight.emplace_back(Node, Head);
+    if (InFlight.size() > 200) {
+      Loads[InFlight.front().first].onEnd(hashVm(InFlight.front().second),
+                                          false, Now);
+      InFlight.pop_front();
+    }
+    Served[To] += 1;
+    auto &Cache = Caches[To];
+    auto Hit = std::find(Cache.begin(), Cache.end(), Session);
+    if (Seen[Session]) {
+      Later += 1;
+      Hits += Hit != Cache.end() ? 1 : 0;
+    }
+    Seen[Session] = true;
+    if (Hit != Cache.end())
+      Cache.erase(Hit);
+    Cache.push_front(Session);
+    if (Cache.size() > CacheSessions)
+      Cache.pop_back();
+    for (std::size_t N = 0; N < PrefixNodes; ++N)
+      if (Random() % 5 != 0)
+        Known[N][Session] = To;
+  }
+  return {Hits / Later, *std::max_element(Served.begin(), Served.end()) *
+                            PrefixReplicas / PrefixTurns};
+}
+
+// ---- KV cache. ----
+
+struct KvFigures {
+  double Goodput = 0;
+  double FirstTokenP95 = 0;
+  std::uint64_t Preemptions = 0;
+};
+
+constexpr std::uint64_t KvTokens = 20000;
+constexpr int KvSeconds = 120;
+
+/// \p Slots requests at once; with \p Headroom above zero, no request is let
+/// in that would bring the contexts' expected size over that share of the
+/// cache.
+KvFigures kvOf(std::size_t Slots, double Headroom, std::uint64_t LongPrompt) {
+  std::mt19937_64 Random(Seed);
+  ReplicaShape Shape;
+  Shape.Slots = 64;
+  Shape.TokensPerSecond = 1600;
+  Shape.KvTokens = KvTokens;
+  ModelReplica Replica(Shape);
+  std::list<ModelJob> Waiting;
+  KvFigures Figures;
+  std::vector<double> First;
+  std::vector<ModelJob> Inside;
+  double Credit = 0;
+  for (TimePoint Now = Start; Now < Start + std::chrono::seconds(KvSeconds);
+       Now += Step) {
+    for (Credit += 11 * secondsOf(Step); Credit >= 1; Credit -= 1) {
+      ModelJob Job;
+      Job.Id = Random();
+      Job.Arrived = Now;
+      Job.Deadline = Now + Millis(10000);
+      Job.Prompt = Random() % 4 == 0 ? LongPrompt : 200;
+      Job.Tokens = 50 + Random() % 150;
+      Waiting.push_back(Job);
+    }
+    std::erase_if(Waiting, [&](const ModelJob &Row) {
+      return Now + Millis(2000) > Row.Deadline;
+    });
+    while (!Waiting.empty() && Inside.size() < Slots) {
+      std::uint64_t Expected = Waiting.front().Prompt + Waiting.front().Tokens;
+      for (const ModelJob &Row : Inside)
+        Expected += Row.Prompt + Row.Tokens;
+      if (Headroom > 0 && !Inside.empty() &&
+          static_cast<double>(Expected) > Headroom * KvTokens)
+        break;
+      Inside.push_back(Waiting.front());
+      Replica.push(Waiting.front());
+      Waiting.pop_front();
+    }
+    for (const ModelJob &Job : Replica.work(Now, Step)) {
+      std::erase_if(Inside,
+                    [&](const ModelJob &Row) { return Row.Id == Job.Id; });
+      First.push_back(secondsOf(*Job.FirstToken - Job.Arrived));
+      Figures.Goodput += *Job.Finished <= Job.Deadline ? 1.0 / KvSeconds : 0;
+    }
+  }
+  Figures.FirstTokenP95 = quantile(First, 0.95);
+  Figures.Preemptions = Replica.preemptions();
+  return Figures;
+}
+
+} // namespace
+
+void runFairness(std::ostream &Out) {
+  Out << std::fixed << std::setprecision(2)
+      << "one greedy workspace (10x the requests, twice as long), nine modest "
+         "ones; one replica\n"
+      << "queue             worst modest share  its first token p95 s  greedy "
+         "share  refused\n";
+  for (bool Fair : {false, true}) {
+    FairFigures Row = fairnessOf(Fair);
+    Out << (Fair ? "fair (waycove)    " : "first come        ") << std::setw(18)
+        << Row.WorstShare << std::setw(23) << Row.FirstTokenP95 << std::setw(14)
+        << Row.GreedyShare << std::setw(9) << Row.Refused << "\n";
+  }
+}
+
+void runOverload(std::ostream &Out) {
+  Out << std::fixed << std::setprecision(2)
+      << "twice the load that 20 replicas carry, deadline 4 s\n"
+      << "policy            in time/s  late share  first token p95 s  refused "
+         "share  told to wait s\n";
+  struct Row {
+    const char *Name;
+    Balance Policy;
+  };
+  for (const Row &Case : {Row{"round robin       ", Balance::RoundRobin},
+                          Row{"least loaded      ", Balance::LeastLoaded},
+                          Row{"waycove           ", Balance::Waycove}}) {
+    OverloadFigures F = overloadOf(Case.Policy);
+    Out << Case.Name << std::setw(9) << F.Goodput << std::setw(12)
+        << F.WastedShare << std::setw(19) << F.FirstTokenP95 << std::setw(15)
+        << F.RefusedShare << std::setw(16) << F.RefusalWait << "\n";
+  }
+}
+
+void runRetries(std::ostream &Out) {
+  Out << std::fixed << std::setprecision(3)
+      << "50 targets, 20000 repeatable requests\n"
+      << "failing  policy              attempts/request  failed share\n";
+  for (double Failing : {0.1, 1.0})
+    for (bool Budgeted : {false, true}) {
+      RetryFigures Row = retriesOf(Budgeted, Failing);
+      Out << std::setw(7) << Failing
+          << (Budgeted ? "  waycove         " : "  up to 3 retries ")
+          << std::setw(18) << Row.AttemptsPerRequest << std::setw(14)
+          << Row.FailedShare << "\n";
+    }
+}
+
+void runPrefix(std::ostream &Out) {
+  Out << std::fixed << std::setprecision(3)
+      << "2000 sessions, 40000 turns through 8 daemons to 50 replicas that "
+         "cache 60 sessions each\n"
+      << "policy                               hit share  busiest/mean\n";
+  struct Row {
+    const char *Name;
+    Affinity Policy;
+  };
+  for (const Row &Case :
+       {Row{"two choices, no affinity          ", Affinity::None},
+        Row{"learned from events, a fifth lost ", Affinity::Learned},
+        Row{"ring (waycove)                    ", Affinity::Ring}}) {
+    PrefixFigures F = prefixOf(Case.Policy);
+    Out << Case.Name << std::setw(12) << F.HitShare << std::setw(14)
+        << F.LoadSpread << "\n";
+  }
+}
+
+void runKv(std::ostream &Out) {
+  Out << std::fixed << std::setprecision(2)
+      << "one replica, cache of 20000 tokens, a quarter of the prompts long\n"
+      << "long prompt  rule                 in time/s  first token p95 s  "
+         "preemptions\n";
+  struct Rule {
+    const char *Name;
+    std::size_t Slots;
+    double Headroom;
+  };
+  for (std::uint64_t Long : {400U, 2000U, 6000U})
+    for (const Rule &Row : {Rule{"  16 slots           ", 16, 0},
+                            Rule{"  32 slots           ", 32, 0},
+                            Rule{"  64 slots           ", 64, 0},
+                            Rule{"  64, cache to 80%   ", 64, 0.8},
+                            Rule{"  64, cache to 100%  ", 64, 1.0}}) {
+      KvFigures F = kvOf(Row.Slots, Row.Headroom, Long);
+      Out << std::setw(11) << Long << Row.Name << std::setw(9) << F.Goodput
+          << std::setw(19) << F.FirstTokenP95 << std::setw(13) << F.Preemptions
+          << "\n";
+    }
+}
+
+} // namespace waycove
--- a/src/control/grouper.h
+++ b/src/control/grouper.h
@@ -137,7 +137,7 @@
         this->Book.endPoll(Vm, Report, SystemClock{}.now());
         if (Report.ok()) {
           this->Tables.Load.write([&](LoadTable &Load) {
-            Load.onReport(Vm, Report->Queue, SystemClock{}.now());
+            Load.onReport(hashVm(Vm), Report->Queue, SystemClock{}.now());
           });
           if (Report->Leaving)
             this->noteLeaving(Vm);
--- a/src/control/views.cpp
+++ b/src/control/views.cpp
@@ -6,12 +6,6 @@
 
 namespace waycove {
 
-namespace {
-
-std::uint64_t placeOf(const VmId &Vm) { return hashText(Vm.Text, 7); }
-
-} // namespace
-
 ViewRef ViewBuilder::groupView(const FoldState &State, const VmTable &Vms,
                                const DrainSet &Drains,
                                const Object &Row) const {
@@ -19,6 +13,7 @@
   auto View = std::make_shared<RouteView>();
   View->SlotsPerReplica = Spec->SlotsPerReplica;
   View->VmsPerReplica = Spec->VmsPerReplica;
+  View->KvTokensPerReplica = Spec->KvTokensPerReplica;
   std::optional<Selector> Own = State.resolve(Spec->Match, Spec->Selectors);
   View->Resolved = Own.has_value();
   View->Workspaces = Spec->Workspaces;
@@ -31,22 +26,23 @@
     RouteTarget Target;
     Target.Group = Id;
     Target.Head = Formed.Vms.front();
-    Target.Place = placeOf(Target.Head);
     Target.Members = Formed.Vms;
-    for (const VmId &Vm : Formed.Vms)
-      if (const VmInfo *Info = Vms.find(Vm)) {
-        if (Vm == Target.Head)
-          Target.Address = Info->Address;
-        Labels Joined = effectiveLabels(*Info, State);
-        if (!Drains.covers(Vm, Joined))
-          Target.MemberLabels.push_back(std::move(Joined));
-      }
     // A drained member takes the group out of routing, and so does one that
     // the list does not know, for it has no labels that anything allows.
-    if (Target.MemberLabels.size() == Formed.Vms.size() && Target.allows(*Own))
+    bool Whole = true;
+    for (const VmId &Vm : Formed.Vms) {
+      const VmInfo *Info = Vms.find(Vm);
+      Labels Joined = Info ? effectiveLabels(*Info, State) : Labels();
+      Whole = Whole && Info && !Drains.covers(Vm, Joined);
+      if (Info && Vm == Target.Head)
+        Target.Address = Info->Address;
+      // Members of one domain are mostly labelled alike.
+      Target.addLabels(std::move(Joined));
+    }
+    if (Whole && Target.allows(*Own))
       View->Targets.push_back(std::move(Target));
   }
-  View->sortByPlace();
+  View->makeRing();
   return View;
 }
 
@@ -67,12 +63,11 @@
     RouteTarget Target;
     Target.Head = Vm;
     Target.Address = Info.Address;
-    Target.Place = placeOf(Vm);
     Target.Members = {Vm};
     Target.MemberLabels = {std::move(Joined)};
     View->Targets.push_back(std::move(Target));
   }
-  View->sortByPlace();
+  View->makeRing();
   return View;
 }
 
--- a/src/edge/admission.cpp
+++ b/src/edge/admission.cpp
@@ -20,24 +20,28 @@
   return Door->enter(offerFor(Request, Way));
 }
 
-/// Slots that this daemon's share of the serving targets gives.
-std::size_t Admission::slotsFor(const Plan &Way) const {
+/// This daemon's share of what the serving targets can take.
+void Admission::setLimits(const CallerRequest &Request, const Plan &Way,
+                          Gate &Door) const {
+  if (Request.Target.Kind != ObjectKind::Deployment) {
+    Door.setLimits(this->Tables.Config.MaxStreams, 0);
+    return;
+  }
   std::size_t Serving = 0;
   for (const RouteTarget &Row : Way.View->Targets)
     Serving += this->Places.serves(Row) ? 1 : 0;
   std::size_t Daemons = std::max<std::size_t>(
       this->Tables.controllers(SystemClock{}.now()).size(), 1);
-  std::size_t All = Serving * Way.View->SlotsPerReplica;
-  return std::max<std::size_t>((All + Daemons - 1) / Daemons, 1);
+  std::size_t Slots = Serving * Way.View->SlotsPerReplica;
+  Door.setLimits(std::max<std::size_t>((Slots + Daemons - 1) / Daemons, 1),
+                 Serving * Way.View->KvTokensPerReplica / Daemons);
 }
 
 std::shared_ptr<Gate> Admission::gateFor(const CallerRequest &Request,
                                          const Plan &Way) {
   std::shared_ptr<Gate> Found = this->Rows.find(Request.Target);
   if (Found->slotsAreDue(SystemClock{}.now()))
-    Found->setSlots(Request.Target.Kind == ObjectKind::Deployment
-                        ? this->slotsFor(Way)
-                        : this->Tables.Config.MaxStreams);
+    this->setLimits(Request, Way, *Found);
   return Found;
 }
 
--- a/src/edge/admission.h
+++ b/src/edge/admission.h
@@ -22,7 +22,8 @@
                                  std::shared_ptr<Gate> &Door);
 
 private:
-  std::size_t slotsFor(const Plan &Way) const;
+  void setLimits(const CallerRequest &Request, const Plan &Way,
+                 Gate &Door) const;
   std::shared_ptr<Gate> gateFor(const CallerRequest &Request, const Plan &Way);
   static FairOffer offerFor(const CallerRequest &Request, const Plan &Way);
 
--- a/src/edge/attempts.cpp
+++ b/src/edge/attempts.cpp
@@ -19,8 +19,7 @@
     });
   });
   if (Found)
-    this->Tables.Load.write(
-        [&](LoadTable &Load) { Load.onStart(Found->Head); });
+    this->Tables.Load.write([&](LoadTable &Load) { Load.onStart(Found->Key); });
   this->Tables.Counters.observe(Timer::Route, SystemClock{}.now() - Began);
   return Found;
 }
@@ -32,8 +31,8 @@
                 End == AttemptEnd::Stalled;
   bool Ejected = this->Tables.Load.write([&](LoadTable &Load) {
     TimePoint Now = SystemClock{}.now();
-    Load.onEnd(Target.Head, Failed, Now);
-    return Failed && Load.ejectIfFailing(Target.Head, Known, Now);
+    Load.onEnd(Target.Key, Failed, Now);
+    return Failed && Load.ejectIfFailing(Target.Key, Known, Now);
   });
   if (Ejected)
     this->Tables.Log.emit(EventCode::TargetEjected, Target.Head.Text);
@@ -65,7 +64,7 @@
 
 void Attempts::noteFirst() {
   std::lock_guard Lock(this->BudgetMutex);
-  this->Budget.onFirstAttempt();
+  this->Budget.onFirstAttempt(SystemClock{}.now());
 }
 
 void Attempts::noteAgain(const CallerRequest &Request,
--- a/src/edge/gate.cpp
+++ b/src/edge/gate.cpp
@@ -42,9 +42,9 @@
   this->grant(SystemClock{}.now());
 }
 
-void Gate::setSlots(std::size_t Slots) {
+void Gate::setLimits(std::size_t Slots, std::uint64_t RunningTokens) {
   std::lock_guard Lock(this->Mutex);
-  this->Queue.setSlots(Slots);
+  this->Queue.setLimits(Slots, RunningTokens);
   this->grant(SystemClock{}.now());
 }
 
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -21,7 +21,7 @@
   /// the deadline, or DeadlineBeforeRun.
   absl::StatusOr<TicketId> enter(const FairOffer &Offer);
   void leave(TicketId Ticket, Tokens Spent);
-  void setSlots(std::size_t Slots);
+  void setLimits(std::size_t Slots, std::uint64_t RunningTokens);
   std::size_t waiting() const;
   /// Whether the number of slots should be worked out again; says yes to one
   /// caller in a while.
--- a/src/edge/serve_model.h
+++ b/src/edge/serve_model.h
@@ -108,7 +108,7 @@
       this->Tries.noteLeaving(Target);
     if (End == AttemptEnd::Done)
       this->Tables.Load.write([&](LoadTable &Load) {
-        Load.onReport(Target.Head, Done.Queue, SystemClock{}.now());
+        Load.onReport(Target.Key, Done.Queue, SystemClock{}.now());
       });
     this->Tries.noteEnd(Target, End, Way.View->Targets.size());
     // An engine that still works on what nobody waits for is told to stop.
--- a/src/policy/fair.cpp
+++ b/src/policy/fair.cpp
@@ -25,15 +25,13 @@
                               std::uint64_t Weight, Tokens Cost) const {
   if (this->Running.size() < this->Limits.Slots && this->Waiting == 0)
     return Millis(0);
-  std::uint64_t Total = 0;
-  std::uint64_t Weights = Weight;
+  std::uint64_t Total = this->WaitingCost;
+  std::uint64_t Weights = this->WaitingWeight + Weight;
   std::uint64_t Own = Cost.Value;
-  for (const auto &[Name, Row] : this->Lanes) {
-    Total += Row.Backlog;
-    if (Name == Workspace)
-      Own += Row.Backlog;
-    else if (!Row.Items.empty())
-      Weights += Row.Weight;
+  if (auto At = this->Lanes.find(Workspace); At != this->Lanes.end()) {
+    Own += At->second.Backlog;
+    if (!At->second.Items.empty())
+      Weights -= At->second.Weight;
   }
   // Its turn comes after its own backlog at its share of the drain rate, and
   // never later than after everybody's backlog.
@@ -62,10 +60,14 @@
     return makeError(ErrorKind::Overloaded, "the queue is full", RetryAfter);
   // 3. Join the workspace's lane, behind its own requests of this priority.
   Lane &Row = this->Lanes[Offer.Workspace];
-  if (Row.Items.empty())
+  if (Row.Items.empty()) {
     Row.Tag = std::max(Row.Tag, this->Virtual);
-  Row.Weight = std::max<std::uint64_t>(Offer.Weight, 1);
+    Row.Weight = std::max<std::uint64_t>(Offer.Weight, 1);
+    this->WaitingWeight += Row.Weight;
+    this->Turns.insert({Row.Tag, Offer.Workspace});
+  }
   Row.Backlog += Offer.Cost.Value;
+  this->WaitingCost += Offer.Cost.Value;
   this->Last = this->Last.next();
   auto Place =
       std::find_if(Row.Items.begin(), Row.Items.end(), [&](const Item &Other) {
@@ -77,41 +79,62 @@
   return this->Last;
 }
 
+/// Takes one waiting request out and keeps the sums over all lanes right.
+void FairQueue::remove(const WorkspaceId &Workspace, Lane &Row,
+                       std::vector<Item>::iterator At) {
+  Row.Backlog -= At->Cost.Value;
+  this->WaitingCost -= At->Cost.Value;
+  Row.Items.erase(At);
+  --this->Waiting;
+  if (!Row.Items.empty())
+    return;
+  this->WaitingWeight -= Row.Weight;
+  this->Turns.erase({Row.Tag, Workspace});
+}
+
 std::optional<TicketId> FairQueue::take(TimePoint Now) {
   if (this->Running.size() >= this->Limits.Slots || this->Waiting == 0)
     return std::nullopt;
-  // The lane with the lowest start tag goes first.
-  auto Best = this->Lanes.end();
-  for (auto At = this->Lanes.begin(); At != this->Lanes.end(); ++At)
-    if (!At->second.Items.empty() &&
-        (Best == this->Lanes.end() || At->second.Tag < Best->second.Tag))
-      Best = At;
-  auto &[Name, Row] = *Best;
+  // 1. The lane with the lowest start tag goes first.
+  WorkspaceId Name = this->Turns.begin()->Workspace;
+  Lane &Row = this->Lanes[Name];
   Item Next = Row.Items.front();
-  Row.Items.erase(Row.Items.begin());
-  Row.Backlog -= Next.Cost.Value;
-  --this->Waiting;
+  // A large request waits for room rather than being passed by small ones.
+  if (!this->fits(Next.Cost))
+    return std::nullopt;
+  // 2. Its next turn comes the later, the more it asks for.
+  this->RunningCost += Next.Cost.Value;
   this->Virtual = std::max(this->Virtual, Row.Tag);
-  Row.Tag +=
-      static_cast<double>(Next.Cost.Value) / static_cast<double>(Row.Weight);
+  this->remove(Name, Row, Row.Items.begin());
+  this->retag(Name, Row,
+              static_cast<double>(Next.Cost.Value) /
+                  static_cast<double>(Row.Weight));
   if (this->Running.empty())
     this->WindowStart = Now;
   this->Running.push_back({Next.Ticket, Name, Next.Cost});
   return Next.Ticket;
 }
 
+void FairQueue::retag(const WorkspaceId &Workspace, Lane &Row, double Change) {
+  if (!Row.Items.empty())
+    this->Turns.erase({Row.Tag, Workspace});
+  Row.Tag += Change;
+  if (!Row.Items.empty())
+    this->Turns.insert({Row.Tag, Workspace});
+}
+
 std::vector<TicketId> FairQueue::expire(TimePoint Now) {
   std::vector<TicketId> Gone;
   for (auto &[Name, Row] : this->Lanes)
-    std::erase_if(Row.Items, [&](const Item &Waits) {
-      if (Waits.Deadline > Now)
-        return false;
-      Gone.push_back(Waits.Ticket);
-      Row.Backlog -= Waits.Cost.Value;
-      return true;
-    });
-  this->Waiting -= Gone.size();
-  this->dropIdleLanes();
+    for (std::size_t I = 0; I < Row.Items.size();) {
+      auto At = Row.Items.begin() + static_cast<std::ptrdiff_t>(I);
+      if (At->Deadline > Now) {
+        ++I;
+        continue;
+      }
+      Gone.push_back(At->Ticket);
+      this->remove(Name, Row, At);
+    }
   return Gone;
 }
 
@@ -119,9 +142,7 @@
   for (auto &[Name, Row] : this->Lanes)
     for (auto At = Row.Items.begin(); At != Row.Items.end(); ++At)
       if (At->Ticket == Ticket) {
-        Row.Backlog -= At->Cost.Value;
-        Row.Items.erase(At);
-        --this->Waiting;
+        this->remove(Name, Row, At);
         return true;
       }
   return false;
@@ -139,13 +160,20 @@
       Owner != this->Lanes.end()) {
     double Extra =
         static_cast<double>(Spent.Value) - static_cast<double>(At->Cost.Value);
-    Owner->second.Tag += Extra / static_cast<double>(Owner->second.Weight);
+    this->retag(At->Workspace, Owner->second,
+                Extra / static_cast<double>(Owner->second.Weight));
   }
+  this->RunningCost -= At->Cost.Value;
   this->Running.erase(At);
   this->noteRate(Spent, Now);
   this->dropIdleLanes();
 }
 
+bool FairQueue::fits(Tokens Cost) const {
+  return this->Limits.RunningTokens == 0 || this->Running.empty() ||
+         this->RunningCost + Cost.Value <= this->Limits.RunningTokens;
+}
+
 void FairQueue::noteRate(Tokens Spent, TimePoint Now) {
   this->WindowTokens += Spent.Value;
   auto Took = std::chrono::duration<double>(Now - this->WindowStart).count();
@@ -158,8 +186,12 @@
   this->WindowStart = Now;
 }
 
-/// A lane with nothing waiting whose tag is in the past carries no memory.
+/// A lane with nothing waiting whose tag is in the past carries no memory. All
+/// lanes are looked at only once in as many requests as there are lanes.
 void FairQueue::dropIdleLanes() {
+  if (++this->SinceSweep < this->Lanes.size())
+    return;
+  this->SinceSweep = 0;
   std::erase_if(this->Lanes, [&](const auto &Row) {
     return Row.second.Items.empty() && Row.second.Tag <= this->Virtual;
   });
--- a/src/policy/fair.h
+++ b/src/policy/fair.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace waycove {
@@ -20,6 +21,9 @@
   std::size_t QueuePerWorkspace = 64;
   /// Requests of all workspaces that may wait.
   std::size_t QueueTotal = 512;
+  /// Expected tokens of all running requests together; zero for no bound. One
+  /// request may always run, however large.
+  std::uint64_t RunningTokens = 0;
 };
 
 /// Ticket of one request in the queue.
@@ -54,7 +58,10 @@
   bool withdraw(TicketId Ticket);
   /// A running request ended, after \p Spent tokens.
   void finish(TicketId Ticket, Tokens Spent, TimePoint Now);
-  void setSlots(std::size_t Slots) { this->Limits.Slots = Slots; }
+  void setLimits(std::size_t Slots, std::uint64_t RunningTokens) {
+    this->Limits.Slots = Slots;
+    this->Limits.RunningTokens = RunningTokens;
+  }
 
   std::size_t waiting() const { return this->Waiting; }
   std::size_t running() const { return this->Running.size(); }
@@ -77,19 +84,34 @@
     std::uint64_t Backlog = 0;
     std::vector<Item> Items;
   };
+  /// Order in which lanes with waiting requests get their turn.
+  struct Turn {
+    double Tag = 0;
+    WorkspaceId Workspace;
+    auto operator<=>(const Turn &) const = default;
+  };
   struct Active {
     TicketId Ticket;
     WorkspaceId Workspace;
     Tokens Cost;
   };
 
+  bool fits(Tokens Cost) const;
   void noteRate(Tokens Spent, TimePoint Now);
+  void remove(const WorkspaceId &Workspace, Lane &Row,
+              std::vector<Item>::iterator At);
+  void retag(const WorkspaceId &Workspace, Lane &Row, double Change);
   void dropIdleLanes();
 
   FairLimits Limits;
   std::map<WorkspaceId, Lane> Lanes;
   std::vector<Active> Running;
+  std::set<Turn> Turns;
   std::size_t Waiting = 0;
+  std::uint64_t WaitingCost = 0;
+  std::uint64_t WaitingWeight = 0;
+  std::size_t SinceSweep = 0;
+  std::uint64_t RunningCost = 0;
   TicketId Last;
   double Virtual = 0;
   double Rate = 0;
--- a/src/policy/objects.cpp
+++ b/src/policy/objects.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::uint64_t MaxReplicas = 100000;
 constexpr std::uint64_t MaxVmsPerReplica = 64;
+constexpr std::uint64_t MaxKvTokens = 1'000'000'000'000;
 constexpr std::size_t DigestChars = 40;
 
 struct KindRow {
@@ -78,6 +79,8 @@
   Result.VmsPerReplica =
       Spec.number("vms_per_replica", false, 4, 1, MaxVmsPerReplica);
   Result.SlotsPerReplica = Spec.number("slots_per_replica", false, 8, 1, 4096);
+  Result.KvTokensPerReplica =
+      Spec.number("kv_tokens_per_replica", false, 0, 0, MaxKvTokens);
   YAML::Node Replicas = Spec.child("replicas", true);
   if (Replicas.IsDefined()) {
     YamlMap Map(Replicas, Spec.pathOf("replicas"), Found);
--- a/src/policy/objects.h
+++ b/src/policy/objects.h
@@ -25,6 +25,8 @@
   std::string Version;
   std::uint64_t VmsPerReplica = 4;
   std::uint64_t SlotsPerReplica = 8;
+  /// Tokens of context that one replica's cache holds; zero for not said.
+  std::uint64_t KvTokensPerReplica = 0;
   std::vector<ReplicaCount> Replicas;
   Selector Match;
   Selector Workspaces;
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr double EarnedPerAttempt = 0.1;
+constexpr double EarnedPerSecond = 2;
 constexpr double MostBalance = 100;
 constexpr unsigned MaxAttempts = 4;
 
@@ -32,8 +33,13 @@
 
 } // namespace
 
-void RetryBudget::onFirstAttempt() {
-  this->Balance = std::min(this->Balance + EarnedPerAttempt, MostBalance);
+void RetryBudget::onFirstAttempt(TimePoint Now) {
+  double Seconds = std::chrono::duration<double>(Now - this->Last).count();
+  double Earned = EarnedPerAttempt;
+  if (this->Last != TimePoint())
+    Earned += Seconds * EarnedPerSecond;
+  this->Last = Now;
+  this->Balance = std::min(this->Balance + Earned, MostBalance);
 }
 
 bool RetryBudget::take() {
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -27,16 +27,18 @@
 };
 
 /// A share of traffic that may be spent on retries, so that failing targets
-/// cannot multiply the load. Each first attempt earns a part of a retry.
+/// cannot multiply the load. Each first attempt earns a part of a retry, and
+/// so does time, for daemons with little traffic.
 class RetryBudget {
 public:
-  void onFirstAttempt();
+  void onFirstAttempt(TimePoint Now);
   /// Takes one retry; false where the budget is spent.
   bool take();
   double balance() const { return this->Balance; }
 
 private:
   double Balance = 10;
+  TimePoint Last;
 };
 
 enum class RetryChoice { Finish, Again, GiveUp };
--- a/src/policy/route.cpp
+++ b/src/policy/route.cpp
@@ -21,6 +21,10 @@
 constexpr double AffinitySlack = 2;
 constexpr std::size_t AffinityChoices = 2;
 constexpr std::size_t RandomChoices = 2;
+constexpr std::size_t MostChoices = 8;
+/// Places of one target on the ring: enough that parts differ by a fifth.
+constexpr std::size_t PointsPerTarget = 32;
+constexpr std::uint64_t RingSeed = 7;
 /// Ring places looked at for one choice before the whole ring is scanned.
 constexpr std::size_t ProbeLimit = 8;
 constexpr std::size_t PrefixBytes = 512;
@@ -37,23 +41,39 @@
                              Target.Head) != this->Query.Avoid.end();
     return !Avoided &&
            (this->AllowEjected ||
-            !this->Load.isEjected(Target.Head, this->Query.Now)) &&
+            !this->Load.isEjected(Target.Key, this->Query.Now)) &&
            Target.allows(this->Query.Wanted) && this->Serves(Target);
   }
 
   /// The first usable target at or after ring place \p Place, looking at no
-  /// more than \p Limit; \p Skip is passed over.
+  /// more than \p Limit points; \p Skip is passed over.
   const RouteTarget *from(std::uint64_t Place, std::size_t Limit,
                           const RouteTarget *Skip) const {
-    const auto &Rows = this->View.Targets;
+    const auto &Ring = this->View.Ring;
     auto At = static_cast<std::size_t>(
-        std::lower_bound(Rows.begin(), Rows.end(), Place,
-                         [](const RouteTarget &Row, std::uint64_t P) {
+        std::lower_bound(Ring.begin(), Ring.end(), Place,
+                         [](const RingPoint &Row, std::uint64_t P) {
                            return Row.Place < P;
                          }) -
-        Rows.begin());
+        Ring.begin());
+    const RouteTarget *Last = Skip;
+    for (std::size_t I = 0; I < std::min(Limit, Ring.size()); ++I) {
+      const RouteTarget &Row =
+          this->View.Targets[Ring[(At + I) % Ring.size()].Target];
+      if (&Row != Skip && &Row != Last && this->usable(Row))
+        return &Row;
+      Last = &Row;
+    }
+    return nullptr;
+  }
+
+  /// The first usable target from a random one on, looking at no more than
+  /// \p Limit.
+  const RouteTarget *near(std::uint64_t Random, std::size_t Limit,
+                          const RouteTarget *Skip) const {
+    const auto &Rows = this->View.Targets;
     for (std::size_t I = 0; I < std::min(Limit, Rows.size()); ++I) {
-      const RouteTarget &Row = Rows[(At + I) % Rows.size()];
+      const RouteTarget &Row = Rows[(Random + I) % Rows.size()];
       if (&Row != Skip && this->usable(Row))
         return &Row;
     }
@@ -61,23 +81,27 @@
   }
 
   double load(const RouteTarget &Target) const {
-    return this->Load.loadOf(Target.Head, this->Query.Now);
+    return this->Load.loadOf(Target.Key, this->Query.Now);
   }
 };
 
 const RouteTarget *pickWith(const Probe &Look) {
-  // 1. The less loaded of two random targets.
+  // 1. The less loaded of two random targets. Where both have all their slots
+  // taken, a few more are asked: near saturation two are seldom enough.
   const RouteTarget *Best = nullptr;
   std::uint64_t Random = Look.Query.Random;
-  for (std::size_t I = 0; I < RandomChoices; ++I) {
-    const RouteTarget *Row = Look.from(Random, ProbeLimit, Best);
+  auto Slots = static_cast<double>(Look.View.SlotsPerReplica);
+  for (std::size_t I = 0; I < MostChoices; ++I) {
+    if (I >= RandomChoices && Best && Look.load(*Best) < Slots)
+      break;
+    const RouteTarget *Row = Look.near(Random, ProbeLimit, Best);
     if (Row && (!Best || Look.load(*Row) < Look.load(*Best)))
       Best = Row;
     Random = mixHash(Random, I + 1);
   }
-  // 2. Labels may exclude nearly all: then look at every target once.
+  // 2. Labels may exclude nearly all: then every target is looked at.
   if (!Best)
-    Best = Look.from(Look.Query.Random, Look.View.Targets.size(), nullptr);
+    Best = Look.near(Look.Query.Random, Look.View.Targets.size(), nullptr);
   if (!Best || Look.Query.Affinity == 0)
     return Best;
   // 3. Targets that may hold the prefix, if not much more loaded.
@@ -90,29 +114,45 @@
     if (Look.load(*Row) <= Look.load(*Best) + AffinitySlack)
       return Row;
     Skip = Row;
-    Place = Row->Place;
   }
   return Best;
 }
 
 } // namespace
 
+VmHash hashVm(const VmId &Vm) { return VmHash(hashText(Vm.Text)); }
+
+void RouteTarget::addLabels(Labels Row) {
+  if (std::find(this->MemberLabels.begin(), this->MemberLabels.end(), Row) ==
+      this->MemberLabels.end())
+    this->MemberLabels.push_back(std::move(Row));
+}
+
 bool RouteTarget::allows(const Selector &Wanted) const {
-  return std::all_of(this->MemberLabels.begin(), this->MemberLabels.end(),
+  return !this->MemberLabels.empty() &&
+         std::all_of(this->MemberLabels.begin(), this->MemberLabels.end(),
                      [&](const Labels &Row) { return Wanted.matches(Row); });
 }
 
-void RouteView::sortByPlace() {
-  std::sort(this->Targets.begin(), this->Targets.end(),
-            [](const RouteTarget &Left, const RouteTarget &Right) {
+void RouteView::makeRing() {
+  this->Ring.clear();
+  this->Ring.reserve(this->Targets.size() * PointsPerTarget);
+  for (std::uint32_t I = 0; I < this->Targets.size(); ++I) {
+    this->Targets[I].Key = hashVm(this->Targets[I].Head);
+    std::uint64_t Own = hashText(this->Targets[I].Head.Text, RingSeed);
+    for (std::uint64_t P = 0; P < PointsPerTarget; ++P)
+      this->Ring.push_back({mixHash(Own, P + 1), I});
+  }
+  std::sort(this->Ring.begin(), this->Ring.end(),
+            [](const RingPoint &Left, const RingPoint &Right) {
               return Left.Place != Right.Place ? Left.Place < Right.Place
-                                               : Left.Head < Right.Head;
+                                               : Left.Target < Right.Target;
             });
 }
 
-void LoadTable::onStart(const VmId &Head) { ++this->Rows[Head].InFlight; }
+void LoadTable::onStart(VmHash Head) { ++this->Rows[Head].InFlight; }
 
-void LoadTable::onEnd(const VmId &Head, bool Failed, TimePoint Now) {
+void LoadTable::onEnd(VmHash Head, bool Failed, TimePoint Now) {
   Row &Entry = this->Rows[Head];
   if (Entry.InFlight > 0)
     --Entry.InFlight;
@@ -122,13 +162,13 @@
     Entry.Failures = 0;
 }
 
-void LoadTable::onReport(const VmId &Head, double Queue, TimePoint Now) {
+void LoadTable::onReport(VmHash Head, double Queue, TimePoint Now) {
   Row &Entry = this->Rows[Head];
   Entry.Reported = Queue;
   Entry.ReportedAt = Now;
 }
 
-double LoadTable::loadOf(const VmId &Head, TimePoint Now) const {
+double LoadTable::loadOf(VmHash Head, TimePoint Now) const {
   auto At = this->Rows.find(Head);
   if (At == this->Rows.end())
     return 0;
@@ -138,7 +178,7 @@
   return Entry.InFlight + Decayed;
 }
 
-bool LoadTable::isEjected(const VmId &Head, TimePoint Now) const {
+bool LoadTable::isEjected(VmHash Head, TimePoint Now) const {
   auto At = this->Rows.find(Head);
   return At != this->Rows.end() && At->second.EjectedUntil > Now;
 }
@@ -150,8 +190,7 @@
       }));
 }
 
-bool LoadTable::ejectIfFailing(const VmId &Head, std::size_t Known,
-                               TimePoint Now) {
+bool LoadTable::ejectIfFailing(VmHash Head, std::size_t Known, TimePoint Now) {
   Row &Entry = this->Rows[Head];
   if (Entry.Failures < FailuresToEject || Entry.EjectedUntil > Now)
     return false;
@@ -163,7 +202,7 @@
   return true;
 }
 
-void LoadTable::forget(const std::function<bool(const VmId &)> &IsKnown) {
+void LoadTable::forget(const std::function<bool(VmHash)> &IsKnown) {
   std::erase_if(this->Rows, [&](const auto &Entry) {
     return Entry.second.InFlight == 0 && !IsKnown(Entry.first);
   });
--- a/src/policy/route.h
+++ b/src/policy/route.h
@@ -25,31 +25,50 @@
   }
 };
 
+/// A VM's name as the load table knows it: a number, since every choice looks
+/// several of them up.
+using VmHash = Number<struct VmHashTag>;
+VmHash hashVm(const VmId &Vm);
+
 /// One place to which a request may go: a group by its head, or a service VM.
 struct RouteTarget {
   Fence Group;
   VmId Head;
+  /// Set by RouteView::makeRing.
+  VmHash Key;
   VmAddress Address;
-  /// Place on the hash ring.
-  std::uint64_t Place = 0;
   std::vector<VmId> Members;
-  /// Labels of each member; all must match.
+  /// The members' labels, each different set once; all must match. Empty
+  /// where a member is not known, and then nothing is allowed.
   std::vector<Labels> MemberLabels;
+  void addLabels(Labels Row);
 
   bool allows(const Selector &Wanted) const;
 };
 
-/// The targets of one deployment or service, sorted by ring place. Built once
-/// per change of state and shared read-only by requests.
+/// One of a target's places on the hash ring.
+struct RingPoint {
+  std::uint64_t Place = 0;
+  std::uint32_t Target = 0;
+};
+
+/// The targets of one deployment or service, and the hash ring over them. Built
+/// once per change of state and shared read-only by requests.
 struct RouteView {
   std::vector<RouteTarget> Targets;
+  /// Sorted by place; each target stands on it many times, so that all get
+  /// nearly equal parts of the sessions.
+  std::vector<RingPoint> Ring;
   /// What the deployment itself asks of VMs and workspaces.
   Selector Workspaces;
   bool Resolved = false;
   std::uint64_t SlotsPerReplica = 1;
   std::uint64_t VmsPerReplica = 1;
+  /// Cache of one replica, in tokens; zero where nobody said.
+  std::uint64_t KvTokensPerReplica = 0;
 
-  void sortByPlace();
+  /// To be called once all targets are in.
+  void makeRing();
 };
 
 /// Counts what this node knows of each target's load, and which targets are
@@ -57,19 +76,19 @@
 /// in flight count at once and the last reported queue decays.
 class LoadTable {
 public:
-  void onStart(const VmId &Head);
-  void onEnd(const VmId &Head, bool Failed, TimePoint Now);
+  void onStart(VmHash Head);
+  void onEnd(VmHash Head, bool Failed, TimePoint Now);
   /// The target said that \p Queue requests of others wait there.
-  void onReport(const VmId &Head, double Queue, TimePoint Now);
+  void onReport(VmHash Head, double Queue, TimePoint Now);
   /// Observed time between tokens; slow targets weigh more.
-  double loadOf(const VmId &Head, TimePoint Now) const;
-  bool isEjected(const VmId &Head, TimePoint Now) const;
+  double loadOf(VmHash Head, TimePoint Now) const;
+  bool isEjected(VmHash Head, TimePoint Now) const;
   /// Ejects \p Head after repeated failures, unless too large a share of
   /// \p Known targets is out already. Returns true if it did.
-  bool ejectIfFailing(const VmId &Head, std::size_t Known, TimePoint Now);
+  bool ejectIfFailing(VmHash Head, std::size_t Known, TimePoint Now);
   std::size_t ejectedCount(TimePoint Now) const;
   std::size_t size() const { return this->Rows.size(); }
-  void forget(const std::function<bool(const VmId &)> &IsKnown);
+  void forget(const std::function<bool(VmHash)> &IsKnown);
 
 private:
   struct Row {
@@ -79,7 +98,7 @@
     unsigned Failures = 0;
     TimePoint EjectedUntil;
   };
-  std::unordered_map<VmId, Row> Rows;
+  std::unordered_map<VmHash, Row> Rows;
 };
 
 /// What a choice needs to know about targets from outside the view.
--- a/tests/property/policy_property.cpp
+++ b/tests/property/policy_property.cpp
@@ -202,16 +202,15 @@
     for (std::size_t I = 0; I < Tiers.size(); ++I) {
       RouteTarget Row;
       Row.Head = VmId("v" + std::to_string(I));
-      Row.Place = hashText(Row.Head.Text);
       Row.MemberLabels.emplace_back();
       Row.MemberLabels[0].set("tier", std::to_string(Tiers[I] % 3));
       Row.Group = Fence(static_cast<std::uint64_t>(Tiers[I]) / 3);
       for (int F = 0; F < Tiers[I]; ++F)
-        Load.onEnd(Row.Head, true, Now);
-      Load.ejectIfFailing(Row.Head, Tiers.size(), Now);
+        Load.onEnd(hashVm(Row.Head), true, Now);
+      Load.ejectIfFailing(hashVm(Row.Head), Tiers.size(), Now);
       View.Targets.push_back(Row);
     }
-    View.sortByPlace();
+    View.makeRing();
     Selector Wanted;
     Wanted.require({"tier", {"1"}, false});
     auto Serves = [](const RouteTarget &Row) { return Row.Group == Fence(); };
--- a/tools/without.py
+++ b/tools/without.py
@@ -23,11 +23,11 @@
     "fence-compared": (
         "src/control/members.cpp",
         "if (Row->Report.Group != Formed.Id)", "if (false)",
-        "groups: a late order|groups: a member restarts"),
+        "groups: a late order"),
     "stamps-compared": (
         "src/policy/fold.cpp",
         "!Free ||\n        Now.Stamp != Row->seen", "false",
-        "stale proposers race"),
+        "stale proposers race|groups: a controller"),
     "group-size": (
         "src/policy/fold.cpp",
         "Spec->VmsPerReplica != Change.vms.size()", "false",
@@ -123,6 +123,9 @@
     scratch = pathlib.Path(tempfile.mkdtemp()) / "copy"
     shutil.copytree(root, scratch, ignore=shutil.ignore_patterns(
         "build*", ".git"))
+    # What is taken out leaves unused names behind.
+    lists = scratch / "CMakeLists.txt"
+    lists.write_text(lists.read_text().replace(" -Werror", ""))
     launcher = shutil.which("ccache")
     flags = [f"-DCMAKE_CXX_COMPILER_LAUNCHER={launcher}"] if launcher else []
     run(["cmake", "-G", "Ninja", "-B", "build", *flags], scratch)
