Send each heartbeat over a link once, and fewer of them as daemons grow

Cause: every heartbeat went out on every link but the one it came by, so most arrived several times; and those of other data centres came as often as one's own. Ruled out: rows and health news, which flow on change only. Now a link remembers what its other end has, heartbeats are 24 bytes and not 32, their period grows by 20 ms a known daemon, and one in four of another data centre's is passed on.

--- a/src/bench/slopes.cpp
+++ b/src/bench/slopes.cpp
@@ -262,7 +262,8 @@
   for (std::size_t Beats : {1U, 10U, 100U}) {
     wire::GossipT News;
     for (std::size_t I = 0; I < Beats; ++I)
-      News.heartbeats.emplace_back(I, 1, 1, 1, 1);
+      News.heartbeats.emplace_back(I, 1, 1U, static_cast<std::uint16_t>(1),
+                                   static_cast<std::uint16_t>(1));
     row(Out, "gossip frame, by heartbeats in it", Beats,
         static_cast<double>(packFrame(frameOf(1, std::move(News))).size()),
         "bytes");
--- a/src/board/board.cpp
+++ b/src/board/board.cpp
@@ -28,6 +28,7 @@
                          hashNode(Config.Node, Incarnation)},
       Log(Config.Node, this->Clock), Once(MaxStoredAnswers) {
   this->Peers.write([&](PeerTable &Rows) {
+    Rows.Here = Config.DataCentre;
     Rows.LiveFor = std::max(Millis(600), 4 * Config.HeartbeatEvery);
   });
 }
--- a/src/board/peers.cpp
+++ b/src/board/peers.cpp
@@ -14,11 +14,11 @@
 /// so that a retry still finds the dispatcher of its key.
 constexpr Millis ForgetAfter(2 * 3600 * 1000);
 constexpr std::size_t MaxPeers = 4096;
+constexpr int ElsewhereFactor = 3;
 
 } // namespace
 
-bool PeerTable::hear(const wire::Heartbeat &Beat, TimePoint Now,
-                     ChangeMark Mark) {
+bool PeerTable::hear(const wire::Heartbeat &Beat, TimePoint Now) {
   NodeHash Node(Beat.node());
   if (this->Rows.size() >= MaxPeers && !this->Rows.contains(Node))
     return false;
@@ -30,7 +30,6 @@
   Row.InFlight = Beat.in_flight();
   Row.Flags = Beat.flags();
   Row.Heard = Now;
-  Row.BeatMark = Mark;
   return true;
 }
 
@@ -57,8 +56,11 @@
 
 bool PeerTable::isLive(NodeHash Node, TimePoint Now) const {
   const Peer *Row = this->find(Node);
-  return Row && Row->Known && Row->Sequence > 0 &&
-         Now - Row->Heard < this->LiveFor;
+  if (!Row || !Row->Known || Row->Sequence == 0)
+    return false;
+  bool Elsewhere = Row->Row.data_centre != this->Here.Text;
+  return Now - Row->Heard <
+         (Elsewhere ? ElsewhereFactor * this->LiveFor : this->LiveFor);
 }
 
 std::vector<Member> PeerTable::live(TimePoint Now) const {
--- a/src/board/peers.h
+++ b/src/board/peers.h
@@ -32,7 +32,6 @@
   std::uint32_t Flags = 0;
   TimePoint Heard;
   bool Known = false;
-  ChangeMark BeatMark;
   ChangeMark RowMark;
 
   bool has(HeartbeatFlag Flag) const { return (this->Flags & Flag) != 0; }
@@ -43,7 +42,7 @@
 class PeerTable {
 public:
   /// Takes in a heartbeat; false if it is not newer than what is known.
-  bool hear(const wire::Heartbeat &Beat, TimePoint Now, ChangeMark Mark = {});
+  bool hear(const wire::Heartbeat &Beat, TimePoint Now);
   /// Takes in a daemon's row; false if known already.
   bool put(const wire::PeerRowT &Row, TimePoint Now, ChangeMark Mark = {});
   const Peer *find(NodeHash Node) const;
@@ -58,8 +57,10 @@
   /// from live to silent.
   std::vector<NodeHash> sweep(TimePoint Now);
   const std::unordered_map<NodeHash, Peer> &rows() const { return this->Rows; }
-  /// Time without heartbeats after which a daemon no longer counts as live.
+  /// Time without heartbeats after which a daemon no longer counts as live;
+  /// those of other data centres come, and are missed, more slowly.
   Millis LiveFor{3000};
+  DataCentreId Here;
 
 private:
   std::unordered_map<NodeHash, Peer> Rows;
--- a/src/control/peers.cpp
+++ b/src/control/peers.cpp
@@ -25,6 +25,10 @@
 /// Up to this size the ring's news needs one or two hops.
 constexpr std::size_t SmallCentre = 9;
 constexpr int PeriodsSilent = 4;
+/// Heartbeats come the slower, the more daemons there are.
+constexpr Millis BeatPerMember(20);
+/// Of other data centres' heartbeats one in so many is passed on.
+constexpr std::uint64_t SlowPace = 4;
 
 class PeerConnection : public Poco::Net::TCPServerConnection {
 public:
@@ -52,7 +56,8 @@
 
 PeerExchange::PeerExchange(Board &Tables, Folder &Fold,
                            ForwardHandler OnForward)
-    : Tables(Tables), Fold(Fold), OnForward(std::move(OnForward)) {}
+    : Tables(Tables), Fold(Fold), OnForward(std::move(OnForward)),
+      BeatEvery(Tables.Config.HeartbeatEvery) {}
 
 PeerExchange::~PeerExchange() {
   this->Closing = true;
@@ -123,20 +128,19 @@
 wire::Heartbeat PeerExchange::ownBeat() {
   std::uint32_t Flags = this->ownFlags();
   this->SentFlags = Flags;
-  return {this->Tables.Me.Hash.Value, this->Beats.fetch_add(1) + 1,
-          this->Fold.next().Value, this->Tables.InFlight.load(), Flags};
+  return {this->Tables.Me.Hash.Value, this->Fold.next().Value,
+          static_cast<std::uint32_t>(this->Beats.fetch_add(1) + 1),
+          static_cast<std::uint16_t>(
+              std::min(this->Tables.InFlight.load(), 65535U)),
+          static_cast<std::uint16_t>(Flags)};
 }
 
-wire::GossipT PeerExchange::gossipFor(const Link &To, TimePoint Now,
-                                      bool WithHeartbeat) {
+wire::GossipT PeerExchange::gossipFor(Link &To, TimePoint Now) {
   bool Foreign = To.Centre != this->Tables.Me.DataCentre;
-  std::vector<Member> Members = this->Tables.members(Now);
   auto Fresh = [&](const ChangeMark &Mark) {
     return Mark.Count > To.SentUpTo && Mark.Link != To.Id;
   };
   wire::GossipT News;
-  if (WithHeartbeat)
-    News.heartbeats.push_back(this->ownBeat());
   this->Tables.Health.read([&](const HealthTable &Rows) {
     if (Foreign)
       return;
@@ -150,31 +154,55 @@
         News.health.push_back(std::move(Out));
       }
   });
-  // Other data centres hear the heartbeats of relays only.
-  std::vector<NodeHash> Relays = relaysOf(Members, this->Tables.Me.DataCentre);
+  this->Tables.Peers.read([&](const PeerTable &Rows) {
+    for (const auto &[Node, Row] : Rows.rows())
+      if (Node != this->Tables.Me.Hash && Fresh(Row.RowMark) && Row.Known)
+        News.peers.push_back(std::make_unique<wire::PeerRowT>(Row.Row));
+  });
+  this->addBeats(To, Now, News);
+  return News;
+}
+
+/// Heartbeats that the other end does not have yet. Other data centres hear
+/// those of relays only, and every data centre those from elsewhere at a
+/// slower pace: they serve to pass requests on, not to control groups.
+void PeerExchange::addBeats(Link &To, TimePoint Now, wire::GossipT &News) {
+  const DataCentreId &Here = this->Tables.Me.DataCentre;
+  bool Foreign = To.Centre != Here;
+  std::vector<NodeHash> Relays = relaysOf(this->Tables.members(Now), Here);
+  std::lock_guard Lock(To.Mutex);
   this->Tables.Peers.read([&](const PeerTable &Rows) {
     for (const auto &[Node, Row] : Rows.rows()) {
-      if (Node == this->Tables.Me.Hash)
-        continue;
-      bool Relay =
-          Row.Row.data_centre != this->Tables.Me.DataCentre.Text ||
+      bool Elsewhere = Row.Row.data_centre != Here.Text;
+      bool Wanted =
+          !Foreign || Elsewhere ||
           std::find(Relays.begin(), Relays.end(), Node) != Relays.end();
-      if (Fresh(Row.BeatMark) && Row.Sequence > 0 && (!Foreign || Relay))
-        News.heartbeats.emplace_back(Node.Value, Row.Sequence, Row.Folded,
-                                     Row.InFlight, Row.Flags);
-      if (Fresh(Row.RowMark) && Row.Known)
-        News.peers.push_back(std::make_unique<wire::PeerRowT>(Row.Row));
+      if (Row.Sequence == 0 || !Wanted || Node == this->Tables.Me.Hash)
+        continue;
+      std::uint64_t &Has = To.Has[Node];
+      std::uint64_t Pace = Has > 0 && (Elsewhere || Foreign) ? SlowPace : 1;
+      if (Row.Sequence < Has + Pace)
+        continue;
+      Has = Row.Sequence;
+      News.heartbeats.emplace_back(
+          Node.Value, Row.Folded, static_cast<std::uint32_t>(Row.Sequence),
+          static_cast<std::uint16_t>(std::min(Row.InFlight, 65535U)),
+          static_cast<std::uint16_t>(Row.Flags));
     }
   });
-  return News;
 }
 
 void PeerExchange::flush(TimePoint Now, bool WithHeartbeat) {
   // Peers judge this daemon's rows by its flags, so both go out together.
   WithHeartbeat |= this->ownFlags() != this->SentFlags;
+  std::optional<wire::Heartbeat> Own;
+  if (WithHeartbeat)
+    Own = this->ownBeat();
   for (const LinkRef &Row : this->openLinks()) {
     std::uint64_t UpTo = this->Tables.Changes.load();
-    wire::GossipT News = this->gossipFor(*Row, Now, WithHeartbeat);
+    wire::GossipT News = this->gossipFor(*Row, Now);
+    if (Own)
+      News.heartbeats.push_back(*Own);
     if (Row->Centre == this->Tables.Me.DataCentre)
       this->Tables.Vms.read([&](const VmTable &Vms) {
         for (const auto &[Vm, Entry] : Vms.news())
@@ -208,8 +236,13 @@
   long Hops = Here <= SmallCentre
                   ? 0
                   : std::lround(std::sqrt(static_cast<double>(Here)));
-  Millis LiveFor = std::max(
-      Millis(600), (PeriodsSilent + Hops) * this->Tables.Config.HeartbeatEvery);
+  // Many heartbeats a second would cost more than they tell.
+  Millis Config = this->Tables.Config.HeartbeatEvery;
+  Millis Every = std::max(
+      Config, static_cast<std::int64_t>(this->Tables.members(Now).size()) *
+                  BeatPerMember);
+  this->BeatEvery = Every;
+  Millis LiveFor = std::max(Millis(600), PeriodsSilent * Every + Hops * Config);
   this->Tables.Peers.write([&](PeerTable &Rows) { Rows.LiveFor = LiveFor; });
 }
 
@@ -227,7 +260,10 @@
     this->Tables.Log.emit(EventCode::PeerLost, Name);
   }
   // 2. Speak.
-  this->flush(Now, true);
+  bool Due = Now - this->LastBeat >= this->BeatEvery.load();
+  if (Due)
+    this->LastBeat = Now;
+  this->flush(Now, Due);
   // 3. Links and records.
   this->dialWanted(Now);
   this->askForRecords(Now);
@@ -397,6 +433,13 @@
     if (From.Other == this->Tables.Me.Hash)
       From.Open = false;
   }
+  {
+    std::lock_guard Lock(From.Mutex);
+    for (const auto &Beat : News.heartbeats) {
+      std::uint64_t &Has = From.Has[NodeHash(Beat.node())];
+      Has = std::max<std::uint64_t>(Has, Beat.sequence());
+    }
+  }
   // 2. Health and leaving VMs, which others should hear of at once.
   this->Tables.Vms.write([&](VmTable &Vms) {
     for (const auto &Row : News.leaving)
@@ -417,7 +460,7 @@
     }
     for (const auto &Beat : News.heartbeats)
       if (NodeHash(Beat.node()) != this->Tables.Me.Hash)
-        Rows.hear(Beat, Now, Mark());
+        Rows.hear(Beat, Now);
   });
   for (const std::string &Name : Joined)
     this->Tables.Log.emit(EventCode::PeerJoined, Name);
--- a/src/control/peers.h
+++ b/src/control/peers.h
@@ -52,13 +52,17 @@
     std::atomic<bool> Open{true};
     std::uint64_t SentUpTo = 0;
     TimePoint AskedAt;
+    /// Newest heartbeat of each daemon that the other end is known to have.
+    std::mutex Mutex;
+    std::unordered_map<NodeHash, std::uint64_t> Has;
   };
   using LinkRef = std::shared_ptr<Link>;
 
   wire::PeerRowT ownRow() const;
   std::uint32_t ownFlags() const;
   wire::Heartbeat ownBeat();
-  wire::GossipT gossipFor(const Link &To, TimePoint Now, bool WithHeartbeat);
+  wire::GossipT gossipFor(Link &To, TimePoint Now);
+  void addBeats(Link &To, TimePoint Now, wire::GossipT &News);
   void adaptToSize(TimePoint Now);
   void dialWanted(TimePoint Now);
   void dial(const Endpoint &Where);
@@ -90,6 +94,8 @@
   std::atomic<std::uint32_t> SentFlags{0};
   std::atomic<int> Dialing{0};
   std::atomic<bool> Closing{false};
+  std::atomic<Millis> BeatEvery;
+  TimePoint LastBeat;
   std::size_t NextSeed = 0;
   std::uint64_t Rounds = 0;
 };
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -451,44 +451,44 @@
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Heartbeat FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t node_;
-  uint64_t sequence_;
   uint64_t folded_;
-  uint32_t in_flight_;
-  uint32_t flags_;
+  uint32_t sequence_;
+  uint16_t in_flight_;
+  uint16_t flags_;
 
  public:
   struct Traits;
   Heartbeat()
       : node_(0),
-        sequence_(0),
         folded_(0),
+        sequence_(0),
         in_flight_(0),
         flags_(0) {
   }
-  Heartbeat(uint64_t _node, uint64_t _sequence, uint64_t _folded, uint32_t _in_flight, uint32_t _flags)
+  Heartbeat(uint64_t _node, uint64_t _folded, uint32_t _sequence, uint16_t _in_flight, uint16_t _flags)
       : node_(flatbuffers::EndianScalar(_node)),
-        sequence_(flatbuffers::EndianScalar(_sequence)),
         folded_(flatbuffers::EndianScalar(_folded)),
+        sequence_(flatbuffers::EndianScalar(_sequence)),
         in_flight_(flatbuffers::EndianScalar(_in_flight)),
         flags_(flatbuffers::EndianScalar(_flags)) {
   }
   uint64_t node() const {
     return flatbuffers::EndianScalar(node_);
   }
-  uint64_t sequence() const {
-    return flatbuffers::EndianScalar(sequence_);
-  }
   uint64_t folded() const {
     return flatbuffers::EndianScalar(folded_);
   }
-  uint32_t in_flight() const {
+  uint32_t sequence() const {
+    return flatbuffers::EndianScalar(sequence_);
+  }
+  uint16_t in_flight() const {
     return flatbuffers::EndianScalar(in_flight_);
   }
-  uint32_t flags() const {
+  uint16_t flags() const {
     return flatbuffers::EndianScalar(flags_);
   }
 };
-FLATBUFFERS_STRUCT_END(Heartbeat, 32);
+FLATBUFFERS_STRUCT_END(Heartbeat, 24);
 
 struct Heartbeat::Traits {
   using type = Heartbeat;
--- /dev/null
+++ b/tools/measure.py
@@ -0,0 +1,282 @@
+#!/usr/bin/env python3
+"""Measures real daemons on loopback, for docs/CAPACITY.md.
+
+  tools/measure.py BUILD peers     control bytes and CPU a daemon, idle
+  tools/measure.py BUILD groups    the same against groups
+  tools/measure.py BUILD streams   memory and CPU of open streams
+  tools/measure.py BUILD claims    keyed calls a second and their appends
+
+Every run is bounded and ends by itself; only loopback is used."""
+import asyncio
+import hashlib
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+
+BASE = 21000
+TICK = 100.0  # clock ticks a second
+
+
+class Run:
+    """Daemons, platform and targets of one measurement."""
+
+    def __init__(self, build, nodes, centres, groups, token_ms=10, extra=""):
+        self.dir = tempfile.TemporaryDirectory()
+        self.folder = pathlib.Path(self.dir.name)
+        self.build = pathlib.Path(build)
+        self.processes = []
+        self.nodes = nodes
+        names = [f"c{i}" for i in range(centres)]
+        rows = []
+        port = BASE + 2000
+        per = groups // centres
+        for centre in names:
+            for g in range(per):
+                for v in range(4):
+                    rows.append(f"- {{id: {centre}-g{g}-{v}, data_centre: "
+                                f"{centre}, domain: {centre}-d{g}, host: "
+                                f"127.0.0.1, port: {port}, "
+                                f"labels: {{role: engine}}}}")
+                    port += 1
+        rows.append(f"- {{id: svc, data_centre: c0, domain: s, host: "
+                    f"127.0.0.1, port: {port}, labels: {{role: ledger}}}}")
+        vms = self.folder / "vms.yaml"
+        vms.write_text("\n".join(rows) + "\n")
+        self.start("tests/standin-platform", f"--listen=127.0.0.1:{BASE}",
+                   f"--vms={vms}")
+        self.start("tests/standin-target", f"--vms={vms}",
+                   f"--token_ms={token_ms}", "--load_ms=100")
+        digest = hashlib.sha1(b"waycove:op").hexdigest()
+        seeds = ", ".join(f"127.0.0.1:{BASE + 1000 + i}"
+                          for i in range(min(nodes, 4)))
+        self.daemons = []
+        for i in range(nodes):
+            file = self.folder / f"n{i}.yaml"
+            file.write_text(
+                f"node: n{i}\ndata_centre: {names[i % centres]}\n"
+                f"http: 127.0.0.1:{BASE + 1 + i}\n"
+                f"peer_listen: 127.0.0.1:{BASE + 1000 + i}\n"
+                f"platform: 127.0.0.1:{BASE}\npeers: [{seeds}]\n"
+                f"operator_key_digest: {digest}\nlog_level: error\n{extra}\n")
+            self.daemons.append(self.start("waycoved", f"--settings={file}"))
+        for i in range(nodes):
+            self.until(lambda i=i: self.get(i, "/readyz")[0] == 200)
+        replicas = ", ".join(f"{c}: {per}" for c in names)
+        self.apply("workspace", "w", "{key_digest: "
+                   + hashlib.sha1(b"waycove:k").hexdigest() + "}")
+        self.apply("service", "ledger",
+                   "{match: {role: [ledger]}, workspaces: {}}")
+        self.apply("deployment", "model",
+                   "{model: m, version: v, vms_per_replica: 4, "
+                   "slots_per_replica: 4096, match: {role: [engine]}, "
+                   f"replicas: {{{replicas}}}, workspaces: {{}}}}")
+        self.until(lambda: self.serving() >= per)
+
+    def start(self, name, *flags):
+        log = open(self.folder / "log", "ab")
+        process = subprocess.Popen([str(self.build / name), *flags],
+                                   stdout=log, stderr=log)
+        self.processes.append(process)
+        return process
+
+    def stop(self):
+        for process in self.processes:
+            process.kill()
+        for process in self.processes:
+            process.wait()
+        self.dir.cleanup()
+
+    @staticmethod
+    def until(condition, seconds=90):
+        end = time.time() + seconds
+        while time.time() < end:
+            try:
+                if condition():
+                    return
+            except OSError:
+                pass
+            time.sleep(0.1)
+        raise SystemExit("measure: a condition did not come about")
+
+    def get(self, node, path, body=None, headers=None):
+        request = urllib.request.Request(
+            f"http://127.0.0.1:{BASE + 1 + node}{path}", data=body,
+            headers=headers or {"Authorization": "Bearer op"})
+        try:
+            with urllib.request.urlopen(request, timeout=20) as answer:
+                return answer.status, answer.read().decode()
+        except urllib.error.HTTPError as error:
+            return error.code, error.read().decode()
+
+    def apply(self, kind, name, spec):
+        body = json.dumps({"kind": kind, "name": name, "base": 0, "body":
+                           f"kind: {kind}\nname: {name}\nspec: {spec}"})
+        status, text = self.get(0, "/operator/v1/apply", body.encode())
+        assert status == 200, text
+
+    def serving(self):
+        groups = json.loads(self.get(0, "/operator/v1/status")[1])["groups"]
+        return sum(1 for group in groups if group["serves"])
+
+    def counters(self, node):
+        rows = {}
+        for line in self.get(node, "/metrics")[1].splitlines():
+            if line.startswith("waycove_") and "{" not in line:
+                name, value = line.split()
+                rows[name[8:]] = float(value)
+        return rows
+
+    def cpu(self, process):
+        text = pathlib.Path(f"/proc/{process.pid}/stat").read_text()
+        fields = text.rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / TICK
+
+    @staticmethod
+    def memory(process):
+        for line in pathlib.Path(
+                f"/proc/{process.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS"):
+                return int(line.split()[1]) / 1024.0
+        return 0.0
+
+    def idle(self, seconds):
+        """Mean control bytes a second and CPU of all daemons."""
+        kinds = ["peer_bytes_in", "peer_bytes_out", "health_bytes_in",
+                 "health_bytes_out", "platform_bytes_in",
+                 "platform_bytes_out"]
+        before = [self.counters(i) for i in range(self.nodes)]
+        cpu = [self.cpu(p) for p in self.daemons]
+        began = time.time()
+        time.sleep(seconds)
+        took = time.time() - began
+        used = [(self.cpu(p) - c) / took for p, c in zip(self.daemons, cpu)]
+        after = [self.counters(i) for i in range(self.nodes)]
+        mean = {k: sum(a[k + "_total"] - b[k + "_total"]
+                       for a, b in zip(after, before)) / took / self.nodes
+                for k in kinds}
+        return mean, sum(used) / len(used), self.memory(self.daemons[0])
+
+
+def show_idle(build, cases):
+    print("nodes centres groups  peer in/out B/s  health in/out B/s  "
+          "platform in/out B/s  CPU %  MB")
+    for nodes, centres, groups in cases:
+        run = Run(build, nodes, centres, groups)
+        try:
+            time.sleep(3)
+            m, cpu, memory = run.idle(12)
+            print(f"{nodes:5} {centres:7} {groups:6}  "
+                  f"{m['peer_bytes_in']:7.0f}/{m['peer_bytes_out']:<7.0f}  "
+                  f"{m['health_bytes_in']:8.0f}/{m['health_bytes_out']:<8.0f}  "
+                  f"{m['platform_bytes_in']:9.0f}/"
+                  f"{m['platform_bytes_out']:<9.0f}  "
+                  f"{100 * cpu:5.2f}  {memory:3.0f}", flush=True)
+        finally:
+            run.stop()
+
+
+async def stream(node, tokens, counts):
+    reader, writer = await asyncio.open_connection("127.0.0.1",
+                                                   BASE + 1 + node)
+    body = json.dumps({"prompt": "p", "max_tokens": tokens, "stream": True})
+    writer.write((f"POST /v1/models/model/generate HTTP/1.1\r\nHost: x\r\n"
+                  f"Authorization: Bearer k\r\nX-Waycove-Deadline-Ms: 120000"
+                  f"\r\nContent-Length: {len(body)}\r\n\r\n{body}").encode())
+    data = b""
+    while True:
+        part = await reader.read(65536)
+        if not part:
+            break
+        counts[0] += part.count(b'"index"')
+        data = (data + part)[-200:]
+    writer.close()
+    counts[1] += 1 if b"event: done" in data else 0
+
+
+async def many(count, tokens, counts, probe):
+    tasks = [asyncio.create_task(stream(0, tokens, counts))
+             for _ in range(count)]
+    await asyncio.sleep(4)
+    await asyncio.get_running_loop().run_in_executor(None, probe)
+    await asyncio.gather(*tasks)
+
+
+def show_streams(build):
+    print("streams  whole  MB over idle  KB/stream  tokens/s  CPU us/token")
+    for count in (100, 500, 1500):
+        run = Run(build, 1, 1, 8, token_ms=100)
+        try:
+            daemon = run.daemons[0]
+            idle = run.memory(daemon)
+            counts = [0, 0]
+            figures = {}
+
+            def probe():
+                figures["memory"] = run.memory(daemon)
+                cpu, tokens, began = run.cpu(daemon), counts[0], time.time()
+                time.sleep(5)
+                figures["tokens"] = counts[0] - tokens
+                figures["cpu"] = run.cpu(daemon) - cpu
+                figures["took"] = time.time() - began
+
+            asyncio.run(many(count, 150, counts, probe))
+            grown = figures["memory"] - idle
+            print(f"{count:7} {counts[1]:6} {grown:13.1f} "
+                  f"{1024 * grown / count:10.1f} "
+                  f"{figures['tokens'] / figures['took']:9.0f} "
+                  f"{1e6 * figures['cpu'] / max(figures['tokens'], 1):13.1f}",
+                  flush=True)
+        finally:
+            run.stop()
+
+
+def show_claims(build):
+    import concurrent.futures
+    print("callers  keyed calls/s  appends/s  claims/append")
+    for callers in (1, 8, 32):
+        run = Run(build, 2, 1, 2)
+        try:
+            before = run.counters(0)
+            end = time.time() + 5
+
+            def work(number):
+                done = 0
+                while time.time() < end:
+                    key = f"{int(time.time() * 1000)}-{number}-{done}"
+                    status, _ = run.get(
+                        0, "/v1/services/ledger/sale", b"x",
+                        {"Authorization": "Bearer k",
+                         "Idempotency-Key": key})
+                    done += status == 200
+                return done
+
+            with concurrent.futures.ThreadPoolExecutor(callers) as pool:
+                calls = sum(pool.map(work, range(callers)))
+            appends = (run.counters(0)["appends_sent_total"]
+                       - before["appends_sent_total"])
+            print(f"{callers:7} {calls / 5:13.0f} {appends / 5:10.0f} "
+                  f"{calls / max(appends, 1):14.1f}", flush=True)
+        finally:
+            run.stop()
+
+
+def main():
+    build, what = sys.argv[1], sys.argv[2]
+    if what == "peers":
+        show_idle(build, [(4, 2, 4), (8, 2, 4), (16, 2, 4), (32, 2, 4)])
+    elif what == "groups":
+        show_idle(build, [(4, 1, 4), (4, 1, 16), (4, 1, 48)])
+    elif what == "streams":
+        show_streams(build)
+    elif what == "claims":
+        show_claims(build)
+    else:
+        raise SystemExit(__doc__)
+
+
+if __name__ == "__main__":
+    main()
