--- a/src/control/claims.h
+++ b/src/control/claims.h
@@ -12,9 +12,11 @@
 
 /// Claims in one record at most.
 constexpr std::size_t MaxClaimBatch = 512;
-/// The log takes a few hundred appends a second from all daemons together, so
-/// one daemon sends at most one batch in this time.
+/// The log takes a few hundred appends a second from all daemons together. So
+/// each waits between two batches, the longer the more daemons there are: all
+/// of them stay below 250 batches a second, and what grows is the batch.
 constexpr Millis ClaimBatchPause(20);
+constexpr Millis ClaimPausePerDaemon(4);
 
 /// Binds idempotency keys to dispatchers through the log, many in one record.
 template <LogService Service> class ClaimBinder {
@@ -70,10 +72,17 @@
       }
       TimePoint Until = SystemClock{}.now() + std::chrono::seconds(2);
       this->settle(Rows, this->Submit.submit(std::move(Body), Until));
-      std::this_thread::sleep_for(ClaimBatchPause);
+      std::this_thread::sleep_for(this->pause());
     }
   }
 
+  Millis pause() const {
+    std::size_t Daemons = this->Tables.Peers.read(
+        [](const PeerTable &Rows) { return Rows.rows().size() + 1; });
+    return std::max(ClaimBatchPause,
+                    static_cast<std::int64_t>(Daemons) * ClaimPausePerDaemon);
+  }
+
   Batch nextBatch(const std::stop_token &Stop) {
     std::unique_lock Lock(this->Mutex);
     this->Changed.wait(Lock, Stop, [&] { return !this->Queue.empty(); });
--- a/src/edge/target.cpp
+++ b/src/edge/target.cpp
@@ -122,7 +122,14 @@
                  ? AttemptEnd::Refused
                  : AttemptEnd::Broken;
     }
-    return readAnswer(In, Call, OnToken, Done);
+    AttemptEnd End = readAnswer(In, Call, OnToken, Done);
+    // The stream only ends; why it did, the session knows.
+    bool TimedOut = dynamic_cast<const Poco::TimeoutException *>(
+                        Session.networkException()) != nullptr;
+    if (End != AttemptEnd::Broken || !TimedOut)
+      return End;
+    Done.Reason = "no token in time";
+    return AttemptEnd::Stalled;
   } catch (const Poco::TimeoutException &Error) {
     Done.Reason = Error.displayText();
     return Sent ? AttemptEnd::Stalled : AttemptEnd::NotSent;
--- a/tests/failure/answers_test.cpp
+++ b/tests/failure/answers_test.cpp
@@ -64,14 +64,22 @@
     std::string Bad = this->heads()[0];
     this->Run.vmFault(Bad, R"({"generate":"ok"})");
     this->Run.vmFault(Bad, Row.Fault);
-    for (int I = 0; I < 4; ++I) {
-      // Sessions spread over both groups.
+    auto Asked = [&] {
+      return this->Run.atVm(Bad, {.Path = "/counts"}).number("generates");
+    };
+    // Sessions spread over both groups: go on until the faulty one was asked
+    // for streams and for whole answers.
+    std::uint64_t Streams = 0;
+    std::uint64_t Wholes = 0;
+    for (int I = 0; I < 40 && (Streams < 1 || Wholes < 1); ++I) {
+      std::uint64_t Before = Asked();
       std::map<std::string, std::string> Headers{
           {"X-Waycove-Session", Row.Name + std::to_string(I)}};
       Reply Answer = this->Run.generate("n1", 12, I % 2 == 0, Headers);
       INFO(Answer.Status << " " << Answer.Body);
       REQUIRE(Answer.Status == 200);
       CHECK_FALSE(Answer.Cut);
+      (I % 2 == 0 ? Streams : Wholes) += Asked() - Before;
       if (I % 2 == 1) {
         CHECK(Answer.text("text") == wholeText(12));
         continue;
@@ -81,9 +89,11 @@
       for (std::uint64_t T = 0; T < 12; ++T)
         CHECK(Seen[T] == T);
       CHECK(Answer.Body.find("event: done") != std::string::npos);
-      CHECK(Answer.Body.find("someone-else") == std::string::npos);
+      CHECK(Answer.Body.find("stray") == std::string::npos);
     }
     this->Run.vmFault(Bad, R"({"generate":"ok"})");
+    CHECK(Streams >= 1);
+    CHECK(Wholes >= 1);
   }
 }
 
--- a/tests/failure/stop_test.cpp
+++ b/tests/failure/stop_test.cpp
@@ -17,6 +17,8 @@
     this->Run.ExtraSettings = "connect_timeout_ms: 300";
     this->Run.addVms("d1", 2, "a", "d1");
     this->Run.addVms("d2", 2, "a", "d2");
+    // Room for a group that has to move.
+    this->Run.addVms("d3", 2, "a", "d3");
     this->Run.addVms("s", 2, "a", "s", "ledger");
     for (const char *Node : {"n1", "n2", "n3"})
       this->Run.addNode(Node, "a");
@@ -103,15 +105,26 @@
   REQUIRE(eventually([&] {
     return this->Run.status("n1")->optValue<int>("in_flight", 0) == 4;
   }));
+  std::string Domain = textAt(
+      this->Run.status("n1")->getArray("groups")->getObject(0), "domain");
   REQUIRE(
-      this->Run.apply("n1", "drain", "d1", "{match: {domain: [d1]}}").Status ==
-      200);
+      this->Run
+          .apply("n1", "drain", "one", "{match: {domain: [" + Domain + "]}}")
+          .Status == 200);
   for (auto &Call : Calls) {
     Reply Answer = Call.get();
     CHECK_FALSE(Answer.Cut);
     CHECK(streamedIndexes(Answer.Body).size() == 300);
   }
   CHECK(this->Run.counter("n1", "resumes") == 0);
+  // And then the group moves.
+  CHECK(eventually([&] {
+    auto Groups = this->Run.status("n1")->getArray("groups");
+    for (unsigned I = 0; I < Groups->size(); ++I)
+      if (textAt(Groups->getObject(I), "domain") == Domain)
+        return false;
+    return this->Run.serving("n1") == 2;
+  }));
 }
 
 TEST_CASE_METHOD(StopCluster,
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -200,7 +200,8 @@
     Poco::JSON::Object Out;
     Out.set("request", Request);
     Out.set("index", Index);
-    Out.set("text", "w" + std::to_string(Index) + " ");
+    Out.set("text", (Request == "someone-else" ? "stray" : "w") +
+                        std::to_string(Index) + " ");
     Out.set("group", Group);
     Out.set("members", Members);
     return dumpJson(Out) + "\n";
@@ -298,6 +299,13 @@
     }
     if (Fault == "reset")
       return drop(Request, Response);
+    if (Fault == "chunks" || Fault == "cut_chunks") {
+      Response.setChunkedTransferEncoding(true);
+      Response.send() << "half " << std::flush;
+      if (Fault == "cut_chunks")
+        drop(Request, Response);
+      return;
+    }
     Poco::JSON::Object Out;
     Out.set("vm", this->Me.Id);
     Out.set("path", Request.getURI());
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -5,6 +5,8 @@
   tools/measure.py BUILD groups    the same against groups
   tools/measure.py BUILD streams   memory and CPU of open streams
   tools/measure.py BUILD claims    keyed calls a second and their appends
+  tools/measure.py BUILD fair      a greedy workspace beside modest callers
+  tools/measure.py BUILD retries   a tenth of the groups resets every request
 
 Every run is bounded and ends by itself; only loopback is used."""
 import asyncio
@@ -24,12 +26,20 @@
 class Run:
     """Daemons, platform and targets of one measurement."""
 
-    def __init__(self, build, nodes, centres, groups, token_ms=10, extra=""):
+    def __init__(self, build, nodes, centres, groups, token_ms=10, extra="",
+                 slots=4096):
         self.dir = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self.dir.name)
         self.build = pathlib.Path(build)
-        self.processes = []
         self.nodes = nodes
+        self.processes = []
+        try:
+            self.begin(nodes, centres, groups, token_ms, extra, slots)
+        except BaseException:
+            self.stop()
+            raise
+
+    def begin(self, nodes, centres, groups, token_ms, extra, slots):
         names = [f"c{i}" for i in range(centres)]
         rows = []
         port = BASE + 2000
@@ -72,7 +82,7 @@
                    "{match: {role: [ledger]}, workspaces: {}}")
         self.apply("deployment", "model",
                    "{model: m, version: v, vms_per_replica: 4, "
-                   "slots_per_replica: 4096, match: {role: [engine]}, "
+                   f"slots_per_replica: {slots}, match: {{role: [engine]}}, "
                    f"replicas: {{{replicas}}}, workspaces: {{}}}}")
         self.until(lambda: self.serving() >= per)
 
@@ -264,6 +274,71 @@
             run.stop()
 
 
+def ask(run, key, tokens, deadline_ms=8000):
+    began = time.time()
+    body = json.dumps({"prompt": "p", "max_tokens": tokens}).encode()
+    status, _ = run.get(0, "/v1/models/model/generate", body,
+                        {"Authorization": f"Bearer {key}",
+                         "X-Waycove-Session": str(time.time()),
+                         "X-Waycove-Deadline-Ms": str(deadline_ms)})
+    return status, time.time() - began
+
+
+def show_fair(build):
+    import concurrent.futures
+    print("workspaces          modest: whole  p95 s   greedy: whole  refused")
+    for apart in (False, True):
+        run = Run(build, 1, 1, 1, token_ms=10, slots=4)
+        try:
+            run.apply("workspace", "greedy", "{key_digest: "
+                      + hashlib.sha1(b"waycove:g").hexdigest() + "}")
+            end = time.time() + 12
+
+            def caller(key, tokens):
+                rows = []
+                while time.time() < end:
+                    rows.append(ask(run, key, tokens))
+                    if rows[-1][0] != 200:
+                        time.sleep(0.2)
+                return rows
+
+            with concurrent.futures.ThreadPoolExecutor(64) as pool:
+                greedy = [pool.submit(caller, "g" if apart else "k", 60)
+                          for _ in range(40)]
+                modest = [pool.submit(caller, "k", 15) for _ in range(3)]
+                modest = [row for f in modest for row in f.result()]
+                greedy = [row for f in greedy for row in f.result()]
+            whole = sum(1 for status, _ in modest if status == 200)
+            times = sorted(took for _, took in modest)
+            good = sum(1 for status, _ in greedy if status == 200)
+            print(f"{'apart (fair queue)' if apart else 'one (first come)':19}"
+                  f"{whole:7}/{len(modest):<6} "
+                  f"{times[int(0.95 * (len(times) - 1))]:6.2f} "
+                  f"{good:15} {len(greedy) - good:8}", flush=True)
+        finally:
+            run.stop()
+
+
+def show_retries(build):
+    run = Run(build, 1, 1, 10, token_ms=1)
+    try:
+        groups = json.loads(run.get(0, "/operator/v1/status")[1])["groups"]
+        head = groups[0]["vms"][0]
+        rows = (run.folder / "vms.yaml").read_text().splitlines()
+        port = next(row.split("port: ")[1].split(",")[0] for row in rows
+                    if f"id: {head}," in row)
+        urllib.request.urlopen(f"http://127.0.0.1:{port}/faults",
+                               b'{"generate":"reset"}', timeout=5).read()
+        before = run.counters(0)
+        good = sum(ask(run, "k", 3)[0] == 200 for _ in range(600))
+        after = run.counters(0)
+        attempts = after["attempts_total"] - before["attempts_total"]
+        print(f"600 requests, one of 10 groups resets: {good} whole, "
+              f"{attempts / 600:.3f} attempts a request")
+    finally:
+        run.stop()
+
+
 def main():
     build, what = sys.argv[1], sys.argv[2]
     if what == "peers":
@@ -272,6 +347,10 @@
         show_idle(build, [(4, 1, 4), (4, 1, 16), (4, 1, 48)])
     elif what == "streams":
         show_streams(build)
+    elif what == "fair":
+        show_fair(build)
+    elif what == "retries":
+        show_retries(build)
     elif what == "claims":
         show_claims(build)
     else:
