--- a/tests/failure/once_test.cpp
+++ b/tests/failure/once_test.cpp
@@ -45,6 +45,7 @@
   }
 
   Cluster Run;
+  std::uint64_t CallsBefore = 0;
 };
 
 /// One way in which the first attempt goes wrong, before the same key is sent
@@ -183,6 +184,74 @@
   CHECK(this->Run.callsOf(Key) == 1);
 }
 
+/// Where the dispatcher stands when it is killed.
+struct KillPoint {
+  const char *Name;
+  const char *PlatformFault;
+  const char *VmFault;
+  /// Whether it has got there.
+  std::function<bool(OnceCluster &)> Reached;
+};
+
+const std::vector<KillPoint> KillPoints{
+    {"waits for the claim's append", R"({"append":"stall"})", "{}",
+     [](OnceCluster &C) {
+       return C.Run.status("n1")->optValue<int>("in_flight", 0) == 1;
+     }},
+    {"claim written, its answer lost", R"({"append":"lose_ack"})",
+     R"({"service":"slow"})",
+     [](OnceCluster &C) {
+       return C.Run.atVm("sa-1", {.Path = "/counts"}).number("entered") > 0;
+     }},
+    {"target is at it", "{}", R"({"service":"slow"})",
+     [](OnceCluster &C) {
+       return C.Run.atVm("sa-1", {.Path = "/counts"}).number("entered") > 0;
+     }},
+    {"target ran, answer not back", "{}", R"({"service":"slow_after"})",
+     [](OnceCluster &C) {
+       return C.Run.atVm("sa-1", {.Path = "/counts"}).number("calls") >
+              C.CallsBefore;
+     }},
+};
+
+TEST_CASE_METHOD(OnceCluster,
+                 "once: dispatcher killed at each step: the retry never runs a "
+                 "second time, and is told no untruth",
+                 "[process]") {
+  for (const KillPoint &Row : KillPoints)
+    DYNAMIC_SECTION(Row.Name) {
+      std::string Key = freshKey("kill");
+      this->CallsBefore =
+          this->Run.atVm("sa-1", {.Path = "/counts"}).number("calls");
+      this->Run.platformFault(Row.PlatformFault);
+      this->Run.vmFault("sa-1", Row.VmFault);
+      auto First =
+          std::async(std::launch::async, [&] { return this->call("n1", Key); });
+      REQUIRE(eventually([&] { return Row.Reached(*this); }));
+      this->Run.killNode("n1");
+      CHECK(First.get().Status != 200);
+      this->Run.platformFault(R"({"append":"ok"})");
+      this->Run.vmFault("sa-1", R"({"service":"ok"})");
+      // What was under way at the target may yet end there.
+      std::vector<Reply> Answers;
+      for (const char *Node : {"n2", "n3", "n2"})
+        Answers.push_back(this->call(Node, Key));
+      REQUIRE(eventually([&] {
+        return this->Run.atVm("sa-1", {.Path = "/counts"}).number("entered") ==
+               this->Run.atVm("sa-1", {.Path = "/counts"}).number("left");
+      }));
+      int Ran = this->Run.callsOf(Key);
+      CHECK(Ran <= 1);
+      for (const Reply &Again : Answers) {
+        INFO(Again.Status << " " << Again.Body);
+        if (Again.Ran == "no")
+          CHECK(Ran == 0);
+        if (Again.Status == 200)
+          CHECK(Ran == 1);
+      }
+    }
+}
+
 TEST_CASE_METHOD(OnceCluster,
                  "once: log is down and no ticket: refused at once and not run",
                  "[process]") {
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -57,6 +57,7 @@
   int Generates = 0;
   /// Slow calls that came, ended or not.
   int Entered = 0;
+  int Left = 0;
   int PartialTokens = 0;
   std::vector<std::string> MemberAddresses;
   std::uint64_t Present = 0;
@@ -130,6 +131,7 @@
     Out.set("calls", this->Me.AllCalls);
     Out.set("generates", this->Me.Generates);
     Out.set("entered", this->Me.Entered);
+    Out.set("left", this->Me.Left);
     Out.set("running", this->Me.Running);
     Out.set("partial_tokens", this->Me.PartialTokens);
     Out.set("cancelled", this->Me.Cancelled.size());
@@ -277,6 +279,11 @@
       drop(Request, Response);
   }
 
+  void note(int &Count) {
+    std::lock_guard Lock(this->Me.Mutex);
+    ++Count;
+  }
+
   void service(HTTPServerRequest &Request, HTTPServerResponse &Response,
                const std::string &Body) {
     std::string Fault = this->Me.fault("service");
@@ -285,11 +292,9 @@
     if (Fault == "drop_before")
       return drop(Request, Response);
     if (Fault == "slow") {
-      std::lock_guard Lock(this->Me.Mutex);
-      ++this->Me.Entered;
-    }
-    if (Fault == "slow")
+      this->note(this->Me.Entered);
       std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    }
     std::string Key = Request.get("Idempotency-Key", "none");
     int Count = 0;
     {
@@ -297,6 +302,10 @@
       Count = ++this->Me.Calls[Key];
       ++this->Me.AllCalls;
     }
+    if (Fault == "slow")
+      this->note(this->Me.Left);
+    if (Fault == "slow_after")
+      std::this_thread::sleep_for(std::chrono::milliseconds(700));
     if (Fault == "reset")
       return drop(Request, Response);
     if (Fault == "chunks" || Fault == "cut_chunks") {
