--- a/src/bench/model.cpp
+++ b/src/bench/model.cpp
@@ -20,23 +20,23 @@
       !this->Queue.empty() && this->Running.size() < this->Shape.Slots &&
       (this->Running.empty() ||
        this->context() + this->Queue.front().Prompt <= this->Shape.KvTokens)) {
-    ModelJob Job = std::move(this->Queue.front());
+    ModelJob Job = this->Queue.front();
     this->Queue.erase(this->Queue.begin());
     // The prompt's work comes first.
     Job.Credit = -static_cast<double>(Job.Prompt) * this->Shape.MostPerRequest /
                  this->Shape.PromptPerSecond;
-    this->Running.push_back(std::move(Job));
+    this->Running.push_back(Job);
   }
 }
 
 void ModelReplica::preempt() {
   while (this->Running.size() > 1 && this->context() > this->Shape.KvTokens) {
-    ModelJob Youngest = std::move(this->Running.back());
+    ModelJob Youngest = this->Running.back();
     this->Running.pop_back();
     // What it made has to be computed again, as a part of its prompt's work.
     Youngest.Credit = 0;
     ++this->Preempted;
-    this->Queue.insert(this->Queue.begin(), std::move(Youngest));
+    this->Queue.insert(this->Queue.begin(), Youngest);
   }
 }
 
@@ -64,7 +64,7 @@
       [](const ModelJob &Row) { return Row.Made < Row.Tokens; });
   for (auto At = End; At != this->Running.end(); ++At) {
     At->Finished = Now + Step;
-    Done.push_back(std::move(*At));
+    Done.push_back(*At);
   }
   this->Running.erase(End, this->Running.end());
   this->preempt();
--- a/src/bench/model.h
+++ b/src/bench/model.h
@@ -44,7 +44,7 @@
 class ModelReplica {
 public:
   explicit ModelReplica(ReplicaShape Shape) : Shape(Shape) {}
-  void push(ModelJob Job) { this->Queue.push_back(std::move(Job)); }
+  void push(const ModelJob &Job) { this->Queue.push_back(Job); }
   /// Works for \p Step; returns the jobs that finished.
   std::vector<ModelJob> work(TimePoint Now, Millis Step);
   std::size_t load() const { return this->Queue.size() + this->Running.size(); }
--- a/src/bench/repair.cpp
+++ b/src/bench/repair.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint64_t Groups = 57;
 constexpr std::size_t Hours = 240;
 constexpr std::size_t StepSeconds = 10;
+constexpr std::size_t Hour = 3600;
+constexpr std::size_t StepsPerHour = Hour / StepSeconds;
 constexpr std::size_t LoadSeconds = 120;
 /// The weight store gives this many VMs their weights at a time.
 constexpr std::size_t LoadsAtOnce = 8;
@@ -64,13 +66,13 @@
 
   RepairFigures run() {
     this->Spec.VmsPerReplica = VmsPerGroup;
-    for (std::size_t Now = 0; Now < Hours * 3600; Now += StepSeconds) {
+    for (std::size_t Now = 0; Now < Hours * Hour; Now += StepSeconds) {
       this->fail(Now);
       this->load();
       if (Now % DetectSeconds == 0)
         this->repair(Now);
       // The first hour is for forming, and is not counted.
-      if (Now >= 3600)
+      if (Now >= Hour)
         this->count();
     }
     return this->Figures;
@@ -83,7 +85,7 @@
   }
   /// The log is away for forty minutes, every six hours.
   static bool logUp(std::size_t Now) {
-    return Now % (6 * 3600) < 5 * 3600 + 1200;
+    return Now % (6 * Hour) < 5 * Hour + 1200;
   }
 
   void fail(std::size_t Now) {
@@ -96,17 +98,17 @@
       }
       // A VM dies every 2000 hours of its own, and is back after an hour;
       // now and then one only restarts.
-      if (this->Random() % (2000 * 360) == 0)
-        this->down(Vm, Now + 3600);
-      else if (this->Random() % (400 * 360) == 0)
+      if (this->Random() % (2000 * StepsPerHour) == 0)
+        this->down(Vm, Now + Hour);
+      else if (this->Random() % (400 * StepsPerHour) == 0)
         this->down(Vm, Now + 60);
     }
     // A domain goes dark every five days, for four hours; once in the script
     // that happens while the log is away.
-    if (Now % (120 * 3600) == 30 * 3600 || Now == 95 * 3600 + 1500) {
+    if (Now % (120 * Hour) == 30 * Hour || Now == 95 * Hour + 1500) {
       std::size_t Domain = this->Random() % Domains;
       for (std::size_t I = 0; I < VmsPerDomain; ++I)
-        this->down(this->Vms[Domain * VmsPerDomain + I], Now + 4 * 3600);
+        this->down(this->Vms[Domain * VmsPerDomain + I], Now + 4 * Hour);
     }
   }
 
--- a/src/bench/signature.cpp
+++ b/src/bench/signature.cpp
@@ -94,6 +94,7 @@
   Spec.VmsPerReplica = 4;
   for (int Round = 0; Round < 100; ++Round) {
     std::vector<PlanVm> Rows;
+    Rows.reserve(40);
     for (int I = 0; I < 40; ++I)
       Rows.push_back({VmId("vm-" + std::to_string(I)),
                       DomainId("d" + std::to_string(I / 10)), Random() % 5 != 0,
--- a/src/main/commands.cpp
+++ b/src/main/commands.cpp
@@ -173,6 +173,7 @@
   if (Poco::JSON::Array::Ptr Rows = Body->getArray(List); !Rows.isNull())
     for (unsigned I = 0; I < Rows->size(); ++I) {
       std::vector<std::string> Cells;
+      Cells.reserve(Fields.size());
       for (const std::string &Field : Fields)
         Cells.push_back(cell(Rows->getObject(I), Field));
       Table.add(Cells);
--- a/src/policy/fair.h
+++ b/src/policy/fair.h
@@ -88,6 +88,7 @@
   struct Turn {
     double Tag = 0;
     WorkspaceId Workspace;
+    // The comparison that the compiler makes is no text of ours. NOLINTNEXTLINE
     auto operator<=>(const Turn &) const = default;
   };
   struct Active {
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -39,8 +39,9 @@
   return Frame;
 }
 
-FrameSocket::FrameSocket(Poco::Net::StreamSocket Socket, Metrics &Counters)
-    : Socket(std::move(Socket)), Counters(Counters) {
+FrameSocket::FrameSocket(const Poco::Net::StreamSocket &Socket,
+                         Metrics &Counters)
+    : Socket(Socket), Counters(Counters) {
   this->Socket.setNoDelay(true);
   this->Socket.setSendTimeout(spanOf(SendTimeout));
 }
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -26,7 +26,7 @@
 /// one thread at a time may receive.
 class FrameSocket {
 public:
-  FrameSocket(Poco::Net::StreamSocket Socket, Metrics &Counters);
+  FrameSocket(const Poco::Net::StreamSocket &Socket, Metrics &Counters);
 
   /// Opens a connection; the message says what went wrong.
   static absl::StatusOr<Poco::Net::StreamSocket>
--- a/tests/contract/edge_contract.cpp
+++ b/tests/contract/edge_contract.cpp
@@ -128,8 +128,8 @@
            "POST /v1/services/ledger/x HTTP/1.1\r\nContent-Length: 50\r\n\r\nx",
            "GET / HTTP/1.1\r\n" + std::string(20000, 'h') + ": v\r\n\r\n",
            "GET / HTTP/9.9\r\n\r\n", "\r\n\r\n\r\n",
-           "POST /v1/services/ledger/x HTTP/1.1\r\nTransfer-Encoding: "
-           "chunked\r\n\r\nzz\r\n"}) {
+           std::string("POST /v1/services/ledger/x HTTP/1.1\r\n") +
+               "Transfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
     Poco::Net::StreamSocket Socket(
         Poco::Net::SocketAddress("127.0.0.1", this->Run.httpPort("n1")));
     try {
@@ -213,7 +213,8 @@
   Asked.name = "ledger";
   Asked.workspace = "nobody";
   Asked.deadline_ms = 1000;
-  REQUIRE(Frames.send(frameOf(1, std::move(Asked))));
+  wire::FrameT Frame = frameOf(1, std::move(Asked));
+  REQUIRE(Frames.send(Frame));
   auto Answer = Frames.receive(Millis(3000));
   REQUIRE(Answer.ok());
   REQUIRE(Answer->message.AsForwardHead());
--- a/tests/failure/answers_test.cpp
+++ b/tests/failure/answers_test.cpp
@@ -148,6 +148,7 @@
                  "its own workspace's",
                  "[process]") {
   std::vector<std::future<Reply>> Calls;
+  Calls.reserve(16);
   for (int I = 0; I < 16; ++I)
     Calls.push_back(std::async(std::launch::async, [this, I] {
       return this->Run.generate("n1", 10 + I, I % 2 == 0,
@@ -156,7 +157,7 @@
     }));
   for (int I = 0; I < 16; ++I) {
     Reply Answer = Calls[static_cast<std::size_t>(I)].get();
-    auto Count = static_cast<std::size_t>(10 + I);
+    std::size_t Count = 10 + static_cast<std::size_t>(I);
     if (I % 2 == 0)
       CHECK(streamedIndexes(Answer.Body).size() == Count);
     else
--- a/tests/failure/stop_test.cpp
+++ b/tests/failure/stop_test.cpp
@@ -97,6 +97,7 @@
                  "before the VMs are taken",
                  "[process]") {
   std::vector<std::future<Reply>> Calls;
+  Calls.reserve(4);
   for (int I = 0; I < 4; ++I)
     Calls.push_back(std::async(std::launch::async, [this, I] {
       return this->Run.generate("n1", 300, true,
@@ -132,6 +133,7 @@
                  "is cut, exit 0",
                  "[process]") {
   std::vector<std::future<Reply>> Calls;
+  Calls.reserve(12);
   for (int I = 0; I < 12; ++I)
     Calls.push_back(std::async(std::launch::async, [this, I] {
       return this->Run.generate("n2", 150 + 10 * I, I % 2 == 0);
@@ -151,7 +153,7 @@
     CHECK_FALSE(Answer.Cut);
     if (I % 2 == 0)
       CHECK(streamedIndexes(Answer.Body).size() ==
-            static_cast<std::size_t>(150 + 10 * I));
+            150 + 10 * static_cast<std::size_t>(I));
   }
   CHECK(this->Run.node("n2").wait(std::chrono::seconds(15)) == 0);
   // The others control its groups by now.
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -89,7 +89,7 @@
   void handleRequest(HTTPServerRequest &Request,
                      HTTPServerResponse &Response) override {
     Poco::URI Uri(Request.getURI());
-    std::string Path = Uri.getPath();
+    const std::string &Path = Uri.getPath();
     std::string Body;
     Poco::StreamCopier::copyToString(Request.stream(), Body);
     std::map<std::string, std::string> Query;
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -78,6 +78,7 @@
 Process::Process(const std::vector<std::string> &Command,
                  const std::string &LogFile) {
   std::vector<char *> Args;
+  Args.reserve(Command.size() + 1);
   for (const std::string &Word : Command)
     Args.push_back(const_cast<char *>(Word.c_str()));
   Args.push_back(nullptr);
