--- a/src/edge/operators.h
+++ b/src/edge/operators.h
@@ -151,8 +151,10 @@
         Out.set("domain", Formed.Domain.Text);
         Out.set("vms", Vms);
         bool Here = Formed.Place.DataCentre == this->Tables.Me.DataCentre;
-        Out.set("serves", Here && this->isRouted(Formed) &&
-                              this->Tables.groupServes(Id, Now));
+        // Of other data centres' groups only their own daemons know.
+        if (Here)
+          Out.set("serves",
+                  this->isRouted(Formed) && this->Tables.groupServes(Id, Now));
         Rows.add(Out);
       }
     });
--- a/src/main/commands.cpp
+++ b/src/main/commands.cpp
@@ -164,7 +164,13 @@
   Poco::Dynamic::Var Value = Row->get(Key);
   if (Value.isBoolean())
     return yesNo(Value.extract<bool>());
-  return Value.isEmpty() ? "" : Value.toString();
+  if (Value.type() != typeid(Poco::JSON::Array::Ptr))
+    return Value.isEmpty() ? "" : Value.toString();
+  std::string Joined;
+  for (const Poco::Dynamic::Var &Item :
+       *Value.extract<Poco::JSON::Array::Ptr>())
+    Joined += (Joined.empty() ? "" : " ") + Item.toString();
+  return Joined;
 }
 
 TextTable tableOf(const JsonObject &Body, const std::string &List,
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -130,7 +130,7 @@
 
     def serving(self):
         groups = json.loads(self.get(0, "/operator/v1/status")[1])["groups"]
-        return sum(1 for group in groups if group["serves"])
+        return sum(1 for group in groups if group.get("serves"))
 
     def counters(self, node):
         rows = {}
