Give a replica that is no longer asked for no new work

Cause: routing kept sending to a group whose slot lies beyond the asked number, so under steady load it was never idle and was dissolved in use after drain_time_ms. Ruled out: the wait for idleness itself. The new test scales a deployment down while another one waits for its VMs, and the stand-in engine now ends what ran for its last group, as a real one does.

--- a/src/control/views.cpp
+++ b/src/control/views.cpp
@@ -23,6 +23,11 @@
     if (Formed.Place.Deployment.Text != Row.Key.Name ||
         Formed.Place.DataCentre != this->Tables.Me.DataCentre)
       continue;
+    // A replica that is no longer asked for gets no new work, and is dissolved
+    // once it is idle.
+    if (Formed.Place.Index.Value >=
+        Spec->replicasIn(this->Tables.Me.DataCentre))
+      continue;
     RouteTarget Target;
     Target.Group = Id;
     Target.Head = Formed.Vms.front();
--- a/tests/failure/stop_test.cpp
+++ b/tests/failure/stop_test.cpp
@@ -128,6 +128,46 @@
   }));
 }
 
+TEST_CASE_METHOD(StopCluster,
+                 "leaving: fewer replicas are asked for while others wait for "
+                 "the VMs: streams in flight end whole first",
+                 "[process]") {
+  REQUIRE(this->Run
+              .apply("n1", "deployment", "other",
+                     "{model: o, version: v, vms_per_replica: 2, replicas: "
+                     "{a: 2}, match: {role: [engine]}, workspaces: {}}")
+              .Status == 200);
+  REQUIRE(eventually([&] { return this->Run.serving("n1") == 3; }));
+  std::vector<std::future<Reply>> Calls;
+  Calls.reserve(6);
+  for (int I = 0; I < 6; ++I)
+    Calls.push_back(std::async(std::launch::async, [this, I] {
+      return this->Run.generate("n1", 400, true,
+                                {{"X-Waycove-Session", std::to_string(I)}});
+    }));
+  REQUIRE(eventually([&] {
+    return this->Run.status("n1")->optValue<int>("in_flight", 0) == 6;
+  }));
+  REQUIRE(this->Run
+              .apply("n1", "deployment", "model",
+                     "{model: m, version: v1, vms_per_replica: 2, replicas: "
+                     "{a: 1}, match: {role: [engine]}, workspaces: {}}")
+              .Status == 200);
+  for (auto &Call : Calls) {
+    Reply Answer = Call.get();
+    CHECK_FALSE(Answer.Cut);
+    CHECK(streamedIndexes(Answer.Body).size() == 400);
+  }
+  CHECK(this->Run.counter("n1", "resumes") == 0);
+  CHECK(eventually([&] {
+    auto Groups = this->Run.status("n1")->getArray("groups");
+    int Others = 0;
+    for (unsigned I = 0; I < Groups->size(); ++I)
+      Others += textAt(Groups->getObject(I), "deployment") == "other" ? 1 : 0;
+    return Others == 2 && this->Run.serving("n1") == 3;
+  }));
+}
+
 TEST_CASE_METHOD(StopCluster,
                  "stop: a daemon is told to stop under load: nothing in flight "
                  "is cut, exit 0",
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -230,6 +230,7 @@
       return busy(Response);
     if (Fault == "reset")
       return drop(Request, Response);
+    const std::uint64_t Loaded = Group;
     if (Fault == "wrong_group")
       Group += 1;
     if (Fault == "partial")
@@ -264,7 +265,9 @@
       }
       std::this_thread::sleep_for(std::chrono::milliseconds(FLAGS_token_ms));
       std::lock_guard Lock(this->Me.Mutex);
-      if (this->Me.Cancelled.contains(Id))
+      // Loading for another group ends what ran for the last one.
+      Whole = this->Me.Group == Loaded;
+      if (!Whole || this->Me.Cancelled.contains(Id))
         break;
     }
     if (Whole && Out.good())
--- a/tools/without.py
+++ b/tools/without.py
@@ -79,7 +79,7 @@
         "src/control/grouper.h",
         "return Over || Now - Idle->second > IdleBeforeReplace;",
         "return true;",
-        "leaving: a drained group"),
+        "leaving: a drained group|leaving: fewer replicas"),
     "stop-waits": (
         "src/edge/daemon.cpp",
         "if (this->inFlight() > 0)\n    return false;", "return true;",
