--- a/src/bench/traffic.cpp
+++ b/src/bench/traffic.cpp
@@ -27,6 +27,20 @@
   return std::chrono::duration<double>(Time).count();
 }
 
+/// A view of \p Count targets; each one's number is its group and its name.
+RouteView viewOf(std::size_t Count) {
+  RouteView View;
+  for (std::size_t I = 0; I < Count; ++I) {
+    RouteTarget Row;
+    Row.Group = Fence(I);
+    Row.Head = VmId(std::to_string(I));
+    Row.addLabels(Labels());
+    View.Targets.push_back(std::move(Row));
+  }
+  View.makeRing();
+  return View;
+}
+
 // ---- Fairness. ----
 
 struct FairFigures {
@@ -136,16 +150,7 @@
   ReplicaShape Shape;
   std::vector<ModelReplica> Models(Replicas, ModelReplica(Shape));
   std::vector<std::size_t> Reported(Replicas, 0);
-  RouteView View;
-  for (std::size_t I = 0; I < Replicas; ++I) {
-    RouteTarget Row;
-    Row.Group = Fence(I);
-    Row.Head = VmId(std::to_string(I));
-    if (Row.MemberLabels.empty())
-      Row.addLabels(Labels());
-    View.Targets.push_back(Row);
-  }
-  View.makeRing();
+  RouteView View = viewOf(Replicas);
   View.SlotsPerReplica = Shape.Slots;
   LoadTable Load;
   FairQueue Queue(FairLimits{Shape.Slots * Replicas, 4096, 4096});
@@ -260,15 +265,7 @@
 /// times, anywhere. \p FailingShare of the targets fail.
 RetryFigures retriesOf(bool Budgeted, double FailingShare) {
   std::mt19937_64 Random(Seed);
-  RouteView View;
-  for (std::size_t I = 0; I < RetryTargets; ++I) {
-    RouteTarget Row;
-    Row.Head = VmId(std::to_string(I));
-    if (Row.MemberLabels.empty())
-      Row.addLabels(Labels());
-    View.Targets.push_back(Row);
-  }
-  View.makeRing();
+  RouteView View = viewOf(RetryTargets);
   auto Fails = [&](const VmId &Vm) {
     return std::stoul(Vm.Text) <
            static_cast<std::size_t>(FailingShare * RetryTargets);
@@ -333,16 +330,7 @@
 /// lost. \p Ring: what waycove does.
 PrefixFigures prefixOf(Affinity Policy) {
   std::mt19937_64 Random(Seed);
-  RouteView View;
-  for (std::size_t I = 0; I < PrefixReplicas; ++I) {
-    RouteTarget Row;
-    Row.Group = Fence(I);
-    Row.Head = VmId(std::to_string(I));
-    if (Row.MemberLabels.empty())
-      Row.addLabels(Labels());
-    View.Targets.push_back(Row);
-  }
-  View.makeRing();
+  RouteView View = viewOf(PrefixReplicas);
   std::vector<LoadTable> Loads(PrefixNodes);
   std::vector<std::list<std::uint64_t>> Caches(PrefixReplicas);
   std::vector<std::unordered_map<std::uint64_t, std::size_t>> Known(
