--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -5,20 +5,33 @@
 #include "base/events.h"
 
 #include <Poco/JSON/Object.h>
+#include <Poco/JSONString.h>
+#include <algorithm>
+#include <array>
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 #include <iostream>
 #include <sstream>
+#include <utility>
 
 namespace waycove {
 
 namespace {
 
 constexpr std::size_t RingRows = 4096;
+/// Bounds on the log's volume: a busy node writes about one line a request at
+/// some tens of requests a second; a flood of failures is cut to this.
+constexpr double LinesPerSecond = 200;
+constexpr double LineBurst = 1000;
+/// Lines that wait for the writer before further ones are dropped.
+constexpr std::size_t QueuedLines = 2048;
 
 using enum EventCode;
 
@@ -103,6 +116,42 @@
        "A target is left out of routing for a while."},
       {ClaimBound, Debug, "claim_bound",
        "An idempotency key is bound to this daemon by the log."},
+      {AttemptEnded, Info, "attempt_ended",
+       "A send of a request to a target ended other than with its answer."},
+      {RequestCut, Warning, "request_cut",
+       "An answer that had begun could not be completed."},
+      {SettingsReloaded, Info, "settings_reloaded",
+       "The settings file was read again and is in force."},
+      {SettingsRefused, Error, "settings_refused",
+       "The settings file was read again and is wrong; the old ones stay."},
+      {LogLinesDropped, Warning, "log_lines_dropped",
+       "Lines were left out to keep the log's volume bounded."},
+      {ConfigApplied, Info, "config_applied",
+       "A version of the routing configuration came into force."},
+      {ConfigRefused, Error, "config_refused",
+       "A routing configuration was not taken; the old one stays."},
+      {ConfigUnproven, Warning, "config_unproven",
+       "The store did not confirm the configuration in time: requests with "
+       "keys are refused."},
+      {ConfigProven, Info, "config_proven",
+       "The store confirms the configuration again."},
+      {RegistryRefused, Warning, "registry_refused",
+       "An entry of the registry could not be read and was left out."},
+      {TargetChanged, Info, "target_changed",
+       "The registry shows a target new or in another state."},
+      {TargetGone, Info, "target_gone",
+       "The registry lists a target no longer."},
+      {ServingChanged, Info, "serving_changed",
+       "The targets that requests choose from are others."},
+      {DomainsOwned, Info, "domains_owned",
+       "The domains whose groups this node orders are others."},
+      {DomainOrder, Info, "domain_order", "A target is sent an order."},
+      {DomainOrderEnded, Info, "domain_order_ended",
+       "How a target took an order."},
+      {DomainReleased, Warning, "domain_released",
+       "A group is given up; the fields say why."},
+      {TargetSuspected, Warning, "target_suspected",
+       "A target gets no new work for a while; the fields say why."},
   };
   return Rows;
 }
@@ -135,27 +184,87 @@
   Body.set("level", std::string(severityName(Info.Level)));
   Body.set("node", Row.Node.Text);
   Body.set("subject", Row.Subject);
-  Body.set("detail", Row.Detail);
+  if (!Row.Detail.empty() || Row.Fields.empty())
+    Body.set("detail", Row.Detail);
   std::ostringstream Out;
   Body.stringify(Out);
-  return Out.str();
+  std::string Text = Out.str();
+  Text.insert(Text.size() - 1, Row.Fields);
+  return Text;
+}
+
+LogFields &LogFields::addRaw(std::string_view Key, std::string_view Value) {
+  this->Json.append(",\"").append(Key).append("\":").append(Value);
+  return *this;
+}
+
+LogFields &LogFields::add(std::string_view Key, std::string_view Text) {
+  return this->addRaw(Key, Poco::toJSON(std::string(Text)));
+}
+
+LogFields &LogFields::add(std::string_view Key, bool Value) {
+  return this->addRaw(Key, Value ? "true" : "false");
+}
+
+LogFields &LogFields::add(std::string_view Key, double Value) {
+  std::array<char, 32> Text{};
+  int Length = std::snprintf(Text.data(), Text.size(), "%.4g", Value);
+  return this->addRaw(Key, {Text.data(), static_cast<std::size_t>(Length)});
 }
 
 Events::Events(NodeId Node, HybridClock &Clock)
-    : Node(std::move(Node)), Clock(Clock) {}
+    : Node(std::move(Node)), Clock(Clock), LineCredit(LineBurst) {}
 
 void Events::emit(EventCode Code, const std::string &Subject,
                   const std::string &Detail) {
-  EventRow Row{this->Clock.tick(SystemClock{}.wall()), Code, this->Node,
-               Subject, Detail};
-  auto Level = boostLevel(infoFor(Code).Level);
-  BOOST_LOG_STREAM_WITH_PARAMS(boost::log::trivial::logger::get(),
-                               (boost::log::keywords::severity = Level))
-      << eventJson(Row);
-  std::lock_guard Lock(this->Mutex);
-  this->Ring.push_back(std::move(Row));
-  if (this->Ring.size() > RingRows)
-    this->Ring.pop_front();
+  this->keep({this->Clock.tick(SystemClock{}.wall()), Code, this->Node, Subject,
+              Detail, ""});
+}
+
+void Events::emit(EventCode Code, const std::string &Subject,
+                  const LogFields &Fields) {
+  this->keep({this->Clock.tick(SystemClock{}.wall()), Code, this->Node, Subject,
+              "", Fields.text()});
+}
+
+bool Events::admitLine(TimePoint Now) {
+  double Seconds = std::chrono::duration<double>(Now - this->CreditAt).count();
+  this->LineCredit =
+      std::min(LineBurst, this->LineCredit + Seconds * LinesPerSecond);
+  this->CreditAt = Now;
+  if (this->LineCredit < 1) {
+    ++this->Dropped;
+    return false;
+  }
+  this->LineCredit -= 1;
+  return true;
+}
+
+void Events::keep(EventRow Row) {
+  auto Level = boostLevel(infoFor(Row.Code).Level);
+  auto Write = [](boost::log::trivial::severity_level At,
+                  const EventRow &Line) {
+    BOOST_LOG_STREAM_WITH_PARAMS(boost::log::trivial::logger::get(),
+                                 (boost::log::keywords::severity = At))
+        << eventJson(Line);
+  };
+  std::uint64_t Missing = 0;
+  bool Admitted = false;
+  {
+    std::lock_guard Lock(this->Mutex);
+    Admitted = this->admitLine(SystemClock{}.now());
+    if (Admitted)
+      Missing = std::exchange(this->Dropped, 0);
+    this->Ring.push_back(Row);
+    if (this->Ring.size() > RingRows)
+      this->Ring.pop_front();
+  }
+  if (Missing > 0)
+    Write(boost::log::trivial::warning,
+          {Row.Clock, LogLinesDropped, this->Node, this->Node.Text, "",
+           LogFields().add("lines", Missing).text()});
+  if (Admitted)
+    Write(Level, Row);
 }
 
 std::vector<EventRow> Events::since(std::uint64_t After) const {
@@ -167,12 +276,40 @@
   return Rows;
 }
 
+namespace {
+
+using QueuedSink = boost::log::sinks::asynchronous_sink<
+    boost::log::sinks::text_ostream_backend,
+    boost::log::sinks::bounded_fifo_queue<QueuedLines,
+                                          boost::log::sinks::drop_on_overflow>>;
+
+boost::shared_ptr<QueuedSink> &sink() {
+  static boost::shared_ptr<QueuedSink> Sink;
+  return Sink;
+}
+
+} // namespace
+
 void initLogging(Severity Least) {
-  boost::log::add_console_log(std::cerr,
-                              boost::log::keywords::format = "%Message%",
-                              boost::log::keywords::auto_flush = true);
+  auto Backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
+  Backend->add_stream(
+      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+  Backend->auto_flush(true);
+  sink() = boost::make_shared<QueuedSink>(Backend);
+  sink()->set_formatter(boost::log::expressions::stream
+                        << boost::log::expressions::smessage);
+  boost::log::core::get()->add_sink(sink());
   boost::log::core::get()->set_filter(boost::log::trivial::severity >=
                                       boostLevel(Least));
 }
 
+void stopLogging() {
+  if (!sink())
+    return;
+  boost::log::core::get()->remove_sink(sink());
+  sink()->stop();
+  sink()->flush();
+  sink().reset();
+}
+
 } // namespace waycove
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 
+#include <concepts>
 #include <deque>
 #include <mutex>
 #include <string>
@@ -42,6 +43,24 @@
   RequestForwarded = 504,
   TargetEjected = 505,
   ClaimBound = 506,
+  AttemptEnded = 507,
+  RequestCut = 508,
+  SettingsReloaded = 104,
+  SettingsRefused = 105,
+  LogLinesDropped = 106,
+  ConfigApplied = 210,
+  ConfigRefused = 211,
+  ConfigUnproven = 212,
+  ConfigProven = 213,
+  RegistryRefused = 214,
+  TargetChanged = 220,
+  TargetGone = 221,
+  ServingChanged = 222,
+  DomainsOwned = 310,
+  DomainOrder = 311,
+  DomainOrderEnded = 312,
+  DomainReleased = 313,
+  TargetSuspected = 314,
 };
 
 enum class Severity { Debug, Info, Warning, Error };
@@ -59,6 +78,33 @@
 /// The catalogue as docs/EVENTS.md holds it.
 std::string eventsMarkdown();
 
+/// The facts of one event, by name, as JSON text that is built as it goes.
+class LogFields {
+public:
+  LogFields &add(std::string_view Key, std::string_view Text);
+  LogFields &add(std::string_view Key, const char *Text) {
+    return this->add(Key, std::string_view(Text));
+  }
+  LogFields &add(std::string_view Key, const std::string &Text) {
+    return this->add(Key, std::string_view(Text));
+  }
+  LogFields &add(std::string_view Key, bool Value);
+  template <std::integral Whole>
+  LogFields &add(std::string_view Key, Whole Value) {
+    return this->addRaw(Key, std::to_string(Value));
+  }
+  LogFields &add(std::string_view Key, Millis Value) {
+    return this->add(Key, Value.count());
+  }
+  LogFields &add(std::string_view Key, double Value);
+  /// Members of a JSON object, each after a comma.
+  const std::string &text() const { return this->Json; }
+
+private:
+  LogFields &addRaw(std::string_view Key, std::string_view Value);
+  std::string Json;
+};
+
 /// One event as the time line keeps it.
 struct EventRow {
   std::uint64_t Clock = 0;
@@ -66,6 +112,8 @@
   NodeId Node;
   std::string Subject;
   std::string Detail;
+  /// What LogFields made.
+  std::string Fields;
 };
 
 std::string eventJson(const EventRow &Row);
@@ -79,18 +127,31 @@
   /// Records that \p Code happened to \p Subject.
   void emit(EventCode Code, const std::string &Subject,
             const std::string &Detail = "");
+  void emit(EventCode Code, const std::string &Subject,
+            const LogFields &Fields);
   /// Rows with a stamp above \p After, oldest first.
   std::vector<EventRow> since(std::uint64_t After) const;
 
 private:
+  void keep(EventRow Row);
+  /// Whether one more line keeps within the bound on lines a second; what was
+  /// left out is counted and told by a line of its own later. Lock held.
+  bool admitLine(TimePoint Now);
+
   NodeId Node;
   HybridClock &Clock;
   mutable std::mutex Mutex;
   std::deque<EventRow> Ring;
+  double LineCredit;
+  TimePoint CreditAt;
+  std::uint64_t Dropped = 0;
 };
 
-/// Sets Boost.Log to write one JSON object a line to the error stream, for
-/// events of at least \p Least.
+/// Sets Boost.Log to write one JSON object a line to standard output, for
+/// events of at least \p Least. A thread of its own writes; where it cannot
+/// keep up, lines are dropped and nobody waits.
 void initLogging(Severity Least);
+/// Writes out what is queued, and ends the writing thread.
+void stopLogging();
 
 } // namespace waycove
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -23,7 +23,8 @@
                  "peer_bytes_in",      "peer_bytes_out",   "platform_bytes_in",
                  "platform_bytes_out", "health_bytes_in",  "health_bytes_out",
                  "target_bytes_in",    "target_bytes_out", "groups_formed",
-                 "affinity_hits",      "affinity_misses"};
+                 "affinity_hits",      "affinity_misses",  "configs_applied",
+                 "orders_sent",        "orders_failed",    "targets_suspected"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Timer::Count)>
     TimerNames{"first_token_seconds", "between_tokens_seconds",
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -39,6 +39,10 @@
   GroupsFormed,
   AffinityHits,
   AffinityMisses,
+  ConfigsApplied,
+  OrdersSent,
+  OrdersFailed,
+  TargetsSuspected,
   Count
 };
 
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -42,6 +42,31 @@
       Field, false, static_cast<std::uint64_t>(Default.count()), Least, Most)));
 }
 
+EntrySettings readEntry(const YAML::Node &Node, Mistakes &Found) {
+  YamlMap Map(Node, "entry", Found);
+  EntrySettings Result;
+  Result.Ready = readEndpoint(Map, "ready", Found);
+  Result.RevokeBound =
+      readMillis(Map, "revoke_bound_ms", Result.RevokeBound, 100, 3600000);
+  Result.RevokeFailClosed =
+      Map.flag("revoke_fail_closed", Result.RevokeFailClosed);
+  Result.Grace = readMillis(Map, "grace_ms", Result.Grace, 100, 3600000);
+  Result.RetryRatio = Map.real("retry_ratio", Result.RetryRatio, 0, 1);
+  Result.RetrySlack = Map.real("retry_slack", Result.RetrySlack, 0, 1e6);
+  Result.RetryWindow =
+      readMillis(Map, "retry_window_ms", Result.RetryWindow, 100, 3600000);
+  Result.MemberStall =
+      readMillis(Map, "member_stall_ms", Result.MemberStall, 100, 3600000);
+  Result.LeaseLeast =
+      readMillis(Map, "lease_least_ms", Result.LeaseLeast, 10, 600000);
+  Result.WorkParts =
+      Map.number("work_parts", false, Result.WorkParts, 1, 100000);
+  Result.RegistryHeartbeat = readMillis(Map, "registry_heartbeat_ms",
+                                        Result.RegistryHeartbeat, 10, 600000);
+  Map.finish();
+  return Result;
+}
+
 } // namespace
 
 bool parseEndpoint(const std::string &Text, Endpoint &Into) {
@@ -85,7 +110,11 @@
     else
       Found.add(Peers, "peers", "IP numbers and ports, as 127.0.0.1:7100");
   }
-  Result.OperatorKeyDigest = Map.text("operator_key_digest", true);
+  if (YAML::Node Entry = Map.child("entry", false); Entry.IsDefined())
+    Result.Entry = readEntry(Entry, Found);
+  // An entry on the platform has no operators' interface of its own.
+  Result.OperatorKeyDigest =
+      Map.text("operator_key_digest", !Result.Entry.has_value());
   Result.LogLevel = readLevel(Map, Found);
   Result.DefaultDeadline = readMillis(Map, "default_deadline_ms",
                                       Result.DefaultDeadline, 10, 3600000);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -7,6 +7,7 @@
 #include "base/events.h"
 #include "base/yaml.h"
 
+#include <optional>
 #include <vector>
 
 namespace waycove {
@@ -23,6 +24,31 @@
 /// Reads "host:port" with a numeric host; nothing where it is not that.
 bool parseEndpoint(const std::string &Text, Endpoint &Into);
 
+/// Settings of a daemon that serves as an HTTP entry in front of targets which
+/// the platform registers. Times are milliseconds.
+struct EntrySettings {
+  /// Where the platform's balancer asks whether this node takes connections.
+  Endpoint Ready;
+  /// A key that was taken away is refused by then; operators set it.
+  Millis RevokeBound{5000};
+  /// Whether a node that cannot prove its keys current refuses them.
+  bool RevokeFailClosed = true;
+  /// From the signal to stop until the platform kills the process.
+  Millis Grace{8000};
+  /// What all nodes together may send a second time.
+  double RetryRatio = 0.2;
+  double RetrySlack = 100;
+  Millis RetryWindow{10000};
+  /// After this a head that lost a member gives up by itself.
+  Millis MemberStall{5000};
+  /// Shortest lease that the platform grants on shared work.
+  Millis LeaseLeast{1000};
+  /// Into how many parts the platform deals shared work.
+  std::uint64_t WorkParts = 12;
+  /// How often targets renew their entry in the platform's registry.
+  Millis RegistryHeartbeat{1200};
+};
+
 /// Everything that a daemon learns from its settings file. Times are
 /// milliseconds.
 struct Settings {
@@ -47,6 +73,8 @@
   std::size_t MaxBodyBytes = 1 << 20;
   std::size_t QueuePerWorkspace = 64;
   std::uint64_t CheckpointEvery = 2000;
+  /// Set for a daemon that is an HTTP entry on the platform.
+  std::optional<EntrySettings> Entry;
 };
 
 /// Reads a settings file; all mistakes go to \p Found.
--- a/src/base/yaml.cpp
+++ b/src/base/yaml.cpp
@@ -5,6 +5,7 @@
 #include "base/yaml.h"
 
 #include <algorithm>
+#include <charconv>
 #include <sstream>
 
 namespace waycove {
@@ -143,6 +144,25 @@
   return Value;
 }
 
+double YamlMap::real(const std::string &Field, double Default, double Least,
+                     double Most) {
+  YAML::Node Child = this->child(Field, false);
+  if (!Child.IsDefined())
+    return Default;
+  const std::string Text = Child.IsScalar() ? Child.Scalar() : "";
+  double Value = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Text.empty() || Error != std::errc() ||
+      End != Text.data() + Text.size() || !(Value >= Least && Value <= Most)) {
+    this->Found.add(Child, this->pathOf(Field),
+                    "a number from " + std::to_string(Least) + " to " +
+                        std::to_string(Most));
+    return Default;
+  }
+  return Value;
+}
+
 bool YamlMap::flag(const std::string &Field, bool Default) {
   YAML::Node Child = this->child(Field, false);
   if (!Child.IsDefined())
--- a/src/base/yaml.h
+++ b/src/base/yaml.h
@@ -43,6 +43,8 @@
   std::uint64_t number(const std::string &Field, bool Required,
                        std::uint64_t Default, std::uint64_t Least,
                        std::uint64_t Most);
+  double real(const std::string &Field, double Default, double Least,
+              double Most);
   bool flag(const std::string &Field, bool Default);
   std::vector<std::string> list(const std::string &Field);
   /// The node below \p Field; undefined where the field is absent.
--- /dev/null
+++ b/src/board/entry_board.h
@@ -0,0 +1,54 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "base/events.h"
+#include "base/metrics.h"
+#include "base/settings.h"
+#include "board/table.h"
+#include "policy/choice.h"
+#include "policy/lease.h"
+#include "policy/spend.h"
+
+namespace waycove {
+
+/// Second sends, by service.
+using SpendTable = std::map<ServiceId, RetrySpend>;
+
+/// The blackboard of a daemon that serves as an entry on the platform. The
+/// controllers write it, requests read it. Locks are taken in the order of
+/// the ranks.
+struct EntryBoard {
+  EntryBoard(const Settings &Given, IncarnationId Incarnation)
+      : Config(Given), Incarnation(std::move(Incarnation)),
+        Log(Given.Node, this->Clock),
+        Serving(std::make_shared<const ServingView>()) {}
+
+  const Settings Config;
+  const IncarnationId Incarnation;
+  HybridClock Clock;
+  Events Log;
+  Metrics Counters;
+
+  /// Null until the first version came.
+  Table<RoutingConfigRef, LockRank::State> Routing;
+  Table<VitalsTable, LockRank::Load> Vitals;
+  Table<Fleet, LockRank::Vms> Targets;
+  Table<ServingViewRef, LockRank::Views> Serving;
+  Table<SpendTable, LockRank::Once> Spend;
+
+  /// Holds while the store confirmed less than the revocation bound ago that
+  /// Routing is its newest version.
+  Lease ConfigFresh;
+  /// This node's part of what all share, 0 to 1: its part of the shared work,
+  /// which the platform deals evenly.
+  std::atomic<double> Share{0};
+  std::atomic<bool> Stopping{false};
+  std::atomic<std::uint32_t> InFlight{0};
+  /// Connections of callers that are open.
+  std::atomic<std::uint32_t> Callers{0};
+};
+
+} // namespace waycove
--- /dev/null
+++ b/src/control/domain_owner.h
@@ -0,0 +1,288 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "board/entry_board.h"
+#include "control/keyed_feed.h"
+#include "policy/domain_plan.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace waycove {
+
+/// How a target took an order.
+enum class OrderEnd {
+  /// Begun, or it holds already.
+  Taken,
+  /// It does not fit the target's state.
+  Refused,
+  /// The target has seen a newer owner's order.
+  Fenced,
+  /// Nothing reached the target.
+  NotSent,
+  /// It may be carried out yet.
+  Unknown,
+};
+
+/// How orders and questions reach targets. ask() tells what became of a head
+/// whose entry went.
+template <typename C>
+concept GroupControl = requires(C &Control, const GroupOrder &Order,
+                                std::uint64_t Fence, const TargetInfo &Target) {
+  { Control.order(Order, Fence) } -> std::same_as<OrderEnd>;
+  { Control.ask(Target) } -> std::same_as<HeadFate>;
+};
+
+/// Owns some of the fabric domains, as the platform deals them out, and keeps
+/// their groups right. It orders only while its lease holds by its own clock;
+/// the generation of its ownership, below which a counter runs, fences what
+/// is late.
+template <WorkShares Shares, GroupControl Control> class DomainOwner {
+public:
+  DomainOwner(EntryBoard &Board, Shares &Work, Control &Targets)
+      : Board(Board), Work(Work), Targets(Targets) {}
+
+  /// Renews the lease; how long to pause before the next time.
+  Millis renew() {
+    if (this->Board.Stopping) {
+      if (this->Joined.exchange(false))
+        this->handBack();
+      return RenewEvery;
+    }
+    TimePoint SentAt = SystemClock{}.now();
+    Millis Time = std::max(LeaseTime, this->Board.Config.Entry->LeaseLeast);
+    absl::StatusOr<WorkShare> Share = this->Work.join(
+        this->Held.read([](const WorkShare &Row) { return Row.Generation; }),
+        Time);
+    if (!Share.ok()) {
+      if (!this->Lost.exchange(true))
+        this->Board.Log.emit(
+            EventCode::LogUnreachable, "ownership",
+            LogFields().add("reason", messageOf(Share.status())));
+      return this->Waits.next();
+    }
+    if (this->Lost.exchange(false))
+      this->Board.Log.emit(EventCode::LogReachable, "ownership");
+    this->Waits.reset();
+    this->Joined = true;
+    this->Until.renew(SentAt, Time - LeaseMargin);
+    this->take(*Share);
+    return RenewEvery;
+  }
+
+  /// Plans all owned domains once and gives the orders.
+  void step() {
+    TimePoint Now = SystemClock{}.now();
+    if (this->Board.Stopping || !this->Until.holds(Now))
+      return;
+    RoutingConfigRef Config = this->Board.Routing.read(
+        [](const RoutingConfigRef &Row) { return Row; });
+    if (!Config)
+      return;
+    WorkShare Mine = this->Held.read([](const WorkShare &Row) { return Row; });
+    std::vector<GroupOrder> Orders;
+    for (auto &[Domain, View] : this->ownedDomains(*Config, Mine, Now)) {
+      const EngineSpec &Engine = *Config->service(View.Service)->Engine;
+      View.EpochFloor = Mine.Generation << CounterBits;
+      View.LoadsAllowed = this->loadsLeft(Engine, Now);
+      View.Fates = this->Fates;
+      DomainPlanner &Planner = this->Planners[Domain];
+      std::vector<GroupOrder> Next = Planner.step(View, Engine);
+      for (const GroupOrder &Row : Next)
+        this->countLoad(Row, Now);
+      Orders.insert(Orders.end(), Next.begin(), Next.end());
+      this->askAfter(Planner.askAfter(), Now);
+    }
+    this->give(Orders, Mine.Generation);
+  }
+
+private:
+  /// Below the generation, epochs count this many bits.
+  static constexpr unsigned CounterBits = 20;
+  /// How long domains stay without owner after one died.
+  static constexpr Millis LeaseTime{2000};
+  static constexpr Millis RenewEvery{500};
+  /// An order is on its way for at most this time after the lease was checked.
+  static constexpr Millis LeaseMargin{300};
+  static constexpr Millis LoadWindow{5000};
+  /// A head is asked this often, and taken for dead after so many questions
+  /// without any answer.
+  static constexpr Millis AskEvery{400};
+  static constexpr unsigned SilentAsks = 2;
+
+  void take(const WorkShare &Share) {
+    bool Changed = this->Held.write([&](WorkShare &Row) {
+      bool Other =
+          Row.Generation != Share.Generation || Row.Parts != Share.Parts;
+      Row = Share;
+      return Other;
+    });
+    this->Board.Share =
+        static_cast<double>(Share.Parts.size()) /
+        static_cast<double>(this->Board.Config.Entry->WorkParts);
+    if (!Changed)
+      return;
+    std::string Parts;
+    for (std::uint64_t Part : Share.Parts)
+      Parts += (Parts.empty() ? "" : " ") + std::to_string(Part);
+    this->Board.Log.emit(
+        EventCode::DomainsOwned, this->Board.Config.Node.Text,
+        LogFields().add("generation", Share.Generation).add("parts", Parts));
+  }
+
+  void handBack() {
+    this->Until.drop();
+    this->Held.write([](WorkShare &Row) { Row.Parts.clear(); });
+    this->Work.leave();
+    this->Board.Log.emit(
+        EventCode::DomainsOwned, this->Board.Config.Node.Text,
+        LogFields().add("parts", "").add("reason", "stopping"));
+  }
+
+  bool owns(const WorkShare &Mine, const DomainId &Domain) const {
+    std::uint64_t Part =
+        hashText(Domain.Text) % this->Board.Config.Entry->WorkParts;
+    return std::find(Mine.Parts.begin(), Mine.Parts.end(), Part) !=
+           Mine.Parts.end();
+  }
+
+  std::map<DomainId, DomainView> ownedDomains(const RoutingConfig &Config,
+                                              const WorkShare &Mine,
+                                              TimePoint Now) {
+    std::map<DomainId, DomainView> Views;
+    auto Wanted = [&](const TargetInfo &Row) {
+      const ServiceSpec *Spec = Config.service(Row.Service);
+      return Spec && Spec->Engine && !Spec->Engine->Models.empty() &&
+             !Row.Domain.empty() && this->owns(Mine, Row.Domain);
+    };
+    auto ViewOf = [&](const TargetInfo &Row) -> DomainView & {
+      DomainView &View = Views[Row.Domain];
+      View.Domain = Row.Domain;
+      View.Service = Row.Service;
+      View.Now = Now;
+      return View;
+    };
+    this->Board.Targets.read([&](const Fleet &Rows) {
+      for (const auto &[Id, Row] : Rows.Targets)
+        if (Wanted(*Row))
+          ViewOf(*Row).Targets.push_back(Row);
+      for (const auto &[Id, Row] : Rows.Gone)
+        if (Wanted(*Row.Last))
+          ViewOf(*Row.Last).Gone.push_back(Row);
+    });
+    // What was planned under an earlier ownership is no longer known.
+    std::erase_if(this->Planners, [&](const auto &Entry) {
+      return !Views.contains(Entry.first);
+    });
+    return Views;
+  }
+
+  unsigned loadsLeft(const EngineSpec &Engine, TimePoint Now) {
+    std::erase_if(this->Loads,
+                  [&](TimePoint At) { return Now - At > LoadWindow; });
+    double Seconds = std::chrono::duration<double>(LoadWindow).count();
+    double All = Engine.LoadsPerSecond * Seconds * this->Board.Share;
+    unsigned Largest = 1;
+    for (const ModelSpec &Row : Engine.Models)
+      Largest = std::max(Largest, Row.GroupSize);
+    auto Allowed = std::max(static_cast<std::size_t>(All),
+                            static_cast<std::size_t>(Largest));
+    return static_cast<unsigned>(Allowed -
+                                 std::min(Allowed, this->Loads.size()));
+  }
+
+  void countLoad(const GroupOrder &Order, TimePoint Now) {
+    bool Load =
+        Order.Kind == OrderKind::Stage ||
+        (Order.Kind == OrderKind::Join && !Order.To->hasLoaded(Order.Model) &&
+         !Order.To->hasStaged(Order.Model));
+    if (Load)
+      this->Loads.push_back(Now);
+  }
+
+  void askAfter(const std::vector<GoneTarget> &Heads, TimePoint Now) {
+    for (const GoneTarget &Row : Heads) {
+      Asked &Entry = this->Questions[Row.Last->Id];
+      if (Entry.At != TimePoint() && Now - Entry.At < AskEvery)
+        continue;
+      Entry.At = Now;
+      HeadFate Fate = this->Targets.ask(*Row.Last);
+      if (Fate == HeadFate::Unknown && ++Entry.Silent >= SilentAsks)
+        Fate = HeadFate::Dead;
+      this->Fates[Row.Last->Id] = Fate;
+      this->Board.Log.emit(EventCode::DomainReleased, Row.Last->Id.Text,
+                           LogFields()
+                               .add("reason", "the head is not listed")
+                               .add("silent_asks", Entry.Silent)
+                               .add("fate", static_cast<int>(Fate)));
+    }
+  }
+
+  /// Gives orders to different targets at the same time, so that one that does
+  /// not answer holds up none of the others.
+  void give(const std::vector<GroupOrder> &Orders, std::uint64_t Generation) {
+    std::vector<OrderEnd> Ends(Orders.size(), OrderEnd::NotSent);
+    {
+      std::vector<std::jthread> Senders;
+      for (std::size_t I = 0; I < Orders.size(); ++I)
+        Senders.emplace_back([&, I] {
+          // Time may have passed, also while this process stood still.
+          if (this->Until.holds(SystemClock{}.now()) &&
+              !this->isFenced(Orders[I], Generation))
+            Ends[I] = this->Targets.order(Orders[I], Generation);
+        });
+    }
+    for (std::size_t I = 0; I < Orders.size(); ++I)
+      this->noteEnd(Orders[I], Ends[I], Generation);
+  }
+
+  bool isFenced(const GroupOrder &Order, std::uint64_t Generation) const {
+    auto At = this->FencedAt.find(Order.To->Id);
+    return At != this->FencedAt.end() && At->second >= Generation;
+  }
+
+  void noteEnd(const GroupOrder &Order, OrderEnd End,
+               std::uint64_t Generation) {
+    this->Board.Counters.add(Counter::OrdersSent);
+    if (End != OrderEnd::Taken)
+      this->Board.Counters.add(Counter::OrdersFailed);
+    if (End == OrderEnd::Fenced)
+      this->FencedAt[Order.To->Id] = Generation;
+    if (End == OrderEnd::Taken && Order.Kind == OrderKind::Leave)
+      this->Planners[Order.To->Domain].onHeadLeft(Order.Group);
+    this->Board.Log.emit(EventCode::DomainOrderEnded, Order.To->Id.Text,
+                         LogFields()
+                             .add("order", orderName(Order.Kind))
+                             .add("group", Order.Group.Name)
+                             .add("epoch", Order.Group.Epoch)
+                             .add("generation", Generation)
+                             .add("reason", Order.Reason)
+                             .add("end", static_cast<int>(End)));
+  }
+
+  struct Asked {
+    TimePoint At;
+    unsigned Silent = 0;
+  };
+
+  EntryBoard &Board;
+  Shares &Work;
+  Control &Targets;
+  Lease Until;
+  Table<WorkShare, LockRank::Peers> Held;
+  std::atomic<bool> Joined{false};
+  std::atomic<bool> Lost{false};
+  Backoff Waits;
+  std::map<DomainId, DomainPlanner> Planners;
+  std::map<VmId, HeadFate> Fates;
+  std::map<VmId, Asked> Questions;
+  /// Generation at which a target refused for a newer owner's order.
+  std::map<VmId, std::uint64_t> FencedAt;
+  /// When loads from the shared store were ordered.
+  std::vector<TimePoint> Loads;
+};
+
+} // namespace waycove
--- /dev/null
+++ b/src/control/keyed_feed.h
@@ -0,0 +1,71 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "base/errors.h"
+
+#include <concepts>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace waycove {
+
+/// The newest value of one key, or that the key was dropped.
+struct KeyedRecord {
+  std::string Key;
+  std::optional<std::string> Value;
+};
+
+/// Part of a feed.
+struct KeyedPage {
+  std::vector<KeyedRecord> Records;
+  /// Where the next read goes on.
+  Offset Next;
+};
+
+/// A stream of keyed records on the platform, which keeps the newest of each
+/// key. follow() waits up to \p Wait for a record; error NotFound says that
+/// the history behind \p From is gone and the whole has to be read again.
+template <typename F>
+concept KeyedFeed = requires(F &Feed, Offset From, Millis Wait) {
+  { Feed.newest() } -> std::same_as<absl::StatusOr<KeyedPage>>;
+  { Feed.follow(From, Wait) } -> std::same_as<absl::StatusOr<KeyedPage>>;
+};
+
+/// What a node holds of work that the platform deals out.
+struct WorkShare {
+  std::uint64_t Generation = 0;
+  std::vector<std::uint64_t> Parts;
+};
+
+/// Shared work. An owner holds its parts until the lease that it asked for
+/// ends, counted from when it sent the question.
+template <typename S>
+concept WorkShares = requires(S &Shares, std::uint64_t Generation,
+                              Millis Time) {
+  { Shares.join(Generation, Time) } -> std::same_as<absl::StatusOr<WorkShare>>;
+  Shares.leave();
+};
+
+/// Grows the pause between two tries while a dependency does not answer.
+class Backoff {
+public:
+  Millis next() {
+    Millis Pause = this->Pause;
+    this->Pause = std::min(2 * this->Pause, Most);
+    return Pause;
+  }
+  void reset() { this->Pause = Least; }
+
+private:
+  /// Short enough that a dependency that is back is noticed within a second;
+  /// each call has a price, also one that is refused.
+  static constexpr Millis Least{100};
+  static constexpr Millis Most{800};
+  Millis Pause = Least;
+};
+
+} // namespace waycove
--- /dev/null
+++ b/src/edge/caller_answer.h
@@ -0,0 +1,46 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "edge/channel.h"
+#include "edge/framing.h"
+
+namespace waycove {
+
+/// Writes one answer to a caller's connection. An answer that is cut never
+/// looks whole: it lacks its last chunk or part of its length.
+class CallerAnswer {
+public:
+  CallerAnswer(Channel &Caller, bool KeepAlive, bool HasBody)
+      : Caller(Caller), KeepAlive(KeepAlive), HasBody(HasBody) {}
+
+  /// Sends a whole answer. \p Head holds status and end-to-end fields.
+  IoEnd whole(Poco::Net::HTTPResponse Head, const std::string &Body,
+              TimePoint Until);
+  /// Begins an answer whose length is not known.
+  IoEnd begin(Poco::Net::HTTPResponse Head, TimePoint Until);
+  IoEnd part(std::string_view Bytes, TimePoint Until);
+  IoEnd end(TimePoint Until);
+  /// Gives the answer up: the connection has to be closed without more. What
+  /// was sent already still reaches the caller, who sees that the end lacks.
+  void cut();
+
+  bool hasBegun() const { return this->Begun; }
+  /// Whether another request may follow on the connection.
+  bool keepsAlive() const { return this->KeepAlive && !this->Failed; }
+
+private:
+  IoEnd sendHead(Poco::Net::HTTPResponse &Head, const std::string &Body,
+                 TimePoint Until);
+  IoEnd note(IoEnd End);
+
+  Channel &Caller;
+  bool KeepAlive;
+  bool HasBody;
+  bool Begun = false;
+  bool Failed = false;
+};
+
+} // namespace waycove
--- /dev/null
+++ b/src/edge/caller_server.h
@@ -0,0 +1,175 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "edge/relay.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Runnable.h>
+#include <Poco/ThreadPool.h>
+#include <memory>
+
+namespace waycove {
+
+/// Takes callers' connections, each served by one thread of a pool, and reads
+/// their requests one after the other. POCO's own server is not used here: it
+/// hides whether a body was read to its end and when a caller leaves.
+template <CallerProtocol Protocol> class CallerServer {
+public:
+  CallerServer(EntryBoard &Board, Relay<Protocol> &Relayed)
+      : Board(Board), Relayed(Relayed),
+        Threads("callers", 4, static_cast<int>(Board.Config.MaxStreams),
+                IdleThreadSeconds, StackBytes) {}
+
+  /// Begins to listen. Throws Poco::Exception where the address is taken.
+  void start() {
+    const Endpoint &At = this->Board.Config.Http;
+    this->Listener.bind(Poco::Net::SocketAddress(At.Host, At.Port), true,
+                        false);
+    this->Listener.listen(Backlog);
+    this->Acceptor = std::jthread(
+        [this](const std::stop_token &Stop) { this->acceptAll(Stop); });
+  }
+
+private:
+  static constexpr int IdleThreadSeconds = 20;
+  static constexpr int StackBytes = 256 << 10;
+  static constexpr int Backlog = 1024;
+  static constexpr Millis AcceptWait{500};
+  static constexpr Millis AnswerTime{1000};
+
+  /// One connection on its thread; deletes itself when done.
+  class Connection : public Poco::Runnable {
+  public:
+    Connection(CallerServer &Owner, Poco::Net::StreamSocket Socket)
+        : Owner(Owner), Socket(std::move(Socket)) {}
+    void run() override {
+      std::unique_ptr<Connection> Self(this);
+      try {
+        this->Owner.serveAll(Channel(this->Socket));
+      } catch (const std::exception &Error) {
+        this->Owner.Board.Log.emit(EventCode::RequestCut, "connection",
+                                   LogFields().add("reason", Error.what()));
+      }
+      this->Owner.Board.Callers.fetch_sub(1);
+    }
+
+  private:
+    CallerServer &Owner;
+    Poco::Net::StreamSocket Socket;
+  };
+
+  void acceptAll(const std::stop_token &Stop) {
+    while (!Stop.stop_requested()) {
+      try {
+        this->acceptOne(this->Listener.acceptConnection());
+      } catch (const Poco::Exception &Error) {
+        this->Board.Log.emit(EventCode::RequestCut, "accept",
+                             LogFields().add("reason", Error.displayText()));
+        std::this_thread::sleep_for(AcceptWait);
+      }
+    }
+  }
+
+  void acceptOne(Poco::Net::StreamSocket Socket) {
+    auto Row = std::make_unique<Connection>(*this, std::move(Socket));
+    this->Board.Callers.fetch_add(1);
+    try {
+      this->Threads.start(*Row);
+      // The connection deletes itself at the end of its run.
+      static_cast<void>(Row.release());
+    } catch (const Poco::NoThreadAvailableException &) {
+      this->Board.Callers.fetch_sub(1);
+      this->Board.Log.emit(EventCode::RequestCut, "accept",
+                           LogFields().add("reason", "all threads are taken"));
+    }
+  }
+
+  void serveAll(Channel Caller) {
+    while (this->serveOne(Caller))
+      ;
+  }
+
+  CallerLimits limits() const {
+    RoutingConfigRef Config = this->Board.Routing.read(
+        [](const RoutingConfigRef &Row) { return Row; });
+    return Config ? Config->Limits : CallerLimits();
+  }
+
+  /// Reads and serves one request; false where the connection ends.
+  bool serveOne(Channel &Caller) {
+    CallerLimits Limits = this->limits();
+    std::string &Buffer = Caller.buffer();
+    if (Buffer.empty() &&
+        Caller.fill(SystemClock{}.now() + Limits.IdleTime) != IoEnd::Ok)
+      return false;
+    RelayRequest Request;
+    Request.Arrived = SystemClock{}.now();
+    TimePoint Until = Request.Arrived + Limits.HeaderTime;
+    std::optional<std::size_t> Length;
+    while (!(Length = headLength(Buffer))) {
+      if (Buffer.size() > Limits.HeaderBytes)
+        return this->refuse(Caller, 431, "the head is too large");
+      if (Caller.fill(Until) != IoEnd::Ok)
+        return false;
+    }
+    if (*Length > Limits.HeaderBytes)
+      return this->refuse(Caller, 431, "the head is too large");
+    auto Head = parseRequestHead(std::string_view(Buffer).substr(0, *Length));
+    if (!Head || !Head->has("Host"))
+      return this->refuse(Caller, 400, "the head is malformed");
+    auto Body = requestBody(*Head);
+    if (!Body)
+      return this->refuse(Caller, 400, "the body's end is ambiguous");
+    Buffer.erase(0, *Length);
+    Request.Head = std::move(*Head);
+    Request.Facts = Protocol::readCaller(Request.Head);
+    Request.Random = mixHash(hashText(Request.Facts.Id.Text), Seed);
+    if (Request.Head.getExpectContinue() &&
+        Caller.send("HTTP/1.1 100 Continue\r\n\r\n", Until) != IoEnd::Ok)
+      return false;
+    if (!this->readBody(Caller, *Body, Limits, Request.Body))
+      return false;
+    return this->Relayed.serve(Caller, std::move(Request));
+  }
+
+  bool readBody(Channel &Caller, BodyDecoder &Body, const CallerLimits &Limits,
+                std::string &Into) {
+    while (true) {
+      Body.feed(Caller.buffer(), Into);
+      if (Into.size() > Limits.BodyBytes)
+        return this->refuse(Caller, 413, "the body is too large");
+      if (Body.isBad())
+        return this->refuse(Caller, 400, "the body's chunks are malformed");
+      if (Body.isDone())
+        return true;
+      if (Caller.fill(SystemClock{}.now() + Limits.IdleTime) != IoEnd::Ok)
+        return false;
+    }
+  }
+
+  /// Answers what cannot be read as a request; the connection ends, since
+  /// nobody knows where the next request would begin. Always false.
+  bool refuse(Channel &Caller, int Status, const std::string &Reason) {
+    Poco::Net::HTTPResponse Out(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
+    CallerAnswer Answer(Caller, false, true);
+    Answer.whole(std::move(Out), Reason + "\n",
+                 SystemClock{}.now() + AnswerTime);
+    this->Board.Log.emit(
+        EventCode::RequestRefused, "unread",
+        LogFields().add("status", Status).add("reason", Reason));
+    return false;
+  }
+
+  EntryBoard &Board;
+  Relay<Protocol> &Relayed;
+  Poco::ThreadPool Threads;
+  Poco::Net::ServerSocket Listener;
+  const std::uint64_t Seed = hashText(randomId());
+  std::jthread Acceptor;
+};
+
+} // namespace waycove
--- a/src/edge/callers.cpp
+++ b/src/edge/callers.cpp
@@ -132,7 +132,9 @@
                      "X-Request-Id: expected at most 64 letters, digits, "
                      "'-', '_' and '.'");
   // Callers may choose the same id; what goes to targets is always unique.
-  Into.Id.Text += (Into.Id.empty() ? "" : "~") + randomId();
+  if (!Into.Id.empty())
+    Into.Id.Text.push_back('~');
+  Into.Id.Text.append(randomId());
   Into.LabelsText = Request.get("X-Waycove-Labels", "");
   absl::StatusOr<Selector> Wanted = parseSelector(Into.LabelsText);
   if (!Wanted.ok())
--- /dev/null
+++ b/src/edge/channel.cpp
@@ -0,0 +1,131 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "edge/channel.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace waycove {
+
+namespace {
+
+constexpr std::size_t ReadBytes = 16384;
+
+int millisLeft(TimePoint Until) {
+  auto Left =
+      std::chrono::ceil<Millis>(Until - std::chrono::steady_clock::now());
+  return static_cast<int>(std::clamp<std::int64_t>(Left.count(), 0, 3600000));
+}
+
+/// Polls until an event or the end of the time; the number of ready ones.
+int pollUntil(pollfd *Rows, nfds_t Count, TimePoint Until) {
+  while (true) {
+    int Ready = ::poll(Rows, Count, millisLeft(Until));
+    if (Ready >= 0 || errno != EINTR)
+      return Ready;
+  }
+}
+
+} // namespace
+
+Channel::Channel(Poco::Net::StreamSocket Socket) : Socket(std::move(Socket)) {
+  this->Socket.setNoDelay(true);
+}
+
+IoEnd Channel::dial(const VmAddress &To, TimePoint Until,
+                    std::optional<Channel> &Into) {
+  try {
+    Poco::Net::StreamSocket Socket;
+    Socket.connect(Poco::Net::SocketAddress(To.Host, To.Port),
+                   Poco::Timespan(std::max(millisLeft(Until), 1) * 1000LL));
+    Into.emplace(std::move(Socket));
+    return IoEnd::Ok;
+  } catch (const Poco::TimeoutException &) {
+    return IoEnd::Timeout;
+  } catch (const Poco::Exception &) {
+    // The caller logs the end of the attempt with the target's name.
+    return IoEnd::Broken;
+  }
+}
+
+IoEnd Channel::fillNow() {
+  std::array<char, ReadBytes> Part{};
+  ssize_t Got = 0;
+  do
+    Got = ::recv(this->descriptor(), Part.data(), Part.size(), MSG_DONTWAIT);
+  while (Got < 0 && errno == EINTR);
+  if (Got > 0) {
+    this->Buffer.append(Part.data(), static_cast<std::size_t>(Got));
+    return IoEnd::Ok;
+  }
+  if (Got == 0)
+    return IoEnd::Closed;
+  return errno == EAGAIN || errno == EWOULDBLOCK ? IoEnd::Timeout
+                                                 : IoEnd::Broken;
+}
+
+IoEnd Channel::fill(TimePoint Until) {
+  while (true) {
+    pollfd Row{this->descriptor(), POLLIN, 0};
+    int Ready = pollUntil(&Row, 1, Until);
+    if (Ready == 0)
+      return IoEnd::Timeout;
+    if (Ready < 0)
+      return IoEnd::Broken;
+    if (IoEnd End = this->fillNow(); End != IoEnd::Timeout)
+      return End;
+  }
+}
+
+IoEnd Channel::send(std::string_view Bytes, TimePoint Until) {
+  while (!Bytes.empty()) {
+    ssize_t Put = ::send(this->descriptor(), Bytes.data(), Bytes.size(),
+                         MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (Put >= 0) {
+      Bytes.remove_prefix(static_cast<std::size_t>(Put));
+      continue;
+    }
+    if (errno == EINTR)
+      continue;
+    if (errno != EAGAIN && errno != EWOULDBLOCK)
+      return IoEnd::Broken;
+    pollfd Row{this->descriptor(), POLLOUT, 0};
+    if (pollUntil(&Row, 1, Until) == 0)
+      return IoEnd::Timeout;
+  }
+  return IoEnd::Ok;
+}
+
+bool Channel::isGone() {
+  char Byte = 0;
+  ssize_t Got = ::recv(this->descriptor(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Got == 0 ||
+         (Got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+void Channel::abort() {
+  try {
+    this->Socket.setLinger(true, 0);
+  } catch (const Poco::Exception &) {
+    // Reset by the other end already.
+  }
+  this->Socket.close();
+}
+
+Side waitEither(const Channel &Target, const Channel *Caller, TimePoint Until) {
+  std::array<pollfd, 2> Rows{{{Target.descriptor(), POLLIN, 0}, {-1, 0, 0}}};
+  if (Caller)
+    Rows[1] = {Caller->descriptor(), POLLIN, 0};
+  if (pollUntil(Rows.data(), Caller ? 2 : 1, Until) <= 0)
+    return Side::Neither;
+  return Rows[0].revents ? Side::Target : Side::Caller;
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/edge/entry_daemon.h
@@ -0,0 +1,210 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "control/config_follow.h"
+#include "control/domain_owner.h"
+#include "control/registry_follow.h"
+#include "edge/caller_server.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+namespace waycove {
+
+/// What an adapter to a platform brings: how callers and targets speak, where
+/// configuration and registry are followed, how work is shared and targets are
+/// ordered.
+template <typename P>
+concept EntryPlatform = CallerProtocol<typename P::Callers> &&
+    KeyedFeed<typename P::Feed> && WorkShares<typename P::Shares> &&
+    GroupControl<typename P::Control> && requires(EntryBoard &Board) {
+  { P::configFeed(Board) } -> std::same_as<typename P::Feed>;
+  { P::registryFeed(Board) } -> std::same_as<typename P::Feed>;
+  { P::ReadyPath } -> std::convertible_to<const char *>;
+};
+
+/// A daemon that serves as an entry on a platform: the blackboard, its
+/// controllers, and the servers of callers and of the platform's balancer.
+template <EntryPlatform Platform> class EntryDaemon {
+public:
+  explicit EntryDaemon(const Settings &Config)
+      : Board(Config, IncarnationId(randomId())),
+        ConfigFeed(Platform::configFeed(this->Board)),
+        RegistryFeed(Platform::registryFeed(this->Board)), Work(this->Board),
+        Targets(this->Board), Routing(this->Board, this->ConfigFeed, {}),
+        Registry(this->Board, this->RegistryFeed, {}),
+        Domains(this->Board, this->Work, this->Targets),
+        Relayed(this->Board, this->Pool), Callers(this->Board, this->Relayed) {}
+
+  /// Throws Poco::Exception where an address is taken.
+  void start() {
+    this->startReady();
+    this->Callers.start();
+    this->loop([this] { return this->Routing.step(); });
+    this->loop([this] { return this->Registry.step(); });
+    this->loop([this] { return this->Domains.renew(); });
+    this->loop([this] {
+      this->Domains.step();
+      return PlanEvery;
+    });
+    this->loop([this] {
+      this->sweep();
+      return SweepEvery;
+    });
+    this->Board.Log.emit(
+        EventCode::DaemonStarted, this->Board.Config.Node.Text,
+        LogFields()
+            .add("callers", this->Board.Config.Http.text())
+            .add("platform", this->Board.Config.Platform.text())
+            .add("data_centre", this->Board.Config.DataCentre.Text));
+  }
+
+  void beginStop() {
+    this->Board.Stopping = true;
+    this->StopBegan = SystemClock{}.now();
+    this->Board.Log.emit(
+        EventCode::DaemonStopping, this->Board.Config.Node.Text,
+        LogFields().add("in_flight", this->Board.InFlight.load()));
+  }
+
+  /// Whether the process may end: idle, and long enough after the stop began
+  /// for the balancer to have noticed.
+  bool isDrained() const {
+    return this->Board.InFlight == 0 &&
+           SystemClock{}.now() - this->StopBegan > BalancerTime;
+  }
+
+  void noteStopped() {
+    this->Board.Log.emit(
+        EventCode::DaemonStopped, this->Board.Config.Node.Text,
+        LogFields().add("in_flight", this->Board.InFlight.load()));
+  }
+  Events &log() { return this->Board.Log; }
+  std::uint32_t inFlight() const { return this->Board.InFlight; }
+
+private:
+  static constexpr Millis PlanEvery{100};
+  static constexpr Millis SweepEvery{1000};
+  /// The balancer asks each second and believes the second miss.
+  static constexpr Millis BalancerTime{2600};
+  static constexpr int ReadyThreads = 4;
+  static constexpr int ReadyBacklog = 64;
+
+  class ReadyHandler : public Poco::Net::HTTPRequestHandler {
+  public:
+    explicit ReadyHandler(EntryDaemon &Owner) : Owner(Owner) {}
+    void handleRequest(Poco::Net::HTTPServerRequest &Request,
+                       Poco::Net::HTTPServerResponse &Response) override {
+      if (Request.getURI() == Platform::ReadyPath) {
+        if (!this->Owner.isReady())
+          Response.setStatusAndReason(
+              Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+        Response.setContentLength(0);
+        Response.send();
+      } else if (Request.getURI() == "/metrics") {
+        std::string Text = this->Owner.Board.Counters.text();
+        Response.setContentType("text/plain; version=0.0.4");
+        Response.sendBuffer(Text.data(), Text.size());
+      } else {
+        Response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_NOT_FOUND);
+        Response.setContentLength(0);
+        Response.send();
+      }
+    }
+
+  private:
+    EntryDaemon &Owner;
+  };
+
+  class ReadyHandlers : public Poco::Net::HTTPRequestHandlerFactory {
+  public:
+    explicit ReadyHandlers(EntryDaemon &Owner) : Owner(Owner) {}
+    Poco::Net::HTTPRequestHandler *
+    createRequestHandler(const Poco::Net::HTTPServerRequest &) override {
+      return new ReadyHandler(this->Owner);
+    }
+
+  private:
+    EntryDaemon &Owner;
+  };
+
+  void startReady() {
+    const Endpoint &At = this->Board.Config.Entry->Ready;
+    Poco::Net::ServerSocket Socket;
+    Socket.bind(Poco::Net::SocketAddress(At.Host, At.Port), true, false);
+    Socket.listen(ReadyBacklog);
+    auto Params = Poco::AutoPtr<Poco::Net::HTTPServerParams>(
+        new Poco::Net::HTTPServerParams);
+    Params->setMaxThreads(ReadyThreads);
+    this->Ready = std::make_unique<Poco::Net::HTTPServer>(
+        new ReadyHandlers(*this), this->ReadyPool, Socket, Params);
+    this->Ready->start();
+  }
+
+  /// Ready while it could serve: it has a configuration in force, can prove
+  /// its keys, and knows targets.
+  bool isReady() {
+    bool Serves = !this->Board.Serving
+                       .read([](const ServingViewRef &Row) { return Row; })
+                       ->ByService.empty();
+    bool Now = !this->Board.Stopping && Serves &&
+               this->Board.ConfigFresh.holds(SystemClock{}.now());
+    if (Now != this->WasReady.exchange(Now))
+      this->Board.Log.emit(Now ? EventCode::DaemonReady
+                               : EventCode::DaemonStopping,
+                           this->Board.Config.Node.Text,
+                           LogFields()
+                               .add("ready", Now)
+                               .add("serves", Serves)
+                               .add("stopping", this->Board.Stopping.load()));
+    return Now;
+  }
+
+  void sweep() {
+    std::set<VmId> Listed = this->Board.Targets.read([](const Fleet &Rows) {
+      std::set<VmId> Ids;
+      for (const auto &[Id, Row] : Rows.Targets)
+        Ids.insert(Id);
+      return Ids;
+    });
+    auto IsListed = [&](const VmId &Id) { return Listed.contains(Id); };
+    this->Pool.sweep(IsListed, SystemClock{}.now());
+    this->Board.Vitals.write([&](VitalsTable &Rows) { Rows.forget(IsListed); });
+  }
+
+  template <typename F> void loop(F Step) {
+    this->Loops.emplace_back(
+        [Step = std::move(Step)](const std::stop_token &Stop) {
+          while (!Stop.stop_requested())
+            if (Millis Pause = Step(); Pause.count() > 0)
+              std::this_thread::sleep_for(Pause);
+        });
+  }
+
+  EntryBoard Board;
+  TargetPool Pool;
+  typename Platform::Feed ConfigFeed;
+  typename Platform::Feed RegistryFeed;
+  typename Platform::Shares Work;
+  typename Platform::Control Targets;
+  ConfigFollower<typename Platform::Feed, typename Platform::ConfigDecoder>
+      Routing;
+  RegistryFollower<typename Platform::Feed, typename Platform::TargetDecoder>
+      Registry;
+  DomainOwner<typename Platform::Shares, typename Platform::Control> Domains;
+  Relay<typename Platform::Callers> Relayed;
+  CallerServer<typename Platform::Callers> Callers;
+  std::atomic<bool> WasReady{false};
+  TimePoint StopBegan;
+  Poco::ThreadPool ReadyPool{"ready", 2, ReadyThreads};
+  std::unique_ptr<Poco::Net::HTTPServer> Ready;
+  std::vector<std::jthread> Loops;
+};
+
+} // namespace waycove
--- /dev/null
+++ b/src/edge/framing.cpp
@@ -0,0 +1,261 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "edge/framing.h"
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/String.h>
+#include <Poco/StringTokenizer.h>
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <vector>
+
+namespace waycove {
+
+namespace {
+
+constexpr std::size_t MaxChunkLine = 1024;
+constexpr std::uint64_t MaxChunkBytes = 1ULL << 40;
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+
+/// Fields that concern one connection only (RFC 9110, 7.6.1).
+constexpr std::array<std::string_view, 8> HopByHop{
+    "connection", "keep-alive", "proxy-connection",  "proxy-authenticate",
+    "te",         "trailer",    "transfer-encoding", "upgrade"};
+
+template <typename T>
+std::optional<T> parseNumber(std::string_view Text, int Base = 10) {
+  T Value = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value, Base);
+  if (Text.empty() || Error != std::errc() || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Value;
+}
+
+bool isToken(const std::string &Name) {
+  return !Name.empty() &&
+         std::all_of(Name.begin(), Name.end(), [](unsigned char C) {
+           return std::isalnum(C) ||
+                  std::string_view("!#$%&'*+-.^_`|~")
+                          .find(static_cast<char>(C)) != std::string_view::npos;
+         });
+}
+
+bool hasPlainFields(const Poco::Net::MessageHeader &Head) {
+  return std::all_of(Head.begin(), Head.end(), [](const auto &Field) {
+    return isToken(Field.first) &&
+           Field.second.find_first_of(std::string_view("\0\r\n", 3)) ==
+               std::string::npos;
+  });
+}
+
+/// The framing that the fields state; \p Default where they state none.
+std::optional<BodyDecoder> statedBody(const Poco::Net::HTTPMessage &Head,
+                                      Framing Default) {
+  std::vector<std::string> Lengths;
+  std::vector<std::string> Encodings;
+  for (const auto &[Name, Value] : Head) {
+    if (Poco::icompare(Name, Poco::Net::HTTPMessage::CONTENT_LENGTH) == 0)
+      Lengths.push_back(Value);
+    if (Poco::icompare(Name, Poco::Net::HTTPMessage::TRANSFER_ENCODING) == 0)
+      Encodings.push_back(Value);
+  }
+  if (Lengths.size() + Encodings.size() > 1)
+    return std::nullopt;
+  if (!Encodings.empty()) {
+    if (Poco::icompare(Encodings[0], std::string("chunked")) != 0)
+      return std::nullopt;
+    return BodyDecoder(Framing::Chunked, 0);
+  }
+  if (Lengths.empty())
+    return BodyDecoder(Default, 0);
+  auto Length = parseNumber<std::uint64_t>(Lengths[0]);
+  if (!Length)
+    return std::nullopt;
+  return BodyDecoder(*Length ? Framing::Length : Framing::None, *Length);
+}
+
+template <typename Message>
+std::optional<Message> parseHead(std::string_view Bytes) {
+  try {
+    Poco::MemoryInputStream In(Bytes.data(),
+                               static_cast<std::streamsize>(Bytes.size()));
+    Message Head;
+    Head.read(In);
+    if (!hasPlainFields(Head))
+      return std::nullopt;
+    return Head;
+  } catch (const Poco::Exception &) {
+    // The caller answers or logs that the message is malformed.
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+void BodyDecoder::feed(std::string &Input, std::string &Into) {
+  switch (this->Kind) {
+  case Framing::None:
+    return;
+  case Framing::Length: {
+    auto Take = static_cast<std::size_t>(
+        std::min<std::uint64_t>(this->Left, Input.size()));
+    Into.append(Input, 0, Take);
+    Input.erase(0, Take);
+    this->Left -= Take;
+    return;
+  }
+  case Framing::UntilClose:
+    Into.append(Input);
+    Input.clear();
+    return;
+  case Framing::Chunked:
+    while (!this->Bad && this->Chunk != ChunkState::Done &&
+           this->chunkStep(Input, Into))
+      ;
+  }
+}
+
+void BodyDecoder::close() { this->ConnectionClosed = true; }
+
+bool BodyDecoder::isDone() const {
+  switch (this->Kind) {
+  case Framing::None:
+    return true;
+  case Framing::Length:
+    return this->Left == 0;
+  case Framing::Chunked:
+    return this->Chunk == ChunkState::Done;
+  case Framing::UntilClose:
+    break;
+  }
+  return this->ConnectionClosed;
+}
+
+std::optional<std::string> BodyDecoder::takeLine(std::string &Input) {
+  std::size_t End = Input.find("\r\n");
+  if (End == std::string::npos) {
+    this->Bad = Input.size() > MaxChunkLine;
+    return std::nullopt;
+  }
+  std::string Line = Input.substr(0, End);
+  Input.erase(0, End + 2);
+  return Line;
+}
+
+bool BodyDecoder::chunkStep(std::string &Input, std::string &Into) {
+  if (this->Chunk == ChunkState::Data) {
+    auto Take = static_cast<std::size_t>(
+        std::min<std::uint64_t>(this->Left, Input.size()));
+    Into.append(Input, 0, Take);
+    Input.erase(0, Take);
+    this->Left -= Take;
+    if (this->Left > 0)
+      return false;
+    this->Chunk = ChunkState::DataEnd;
+  }
+  std::optional<std::string> Line = this->takeLine(Input);
+  if (!Line)
+    return false;
+  if (this->Chunk == ChunkState::DataEnd) {
+    this->Bad = !Line->empty();
+    this->Chunk = ChunkState::Size;
+  } else if (this->Chunk == ChunkState::Size) {
+    auto Size = parseNumber<std::uint64_t>(
+        std::string_view(*Line).substr(0, Line->find(';')), 16);
+    this->Bad = !Size || *Size > MaxChunkBytes;
+    if (!this->Bad) {
+      this->Left = *Size;
+      this->Chunk = *Size ? ChunkState::Data : ChunkState::Trailer;
+    }
+  } else if (Line->empty()) {
+    this->Chunk = ChunkState::Done;
+  }
+  return !this->Bad;
+}
+
+std::optional<std::size_t> headLength(std::string_view Buffer) {
+  std::size_t At = Buffer.find(HeadEnd);
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  return At + HeadEnd.size();
+}
+
+std::optional<Poco::Net::HTTPRequest> parseRequestHead(std::string_view Bytes) {
+  auto Head = parseHead<Poco::Net::HTTPRequest>(Bytes);
+  if (!Head || Head->getURI().empty() || Head->getURI()[0] != '/' ||
+      Head->getVersion().rfind("HTTP/1.", 0) != 0)
+    return std::nullopt;
+  return Head;
+}
+
+std::optional<Poco::Net::HTTPResponse>
+parseResponseHead(std::string_view Bytes) {
+  auto Head = parseHead<Poco::Net::HTTPResponse>(Bytes);
+  if (!Head || Head->getVersion().rfind("HTTP/1.", 0) != 0)
+    return std::nullopt;
+  return Head;
+}
+
+std::optional<BodyDecoder> requestBody(const Poco::Net::HTTPRequest &Head) {
+  return statedBody(Head, Framing::None);
+}
+
+std::optional<BodyDecoder> responseBody(const Poco::Net::HTTPResponse &Head,
+                                        const std::string &Method) {
+  int Status = Head.getStatus();
+  if (Method == "HEAD" || Status == 204 || Status == 304 || Status < 200)
+    return BodyDecoder(Framing::None, 0);
+  return statedBody(Head, Framing::UntilClose);
+}
+
+void copyEndToEnd(const Poco::Net::MessageHeader &From,
+                  Poco::Net::MessageHeader &Into) {
+  Poco::StringTokenizer Named(From.get("Connection", ""), ",",
+                              Poco::StringTokenizer::TOK_TRIM |
+                                  Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+  for (const auto &[Name, Value] : From) {
+    std::string Low = Poco::toLower(Name);
+    bool OneHop =
+        std::find(HopByHop.begin(), HopByHop.end(), Low) != HopByHop.end() ||
+        std::any_of(Named.begin(), Named.end(), [&](const std::string &Row) {
+          return Poco::icompare(Row, Name) == 0;
+        });
+    if (!OneHop && Low != "content-length")
+      Into.add(Name, Value);
+  }
+}
+
+std::optional<StreamEvent> takeEvent(std::string &Buffer) {
+  std::size_t End = Buffer.find("\n\n");
+  std::size_t Length = 2;
+  if (std::size_t Other = Buffer.find("\r\n\r\n"); Other < End) {
+    End = Other;
+    Length = HeadEnd.size();
+  }
+  if (End == std::string::npos)
+    return std::nullopt;
+  StreamEvent Event;
+  Event.Bytes = Buffer.substr(0, End + Length);
+  Buffer.erase(0, End + Length);
+  for (std::size_t At = 0; At < Event.Bytes.size();) {
+    std::size_t Stop = Event.Bytes.find('\n', At);
+    std::string_view Line(Event.Bytes.data() + At, Stop - At);
+    if (Line.starts_with("id:")) {
+      Line.remove_prefix(3);
+      while (!Line.empty() && Line.front() == ' ')
+        Line.remove_prefix(1);
+      while (!Line.empty() && (Line.back() == '\r' || Line.back() == ' '))
+        Line.remove_suffix(1);
+      Event.Id = parseNumber<std::uint64_t>(Line);
+    }
+    At = Stop + 1;
+  }
+  return Event;
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/edge/relay_request.h
@@ -0,0 +1,58 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "base/errors.h"
+#include "board/entry_board.h"
+#include "edge/caller_protocol.h"
+
+#include <Poco/Net/HTTPRequest.h>
+
+namespace waycove {
+
+/// One caller's request on its way through this node.
+struct RelayRequest {
+  Poco::Net::HTTPRequest Head;
+  std::string Body;
+  CallerFacts Facts;
+  TimePoint Arrived;
+  TimePoint Deadline;
+  /// The configuration under which it was admitted last; keeps Route alive.
+  RoutingConfigRef Config;
+  const HttpRoute *Route = nullptr;
+  /// Empty on public routes without key.
+  WorkspaceId Workspace;
+  ServiceId Service;
+  /// Chosen once, so that a new look at the configuration changes nothing
+  /// that it need not.
+  std::uint64_t Random = 0;
+};
+
+/// How a request's sends went so far.
+struct RelayRun {
+  /// Targets that it was offered to.
+  std::vector<VmId> Tried;
+  /// Sends that reached, or may have reached, a target.
+  unsigned Sent = 0;
+  /// Of these, how many may have begun to run.
+  unsigned MayHaveRun = 0;
+  /// Last event that the caller was given.
+  std::optional<std::uint64_t> LastEvent;
+  /// A target's own failure, to be given where no other target does better.
+  std::optional<Poco::Net::HTTPResponse> Failure;
+  std::string FailureBody;
+  std::string Reason;
+};
+
+/// Looks the request up in the present configuration: route, key, deadline.
+/// Also used right before each send, since keys and routes may be taken away
+/// while a request waits. Errors: NotReady, NotFound, Unauthenticated.
+absl::Status admitRequest(const EntryBoard &Board, RelayRequest &Request,
+                          TimePoint Now);
+
+/// When a caller that was refused should come back.
+Millis comeBackAfter(const RelayRequest &Request);
+
+} // namespace waycove
--- /dev/null
+++ b/src/edge/target_pool.h
@@ -0,0 +1,37 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "edge/channel.h"
+#include "policy/fleet.h"
+
+#include <deque>
+#include <map>
+#include <mutex>
+
+namespace waycove {
+
+/// Kept connections to targets, by incarnation: a new incarnation at an old
+/// address never gets a connection of the old one. Thread-safe.
+class TargetPool {
+public:
+  /// A kept connection that is still good; nothing where there is none.
+  std::optional<Channel> take(const VmId &Target, TimePoint Now);
+  /// Keeps a connection whose last answer was whole for \p KeepAlive.
+  void keep(const VmId &Target, Channel Connection, Millis KeepAlive,
+            TimePoint Now);
+  /// Closes what has rested too long, and all of targets not listed.
+  void sweep(const std::function<bool(const VmId &)> &IsListed, TimePoint Now);
+
+private:
+  struct Kept {
+    Channel Connection;
+    TimePoint GoodUntil;
+  };
+  std::mutex Mutex;
+  std::map<VmId, std::deque<Kept>> Rows;
+};
+
+} // namespace waycove
--- a/src/main/waycoved.cpp
+++ b/src/main/waycoved.cpp
@@ -3,6 +3,7 @@
 // Version 2.0; see LICENSE.
 
 #include "edge/daemon.h"
+#include "platform/platform.h"
 
 #include <Poco/Exception.h>
 #include <csignal>
@@ -68,13 +69,62 @@
   }
 }
 
-int runDaemon(const Settings &Config) {
+/// Blocks the signals that the main thread waits for.
+sigset_t blockSignals() {
   sigset_t Signals;
   sigemptyset(&Signals);
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
+  sigaddset(&Signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  return Signals;
+}
+
+/// Reads the settings file again and tells what came of it. What a running
+/// entry takes from it is fixed at its start; a change needs a restart.
+void reloadSettings(Events &Log) {
+  std::ifstream File(FLAGS_settings);
+  std::stringstream Text;
+  Text << File.rdbuf();
+  Mistakes Found;
+  parseSettings(FLAGS_settings, settingsText(Text.str()), Found);
+  if (Found.empty())
+    Log.emit(EventCode::SettingsReloaded, FLAGS_settings);
+  else
+    Log.emit(EventCode::SettingsRefused, FLAGS_settings,
+             LogFields().add("reason", Found.text()));
+}
+
+/// Serves as an entry on the platform until a planned stop has ended.
+int runEntry(const Settings &Config) {
+  sigset_t Signals = blockSignals();
+  EntryDaemon<platform::Platform> Process(Config);
+  try {
+    Process.start();
+  } catch (const Poco::Exception &Error) {
+    std::cerr << "cannot listen: " << Error.displayText() << "\n";
+    return ExitBadInput;
+  }
+  int Signal = 0;
+  while (sigwait(&Signals, &Signal) == 0 && Signal == SIGHUP)
+    reloadSettings(Process.log());
+  Process.beginStop();
+  // Leaves the platform's own limit this margin.
+  constexpr Millis StopMargin(400);
+  auto Until =
+      std::chrono::steady_clock::now() + Config.Entry->Grace - StopMargin;
+  while (!Process.isDrained() && std::chrono::steady_clock::now() < Until)
+    std::this_thread::sleep_for(Millis(50));
+  Process.noteStopped();
+  stopLogging();
+  // Threads may still wait for callers that rest; nothing is kept on disk.
+  std::_Exit(Process.inFlight() == 0 ? 0 : ExitCut);
+}
+
+int runDaemon(const Settings &Config) {
+  sigset_t Signals = blockSignals();
+  sigdelset(&Signals, SIGHUP);
   Daemon Process(Config);
   try {
     Process.start();
@@ -96,6 +146,7 @@
   if (Cut == 0)
     return 0;
   std::cerr << "{\"name\":\"daemon_stopped\",\"cut\":" << Cut << "}\n";
+  stopLogging();
   std::_Exit(ExitCut);
 }
 
@@ -127,5 +178,7 @@
   if (FLAGS_check_settings)
     return 0;
   initLogging(Config.LogLevel);
-  return runDaemon(Config);
+  int Status = Config.Entry ? runEntry(Config) : runDaemon(Config);
+  stopLogging();
+  return Status;
 }
--- /dev/null
+++ b/src/policy/domain_plan.cpp
@@ -0,0 +1,391 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "policy/domain_plan.h"
+
+#include <algorithm>
+
+namespace waycove {
+
+namespace {
+
+/// VMs of a domain that stay free for repairs, beyond one group of each model.
+constexpr std::size_t VmsPerReserve = 8;
+/// The registry lists a domain's VMs one after the other at the start: plan
+/// when none came for this time.
+constexpr Millis SettleTime(700);
+/// A member shows a join within about 0.6 s; past this the order is taken for
+/// lost and outbid.
+constexpr Millis ShowTime(1500);
+/// Before the same order is given to the same group again.
+constexpr Millis RepeatTime(1200);
+/// A group forms in its load time; shared loading may double it.
+constexpr int LoadTimeFactor = 3;
+constexpr Millis FormSlack(3000);
+/// A head that cannot be asked is taken for gone after this time: it stands
+/// still for 5 s at most before it breaks by itself.
+constexpr Millis HeadlessLimit(7000);
+/// Staging is given again where it did not show after this.
+constexpr int StageTimeFactor = 3;
+
+std::vector<const ModelSpec *> largestFirst(const EngineSpec &Engine) {
+  std::vector<const ModelSpec *> Rows;
+  for (const ModelSpec &Row : Engine.Models)
+    Rows.push_back(&Row);
+  std::stable_sort(Rows.begin(), Rows.end(),
+                   [](const ModelSpec *Left, const ModelSpec *Right) {
+                     return Left->GroupSize > Right->GroupSize;
+                   });
+  return Rows;
+}
+
+/// 0 is best: the VM ran the model last, then its host has the weights.
+int loadRank(const TargetInfo &Row, const std::string &Model) {
+  if (Row.hasLoaded(Model))
+    return 0;
+  return Row.hasStaged(Model) ? 1 : 2;
+}
+
+} // namespace
+
+std::string_view orderName(OrderKind Kind) {
+  switch (Kind) {
+  case OrderKind::Join:
+    return "join";
+  case OrderKind::Open:
+    return "open";
+  case OrderKind::Close:
+    return "close";
+  case OrderKind::Leave:
+    return "leave";
+  case OrderKind::Stage:
+    break;
+  }
+  return "stage";
+}
+
+std::vector<unsigned> groupsFor(const EngineSpec &Engine, std::size_t Vms) {
+  std::vector<unsigned> Counts(Engine.Models.size(), 0);
+  std::vector<const ModelSpec *> Order = largestFirst(Engine);
+  std::size_t Reserve = (Vms + VmsPerReserve - 1) / VmsPerReserve;
+  std::size_t Free = Vms;
+  auto Take = [&](std::size_t Keep) {
+    bool Any = false;
+    for (const ModelSpec *Row : Order)
+      if (Row->GroupSize > 0 && Free >= Row->GroupSize + Keep) {
+        Free -= Row->GroupSize;
+        ++Counts[static_cast<std::size_t>(Row - Engine.Models.data())];
+        Any = true;
+      }
+    return Any;
+  };
+  Take(0);
+  while (Take(Reserve))
+    ;
+  return Counts;
+}
+
+struct DomainPlanner::Step {
+  const DomainView &View;
+  const EngineSpec &Engine;
+  std::map<GroupKey, Announced> Groups;
+  /// VMs that must not be taken.
+  std::set<VmId> Busy;
+  /// Groups per model that serve or will.
+  std::map<std::string, unsigned> Have;
+  std::vector<GroupOrder> Orders;
+  unsigned LoadsLeft = 0;
+
+  void hold(const Announced &Row) {
+    for (const auto &[Rank, Vm] : Row.Ranks)
+      this->Busy.insert(Vm->Id);
+  }
+};
+
+std::vector<GroupOrder> DomainPlanner::step(const DomainView &View,
+                                            const EngineSpec &Engine) {
+  this->Questions.clear();
+  if (!this->isSettled(View))
+    return {};
+  Step S{View, Engine, {}, {}, {}, {}, View.LoadsAllowed};
+  this->collect(S);
+  for (const auto &[Key, Row] : S.Groups)
+    this->judge(S, Key, Row);
+  this->dropStaleForming(S);
+  this->formMissing(S);
+  this->stageSpares(S);
+  return std::move(S.Orders);
+}
+
+void DomainPlanner::onHeadLeft(const GroupKey &Group) {
+  this->HeadLeft.insert(Group);
+}
+
+bool DomainPlanner::isSettled(const DomainView &View) {
+  if (this->Began)
+    return true;
+  if (View.Targets.size() != this->SeenTargets) {
+    this->SeenTargets = View.Targets.size();
+    this->SettledAt = View.Now;
+  }
+  this->Began =
+      this->SeenTargets > 0 && View.Now - this->SettledAt > SettleTime;
+  return this->Began;
+}
+
+void DomainPlanner::collect(Step &S) const {
+  for (const TargetRef &Row : S.View.Targets) {
+    if (!Row->Group)
+      continue;
+    Announced &Into = S.Groups[Row->Group->Group];
+    Into.Ranks[Row->Group->Rank] = Row;
+    if (Row->Group->Rank == 0)
+      Into.Head = Row;
+    Into.AnyDraining = Into.AnyDraining || Row->Draining;
+    Into.AllReady = Into.AllReady && Row->Group->State == MemberState::Ready;
+  }
+}
+
+bool DomainPlanner::mayOrder(const GroupKey &Group, OrderKind Kind,
+                             TimePoint Now) {
+  TimePoint &Last = this->LastOrder[{Group, Kind}];
+  if (Last != TimePoint() && Now - Last < RepeatTime)
+    return false;
+  Last = Now;
+  return true;
+}
+
+void DomainPlanner::judge(Step &S, const GroupKey &Key, const Announced &Row) {
+  bool Serves = Row.Head && (Row.Head->Group->State == MemberState::Open ||
+                             Row.Head->Group->State == MemberState::Closing);
+  if (this->HeadLeft.contains(Key) || (this->GivenUp.contains(Key) && !Serves))
+    return;
+  const ModelSpec *Model = S.Engine.model(modelOf(Key.Name));
+  std::size_t Size = Model ? Model->GroupSize : 0;
+  bool Whole = Row.Ranks.size() == Size;
+  if (!Row.Head)
+    return this->judgeHeadless(S, Key, Row);
+  MemberState State = Row.Head->Group->State;
+  if (State == MemberState::Broken)
+    return;
+  if (!Serves)
+    return this->judgeForming(S, Key, Row);
+  // The head serves: nobody of the group may be taken.
+  S.hold(Row);
+  this->Pending.erase(Key);
+  if (Whole && !Row.AnyDraining) {
+    ++S.Have[Model->Name];
+    return;
+  }
+  OrderKind Kind = Whole ? OrderKind::Close : OrderKind::Leave;
+  if (Kind == OrderKind::Close && State == MemberState::Closing)
+    return;
+  if (this->mayOrder(Key, Kind, S.View.Now))
+    S.Orders.push_back({Kind,
+                        Row.Head,
+                        Key,
+                        "",
+                        {},
+                        Whole ? "a member drains" : "a member is gone"});
+}
+
+void DomainPlanner::judgeHeadless(Step &S, const GroupKey &Key,
+                                  const Announced &Row) {
+  // A head that is listed under another group or none has left this one.
+  auto Head = std::find_if(
+      S.View.Gone.begin(), S.View.Gone.end(), [&](const GoneTarget &Gone) {
+        return Gone.Last->Group && Gone.Last->Group->Group == Key &&
+               Gone.Last->Group->Rank == 0;
+      });
+  TimePoint &Since = this->HeadlessSince[Key];
+  if (Since == TimePoint())
+    Since = S.View.Now;
+  if (this->Pending.contains(Key))
+    return this->judgeForming(S, Key, Row);
+  bool TooLong = S.View.Now - Since > HeadlessLimit;
+  if (Head == S.View.Gone.end()) {
+    // Never seen: it left, or it went before this node could see it.
+    if (!TooLong)
+      S.hold(Row);
+    return;
+  }
+  auto Fate = S.View.Fates.find(Head->Last->Id);
+  if (Fate != S.View.Fates.end() && Fate->second == HeadFate::Dead)
+    return;
+  S.hold(Row);
+  if (Fate != S.View.Fates.end() && Fate->second == HeadFate::Alive) {
+    if (this->mayOrder(Key, OrderKind::Leave, S.View.Now))
+      S.Orders.push_back({OrderKind::Leave,
+                          Head->Last,
+                          Key,
+                          "",
+                          {},
+                          "its entry in the registry is gone"});
+    return;
+  }
+  this->Questions.push_back(*Head);
+}
+
+void DomainPlanner::judgeForming(Step &S, const GroupKey &Key,
+                                 const Announced &Row) {
+  const ModelSpec *Model = S.Engine.model(modelOf(Key.Name));
+  if (!Model || Row.AnyDraining)
+    return;
+  bool Whole = Row.Ranks.size() == Model->GroupSize;
+  auto Mine = this->Pending.find(Key);
+  if (Whole && Row.AllReady) {
+    S.hold(Row);
+    ++S.Have[Model->Name];
+    if (this->mayOrder(Key, OrderKind::Open, S.View.Now))
+      S.Orders.push_back(
+          {OrderKind::Open, Row.Head, Key, Model->Name, {}, "all are ready"});
+    return;
+  }
+  TimePoint Now = S.View.Now;
+  if (Mine == this->Pending.end()) {
+    // An earlier owner's, still loading: give it time once.
+    Forming Adopted{
+        Model->Name, {}, Now, Model->LoadTime * LoadTimeFactor + FormSlack, {}};
+    for (const auto &[Rank, Vm] : Row.Ranks)
+      Adopted.Members.push_back(Vm->Id);
+    if (!Whole)
+      Adopted.Limit = ShowTime;
+    Mine = this->Pending.emplace(Key, std::move(Adopted)).first;
+  }
+  bool Shown = Whole || Now - Mine->second.Since < ShowTime;
+  if (!Shown || Now - Mine->second.Since > Mine->second.Limit) {
+    this->Pending.erase(Mine);
+    this->GivenUp.insert(Key);
+    return;
+  }
+  S.hold(Row);
+}
+
+/// Members that were ordered and do not show it yet are kept back too; a
+/// group of which a member went, or that does not show in time, is given up.
+void DomainPlanner::dropStaleForming(Step &S) {
+  std::erase_if(this->Pending, [&](const auto &Entry) {
+    const auto &[Key, Row] = Entry;
+    auto Listed = [&](const VmId &Id) {
+      return std::any_of(
+          S.View.Targets.begin(), S.View.Targets.end(),
+          [&](const TargetRef &T) { return T->Id == Id && !T->Draining; });
+    };
+    bool Late = !S.Groups.contains(Key) && S.View.Now - Row.Since > ShowTime;
+    if (Late || !std::all_of(Row.Members.begin(), Row.Members.end(), Listed)) {
+      this->GivenUp.insert(Key);
+      auto Shown = S.Groups.find(Key);
+      if (Shown != S.Groups.end())
+        for (const auto &[Rank, Vm] : Shown->second.Ranks)
+          S.Busy.erase(Vm->Id);
+      return true;
+    }
+    for (const VmId &Id : Row.Members)
+      S.Busy.insert(Id);
+    auto Shown = S.Groups.find(Key);
+    if (Shown == S.Groups.end() || !Shown->second.AllReady ||
+        Shown->second.Ranks.size() != Row.Members.size())
+      ++S.Have[Row.Model];
+    return false;
+  });
+}
+
+void DomainPlanner::formMissing(Step &S) {
+  std::size_t Usable = static_cast<std::size_t>(
+      std::count_if(S.View.Targets.begin(), S.View.Targets.end(),
+                    [](const TargetRef &Row) { return !Row->Draining; }));
+  std::vector<unsigned> Wanted = groupsFor(S.Engine, Usable);
+  for (const ModelSpec *Model : largestFirst(S.Engine)) {
+    auto Index = static_cast<std::size_t>(Model - S.Engine.Models.data());
+    while (S.Have[Model->Name] < Wanted[Index] && this->form(S, *Model))
+      ++S.Have[Model->Name];
+  }
+}
+
+bool DomainPlanner::form(Step &S, const ModelSpec &Model) {
+  std::vector<TargetRef> Free;
+  for (const TargetRef &Row : S.View.Targets)
+    if (!Row->Draining && !S.Busy.contains(Row->Id))
+      Free.push_back(Row);
+  if (Free.size() < Model.GroupSize)
+    return false;
+  std::stable_sort(Free.begin(), Free.end(),
+                   [&](const TargetRef &Left, const TargetRef &Right) {
+                     return loadRank(*Left, Model.Name) <
+                            loadRank(*Right, Model.Name);
+                   });
+  Free.resize(Model.GroupSize);
+  auto Cold = static_cast<unsigned>(
+      std::count_if(Free.begin(), Free.end(), [&](const TargetRef &Row) {
+        return loadRank(*Row, Model.Name) == 2;
+      }));
+  if (Cold > S.LoadsLeft)
+    return false;
+  S.LoadsLeft -= Cold;
+  std::uint64_t Seen = S.View.EpochFloor;
+  for (const TargetRef &Row : S.View.Targets)
+    if (Row->Group)
+      Seen = std::max(Seen, Row->Group->Group.Epoch);
+  this->LastEpoch = std::max(this->LastEpoch, Seen) + 1;
+  GroupKey Key{groupName(Model.Name, S.View.Domain, this->LastEpoch),
+               this->LastEpoch};
+  Forming Row{Model.Name, {}, S.View.Now, {}, {}};
+  Row.Limit = (Cold ? Model.LoadTime : Model.StagedLoadTime) * LoadTimeFactor +
+              FormSlack;
+  for (const TargetRef &Vm : Free)
+    Row.Members.push_back(Vm->Id);
+  for (const TargetRef &Vm : Free) {
+    S.Busy.insert(Vm->Id);
+    S.Orders.push_back({OrderKind::Join, Vm, Key, Model.Name, Row.Members,
+                        Cold ? "form, with loads" : "form"});
+  }
+  this->Pending.emplace(Key, std::move(Row));
+  return true;
+}
+
+void DomainPlanner::stageSpares(Step &S) {
+  std::vector<TargetRef> Spares;
+  for (const TargetRef &Row : S.View.Targets)
+    if (!Row->Draining && !S.Busy.contains(Row->Id))
+      Spares.push_back(Row);
+  std::map<std::string, double> Staged;
+  std::vector<TargetRef> Empty;
+  for (const TargetRef &Row : Spares) {
+    bool Any = false;
+    for (const ModelSpec &Model : S.Engine.Models)
+      if (Row->hasStaged(Model.Name)) {
+        Staged[Model.Name] += 1;
+        Any = true;
+      }
+    if (!Any)
+      Empty.push_back(Row);
+  }
+  for (const TargetRef &Row : Empty) {
+    if (S.LoadsLeft == 0)
+      return;
+    // The model whose groups lose members most often is short first.
+    const ModelSpec *Short = nullptr;
+    for (const ModelSpec *Model : largestFirst(S.Engine))
+      if (!Short || Staged[Model->Name] / Model->GroupSize <
+                        Staged[Short->Name] / Short->GroupSize)
+        Short = Model;
+    TimePoint &At = this->Staging[Row->Id];
+    if (!Short)
+      return;
+    Staged[Short->Name] += 1;
+    if (At != TimePoint() &&
+        S.View.Now - At < Short->LoadTime * StageTimeFactor)
+      continue;
+    At = S.View.Now;
+    --S.LoadsLeft;
+    GroupOrder Order;
+    Order.Kind = OrderKind::Stage;
+    Order.To = Row;
+    Order.Model = Short->Name;
+    Order.Reason = "a spare for repairs";
+    S.Orders.push_back(std::move(Order));
+  }
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/policy/domain_plan.h
@@ -0,0 +1,124 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "policy/fleet.h"
+
+namespace waycove {
+
+/// What a target can be told about groups.
+enum class OrderKind { Join, Open, Close, Leave, Stage };
+
+std::string_view orderName(OrderKind Kind);
+
+/// One order to one target.
+struct GroupOrder {
+  OrderKind Kind{};
+  TargetRef To;
+  GroupKey Group;
+  std::string Model;
+  /// For Join: all members, the head first.
+  std::vector<VmId> Members;
+  /// Why it is given, for the log.
+  std::string Reason;
+};
+
+/// What is known of the head of a group whose registry entry went.
+enum class HeadFate {
+  /// Nobody asked it yet, or the answer is not in.
+  Unknown,
+  /// It answers, and still holds the group.
+  Alive,
+  /// Its process ended, another one is there, or it does not answer at all.
+  Dead,
+};
+
+/// How a domain looks in one planning step.
+struct DomainView {
+  DomainId Domain;
+  ServiceId Service;
+  /// All listed targets of the domain.
+  std::vector<TargetRef> Targets;
+  /// Those that went lately.
+  std::vector<GoneTarget> Gone;
+  /// Fates of heads that went, as far as asked.
+  std::map<VmId, HeadFate> Fates;
+  /// Orders carry epochs above this: the owner's fence.
+  std::uint64_t EpochFloor = 0;
+  /// Weights that may be read from the shared store in this step, in loads.
+  unsigned LoadsAllowed = 0;
+  TimePoint Now;
+};
+
+/// Plans one domain's groups: which models get how many, which VMs form them,
+/// and what each has to be told next. A step looks at what the VMs announce,
+/// compares it with what it ordered, and gives the next orders; it keeps no
+/// truth of its own, so a new owner begins from the announcements alone.
+///
+/// Rules that hold whatever is lost, late or repeated:
+/// - A VM is taken into a new group only when the head of its present one is
+///   known not to be open or closing.
+/// - A head is opened only after each member announced ready under the same
+///   name and epoch.
+/// - Epochs rise with each new group, so what arrives late is refused.
+class DomainPlanner {
+public:
+  std::vector<GroupOrder> step(const DomainView &View,
+                               const EngineSpec &Engine);
+  /// The head took the order to leave: its members are free.
+  void onHeadLeft(const GroupKey &Group);
+  /// Heads that went and whose fate has to be asked.
+  const std::vector<GoneTarget> &askAfter() const { return this->Questions; }
+
+private:
+  /// A group as its members announce it.
+  struct Announced {
+    std::map<unsigned, TargetRef> Ranks;
+    TargetRef Head;
+    bool AnyDraining = false;
+    bool AllReady = true;
+  };
+  /// A group that this planner ordered and that is not open yet.
+  struct Forming {
+    std::string Model;
+    std::vector<VmId> Members;
+    TimePoint Since;
+    Millis Limit{0};
+    TimePoint OpenSentAt;
+  };
+  struct Step;
+
+  void collect(Step &S) const;
+  void judge(Step &S, const GroupKey &Key, const Announced &Row);
+  void judgeHeadless(Step &S, const GroupKey &Key, const Announced &Row);
+  void judgeForming(Step &S, const GroupKey &Key, const Announced &Row);
+  void dropStaleForming(Step &S);
+  void formMissing(Step &S);
+  bool form(Step &S, const ModelSpec &Model);
+  void stageSpares(Step &S);
+  bool mayOrder(const GroupKey &Group, OrderKind Kind, TimePoint Now);
+  bool isSettled(const DomainView &View);
+
+  std::map<GroupKey, Forming> Pending;
+  /// Groups whose head took the order to leave.
+  std::set<GroupKey> HeadLeft;
+  /// Groups that did not form in time; never opened by this planner.
+  std::set<GroupKey> GivenUp;
+  std::map<std::pair<GroupKey, OrderKind>, TimePoint> LastOrder;
+  std::map<VmId, TimePoint> Staging;
+  std::map<GroupKey, TimePoint> HeadlessSince;
+  std::vector<GoneTarget> Questions;
+  std::uint64_t LastEpoch = 0;
+  std::size_t SeenTargets = 0;
+  TimePoint SettledAt;
+  bool Began = false;
+};
+
+/// How many groups of each model \p Vms make, the models in the order of
+/// \p Engine: one of each first, then more while a reserve stays free for
+/// repairs.
+std::vector<unsigned> groupsFor(const EngineSpec &Engine, std::size_t Vms);
+
+} // namespace waycove
--- /dev/null
+++ b/src/policy/fleet.h
@@ -0,0 +1,102 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "base/ids.h"
+#include "policy/route.h"
+#include "policy/routing.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace waycove {
+
+/// How far a VM is in its group, as the VM itself announces it.
+enum class MemberState { Joining, Ready, Open, Closing, Broken };
+
+/// Names one life of a group: a name together with its epoch.
+struct GroupKey {
+  std::string Name;
+  std::uint64_t Epoch = 0;
+  // The comparison that the compiler makes is no text of ours. NOLINTNEXTLINE
+  auto operator<=>(const GroupKey &) const = default;
+};
+
+/// A VM's place in a group.
+struct Membership {
+  GroupKey Group;
+  /// 0 is the head, which takes the group's requests.
+  unsigned Rank = 0;
+  MemberState State = MemberState::Joining;
+};
+
+/// A target as the platform's registry last showed it.
+struct TargetInfo {
+  VmId Id;
+  ServiceId Service;
+  VmAddress Address;
+  DataCentreId DataCentre;
+  DomainId Domain;
+  bool Draining = false;
+  /// Requests that it runs at a time.
+  unsigned Slots = 1;
+  /// Models whose weights lie on its host.
+  std::vector<std::string> Staged;
+  /// Models that it has loaded.
+  std::vector<std::string> Loaded;
+  std::optional<Membership> Group;
+
+  bool hasStaged(const std::string &Model) const;
+  bool hasLoaded(const std::string &Model) const;
+};
+
+using TargetRef = std::shared_ptr<const TargetInfo>;
+
+/// A target that was listed until lately.
+struct GoneTarget {
+  TargetRef Last;
+  TimePoint Since;
+};
+
+/// All targets that the registry lists.
+struct Fleet {
+  std::map<VmId, TargetRef> Targets;
+  /// Those that went a short while ago: a group's head may serve on unseen.
+  std::map<VmId, GoneTarget> Gone;
+  /// Rises with each change.
+  std::uint64_t Version = 0;
+  TimePoint ChangedAt;
+};
+
+/// Groups carry their model in their name, so that any node can tell from the
+/// registry alone how many members make one whole.
+std::string groupName(const std::string &Model, const DomainId &Domain,
+                      std::uint64_t Epoch);
+/// The model of a group named by groupName; empty for another name.
+std::string modelOf(const std::string &GroupName);
+
+/// A target that takes requests: a plain one, or the head of a whole, open
+/// group.
+struct Serving {
+  TargetRef Target;
+  /// Empty for plain services.
+  std::string Model;
+};
+
+/// What requests choose from, by service. Built anew after each change.
+struct ServingView {
+  std::map<ServiceId, std::vector<Serving>> ByService;
+  std::uint64_t FleetVersion = 0;
+};
+
+using ServingViewRef = std::shared_ptr<const ServingView>;
+
+/// Builds the view. A group serves only where each of its ranks is announced
+/// by a listed target under the same name and epoch and the head says open.
+ServingViewRef makeServingView(const RoutingConfig &Config,
+                               const Fleet &Targets);
+
+} // namespace waycove
