Tell a target that stands still from a busy one; repair groups from smaller ones

Now a request leaves only where another target is free to take it and the allowance holds, and the head moves none of its answers. All VMs of a domain serve: hosts of the smaller model have the larger one staged and are taken for its repair. The owner asks members as soon as its own requests see the head stand still. Loads before the first request are not bounded.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -59,6 +59,7 @@
       readMillis(Map, "member_stall_ms", Result.MemberStall, 100, 3600000);
   Result.LeaseLeast =
       readMillis(Map, "lease_least_ms", Result.LeaseLeast, 10, 600000);
+  Result.FirstStart = Map.flag("first_start", Result.FirstStart);
   Result.WorkParts =
       Map.number("work_parts", false, Result.WorkParts, 1, 100000);
   Result.RegistryHeartbeat = readMillis(Map, "registry_heartbeat_ms",
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -43,6 +43,9 @@
   Millis MemberStall{5000};
   /// Shortest lease that the platform grants on shared work.
   Millis LeaseLeast{1000};
+  /// The whole system starts for the first time: weights may be loaded freely
+  /// until the first request comes.
+  bool FirstStart = false;
   /// Into how many parts the platform deals shared work.
   std::uint64_t WorkParts = 12;
   /// How often targets renew their entry in the platform's registry.
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -46,6 +46,8 @@
   /// which the platform deals evenly.
   std::atomic<double> Share{0};
   std::atomic<bool> Stopping{false};
+  /// A request came since the start.
+  std::atomic<bool> Requested{false};
   std::atomic<std::uint32_t> InFlight{0};
   /// Connections of callers that are open.
   std::atomic<std::uint32_t> Callers{0};
--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -27,6 +27,14 @@
   Unknown,
 };
 
+/// Whether a target can be reached from this node.
+enum class Reach {
+  Answers,
+  /// Its process has ended.
+  Ended,
+  Silent,
+};
+
 /// How orders and questions reach targets. ask() tells what became of a head
 /// whose entry went.
 template <typename C>
@@ -89,6 +97,7 @@
       View.EpochFloor = Mine.Generation << CounterBits;
       View.LoadsAllowed = this->loadsLeft(Engine, Now);
       View.Fates = this->Fates;
+      this->findLost(View);
       DomainPlanner &Planner = this->Planners[Domain];
       std::vector<GroupOrder> Next = Planner.step(View, Engine);
       for (const GroupOrder &Row : Next)
@@ -110,8 +119,16 @@
   static constexpr Millis LoadWindow{5000};
   /// A head is asked this often, and taken for dead after so many questions
   /// without any answer.
-  static constexpr Millis AskEvery{400};
+  static constexpr Millis AskEvery{250};
   static constexpr unsigned SilentAsks = 2;
+  /// Silence of a head that is worth asking its members for: events come up to
+  /// 180 ms apart on a busy engine, first ones up to 0.5 s.
+  static constexpr Millis StillTime{450};
+  /// A member that was taken for dead is looked at anew after this time, if
+  /// it is still listed: the registry drops a dead one within four seconds.
+  static constexpr Millis LostMemory{6000};
+  /// Before the first request of a first start, loads are not bounded.
+  static constexpr unsigned FreeLoads = 1000;
 
   void take(const WorkShare &Share) {
     bool Changed = this->Held.write([&](WorkShare &Row) {
@@ -180,7 +197,66 @@
     return Views;
   }
 
+  /// Where a head stands still under this node's requests, asks its members:
+  /// one that does not answer twice is taken for dead, long before the
+  /// registry drops it. Only the head is then told to leave, so a wrong guess
+  /// costs a repair and breaks no promise.
+  void findLost(DomainView &View) {
+    std::erase_if(this->Silent, [&](const auto &Entry) {
+      return View.Now - Entry.second.At > LostMemory;
+    });
+    std::map<GroupKey, std::vector<TargetRef>> Groups;
+    std::set<GroupKey> Still;
+    for (const TargetRef &Row : View.Targets) {
+      if (!Row->Group)
+        continue;
+      Groups[Row->Group->Group].push_back(Row);
+      if (Row->Group->Rank == 0 && Row->Group->State == MemberState::Open &&
+          this->Board.Vitals.read([&](const VitalsTable &Rows) {
+            return Rows.of(Row->Id).silence(View.Now) > StillTime;
+          }))
+        Still.insert(Row->Group->Group);
+    }
+    for (const GroupKey &Key : Still)
+      this->askMembers(Groups[Key], View.Now);
+    for (const auto &[Id, Row] : this->Silent)
+      if (Row.Silent >= SilentAsks)
+        View.Lost.insert(Id);
+  }
+
+  void askMembers(const std::vector<TargetRef> &Members, TimePoint Now) {
+    std::vector<TargetRef> Due;
+    for (const TargetRef &Row : Members) {
+      Asked &Entry = this->Silent[Row->Id];
+      if (Row->Group->Rank != 0 && Entry.Silent < SilentAsks &&
+          (Entry.At == TimePoint() || Now - Entry.At >= AskEvery))
+        Due.push_back(Row);
+    }
+    std::vector<Reach> Ends(Due.size(), Reach::Answers);
+    {
+      std::vector<std::jthread> Askers;
+      for (std::size_t I = 0; I < Due.size(); ++I)
+        Askers.emplace_back([&, I] { Ends[I] = this->Targets.reach(*Due[I]); });
+    }
+    for (std::size_t I = 0; I < Due.size(); ++I) {
+      Asked &Entry = this->Silent[Due[I]->Id];
+      Entry.At = Now;
+      Entry.Silent = Ends[I] == Reach::Answers ? 0
+                     : Ends[I] == Reach::Ended ? SilentAsks
+                                               : Entry.Silent + 1;
+      if (Ends[I] != Reach::Answers)
+        this->Board.Log.emit(
+            EventCode::DomainReleased, Due[I]->Id.Text,
+            LogFields()
+                .add("reason", "does not answer while its head stands still")
+                .add("group", Due[I]->Group->Group.Name)
+                .add("silent_asks", Entry.Silent));
+    }
+  }
+
   unsigned loadsLeft(const EngineSpec &Engine, TimePoint Now) {
+    if (this->Board.Config.Entry->FirstStart && !this->Board.Requested)
+      return FreeLoads;
     std::erase_if(this->Loads,
                   [&](TimePoint At) { return Now - At > LoadWindow; });
     double Seconds = std::chrono::duration<double>(LoadWindow).count();
@@ -279,6 +355,7 @@
   std::map<DomainId, DomainPlanner> Planners;
   std::map<VmId, HeadFate> Fates;
   std::map<VmId, Asked> Questions;
+  std::map<VmId, Asked> Silent;
   /// Generation at which a target refused for a newer owner's order.
   std::map<VmId, std::uint64_t> FencedAt;
   /// When loads from the shared store were ordered.
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -26,6 +26,7 @@
   /// used for another request.
   bool serve(Channel &Caller, RelayRequest Request) {
     this->Board.InFlight.fetch_add(1);
+    this->Board.Requested = true;
     bool Keep = Request.Head.getKeepAlive() && !this->Board.Stopping;
     CallerAnswer Answer(Caller, Keep, Request.Head.getMethod() != "HEAD");
     RelayRun Run;
@@ -75,6 +76,11 @@
   /// Least silence that counts as standing still. Measured: events come up to
   /// 180 ms apart on a busy engine.
   static constexpr Millis LeastPatience{500};
+  /// When a wait first looks at how the target does otherwise, and again.
+  static constexpr Millis FirstLook{340};
+  static constexpr Millis LookAgain{120};
+  /// A first byte may take this many times what it usually takes there.
+  static constexpr double SlowFactor = 4;
   /// Error bodies and answers of plain services are held whole up to this.
   static constexpr std::size_t MostHeld = 16 << 20;
   static constexpr std::size_t MostHeadBytes = 64 << 10;
@@ -150,9 +156,11 @@
     if (!Ex.Request.Route->mayRepeat() || !this->mayGoOn(Next))
       return false;
     std::optional<Serving> To = this->choose(Next, Now);
-    return To && this->Board.Vitals.read([&](const VitalsTable &Vitals) {
-      return Vitals.of(To->Target->Id).SuspectUntil <= Now;
-    });
+    return To && this->maySpend(Ex.Request.Service, Now) &&
+           this->Board.Vitals.read([&](const VitalsTable &Vitals) {
+             const TargetVitals &Seen = Vitals.of(To->Target->Id);
+             return Seen.SuspectUntil <= Now && !Seen.standsStill(Now);
+           });
   }
 
   AttemptEnd attempt(Exchange &Ex, const Serving &To) {
@@ -164,11 +172,13 @@
       return this->endAttempt(Ex, Try, AttemptEnd::NotSent);
     }
     auto Prompt = static_cast<double>(Ex.Request.Facts.PromptTokens);
+    Try.SentAt = SystemClock{}.now();
+    Try.LastByte = Try.SentAt;
     this->Board.Vitals.write(
-        [&](VitalsTable &Vitals) { Vitals.onStart(Id, Prompt); });
+        [&](VitalsTable &Vitals) { Vitals.onStart(Id, Prompt, Try.SentAt); });
     AttemptEnd End = this->exchange(Ex, Try);
     this->Board.Vitals.write([&](VitalsTable &Vitals) {
-      Vitals.onEnd(Id, Try.FirstByteSeen ? 0 : Prompt);
+      Vitals.onEnd(Id, Try.SentAt, Try.FirstByteSeen, Prompt);
       if (End != AttemptEnd::CallerGone)
         Vitals.onOutcome(Id, End == AttemptEnd::Broken, SystemClock{}.now());
     });
@@ -200,8 +210,6 @@
       Try.Reason = messageOf(Still);
       return AttemptEnd::NotSent;
     }
-    Try.SentAt = SystemClock{}.now();
-    Try.LastByte = Try.SentAt;
     SendFacts Facts{
         Try.To.Target->Id, Ex.Request.Workspace,
         std::chrono::duration_cast<Millis>(Ex.Request.Deadline - Try.SentAt),
@@ -333,6 +341,10 @@
         if (Event->Id)
           Ex.Run.LastEvent = Event->Id;
       }
+      if (!Ready.empty())
+        this->Board.Vitals.write([&](VitalsTable &Vitals) {
+          Vitals.onProgress(Try.To.Target->Id, Try.LastByte);
+        });
       if (!this->sendEvents(Ex, Head, Ready))
         return AttemptEnd::CallerGone;
       if (Body.isDone())
@@ -411,8 +423,7 @@
   /// Waits for more from the target. Nothing where bytes came; else how the
   /// attempt ends.
   std::optional<AttemptEnd> await(Exchange &Ex, Attempt &Try) {
-    Millis Patience = this->patience(Ex);
-    TimePoint Until = std::min(Ex.Request.Deadline, Try.LastByte + Patience);
+    TimePoint Until = std::min(Ex.Request.Deadline, Try.LastByte + FirstLook);
     while (true) {
       Side News = waitEither(*Try.Connection,
                              Try.WatchCaller ? &Ex.Caller : nullptr, Until);
@@ -431,17 +442,37 @@
         Try.Reason = "the deadline passed";
         return AttemptEnd::Stalled;
       }
-      if (Now >= Try.LastByte + Patience && this->mayLeave(Ex, Now)) {
-        Try.Reason = "silent for " + std::to_string(Patience.count()) + " ms";
+      if (this->isSilentTooLong(Ex, Try, Now) && this->mayLeave(Ex, Now)) {
         this->suspect(Try.To.Target->Id, SilentTime, Try.Reason,
                       Ex.Request.Facts.Id);
         return AttemptEnd::Stalled;
       }
-      // Nowhere to go: look again in a while.
-      Until = std::min(Ex.Request.Deadline, Now + LeastPatience / 2);
+      // Look again in a while: others may show that the target stands still.
+      Until = std::min(Ex.Request.Deadline, Now + LookAgain);
     }
   }
 
+  /// Whether the target has to be taken for standing still. A slow answer
+  /// alone does not show it: a busy target gives its other answers meanwhile.
+  bool isSilentTooLong(const Exchange &Ex, Attempt &Try, TimePoint Now) {
+    const HttpRoute &Route = *Ex.Request.Route;
+    TargetVitals Seen = this->Board.Vitals.read(
+        [&](const VitalsTable &Rows) { return Rows.of(Try.To.Target->Id); });
+    Millis Goal = Try.FirstByteSeen ? Route.PauseGoal : Route.Goal;
+    Millis Patience = std::max(LeastPatience, 2 * Goal);
+    if (!Try.FirstByteSeen)
+      Patience = std::max(Patience, Millis(static_cast<std::int64_t>(
+                                        SlowFactor * Seen.FirstByteMs)));
+    bool Still = Seen.standsStill(Now) && !Try.FirstByteSeen;
+    bool TooLong = Now - Try.LastByte >= Patience &&
+                   Now - Seen.LastProgress >= LeastPatience;
+    if (Still)
+      Try.Reason = "none of its answers moves";
+    else if (TooLong)
+      Try.Reason = "silent for " + std::to_string(Patience.count()) + " ms";
+    return Still || TooLong;
+  }
+
   std::optional<AttemptEnd> takeBytes(Attempt &Try, TimePoint Now) {
     IoEnd End = Try.Connection->fillNow();
     if (End == IoEnd::Ok || End == IoEnd::Timeout) {
@@ -452,13 +483,6 @@
     return AttemptEnd::Broken;
   }
 
-  /// How long a target may be silent before the request looks elsewhere.
-  Millis patience(const Exchange &Ex) const {
-    const HttpRoute &Route = *Ex.Request.Route;
-    Millis Goal = Ex.Answer.hasBegun() ? Route.PauseGoal : Route.Goal;
-    return std::max(LeastPatience, 2 * Goal);
-  }
-
   void keepConnection(Attempt &Try, const Poco::Net::HTTPResponse &Head,
                       const TargetFacts &Facts, const BodyDecoder &Body) {
     if (Head.getKeepAlive() && Body.kind() != Framing::UntilClose)
@@ -469,9 +493,8 @@
   void noteFirstByte(const Exchange &Ex, Attempt &Try) {
     TimePoint Now = SystemClock{}.now();
     Try.FirstByteSeen = true;
-    Millis Took = std::chrono::duration_cast<Millis>(Now - Try.SentAt);
     this->Board.Vitals.write([&](VitalsTable &Vitals) {
-      Vitals.onFirstByte(Try.To.Target->Id, Took,
+      Vitals.onFirstByte(Try.To.Target->Id, Try.SentAt,
                          static_cast<double>(Ex.Request.Facts.PromptTokens),
                          Now);
     });
@@ -488,6 +511,13 @@
     });
   }
 
+  bool maySpend(const ServiceId &Service, TimePoint Now) {
+    return this->Board.Spend.write([&](SpendTable &Rows) {
+      auto At = Rows.find(Service);
+      return At != Rows.end() && At->second.allows(this->Board.Share, Now);
+    });
+  }
+
   bool spend(const ServiceId &Service, TimePoint Now) {
     bool Taken = this->Board.Spend.write([&](SpendTable &Rows) {
       auto At = Rows.find(Service);
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -13,6 +13,14 @@
 
 /// Weight of the newest sample in smoothed figures: about the last eight.
 constexpr double Smoothing = 0.125;
+/// First-byte times follow the load faster.
+constexpr double WaitSmoothing = 0.3;
+/// What was learned of a target's wait counts for less as it ages, so that it
+/// is tried again: by half in this time.
+constexpr double WaitHalfLifeSeconds = 1.5;
+/// Silence on all answers under way that means standing still. Measured:
+/// events come up to 180 ms apart on a busy engine.
+constexpr Millis StillTime(320);
 /// What one request in flight counts for, in milliseconds of first-byte time:
 /// measured on a calm day, a group slows by about this much for each request.
 constexpr double WaitPerRequestMs = 12;
@@ -41,34 +49,73 @@
          Query.Avoid.end();
 }
 
+/// The first-byte time to expect: what was measured, and no less than what
+/// the longest waiting request has waited already.
+double firstByteMs(const TargetVitals &Seen, TimePoint Now) {
+  double Age = std::chrono::duration<double>(Now - Seen.FirstByteAt).count();
+  double Known = Seen.FirstByteMs * std::exp2(-Age / WaitHalfLifeSeconds);
+  for (TimePoint Since : Seen.WaitingSince)
+    Known = std::max(
+        Known, std::chrono::duration<double, std::milli>(Now - Since).count());
+  return Known;
+}
+
 double expectedWaitMs(const Serving &Row, const TargetVitals &Seen,
                       const ChoiceQuery &Query) {
-  double Wait = Seen.FirstByteMs + WaitPerRequestMs * Seen.InFlight +
+  double Wait = firstByteMs(Seen, Query.Now) +
+                WaitPerRequestMs * Seen.InFlight +
                 WaitPerThousandTokensMs * Seen.PromptWaiting / 1000;
   if (Row.Target->DataCentre != Query.Here)
     Wait += OtherCentreMs;
-  if (Seen.SuspectUntil > Query.Now)
+  if (Seen.SuspectUntil > Query.Now || Seen.standsStill(Query.Now))
     Wait += SuspectMs;
   return Wait;
 }
 
 } // namespace
 
-void VitalsTable::onStart(const VmId &Target, double PromptTokens) {
+bool TargetVitals::standsStill(TimePoint Now) const {
+  return this->Answering > 0 && Now - this->LastProgress > StillTime;
+}
+
+Millis TargetVitals::silence(TimePoint Now) const {
+  if (this->InFlight == 0)
+    return Millis(0);
+  TimePoint Since = this->LastProgress;
+  if (this->Answering == 0 && !this->WaitingSince.empty())
+    Since = std::max(Since, *std::min_element(this->WaitingSince.begin(),
+                                              this->WaitingSince.end()));
+  return std::chrono::duration_cast<Millis>(Now - Since);
+}
+
+void VitalsTable::onStart(const VmId &Target, double PromptTokens,
+                          TimePoint Now) {
   TargetVitals &Row = this->Rows[Target];
   ++Row.InFlight;
   Row.PromptWaiting += PromptTokens;
+  Row.WaitingSince.push_back(Now);
 }
 
-void VitalsTable::onFirstByte(const VmId &Target, Millis Took,
+void VitalsTable::stopWaiting(TargetVitals &Row, TimePoint SentAt,
+                              double PromptTokens) {
+  auto At = std::find(Row.WaitingSince.begin(), Row.WaitingSince.end(), SentAt);
+  if (At != Row.WaitingSince.end())
+    Row.WaitingSince.erase(At);
+  Row.PromptWaiting = std::max(0.0, Row.PromptWaiting - PromptTokens);
+}
+
+void VitalsTable::onFirstByte(const VmId &Target, TimePoint SentAt,
                               double PromptTokens, TimePoint Now) {
   TargetVitals &Row = this->Rows[Target];
-  auto Sample = static_cast<double>(Took.count());
+  double Sample =
+      std::chrono::duration<double, std::milli>(Now - SentAt).count();
   Row.FirstByteMs =
       Row.FirstByteMs == 0
           ? Sample
-          : Row.FirstByteMs + Smoothing * (Sample - Row.FirstByteMs);
-  Row.PromptWaiting = std::max(0.0, Row.PromptWaiting - PromptTokens);
+          : Row.FirstByteMs + WaitSmoothing * (Sample - Row.FirstByteMs);
+  Row.FirstByteAt = Now;
+  stopWaiting(Row, SentAt, PromptTokens);
+  ++Row.Answering;
   Row.LastProgress = Now;
 }
 
@@ -76,11 +123,15 @@
   this->Rows[Target].LastProgress = Now;
 }
 
-void VitalsTable::onEnd(const VmId &Target, double Unanswered) {
+void VitalsTable::onEnd(const VmId &Target, TimePoint SentAt,
+                        bool FirstByteSeen, double PromptTokens) {
   TargetVitals &Row = this->Rows[Target];
   if (Row.InFlight > 0)
     --Row.InFlight;
-  Row.PromptWaiting = std::max(0.0, Row.PromptWaiting - Unanswered);
+  if (!FirstByteSeen)
+    stopWaiting(Row, SentAt, PromptTokens);
+  else if (Row.Answering > 0)
+    --Row.Answering;
 }
 
 void VitalsTable::onOutcome(const VmId &Target, bool Failed, TimePoint Now) {
--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// VMs of a domain that stay free for repairs, beyond one group of each model.
-constexpr std::size_t VmsPerReserve = 8;
 /// The registry lists a domain's VMs one after the other at the start: plan
 /// when none came for this time.
 constexpr Millis SettleTime(700);
@@ -68,21 +66,16 @@
 std::vector<unsigned> groupsFor(const EngineSpec &Engine, std::size_t Vms) {
   std::vector<unsigned> Counts(Engine.Models.size(), 0);
   std::vector<const ModelSpec *> Order = largestFirst(Engine);
-  std::size_t Reserve = (Vms + VmsPerReserve - 1) / VmsPerReserve;
   std::size_t Free = Vms;
-  auto Take = [&](std::size_t Keep) {
-    bool Any = false;
+  for (bool Any = true; Any;) {
+    Any = false;
     for (const ModelSpec *Row : Order)
-      if (Row->GroupSize > 0 && Free >= Row->GroupSize + Keep) {
+      if (Row->GroupSize > 0 && Free >= Row->GroupSize) {
         Free -= Row->GroupSize;
         ++Counts[static_cast<std::size_t>(Row - Engine.Models.data())];
         Any = true;
       }
-    return Any;
-  };
-  Take(0);
-  while (Take(Reserve))
-    ;
+  }
   return Counts;
 }
 
@@ -97,6 +90,16 @@
   std::vector<GroupOrder> Orders;
   unsigned LoadsLeft = 0;
 
+  bool isUsable(const TargetInfo &Row) const {
+    return !Row.Draining && !this->View.Lost.contains(Row.Id);
+  }
+  std::vector<TargetRef> freeVms() const {
+    std::vector<TargetRef> Free;
+    for (const TargetRef &Row : this->View.Targets)
+      if (this->isUsable(*Row) && !this->Busy.contains(Row->Id))
+        Free.push_back(Row);
+    return Free;
+  }
   void hold(const Announced &Row) {
     for (const auto &[Rank, Vm] : Row.Ranks)
       this->Busy.insert(Vm->Id);
@@ -136,7 +139,7 @@
 
 void DomainPlanner::collect(Step &S) const {
   for (const TargetRef &Row : S.View.Targets) {
-    if (!Row->Group)
+    if (!Row->Group || S.View.Lost.contains(Row->Id))
       continue;
     Announced &Into = S.Groups[Row->Group->Group];
     Into.Ranks[Row->Group->Rank] = Row;
@@ -270,7 +273,7 @@
     auto Listed = [&](const VmId &Id) {
       return std::any_of(
           S.View.Targets.begin(), S.View.Targets.end(),
-          [&](const TargetRef &T) { return T->Id == Id && !T->Draining; });
+          [&](const TargetRef &T) { return T->Id == Id && S.isUsable(*T); });
     };
     bool Late = !S.Groups.contains(Key) && S.View.Now - Row.Since > ShowTime;
     if (Late || !std::all_of(Row.Members.begin(), Row.Members.end(), Listed)) {
@@ -292,9 +295,9 @@
 }
 
 void DomainPlanner::formMissing(Step &S) {
-  std::size_t Usable = static_cast<std::size_t>(
+  auto Usable = static_cast<std::size_t>(
       std::count_if(S.View.Targets.begin(), S.View.Targets.end(),
-                    [](const TargetRef &Row) { return !Row->Draining; }));
+                    [&](const TargetRef &Row) { return S.isUsable(*Row); }));
   std::vector<unsigned> Wanted = groupsFor(S.Engine, Usable);
   for (const ModelSpec *Model : largestFirst(S.Engine)) {
     auto Index = static_cast<std::size_t>(Model - S.Engine.Models.data());
@@ -304,10 +307,13 @@
 }
 
 bool DomainPlanner::form(Step &S, const ModelSpec &Model) {
-  std::vector<TargetRef> Free;
-  for (const TargetRef &Row : S.View.Targets)
-    if (!Row->Draining && !S.Busy.contains(Row->Id))
-      Free.push_back(Row);
+  std::vector<TargetRef> Free = S.freeVms();
+  auto Warm = static_cast<std::size_t>(
+      std::count_if(Free.begin(), Free.end(), [&](const TargetRef &Row) {
+        return loadRank(*Row, Model.Name) < 2;
+      }));
+  if (Warm < Model.GroupSize && this->giveUpSmaller(S, Model, Warm))
+    return false;
   if (Free.size() < Model.GroupSize)
     return false;
   std::stable_sort(Free.begin(), Free.end(),
@@ -344,48 +350,86 @@
   return true;
 }
 
-void DomainPlanner::stageSpares(Step &S) {
-  std::vector<TargetRef> Spares;
-  for (const TargetRef &Row : S.View.Targets)
-    if (!Row->Draining && !S.Busy.contains(Row->Id))
-      Spares.push_back(Row);
-  std::map<std::string, double> Staged;
-  std::vector<TargetRef> Empty;
-  for (const TargetRef &Row : Spares) {
-    bool Any = false;
-    for (const ModelSpec &Model : S.Engine.Models)
-      if (Row->hasStaged(Model.Name)) {
-        Staged[Model.Name] += 1;
-        Any = true;
-      }
-    if (!Any)
-      Empty.push_back(Row);
-  }
-  for (const TargetRef &Row : Empty) {
-    if (S.LoadsLeft == 0)
-      return;
-    // The model whose groups lose members most often is short first.
-    const ModelSpec *Short = nullptr;
-    for (const ModelSpec *Model : largestFirst(S.Engine))
-      if (!Short || Staged[Model->Name] / Model->GroupSize <
-                        Staged[Short->Name] / Short->GroupSize)
-        Short = Model;
-    TimePoint &At = this->Staging[Row->Id];
-    if (!Short)
-      return;
-    Staged[Short->Name] += 1;
-    if (At != TimePoint() &&
-        S.View.Now - At < Short->LoadTime * StageTimeFactor)
+/// Closes a group of a smaller model whose VMs make, with the \p Warm ones that
+/// are free, a group of \p Model without loading weights. True where one is
+/// closed, or still closing.
+bool DomainPlanner::giveUpSmaller(Step &S, const ModelSpec &Model,
+                                  std::size_t Warm) {
+  const std::pair<const GroupKey, Announced> *Best = nullptr;
+  for (const auto &Entry : S.Groups) {
+    const auto &[Key, Row] = Entry;
+    const ModelSpec *Other = S.Engine.model(modelOf(Key.Name));
+    if (!Row.Head || !Other || Other->GroupSize >= Model.GroupSize ||
+        this->HeadLeft.contains(Key))
+      continue;
+    auto Helps = static_cast<std::size_t>(
+        std::count_if(Row.Ranks.begin(), Row.Ranks.end(), [&](const auto &R) {
+          return S.isUsable(*R.second) && R.second->hasStaged(Model.Name);
+        }));
+    MemberState State = Row.Head->Group->State;
+    if (Warm + Helps < Model.GroupSize)
       continue;
-    At = S.View.Now;
-    --S.LoadsLeft;
-    GroupOrder Order;
-    Order.Kind = OrderKind::Stage;
-    Order.To = Row;
-    Order.Model = Short->Name;
-    Order.Reason = "a spare for repairs";
-    S.Orders.push_back(std::move(Order));
+    if (State == MemberState::Closing && this->GivenUp.contains(Key))
+      return true;
+    if (State == MemberState::Open && !Best)
+      Best = &Entry;
   }
+  if (!Best)
+    return false;
+  const auto &[Key, Row] = *Best;
+  this->GivenUp.insert(Key);
+  if (this->mayOrder(Key, OrderKind::Close, S.View.Now))
+    S.Orders.push_back({OrderKind::Close,
+                        Row.Head,
+                        Key,
+                        "",
+                        {},
+                        "its VMs are needed for " + Model.Name});
+  return true;
+}
+
+/// Stages the largest model, whose groups lose members most often, on VMs that
+/// are not of its groups: on free ones first, then below the smaller models.
+void DomainPlanner::stageSpares(Step &S) {
+  const ModelSpec *Largest = nullptr;
+  for (const ModelSpec *Row : largestFirst(S.Engine))
+    if (!Largest)
+      Largest = Row;
+  if (!Largest || S.Engine.ModelsStagedPerHost == 0)
+    return;
+  for (const TargetRef &Row : S.freeVms())
+    if (!this->stage(S, Row, *Largest))
+      return;
+  if (!this->Pending.empty())
+    return;
+  for (const auto &[Key, Group] : S.Groups)
+    if (Group.Head && Group.Head->Group->State == MemberState::Open &&
+        modelOf(Key.Name) != Largest->Name)
+      for (const auto &[Rank, Vm] : Group.Ranks)
+        if (!this->stage(S, Vm, *Largest))
+          return;
+}
+
+/// Orders the staging unless it is done or under way; false where no more
+/// loads may begin.
+bool DomainPlanner::stage(Step &S, const TargetRef &Vm,
+                          const ModelSpec &Model) {
+  if (!S.isUsable(*Vm) || Vm->hasStaged(Model.Name))
+    return true;
+  TimePoint &At = this->Staging[Vm->Id];
+  if (At != TimePoint() && S.View.Now - At < Model.LoadTime * StageTimeFactor)
+    return true;
+  if (S.LoadsLeft == 0)
+    return false;
+  At = S.View.Now;
+  --S.LoadsLeft;
+  GroupOrder Order;
+  Order.Kind = OrderKind::Stage;
+  Order.To = Vm;
+  Order.Model = Model.Name;
+  Order.Reason = "a reserve for repairs";
+  S.Orders.push_back(std::move(Order));
+  return true;
 }
 
 } // namespace waycove
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -45,6 +45,9 @@
   std::vector<GoneTarget> Gone;
   /// Fates of heads that went, as far as asked.
   std::map<VmId, HeadFate> Fates;
+  /// Listed targets that do not answer while their group's head stands still:
+  /// taken for dead, ahead of the registry.
+  std::set<VmId> Lost;
   /// Orders carry epochs above this: the owner's fence.
   std::uint64_t EpochFloor = 0;
   /// Weights that may be read from the shared store in this step, in loads.
@@ -97,7 +100,9 @@
   void dropStaleForming(Step &S);
   void formMissing(Step &S);
   bool form(Step &S, const ModelSpec &Model);
+  bool giveUpSmaller(Step &S, const ModelSpec &Model, std::size_t Warm);
   void stageSpares(Step &S);
+  bool stage(Step &S, const TargetRef &Vm, const ModelSpec &Model);
   bool mayOrder(const GroupKey &Group, OrderKind Kind, TimePoint Now);
   bool isSettled(const DomainView &View);
 
@@ -117,8 +122,9 @@
 };
 
 /// How many groups of each model \p Vms make, the models in the order of
-/// \p Engine: one of each first, then more while a reserve stays free for
-/// repairs.
+/// \p Engine: one of each in turn, the largest first, while they fit. Groups of
+/// smaller models are the reserve of larger ones: their hosts have the larger
+/// model staged, and are taken where a group of it lost a member.
 std::vector<unsigned> groupsFor(const EngineSpec &Engine, std::size_t Vms);
 
 } // namespace waycove
--- a/src/policy/spend.cpp
+++ b/src/policy/spend.cpp
@@ -12,7 +12,7 @@
 
 /// Part of the allowance that is used: the rest covers slices that lie partly
 /// outside the window, and nodes that count fewer peers than there are.
-constexpr double UsedPart = 0.7;
+constexpr double UsedPart = 0.8;
 
 } // namespace
 
@@ -33,7 +33,7 @@
   this->Ring[static_cast<std::size_t>(this->Newest) % Slices].First += 1;
 }
 
-bool RetrySpend::take(double SlackShare, TimePoint Now) {
+bool RetrySpend::allows(double SlackShare, TimePoint Now) {
   this->advance(Now);
   Slice Sum;
   for (const Slice &Row : this->Ring) {
@@ -41,7 +41,11 @@
     Sum.Second += Row.Second;
   }
   double Slack = this->Given.Slack * SlackShare;
-  if (Sum.Second + 1 > UsedPart * (this->Given.Ratio * Sum.First + Slack))
+  return Sum.Second + 1 <= UsedPart * (this->Given.Ratio * Sum.First + Slack);
+}
+
+bool RetrySpend::take(double SlackShare, TimePoint Now) {
+  if (!this->allows(SlackShare, Now))
     return false;
   this->Ring[static_cast<std::size_t>(this->Newest) % Slices].Second += 1;
   return true;
--- a/src/policy/spend.h
+++ b/src/policy/spend.h
@@ -31,6 +31,8 @@
   /// Takes one second send; false where the allowance is spent. \p SlackShare
   /// is this node's part of the slack, 0 to 1.
   bool take(double SlackShare, TimePoint Now);
+  /// Whether take() would allow one.
+  bool allows(double SlackShare, TimePoint Now);
 
 private:
   static constexpr std::size_t Slices = 20;
