Let a head leave before its members are used; open only what this ownership formed

Ruled out: a wrong reading of the registry; the epochs rose. Now members of a group that does not serve are used only after its head took an order to leave, and a group formed before this ownership began is formed anew rather than opened.

--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -84,13 +84,21 @@
   /// Plans all owned domains once and gives the orders.
   void step() {
     TimePoint Now = SystemClock{}.now();
-    if (this->Board.Stopping || !this->Until.holds(Now))
+    WorkShare Mine = this->Held.read([](const WorkShare &Row) { return Row; });
+    if (this->Board.Stopping || !this->Until.holds(Now)) {
+      this->Lapsed = true;
       return;
+    }
+    // While the lease was out, another may have owned and ordered. Where the
+    // generation is the same, nobody has.
+    if (std::exchange(this->Lapsed, false) &&
+        this->PlannedAt != Mine.Generation)
+      this->Planners.clear();
+    this->PlannedAt = Mine.Generation;
     RoutingConfigRef Config = this->Board.Routing.read(
         [](const RoutingConfigRef &Row) { return Row; });
     if (!Config)
       return;
-    WorkShare Mine = this->Held.read([](const WorkShare &Row) { return Row; });
     std::vector<GroupOrder> Orders;
     for (auto &[Domain, View] : this->ownedDomains(*Config, Mine, Now)) {
       const EngineSpec &Engine = *Config->service(View.Service)->Engine;
@@ -98,12 +106,14 @@
       View.LoadsAllowed = this->loadsLeft(Engine, Now);
       View.Fates = this->Fates;
       this->findLost(View);
-      DomainPlanner &Planner = this->Planners[Domain];
-      std::vector<GroupOrder> Next = Planner.step(View, Engine);
-      for (const GroupOrder &Row : Next)
-        this->countLoad(Row, Now);
+      Owned &Row =
+          this->Planners.try_emplace(Domain, View.EpochFloor).first->second;
+      View.OwnedFloor = Row.Floor;
+      std::vector<GroupOrder> Next = Row.Planner.step(View, Engine);
+      for (const GroupOrder &Order : Next)
+        this->countLoad(Order, Now);
       Orders.insert(Orders.end(), Next.begin(), Next.end());
-      this->askAfter(Planner.askAfter(), Now);
+      this->askAfter(Row.Planner.askAfter(), Now);
     }
     this->give(Orders, Mine.Generation);
   }
@@ -327,8 +337,12 @@
       this->Board.Counters.add(Counter::OrdersFailed);
     if (End == OrderEnd::Fenced)
       this->FencedAt[Order.To->Id] = Generation;
-    if (End == OrderEnd::Taken && Order.Kind == OrderKind::Leave)
-      this->Planners[Order.To->Domain].onHeadLeft(Order.Group);
+    // A head that refuses to leave is in another group, or in none.
+    if ((End == OrderEnd::Taken || End == OrderEnd::Refused) &&
+        Order.Kind == OrderKind::Leave)
+      if (auto At = this->Planners.find(Order.To->Domain);
+          At != this->Planners.end())
+        At->second.Planner.onHeadLeft(Order.Group);
     this->Board.Log.emit(EventCode::DomainOrderEnded, Order.To->Id.Text,
                          LogFields()
                              .add("order", orderName(Order.Kind))
@@ -343,6 +357,12 @@
     TimePoint At;
     unsigned Silent = 0;
   };
+  /// A domain's planner, from when its ownership began.
+  struct Owned {
+    explicit Owned(std::uint64_t Floor) : Floor(Floor) {}
+    std::uint64_t Floor;
+    DomainPlanner Planner;
+  };
 
   EntryBoard &Board;
   Shares &Work;
@@ -352,7 +372,10 @@
   std::atomic<bool> Joined{false};
   std::atomic<bool> Lost{false};
   Backoff Waits;
-  std::map<DomainId, DomainPlanner> Planners;
+  std::map<DomainId, Owned> Planners;
+  /// Generation of the last step that planned.
+  std::uint64_t PlannedAt = 0;
+  bool Lapsed = false;
   std::map<VmId, HeadFate> Fates;
   std::map<VmId, Asked> Questions;
   std::map<VmId, Asked> Silent;
--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -162,8 +162,10 @@
 void DomainPlanner::judge(Step &S, const GroupKey &Key, const Announced &Row) {
   bool Serves = Row.Head && (Row.Head->Group->State == MemberState::Open ||
                              Row.Head->Group->State == MemberState::Closing);
-  if (this->HeadLeft.contains(Key) || (this->GivenUp.contains(Key) && !Serves))
+  if (this->HeadLeft.contains(Key))
     return;
+  if (this->GivenUp.contains(Key) && !Serves)
+    return this->release(S, Key, Row, "given up");
   const ModelSpec *Model = S.Engine.model(modelOf(Key.Name));
   std::size_t Size = Model ? Model->GroupSize : 0;
   bool Whole = Row.Ranks.size() == Size;
@@ -234,9 +236,11 @@
                                  const Announced &Row) {
   const ModelSpec *Model = S.Engine.model(modelOf(Key.Name));
   if (!Model || Row.AnyDraining)
-    return;
+    return this->release(S, Key, Row, "a member drains");
   bool Whole = Row.Ranks.size() == Model->GroupSize;
   auto Mine = this->Pending.find(Key);
+  if (Whole && Row.AllReady && Key.Epoch <= S.View.OwnedFloor)
+    return this->release(S, Key, Row, "formed by an earlier owner");
   if (Whole && Row.AllReady) {
     S.hold(Row);
     ++S.Have[Model->Name];
@@ -260,11 +264,22 @@
   if (!Shown || Now - Mine->second.Since > Mine->second.Limit) {
     this->Pending.erase(Mine);
     this->GivenUp.insert(Key);
-    return;
+    return this->release(S, Key, Row, "it does not form in time");
   }
   S.hold(Row);
 }
 
+/// Frees the members of a group that does not serve. An order to open it may
+/// still be on its way to the head, so the head has to leave first.
+void DomainPlanner::release(Step &S, const GroupKey &Key, const Announced &Row,
+                            const std::string &Reason) {
+  if (!Row.Head || Row.Head->Group->State == MemberState::Broken)
+    return;
+  S.hold(Row);
+  if (this->mayOrder(Key, OrderKind::Leave, S.View.Now))
+    S.Orders.push_back({OrderKind::Leave, Row.Head, Key, "", {}, Reason});
+}
+
 /// Members that were ordered and do not show it yet are kept back too; a
 /// group of which a member went, or that does not show in time, is given up.
 void DomainPlanner::dropStaleForming(Step &S) {
@@ -278,10 +293,6 @@
     bool Late = !S.Groups.contains(Key) && S.View.Now - Row.Since > ShowTime;
     if (Late || !std::all_of(Row.Members.begin(), Row.Members.end(), Listed)) {
       this->GivenUp.insert(Key);
-      auto Shown = S.Groups.find(Key);
-      if (Shown != S.Groups.end())
-        for (const auto &[Rank, Vm] : Shown->second.Ranks)
-          S.Busy.erase(Vm->Id);
       return true;
     }
     for (const VmId &Id : Row.Members)
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -50,6 +50,8 @@
   std::set<VmId> Lost;
   /// Orders carry epochs above this: the owner's fence.
   std::uint64_t EpochFloor = 0;
+  /// Groups with epochs up to this were formed before this ownership began.
+  std::uint64_t OwnedFloor = 0;
   /// Weights that may be read from the shared store in this step, in loads.
   unsigned LoadsAllowed = 0;
   TimePoint Now;
@@ -64,7 +66,10 @@
 /// - A VM is taken into a new group only when the head of its present one is
 ///   known not to be open or closing.
 /// - A head is opened only after each member announced ready under the same
-///   name and epoch.
+///   name and epoch, and only in a group of this ownership: an earlier owner's
+///   orders may still be on their way to members of its groups.
+/// - Before members of a group that does not serve are used, its head has to
+///   leave: an order to open may still be on its way.
 /// - Epochs rise with each new group, so what arrives late is refused.
 class DomainPlanner {
 public:
@@ -97,6 +102,8 @@
   void judge(Step &S, const GroupKey &Key, const Announced &Row);
   void judgeHeadless(Step &S, const GroupKey &Key, const Announced &Row);
   void judgeForming(Step &S, const GroupKey &Key, const Announced &Row);
+  void release(Step &S, const GroupKey &Key, const Announced &Row,
+               const std::string &Reason);
   void dropStaleForming(Step &S);
   void formMissing(Step &S);
   bool form(Step &S, const ModelSpec &Model);
