--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -101,6 +101,7 @@
       return;
     std::vector<GroupOrder> Orders;
     std::map<std::string, unsigned> Serving = this->servingGroups();
+    this->forgetFates(Now);
     for (auto &[Domain, View] : this->ownedDomains(*Config, Mine, Now)) {
       const EngineSpec &Engine = *Config->service(View.Service)->Engine;
       View.EpochFloor = Mine.Generation << CounterBits;
@@ -115,7 +116,7 @@
       for (const GroupOrder &Order : Next)
         this->countLoad(Order, Now);
       Orders.insert(Orders.end(), Next.begin(), Next.end());
-      this->askAfter(Row.Planner.askAfter(), Now);
+      this->askAfter(View, Row.Planner.askAfter());
     }
     this->give(Orders, Mine.Generation);
   }
@@ -135,6 +136,9 @@
   static constexpr unsigned SilentAsks = 2;
   /// Once its fate is known, it is asked again this often.
   static constexpr Millis AskAgain{1500};
+  static constexpr Millis FateMemory{2000};
+  /// Targets of a domain that are tried to see whether it can be reached.
+  static constexpr std::size_t ControlAsks = 3;
   /// Silence of a head that is worth asking its members for: events come up to
   /// 180 ms apart on a busy engine, first ones up to 0.5 s.
   static constexpr Millis StillTime{450};
@@ -302,21 +306,25 @@
     return Counts;
   }
 
-  void askAfter(const std::vector<GoneTarget> &Members, TimePoint Now) {
+  /// Asks what became of members whose entries went. Silence says something
+  /// only while another target of the domain answers this node.
+  void askAfter(const DomainView &View,
+                const std::vector<GoneTarget> &Members) {
     for (const GoneTarget &Row : Members) {
       Asked &Entry = this->Questions[Row.Last->Id];
-      bool Settled = this->Fates[Row.Last->Id] != MemberFate::Unknown;
-      if (Entry.At != TimePoint() &&
-          Now - Entry.At < (Settled ? AskAgain : AskEvery))
+      MemberFate &Known = this->Fates[Row.Last->Id];
+      Millis Pause = Known == MemberFate::Unknown ? AskEvery : AskAgain;
+      if (Entry.At != TimePoint() && View.Now - Entry.At < Pause)
         continue;
-      Entry.At = Now;
-      MemberFate Before = this->Fates[Row.Last->Id];
+      Entry.At = View.Now;
       MemberFate Fate = this->Targets.ask(*Row.Last);
-      Entry.Silent = Fate == MemberFate::Unknown ? Entry.Silent + 1 : 0;
+      if (Fate == MemberFate::Unknown && this->reachesAny(View))
+        ++Entry.Silent;
+      else
+        Entry.Silent = 0;
       if (Entry.Silent >= SilentAsks)
         Fate = MemberFate::Dead;
-      this->Fates[Row.Last->Id] = Fate;
-      if (Fate == Before)
+      if (std::exchange(Known, Fate) == Fate)
         continue;
       this->Board.Log.emit(EventCode::DomainReleased, Row.Last->Id.Text,
                            LogFields()
@@ -326,6 +334,25 @@
     }
   }
 
+  bool reachesAny(const DomainView &View) {
+    std::size_t Tries = 0;
+    for (const TargetRef &Row : View.Targets)
+      if (Tries++ < ControlAsks && this->Targets.reach(*Row) == Reach::Answers)
+        return true;
+    return false;
+  }
+
+  /// What was learned of members is of use only while it is new: one that was
+  /// cut off may be back.
+  void forgetFates(TimePoint Now) {
+    std::erase_if(this->Questions, [&](const auto &Entry) {
+      return Now - Entry.second.At > FateMemory;
+    });
+    std::erase_if(this->Fates, [&](const auto &Entry) {
+      return !this->Questions.contains(Entry.first);
+    });
+  }
+
   /// Gives orders to different targets at the same time, so that one that does
   /// not answer holds up none of the others.
   void give(const std::vector<GroupOrder> &Orders, std::uint64_t Generation) {
--- a/src/edge/channel.cpp
+++ b/src/edge/channel.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -55,6 +57,11 @@
   }
 }
 
+void Channel::giveUpUnacknowledged(Millis Time) {
+  this->Socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
+                         static_cast<int>(Time.count()));
+}
+
 IoEnd Channel::fillNow() {
   std::array<char, ReadBytes> Part{};
   ssize_t Got = 0;
--- a/src/edge/channel.h
+++ b/src/edge/channel.h
@@ -33,6 +33,9 @@
   static IoEnd dial(const VmAddress &To, TimePoint Until,
                     std::optional<Channel> &Into);
 
+  /// Breaks the connection where bytes sent are not acknowledged for \p Time:
+  /// a host without power says nothing else.
+  void giveUpUnacknowledged(Millis Time);
   /// Waits for bytes and appends them to the buffer.
   IoEnd fill(TimePoint Until);
   /// Appends what is there without waiting; Timeout where nothing is.
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -62,6 +62,8 @@
     std::string Reason;
   };
 
+  /// For a connection, and for a host to acknowledge what was sent: data
+  /// centres are some ms apart, and a lost packet is sent again after 200 ms.
   static constexpr Millis DialTime{300};
   /// Sends of one request, with those that targets did not take.
   static constexpr unsigned MostSends = 5;
@@ -196,6 +198,8 @@
     IoEnd End = Channel::dial(Try.To.Target->Address,
                               std::min(Ex.Request.Deadline, Now + DialTime),
                               Try.Connection);
+    if (End == IoEnd::Ok && Ex.Request.Route->mayRepeat())
+      Try.Connection->giveUpUnacknowledged(DialTime);
     if (End != IoEnd::Ok)
       Try.Reason = End == IoEnd::Timeout ? "no connection in time"
                                          : "connection refused";
--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -53,6 +53,14 @@
   return Row.hasStaged(Model) ? 1 : 2;
 }
 
+std::size_t countWarm(const std::vector<TargetRef> &Free,
+                      const ModelSpec &Model) {
+  return static_cast<std::size_t>(
+      std::count_if(Free.begin(), Free.end(), [&](const TargetRef &Row) {
+        return loadRank(*Row, Model.Name) < 2;
+      }));
+}
+
 } // namespace
 
 std::string_view orderName(OrderKind Kind) {
@@ -341,14 +349,17 @@
     while (S.Have[Model->Name] < Wanted[Index] && this->form(S, *Model))
       ++S.Have[Model->Name];
   }
+  // Hosts that are ready for another group than planned serve rather than
+  // rest.
+  for (const ModelSpec *Model : largestFirst(S.Engine))
+    while (countWarm(S.freeVms(), *Model) >= Model->GroupSize &&
+           this->form(S, *Model))
+      ++S.Have[Model->Name];
 }
 
 bool DomainPlanner::form(Step &S, const ModelSpec &Model) {
   std::vector<TargetRef> Free = S.freeVms();
-  auto Warm = static_cast<std::size_t>(
-      std::count_if(Free.begin(), Free.end(), [&](const TargetRef &Row) {
-        return loadRank(*Row, Model.Name) < 2;
-      }));
+  std::size_t Warm = countWarm(Free, Model);
   if (Warm < Model.GroupSize && this->giveUpSmaller(S, Model, Warm))
     return false;
   if (Free.size() < Model.GroupSize)
