Let each member of a lost head leave before it is used

Ruled out: asking longer; no node can tell a dark head from one that is cut off from it. Now a member of a head that cannot be asked takes an order to leave first, which makes the head stand still if it lives, and is then in no group. That is safe however wrong the guess, so a silent head no longer has to wait for the registry.

--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -215,8 +215,8 @@
 
   /// Where a head stands still under this node's requests, asks its members:
   /// one that does not answer twice is taken for dead, long before the
-  /// registry drops it. Only the head is then told to leave, so a wrong guess
-  /// costs a repair and breaks no promise.
+  /// registry drops it. Whoever is used again is told to leave first, so a
+  /// wrong guess costs a repair and breaks no promise.
   void findLost(DomainView &View) {
     std::erase_if(this->Silent, [&](const auto &Entry) {
       return View.Now - Entry.second.At > LostMemory;
@@ -244,7 +244,7 @@
     std::vector<TargetRef> Due;
     for (const TargetRef &Row : Members) {
       Asked &Entry = this->Silent[Row->Id];
-      if (Row->Group->Rank != 0 && Entry.Silent < SilentAsks &&
+      if (Entry.Silent < SilentAsks &&
           (Entry.At == TimePoint() || Now - Entry.At >= AskEvery))
         Due.push_back(Row);
     }
@@ -254,7 +254,10 @@
       for (std::size_t I = 0; I < Due.size(); ++I)
         Askers.emplace_back([&, I] { Ends[I] = this->Targets.reach(*Due[I]); });
     }
-    for (std::size_t I = 0; I < Due.size(); ++I) {
+    // Where nobody answers, it is this node that is cut off.
+    bool Any =
+        std::find(Ends.begin(), Ends.end(), Reach::Answers) != Ends.end();
+    for (std::size_t I = 0; Any && I < Due.size(); ++I) {
       Asked &Entry = this->Silent[Due[I]->Id];
       Entry.At = Now;
       Entry.Silent = Ends[I] == Reach::Answers ? 0
@@ -383,12 +386,12 @@
       this->Board.Counters.add(Counter::OrdersFailed);
     if (End == OrderEnd::Fenced)
       this->FencedAt[Order.To->Id] = Generation;
-    // A head that refuses to leave is in another group, or in none.
+    // One that refuses to leave is in another group, or in none.
     if ((End == OrderEnd::Taken || End == OrderEnd::Refused) &&
         Order.Kind == OrderKind::Leave)
       if (auto At = this->Planners.find(Order.To->Domain);
           At != this->Planners.end())
-        At->second.Planner.onHeadLeft(Order.Group);
+        At->second.Planner.onLeft(Order);
     this->Board.Log.emit(EventCode::DomainOrderEnded, Order.To->Id.Text,
                          LogFields()
                              .add("order", orderName(Order.Kind))
--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -21,9 +21,6 @@
 /// A group forms in its load time; shared loading may double it.
 constexpr int LoadTimeFactor = 3;
 constexpr Millis FormSlack(3000);
-/// A head that cannot be asked is taken for gone after this time: it stands
-/// still for 5 s at most before it breaks by itself.
-constexpr Millis HeadlessLimit(7000);
 /// Staging is given again where it did not show after this.
 constexpr int StageTimeFactor = 3;
 /// Hosts of one domain that are staged at the same time: the store slows down
@@ -137,8 +134,13 @@
   return std::move(S.Orders);
 }
 
-void DomainPlanner::onHeadLeft(const GroupKey &Group) {
-  this->HeadLeft.insert(Group);
+void DomainPlanner::onLeft(const GroupOrder &Order) {
+  bool WasHead = Order.To->Group && Order.To->Group->Group == Order.Group &&
+                 Order.To->Group->Rank == 0;
+  if (WasHead)
+    this->HeadLeft.insert(Order.Group);
+  else
+    this->MemberLeft.insert({Order.Group, Order.To->Id});
 }
 
 bool DomainPlanner::isSettled(const DomainView &View) {
@@ -167,8 +169,8 @@
 }
 
 bool DomainPlanner::mayOrder(const GroupKey &Group, OrderKind Kind,
-                             TimePoint Now) {
-  TimePoint &Last = this->LastOrder[{Group, Kind}];
+                             const VmId &To, TimePoint Now) {
+  TimePoint &Last = this->LastOrder[{Group, Kind, To}];
   if (Last != TimePoint() && Now - Last < RepeatTime)
     return false;
   Last = Now;
@@ -202,7 +204,7 @@
   OrderKind Kind = Whole ? OrderKind::Close : OrderKind::Leave;
   if (Kind == OrderKind::Close && State == MemberState::Closing)
     return;
-  if (this->mayOrder(Key, Kind, S.View.Now))
+  if (this->mayOrder(Key, Kind, Row.Head->Id, S.View.Now))
     S.Orders.push_back({Kind,
                         Row.Head,
                         Key,
@@ -234,30 +236,22 @@
 
 void DomainPlanner::judgeHeadless(Step &S, const GroupKey &Key,
                                   const Announced &Row) {
-  // A head that is listed under another group or none has left this one.
+  if (this->Pending.contains(Key))
+    return this->judgeForming(S, Key, Row);
   auto Head = std::find_if(
       S.View.Gone.begin(), S.View.Gone.end(), [&](const GoneTarget &Gone) {
         return Gone.Last->Group && Gone.Last->Group->Group == Key &&
                Gone.Last->Group->Rank == 0;
       });
-  TimePoint &Since = this->HeadlessSince[Key];
-  if (Since == TimePoint())
-    Since = S.View.Now;
-  if (this->Pending.contains(Key))
-    return this->judgeForming(S, Key, Row);
-  bool TooLong = S.View.Now - Since > HeadlessLimit;
-  if (Head == S.View.Gone.end()) {
-    // Never seen: it left, or it went before this node could see it.
-    if (!TooLong)
-      S.hold(Row);
-    return;
-  }
+  // Listed but lost, moved to another group, or never seen: nobody to ask.
+  if (Head == S.View.Gone.end())
+    return this->releaseEach(S, Key, Row);
   MemberFate Fate = this->fateOf(S, *Head);
   if (Fate == MemberFate::Dead)
-    return;
+    return this->releaseEach(S, Key, Row);
   S.hold(Row);
   if (Fate == MemberFate::Alive &&
-      this->mayOrder(Key, OrderKind::Leave, S.View.Now))
+      this->mayOrder(Key, OrderKind::Leave, Head->Last->Id, S.View.Now))
     S.Orders.push_back({OrderKind::Leave,
                         Head->Last,
                         Key,
@@ -266,6 +260,19 @@
                         "its entry in the registry is gone"});
 }
 
+/// Frees the members of a group whose head cannot be told to leave.
+void DomainPlanner::releaseEach(Step &S, const GroupKey &Key,
+                                const Announced &Row) {
+  for (const auto &[Rank, Vm] : Row.Ranks) {
+    if (this->MemberLeft.contains({Key, Vm->Id}))
+      continue;
+    S.Busy.insert(Vm->Id);
+    if (this->mayOrder(Key, OrderKind::Leave, Vm->Id, S.View.Now))
+      S.Orders.push_back(
+          {OrderKind::Leave, Vm, Key, "", {}, "its head is lost"});
+  }
+}
+
 void DomainPlanner::judgeForming(Step &S, const GroupKey &Key,
                                  const Announced &Row) {
   const ModelSpec *Model = S.Engine.model(modelOf(Key.Name));
@@ -278,7 +285,7 @@
   if (Whole && Row.AllReady) {
     S.hold(Row);
     ++S.Have[Model->Name];
-    if (this->mayOrder(Key, OrderKind::Open, S.View.Now))
+    if (this->mayOrder(Key, OrderKind::Open, Row.Head->Id, S.View.Now))
       S.Orders.push_back(
           {OrderKind::Open, Row.Head, Key, Model->Name, {}, "all are ready"});
     return;
@@ -307,10 +314,12 @@
 /// still be on its way to the head, so the head has to leave first.
 void DomainPlanner::release(Step &S, const GroupKey &Key, const Announced &Row,
                             const std::string &Reason) {
-  if (!Row.Head || Row.Head->Group->State == MemberState::Broken)
+  if (!Row.Head)
+    return this->releaseEach(S, Key, Row);
+  if (Row.Head->Group->State == MemberState::Broken)
     return;
   S.hold(Row);
-  if (this->mayOrder(Key, OrderKind::Leave, S.View.Now))
+  if (this->mayOrder(Key, OrderKind::Leave, Row.Head->Id, S.View.Now))
     S.Orders.push_back({OrderKind::Leave, Row.Head, Key, "", {}, Reason});
 }
 
@@ -439,7 +448,7 @@
     return false;
   const auto &[Key, Row] = *Best;
   this->GivenUp.insert(Key);
-  if (this->mayOrder(Key, OrderKind::Close, S.View.Now))
+  if (this->mayOrder(Key, OrderKind::Close, Row.Head->Id, S.View.Now))
     S.Orders.push_back({OrderKind::Close,
                         Row.Head,
                         Key,
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -6,6 +6,8 @@
 
 #include "policy/fleet.h"
 
+#include <tuple>
+
 namespace waycove {
 
 /// What a target can be told about groups.
@@ -74,14 +76,17 @@
 ///   name and epoch, and only in a group of this ownership: an earlier owner's
 ///   orders may still be on their way to members of its groups.
 /// - Before members of a group that does not serve are used, its head has to
-///   leave: an order to open may still be on its way.
+///   leave: an order to open may still be on its way. Where the head cannot be
+///   asked, each member has to leave itself: a head that lives after all then
+///   stands still, and no VM is in two groups.
 /// - Epochs rise with each new group, so what arrives late is refused.
 class DomainPlanner {
 public:
   std::vector<GroupOrder> step(const DomainView &View,
                                const EngineSpec &Engine);
-  /// The head took the order to leave: its members are free.
-  void onHeadLeft(const GroupKey &Group);
+  /// The target of \p Order, a Leave, is no longer in that group. Where it was
+  /// the head, all members are free.
+  void onLeft(const GroupOrder &Order);
   /// Members that went and whose fate has to be asked.
   const std::vector<GoneTarget> &askAfter() const { return this->Questions; }
 
@@ -112,6 +117,7 @@
   void judgeForming(Step &S, const GroupKey &Key, const Announced &Row);
   void release(Step &S, const GroupKey &Key, const Announced &Row,
                const std::string &Reason);
+  void releaseEach(Step &S, const GroupKey &Key, const Announced &Row);
   void dropStaleForming(Step &S);
   void formMissing(Step &S);
   bool form(Step &S, const ModelSpec &Model);
@@ -119,17 +125,19 @@
   void stageSpares(Step &S);
   const ModelSpec *scarcest(const Step &S) const;
   bool stage(Step &S, const TargetRef &Vm);
-  bool mayOrder(const GroupKey &Group, OrderKind Kind, TimePoint Now);
+  bool mayOrder(const GroupKey &Group, OrderKind Kind, const VmId &To,
+                TimePoint Now);
   bool isSettled(const DomainView &View);
 
   std::map<GroupKey, Forming> Pending;
   /// Groups whose head took the order to leave.
   std::set<GroupKey> HeadLeft;
+  /// Members of groups without head that took the order to leave.
+  std::set<std::pair<GroupKey, VmId>> MemberLeft;
   /// Groups that did not form in time; never opened by this planner.
   std::set<GroupKey> GivenUp;
-  std::map<std::pair<GroupKey, OrderKind>, TimePoint> LastOrder;
+  std::map<std::tuple<GroupKey, OrderKind, VmId>, TimePoint> LastOrder;
   std::map<VmId, TimePoint> Staging;
-  std::map<GroupKey, TimePoint> HeadlessSince;
   std::vector<GoneTarget> Questions;
   std::uint64_t LastEpoch = 0;
   std::size_t SeenTargets = 0;
