Load weights on resting hosts for a model that is short of groups

Cause: with the larger model staged everywhere, free hosts rested while the smaller one was down to a third of its groups; a new owner waited for the list to settle though groups stood.

--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -28,6 +28,10 @@
 constexpr int StagingsAtOnce = 1;
 /// Guards a division where the operators state no share of the work.
 constexpr double LeastNeed = 1e-3;
+/// A model is short of groups below this part of the best supplied one's, for
+/// their parts of the work, and very short below the second.
+constexpr double ScarcePart = 0.7;
+constexpr double VeryScarcePart = 0.35;
 /// A group is given up for a larger model only while its own model keeps this
 /// part of the larger one's groups.
 constexpr double KeptPart = 0.5;
@@ -103,6 +107,13 @@
   std::vector<GroupOrder> Orders;
   unsigned LoadsLeft = 0;
 
+  /// Groups that serve the model, for its part of the work.
+  double supply(const ModelSpec &Model) const {
+    auto At = this->View.Serving.find(Model.Name);
+    double Groups = At == this->View.Serving.end() ? 0 : At->second;
+    // The share of the work counts VMs; groups are compared.
+    return Groups / std::max(Model.WorkShare / Model.GroupSize, LeastNeed);
+  }
   bool isUsable(const TargetInfo &Row) const {
     return !Row.Draining && !this->View.Lost.contains(Row.Id);
   }
@@ -144,8 +155,11 @@
 }
 
 bool DomainPlanner::isSettled(const DomainView &View) {
-  if (this->Began)
-    return true;
+  bool Formed =
+      std::any_of(View.Targets.begin(), View.Targets.end(),
+                  [](const TargetRef &Row) { return Row->Group.has_value(); });
+  if (this->Began || Formed)
+    return this->Began = true;
   if (View.Targets.size() != this->SeenTargets) {
     this->SeenTargets = View.Targets.size();
     this->SettledAt = View.Now;
@@ -364,9 +378,26 @@
     while (countWarm(S.freeVms(), *Model) >= Model->GroupSize &&
            this->form(S, *Model))
       ++S.Have[Model->Name];
+  this->formScarce(S);
 }
 
-bool DomainPlanner::form(Step &S, const ModelSpec &Model) {
+/// Loads weights for a model that is short of groups, on hosts that would rest.
+/// One stays as a reserve, unless the model is very short.
+void DomainPlanner::formScarce(Step &S) {
+  const ModelSpec *Scarce = this->scarcest(S);
+  if (!Scarce)
+    return;
+  double Most = 0;
+  for (const ModelSpec &Row : S.Engine.Models)
+    Most = std::max(Most, S.supply(Row));
+  if (S.supply(*Scarce) >= ScarcePart * Most)
+    return;
+  std::size_t Reserve = S.supply(*Scarce) < VeryScarcePart * Most ? 0 : 1;
+  if (S.freeVms().size() >= Scarce->GroupSize + Reserve)
+    this->form(S, *Scarce, true);
+}
+
+bool DomainPlanner::form(Step &S, const ModelSpec &Model, bool LoadsAnyway) {
   std::vector<TargetRef> Free = S.freeVms();
   std::size_t Warm = countWarm(Free, Model);
   if (Warm < Model.GroupSize && this->giveUpSmaller(S, Model, Warm))
@@ -377,7 +408,8 @@
   // meanwhile the others may serve, unless nothing serves the model at all.
   bool Staging =
       S.Engine.ModelsStagedPerHost > 0 && S.View.LoadsAllowed < FreeLoads;
-  if (Warm < Model.GroupSize && Staging && S.View.Serving.contains(Model.Name))
+  if (Warm < Model.GroupSize && Staging && !LoadsAnyway &&
+      S.View.Serving.contains(Model.Name))
     return false;
   std::stable_sort(Free.begin(), Free.end(),
                    [&](const TargetRef &Left, const TargetRef &Right) {
@@ -485,11 +517,7 @@
   const ModelSpec *Best = nullptr;
   double Least = 0;
   for (const ModelSpec *Row : largestFirst(S.Engine)) {
-    auto At = S.View.Serving.find(Row->Name);
-    double Supply = At == S.View.Serving.end() ? 0 : At->second;
-    // The share of the work counts VMs; groups are compared.
-    double Need = Row->WorkShare / Row->GroupSize;
-    double Rate = Supply / std::max(Need, LeastNeed);
+    double Rate = S.supply(*Row);
     if (!Best || Rate < Least) {
       Best = Row;
       Least = Rate;
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -120,7 +120,8 @@
   void releaseEach(Step &S, const GroupKey &Key, const Announced &Row);
   void dropStaleForming(Step &S);
   void formMissing(Step &S);
-  bool form(Step &S, const ModelSpec &Model);
+  bool form(Step &S, const ModelSpec &Model, bool LoadsAnyway = false);
+  void formScarce(Step &S);
   bool giveUpSmaller(Step &S, const ModelSpec &Model, std::size_t Warm);
   void stageSpares(Step &S);
   const ModelSpec *scarcest(const Step &S) const;
