Test the entry end to end against the stand-ins

The stand-in platform and targets learn what platform/ speaks, faults in a table; fifteen cases with real processes: resumed streams, a killed member, once-only calls, stray and unsigned answers, keys taken away, the store away, a planned stop, ambiguous framing. No functional change.

--- /dev/null
+++ b/tests/failure/entry_test.cpp
@@ -0,0 +1,319 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// An entry on the platform, as real processes: what callers get while targets
+// fail, keys are taken away and the store is gone.
+#include "support/cluster.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/StreamSocket.h>
+#include <array>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <thread>
+
+namespace waycove::test {
+
+namespace {
+
+constexpr int StreamEvents = 40;
+
+std::string configOf(int Version, const std::string &Key) {
+  const std::string Route =
+      R"("host":"a.example","timeout_ms":6000,"goal_ms":300,"priority":1,)";
+  return R"({"version":)" + std::to_string(Version) + R"(,"routes":[)" +
+         R"({"name":"chat",)" + Route +
+         R"("path_prefix":"/chat/","type":"streaming","service":"llm",)"
+         R"("max_attempts":2,"resumable":true,"gap_target_ms":200},)"
+         R"({"name":"once",)" +
+         Route +
+         R"("path_prefix":"/once/","type":"non_idempotent","service":"plain",)"
+         R"("max_attempts":1},{"name":"safe",)" +
+         Route +
+         R"("path_prefix":"/safe/","type":"idempotent","service":"plain",)"
+         R"("max_attempts":2}],"services":[{"name":"plain","max_conns":50},)"
+         R"({"name":"llm","max_conns":50,"engine":{"slots":8,"retains":1,)"
+         R"("loads_per_s":50,"models":[{"name":"model","size":2,"share":1,)"
+         R"("pace":1,"load_s":0.1,"warm_s":0.05}]}}],)"
+         R"("tenants":[{"name":"w1","api_keys":[")" +
+         Key + R"("]}]})";
+}
+
+} // namespace
+
+/// One entry before four engines, that make two groups, and two plain targets.
+struct EntryFixture {
+  EntryFixture() {
+    this->Run.addVms("e", 4, "a", "d");
+    this->Run.addVms("p", 2, "a", "", "plain");
+    this->Run.addNode("n1", "a");
+    this->Run.TargetFlags = {"--token_ms=10", "--load_ms=50",
+                             "--registry=127.0.0.1:" +
+                                 std::to_string(this->Run.platformPort())};
+    this->Run.ExtraSettings =
+        "entry: {ready: '127.0.0.1:" +
+        std::to_string(this->Run.peerPort("n1") + 1) +
+        "', revoke_bound_ms: 1500, grace_ms: 4000, first_start: true}";
+    this->Run.startPlatform();
+    this->publish(1, "key-1");
+    for (const char *Vm : {"e-1", "e-2", "e-3", "e-4", "p-1", "p-2"})
+      this->Run.startVm(Vm);
+    this->Run.startNode("n1");
+    REQUIRE(eventually([&] { return this->isReady(); }));
+    REQUIRE(eventually([&] {
+      return this->Run.logOf("n1").find("\"targets\":4") != std::string::npos;
+    }));
+  }
+
+  void publish(int Version, const std::string &Key) {
+    this->Run.atPlatform({"POST",
+                          "/store/put?topic=keyed.op&key=config",
+                          configOf(Version, Key),
+                          {}});
+  }
+  bool isReady() {
+    return http(static_cast<std::uint16_t>(this->Run.peerPort("n1") + 1),
+                {.Path = "/api/ready"})
+               .Status == 200;
+  }
+  Reply call(const std::string &Path, const std::string &Id,
+             const std::string &Key = "key-1") {
+    return this->Run.ask("n1", {"POST",
+                                Path,
+                                "body",
+                                {{"Host", "a.example"},
+                                 {"Authorization", "Bearer " + Key},
+                                 {"X-Request-Id", Id},
+                                 {"X-Model", "model"},
+                                 {"X-Token-Count", "100,50"},
+                                 {"X-Deadline-Ms", "6000"}}});
+  }
+  void faultAll(const std::string &Prefix, int Count,
+                const std::string &Fault) {
+    for (int I = 1; I <= Count; ++I)
+      this->Run.vmFault(Prefix + "-" + std::to_string(I),
+                        "{\"call\":\"" + Fault + "\"}");
+  }
+  std::uint64_t runs(const std::string &Vm) {
+    return this->Run.atVm(Vm, {.Path = "/runs"}).number("runs");
+  }
+  std::uint64_t plainRuns() { return this->runs("p-1") + this->runs("p-2"); }
+  static std::string wholeStream() {
+    std::string Text;
+    for (int I = 1; I <= StreamEvents; ++I)
+      Text += "id: " + std::to_string(I) + "\ndata: piece " +
+              std::to_string(I) + "\n\n";
+    return Text;
+  }
+
+  Cluster Run;
+};
+
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: sound targets: streams and calls pass unchanged",
+                 "[failure]") {
+  Reply Stream = this->call("/chat/x", "r1");
+  CHECK(Stream.Status == 200);
+  CHECK(Stream.Body == wholeStream());
+  CHECK_FALSE(Stream.Cut);
+  CHECK(this->call("/once/x", "r2").Body == "ran r2 for w1 body");
+  CHECK(this->call("/nowhere/", "r3").Status == 404);
+  CHECK(this->call("/safe/x", "r4", "no-key").Status == 401);
+}
+
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: a head dies within a stream: goes on elsewhere whole",
+                 "[failure]") {
+  // All heads break off after five events; each may be resumed once more.
+  this->Run.vmFault("e-1", R"({"call":"die_after"})");
+  this->Run.vmFault("e-2", R"({"call":"die_after"})");
+  for (int I = 0; I < 6; ++I) {
+    Reply Stream = this->call("/chat/x", "r" + std::to_string(I));
+    CHECK(Stream.Status == 200);
+    CHECK(Stream.Body == wholeStream());
+  }
+}
+
+TEST_CASE_METHOD(
+    EntryFixture,
+    "entry: a head stands still within a stream: goes on elsewhere",
+    "[failure]") {
+  this->Run.vmFault("e-1", R"({"call":"still"})");
+  this->Run.vmFault("e-2", R"({"call":"still"})");
+  for (int I = 0; I < 3; ++I)
+    CHECK(this->call("/chat/x", "r" + std::to_string(I)).Body == wholeStream());
+}
+
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: a killed member: its group is formed anew",
+                 "[failure]") {
+  this->Run.killVm("e-2");
+  this->Run.killVm("e-1");
+  CHECK(eventually([&] {
+    Reply Stream = this->call("/chat/x", "again");
+    return Stream.Status == 200 && Stream.Body == wholeStream();
+  }));
+}
+
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: a once-only call breaks after it ran: 502, run once",
+                 "[failure]") {
+  this->faultAll("p", 2, "run_reset");
+  Reply Answer = this->call("/once/x", "r1");
+  CHECK(Answer.Status == 502);
+  CHECK(Answer.RetryAfter.empty());
+  CHECK(this->plainRuns() == 1);
+}
+
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: a repeatable call fails once: answered by another",
+                 "[failure]") {
+  this->Run.vmFault("p-1", R"({"call":"run_reset"})");
+  for (int I = 0; I < 4; ++I)
+    CHECK(this->call("/safe/x", "r" + std::to_string(I)).Status == 200);
+  this->faultAll("p", 2, "failed");
+  CHECK(this->call("/safe/x", "r9").Status == 500);
+}
+
+TEST_CASE_METHOD(
+    EntryFixture,
+    "entry: all targets refuse: 503 at once with when to come back",
+    "[failure]") {
+  this->faultAll("p", 2, "busy");
+  auto Before = std::chrono::steady_clock::now();
+  Reply Answer = this->call("/once/x", "r1");
+  CHECK(Answer.Status == 503);
+  CHECK_FALSE(Answer.RetryAfter.empty());
+  CHECK(std::chrono::steady_clock::now() - Before < std::chrono::seconds(1));
+  CHECK(this->plainRuns() == 0);
+}
+
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: another's answer comes first: the right one is given",
+                 "[failure]") {
+  this->faultAll("p", 2, "extra");
+  CHECK(this->call("/once/x", "r1").Body == "ran r1 for w1 body");
+}
+
+TEST_CASE_METHOD(EntryFixture, "entry: an unsigned success: never given as one",
+                 "[failure]") {
+  this->faultAll("p", 2, "unsigned");
+  CHECK(this->call("/once/x", "r1").Status == 502);
+}
+
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: a key is taken away: refused, and the new one taken",
+                 "[failure]") {
+  this->publish(2, "key-2");
+  CHECK(eventually(
+      [&] { return this->call("/safe/x", "r1", "key-2").Status == 200; }));
+  CHECK(this->call("/safe/x", "r2").Status == 401);
+  // An older version never comes back.
+  this->publish(1, "key-1");
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  CHECK(this->call("/safe/x", "r3").Status == 401);
+}
+
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: a malformed configuration: the good one stays",
+                 "[failure]") {
+  for (const char *Bad : {"{", "[]", "{\"version\":9}"})
+    this->Run.atPlatform(
+        {"POST", "/store/put?topic=keyed.op&key=config", Bad, {}});
+  this->Run.atPlatform({"POST",
+                        "/store/put?topic=keyed.servers&key=odd",
+                        "{\"address\":5}",
+                        {}});
+  CHECK(eventually([&] {
+    return this->Run.logOf("n1").find("config_refused") != std::string::npos &&
+           this->Run.logOf("n1").find("registry_refused") != std::string::npos;
+  }));
+  CHECK(this->call("/safe/x", "r1").Status == 200);
+}
+
+TEST_CASE_METHOD(
+    EntryFixture,
+    "entry: the store is away: keys are refused in time, not ready",
+    "[failure]") {
+  for (const char *How : {"refuse", "silent"}) {
+    this->Run.atPlatform(
+        {"POST", std::string("/store/down?how=") + How, "", {}});
+    CHECK(eventually([&] { return this->call("/safe/x", "r1").Status == 503; },
+                     std::chrono::milliseconds(4500)));
+    CHECK_FALSE(this->isReady());
+    this->Run.atPlatform({"POST", "/store/down?how=no", "", {}});
+    CHECK(
+        eventually([&] { return this->call("/safe/x", "r2").Status == 200; }));
+  }
+}
+
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: the caller leaves: the target's stream is dropped",
+                 "[failure]") {
+  const std::string Bytes =
+      "POST /chat/x HTTP/1.1\r\nHost: a.example\r\nX-Model: model\r\n"
+      "Authorization: Bearer key-1\r\nX-Request-Id: gone\r\n"
+      "Content-Length: 0\r\n\r\n";
+  {
+    Poco::Net::StreamSocket Socket(
+        Poco::Net::SocketAddress("127.0.0.1", this->Run.httpPort("n1")));
+    Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+    std::array<char, 64> Part{};
+    REQUIRE(Socket.receiveBytes(Part.data(), Part.size()) > 0);
+  }
+  CHECK(eventually(
+      [&] {
+        std::uint64_t Left = 0;
+        for (const char *Vm : {"e-1", "e-2", "e-3", "e-4"})
+          Left += this->Run.atVm(Vm, {.Path = "/runs"}).number("left");
+        return Left == 1;
+      },
+      std::chrono::milliseconds(500)));
+}
+
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: a planned stop: answers in flight are completed",
+                 "[failure]") {
+  Reply Stream;
+  std::thread Caller([&] { Stream = this->call("/chat/x", "r1"); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  this->Run.node("n1").signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  CHECK_FALSE(this->isReady());
+  CHECK(this->call("/safe/x", "r2").Status == 200);
+  Caller.join();
+  CHECK(Stream.Body == wholeStream());
+  CHECK(this->Run.node("n1").wait(std::chrono::milliseconds(5000)) == 0);
+  CHECK(this->Run.logOf("n1").find("daemon_stopped") != std::string::npos);
+}
+
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: bytes that may hide a request: refused and closed",
+                 "[failure]") {
+  for (const char *Fields :
+       {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 4\r\nContent-Length: 5\r\n",
+        "Transfer-Encoding: identity\r\n"}) {
+    std::string Bytes = "POST /safe/x HTTP/1.1\r\nHost: a.example\r\n" +
+                        std::string(Fields) +
+                        "\r\n0\r\n\r\nGET /safe/y HTTP/1.1\r\n\r\n";
+    Poco::Net::StreamSocket Socket(
+        Poco::Net::SocketAddress("127.0.0.1", this->Run.httpPort("n1")));
+    Socket.setReceiveTimeout(Poco::Timespan(2, 0));
+    Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+    std::string Answer;
+    std::array<char, 512> Part{};
+    try {
+      while (int Got = Socket.receiveBytes(Part.data(), Part.size()))
+        Answer.append(Part.data(), static_cast<std::size_t>(Got));
+    } catch (const Poco::Exception &) {
+      // Reset after the answer, since bytes were left unread.
+    }
+    CHECK(Answer.rfind("HTTP/1.1 400", 0) == 0);
+    CHECK(Answer.find("HTTP/1.1", 8) == std::string::npos);
+  }
+  CHECK(this->plainRuns() == 0);
+}
+
+} // namespace waycove::test
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -3,12 +3,14 @@
 // Version 2.0; see LICENSE.
 
 // The platform, as far as waycove knows it: a log with streams, and a VM list.
-// Faults are set over HTTP:
+// What it speaks as the users' platform is in store.h. Faults are set over
+// HTTP:
 //   POST /faults {"append": "ok|refuse|lose_ack|stall", "read": "ok|refuse|
 //                 stale", "list": "ok|refuse", "stale_next": N}
 //   POST /vms/state {"vm", "state"}   live, leaving or gone
 //   POST /log/records/trim?first=N    forgets records before N
 #include "base/json.h"
+#include "standins/store.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -66,6 +68,7 @@
 };
 
 Platform State;
+standin::Store Entries;
 
 void loadVms(const std::string &File) {
   for (const YAML::Node &Row : YAML::LoadFile(File)) {
@@ -95,7 +98,13 @@
     std::map<std::string, std::string> Query;
     for (const auto &[Key, Value] : Uri.getQueryParameters())
       Query[Key] = Value;
-    if (Path == "/faults")
+    if (Path.rfind("/api/", 0) == 0 && Entries.down() == "silent")
+      std::this_thread::sleep_for(std::chrono::seconds(3));
+    if (auto Answer = Entries.answer(Path, Query, Body)) {
+      Response.setStatusAndReason(
+          static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Answer->Status));
+      reply(Response, Answer->Body);
+    } else if (Path == "/faults")
       this->setFaults(Response, Body);
     else if (Path == "/vms/state")
       this->setState(Response, Body);
--- /dev/null
+++ b/tests/standins/store.h
@@ -0,0 +1,177 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+// The part of the stand-in platform that speaks as the users' platform: keyed
+// topics that are read and waited on, and work that is dealt to members.
+//   POST /store/put?topic=T&key=K   body: the value; empty drops the key
+//   POST /store/down?how=no|refuse|silent
+#include "base/json.h"
+
+#include <Poco/JSON/Array.h>
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace waycove::standin {
+
+using Query = std::map<std::string, std::string>;
+
+/// Answers of the store: a status and raw bytes.
+struct StoreAnswer {
+  int Status = 200;
+  std::string Body;
+};
+
+class Store {
+public:
+  void put(const std::string &Topic, const std::string &Key,
+           const std::string &Value) {
+    {
+      std::lock_guard Lock(this->Mutex);
+      this->Topics[Topic].push_back({Key, Value});
+    }
+    this->Changed.notify_all();
+  }
+
+  StoreAnswer newest(Query &Asked) {
+    std::lock_guard Lock(this->Mutex);
+    const auto &Records = this->Topics[Asked["topic"]];
+    std::map<std::string, std::string> Newest;
+    for (const auto &[Key, Value] : Records)
+      Newest[Key] = Value;
+    Poco::JSON::Array Items;
+    for (const auto &[Key, Value] : Newest) {
+      if (Value.empty())
+        continue;
+      Poco::JSON::Object Item;
+      Item.set("key", Key);
+      Item.set("value", toBase64(Value));
+      Items.add(Item);
+    }
+    Poco::JSON::Object Out;
+    Out.set("items", Items);
+    Out.set("has_more", false);
+    Out.set("end_offset", Records.size());
+    return {200, dumpJson(Out)};
+  }
+
+  StoreAnswer read(Query &Asked) {
+    std::size_t From = std::stoull(Asked["from"]);
+    std::chrono::milliseconds Wait(std::stoull(Asked["wait_ms"]));
+    std::unique_lock Lock(this->Mutex);
+    auto &Records = this->Topics[Asked["topic"]];
+    this->Changed.wait_for(Lock, Wait, [&] { return Records.size() > From; });
+    std::string Bytes = bigEndian(Records.size(), 8) + bigEndian(0, 8);
+    for (std::size_t I = From; I < Records.size(); ++I) {
+      const auto &[Key, Value] = Records[I];
+      Bytes += bigEndian(1 + Key.size() + Value.size(), 4);
+      Bytes.push_back(static_cast<char>(Key.size()));
+      Bytes += Key + Value;
+    }
+    return {200, Bytes};
+  }
+
+  StoreAnswer join(const std::string &Body) {
+    auto Row = parseJson(Body);
+    std::string Member = textAt(*Row, "member");
+    auto Now = std::chrono::steady_clock::now();
+    std::lock_guard Lock(this->Mutex);
+    std::size_t Before = this->Members.size();
+    std::erase_if(this->Members,
+                  [&](const auto &Entry) { return Entry.second < Now; });
+    bool Fresh = !this->Members.contains(Member);
+    this->Members[Member] =
+        Now + std::chrono::milliseconds(numberAt(*Row, "ttl_ms"));
+    if (Fresh || Before != this->Members.size())
+      ++this->Generation;
+    return {200, this->shareOf(Member)};
+  }
+
+  StoreAnswer leave(const std::string &Body) {
+    auto Row = parseJson(Body);
+    std::lock_guard Lock(this->Mutex);
+    if (this->Members.erase(textAt(*Row, "member")) > 0)
+      ++this->Generation;
+    return {200, "{}"};
+  }
+
+  std::string down() {
+    std::lock_guard Lock(this->Mutex);
+    return this->Down;
+  }
+  void setDown(const std::string &How) {
+    std::lock_guard Lock(this->Mutex);
+    this->Down = How == "no" ? "" : How;
+  }
+
+  /// The answer to a call of the platform's; nothing for another path.
+  std::optional<StoreAnswer> answer(const std::string &Path, Query &Asked,
+                                    const std::string &Body) {
+    if (Path == "/store/put") {
+      this->put(Asked["topic"], Asked["key"], Body);
+      return StoreAnswer{200, "{}"};
+    }
+    if (Path == "/store/down") {
+      this->setDown(Asked["how"]);
+      return StoreAnswer{200, "{}"};
+    }
+    if (Path.rfind("/api/", 0) == 0 && this->down() == "refuse")
+      return StoreAnswer{503, "{}"};
+    if (Path == "/api/log-newest")
+      return this->newest(Asked);
+    if (Path == "/api/log-read")
+      return this->read(Asked);
+    if (Path == "/api/log-join")
+      return this->join(Body);
+    if (Path == "/api/log-leave")
+      return this->leave(Body);
+    return std::nullopt;
+  }
+
+private:
+  static constexpr std::uint64_t Parts = 12;
+
+  static std::string bigEndian(std::uint64_t Value, int Bytes) {
+    std::string Out;
+    for (int I = Bytes - 1; I >= 0; --I)
+      Out.push_back(static_cast<char>((Value >> (8 * I)) & 0xFF));
+    return Out;
+  }
+
+  std::string shareOf(const std::string &Member) {
+    Poco::JSON::Array Rows;
+    std::uint64_t Part = 0;
+    while (Part < Parts)
+      for (const auto &[Id, Until] : this->Members) {
+        if (Id == Member && Part < Parts) {
+          Poco::JSON::Array Row;
+          Row.add(std::string("topic"));
+          Row.add(Part);
+          Row.add(0);
+          Rows.add(Row);
+        }
+        ++Part;
+      }
+    Poco::JSON::Object Out;
+    Out.set("generation", this->Generation);
+    Out.set("parts", Rows);
+    return dumpJson(Out);
+  }
+
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::map<std::string, std::vector<std::pair<std::string, std::string>>>
+      Topics;
+  std::map<std::string, std::chrono::steady_clock::time_point> Members;
+  std::uint64_t Generation = 0;
+  std::string Down;
+};
+
+} // namespace waycove::standin
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -12,6 +12,7 @@
 //        "leaving": "yes|no", "service": "ok|reset|slow|busy|crossed"}
 //   GET  /counts   calls of the service by key and in all
 #include "base/json.h"
+#include "standins/replica.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -34,6 +35,7 @@
 DEFINE_string(only, "", "comma-separated VM ids to serve; empty for all");
 DEFINE_int32(token_ms, 5, "time between tokens");
 DEFINE_int32(load_ms, 200, "time to load a model");
+DEFINE_string(registry, "", "address of the platform's store, to be listed");
 DEFINE_bool(checks_fence, true, "refuse orders with an older fence");
 
 namespace {
@@ -45,6 +47,8 @@
 
 struct Vm {
   std::string Id;
+  /// Set where it speaks as the users' platform's targets do.
+  std::unique_ptr<standin::Replica> Entry;
   std::mutex Mutex;
   std::uint64_t Group = 0;
   std::uint64_t Members = 0;
@@ -78,6 +82,9 @@
     std::string Path = Request.getURI();
     std::string Body;
     Poco::StreamCopier::copyToString(Request.stream(), Body);
+    if (this->Me.Entry &&
+        this->Me.Entry->handle(Request, Response, Body, this->Me.fault("call")))
+      return;
     if (this->Me.fault("leaving") == "yes")
       Response.set("X-Waycove-Leaving", "yes");
     if (Path == "/faults")
@@ -372,6 +379,19 @@
     Servers.push_back(std::make_unique<Poco::Net::HTTPServer>(
         new Handlers(*Vms.back()), Pool, Socket, Params));
     Servers.back()->start();
+    if (!FLAGS_registry.empty()) {
+      standin::ReplicaSetup Setup{Id,
+                                  FLAGS_registry,
+                                  Row["host"].as<std::string>() + ":" +
+                                      Row["port"].as<std::string>(),
+                                  Row["data_centre"].as<std::string>(),
+                                  Row["domain"].as<std::string>(),
+                                  Row["labels"]["role"].as<std::string>(),
+                                  FLAGS_token_ms,
+                                  FLAGS_load_ms};
+      Vms.back()->Entry = std::make_unique<standin::Replica>(Setup);
+      Vms.back()->Entry->publish();
+    }
   }
   std::cout << "ready" << std::endl;
   pause();
