Give each call on a kept connection its own timeout

Cause: the HTTP library applies timeouts when it connects; a long poll on the connection of a short call broke off after the short call's time, on every node about a second after its start. Ruled out: the store; it answered others in time. Before: the new test fails.

--- a/src/edge/http.cpp
+++ b/src/edge/http.cpp
@@ -86,6 +86,9 @@
     this->Session.setTimeout(timespanOf(this->ConnectTimeout),
                              timespanOf(Timeout), timespanOf(Timeout));
     this->Session.open();
+    // A kept connection still has the times of the call that opened it.
+    this->Session.socket().setReceiveTimeout(timespanOf(Timeout));
+    this->Session.socket().setSendTimeout(timespanOf(Timeout));
     Sent = true;
     return this->exchange(Call);
   } catch (const Poco::Exception &Error) {
--- a/tests/failure/entry_test.cpp
+++ b/tests/failure/entry_test.cpp
@@ -4,6 +4,7 @@
 
 // An entry on the platform, as real processes: what callers get while targets
 // fail, keys are taken away and the store is gone.
+#include "edge/http.h"
 #include "support/cluster.h"
 
 #include <Poco/Exception.h>
@@ -110,6 +111,25 @@
   Cluster Run;
 };
 
+TEST_CASE_METHOD(
+    EntryFixture,
+    "http caller: a kept connection: each call has its own timeout",
+    "[failure]") {
+  Metrics Unused;
+  HttpCaller Caller({"127.0.0.1", this->Run.platformPort()}, Millis(500),
+                    Unused,
+                    {Counter::PlatformBytesIn, Counter::PlatformBytesOut});
+  REQUIRE(Caller.call({"GET", "/stats", "", "", {}}, Millis(200)).ok());
+  CHECK(Caller
+            .call({"GET",
+                   "/api/log-read?topic=quiet&part=0&from=0&wait_ms=700",
+                   "",
+                   "",
+                   {}},
+                  Millis(2000))
+            .ok());
+}
+
 TEST_CASE_METHOD(EntryFixture,
                  "entry: sound targets: streams and calls pass unchanged",
                  "[failure]") {
