--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -26,6 +26,13 @@
 /// Hosts of one domain that are staged at the same time: the store slows down
 /// where more than a few load.
 constexpr int StagingsAtOnce = 1;
+/// Groups of smaller models whose hosts hold the largest model besides, in a
+/// domain with at least so many free VMs, and in one without. Tried: two
+/// everywhere left the smaller model short where domains have free VMs, one
+/// everywhere the larger one where they have none.
+constexpr std::size_t FewReserves = 2;
+constexpr std::size_t DonorsBesideReserves = 1;
+constexpr std::size_t DonorsAlone = 2;
 /// Guards a division where the operators state no share of the work.
 constexpr double LeastNeed = 1e-3;
 /// A model is short of groups below this part of the best supplied one's, for
@@ -500,21 +507,24 @@
   return true;
 }
 
-/// Stages models on hosts ahead of need. The hosts of one group of a smaller
-/// model hold the largest besides: its repair takes them. Free VMs are the
+/// Stages models on hosts ahead of need. The hosts of some groups of smaller
+/// models hold the largest besides: its repair takes them. Free VMs are the
 /// reserve of the smaller models then, and else of the largest.
 void DomainPlanner::stageSpares(Step &S) {
   std::vector<const ModelSpec *> Models = largestFirst(S.Engine);
   if (S.Engine.ModelsStagedPerHost == 0 || Models.empty())
     return;
-  const Announced *Donor = nullptr;
+  std::vector<TargetRef> Free = S.freeVms();
+  std::size_t Wanted =
+      Free.size() >= FewReserves ? DonorsBesideReserves : DonorsAlone;
+  std::vector<const Announced *> Donors;
   for (const auto &[Key, Group] : S.Groups) {
     const ModelSpec *Model = S.Engine.model(modelOf(Key.Name));
-    if (!Donor && Model && Model->GroupSize < Models.front()->GroupSize &&
-        Group.Head && Group.Head->Group->State == MemberState::Open)
-      Donor = &Group;
+    if (Donors.size() < Wanted && Model &&
+        Model->GroupSize < Models.front()->GroupSize && Group.Head &&
+        Group.Head->Group->State == MemberState::Open)
+      Donors.push_back(&Group);
   }
-  std::vector<TargetRef> Free = S.freeVms();
   std::map<std::string, int> Reserves;
   for (const TargetRef &Row : Free)
     for (const ModelSpec *Model : Models)
@@ -528,14 +538,15 @@
         });
     if (Any)
       continue;
-    bool ForSmall = Donor ? Reserves[Small.Name] <= Reserves[Large.Name]
-                          : Reserves[Small.Name] < Reserves[Large.Name];
-    const ModelSpec &Wanted = ForSmall ? Small : Large;
-    ++Reserves[Wanted.Name];
-    if (!this->stage(S, Row, Wanted))
+    bool ForSmall = !Donors.empty()
+                        ? Reserves[Small.Name] <= Reserves[Large.Name]
+                        : Reserves[Small.Name] < Reserves[Large.Name];
+    const ModelSpec &Next = ForSmall ? Small : Large;
+    ++Reserves[Next.Name];
+    if (!this->stage(S, Row, Next))
       return;
   }
-  if (Donor)
+  for (const Announced *Donor : Donors)
     for (const auto &[Rank, Vm] : Donor->Ranks)
       if (!this->stage(S, Vm, Large))
         return;
