--- a/tools/without.py
+++ b/tools/without.py
@@ -12,6 +12,34 @@
 
 # name: (file, text, what stands in its place, tests by ctest's -R)
 MECHANISMS = {
+    "head-leaves-first": (
+        "src/policy/domain_plan.cpp",
+        'return this->release(S, Key, Row, "given up");', "return;",
+        "planner: lost, late"),
+    "members-leave": (
+        "src/policy/domain_plan.cpp",
+        "if (this->MemberLeft.contains({Key, Vm->Id}))", "if (true)",
+        "planner: lost, late"),
+    "earlier-owner": (
+        "src/policy/domain_plan.cpp",
+        "Key.Epoch <= S.View.OwnedFloor", "false",
+        "planner: lost, late"),
+    "signed-success": (
+        "src/edge/relay.h",
+        "!Facts.Signed || ", "",
+        "entry: an unsigned"),
+    "keys-proven": (
+        "src/edge/relay_request.cpp",
+        "!Board.ConfigFresh.holds(Now)", "false",
+        "entry: the store is away"),
+    "version-order": (
+        "src/control/config_follow.h",
+        "Row && Config->Version <= Row->Version", "false",
+        "entry: a key is taken away"),
+    "answer-id": (
+        "src/edge/relay.h",
+        "Facts.Request == Ex.Request.Facts.Id", "true",
+        "entry: another's answer"),
     "members-counted": (
         "src/edge/serve_model.h",
         "Token.Members != Way.View->VmsPerReplica", "false",
