--- a/tests/failure/entry_test.cpp
+++ b/tests/failure/entry_test.cpp
@@ -308,6 +308,28 @@
   CHECK(this->Run.logOf("n1").find("daemon_stopped") != std::string::npos);
 }
 
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: late in a planned stop: new requests are refused",
+                 "[failure]") {
+  // Streams that stand still keep the process until the end of its grace.
+  this->faultAll("e", 4, "still");
+  std::thread Caller([&] { this->call("/chat/x", "r1"); });
+  Poco::Net::StreamSocket Kept(
+      Poco::Net::SocketAddress("127.0.0.1", this->Run.httpPort("n1")));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  this->Run.node("n1").signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(3000));
+  const std::string Bytes =
+      "POST /safe/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: late\r\n"
+      "Authorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n";
+  Kept.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+  std::array<char, 12> Head{};
+  REQUIRE(Kept.receiveBytes(Head.data(), Head.size()) == 12);
+  CHECK(std::string(Head.data(), Head.size()) == "HTTP/1.1 503");
+  CHECK(this->plainRuns() == 0);
+  Caller.join();
+}
+
 TEST_CASE_METHOD(EntryFixture,
                  "entry: bytes that may hide a request: refused and closed",
                  "[failure]") {
