--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -242,7 +242,7 @@
   return true;
 }
 
-void Events::keep(EventRow Row) {
+void Events::keep(const EventRow &Row) {
   auto Level = boostLevel(infoFor(Row.Code).Level);
   auto Write = [](boost::log::trivial::severity_level At,
                   const EventRow &Line) {
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -134,7 +134,7 @@
   std::vector<EventRow> since(std::uint64_t After) const;
 
 private:
-  void keep(EventRow Row);
+  void keep(const EventRow &Row);
   /// Whether one more line keeps within the bound on lines a second; what was
   /// left out is counted and told by a line of its own later. Lock held.
   bool admitLine(TimePoint Now);
--- a/src/edge/caller_server.h
+++ b/src/edge/caller_server.h
@@ -10,6 +10,8 @@
 #include <Poco/Runnable.h>
 #include <Poco/ThreadPool.h>
 #include <memory>
+#include <mutex>
+#include <set>
 
 namespace waycove {
 
@@ -33,6 +35,15 @@
         [this](const std::stop_token &Stop) { this->acceptAll(Stop); });
   }
 
+  /// Closes connections on which no request is under way, so that callers open
+  /// their next one elsewhere. One that has something to read is left alone.
+  void closeIdle() {
+    std::lock_guard Lock(this->IdleMutex);
+    for (Channel *Row : this->Idle)
+      if (!Row->isReadable())
+        Row->shutdown();
+  }
+
 private:
   static constexpr int IdleThreadSeconds = 20;
   static constexpr int StackBytes = 256 << 10;
@@ -43,8 +54,8 @@
   /// One connection on its thread; deletes itself when done.
   class Connection : public Poco::Runnable {
   public:
-    Connection(CallerServer &Owner, Poco::Net::StreamSocket Socket)
-        : Owner(Owner), Socket(std::move(Socket)) {}
+    Connection(CallerServer &Owner, const Poco::Net::StreamSocket &Socket)
+        : Owner(Owner), Socket(Socket) {}
     void run() override {
       std::unique_ptr<Connection> Self(this);
       try {
@@ -73,8 +84,8 @@
     }
   }
 
-  void acceptOne(Poco::Net::StreamSocket Socket) {
-    auto Row = std::make_unique<Connection>(*this, std::move(Socket));
+  void acceptOne(const Poco::Net::StreamSocket &Socket) {
+    auto Row = std::make_unique<Connection>(*this, Socket);
     this->Board.Callers.fetch_add(1);
     try {
       this->Threads.start(*Row);
@@ -102,8 +113,7 @@
   bool serveOne(Channel &Caller) {
     CallerLimits Limits = this->limits();
     std::string &Buffer = Caller.buffer();
-    if (Buffer.empty() &&
-        Caller.fill(SystemClock{}.now() + Limits.IdleTime) != IoEnd::Ok)
+    if (Buffer.empty() && !this->rest(Caller, Limits.IdleTime))
       return false;
     RelayRequest Request;
     Request.Arrived = SystemClock{}.now();
@@ -124,7 +134,7 @@
     if (!Body)
       return this->refuse(Caller, 400, "the body's end is ambiguous");
     Buffer.erase(0, *Length);
-    Request.Head = std::move(*Head);
+    Request.Head = *Head;
     Request.Facts = Protocol::readCaller(Request.Head);
     Request.Random = mixHash(hashText(Request.Facts.Id.Text), Seed);
     if (Request.Head.getExpectContinue() &&
@@ -135,6 +145,21 @@
     return this->Relayed.serve(Caller, std::move(Request));
   }
 
+  /// Waits for the next request's first bytes; false where none come.
+  bool rest(Channel &Caller, Millis IdleTime) {
+    {
+      std::lock_guard Lock(this->IdleMutex);
+      this->Idle.insert(&Caller);
+    }
+    TimePoint Until = SystemClock{}.now() + IdleTime;
+    IoEnd End = Caller.waitReadable(Until);
+    {
+      std::lock_guard Lock(this->IdleMutex);
+      this->Idle.erase(&Caller);
+    }
+    return End == IoEnd::Ok && Caller.fill(Until) == IoEnd::Ok;
+  }
+
   bool readBody(Channel &Caller, BodyDecoder &Body, const CallerLimits &Limits,
                 std::string &Into) {
     while (true) {
@@ -156,8 +181,7 @@
     Poco::Net::HTTPResponse Out(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
     CallerAnswer Answer(Caller, false, true);
-    Answer.whole(std::move(Out), Reason + "\n",
-                 SystemClock{}.now() + AnswerTime);
+    Answer.whole(Out, Reason + "\n", SystemClock{}.now() + AnswerTime);
     this->Board.Log.emit(
         EventCode::RequestRefused, "unread",
         LogFields().add("status", Status).add("reason", Reason));
@@ -168,6 +192,9 @@
   Relay<Protocol> &Relayed;
   Poco::ThreadPool Threads;
   Poco::Net::ServerSocket Listener;
+  /// Connections between two requests.
+  std::mutex IdleMutex;
+  std::set<Channel *> Idle;
   const std::uint64_t Seed = hashText(randomId());
   std::jthread Acceptor;
 };
--- a/src/edge/channel.cpp
+++ b/src/edge/channel.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-Channel::Channel(Poco::Net::StreamSocket Socket) : Socket(std::move(Socket)) {
+Channel::Channel(const Poco::Net::StreamSocket &Socket) : Socket(Socket) {
   this->Socket.setNoDelay(true);
 }
 
@@ -47,7 +47,7 @@
     Poco::Net::StreamSocket Socket;
     Socket.connect(Poco::Net::SocketAddress(To.Host, To.Port),
                    Poco::Timespan(std::max(millisLeft(Until), 1) * 1000LL));
-    Into.emplace(std::move(Socket));
+    Into.emplace(Socket);
     return IoEnd::Ok;
   } catch (const Poco::TimeoutException &) {
     return IoEnd::Timeout;
@@ -78,14 +78,24 @@
                                                  : IoEnd::Broken;
 }
 
+IoEnd Channel::waitReadable(TimePoint Until) const {
+  pollfd Row{this->descriptor(), POLLIN, 0};
+  int Ready = pollUntil(&Row, 1, Until);
+  if (Ready < 0)
+    return IoEnd::Broken;
+  return Ready == 0 ? IoEnd::Timeout : IoEnd::Ok;
+}
+
+bool Channel::isReadable() const {
+  return this->waitReadable(TimePoint()) != IoEnd::Timeout;
+}
+
+void Channel::shutdown() { ::shutdown(this->descriptor(), SHUT_RDWR); }
+
 IoEnd Channel::fill(TimePoint Until) {
   while (true) {
-    pollfd Row{this->descriptor(), POLLIN, 0};
-    int Ready = pollUntil(&Row, 1, Until);
-    if (Ready == 0)
-      return IoEnd::Timeout;
-    if (Ready < 0)
-      return IoEnd::Broken;
+    if (IoEnd End = this->waitReadable(Until); End != IoEnd::Ok)
+      return End;
     if (IoEnd End = this->fillNow(); End != IoEnd::Timeout)
       return End;
   }
--- a/src/edge/channel.h
+++ b/src/edge/channel.h
@@ -27,7 +27,7 @@
 /// waits have an end on the steady clock. Used by one thread at a time.
 class Channel {
 public:
-  explicit Channel(Poco::Net::StreamSocket Socket);
+  explicit Channel(const Poco::Net::StreamSocket &Socket);
 
   /// Connects to \p To. Errors: Timeout, and Broken where it was refused.
   static IoEnd dial(const VmAddress &To, TimePoint Until,
@@ -36,6 +36,12 @@
   /// Breaks the connection where bytes sent are not acknowledged for \p Time:
   /// a host without power says nothing else.
   void giveUpUnacknowledged(Millis Time);
+  /// Waits until there is something to read, an end too, and takes nothing.
+  IoEnd waitReadable(TimePoint Until) const;
+  /// Whether something can be read now.
+  bool isReadable() const;
+  /// Ends both directions; whoever waits on it wakes.
+  void shutdown();
   /// Waits for bytes and appends them to the buffer.
   IoEnd fill(TimePoint Until);
   /// Appends what is there without waiting; Timeout where nothing is.
--- a/src/edge/entry_daemon.h
+++ b/src/edge/entry_daemon.h
@@ -80,6 +80,8 @@
       return false;
     // From here on only what came before is finished.
     bool Refused = this->Board.Refusing.exchange(true);
+    if (!Refused)
+      this->Callers.closeIdle();
     return Refused && this->Board.InFlight == 0;
   }
 
--- a/src/edge/framing.cpp
+++ b/src/edge/framing.cpp
@@ -218,7 +218,8 @@
   Poco::StringTokenizer Named(From.get("Connection", ""), ",",
                               Poco::StringTokenizer::TOK_TRIM |
                                   Poco::StringTokenizer::TOK_IGNORE_EMPTY);
-  for (const auto &[Name, Value] : From) {
+  for (const auto &Field : From) {
+    const std::string &Name = Field.first;
     std::string Low = Poco::toLower(Name);
     bool OneHop =
         std::find(HopByHop.begin(), HopByHop.end(), Low) != HopByHop.end() ||
@@ -226,7 +227,7 @@
           return Poco::icompare(Row, Name) == 0;
         });
     if (!OneHop && Low != "content-length")
-      Into.add(Name, Value);
+      Into.add(Name, Field.second);
   }
 }
 
--- a/src/policy/spend.cpp
+++ b/src/policy/spend.cpp
@@ -21,8 +21,8 @@
       std::chrono::duration_cast<std::chrono::nanoseconds>(this->Given.Window) /
       Slices;
   std::int64_t Index = Now.time_since_epoch() / SliceTime;
-  std::int64_t Steps =
-      std::min<std::int64_t>(Index - this->Newest, std::int64_t{Slices});
+  std::int64_t Steps = std::min<std::int64_t>(
+      Index - this->Newest, static_cast<std::int64_t>(Slices));
   for (std::int64_t I = 0; I < Steps; ++I)
     this->Ring[static_cast<std::size_t>(Index - I) % Slices] = {};
   this->Newest = std::max(this->Newest, Index);
--- a/tests/failure/entry_test.cpp
+++ b/tests/failure/entry_test.cpp
@@ -309,16 +309,32 @@
 }
 
 TEST_CASE_METHOD(EntryFixture,
-                 "entry: late in a planned stop: new requests are refused",
+                 "entry: late in a planned stop: idle connections are closed",
                  "[failure]") {
-  // Streams that stand still keep the process until the end of its grace.
   this->faultAll("e", 4, "still");
   std::thread Caller([&] { this->call("/chat/x", "r1"); });
   Poco::Net::StreamSocket Kept(
       Poco::Net::SocketAddress("127.0.0.1", this->Run.httpPort("n1")));
   std::this_thread::sleep_for(std::chrono::milliseconds(100));
   this->Run.node("n1").signal(SIGTERM);
+  Kept.setReceiveTimeout(Poco::Timespan(3, 300000));
+  std::array<char, 1> Byte{};
+  CHECK(Kept.receiveBytes(Byte.data(), Byte.size()) == 0);
+  CHECK(this->Run.node("n1").wait(std::chrono::milliseconds(1)) == -1);
+  Caller.join();
+}
+
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: late in a planned stop: new requests are refused",
+                 "[failure]") {
+  // Streams that stand still keep the process until the end of its grace.
+  this->faultAll("e", 4, "still");
+  std::thread Caller([&] { this->call("/chat/x", "r1"); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  this->Run.node("n1").signal(SIGTERM);
   std::this_thread::sleep_for(std::chrono::milliseconds(3000));
+  Poco::Net::StreamSocket Kept(
+      Poco::Net::SocketAddress("127.0.0.1", this->Run.httpPort("n1")));
   const std::string Bytes =
       "POST /safe/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: late\r\n"
       "Authorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n";
--- a/tests/property/domain_plan_property.cpp
+++ b/tests/property/domain_plan_property.cpp
@@ -281,11 +281,12 @@
         this->LastShown[Row.Id] = Shown.back();
       }
     }
-    for (const auto &[Id, Last] : this->LastShown) {
+    for (const auto &Entry : this->LastShown) {
+      const VmId &Id = Entry.first;
       bool There = std::any_of(Shown.begin(), Shown.end(),
                                [&](const auto &R) { return R->Id == Id; });
       if (!There && !this->Gone.contains(Id))
-        this->Gone[Id] = {Last, this->Now};
+        this->Gone[Id] = {Entry.second, this->Now};
     }
     this->Registry.push_back(Shown);
     if (this->Registry.size() > 8)
