A fault soak of our own

Real programs as separate processes, loopback proxies that delay, silence, cut one way or reset, signals and restarts, a store that refuses or is silent; faults come in series and overlap; promises are checked from what callers and targets see.

--- a/src/policy/spend.cpp
+++ b/src/policy/spend.cpp
@@ -19,7 +19,7 @@
 void RetrySpend::advance(TimePoint Now) {
   auto SliceTime =
       std::chrono::duration_cast<std::chrono::nanoseconds>(this->Given.Window) /
-      Slices;
+      static_cast<std::int64_t>(Slices);
   std::int64_t Index = Now.time_since_epoch() / SliceTime;
   std::int64_t Steps = std::min<std::int64_t>(
       Index - this->Newest, static_cast<std::int64_t>(Slices));
--- /dev/null
+++ b/tests/soak/proxy.cpp
@@ -0,0 +1,84 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "soak/proxy.h"
+
+#include <Poco/Exception.h>
+#include <array>
+
+namespace waycove::test {
+
+namespace {
+
+/// How often a connection looks whether the fault has changed, in microseconds.
+constexpr int LookEvery = 20'000;
+constexpr std::chrono::milliseconds Delay(120);
+
+} // namespace
+
+LoopbackProxy::LoopbackProxy(std::uint16_t To)
+    : To(To), Listener(Poco::Net::SocketAddress("127.0.0.1", 0)) {
+  this->Acceptor = std::thread([this] { this->acceptAll(); });
+}
+
+LoopbackProxy::~LoopbackProxy() {
+  this->Ended = true;
+  this->Acceptor.join();
+  for (std::thread &Row : this->Pumps)
+    Row.join();
+}
+
+void LoopbackProxy::acceptAll() {
+  while (!this->Ended) {
+    if (!this->Listener.poll(Poco::Timespan(LookEvery),
+                             Poco::Net::Socket::SELECT_READ))
+      continue;
+    try {
+      Poco::Net::StreamSocket Near = this->Listener.acceptConnection();
+      Poco::Net::StreamSocket Far;
+      Far.connect(Poco::Net::SocketAddress("127.0.0.1", this->To));
+      std::lock_guard Lock(this->Mutex);
+      this->Pumps.emplace_back([=, this] { this->pump(Near, Far, false); });
+      this->Pumps.emplace_back([=, this] { this->pump(Far, Near, true); });
+    } catch (const Poco::Exception &) {
+      // The far end is down: the near one sees its connection end.
+      continue;
+    }
+  }
+}
+
+void LoopbackProxy::pump(Poco::Net::StreamSocket From,
+                         Poco::Net::StreamSocket Into, bool Answers) {
+  std::array<char, 8192> Part{};
+  try {
+    while (!this->Ended) {
+      LinkFault Now = this->Fault;
+      if (Now == LinkFault::Reset) {
+        From.setLinger(true, 0);
+        Into.setLinger(true, 0);
+        break;
+      }
+      bool Held =
+          Now == LinkFault::Silent || (Now == LinkFault::OneWay && Answers);
+      if (Held) {
+        std::this_thread::sleep_for(std::chrono::microseconds(LookEvery));
+        continue;
+      }
+      if (!From.poll(Poco::Timespan(LookEvery), Poco::Net::Socket::SELECT_READ))
+        continue;
+      int Got = From.receiveBytes(Part.data(), Part.size());
+      if (Got <= 0)
+        break;
+      if (Now == LinkFault::Delayed)
+        std::this_thread::sleep_for(Delay);
+      Into.sendBytes(Part.data(), Got);
+    }
+    Into.shutdownSend();
+    From.shutdownReceive();
+  } catch (const Poco::Exception &) {
+    // One end went: the other sees it when the sockets close.
+  }
+}
+
+} // namespace waycove::test
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,352 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// A randomized soak: the real programs as separate processes, faults from
+// outside them (signals, restarts, a store that refuses or is silent, links
+// that are delayed, silenced, cut one way or reset), and the promises checked
+// from what callers and targets see:
+// - a stream that ends as whole is whole, in order and without repeats;
+// - what may run once runs at most once;
+// - what was refused as not run has not run;
+// - an answer belongs to its request;
+// - after the faults have ended, requests are served.
+//
+//   soak --seed=N --seconds=S [--seeds=K]   K runs with following seeds
+//
+// Exit status 0 where all promises held. A failed run names its seed and keeps
+// its logs.
+#include "soak/proxy.h"
+#include "support/cluster.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+#include <sstream>
+#include <thread>
+
+DEFINE_uint64(seed, 1, "seed of the first run");
+DEFINE_uint64(seeds, 1, "number of runs, with following seeds");
+DEFINE_int32(seconds, 15, "time with faults in one run");
+
+namespace waycove::test {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr int Events = 40;
+constexpr int Engines = 6;
+constexpr int Plains = 2;
+constexpr int CallerThreads = 6;
+/// Faults that overlap at most, so that something is left to serve.
+constexpr int MostFaults = 3;
+constexpr milliseconds RecoverTime(15000);
+
+std::string config() {
+  const std::string Route =
+      R"("host":"a.example","timeout_ms":6000,"goal_ms":300,"priority":1,)";
+  return R"({"version":1,"routes":[{"name":"chat",)" + Route +
+         R"("path_prefix":"/chat/","type":"streaming","service":"llm",)"
+         R"("max_attempts":2,"resumable":true,"gap_target_ms":200},)"
+         R"({"name":"once",)" +
+         Route +
+         R"("path_prefix":"/once/","type":"non_idempotent","service":"plain",)"
+         R"("max_attempts":1}],"services":[{"name":"plain","max_conns":50},)"
+         R"({"name":"llm","max_conns":50,"engine":{"slots":8,"retains":1,)"
+         R"("loads_per_s":50,"models":[{"name":"model","size":2,"share":1,)"
+         R"("pace":1,"load_s":0.1,"warm_s":0.05}]}}],)"
+         R"("tenants":[{"name":"w1","api_keys":["key-1"]}]})";
+}
+
+std::string wholeStream() {
+  std::string Text;
+  for (int I = 1; I <= Events; ++I)
+    Text += "id: " + std::to_string(I) + "\ndata: piece " + std::to_string(I) +
+            "\n\n";
+  return Text;
+}
+
+/// One run: a small system behind proxies, callers, and a source of faults.
+class Soak {
+public:
+  explicit Soak(std::uint64_t Seed) : Random(Seed) { this->startAll(); }
+
+  /// The promises that were broken; empty where none was.
+  std::string run() {
+    std::atomic<bool> Stop{false};
+    std::vector<std::thread> Callers;
+    Callers.reserve(CallerThreads);
+    for (int I = 0; I < CallerThreads; ++I)
+      Callers.emplace_back([&, I] {
+        for (int N = 0; !Stop; ++N)
+          this->callOnce(I, N);
+      });
+    this->makeFaults();
+    this->endFaults();
+    bool Back = eventually([&] { return this->isServing(); }, RecoverTime);
+    Stop = true;
+    for (std::thread &Row : Callers)
+      Row.join();
+    if (!Back)
+      this->fail("not served " + std::to_string(RecoverTime.count()) +
+                 " ms after the last fault");
+    this->checkRuns();
+    return this->Broken;
+  }
+
+  unsigned long served() const { return this->Served; }
+  unsigned long refused() const { return this->Refused; }
+  const std::string &folder() const { return this->Run.folder(); }
+
+private:
+  int roll(int Below) {
+    return std::uniform_int_distribution<int>(0, Below - 1)(this->Random);
+  }
+
+  void fail(const std::string &What) {
+    std::lock_guard Lock(this->Mutex);
+    this->Broken += What + "\n";
+  }
+
+  void startAll() {
+    this->Run.addVms("e", Engines, "a", "d");
+    this->Run.addVms("p", Plains, "a", "", "plain");
+    for (const char *Node : {"n1", "n2"})
+      this->Run.addNode(Node, "a");
+    this->Run.startPlatform();
+    this->Run.atPlatform(
+        {"POST", "/store/put?topic=keyed.op&key=config", config(), {}});
+    for (int I = 1; I <= Engines; ++I)
+      this->addVm("e-" + std::to_string(I));
+    for (int I = 1; I <= Plains; ++I)
+      this->addVm("p-" + std::to_string(I));
+    for (const char *Node : {"n1", "n2"})
+      this->startNode(Node);
+    if (!eventually([&] { return this->isServing(); }, RecoverTime))
+      this->fail("does not start");
+  }
+
+  void addVm(const std::string &Id) {
+    this->Vms.push_back(Id);
+    this->Links[Id] = std::make_unique<LoopbackProxy>(this->Run.vmPort(Id));
+    this->startVm(Id);
+  }
+
+  void startVm(const std::string &Id) {
+    this->Run.TargetFlags = {
+        "--token_ms=8", "--load_ms=50",
+        "--registry=127.0.0.1:" + std::to_string(this->Run.platformPort()),
+        "--advertise=127.0.0.1:" + std::to_string(this->Links[Id]->port())};
+    this->Run.startVm(Id);
+  }
+
+  void startNode(const std::string &Node) {
+    auto &Link = this->Links[Node];
+    if (!Link)
+      Link = std::make_unique<LoopbackProxy>(this->Run.platformPort());
+    this->Run.PlatformVia = Link->port();
+    this->Run.ExtraSettings =
+        "entry: {ready: '127.0.0.1:" +
+        std::to_string(this->Run.peerPort(Node) + 5) +
+        "', revoke_bound_ms: 1500, grace_ms: 3000, lease_least_ms: 500}";
+    this->Run.startNode(Node);
+  }
+
+  Reply call(const std::string &Node, const std::string &Path,
+             const std::string &Id) {
+    return this->Run.ask(Node, {"POST",
+                                Path,
+                                "body",
+                                {{"Host", "a.example"},
+                                 {"Authorization", "Bearer key-1"},
+                                 {"X-Request-Id", Id},
+                                 {"X-Model", "model"},
+                                 {"X-Token-Count", "100,50"},
+                                 {"X-Deadline-Ms", "6000"}},
+                                milliseconds(8000)});
+  }
+
+  bool isServing() {
+    static std::atomic<int> Count{0};
+    std::string Id = "probe-" + std::to_string(++Count);
+    return this->call("n1", "/chat/x", Id).Body == wholeStream() &&
+           this->call("n2", "/once/x", Id).Status == 200;
+  }
+
+  void callOnce(int Thread, int Number) {
+    std::string Id = std::to_string(Thread) + "-" + std::to_string(Number);
+    std::string Node = Number % 2 ? "n1" : "n2";
+    bool Stream = (Thread + Number) % 3 != 0;
+    Reply Answer = this->call(Node, Stream ? "/chat/x" : "/once/x", Id);
+    if (Answer.Refused || Answer.Status == 0) {
+      std::this_thread::sleep_for(milliseconds(50));
+      return;
+    }
+    if (Answer.Status == 200)
+      ++this->Served;
+    else
+      std::this_thread::sleep_for(milliseconds(30));
+    if (Stream)
+      this->checkStream(Id, Answer);
+    else
+      this->checkCall(Id, Answer);
+    if (Answer.Status == 401 || Answer.Status == 404)
+      this->fail(Id + ": refused with " + std::to_string(Answer.Status));
+  }
+
+  void checkStream(const std::string &Id, const Reply &Answer) {
+    if (Answer.Status != 200)
+      return;
+    const std::string Whole = wholeStream();
+    bool Prefix = Whole.compare(0, Answer.Body.size(), Answer.Body) == 0;
+    if (!Prefix || (!Answer.Cut && Answer.Body != Whole))
+      this->fail(Id + ": a stream that is not whole or not in order");
+  }
+
+  void checkCall(const std::string &Id, const Reply &Answer) {
+    if (Answer.Status == 200 && !Answer.Cut &&
+        Answer.Body != "ran " + Id + " for w1 body")
+      this->fail(Id + ": another's answer: " + Answer.Body);
+    if (Answer.Status == 503 || Answer.Status == 429) {
+      ++this->Refused;
+      std::lock_guard Lock(this->Mutex);
+      this->NotRun.insert(Id);
+    }
+  }
+
+  /// Faults come in series and overlap, each for a while of its own.
+  void makeFaults() {
+    auto End = Clock::now() + std::chrono::seconds(FLAGS_seconds);
+    while (Clock::now() < End) {
+      this->endDue(Clock::now());
+      if (this->Due.size() < MostFaults)
+        this->beginFault(Clock::now() + milliseconds(300 + this->roll(2500)));
+      std::this_thread::sleep_for(milliseconds(100 + this->roll(700)));
+    }
+  }
+
+  void beginFault(Clock::time_point Until) {
+    bool OnNode = this->roll(3) == 0;
+    std::string Who = OnNode ? (this->roll(2) ? "n1" : "n2")
+                             : this->Vms[static_cast<std::size_t>(this->roll(
+                                   static_cast<int>(this->Vms.size())))];
+    if (this->Due.contains(Who))
+      return;
+    int Kind = this->roll(8);
+    if (Kind >= 3 && Kind < 7) {
+      this->Links[Who]->set(static_cast<LinkFault>(Kind - 2));
+      this->Due[Who] = {
+          Until, [this, Who] { this->Links[Who]->set(LinkFault::None); }};
+    } else if (Kind == 7) {
+      std::string How = this->roll(2) ? "refuse" : "silent";
+      this->Run.atPlatform({"POST", "/store/down?how=" + How, "", {}});
+      this->Due["store"] = {
+          Until, [this] {
+            this->Run.atPlatform({"POST", "/store/down?how=no", "", {}});
+          }};
+    } else if (Kind == 0) {
+      Process &Row = OnNode ? this->Run.node(Who) : this->Run.vm(Who);
+      Row.signal(SIGSTOP);
+      this->Due[Who] = {Until, [&Row] { Row.signal(SIGCONT); }};
+    } else {
+      this->kill(Who, OnNode, Kind == 1, Until);
+    }
+  }
+
+  void kill(const std::string &Who, bool OnNode, bool Gently,
+            Clock::time_point Until) {
+    if (!OnNode) {
+      this->Run.killVm(Who);
+      this->Run.atPlatform(
+          {"POST", "/store/put?topic=keyed.servers&key=" + Who, "", {}});
+      this->Due[Who] = {Until, [this, Who] { this->startVm(Who); }};
+      return;
+    }
+    if (Gently) {
+      this->Run.node(Who).signal(SIGTERM);
+      this->Run.node(Who).wait(milliseconds(4000));
+    }
+    this->Run.killNode(Who);
+    this->Due[Who] = {Until, [this, Who] { this->startNode(Who); }};
+  }
+
+  void endDue(Clock::time_point Now) {
+    for (auto At = this->Due.begin(); At != this->Due.end();) {
+      if (At->second.Until > Now) {
+        ++At;
+        continue;
+      }
+      At->second.End();
+      At = this->Due.erase(At);
+    }
+  }
+
+  void endFaults() { this->endDue(Clock::time_point::max()); }
+
+  /// Compares what targets say that they ran with what callers were told.
+  void checkRuns() {
+    std::map<std::string, int> Runs;
+    for (int I = 1; I <= Plains; ++I) {
+      std::istringstream Lines(this->Run.logOf("p-" + std::to_string(I)));
+      for (std::string Word, Id; Lines >> Word;)
+        if (Word == "ran" && Lines >> Id)
+          ++Runs[Id];
+    }
+    for (const auto &[Id, Count] : Runs) {
+      if (Count > 1)
+        this->fail(Id + ": ran " + std::to_string(Count) + " times");
+      if (this->NotRun.contains(Id))
+        this->fail(Id + ": ran, and was refused as not run");
+    }
+  }
+
+  struct Pending {
+    Clock::time_point Until;
+    std::function<void()> End;
+  };
+
+  std::mt19937_64 Random;
+  Cluster Run;
+  std::vector<std::string> Vms;
+  std::map<std::string, std::unique_ptr<LoopbackProxy>> Links;
+  std::map<std::string, Pending> Due;
+  std::mutex Mutex;
+  std::string Broken;
+  std::set<std::string> NotRun;
+  std::atomic<unsigned long> Served{0};
+  std::atomic<unsigned long> Refused{0};
+};
+
+} // namespace
+
+} // namespace waycove::test
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  int Failed = 0;
+  for (std::uint64_t Seed = FLAGS_seed; Seed < FLAGS_seed + FLAGS_seeds;
+       ++Seed) {
+    waycove::test::Soak Run(Seed);
+    std::string Broken = Run.run();
+    std::cout << "seed " << Seed << ": " << Run.served() << " served, "
+              << Run.refused() << " refused: "
+              << (Broken.empty() ? "all promises held"
+                                 : Broken + "logs: " + Run.folder())
+              << std::endl;
+    Failed += Broken.empty() ? 0 : 1;
+  }
+  std::cout << FLAGS_seeds - static_cast<std::uint64_t>(Failed) << " passed, "
+            << Failed << " failed" << std::endl;
+  return Failed ? 1 : 0;
+}
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -19,6 +19,7 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <atomic>
+#include <iostream>
 #include <mutex>
 #include <thread>
 
@@ -202,6 +203,10 @@
       return reply(Response, 503, "");
     }
     ++this->Runs;
+    // The log outlives a kill.
+    if (this->Given.Role != "engine")
+      std::cout << "ran " + Request.get("X-Request-Id", "") + "\n"
+                << std::flush;
     if (Fault == "run_reset")
       return drop(Request, Response);
     if (Fault == "failed")
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -36,6 +36,7 @@
 DEFINE_int32(token_ms, 5, "time between tokens");
 DEFINE_int32(load_ms, 200, "time to load a model");
 DEFINE_string(registry, "", "address of the platform's store, to be listed");
+DEFINE_string(advertise, "", "address to be listed with; empty for its own");
 DEFINE_bool(checks_fence, true, "refuse orders with an older fence");
 
 namespace {
@@ -382,8 +383,10 @@
     if (!FLAGS_registry.empty()) {
       standin::ReplicaSetup Setup{Id,
                                   FLAGS_registry,
-                                  Row["host"].as<std::string>() + ":" +
-                                      Row["port"].as<std::string>(),
+                                  FLAGS_advertise.empty()
+                                      ? Row["host"].as<std::string>() + ":" +
+                                            Row["port"].as<std::string>()
+                                      : FLAGS_advertise,
                                   Row["data_centre"].as<std::string>(),
                                   Row["domain"].as<std::string>(),
                                   Row["labels"]["role"].as<std::string>(),
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -329,7 +329,8 @@
   std::string Centre;
   Out << "node: " << Name << "\nhttp: 127.0.0.1:" << this->httpPort(Name)
       << "\npeer_listen: 127.0.0.1:" << this->peerPort(Name)
-      << "\nplatform: 127.0.0.1:" << this->Base
+      << "\nplatform: 127.0.0.1:"
+      << (this->PlatformVia ? this->PlatformVia : this->Base)
       << "\noperator_key_digest: " << digestKey("op") << "\npeers: [";
   bool First = true;
   for (const NodeSpec &Row : this->NodeSpecs) {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -93,6 +93,8 @@
   void addNode(const std::string &Name, const std::string &Centre);
   /// A line of every daemon's settings.
   std::string ExtraSettings;
+  /// Where daemons reach the platform; 0: at its own port.
+  std::uint16_t PlatformVia = 0;
   std::vector<std::string> TargetFlags{"--token_ms=5", "--load_ms=50"};
 
   void startPlatform();
