Split the domain planner into judging, forming and staging

Each part of a step now has its own file with its own constants; what they share is the step itself. An order that may be given again after a while is given in one place instead of six, and a field of forming groups that nothing read is gone. The list of mechanisms to take out names the new files.

No functional change.

--- /dev/null
+++ b/src/policy/domain_form.cpp
@@ -0,0 +1,182 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// Forming groups of VMs that are free, and freeing VMs for the models that are
+// short of groups.
+
+#include "policy/domain_step.h"
+
+#include <algorithm>
+
+namespace waycove {
+
+namespace {
+
+/// A model is short of groups below this part of the best supplied one's, for
+/// their parts of the work, and very short below the second.
+constexpr double ScarcePart = 0.7;
+constexpr double VeryScarcePart = 0.35;
+/// A group is given up for a larger model only while its own model keeps this
+/// part of the larger one's groups.
+constexpr double KeptPart = 0.5;
+
+/// 0 is best: the VM ran the model last, then its host has the weights.
+int loadRank(const TargetInfo &Row, const std::string &Model) {
+  if (Row.hasLoaded(Model))
+    return 0;
+  return Row.hasStaged(Model) ? 1 : 2;
+}
+
+std::size_t countWarm(const std::vector<TargetRef> &Free,
+                      const ModelSpec &Model) {
+  return static_cast<std::size_t>(
+      std::count_if(Free.begin(), Free.end(), [&](const TargetRef &Row) {
+        return loadRank(*Row, Model.Name) < 2;
+      }));
+}
+
+} // namespace
+
+void DomainPlanner::formMissing(Step &S) {
+  auto Usable = static_cast<std::size_t>(
+      std::count_if(S.View.Targets.begin(), S.View.Targets.end(),
+                    [&](const TargetRef &Row) { return S.isUsable(*Row); }));
+  std::vector<unsigned> Wanted = groupsFor(S.Engine, Usable);
+  for (const ModelSpec *Model : largestFirst(S.Engine)) {
+    auto Index = static_cast<std::size_t>(Model - S.Engine.Models.data());
+    while (S.Have[Model->Name] < Wanted[Index] && this->form(S, *Model))
+      ++S.Have[Model->Name];
+  }
+  // Hosts that are ready for another group than planned serve rather than
+  // rest.
+  const ModelSpec *Scarce = scarcest(S);
+  for (const ModelSpec *Model : largestFirst(S.Engine))
+    while (S.supply(*Scarce) >= ScarcePart * S.supply(*Model) &&
+           countWarm(S.freeVms(), *Model) >= Model->GroupSize &&
+           this->form(S, *Model))
+      ++S.Have[Model->Name];
+  this->formScarce(S);
+}
+
+/// Loads weights for a model that is short of groups, on hosts that would rest.
+/// One stays as a reserve, unless the model is very short.
+void DomainPlanner::formScarce(Step &S) {
+  const ModelSpec *Scarce = scarcest(S);
+  if (!Scarce)
+    return;
+  double Most = 0;
+  for (const ModelSpec &Row : S.Engine.Models)
+    Most = std::max(Most, S.supply(Row));
+  if (S.supply(*Scarce) >= ScarcePart * Most)
+    return;
+  std::size_t Reserve = S.supply(*Scarce) < VeryScarcePart * Most ? 0 : 1;
+  if (S.freeVms().size() >= Scarce->GroupSize + Reserve)
+    this->form(S, *Scarce, true);
+}
+
+/// Names a new group, above each epoch that was used or seen.
+GroupKey DomainPlanner::nextKey(const Step &S, const ModelSpec &Model) {
+  std::uint64_t Seen = S.View.EpochFloor;
+  for (const TargetRef &Row : S.View.Targets)
+    if (Row->Group)
+      Seen = std::max(Seen, Row->Group->Group.Epoch);
+  this->LastEpoch = std::max(this->LastEpoch, Seen) + 1;
+  return {groupName(Model.Name, S.View.Domain, this->LastEpoch),
+          this->LastEpoch};
+}
+
+bool DomainPlanner::form(Step &S, const ModelSpec &Model, bool LoadsAnyway) {
+  std::vector<TargetRef> Free = S.freeVms();
+  std::size_t Warm = countWarm(Free, Model);
+  if (Warm < Model.GroupSize && this->giveUpSmaller(S, Model, Warm))
+    return false;
+  if (Free.size() < Model.GroupSize)
+    return false;
+  // Loads from the shared store take many seconds: hosts are staged first,
+  // meanwhile the others may serve, unless nothing serves the model at all.
+  bool Staging =
+      S.Engine.ModelsStagedPerHost > 0 && S.View.LoadsAllowed < FreeLoads;
+  if (Warm < Model.GroupSize && Staging && !LoadsAnyway &&
+      S.View.Serving.contains(Model.Name))
+    return false;
+  std::stable_sort(Free.begin(), Free.end(),
+                   [&](const TargetRef &Left, const TargetRef &Right) {
+                     return loadRank(*Left, Model.Name) <
+                            loadRank(*Right, Model.Name);
+                   });
+  Free.resize(Model.GroupSize);
+  auto Cold = static_cast<unsigned>(
+      std::count_if(Free.begin(), Free.end(), [&](const TargetRef &Row) {
+        return loadRank(*Row, Model.Name) == 2;
+      }));
+  if (Cold > S.LoadsLeft)
+    return false;
+  S.LoadsLeft -= Cold;
+  GroupKey Key = this->nextKey(S, Model);
+  Forming Row{Model.Name,
+              {},
+              S.View.Now,
+              formLimit(Cold ? Model.LoadTime : Model.StagedLoadTime)};
+  for (const TargetRef &Vm : Free)
+    Row.Members.push_back(Vm->Id);
+  for (const TargetRef &Vm : Free) {
+    S.Busy.insert(Vm->Id);
+    S.Orders.push_back({OrderKind::Join, Vm, Key, Model.Name, Row.Members,
+                        Cold ? "form, with loads" : "form"});
+  }
+  this->Pending.emplace(Key, std::move(Row));
+  return true;
+}
+
+/// Closes a group of a smaller model whose VMs make, with the \p Warm ones that
+/// are free, a group of \p Model without loading weights. True where one is
+/// closed, or still closing.
+bool DomainPlanner::giveUpSmaller(Step &S, const ModelSpec &Model,
+                                  std::size_t Warm) {
+  const std::pair<const GroupKey, Announced> *Best = nullptr;
+  for (const auto &Entry : S.Groups) {
+    const auto &[Key, Row] = Entry;
+    const ModelSpec *Other = S.Engine.model(modelOf(Key.Name));
+    if (!Row.Head || !Other || Other->GroupSize >= Model.GroupSize ||
+        this->HeadLeft.contains(Key))
+      continue;
+    auto Helps = static_cast<std::size_t>(
+        std::count_if(Row.Ranks.begin(), Row.Ranks.end(), [&](const auto &R) {
+          return S.isUsable(*R.second) && R.second->hasStaged(Model.Name);
+        }));
+    MemberState State = Row.Head->Group->State;
+    if (State == MemberState::Open &&
+        S.servingOf(*Other) - 1 < KeptPart * S.servingOf(Model))
+      continue;
+    if (Warm + Helps < Model.GroupSize)
+      continue;
+    if (State == MemberState::Closing && this->GivenUp.contains(Key))
+      return true;
+    if (State == MemberState::Open && !Best)
+      Best = &Entry;
+  }
+  if (!Best)
+    return false;
+  const auto &[Key, Row] = *Best;
+  this->GivenUp.insert(Key);
+  this->order(S, OrderKind::Close, Row.Head, Key,
+              "its VMs are needed for " + Model.Name);
+  return true;
+}
+
+/// The model that has the fewest groups for its part of the work.
+const ModelSpec *DomainPlanner::scarcest(const Step &S) {
+  const ModelSpec *Best = nullptr;
+  double Least = 0;
+  for (const ModelSpec *Row : largestFirst(S.Engine)) {
+    double Rate = S.supply(*Row);
+    if (!Best || Rate < Least) {
+      Best = Row;
+      Least = Rate;
+    }
+  }
+  return Best;
+}
+
+} // namespace waycove
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -110,11 +110,10 @@
     std::vector<VmId> Members;
     TimePoint Since;
     Millis Limit{0};
-    TimePoint OpenSentAt;
   };
   struct Step;
 
-  void collect(Step &S) const;
+  static void collect(Step &S);
   void judge(Step &S, const GroupKey &Key, const Announced &Row);
   MemberFate fateOf(const Step &S, const GoneTarget &Row);
   bool isWhole(Step &S, const GroupKey &Key, const Announced &Row,
@@ -126,14 +125,19 @@
   void releaseEach(Step &S, const GroupKey &Key, const Announced &Row);
   void dropStaleForming(Step &S);
   void formMissing(Step &S);
+  GroupKey nextKey(const Step &S, const ModelSpec &Model);
   bool form(Step &S, const ModelSpec &Model, bool LoadsAnyway = false);
   void formScarce(Step &S);
   bool giveUpSmaller(Step &S, const ModelSpec &Model, std::size_t Warm);
   void stageSpares(Step &S);
-  const ModelSpec *scarcest(const Step &S) const;
+  static const ModelSpec *scarcest(const Step &S);
+  static std::vector<const Announced *>
+  donorsFor(const Step &S, const ModelSpec &Large, std::size_t Free);
   bool stage(Step &S, const TargetRef &Vm, const ModelSpec &Model);
-  bool mayOrder(const GroupKey &Group, OrderKind Kind, const VmId &To,
-                TimePoint Now);
+  /// Gives an order, unless the same was given a short while ago.
+  void order(Step &S, OrderKind Kind, const TargetRef &To,
+             const GroupKey &Group, const std::string &Reason,
+             const std::string &Model = std::string());
   bool isSettled(const DomainView &View);
 
   std::map<GroupKey, Forming> Pending;
--- /dev/null
+++ b/src/policy/domain_stage.cpp
@@ -0,0 +1,111 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// Staging weights on hosts ahead of need, so that repairs do not wait for the
+// shared store.
+
+#include "policy/domain_step.h"
+
+#include <algorithm>
+
+namespace waycove {
+
+namespace {
+
+/// Staging is given again where it did not show after this.
+constexpr int StageTimeFactor = 3;
+/// Hosts of one domain that are staged at the same time: the store slows down
+/// where more than a few load.
+constexpr int StagingsAtOnce = 1;
+/// Groups of smaller models whose hosts hold the largest model besides, in a
+/// domain with at least so many free VMs, and in one without. Tried: two
+/// everywhere left the smaller model short where domains have free VMs, one
+/// everywhere the larger one where they have none.
+constexpr std::size_t FewReserves = 2;
+constexpr std::size_t DonorsBesideReserves = 1;
+constexpr std::size_t DonorsAlone = 2;
+
+} // namespace
+
+/// The groups of smaller models whose hosts are to hold \p Large besides,
+/// where \p Free VMs are free.
+std::vector<const DomainPlanner::Announced *>
+DomainPlanner::donorsFor(const Step &S, const ModelSpec &Large,
+                         std::size_t Free) {
+  std::size_t Wanted = Free >= FewReserves ? DonorsBesideReserves : DonorsAlone;
+  std::vector<const Announced *> Donors;
+  for (const auto &[Key, Group] : S.Groups) {
+    const ModelSpec *Model = S.Engine.model(modelOf(Key.Name));
+    if (Donors.size() < Wanted && Model && Model->GroupSize < Large.GroupSize &&
+        Group.Head && Group.Head->Group->State == MemberState::Open)
+      Donors.push_back(&Group);
+  }
+  return Donors;
+}
+
+/// Stages models on hosts ahead of need. The hosts of some groups of smaller
+/// models hold the largest besides: its repair takes them. Free VMs are the
+/// reserve of the smaller models then, and else of the largest.
+void DomainPlanner::stageSpares(Step &S) {
+  std::vector<const ModelSpec *> Models = largestFirst(S.Engine);
+  if (S.Engine.ModelsStagedPerHost == 0 || Models.empty())
+    return;
+  std::vector<TargetRef> Free = S.freeVms();
+  const ModelSpec &Large = *Models.front();
+  const ModelSpec &Small = *Models.back();
+  std::vector<const Announced *> Donors = donorsFor(S, Large, Free.size());
+  std::map<std::string, int> Reserves;
+  for (const TargetRef &Row : Free)
+    for (const ModelSpec *Model : Models)
+      Reserves[Model->Name] += Row->hasStaged(Model->Name) ? 1 : 0;
+  for (const TargetRef &Row : Free) {
+    bool Any =
+        std::any_of(Models.begin(), Models.end(), [&](const ModelSpec *Model) {
+          return Row->hasStaged(Model->Name);
+        });
+    if (Any)
+      continue;
+    bool ForSmall = !Donors.empty()
+                        ? Reserves[Small.Name] <= Reserves[Large.Name]
+                        : Reserves[Small.Name] < Reserves[Large.Name];
+    const ModelSpec &Next = ForSmall ? Small : Large;
+    ++Reserves[Next.Name];
+    if (!this->stage(S, Row, Next))
+      return;
+  }
+  for (const Announced *Donor : Donors)
+    for (const auto &[Rank, Vm] : Donor->Ranks)
+      if (!this->stage(S, Vm, Large))
+        return;
+}
+
+/// Orders the staging unless it is done or under way; false where no more
+/// loads may begin.
+bool DomainPlanner::stage(Step &S, const TargetRef &Vm,
+                          const ModelSpec &Model) {
+  if (!S.isUsable(*Vm) || Vm->hasStaged(Model.Name))
+    return true;
+  TimePoint &At = this->Staging[Vm->Id];
+  if (At != TimePoint() && S.View.Now - At < Model.LoadTime * StageTimeFactor)
+    return true;
+  bool Free = S.View.LoadsAllowed >= FreeLoads;
+  auto UnderWay = std::count_if(
+      this->Staging.begin(), this->Staging.end(), [&](const auto &Entry) {
+        return Entry.second != TimePoint() &&
+               S.View.Now - Entry.second < Model.LoadTime;
+      });
+  if (S.LoadsLeft == 0 || (!Free && UnderWay >= StagingsAtOnce))
+    return false;
+  At = S.View.Now;
+  --S.LoadsLeft;
+  GroupOrder Order;
+  Order.Kind = OrderKind::Stage;
+  Order.To = Vm;
+  Order.Model = Model.Name;
+  Order.Reason = "a reserve for repairs";
+  S.Orders.push_back(std::move(Order));
+  return true;
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/policy/domain_step.cpp
@@ -0,0 +1,71 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "policy/domain_step.h"
+
+#include <algorithm>
+
+namespace waycove {
+
+namespace {
+
+/// A group forms in its load time; shared loading may double it.
+constexpr int LoadTimeFactor = 3;
+constexpr Millis FormSlack(3000);
+/// Guards a division where the operators state no share of the work.
+constexpr double LeastNeed = 1e-3;
+
+} // namespace
+
+std::vector<const ModelSpec *> largestFirst(const EngineSpec &Engine) {
+  std::vector<const ModelSpec *> Rows;
+  for (const ModelSpec &Row : Engine.Models)
+    Rows.push_back(&Row);
+  std::stable_sort(Rows.begin(), Rows.end(),
+                   [](const ModelSpec *Left, const ModelSpec *Right) {
+                     return Left->GroupSize > Right->GroupSize;
+                   });
+  return Rows;
+}
+
+Millis formLimit(Millis LoadTime) {
+  return LoadTime * LoadTimeFactor + FormSlack;
+}
+
+double DomainPlanner::Step::needOf(const ModelSpec &Model) const {
+  auto At = this->View.Demand.find(Model.Name);
+  double Asked = At == this->View.Demand.end() ? 0 : At->second;
+  // The stated share counts VMs; groups are compared.
+  double Need = this->View.Demand.empty() ? Model.WorkShare / Model.GroupSize
+                                          : Asked * Model.TimeFactor;
+  return std::max(Need, LeastNeed);
+}
+
+double DomainPlanner::Step::servingOf(const ModelSpec &Model) const {
+  auto At = this->View.Serving.find(Model.Name);
+  return At == this->View.Serving.end() ? 0 : At->second;
+}
+
+double DomainPlanner::Step::supply(const ModelSpec &Model) const {
+  return this->servingOf(Model) / this->needOf(Model);
+}
+
+bool DomainPlanner::Step::isUsable(const TargetInfo &Row) const {
+  return !Row.Draining && !this->View.Lost.contains(Row.Id);
+}
+
+std::vector<TargetRef> DomainPlanner::Step::freeVms() const {
+  std::vector<TargetRef> Free;
+  for (const TargetRef &Row : this->View.Targets)
+    if (this->isUsable(*Row) && !this->Busy.contains(Row->Id))
+      Free.push_back(Row);
+  return Free;
+}
+
+void DomainPlanner::Step::hold(const Announced &Row) {
+  for (const auto &[Rank, Vm] : Row.Ranks)
+    this->Busy.insert(Vm->Id);
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/policy/domain_step.h
@@ -0,0 +1,44 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+// Shared by the files that define DomainPlanner, and by nobody else.
+
+#include "policy/domain_plan.h"
+
+namespace waycove {
+
+/// One planning step under way: how the domain looks, what was found out and
+/// decided so far. It ends with the step.
+struct DomainPlanner::Step {
+  const DomainView &View;
+  const EngineSpec &Engine;
+  std::map<GroupKey, Announced> Groups;
+  /// VMs that must not be taken.
+  std::set<VmId> Busy;
+  /// Groups per model that serve or will.
+  std::map<std::string, unsigned> Have;
+  std::vector<GroupOrder> Orders;
+  unsigned LoadsLeft = 0;
+
+  /// How much work a model has, in any unit that is the same for all.
+  double needOf(const ModelSpec &Model) const;
+  /// Groups that serve the model, over all domains.
+  double servingOf(const ModelSpec &Model) const;
+  /// The same, for the work that it has.
+  double supply(const ModelSpec &Model) const;
+  bool isUsable(const TargetInfo &Row) const;
+  std::vector<TargetRef> freeVms() const;
+  /// Keeps the group's members from being taken in this step.
+  void hold(const Announced &Row);
+};
+
+/// The models of \p Engine, those with the largest groups first.
+std::vector<const ModelSpec *> largestFirst(const EngineSpec &Engine);
+
+/// How long a group may take to form where its weights load in \p LoadTime.
+Millis formLimit(Millis LoadTime);
+
+} // namespace waycove
--- a/tools/without.py
+++ b/tools/without.py
@@ -13,15 +13,15 @@
 # name: (file, text, what stands in its place, tests by ctest's -R)
 MECHANISMS = {
     "head-leaves-first": (
-        "src/policy/domain_plan.cpp",
+        "src/policy/domain_judge.cpp",
         'return this->release(S, Key, Row, "given up");', "return;",
         "planner: lost, late"),
     "members-leave": (
-        "src/policy/domain_plan.cpp",
+        "src/policy/domain_judge.cpp",
         "if (this->MemberLeft.contains({Key, Vm->Id}))", "if (true)",
         "planner: lost, late"),
     "earlier-owner": (
-        "src/policy/domain_plan.cpp",
+        "src/policy/domain_judge.cpp",
         "Key.Epoch <= S.View.OwnedFloor", "false",
         "planner: lost, late"),
     "signed-success": (
