Split the relay into choice, waiting, reading answers and notes

Only what speaks the callers' protocol has to be a template. Reading a body to its end, also where that is the connection's end, is in one place now. The query for a target carried a number of slots that nothing read.

No functional change.

--- /dev/null
+++ b/src/edge/answer_pass.h
@@ -0,0 +1,219 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "edge/answer_wait.h"
+#include "edge/target_pool.h"
+
+namespace waycove {
+
+/// Reads targets' answers and passes them on to callers: whole ones at once,
+/// streams event by event. What is not certainly the target's own, whole and
+/// in order is not passed on. Thread-safe.
+template <CallerProtocol Protocol> class AnswerPass {
+public:
+  AnswerPass(EntryBoard &Board, TargetPool &Pool, AnswerWait &Wait,
+             RelayNotes &Notes)
+      : Board(Board), Pool(Pool), Wait(Wait), Notes(Notes) {}
+
+  /// Reads the answer to the attempt's send and gives it to the caller; how the
+  /// attempt ends.
+  AttemptEnd read(RelayExchange &Ex, RelayAttempt &Try) {
+    std::string &Buffer = Try.Connection->buffer();
+    for (unsigned Skipped = 0; Skipped <= MostSkipped;) {
+      std::optional<std::size_t> Length = headLength(Buffer);
+      if (!Length) {
+        if (Buffer.size() > MostHeadBytes)
+          break;
+        if (std::optional<AttemptEnd> End = this->Wait.forBytes(Ex, Try))
+          return *End;
+        continue;
+      }
+      auto Head =
+          parseResponseHead(std::string_view(Buffer).substr(0, *Length));
+      if (!Head)
+        break;
+      Buffer.erase(0, *Length);
+      if (Head->getStatus() < 200)
+        continue;
+      auto Body = responseBody(*Head, Ex.Request.Head.getMethod());
+      if (!Body)
+        break;
+      TargetFacts Facts = Protocol::readTarget(*Head);
+      if (Facts.Request == Ex.Request.Facts.Id)
+        return this->takeAnswer(Ex, Try, *Head, Facts, *Body);
+      // A late answer to a request before ours: drop it, ours follows.
+      ++Skipped;
+      std::string Dropped;
+      if (AttemptEnd End = this->Wait.readBody(Ex, Try, *Body, Dropped);
+          End != AttemptEnd::Done)
+        return End;
+    }
+    Try.Reason = "what came is no answer";
+    return AttemptEnd::Broken;
+  }
+
+private:
+  /// A target that takes no more for now.
+  static constexpr Millis FullTime{300};
+  static constexpr std::size_t MostHeadBytes = 64 << 10;
+  /// Late answers to requests before ours that are skipped on a connection.
+  static constexpr unsigned MostSkipped = 3;
+
+  AttemptEnd takeAnswer(RelayExchange &Ex, RelayAttempt &Try,
+                        const Poco::Net::HTTPResponse &Head,
+                        const TargetFacts &Facts, BodyDecoder &Body) {
+    this->noteFirstByte(Ex, Try);
+    int Status = Head.getStatus();
+    if (Facts.NotRun) {
+      std::string Unused;
+      if (this->Wait.readBody(Ex, Try, Body, Unused) == AttemptEnd::Done)
+        this->keepConnection(Try, Head, Facts, Body);
+      Try.Reason = "not taken, status " + std::to_string(Status);
+      this->Notes.suspect(Try.To.Target->Id, FullTime, Try.Reason,
+                          Ex.Request.Facts.Id);
+      return AttemptEnd::Refused;
+    }
+    bool Success = Status >= 200 && Status < 300;
+    if (Success && (!Facts.Signed || Head.has("Content-Encoding"))) {
+      Try.Reason = "a success that is not the target's own answer";
+      return AttemptEnd::Broken;
+    }
+    if (Success && Ex.Request.Route->Kind == RouteKind::Stream &&
+        Head.getContentType().rfind("text/event-stream", 0) == 0)
+      return this->passStream(Ex, Try, Head, Facts, Body);
+    return this->passWhole(Ex, Try, Head, Facts, Body);
+  }
+
+  AttemptEnd passWhole(RelayExchange &Ex, RelayAttempt &Try,
+                       const Poco::Net::HTTPResponse &Head,
+                       const TargetFacts &Facts, BodyDecoder &Body) {
+    std::string Bytes;
+    if (AttemptEnd End = this->Wait.readBody(Ex, Try, Body, Bytes);
+        End != AttemptEnd::Done)
+      return End;
+    this->keepConnection(Try, Head, Facts, Body);
+    if (Ex.Answer.hasBegun()) {
+      Try.Reason = "status " + std::to_string(Head.getStatus()) +
+                   " where a stream was to go on";
+      return AttemptEnd::Broken;
+    }
+    if (Head.getStatus() >= 500 && Ex.Request.Route->mayRepeat()) {
+      Try.Reason =
+          "the target failed, status " + std::to_string(Head.getStatus());
+      Ex.Run.Failure = Head;
+      Ex.Run.FailureBody = std::move(Bytes);
+      return AttemptEnd::Broken;
+    }
+    return Ex.deliver(Head, Bytes) ? AttemptEnd::Done : AttemptEnd::CallerGone;
+  }
+
+  /// Passes whole events on as they come, from where the caller is.
+  AttemptEnd passStream(RelayExchange &Ex, RelayAttempt &Try,
+                        const Poco::Net::HTTPResponse &Head,
+                        const TargetFacts &Facts, BodyDecoder &Body) {
+    std::string Payload;
+    bool FirstEvent = true;
+    while (true) {
+      Body.feed(Try.Connection->buffer(), Payload);
+      std::string Ready;
+      if (!takeEvents(Ex, Payload, FirstEvent, Ready)) {
+        Try.Reason = "an event is out of order";
+        return AttemptEnd::Broken;
+      }
+      if (!Ready.empty())
+        this->Board.Vitals.write([&](VitalsTable &Vitals) {
+          Vitals.onProgress(Try.To.Target->Id, Try.LastByte);
+        });
+      if (!sendEvents(Ex, Head, Ready))
+        return AttemptEnd::CallerGone;
+      if (Body.isDone())
+        return this->endStream(Ex, Try, Head, Facts, Body, Payload);
+      if (Body.isBad()) {
+        Try.Reason = "the stream's framing is damaged";
+        return AttemptEnd::Broken;
+      }
+      if (std::optional<AttemptEnd> End = this->Wait.forBody(Ex, Try, Body))
+        return *End;
+    }
+  }
+
+  /// Moves the whole events of \p Payload to \p Ready; false where one is out
+  /// of order.
+  static bool takeEvents(RelayExchange &Ex, std::string &Payload,
+                         bool &FirstEvent, std::string &Ready) {
+    while (std::optional<StreamEvent> Event = takeEvent(Payload)) {
+      if (!followsOn(Ex, *Event, FirstEvent))
+        return false;
+      FirstEvent = false;
+      Ready += Event->Bytes;
+      if (Event->Id)
+        Ex.Run.LastEvent = Event->Id;
+    }
+    return true;
+  }
+
+  static bool followsOn(const RelayExchange &Ex, const StreamEvent &Event,
+                        bool First) {
+    if (!Event.Id || !Ex.Run.LastEvent)
+      return true;
+    // A resumed stream has to go on right behind the last event.
+    return First ? *Event.Id == *Ex.Run.LastEvent + 1
+                 : *Event.Id > *Ex.Run.LastEvent;
+  }
+
+  static bool sendEvents(RelayExchange &Ex, const Poco::Net::HTTPResponse &Head,
+                         const std::string &Ready) {
+    if (Ready.empty())
+      return true;
+    if (!Ex.Answer.hasBegun()) {
+      Poco::Net::HTTPResponse Out(Head.getStatus(), Head.getReason());
+      copyEndToEnd(Head, Out);
+      if (Ex.Answer.begin(std::move(Out), Ex.writeUntil()) != IoEnd::Ok)
+        return false;
+    }
+    return Ex.Answer.part(Ready, Ex.writeUntil()) == IoEnd::Ok;
+  }
+
+  AttemptEnd endStream(RelayExchange &Ex, RelayAttempt &Try,
+                       const Poco::Net::HTTPResponse &Head,
+                       const TargetFacts &Facts, const BodyDecoder &Body,
+                       const std::string &Rest) {
+    if (!Rest.empty()) {
+      Try.Reason = "the stream ends within an event";
+      return AttemptEnd::Broken;
+    }
+    this->keepConnection(Try, Head, Facts, Body);
+    if (!Ex.Answer.hasBegun())
+      return Ex.deliver(Head, "") ? AttemptEnd::Done : AttemptEnd::CallerGone;
+    return Ex.Answer.end(Ex.writeUntil()) == IoEnd::Ok ? AttemptEnd::Done
+                                                       : AttemptEnd::CallerGone;
+  }
+
+  void keepConnection(RelayAttempt &Try, const Poco::Net::HTTPResponse &Head,
+                      const TargetFacts &Facts, const BodyDecoder &Body) {
+    if (Head.getKeepAlive() && Body.kind() != Framing::UntilClose)
+      this->Pool.keep(Try.To.Target->Id, std::move(*Try.Connection),
+                      Facts.KeepAlive.value_or(Millis(0)), SystemClock{}.now());
+  }
+
+  void noteFirstByte(const RelayExchange &Ex, RelayAttempt &Try) {
+    TimePoint Now = SystemClock{}.now();
+    Try.FirstByteSeen = true;
+    this->Board.Vitals.write([&](VitalsTable &Vitals) {
+      Vitals.onFirstByte(Try.To.Target->Id, Try.SentAt,
+                         static_cast<double>(Ex.Request.Facts.PromptTokens),
+                         Now);
+    });
+    this->Board.Counters.observe(Timer::FirstToken, Now - Ex.Request.Arrived);
+  }
+
+  EntryBoard &Board;
+  TargetPool &Pool;
+  AnswerWait &Wait;
+  RelayNotes &Notes;
+};
+
+} // namespace waycove
--- /dev/null
+++ b/src/edge/relay_choice.cpp
@@ -0,0 +1,93 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "edge/relay_choice.h"
+
+namespace waycove {
+
+namespace {
+
+/// An answer's token costs an engine about as much as ten of a prompt.
+constexpr double AnswerTokenWeight = 10;
+/// Sends of one request, with those that targets did not take.
+constexpr unsigned MostSends = 5;
+
+} // namespace
+
+void RelayChoice::noteRequest(const RelayRequest &Request) {
+  const CallerFacts &Facts = Request.Facts;
+  if (!Facts.Model.empty())
+    this->Board.Demand.write([&](DemandTable &Rows) {
+      Rows[Facts.Model] +=
+          static_cast<double>(Facts.PromptTokens) +
+          AnswerTokenWeight * static_cast<double>(Facts.AnswerTokens);
+    });
+  const ServiceId &Service = Request.Service;
+  const EntrySettings &Given = *this->Board.Config.Entry;
+  this->Board.Spend.write([&](SpendTable &Rows) {
+    Rows.try_emplace(Service, RetryAllowance{Given.RetryRatio, Given.RetrySlack,
+                                             Given.RetryWindow})
+        .first->second.onRequest(SystemClock{}.now());
+  });
+}
+
+std::optional<Serving> RelayChoice::choose(const RelayRequest &Request,
+                                           const RelayRun &Run, TimePoint Now) {
+  ServingViewRef View =
+      this->Board.Serving.read([](const ServingViewRef &Row) { return Row; });
+  auto Rows = View->ByService.find(Request.Service);
+  if (Rows == View->ByService.end())
+    return std::nullopt;
+  ChoiceQuery Query{Request.Facts.Model, this->Board.Config.DataCentre,
+                    Run.Tried, Now, mixHash(Request.Random, Run.Tried.size())};
+  const ServiceSpec *Spec = Request.Config->service(Request.Service);
+  if (!Spec || !Spec->Engine)
+    Query.Model.clear();
+  return this->Board.Vitals.read(
+      [&](const VitalsTable &Vitals) -> std::optional<Serving> {
+        const Serving *Row = chooseTarget(Rows->second, Vitals, Query);
+        return Row ? std::optional<Serving>(*Row) : std::nullopt;
+      });
+}
+
+bool RelayChoice::mayGoOn(const RelayRequest &Request, const RelayRun &Run) {
+  const HttpRoute &Route = *Request.Route;
+  if (Run.Tried.size() >= MostSends)
+    return false;
+  return Run.MayHaveRun == 0 ||
+         (Route.mayRepeat() && Run.MayHaveRun < Route.MaxAttempts);
+}
+
+bool RelayChoice::mayLeave(const RelayRequest &Request, const RelayRun &Run,
+                           TimePoint Now) {
+  RelayRun After = Run;
+  ++After.MayHaveRun;
+  if (!Request.Route->mayRepeat() || !mayGoOn(Request, After))
+    return false;
+  std::optional<Serving> To = this->choose(Request, After, Now);
+  return To && this->maySpend(Request.Service, Now) &&
+         this->Board.Vitals.read([&](const VitalsTable &Vitals) {
+           const TargetVitals &Seen = Vitals.of(To->Target->Id);
+           return Seen.SuspectUntil <= Now && !Seen.standsStill(Now);
+         });
+}
+
+bool RelayChoice::maySpend(const ServiceId &Service, TimePoint Now) {
+  return this->Board.Spend.write([&](SpendTable &Rows) {
+    auto At = Rows.find(Service);
+    return At != Rows.end() && At->second.allows(this->Board.Share, Now);
+  });
+}
+
+bool RelayChoice::spend(const ServiceId &Service, TimePoint Now) {
+  bool Taken = this->Board.Spend.write([&](SpendTable &Rows) {
+    auto At = Rows.find(Service);
+    return At != Rows.end() && At->second.take(this->Board.Share, Now);
+  });
+  if (Taken)
+    this->Board.Counters.add(Counter::Retries);
+  return Taken;
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/edge/relay_choice.h
@@ -0,0 +1,38 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "edge/relay_request.h"
+
+namespace waycove {
+
+/// Decides where a request is sent, and whether once more: by the targets that
+/// serve, by what the route allows, and within the second sends that all share.
+/// Thread-safe.
+class RelayChoice {
+public:
+  explicit RelayChoice(EntryBoard &Board) : Board(Board) {}
+
+  /// Counts a request that was admitted, for demand and second sends.
+  void noteRequest(const RelayRequest &Request);
+  /// The best target that the request was not sent to yet.
+  std::optional<Serving> choose(const RelayRequest &Request,
+                                const RelayRun &Run, TimePoint Now);
+  /// Whether one more send is allowed after one that did not end well.
+  static bool mayGoOn(const RelayRequest &Request, const RelayRun &Run);
+  /// Whether a send that shows no progress should be left for another target:
+  /// one must be there that is not under suspicion itself.
+  bool mayLeave(const RelayRequest &Request, const RelayRun &Run,
+                TimePoint Now);
+  /// Takes one second send; false where none is left in this window.
+  bool spend(const ServiceId &Service, TimePoint Now);
+
+private:
+  bool maySpend(const ServiceId &Service, TimePoint Now);
+
+  EntryBoard &Board;
+};
+
+} // namespace waycove
--- a/src/policy/choice.h
+++ b/src/policy/choice.h
@@ -76,8 +76,6 @@
   TimePoint Now;
   /// Uniform bits.
   std::uint64_t Random = 0;
-  /// Requests that one target runs at a time, as the service states it.
-  unsigned Slots = 1;
 };
 
 /// The target with the least expected wait. A target in another data centre
--- a/tools/without.py
+++ b/tools/without.py
@@ -25,7 +25,7 @@
         "Key.Epoch <= S.View.OwnedFloor", "false",
         "planner: lost, late"),
     "signed-success": (
-        "src/edge/relay.h",
+        "src/edge/answer_pass.h",
         "!Facts.Signed || ", "",
         "entry: an unsigned"),
     "keys-proven": (
@@ -37,7 +37,7 @@
         "Row && Config->Version <= Row->Version", "false",
         "entry: a key is taken away"),
     "answer-id": (
-        "src/edge/relay.h",
+        "src/edge/answer_pass.h",
         "Facts.Request == Ex.Request.Facts.Id", "true",
         "entry: another's answer"),
     "members-counted": (
