Split asking after members and sending orders from domain ownership

The owner of domains now takes its share, plans and passes on; asking after members, the bound on loads, the look of owned domains and the sending of orders each have a file of their own.

No functional change.

--- /dev/null
+++ b/src/control/domain_views.cpp
@@ -0,0 +1,61 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "control/domain_views.h"
+
+#include <algorithm>
+
+namespace waycove {
+
+namespace {
+
+bool owns(const EntryBoard &Board, const WorkShare &Mine,
+          const DomainId &Domain) {
+  std::uint64_t Part = hashText(Domain.Text) % Board.Config.Entry->WorkParts;
+  return std::find(Mine.Parts.begin(), Mine.Parts.end(), Part) !=
+         Mine.Parts.end();
+}
+
+} // namespace
+
+std::map<DomainId, DomainView> ownedDomains(const EntryBoard &Board,
+                                            const RoutingConfig &Config,
+                                            const WorkShare &Mine,
+                                            TimePoint Now) {
+  std::map<DomainId, DomainView> Views;
+  auto Wanted = [&](const TargetInfo &Row) {
+    const ServiceSpec *Spec = Config.service(Row.Service);
+    return Spec && Spec->Engine && !Spec->Engine->Models.empty() &&
+           !Row.Domain.empty() && owns(Board, Mine, Row.Domain);
+  };
+  auto ViewOf = [&](const TargetInfo &Row) -> DomainView & {
+    DomainView &View = Views[Row.Domain];
+    View.Domain = Row.Domain;
+    View.Service = Row.Service;
+    View.Now = Now;
+    return View;
+  };
+  Board.Targets.read([&](const Fleet &Rows) {
+    for (const auto &[Id, Row] : Rows.Targets)
+      if (Wanted(*Row))
+        ViewOf(*Row).Targets.push_back(Row);
+    for (const auto &[Id, Row] : Rows.Gone)
+      if (Wanted(*Row.Last))
+        ViewOf(*Row.Last).Gone.push_back(Row);
+  });
+  return Views;
+}
+
+std::map<std::string, unsigned> servingGroups(const EntryBoard &Board) {
+  std::map<std::string, unsigned> Counts;
+  ServingViewRef View =
+      Board.Serving.read([](const ServingViewRef &Row) { return Row; });
+  for (const auto &[Service, Rows] : View->ByService)
+    for (const Serving &Row : Rows)
+      if (!Row.Model.empty())
+        ++Counts[Row.Model];
+  return Counts;
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/control/order_sender.h
@@ -0,0 +1,71 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "board/entry_board.h"
+#include "control/group_control.h"
+
+#include <thread>
+
+namespace waycove {
+
+/// Carries orders to targets under the generation of an ownership, and tells
+/// the log how each was taken. Used by one thread.
+template <GroupControl Control> class OrderSender {
+public:
+  OrderSender(EntryBoard &Board, Control &Targets)
+      : Board(Board), Targets(Targets) {}
+
+  /// Gives orders to different targets at the same time, so that one that does
+  /// not answer holds up none of the others, while \p Until holds. How each
+  /// was taken.
+  std::vector<OrderEnd> give(const std::vector<GroupOrder> &Orders,
+                             std::uint64_t Generation, const Lease &Until) {
+    std::vector<OrderEnd> Ends(Orders.size(), OrderEnd::NotSent);
+    {
+      std::vector<std::jthread> Senders;
+      for (std::size_t I = 0; I < Orders.size(); ++I)
+        Senders.emplace_back([&, I] {
+          // Time may have passed, also while this process stood still.
+          if (Until.holds(SystemClock{}.now()) &&
+              !this->isFenced(Orders[I], Generation))
+            Ends[I] = this->Targets.order(Orders[I], Generation);
+        });
+    }
+    for (std::size_t I = 0; I < Orders.size(); ++I)
+      this->noteEnd(Orders[I], Ends[I], Generation);
+    return Ends;
+  }
+
+private:
+  bool isFenced(const GroupOrder &Order, std::uint64_t Generation) const {
+    auto At = this->FencedAt.find(Order.To->Id);
+    return At != this->FencedAt.end() && At->second >= Generation;
+  }
+
+  void noteEnd(const GroupOrder &Order, OrderEnd End,
+               std::uint64_t Generation) {
+    this->Board.Counters.add(Counter::OrdersSent);
+    if (End != OrderEnd::Taken)
+      this->Board.Counters.add(Counter::OrdersFailed);
+    if (End == OrderEnd::Fenced)
+      this->FencedAt[Order.To->Id] = Generation;
+    this->Board.Log.emit(EventCode::DomainOrderEnded, Order.To->Id.Text,
+                         LogFields()
+                             .add("order", orderName(Order.Kind))
+                             .add("group", Order.Group.Name)
+                             .add("epoch", Order.Group.Epoch)
+                             .add("generation", Generation)
+                             .add("reason", Order.Reason)
+                             .add("end", static_cast<int>(End)));
+  }
+
+  EntryBoard &Board;
+  Control &Targets;
+  /// Generation at which a target refused for a newer owner's order.
+  std::map<VmId, std::uint64_t> FencedAt;
+};
+
+} // namespace waycove
