Drop members that nothing reads; read a request's head in one place

The engine's timing figures, the slots of targets, the time of the fleet's last change, the count of open connections and the size of the table of vitals were kept and never read. Reading a caller's request is split into its head, its body and the rest; the constants of the callers' server say what they are for.

No functional change.

--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -58,8 +58,6 @@
   /// A request came since the start.
   std::atomic<bool> Requested{false};
   std::atomic<std::uint32_t> InFlight{0};
-  /// Connections of callers that are open.
-  std::atomic<std::uint32_t> Callers{0};
 };
 
 } // namespace waycove
--- a/src/control/keyed_feed.h
+++ b/src/control/keyed_feed.h
@@ -6,6 +6,7 @@
 
 #include "base/errors.h"
 
+#include <algorithm>
 #include <concepts>
 #include <optional>
 #include <string>
--- a/src/control/registry_follow.h
+++ b/src/control/registry_follow.h
@@ -121,7 +121,6 @@
       return;
     this->Board.Targets.write([&](Fleet &Rows) {
       ++Rows.Version;
-      Rows.ChangedAt = Now;
       std::erase_if(Rows.Gone, [&](const auto &Entry) {
         return Now - Entry.second.Since > GoneMemory;
       });
--- a/src/edge/caller_server.h
+++ b/src/edge/caller_server.h
@@ -45,10 +45,15 @@
   }
 
 private:
+  /// A thread that has no connection ends after this.
   static constexpr int IdleThreadSeconds = 20;
+  /// Small, since each open connection holds a thread.
   static constexpr int StackBytes = 256 << 10;
+  /// Connections that wait to be taken.
   static constexpr int Backlog = 1024;
+  /// After a failed accept, so that a lasting failure does not spin.
   static constexpr Millis AcceptWait{500};
+  /// For writing the refusal of what cannot be read.
   static constexpr Millis AnswerTime{1000};
 
   /// One connection on its thread; deletes itself when done.
@@ -64,7 +69,6 @@
         this->Owner.Board.Log.emit(EventCode::RequestCut, "connection",
                                    LogFields().add("reason", Error.what()));
       }
-      this->Owner.Board.Callers.fetch_sub(1);
     }
 
   private:
@@ -86,13 +90,11 @@
 
   void acceptOne(const Poco::Net::StreamSocket &Socket) {
     auto Row = std::make_unique<Connection>(*this, Socket);
-    this->Board.Callers.fetch_add(1);
     try {
       this->Threads.start(*Row);
       // The connection deletes itself at the end of its run.
       static_cast<void>(Row.release());
     } catch (const Poco::NoThreadAvailableException &) {
-      this->Board.Callers.fetch_sub(1);
       this->Board.Log.emit(EventCode::RequestCut, "accept",
                            LogFields().add("reason", "all threads are taken"));
     }
@@ -112,12 +114,31 @@
   /// Reads and serves one request; false where the connection ends.
   bool serveOne(Channel &Caller) {
     CallerLimits Limits = this->limits();
-    std::string &Buffer = Caller.buffer();
-    if (Buffer.empty() && !this->rest(Caller, Limits.IdleTime))
+    if (Caller.buffer().empty() && !this->rest(Caller, Limits.IdleTime))
       return false;
     RelayRequest Request;
     Request.Arrived = SystemClock{}.now();
     TimePoint Until = Request.Arrived + Limits.HeaderTime;
+    if (!this->readHead(Caller, Limits, Until, Request.Head))
+      return false;
+    auto Body = requestBody(Request.Head);
+    if (!Body)
+      return this->refuse(Caller, 400, "the body's end is ambiguous");
+    Request.Facts = Protocol::readCaller(Request.Head);
+    Request.Random = mixHash(hashText(Request.Facts.Id.Text), Seed);
+    if (Request.Head.getExpectContinue() &&
+        Caller.send("HTTP/1.1 100 Continue\r\n\r\n", Until) != IoEnd::Ok)
+      return false;
+    if (!this->readBody(Caller, *Body, Limits, Request.Body))
+      return false;
+    return this->Relayed.serve(Caller, std::move(Request));
+  }
+
+  /// Takes a request's head off the connection; false where none comes by
+  /// \p Until, or it was refused.
+  bool readHead(Channel &Caller, const CallerLimits &Limits, TimePoint Until,
+                Poco::Net::HTTPRequest &Into) {
+    std::string &Buffer = Caller.buffer();
     std::optional<std::size_t> Length;
     while (!(Length = headLength(Buffer))) {
       if (Buffer.size() > Limits.HeaderBytes)
@@ -130,19 +151,9 @@
     auto Head = parseRequestHead(std::string_view(Buffer).substr(0, *Length));
     if (!Head || !Head->has("Host"))
       return this->refuse(Caller, 400, "the head is malformed");
-    auto Body = requestBody(*Head);
-    if (!Body)
-      return this->refuse(Caller, 400, "the body's end is ambiguous");
     Buffer.erase(0, *Length);
-    Request.Head = *Head;
-    Request.Facts = Protocol::readCaller(Request.Head);
-    Request.Random = mixHash(hashText(Request.Facts.Id.Text), Seed);
-    if (Request.Head.getExpectContinue() &&
-        Caller.send("HTTP/1.1 100 Continue\r\n\r\n", Until) != IoEnd::Ok)
-      return false;
-    if (!this->readBody(Caller, *Body, Limits, Request.Body))
-      return false;
-    return this->Relayed.serve(Caller, std::move(Request));
+    Into = *Head;
+    return true;
   }
 
   /// Waits for the next request's first bytes; false where none come.
--- a/src/policy/choice.h
+++ b/src/policy/choice.h
@@ -58,7 +58,6 @@
   const TargetVitals &of(const VmId &Target) const;
   /// Drops targets that are not listed and have nothing in flight.
   void forget(const std::function<bool(const VmId &)> &IsListed);
-  std::size_t size() const { return this->Rows.size(); }
 
 private:
   static void stopWaiting(TargetVitals &Row, TimePoint SentAt,
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -41,8 +41,6 @@
   DataCentreId DataCentre;
   DomainId Domain;
   bool Draining = false;
-  /// Requests that it runs at a time.
-  unsigned Slots = 1;
   /// Models whose weights lie on its host.
   std::vector<std::string> Staged;
   /// Models that it has loaded.
@@ -68,7 +66,6 @@
   std::map<VmId, GoneTarget> Gone;
   /// Rises with each change.
   std::uint64_t Version = 0;
-  TimePoint ChangedAt;
 };
 
 /// Groups carry their model in their name, so that any node can tell from the
--- a/src/policy/routing.h
+++ b/src/policy/routing.h
@@ -73,22 +73,11 @@
   Millis StagedLoadTime{0};
 };
 
-/// How a service's model engines behave.
+/// What the forming of groups needs to know of a service's model engines.
 struct EngineSpec {
-  /// Requests that one group runs at a time.
-  unsigned Slots = 1;
-  /// Tokens that a group's memory holds.
-  std::uint64_t KvTokens = 0;
-  /// Tokens of each running request between two looks at the queue.
-  unsigned StepsPerPass = 1;
-  double StepMs = 0;
-  double StepMsPerRequest = 0;
-  double PrefillTokensPerMs = 1;
-  /// Prompt tokens that are read in one pass at most.
-  unsigned PrefillChunk = 0;
+  /// Loads that may begin in a second, over all domains.
   double LoadsPerSecond = 1;
   unsigned ModelsStagedPerHost = 0;
-  Millis FormTime{0};
   std::vector<ModelSpec> Models;
 
   const ModelSpec *model(std::string_view Name) const;
