Give the balancer's server a file of its own

The entry daemon composes the parts; answering the balancer is one more part and needs no template. Both daemons now start through one function, which tells of an address that is taken.

No functional change.

--- a/src/edge/entry_daemon.h
+++ b/src/edge/entry_daemon.h
@@ -8,12 +8,7 @@
 #include "control/domain_owner.h"
 #include "control/registry_follow.h"
 #include "edge/caller_server.h"
-
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
+#include "edge/ready_server.h"
 
 namespace waycove {
 
@@ -40,11 +35,14 @@
         Targets(this->Board), Routing(this->Board, this->ConfigFeed, {}),
         Registry(this->Board, this->RegistryFeed, {}),
         Domains(this->Board, this->Work, this->Targets),
-        Relayed(this->Board, this->Pool), Callers(this->Board, this->Relayed) {}
+        Relayed(this->Board, this->Pool), Callers(this->Board, this->Relayed),
+        Ready(
+            Platform::ReadyPath, [this] { return this->isReady(); },
+            this->Board.Counters) {}
 
   /// Throws Poco::Exception where an address is taken.
   void start() {
-    this->startReady();
+    this->Ready.start(this->Board.Config.Entry->Ready);
     this->Callers.start();
     this->loop([this] { return this->Routing.step(); });
     this->loop([this] { return this->Registry.step(); });
@@ -101,59 +99,6 @@
   /// Part of the demand that still counts a second later: about the last ten
   /// seconds weigh.
   static constexpr double DemandKept = 0.9;
-  static constexpr int ReadyThreads = 4;
-  static constexpr int ReadyBacklog = 64;
-
-  class ReadyHandler : public Poco::Net::HTTPRequestHandler {
-  public:
-    explicit ReadyHandler(EntryDaemon &Owner) : Owner(Owner) {}
-    void handleRequest(Poco::Net::HTTPServerRequest &Request,
-                       Poco::Net::HTTPServerResponse &Response) override {
-      if (Request.getURI() == Platform::ReadyPath) {
-        if (!this->Owner.isReady())
-          Response.setStatusAndReason(
-              Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
-        Response.setContentLength(0);
-        Response.send();
-      } else if (Request.getURI() == "/metrics") {
-        std::string Text = this->Owner.Board.Counters.text();
-        Response.setContentType("text/plain; version=0.0.4");
-        Response.sendBuffer(Text.data(), Text.size());
-      } else {
-        Response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_NOT_FOUND);
-        Response.setContentLength(0);
-        Response.send();
-      }
-    }
-
-  private:
-    EntryDaemon &Owner;
-  };
-
-  class ReadyHandlers : public Poco::Net::HTTPRequestHandlerFactory {
-  public:
-    explicit ReadyHandlers(EntryDaemon &Owner) : Owner(Owner) {}
-    Poco::Net::HTTPRequestHandler *
-    createRequestHandler(const Poco::Net::HTTPServerRequest &) override {
-      return new ReadyHandler(this->Owner);
-    }
-
-  private:
-    EntryDaemon &Owner;
-  };
-
-  void startReady() {
-    const Endpoint &At = this->Board.Config.Entry->Ready;
-    Poco::Net::ServerSocket Socket;
-    Socket.bind(Poco::Net::SocketAddress(At.Host, At.Port), true, false);
-    Socket.listen(ReadyBacklog);
-    auto Params = Poco::AutoPtr<Poco::Net::HTTPServerParams>(
-        new Poco::Net::HTTPServerParams);
-    Params->setMaxThreads(ReadyThreads);
-    this->Ready = std::make_unique<Poco::Net::HTTPServer>(
-        new ReadyHandlers(*this), this->ReadyPool, Socket, Params);
-    this->Ready->start();
-  }
 
   /// Ready while it could serve: it has a configuration in force, can prove
   /// its keys, and knows targets.
@@ -210,8 +155,7 @@
   CallerServer<typename Platform::Callers> Callers;
   std::atomic<bool> WasReady{false};
   TimePoint StopBegan;
-  Poco::ThreadPool ReadyPool{"ready", 2, ReadyThreads};
-  std::unique_ptr<Poco::Net::HTTPServer> Ready;
+  ReadyServer Ready;
   std::vector<std::jthread> Loops;
 };
 
--- a/src/main/waycoved.cpp
+++ b/src/main/waycoved.cpp
@@ -96,16 +96,23 @@
              LogFields().add("reason", Found.text()));
 }
 
+/// Starts a daemon; false where an address is taken, and says so.
+template <typename Process> bool begin(Process &Started) {
+  try {
+    Started.start();
+    return true;
+  } catch (const Poco::Exception &Error) {
+    std::cerr << "cannot listen: " << Error.displayText() << "\n";
+    return false;
+  }
+}
+
 /// Serves as an entry on the platform until a planned stop has ended.
 int runEntry(const Settings &Config) {
   sigset_t Signals = blockSignals();
   EntryDaemon<platform::Platform> Process(Config);
-  try {
-    Process.start();
-  } catch (const Poco::Exception &Error) {
-    std::cerr << "cannot listen: " << Error.displayText() << "\n";
+  if (!begin(Process))
     return ExitBadInput;
-  }
   int Signal = 0;
   while (sigwait(&Signals, &Signal) == 0 && Signal == SIGHUP)
     reloadSettings(Process.log());
@@ -126,12 +133,8 @@
   sigset_t Signals = blockSignals();
   sigdelset(&Signals, SIGHUP);
   Daemon Process(Config);
-  try {
-    Process.start();
-  } catch (const Poco::Exception &Error) {
-    std::cerr << "cannot listen: " << Error.displayText() << "\n";
+  if (!begin(Process))
     return ExitBadInput;
-  }
   int Signal = 0;
   sigwait(&Signals, &Signal);
   Process.beginStop();
