Drop two settings of the entry that nothing reads

The time after which a head breaks and the period of the registry's entries were read from the settings and never used.

No functional change.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -55,15 +55,11 @@
   Result.RetrySlack = Map.real("retry_slack", Result.RetrySlack, 0, 1e6);
   Result.RetryWindow =
       readMillis(Map, "retry_window_ms", Result.RetryWindow, 100, 3600000);
-  Result.MemberStall =
-      readMillis(Map, "member_stall_ms", Result.MemberStall, 100, 3600000);
   Result.LeaseLeast =
       readMillis(Map, "lease_least_ms", Result.LeaseLeast, 10, 600000);
   Result.FirstStart = Map.flag("first_start", Result.FirstStart);
   Result.WorkParts =
       Map.number("work_parts", false, Result.WorkParts, 1, 100000);
-  Result.RegistryHeartbeat = readMillis(Map, "registry_heartbeat_ms",
-                                        Result.RegistryHeartbeat, 10, 600000);
   Map.finish();
   return Result;
 }
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -39,8 +39,6 @@
   double RetryRatio = 0.2;
   double RetrySlack = 100;
   Millis RetryWindow{10000};
-  /// After this a head that lost a member gives up by itself.
-  Millis MemberStall{5000};
   /// Shortest lease that the platform grants on shared work.
   Millis LeaseLeast{1000};
   /// The whole system starts for the first time: weights may be loaded freely
@@ -48,8 +46,6 @@
   bool FirstStart = false;
   /// Into how many parts the platform deals shared work.
   std::uint64_t WorkParts = 12;
-  /// How often targets renew their entry in the platform's registry.
-  Millis RegistryHeartbeat{1200};
 };
 
 /// Everything that a daemon learns from its settings file. Times are
