--- a/src/policy/choice.h
+++ b/src/policy/choice.h
@@ -58,7 +58,6 @@
   const TargetVitals &of(const VmId &Target) const;
   /// Drops targets that are not listed and have nothing in flight.
   void forget(const std::function<bool(const VmId &)> &IsListed);
-  std::size_t size() const { return this->Rows.size(); }
 
 private:
   static void stopWaiting(TargetVitals &Row, TimePoint SentAt,
@@ -76,8 +75,6 @@
   TimePoint Now;
   /// Uniform bits.
   std::uint64_t Random = 0;
-  /// Requests that one target runs at a time, as the service states it.
-  unsigned Slots = 1;
 };
 
 /// The target with the least expected wait. A target in another data centre
--- a/tools/without.py
+++ b/tools/without.py
@@ -13,19 +13,19 @@
 # name: (file, text, what stands in its place, tests by ctest's -R)
 MECHANISMS = {
     "head-leaves-first": (
-        "src/policy/domain_plan.cpp",
+        "src/policy/domain_judge.cpp",
         'return this->release(S, Key, Row, "given up");', "return;",
         "planner: lost, late"),
     "members-leave": (
-        "src/policy/domain_plan.cpp",
+        "src/policy/domain_judge.cpp",
         "if (this->MemberLeft.contains({Key, Vm->Id}))", "if (true)",
         "planner: lost, late"),
     "earlier-owner": (
-        "src/policy/domain_plan.cpp",
+        "src/policy/domain_judge.cpp",
         "Key.Epoch <= S.View.OwnedFloor", "false",
         "planner: lost, late"),
     "signed-success": (
-        "src/edge/relay.h",
+        "src/edge/answer_pass.h",
         "!Facts.Signed || ", "",
         "entry: an unsigned"),
     "keys-proven": (
@@ -37,7 +37,7 @@
         "Row && Config->Version <= Row->Version", "false",
         "entry: a key is taken away"),
     "answer-id": (
-        "src/edge/relay.h",
+        "src/edge/answer_pass.h",
         "Facts.Request == Ex.Request.Facts.Id", "true",
         "entry: another's answer"),
     "members-counted": (
