Share models out over domains too small for all of them

Cause: on a deployment with domains of 4 VMs and models of 4 and 2 every domain formed the larger model and the smaller one had nothing at the start; and engines without models to group would never have served. Two unit tests.

--- a/src/control/domain_views.cpp
+++ b/src/control/domain_views.cpp
@@ -4,6 +4,9 @@
 
 #include "control/domain_views.h"
 
+#include <iterator>
+#include <set>
+
 #include <algorithm>
 
 namespace waycove {
@@ -24,10 +27,13 @@
                                             const WorkShare &Mine,
                                             TimePoint Now) {
   std::map<DomainId, DomainView> Views;
+  std::map<ServiceId, std::set<DomainId>> Domains;
   auto Wanted = [&](const TargetInfo &Row) {
     const ServiceSpec *Spec = Config.service(Row.Service);
-    return Spec && Spec->Engine && !Spec->Engine->Models.empty() &&
-           !Row.Domain.empty() && owns(Board, Mine, Row.Domain);
+    if (!Spec || !Spec->hasGroups() || Row.Domain.empty())
+      return false;
+    Domains[Row.Service].insert(Row.Domain);
+    return owns(Board, Mine, Row.Domain);
   };
   auto ViewOf = [&](const TargetInfo &Row) -> DomainView & {
     DomainView &View = Views[Row.Domain];
@@ -44,6 +50,11 @@
       if (Wanted(*Row.Last))
         ViewOf(*Row.Last).Gone.push_back(Row);
   });
+  for (auto &[Domain, View] : Views) {
+    const std::set<DomainId> &All = Domains[View.Service];
+    View.Turn =
+        static_cast<std::size_t>(std::distance(All.begin(), All.find(Domain)));
+  }
   return Views;
 }
 
--- a/src/edge/relay_choice.cpp
+++ b/src/edge/relay_choice.cpp
@@ -42,7 +42,7 @@
   ChoiceQuery Query{Request.Facts.Model, this->Board.Config.DataCentre,
                     Run.Tried, Now, mixHash(Request.Random, Run.Tried.size())};
   const ServiceSpec *Spec = Request.Config->service(Request.Service);
-  if (!Spec || !Spec->Engine)
+  if (!Spec || !Spec->hasGroups())
     Query.Model.clear();
   return this->Board.Vitals.read(
       [&](const VitalsTable &Vitals) -> std::optional<Serving> {
--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -37,9 +37,18 @@
   return "stage";
 }
 
-std::vector<unsigned> groupsFor(const EngineSpec &Engine, std::size_t Vms) {
+std::vector<unsigned> groupsFor(const EngineSpec &Engine, std::size_t Vms,
+                                std::size_t Turn) {
   std::vector<unsigned> Counts(Engine.Models.size(), 0);
   std::vector<const ModelSpec *> Order = largestFirst(Engine);
+  std::size_t OneOfEach = 0;
+  for (const ModelSpec *Row : Order)
+    OneOfEach += Row->GroupSize;
+  if (OneOfEach > Vms && !Order.empty())
+    std::rotate(Order.begin(),
+                Order.begin() +
+                    static_cast<std::ptrdiff_t>(Turn % Order.size()),
+                Order.end());
   std::size_t Free = Vms;
   for (bool Any = true; Any;) {
     Any = false;
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -48,6 +48,9 @@
 struct DomainView {
   DomainId Domain;
   ServiceId Service;
+  /// Its place among all domains of the service, so that domains too small for
+  /// all models share these out.
+  std::size_t Turn = 0;
   /// All listed targets of the domain.
   std::vector<TargetRef> Targets;
   /// Those that went lately.
@@ -159,7 +162,9 @@
 /// How many groups of each model \p Vms make, the models in the order of
 /// \p Engine: one of each in turn, the largest first, while they fit. Groups of
 /// smaller models are the reserve of larger ones: their hosts have the larger
-/// model staged, and are taken where a group of it lost a member.
-std::vector<unsigned> groupsFor(const EngineSpec &Engine, std::size_t Vms);
+/// model staged, and are taken where a group of it lost a member. Where not one
+/// of each fits, domains begin with different models, by their \p Turn.
+std::vector<unsigned> groupsFor(const EngineSpec &Engine, std::size_t Vms,
+                                std::size_t Turn = 0);
 
 } // namespace waycove
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -80,7 +80,7 @@
     const ServiceSpec *Spec = Config.service(Row->Service);
     if (!Spec || Row->Draining)
       continue;
-    if (!Spec->Engine)
+    if (!Spec->hasGroups())
       View->ByService[Row->Service].push_back({Row, ""});
     else if (isServingHead(*Row, *Spec->Engine, Ranks))
       View->ByService[Row->Service].push_back(
--- a/src/policy/routing.h
+++ b/src/policy/routing.h
@@ -89,6 +89,12 @@
   unsigned MaxConnections = 1;
   /// Set for services whose targets run models.
   std::optional<EngineSpec> Engine;
+
+  /// Whether its targets serve as groups that have to be formed. Engines
+  /// without models to group serve each alone, as plain targets do.
+  bool hasGroups() const {
+    return this->Engine && !this->Engine->Models.empty();
+  }
 };
 
 /// Bounds on what callers send.
--- a/tests/unit/entry_policy_test.cpp
+++ b/tests/unit/entry_policy_test.cpp
@@ -222,4 +222,22 @@
   CHECK(groupsFor(Engine, 19) == std::vector<unsigned>{1, 2});
 }
 
+TEST_CASE("planner: domains too small for all models: share them out",
+          "[unit]") {
+  EngineSpec Engine;
+  Engine.Models.resize(2);
+  Engine.Models[0].GroupSize = 4;
+  Engine.Models[1].GroupSize = 2;
+  CHECK(groupsFor(Engine, 4, 0) == std::vector<unsigned>{1, 0});
+  CHECK(groupsFor(Engine, 4, 1) == std::vector<unsigned>{0, 2});
+  CHECK(groupsFor(Engine, 8, 1) == std::vector<unsigned>{1, 2});
+}
+
+TEST_CASE_METHOD(FleetFixture,
+                 "serving view: engines without groups: each serves alone",
+                 "[unit]") {
+  this->Config.Services[ServiceId("llm")].Engine->Models.clear();
+  CHECK(this->serving() == 2);
+}
+
 } // namespace waycove::test
