--- a/src/edge/answer_pass.h
+++ b/src/edge/answer_pass.h
@@ -171,7 +171,7 @@
     if (!Ex.Answer.hasBegun()) {
       Poco::Net::HTTPResponse Out(Head.getStatus(), Head.getReason());
       copyEndToEnd(Head, Out);
-      if (Ex.Answer.begin(std::move(Out), Ex.writeUntil()) != IoEnd::Ok)
+      if (Ex.Answer.begin(Out, Ex.writeUntil()) != IoEnd::Ok)
         return false;
     }
     return Ex.Answer.part(Ready, Ex.writeUntil()) == IoEnd::Ok;
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -187,7 +187,7 @@
     Protocol::markAnswer(Out, Ex.Request.Facts.Id,
                          Row.RequestRan == Ran::No ? retryAfterOf(Why)
                                                    : Millis(0));
-    Ex.Answer.whole(std::move(Out), errorJson(Why),
+    Ex.Answer.whole(Out, errorJson(Why),
                     SystemClock{}.now() + RelayExchange::WriteGrace);
     this->Notes.refused(Ex, Why);
   }
