Keep what is known of targets apart from choosing one

How targets look from this node's requests is read by the watch over silent answers and by the asking after members too; it has a file of its own now, with its constants.

No functional change.

--- /dev/null
+++ b/src/policy/vitals.cpp
@@ -0,0 +1,121 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "policy/vitals.h"
+
+#include <algorithm>
+
+namespace waycove {
+
+namespace {
+
+/// Weight of the newest sample in smoothed figures: about the last eight.
+constexpr double Smoothing = 0.125;
+/// First-byte times follow the load faster.
+constexpr double WaitSmoothing = 0.3;
+/// Silence on all answers under way that means standing still. Measured:
+/// events come up to 180 ms apart on a busy engine.
+constexpr Millis StillTime(320);
+/// A target whose failures stand out by this share of its answers is left.
+constexpr double FailureMargin = 0.25;
+/// Answers needed before a share of failures means anything.
+constexpr unsigned FewAnswers = 6;
+/// A failing target is tried again after this time.
+constexpr Millis FailingTime(1500);
+
+} // namespace
+
+bool TargetVitals::standsStill(TimePoint Now) const {
+  return this->Answering > 0 && Now - this->LastProgress > StillTime;
+}
+
+Millis TargetVitals::silence(TimePoint Now) const {
+  if (this->InFlight == 0)
+    return Millis(0);
+  TimePoint Since = this->LastProgress;
+  if (this->Answering == 0 && !this->WaitingSince.empty())
+    Since = std::max(Since, *std::min_element(this->WaitingSince.begin(),
+                                              this->WaitingSince.end()));
+  return std::chrono::duration_cast<Millis>(Now - Since);
+}
+
+void VitalsTable::onStart(const VmId &Target, double PromptTokens,
+                          TimePoint Now) {
+  TargetVitals &Row = this->Rows[Target];
+  ++Row.InFlight;
+  Row.PromptWaiting += PromptTokens;
+  Row.WaitingSince.push_back(Now);
+}
+
+void VitalsTable::stopWaiting(TargetVitals &Row, TimePoint SentAt,
+                              double PromptTokens) {
+  auto At = std::find(Row.WaitingSince.begin(), Row.WaitingSince.end(), SentAt);
+  if (At != Row.WaitingSince.end())
+    Row.WaitingSince.erase(At);
+  Row.PromptWaiting = std::max(0.0, Row.PromptWaiting - PromptTokens);
+}
+
+void VitalsTable::onFirstByte(const VmId &Target, TimePoint SentAt,
+                              double PromptTokens, TimePoint Now) {
+  TargetVitals &Row = this->Rows[Target];
+  double Sample =
+      std::chrono::duration<double, std::milli>(Now - SentAt).count();
+  Row.FirstByteMs =
+      Row.FirstByteMs == 0
+          ? Sample
+          : Row.FirstByteMs + WaitSmoothing * (Sample - Row.FirstByteMs);
+  Row.FirstByteAt = Now;
+  stopWaiting(Row, SentAt, PromptTokens);
+  ++Row.Answering;
+  Row.LastProgress = Now;
+}
+
+void VitalsTable::onProgress(const VmId &Target, TimePoint Now) {
+  this->Rows[Target].LastProgress = Now;
+}
+
+void VitalsTable::onEnd(const VmId &Target, TimePoint SentAt,
+                        bool FirstByteSeen, double PromptTokens) {
+  TargetVitals &Row = this->Rows[Target];
+  if (Row.InFlight > 0)
+    --Row.InFlight;
+  if (!FirstByteSeen)
+    stopWaiting(Row, SentAt, PromptTokens);
+  else if (Row.Answering > 0)
+    --Row.Answering;
+}
+
+void VitalsTable::onOutcome(const VmId &Target, bool Failed, TimePoint Now) {
+  TargetVitals &Row = this->Rows[Target];
+  ++Row.Answers;
+  Row.FailureShare += Smoothing * ((Failed ? 1.0 : 0.0) - Row.FailureShare);
+  if (!Failed || Row.Answers < FewAnswers)
+    return;
+  // Some requests fail anywhere: only a target that stands out is at fault.
+  double Usual = 1;
+  for (const auto &[Id, Other] : this->Rows)
+    if (Id != Target && Other.Answers >= FewAnswers)
+      Usual = std::min(Usual, Other.FailureShare);
+  if (Usual < 1 && Row.FailureShare > Usual + FailureMargin)
+    Row.SuspectUntil = std::max(Row.SuspectUntil, Now + FailingTime);
+}
+
+void VitalsTable::suspect(const VmId &Target, TimePoint Now, Millis Time) {
+  TargetVitals &Row = this->Rows[Target];
+  Row.SuspectUntil = std::max(Row.SuspectUntil, Now + Time);
+}
+
+const TargetVitals &VitalsTable::of(const VmId &Target) const {
+  static const TargetVitals Unknown;
+  auto At = this->Rows.find(Target);
+  return At == this->Rows.end() ? Unknown : At->second;
+}
+
+void VitalsTable::forget(const std::function<bool(const VmId &)> &IsListed) {
+  std::erase_if(this->Rows, [&](const auto &Entry) {
+    return Entry.second.InFlight == 0 && !IsListed(Entry.first);
+  });
+}
+
+} // namespace waycove
--- /dev/null
+++ b/src/policy/vitals.h
@@ -0,0 +1,70 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "base/ids.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace waycove {
+
+/// How one target looks from this node.
+struct TargetVitals {
+  /// Requests of this node that run or wait there.
+  unsigned InFlight = 0;
+  /// Their prompt tokens that no answer has begun for.
+  double PromptWaiting = 0;
+  /// Of these, how many get their answer already.
+  unsigned Answering = 0;
+  /// When those that wait for their answer's first byte were sent.
+  std::vector<TimePoint> WaitingSince;
+  /// Last time that anything came from it.
+  TimePoint LastProgress;
+  /// Gets no new work until then, unless nothing else is left.
+  TimePoint SuspectUntil;
+  /// Smoothed time to the first byte of an answer, in milliseconds; 0 for not
+  /// known.
+  double FirstByteMs = 0;
+  TimePoint FirstByteAt;
+  /// Smoothed share of answers that were errors of the target itself.
+  double FailureShare = 0;
+  unsigned Answers = 0;
+
+  /// Answers are under way and none of them moves: whatever it depends on has
+  /// failed, or it has itself.
+  bool standsStill(TimePoint Now) const;
+  /// Time since anything came, or since the oldest request was sent.
+  Millis silence(TimePoint Now) const;
+};
+
+/// What the node knows of targets from its own requests.
+class VitalsTable {
+public:
+  void onStart(const VmId &Target, double PromptTokens, TimePoint Now);
+  /// The first byte of an answer to the request sent at \p SentAt came.
+  void onFirstByte(const VmId &Target, TimePoint SentAt, double PromptTokens,
+                   TimePoint Now);
+  void onProgress(const VmId &Target, TimePoint Now);
+  /// The request sent at \p SentAt ended, before its first byte or after.
+  void onEnd(const VmId &Target, TimePoint SentAt, bool FirstByteSeen,
+             double PromptTokens);
+  /// Counts an answer of the target as failed or not.
+  void onOutcome(const VmId &Target, bool Failed, TimePoint Now);
+  /// Takes the target out of choice for \p Time.
+  void suspect(const VmId &Target, TimePoint Now, Millis Time);
+  const TargetVitals &of(const VmId &Target) const;
+  /// Drops targets that are not listed and have nothing in flight.
+  void forget(const std::function<bool(const VmId &)> &IsListed);
+
+private:
+  static void stopWaiting(TargetVitals &Row, TimePoint SentAt,
+                          double PromptTokens);
+  std::map<VmId, TargetVitals> Rows;
+};
+
+} // namespace waycove
