--- a/src/control/registry_follow.h
+++ b/src/control/registry_follow.h
@@ -46,7 +46,9 @@
   /// One call this often while nothing changes; changes come at once.
   static constexpr Millis PollTime{2000};
   static constexpr Millis HoldPollTime{300};
-  /// Until the next read has to have come back: a poll and a slow answer.
+  /// Until the next read has to have come back: a poll and a slow answer. It
+  /// counts from an answer, not from its question, since a read that waits
+  /// tells of its end; its call gives up on an answer 0.9 s later than that.
   static constexpr Millis FreshTime{3000};
   /// Changes come in series: what comes within this time shares a call. Nodes
   /// that own domains wait for their orders to show; others have time.
--- a/src/edge/answer_pass.h
+++ b/src/edge/answer_pass.h
@@ -65,7 +65,6 @@
   AttemptEnd takeAnswer(RelayExchange &Ex, RelayAttempt &Try,
                         const Poco::Net::HTTPResponse &Head,
                         const TargetFacts &Facts, BodyDecoder &Body) {
-    this->noteFirstByte(Ex, Try);
     int Status = Head.getStatus();
     if (Facts.NotRun) {
       std::string Unused;
@@ -76,6 +75,7 @@
                           Ex.Request.Facts.Id);
       return AttemptEnd::Refused;
     }
+    this->noteFirstByte(Ex, Try);
     bool Success = Status >= 200 && Status < 300;
     if (Success && (!Facts.Signed || Head.has("Content-Encoding"))) {
       Try.Reason = "a success that is not the target's own answer";
@@ -119,16 +119,18 @@
     while (true) {
       Body.feed(Try.Connection->buffer(), Payload);
       std::string Ready;
-      if (!takeEvents(Ex, Payload, FirstEvent, Ready)) {
-        Try.Reason = "an event is out of order";
-        return AttemptEnd::Broken;
-      }
+      bool InOrder = takeEvents(Ex, Payload, FirstEvent, Ready);
       if (!Ready.empty())
         this->Board.Vitals.write([&](VitalsTable &Vitals) {
           Vitals.onProgress(Try.To.Target->Id, Try.LastByte);
         });
+      // What came in order counts as had by the caller: it goes out first.
       if (!sendEvents(Ex, Head, Ready))
         return AttemptEnd::CallerGone;
+      if (!InOrder) {
+        Try.Reason = "an event is out of order";
+        return AttemptEnd::Broken;
+      }
       if (Body.isDone())
         return this->endStream(Ex, Try, Head, Facts, Body, Payload);
       if (Body.isBad()) {
--- a/src/edge/entry_daemon.h
+++ b/src/edge/entry_daemon.h
@@ -110,7 +110,7 @@
                this->Board.ConfigFresh.holds(SystemClock{}.now());
     if (Now != this->WasReady.exchange(Now))
       this->Board.Log.emit(Now ? EventCode::DaemonReady
-                               : EventCode::DaemonStopping,
+                               : EventCode::DaemonNotReady,
                            this->Board.Config.Node.Text,
                            LogFields()
                                .add("ready", Now)
@@ -129,6 +129,10 @@
     auto IsListed = [&](const VmId &Id) { return Listed.contains(Id); };
     this->Pool.sweep(IsListed, SystemClock{}.now());
     this->Board.Vitals.write([&](VitalsTable &Rows) { Rows.forget(IsListed); });
+    this->Board.Demand.write([](DemandTable &Rows) {
+      for (auto &[Model, Work] : Rows)
+        Work *= DemandKept;
+    });
   }
 
   template <typename F> void loop(F Step) {
--- a/tests/failure/entry_test.cpp
+++ b/tests/failure/entry_test.cpp
@@ -155,6 +155,15 @@
   }
 }
 
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: an event out of order behind good ones: none is lost",
+                 "[failure]") {
+  this->Run.vmFault("e-1", R"({"call":"disorder"})");
+  this->Run.vmFault("e-2", R"({"call":"disorder"})");
+  for (int I = 0; I < 6; ++I)
+    CHECK(this->call("/chat/x", "r" + std::to_string(I)).Body == wholeStream());
+}
+
 TEST_CASE_METHOD(
     EntryFixture,
     "entry: a head stands still within a stream: goes on elsewhere",
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -10,6 +10,7 @@
 //   busy        503, not run                unsigned   200 without signature
 //   run_reset   runs, then resets           extra      another's answer first
 //   die_after   ends the stream after 5     still      stands still after 5
+//   disorder    an old event behind a good one, in one piece
 //   slow        answers after 700 ms        failed     500
 #include "base/json.h"
 
@@ -248,6 +249,10 @@
         return drop(Request, Response);
       if (Id - From > FaultAfter && Fault == "still")
         std::this_thread::sleep_for(std::chrono::seconds(4));
+      if (Id - From > FaultAfter && Fault == "disorder")
+        Out << "id: " << Id << "\ndata: piece " << Id << "\n\nid: 1\ndata: "
+            << "piece 1\n\n"
+            << std::flush;
       Out << "id: " << Id << "\ndata: piece " << Id << "\n\n" << std::flush;
       std::this_thread::sleep_for(
           std::chrono::milliseconds(this->Given.TokenMs));
--- a/tests/unit/entry_policy_test.cpp
+++ b/tests/unit/entry_policy_test.cpp
@@ -3,6 +3,7 @@
 // Version 2.0; see LICENSE.
 
 // Decisions of an entry: routes, choice of targets, second sends, leases.
+#include "platform/decode.h"
 #include "policy/choice.h"
 #include "policy/domain_plan.h"
 #include "policy/lease.h"
@@ -129,6 +130,18 @@
   CHECK(this->Vitals.of(VmId("b")).SuspectUntil <= at(0));
 }
 
+TEST_CASE("config: a model whose group has no VMs: refused as a whole",
+          "[unit]") {
+  auto Config = [](const std::string &Size) {
+    return platform::ConfigDecoder()(
+        R"({"version":1,"routes":[],"services":[{"name":"s","engine":)"
+        R"({"models":[{"name":"m","size":)" +
+        Size + "}]}}]}");
+  };
+  CHECK(Config("2").ok());
+  CHECK_FALSE(Config("0").ok());
+}
+
 TEST_CASE("second sends: over any window: within ratio and slack", "[unit]") {
   RetryAllowance Given{0.2, 50, Millis(10000)};
   RetrySpend Spend(Given);
