Stage what a group lacks on hosts that rest

Cause: a domain that came back from an outage, or lost some VMs, had enough free VMs for a group, with the weights of another model on their hosts.

Tests: staging, two of three failed first.

--- a/src/policy/domain_form.cpp
+++ b/src/policy/domain_form.cpp
@@ -42,10 +42,10 @@
   auto Usable = static_cast<std::size_t>(
       std::count_if(S.View.Targets.begin(), S.View.Targets.end(),
                     [&](const TargetRef &Row) { return S.isUsable(*Row); }));
-  std::vector<unsigned> Wanted = groupsFor(S.Engine, Usable, S.View.Turn);
+  S.Wanted = groupsFor(S.Engine, Usable, S.View.Turn);
   for (const ModelSpec *Model : largestFirst(S.Engine)) {
     auto Index = static_cast<std::size_t>(Model - S.Engine.Models.data());
-    while (S.Have[Model->Name] < Wanted[Index] && this->form(S, *Model))
+    while (S.Have[Model->Name] < S.Wanted[Index] && this->form(S, *Model))
       ++S.Have[Model->Name];
   }
   // Hosts that are ready for another group than planned serve rather than
--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -67,12 +67,13 @@
   this->Questions.clear();
   if (!this->isSettled(View))
     return {};
-  Step S{View, Engine, {}, {}, {}, {}, View.LoadsAllowed};
+  Step S{View, Engine, {}, {}, {}, {}, {}, View.LoadsAllowed};
   collect(S);
   for (const auto &[Key, Row] : S.Groups)
     this->judge(S, Key, Row);
   this->dropStaleForming(S);
   this->formMissing(S);
+  this->stageMissing(S);
   this->stageSpares(S);
   return std::move(S.Orders);
 }
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -132,11 +132,12 @@
   bool form(Step &S, const ModelSpec &Model, bool LoadsAnyway = false);
   void formScarce(Step &S);
   bool giveUpSmaller(Step &S, const ModelSpec &Model, std::size_t Warm);
+  void stageMissing(Step &S);
   void stageSpares(Step &S);
   static const ModelSpec *scarcest(const Step &S);
   static std::vector<const Announced *>
   donorsFor(const Step &S, const ModelSpec &Large, std::size_t Free);
-  bool stage(Step &S, const TargetRef &Vm, const ModelSpec &Model);
+  bool stage(Step &S, const TargetRef &Vm, const ModelSpec &Model, int AtOnce);
   /// Gives an order, unless the same was given a short while ago.
   void order(Step &S, OrderKind Kind, const TargetRef &To,
              const GroupKey &Group, const std::string &Reason,
@@ -151,7 +152,8 @@
   /// Groups that did not form in time; never opened by this planner.
   std::set<GroupKey> GivenUp;
   std::map<std::tuple<GroupKey, OrderKind, VmId>, TimePoint> LastOrder;
-  std::map<VmId, TimePoint> Staging;
+  /// When weights were ordered onto a host, by model.
+  std::map<std::pair<VmId, std::string>, TimePoint> Staging;
   std::vector<GoneTarget> Questions;
   std::uint64_t LastEpoch = 0;
   std::size_t SeenTargets = 0;
--- a/src/policy/domain_stage.cpp
+++ b/src/policy/domain_stage.cpp
@@ -18,6 +18,8 @@
 /// Hosts of one domain that are staged at the same time: the store slows down
 /// where more than a few load.
 constexpr int StagingsAtOnce = 1;
+/// The same where hosts rest that would make a group with other weights.
+constexpr int MissingStagingsAtOnce = 4;
 /// Groups of smaller models whose hosts hold the largest model besides, in a
 /// domain with at least so many free VMs, and in one without. Tried: two
 /// everywhere left the smaller model short where domains have free VMs, one
@@ -44,6 +46,35 @@
   return Donors;
 }
 
+/// Stages what a group lacks on hosts that rest: where a domain came back from
+/// an outage, or lost some VMs, enough of them may be free for a group, with
+/// the weights of another model.
+void DomainPlanner::stageMissing(Step &S) {
+  if (S.Engine.ModelsStagedPerHost == 0)
+    return;
+  std::vector<TargetRef> Free = S.freeVms();
+  for (const ModelSpec *Model : largestFirst(S.Engine)) {
+    auto Index = static_cast<std::size_t>(Model - S.Engine.Models.data());
+    if (S.Have[Model->Name] >= S.Wanted[Index] ||
+        Free.size() < Model->GroupSize)
+      continue;
+    // Hosts that have the weights, or nothing to lose, come first.
+    std::stable_sort(
+        Free.begin(), Free.end(),
+        [&](const TargetRef &Left, const TargetRef &Right) {
+          auto Rank = [&](const TargetInfo &Row) {
+            return Row.hasStaged(Model->Name) ? 0 : Row.Staged.empty() ? 1 : 2;
+          };
+          return Rank(*Left) < Rank(*Right);
+        });
+    auto Taken = Free.begin() + static_cast<std::ptrdiff_t>(Model->GroupSize);
+    for (auto At = Free.begin(); At != Taken; ++At)
+      if (!this->stage(S, *At, *Model, MissingStagingsAtOnce))
+        return;
+    Free.erase(Free.begin(), Taken);
+  }
+}
+
 /// Stages models on hosts ahead of need. The hosts of some groups of smaller
 /// models hold the largest besides: its repair takes them. Free VMs are the
 /// reserve of the smaller models then, and else of the largest.
@@ -71,22 +102,22 @@
                         : Reserves[Small.Name] < Reserves[Large.Name];
     const ModelSpec &Next = ForSmall ? Small : Large;
     ++Reserves[Next.Name];
-    if (!this->stage(S, Row, Next))
+    if (!this->stage(S, Row, Next, StagingsAtOnce))
       return;
   }
   for (const Announced *Donor : Donors)
     for (const auto &[Rank, Vm] : Donor->Ranks)
-      if (!this->stage(S, Vm, Large))
+      if (!this->stage(S, Vm, Large, StagingsAtOnce))
         return;
 }
 
 /// Orders the staging unless it is done or under way; false where no more
-/// loads may begin.
-bool DomainPlanner::stage(Step &S, const TargetRef &Vm,
-                          const ModelSpec &Model) {
+/// loads may begin, or \p AtOnce are under way in the domain.
+bool DomainPlanner::stage(Step &S, const TargetRef &Vm, const ModelSpec &Model,
+                          int AtOnce) {
   if (!S.isUsable(*Vm) || Vm->hasStaged(Model.Name))
     return true;
-  TimePoint &At = this->Staging[Vm->Id];
+  TimePoint &At = this->Staging[{Vm->Id, Model.Name}];
   if (At != TimePoint() && S.View.Now - At < Model.LoadTime * StageTimeFactor)
     return true;
   bool Free = S.View.LoadsAllowed >= FreeLoads;
@@ -95,7 +126,7 @@
         return Entry.second != TimePoint() &&
                S.View.Now - Entry.second < Model.LoadTime;
       });
-  if (S.LoadsLeft == 0 || (!Free && UnderWay >= StagingsAtOnce))
+  if (S.LoadsLeft == 0 || (!Free && UnderWay >= AtOnce))
     return false;
   At = S.View.Now;
   --S.LoadsLeft;
--- a/src/policy/domain_step.h
+++ b/src/policy/domain_step.h
@@ -20,6 +20,8 @@
   std::set<VmId> Busy;
   /// Groups per model that serve or will.
   std::map<std::string, unsigned> Have;
+  /// Groups per model that the domain's VMs make, as groupsFor() says.
+  std::vector<unsigned> Wanted;
   std::vector<GroupOrder> Orders;
   unsigned LoadsLeft = 0;
 
--- a/src/policy/vitals.cpp
+++ b/src/policy/vitals.cpp
@@ -132,9 +132,13 @@
   this->NewsAt = Now;
 }
 
+bool VitalsTable::hasNews(TimePoint Now) const {
+  return !this->News.empty() && Now - this->NewsAt <= NewsTime;
+}
+
 const TargetLoad *VitalsTable::elsewhere(const VmId &Target,
                                          TimePoint Now) const {
-  if (this->News.empty() || Now - this->NewsAt > NewsTime)
+  if (!this->hasNews(Now))
     return nullptr;
   auto At = this->News.find(TargetHash(hashText(Target.Text)));
   return At == this->News.end() ? nullptr : &At->second;
--- a/src/policy/vitals.h
+++ b/src/policy/vitals.h
@@ -63,6 +63,8 @@
   LoadRows loads(TimePoint Now) const;
   /// What all other nodes see, as told at \p Now.
   void takeNews(LoadRows Others, TimePoint Now);
+  /// Whether other nodes told lately what they see.
+  bool hasNews(TimePoint Now) const;
   /// What other nodes see of the target; null where nothing new is known.
   const TargetLoad *elsewhere(const VmId &Target, TimePoint Now) const;
   /// Whether answers are under way there and none moves, here and elsewhere.
--- /dev/null
+++ b/tests/unit/domain_stage_test.cpp
@@ -0,0 +1,104 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// Which weights a domain's planner stages on hosts that rest.
+#include "policy/domain_plan.h"
+
+#include <catch2/catch.hpp>
+
+namespace waycove::test {
+
+namespace {
+
+TimePoint at(int Ms) {
+  return TimePoint(std::chrono::seconds(1000) + Millis(Ms));
+}
+
+} // namespace
+
+/// A domain whose large model serves, and VMs that rest beside its group.
+struct StageFixture {
+  StageFixture() {
+    ModelSpec Large;
+    Large.Name = "large";
+    Large.GroupSize = 8;
+    Large.WorkShare = 0.5;
+    Large.LoadTime = Millis(16000);
+    Large.StagedLoadTime = Millis(1600);
+    ModelSpec Small = Large;
+    Small.Name = "small";
+    Small.GroupSize = 4;
+    this->Engine.ModelsStagedPerHost = 1;
+    this->Engine.Models = {Large, Small};
+    this->View.Domain = DomainId("d");
+    this->View.Service = ServiceId("llm");
+    this->View.LoadsAllowed = 20;
+    this->View.Serving = {{"large", 9}, {"small", 18}};
+    this->View.Demand = {{"large", 100}, {"small", 200}};
+    this->group("large", 8);
+  }
+
+  void add(const std::string &Id, const std::string &Staged,
+           std::optional<Membership> Group = std::nullopt) {
+    auto Row = std::make_shared<TargetInfo>();
+    Row->Id = VmId(Id);
+    Row->Service = ServiceId("llm");
+    Row->Domain = DomainId("d");
+    Row->Staged = {Staged};
+    Row->Group = std::move(Group);
+    this->View.Targets.push_back(Row);
+  }
+  void group(const std::string &Model, unsigned Size) {
+    GroupKey Key{groupName(Model, DomainId("d"), 7), 7};
+    for (unsigned Rank = 0; Rank < Size; ++Rank)
+      this->add(Model + std::to_string(Rank), Model,
+                Membership{Key, Rank,
+                           Rank == 0 ? MemberState::Open : MemberState::Ready});
+  }
+  void rest(int Count, const std::string &Staged) {
+    for (int I = 0; I < Count; ++I)
+      this->add("rest-" + Staged + std::to_string(I), Staged);
+  }
+  /// Stagings of \p Model that are ordered over some steps.
+  int staged(const std::string &Model) {
+    int Count = 0;
+    for (int Ms = 0; Ms < 2000; Ms += 100) {
+      this->View.Now = at(Ms);
+      for (const GroupOrder &Row : this->Planner.step(this->View, this->Engine))
+        Count += Row.Kind == OrderKind::Stage && Row.Model == Model ? 1 : 0;
+    }
+    return Count;
+  }
+
+  EngineSpec Engine;
+  DomainView View;
+  DomainPlanner Planner;
+};
+
+TEST_CASE_METHOD(StageFixture,
+                 "staging: resting hosts hold the wrong weights: as many are "
+                 "staged as a group lacks",
+                 "[unit]") {
+  this->rest(3, "small");
+  this->rest(4, "large");
+  CHECK(this->staged("small") == 1);
+}
+
+TEST_CASE_METHOD(StageFixture,
+                 "staging: too few hosts rest for a group: weights are kept",
+                 "[unit]") {
+  this->group("small", 4);
+  this->rest(1, "small");
+  this->rest(2, "large");
+  CHECK(this->staged("small") == 0);
+}
+
+TEST_CASE_METHOD(StageFixture,
+                 "staging: nothing fits at all: the whole group is staged",
+                 "[unit]") {
+  this->rest(4, "large");
+  CHECK(this->staged("small") == 4);
+}
+
+} // namespace waycove::test
