Leave out members that no order reaches; stage rather than join cold; late requests last

Weights are staged before anyone joins. Owners keep to their part of the loads that run at a time. The rank of workspace and route, and below it whether the request can still be in time, is told to targets.

--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -71,8 +71,10 @@
     std::vector<GroupOrder> Next = this->planAll(*Config, Mine, Now);
     std::vector<OrderEnd> Ends =
         this->Orders.give(Next, Mine.Generation, this->Until);
-    for (std::size_t I = 0; I < Next.size(); ++I)
+    for (std::size_t I = 0; I < Next.size(); ++I) {
       this->noteLeft(Next[I], Ends[I]);
+      this->noteUnreached(Next[I], Ends[I]);
+    }
   }
 
 private:
@@ -114,7 +116,7 @@
       View.OwnedFloor = Row.Floor;
       std::vector<GroupOrder> Next = Row.Planner.step(View, Engine);
       for (const GroupOrder &Order : Next)
-        this->Loads.count(Order, Now);
+        this->Loads.count(Order, Engine, Now);
       Orders.insert(Orders.end(), Next.begin(), Next.end());
       this->Members.askAfter(View, Row.Planner.askAfter());
     }
@@ -132,6 +134,15 @@
       At->second.Planner.onLeft(Order);
   }
 
+  /// Whoever does not take an order to join is left out of the next group. An
+  /// order that was held back here says nothing of its target.
+  void noteUnreached(const GroupOrder &Order, OrderEnd End) {
+    TimePoint Now = SystemClock{}.now();
+    bool Silent = End == OrderEnd::NotSent || End == OrderEnd::Unknown;
+    if (Order.Kind == OrderKind::Join && Silent && this->Until.holds(Now))
+      this->Members.noteUnreached(Order.To->Id, Now);
+  }
+
   void take(const WorkShare &Share) {
     bool Changed = this->Held.write([&](WorkShare &Row) {
       bool Other =
--- a/src/control/load_budget.cpp
+++ b/src/control/load_budget.cpp
@@ -12,31 +12,41 @@
 
 /// Orders of loads count this long.
 constexpr Millis LoadWindow{5000};
+/// An owner may load this many, however small its part: not all owners load at
+/// a time, and a group mostly lacks one or two.
+constexpr double LeastPart = 2;
 
 } // namespace
 
 unsigned LoadBudget::left(const EngineSpec &Engine, TimePoint Now) {
   if (this->Board.Config.Entry->FirstStart && !this->Board.Requested)
     return FreeLoads;
-  std::erase_if(this->Loads,
-                [&](TimePoint At) { return Now - At > LoadWindow; });
+  std::erase_if(this->Loads, [&](const Load &Row) {
+    return Now - Row.Begun > LoadWindow && Now > Row.Done;
+  });
+  auto Begun = static_cast<double>(std::count_if(
+      this->Loads.begin(), this->Loads.end(),
+      [&](const Load &Row) { return Now - Row.Begun <= LoadWindow; }));
+  auto Running = static_cast<double>(
+      std::count_if(this->Loads.begin(), this->Loads.end(),
+                    [&](const Load &Row) { return Now <= Row.Done; }));
   double Seconds = std::chrono::duration<double>(LoadWindow).count();
-  double All = Engine.LoadsPerSecond * Seconds * this->Board.Share;
-  unsigned Largest = 1;
-  for (const ModelSpec &Row : Engine.Models)
-    Largest = std::max(Largest, Row.GroupSize);
-  auto Allowed = std::max(static_cast<std::size_t>(All),
-                          static_cast<std::size_t>(Largest));
-  return static_cast<unsigned>(Allowed - std::min(Allowed, this->Loads.size()));
+  double MayBegin = Engine.LoadsPerSecond * Seconds * this->Board.Share;
+  double MayRun = Engine.LoadsAtOnce * this->Board.Share;
+  double Left = std::min(std::max(MayBegin, LeastPart) - Begun,
+                         std::max(MayRun, LeastPart) - Running);
+  return static_cast<unsigned>(std::max(0.0, Left));
 }
 
-void LoadBudget::count(const GroupOrder &Order, TimePoint Now) {
-  bool Load =
+void LoadBudget::count(const GroupOrder &Order, const EngineSpec &Engine,
+                       TimePoint Now) {
+  bool Loads =
       Order.Kind == OrderKind::Stage ||
       (Order.Kind == OrderKind::Join && !Order.To->hasLoaded(Order.Model) &&
        !Order.To->hasStaged(Order.Model));
-  if (Load)
-    this->Loads.push_back(Now);
+  const ModelSpec *Model = Engine.model(Order.Model);
+  if (Loads && Model)
+    this->Loads.push_back({Now, Now + Model->LoadTime});
 }
 
 } // namespace waycove
--- a/src/control/load_budget.h
+++ b/src/control/load_budget.h
@@ -10,7 +10,9 @@
 namespace waycove {
 
 /// Bounds the weights that this node's domains read from the shared store: the
-/// store slows down for all where many load. Used by one thread.
+/// store slows down for all where many load. Each owner keeps to its part of
+/// the loads that may begin in a second and of those that may run at a time.
+/// Used by one thread.
 class LoadBudget {
 public:
   explicit LoadBudget(const EntryBoard &Board) : Board(Board) {}
@@ -18,12 +20,17 @@
   /// Loads that may be ordered now.
   unsigned left(const EngineSpec &Engine, TimePoint Now);
   /// Counts the load that \p Order causes, if any.
-  void count(const GroupOrder &Order, TimePoint Now);
+  void count(const GroupOrder &Order, const EngineSpec &Engine, TimePoint Now);
 
 private:
+  struct Load {
+    TimePoint Begun;
+    /// When it is done, if the store is not slowed down.
+    TimePoint Done;
+  };
   const EntryBoard &Board;
-  /// When loads from the shared store were ordered.
-  std::vector<TimePoint> Loads;
+  /// Loads from the shared store that were ordered lately.
+  std::vector<Load> Loads;
 };
 
 } // namespace waycove
--- a/src/control/member_inquiry.h
+++ b/src/control/member_inquiry.h
@@ -35,6 +35,12 @@
     });
   }
 
+  /// An order to join did not get through to \p Vm. It is taken for dead for a
+  /// while, so that the group is formed of others at once.
+  void noteUnreached(const VmId &Vm, TimePoint Now) {
+    this->Silent[Vm] = {Now, SilentAsks};
+  }
+
   /// Where a head stands still under this node's requests, asks its members:
   /// one that does not answer twice is taken for dead, long before the
   /// registry drops it. Whoever is used again is told to leave first, so a
--- a/src/edge/caller_protocol.h
+++ b/src/edge/caller_protocol.h
@@ -36,6 +36,8 @@
   WorkspaceId Workspace;
   /// How long the target may work on it.
   Millis Left{0};
+  /// 0 goes first, 9 last.
+  unsigned Urgency = 0;
   std::optional<std::uint64_t> LastEvent;
 };
 
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "edge/answer_pass.h"
+#include "policy/urgency.h"
 
 namespace waycove {
 
@@ -137,10 +138,13 @@
   static std::string sendBytes(const RelayExchange &Ex,
                                const RelayAttempt &Try) {
     const RelayRequest &Request = Ex.Request;
+    Millis Waited =
+        waitedBefore(*Request.Route, Request.Facts.Deadline) +
+        std::chrono::duration_cast<Millis>(Try.SentAt - Request.Arrived);
     SendFacts Facts{
         Try.To.Target->Id, Request.Workspace,
         std::chrono::duration_cast<Millis>(Request.Deadline - Try.SentAt),
-        Ex.Run.LastEvent};
+        urgencyOf(*Request.Route, Request.Owner, Waited), Ex.Run.LastEvent};
     Poco::Net::HTTPRequest Head = Protocol::makeSend(Request.Head, Facts);
     if (!Request.Body.empty() || Request.Head.hasContentLength() ||
         Request.Head.getChunkedTransferEncoding())
--- a/src/edge/relay_request.cpp
+++ b/src/edge/relay_request.cpp
@@ -40,6 +40,7 @@
     if (Owner == Config->Keys.end())
       return makeError(ErrorKind::Unauthenticated, "no workspace has this key");
     Workspace = Owner->second.Workspace;
+    Request.Owner = &Owner->second;
   }
   Millis Wait = Request.Facts.Deadline.value_or(DefaultDeadline);
   if (Route->Timeout.count() > 0)
--- a/src/edge/relay_request.h
+++ b/src/edge/relay_request.h
@@ -24,6 +24,8 @@
   const HttpRoute *Route = nullptr;
   /// Empty on public routes without key.
   WorkspaceId Workspace;
+  /// To whom its key belongs; null on public routes. Config keeps it alive.
+  const KeyOwner *Owner = nullptr;
   ServiceId Service;
   /// Chosen once, so that a new look at the configuration changes nothing
   /// that it need not.
--- a/src/policy/domain_form.cpp
+++ b/src/policy/domain_form.cpp
@@ -59,19 +59,29 @@
   this->formScarce(S);
 }
 
-/// Loads weights for a model that is short of groups, on hosts that would rest.
-/// One stays as a reserve, unless the model is very short.
-void DomainPlanner::formScarce(Step &S) {
+/// The model that is short of groups, if enough VMs would rest to make one more
+/// of it. One stays as a reserve, unless the model is very short.
+const ModelSpec *DomainPlanner::shortOf(const Step &S) {
   const ModelSpec *Scarce = scarcest(S);
   if (!Scarce)
-    return;
+    return nullptr;
   double Most = 0;
   for (const ModelSpec &Row : S.Engine.Models)
     Most = std::max(Most, S.supply(Row));
   if (S.supply(*Scarce) >= ScarcePart * Most)
-    return;
+    return nullptr;
   std::size_t Reserve = S.supply(*Scarce) < VeryScarcePart * Most ? 0 : 1;
-  if (S.freeVms().size() >= Scarce->GroupSize + Reserve)
+  bool Enough = S.freeVms().size() >= Scarce->GroupSize + Reserve;
+  return Enough ? Scarce : nullptr;
+}
+
+/// Forms a group of a model that is short of them, with loads. Where weights
+/// can be staged, that is done first: members that wait for one's load, which
+/// takes many seconds, would serve nothing meanwhile.
+void DomainPlanner::formScarce(Step &S) {
+  if (S.Engine.ModelsStagedPerHost > 0)
+    return;
+  if (const ModelSpec *Scarce = shortOf(S))
     this->form(S, *Scarce, true);
 }
 
@@ -110,9 +120,11 @@
       std::count_if(Free.begin(), Free.end(), [&](const TargetRef &Row) {
         return loadRank(*Row, Model.Name) == 2;
       }));
-  if (Cold > S.LoadsLeft)
+  // Where nothing serves the model, its first group may go beyond the budget.
+  bool Served = S.View.Serving.contains(Model.Name);
+  if (Cold > S.LoadsLeft && (Served || S.LoadsLeft == 0))
     return false;
-  S.LoadsLeft -= Cold;
+  S.LoadsLeft -= std::min(Cold, S.LoadsLeft);
   GroupKey Key = this->nextKey(S, Model);
   Forming Row{Model.Name,
               {},
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -135,6 +135,7 @@
   void stageMissing(Step &S);
   void stageSpares(Step &S);
   static const ModelSpec *scarcest(const Step &S);
+  static const ModelSpec *shortOf(const Step &S);
   static std::vector<const Announced *>
   donorsFor(const Step &S, const ModelSpec &Large, std::size_t Free);
   bool stage(Step &S, const TargetRef &Vm, const ModelSpec &Model, int AtOnce);
--- a/src/policy/domain_stage.cpp
+++ b/src/policy/domain_stage.cpp
@@ -53,10 +53,11 @@
   if (S.Engine.ModelsStagedPerHost == 0)
     return;
   std::vector<TargetRef> Free = S.freeVms();
+  const ModelSpec *Short = shortOf(S);
   for (const ModelSpec *Model : largestFirst(S.Engine)) {
     auto Index = static_cast<std::size_t>(Model - S.Engine.Models.data());
-    if (S.Have[Model->Name] >= S.Wanted[Index] ||
-        Free.size() < Model->GroupSize)
+    bool Lacks = S.Have[Model->Name] < S.Wanted[Index] || Model == Short;
+    if (!Lacks || Free.size() < Model->GroupSize)
       continue;
     // Hosts that have the weights, or nothing to lose, come first.
     std::stable_sort(
--- a/src/policy/routing.h
+++ b/src/policy/routing.h
@@ -77,6 +77,8 @@
 struct EngineSpec {
   /// Loads that may begin in a second, over all domains.
   double LoadsPerSecond = 1;
+  /// Loads that run at the same time at full speed; with more, each is slower.
+  unsigned LoadsAtOnce = 1;
   unsigned ModelsStagedPerHost = 0;
   std::vector<ModelSpec> Models;
 
--- /dev/null
+++ b/src/policy/urgency.cpp
@@ -0,0 +1,31 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "policy/urgency.h"
+
+#include <algorithm>
+
+namespace waycove {
+
+namespace {
+
+/// Least time that a first byte takes on an idle target. Measured: 140 ms.
+constexpr Millis LeastServing(100);
+
+} // namespace
+
+Millis waitedBefore(const HttpRoute &Route, std::optional<Millis> TimeLeft) {
+  if (!TimeLeft || Route.Timeout.count() <= 0)
+    return Millis(0);
+  return std::max(Millis(0), Route.Timeout - *TimeLeft);
+}
+
+unsigned urgencyOf(const HttpRoute &Route, const KeyOwner *Owner,
+                   Millis Waited) {
+  unsigned Rank = Owner && Owner->Priority ? *Owner->Priority : Route.Priority;
+  bool Late = Route.Goal.count() > 0 && Waited + LeastServing > Route.Goal;
+  return std::min(2 * Rank + (Late ? 1U : 0U), LeastUrgent);
+}
+
+} // namespace waycove
--- a/tests/unit/domain_stage_test.cpp
+++ b/tests/unit/domain_stage_test.cpp
@@ -3,6 +3,7 @@
 // Version 2.0; see LICENSE.
 
 // Which weights a domain's planner stages on hosts that rest.
+#include "control/load_budget.h"
 #include "policy/domain_plan.h"
 
 #include <catch2/catch.hpp>
@@ -101,4 +102,58 @@
   CHECK(this->staged("small") == 4);
 }
 
+TEST_CASE_METHOD(StageFixture,
+                 "staging: a model is short of groups: staged first, nobody "
+                 "waits in a group for another's load",
+                 "[unit]") {
+  this->View.Serving = {{"large", 9}, {"small", 1}};
+  this->rest(3, "small");
+  this->rest(1, "large");
+  for (int Ms = 0; Ms < 2000; Ms += 100) {
+    this->View.Now = at(Ms);
+    for (const GroupOrder &Row : this->Planner.step(this->View, this->Engine))
+      CHECK(Row.Kind != OrderKind::Join);
+  }
+}
+
+struct BudgetFixture {
+  BudgetFixture() : Board(entrySettings(), IncarnationId("i")) {
+    ModelSpec Model;
+    Model.Name = "m";
+    Model.LoadTime = Millis(16000);
+    this->Engine.Models = {Model};
+    this->Engine.LoadsPerSecond = 4;
+    this->Engine.LoadsAtOnce = 6;
+    this->Board.Share = 0.5;
+  }
+  static Settings entrySettings() {
+    Settings Given;
+    Given.Entry.emplace();
+    return Given;
+  }
+  void load(int Ms) {
+    GroupOrder Order;
+    Order.Kind = OrderKind::Stage;
+    Order.Model = "m";
+    this->Budget.count(Order, this->Engine, at(Ms));
+  }
+  EntryBoard Board;
+  EngineSpec Engine;
+  LoadBudget Budget{this->Board};
+};
+
+TEST_CASE_METHOD(
+    BudgetFixture,
+    "load budget: loads run: no more than this node's part at once", "[unit]") {
+  CHECK(this->Budget.left(this->Engine, at(0)) == 3);
+  for (int I = 0; I < 3; ++I)
+    this->load(0);
+  CHECK(this->Budget.left(this->Engine, at(100)) == 0);
+  // Long after they began, they still run.
+  CHECK(this->Budget.left(this->Engine, at(15000)) == 0);
+  CHECK(this->Budget.left(this->Engine, at(17000)) == 3);
+  this->Board.Share = 0.01;
+  CHECK(this->Budget.left(this->Engine, at(17000)) == 2);
+}
+
 } // namespace waycove::test
--- /dev/null
+++ b/tests/unit/urgency_test.cpp
@@ -0,0 +1,75 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// Which request goes first at a target, and what the platform's headers say.
+#include "platform/callers.h"
+#include "policy/urgency.h"
+
+#include <catch2/catch.hpp>
+
+namespace waycove::test {
+
+struct UrgencyFixture {
+  UrgencyFixture() {
+    this->Route.Timeout = Millis(6000);
+    this->Route.Goal = Millis(300);
+    this->Route.Priority = 1;
+  }
+  HttpRoute Route;
+};
+
+TEST_CASE_METHOD(UrgencyFixture,
+                 "urgency: one is late already: behind those that can be in "
+                 "time",
+                 "[unit]") {
+  CHECK(urgencyOf(this->Route, nullptr, Millis(50)) <
+        urgencyOf(this->Route, nullptr, Millis(900)));
+}
+
+TEST_CASE_METHOD(UrgencyFixture,
+                 "urgency: the workspace has a rank: before the route's, and "
+                 "before lateness",
+                 "[unit]") {
+  KeyOwner First;
+  First.Priority = 0;
+  CHECK(urgencyOf(this->Route, &First, Millis(900)) <
+        urgencyOf(this->Route, nullptr, Millis(0)));
+  KeyOwner Plain;
+  CHECK(urgencyOf(this->Route, &Plain, Millis(0)) ==
+        urgencyOf(this->Route, nullptr, Millis(0)));
+  KeyOwner Last;
+  Last.Priority = 100;
+  CHECK(urgencyOf(this->Route, &Last, Millis(0)) == LeastUrgent);
+}
+
+TEST_CASE_METHOD(UrgencyFixture,
+                 "urgency: a caller comes back: it has waited before",
+                 "[unit]") {
+  CHECK(waitedBefore(this->Route, Millis(6000)) == Millis(0));
+  CHECK(waitedBefore(this->Route, Millis(4500)) == Millis(1500));
+  CHECK(waitedBefore(this->Route, Millis(9000)) == Millis(0));
+  CHECK(waitedBefore(this->Route, std::nullopt) == Millis(0));
+}
+
+TEST_CASE("platform headers: a request: both token counts are read", "[unit]") {
+  Poco::Net::HTTPRequest Asked;
+  Asked.set("X-Token-Count", "1460,80");
+  CallerFacts Facts = platform::Callers::readCaller(Asked);
+  CHECK(Facts.PromptTokens == 1460);
+  CHECK(Facts.AnswerTokens == 80);
+  Asked.set("X-Token-Count", "12");
+  CHECK(platform::Callers::readCaller(Asked).AnswerTokens == 0);
+}
+
+TEST_CASE("platform headers: a send: its urgency is this node's to say",
+          "[unit]") {
+  Poco::Net::HTTPRequest Asked("POST", "/x/");
+  Asked.set("X-Request-Priority", "0");
+  SendFacts Facts;
+  Facts.Urgency = 3;
+  CHECK(platform::Callers::makeSend(Asked, Facts).get("X-Request-Priority") ==
+        "3");
+}
+
+} // namespace waycove::test
