Tell all nodes which targets are left, until answers move there again

Doubts travel with the other sight of targets; anybody's moving answers dispel them. Where others' sight is there, the silence of all decides alone, not four times a first-byte time that the trouble itself has stretched.

--- a/src/edge/answer_wait.cpp
+++ b/src/edge/answer_wait.cpp
@@ -28,6 +28,7 @@
 struct Sight {
   bool StandsStill = false;
   Millis Silence{0};
+  /// Usual time to the first byte; 0 where others' sight tells more.
   double FirstByteMs = 0;
 };
 
@@ -107,10 +108,8 @@
   const HttpRoute &Route = *Ex.Request.Route;
   const VmId &Target = Try.To.Target->Id;
   Sight Seen = this->Board.Vitals.read([&](const VitalsTable &Rows) {
-    const TargetLoad *Others = Rows.elsewhere(Target, Now);
     return Sight{Rows.standsStill(Target, Now), Rows.silence(Target, Now),
-                 std::max(Rows.of(Target).FirstByteMs,
-                          Others ? Others->FirstByteMs : 0)};
+                 Rows.hasNews(Now) ? 0 : Rows.of(Target).FirstByteMs};
   });
   Millis Goal = Try.FirstByteSeen ? Route.PauseGoal : Route.Goal;
   Millis Patience = std::max(LeastPatience, 2 * Goal);
--- a/src/edge/relay_choice.cpp
+++ b/src/edge/relay_choice.cpp
@@ -68,8 +68,7 @@
   std::optional<Serving> To = this->choose(Request, After, Now);
   return To && this->maySpend(Request.Service, Now) &&
          this->Board.Vitals.read([&](const VitalsTable &Vitals) {
-           return Vitals.of(To->Target->Id).SuspectUntil <= Now &&
-                  !Vitals.standsStill(To->Target->Id, Now);
+           return !Vitals.isSuspect(To->Target->Id, Now);
          });
 }
 
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -56,7 +56,7 @@
                 WaitPerThousandTokensMs * Seen.PromptWaiting / 1000;
   if (Row.Target->DataCentre != Query.Here)
     Wait += OtherCentreMs;
-  if (Seen.SuspectUntil > Query.Now || Vitals.standsStill(Id, Query.Now))
+  if (Vitals.isSuspect(Id, Query.Now))
     Wait += SuspectMs;
   return Wait;
 }
--- a/src/policy/load_news.cpp
+++ b/src/policy/load_news.cpp
@@ -37,12 +37,17 @@
   this->Answering += Other.Answering;
   this->PromptWaiting += Other.PromptWaiting;
   this->Waiting = std::max(this->Waiting, Other.Waiting);
+  this->Suspect = std::max(this->Suspect, Other.Suspect);
 }
 
 bool TargetLoad::standsStill() const {
   return this->Answering > 0 && this->Silent > StillTime;
 }
 
+bool TargetLoad::moves() const {
+  return this->Answering > 0 && this->Silent <= StillTime;
+}
+
 void LoadBook::report(const NodeId &From, LoadRows Rows, TimePoint Now) {
   this->Reports[From] = {std::move(Rows), Now, false};
 }
--- a/src/policy/load_news.h
+++ b/src/policy/load_news.h
@@ -29,11 +29,15 @@
   Millis Waiting{0};
   /// Smoothed time to the first byte, in milliseconds; 0 for not known.
   double FirstByteMs = 0;
+  /// How long one of them still gives it no new work.
+  Millis Suspect{0};
 
   /// Adds what other nodes see.
   void add(const TargetLoad &Other);
   /// Answers are under way, and none of them moves.
   bool standsStill() const;
+  /// Answers are under way, and some move.
+  bool moves() const;
 };
 
 using LoadRows = std::unordered_map<TargetHash, TargetLoad>;
--- a/src/policy/vitals.cpp
+++ b/src/policy/vitals.cpp
@@ -111,7 +111,7 @@
   LoadRows Loads;
   for (const auto &[Id, Row] : this->Rows) {
     bool Sampled = Now - Row.FirstByteAt < SampleTime;
-    if (Row.InFlight == 0 && !Sampled)
+    if (Row.InFlight == 0 && !Sampled && Row.SuspectUntil <= Now)
       continue;
     TargetLoad &Load = Loads[TargetHash(hashText(Id.Text))];
     Load.InFlight = Row.InFlight;
@@ -123,6 +123,8 @@
           Now -
           *std::min_element(Row.WaitingSince.begin(), Row.WaitingSince.end()));
     Load.FirstByteMs = Sampled ? Row.FirstByteMs : 0;
+    if (Row.SuspectUntil > Now)
+      Load.Suspect = std::chrono::duration_cast<Millis>(Row.SuspectUntil - Now);
   }
   return Loads;
 }
@@ -152,6 +154,16 @@
   return There->standsStill() && (Here.Answering == 0 || Here.standsStill(Now));
 }
 
+bool VitalsTable::isSuspect(const VmId &Target, TimePoint Now) const {
+  const TargetVitals &Here = this->of(Target);
+  if (Here.SuspectUntil > Now || this->standsStill(Target, Now))
+    return true;
+  const TargetLoad *There = this->elsewhere(Target, Now);
+  bool Moves = Here.Answering > 0 && !Here.standsStill(Now);
+  return There && Now - this->NewsAt < There->Suspect && !There->moves() &&
+         !Moves;
+}
+
 Millis VitalsTable::silence(const VmId &Target, TimePoint Now) const {
   const TargetVitals &Here = this->of(Target);
   const TargetLoad *There = this->elsewhere(Target, Now);
--- a/src/policy/vitals.h
+++ b/src/policy/vitals.h
@@ -69,6 +69,10 @@
   const TargetLoad *elsewhere(const VmId &Target, TimePoint Now) const;
   /// Whether answers are under way there and none moves, here and elsewhere.
   bool standsStill(const VmId &Target, TimePoint Now) const;
+  /// Whether it should get no new work while there are others: this node says
+  /// so, or another one does whose doubts nobody's answers dispel. What stands
+  /// still is left by all soon, and would look idle else.
+  bool isSuspect(const VmId &Target, TimePoint Now) const;
   /// Time since anything came from it, here or elsewhere; zero where nobody
   /// waits for it.
   Millis silence(const VmId &Target, TimePoint Now) const;
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -60,7 +60,8 @@
         Target.Value, static_cast<std::uint32_t>(Load.PromptWaiting),
         shortOf(Load.InFlight), shortOf(Load.Answering),
         shortOf(Load.Silent.count()), shortOf(Load.Waiting.count()),
-        shortOf(static_cast<std::int64_t>(Load.FirstByteMs)));
+        shortOf(static_cast<std::int64_t>(Load.FirstByteMs)),
+        shortOf(Load.Suspect.count()));
   return Rows;
 }
 
@@ -73,7 +74,8 @@
         static_cast<double>(Row.prompt_waiting()),
         Millis(Row.silent_ms()),
         Millis(Row.waiting_ms()),
-        static_cast<double>(Row.first_byte_ms())};
+        static_cast<double>(Row.first_byte_ms()),
+        Millis(Row.suspect_ms())};
   return Loads;
 }
 
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -559,7 +559,7 @@
   uint16_t silent_ms_;
   uint16_t waiting_ms_;
   uint16_t first_byte_ms_;
-  int16_t padding0__;
+  uint16_t suspect_ms_;
 
  public:
   struct Traits;
@@ -571,10 +571,9 @@
         silent_ms_(0),
         waiting_ms_(0),
         first_byte_ms_(0),
-        padding0__(0) {
-    (void)padding0__;
+        suspect_ms_(0) {
   }
-  LoadRow(uint64_t _target, uint32_t _prompt_waiting, uint16_t _in_flight, uint16_t _answering, uint16_t _silent_ms, uint16_t _waiting_ms, uint16_t _first_byte_ms)
+  LoadRow(uint64_t _target, uint32_t _prompt_waiting, uint16_t _in_flight, uint16_t _answering, uint16_t _silent_ms, uint16_t _waiting_ms, uint16_t _first_byte_ms, uint16_t _suspect_ms)
       : target_(flatbuffers::EndianScalar(_target)),
         prompt_waiting_(flatbuffers::EndianScalar(_prompt_waiting)),
         in_flight_(flatbuffers::EndianScalar(_in_flight)),
@@ -582,8 +581,7 @@
         silent_ms_(flatbuffers::EndianScalar(_silent_ms)),
         waiting_ms_(flatbuffers::EndianScalar(_waiting_ms)),
         first_byte_ms_(flatbuffers::EndianScalar(_first_byte_ms)),
-        padding0__(0) {
-    (void)padding0__;
+        suspect_ms_(flatbuffers::EndianScalar(_suspect_ms)) {
   }
   uint64_t target() const {
     return flatbuffers::EndianScalar(target_);
@@ -606,6 +604,9 @@
   uint16_t first_byte_ms() const {
     return flatbuffers::EndianScalar(first_byte_ms_);
   }
+  uint16_t suspect_ms() const {
+    return flatbuffers::EndianScalar(suspect_ms_);
+  }
 };
 FLATBUFFERS_STRUCT_END(LoadRow, 24);
 
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -176,6 +176,47 @@
   CHECK(Vitals.elsewhere(Head, at(3000)) == nullptr);
 }
 
+TEST_CASE("vitals: another node left a target: none goes there until answers "
+          "move",
+          "[unit]") {
+  VitalsTable Vitals;
+  VmId Head("head");
+  TargetHash Hash(hashText("head"));
+  TargetLoad Load;
+  // Whoever had answers under way there has left; it would look idle.
+  Load.Suspect = Millis(3000);
+  Vitals.takeNews({{Hash, Load}}, at(0));
+  CHECK(Vitals.isSuspect(Head, at(100)));
+  ChoiceQuery Query;
+  Query.Now = at(100);
+  std::vector<Serving> Rows;
+  for (const char *Id : {"head", "other"}) {
+    auto Target = std::make_shared<TargetInfo>();
+    Target->Id = VmId(Id);
+    Rows.push_back({Target, ""});
+  }
+  for (int I = 0; I < 20; ++I) {
+    Query.Random = mixHash(7, static_cast<std::uint64_t>(I));
+    CHECK(chooseTarget(Rows, Vitals, Query)->Target->Id == VmId("other"));
+  }
+  // A node that was cut off itself must not take a sound target from all.
+  Load.InFlight = Load.Answering = 2;
+  Load.Silent = Millis(40);
+  Vitals.takeNews({{Hash, Load}}, at(0));
+  CHECK_FALSE(Vitals.isSuspect(Head, at(100)));
+}
+
+TEST_CASE("vitals: doubts are told to others: only this node's own", "[unit]") {
+  VitalsTable Vitals;
+  VmId Head("head");
+  TargetLoad Load;
+  Load.Suspect = Millis(3000);
+  Vitals.takeNews({{TargetHash(hashText("head")), Load}}, at(0));
+  CHECK(Vitals.loads(at(10)).empty());
+  Vitals.suspect(Head, at(0), Millis(500));
+  CHECK(Vitals.loads(at(100)).begin()->second.Suspect == Millis(400));
+}
+
 struct RankFixture {
   RankFixture() {
     for (const char *Name : {"n1", "n2", "n3", "n4"})
