--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -79,28 +79,47 @@
 Millis NewsExchange::step() {
   NodeTable Nodes =
       this->Board.Nodes.read([](const NodeTable &Rows) { return Rows; });
-  const NodeId &Me = this->Board.Config.Node;
+  if (!this->askCentre(Nodes) && !this->askOtherCentre(Nodes))
+    this->readAlone("no node reads for this one");
+  this->publishLoads(SystemClock{}.now());
+  return RoundTime;
+}
+
+/// Asks the first node of this data centre that answers; false where none is
+/// before this one.
+bool NewsExchange::askCentre(const NodeTable &Nodes) {
   for (const NodeInfo &Row : readersOf(Nodes, this->Board.Config.DataCentre)) {
-    if (Row.Node == Me)
-      break;
+    if (Row.Node == this->Board.Config.Node)
+      return false;
+    if (this->askFrom(Row))
+      return true;
+  }
+  return false;
+}
+
+/// The same for the first of a data centre: asks the first of another one that
+/// is before its own. Of each, one node is tried.
+bool NewsExchange::askOtherCentre(const NodeTable &Nodes) {
+  for (const DataCentreId &Centre : centresOf(Nodes)) {
+    if (Centre == this->Board.Config.DataCentre)
+      return false;
     TimePoint Now = SystemClock{}.now();
-    if (this->Failures.isLeft(Row.Node, Now))
-      continue;
-    if (this->askFrom(Row)) {
-      this->publishLoads(SystemClock{}.now());
-      return RoundTime;
-    }
+    for (const NodeInfo &Row : readersOf(Nodes, Centre))
+      if (!this->Failures.isLeft(Row.Node, Now)) {
+        if (this->askFrom(Row))
+          return true;
+        break;
+      }
   }
-  this->readAlone("no neighbour reads for this node");
-  this->lead(Nodes);
-  this->publishLoads(SystemClock{}.now());
-  return RoundTime;
+  return false;
 }
 
 /// Asks \p Reader for all that is new; false where it does not answer or has
 /// nothing current.
 bool NewsExchange::askFrom(const NodeInfo &Reader) {
   TimePoint SentAt = SystemClock{}.now();
+  if (this->Failures.isLeft(Reader.Node, SentAt))
+    return false;
   LoadRows Loads;
   {
     LoadRows Own = this->ownLoads(SentAt);
@@ -115,7 +134,10 @@
   else if (!this->isCurrent(*News))
     Reason = "its own news are old";
   if (!Reason.empty()) {
-    this->Failures.failed(Reader.Node, Now);
+    // One that answers with old news is asked again at once: as soon as it has
+    // the store back, so have those that read from it.
+    if (!News.ok())
+      this->Failures.failed(Reader.Node, Now);
     this->readAlone(Reason);
     return false;
   }
@@ -144,35 +166,6 @@
     this->Board.Feeds[I].wake();
 }
 
-/// The first of a data centre tells the first ones of the others what its
-/// nodes see.
-void NewsExchange::lead(const NodeTable &Nodes) {
-  std::set<DataCentreId> Others;
-  for (const auto &[Id, Row] : Nodes)
-    if (Row.DataCentre != this->Board.Config.DataCentre)
-      Others.insert(Row.DataCentre);
-  for (const DataCentreId &Centre : Others)
-    for (const NodeInfo &Row : readersOf(Nodes, Centre))
-      if (!this->Failures.isLeft(Row.Node, SystemClock{}.now())) {
-        this->tellCentre(Row);
-        break;
-      }
-}
-
-void NewsExchange::tellCentre(const NodeInfo &Reader) {
-  TimePoint Now = SystemClock{}.now();
-  LoadRows Loads;
-  {
-    LoadRows Own = this->ownLoads(Now);
-    std::lock_guard Lock(this->Mutex);
-    Loads = this->Book.upward(Own, Now);
-  }
-  if (this->ask(Reader, std::move(Loads)).ok())
-    this->Failures.answered(Reader.Node);
-  else
-    this->Failures.failed(Reader.Node, SystemClock{}.now());
-}
-
 absl::StatusOr<wire::NewsT> NewsExchange::ask(const NodeInfo &Reader,
                                               LoadRows Loads) {
   wire::NewsWantedT Question;
@@ -267,8 +260,7 @@
     if (!Frame.ok() || Frame->message.type != wire::Message::NewsWanted)
       return;
     const wire::NewsWantedT &Question = *Frame->message.AsNewsWanted();
-    if (Question.data_centre == this->Board.Config.DataCentre.Text)
-      this->Board.noteAsked(SystemClock{}.now());
+    this->Board.noteAsked(SystemClock{}.now());
     if (!Link.send(frameOf(this->Board.Clock.tick(SystemClock{}.wall()),
                            this->answer(Question))))
       return;
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -9,16 +9,15 @@
 
 #include <Poco/Net/TCPServer.h>
 #include <memory>
-#include <set>
 
 namespace waycove {
 
-/// Passes news between entries, so that one node of a data centre reads the
-/// platform's store for all, and each knows what all see of the targets. A node
-/// asks the first one in the data centre's order that answers, a few times a
-/// second, and reads the store itself while none does. Proofs travel as ages,
-/// so no two clocks are compared. The readers of the data centres tell each
-/// other what their nodes see. Nothing here decides what must be unique.
+/// Passes news between entries, so that one node reads the platform's store for
+/// all, and each knows what all see of the targets. A node asks the first one
+/// in its data centre's order that answers, a few times a second; the first of
+/// a data centre asks the first one of another that is before its own; whoever
+/// has nobody to ask reads the store itself. Proofs travel as ages, so no two
+/// clocks are compared. Nothing here decides what must be unique.
 class NewsExchange {
 public:
   explicit NewsExchange(EntryBoard &Board);
@@ -36,9 +35,9 @@
 private:
   using SocketRef = std::unique_ptr<FrameSocket>;
 
+  bool askCentre(const NodeTable &Nodes);
+  bool askOtherCentre(const NodeTable &Nodes);
   bool askFrom(const NodeInfo &Reader);
-  void lead(const NodeTable &Nodes);
-  void tellCentre(const NodeInfo &Reader);
   void readAlone(const std::string &Reason);
   absl::StatusOr<wire::NewsT> ask(const NodeInfo &Reader, LoadRows Loads);
   absl::StatusOr<wire::NewsT> exchange(const NodeInfo &Reader,
--- a/src/policy/node_rank.cpp
+++ b/src/policy/node_rank.cpp
@@ -26,6 +26,16 @@
   return Rows;
 }
 
+std::vector<DataCentreId> centresOf(const NodeTable &Nodes) {
+  std::map<std::pair<std::uint64_t, DataCentreId>, DataCentreId> Order;
+  for (const auto &[Id, Row] : Nodes)
+    Order[{hashText(Row.DataCentre.Text), Row.DataCentre}] = Row.DataCentre;
+  std::vector<DataCentreId> Rows;
+  for (const auto &[Place, Centre] : Order)
+    Rows.push_back(Centre);
+  return Rows;
+}
+
 void NodeFailures::failed(const NodeId &Node, TimePoint Now) {
   Row &At = this->Rows[Node];
   At.Pause = At.Pause.count() == 0 ? Least : std::min(2 * At.Pause, Most);
--- a/src/policy/node_rank.h
+++ b/src/policy/node_rank.h
@@ -28,6 +28,9 @@
 /// an order of its own.
 std::vector<NodeInfo> readersOf(const NodeTable &Nodes,
                                 const DataCentreId &Centre);
+/// All data centres, in the order in which their readers are to read for the
+/// readers of the others.
+std::vector<DataCentreId> centresOf(const NodeTable &Nodes);
 
 /// Nodes that did not answer or had nothing current, left alone for a time that
 /// grows with each failure. Not thread-safe.
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -239,6 +239,16 @@
   CHECK(Rest[1].Node == All[2].Node);
 }
 
+TEST_CASE_METHOD(RankFixture,
+                 "readers: data centres: one order, the same for all",
+                 "[unit]") {
+  std::vector<DataCentreId> All = centresOf(this->Nodes);
+  REQUIRE(All.size() == 2);
+  CHECK(All[0] != All[1]);
+  this->Nodes.erase(NodeId("n1"));
+  CHECK(centresOf(this->Nodes) == All);
+}
+
 TEST_CASE("readers: one keeps failing: asked ever more rarely", "[unit]") {
   NodeFailures Failures;
   NodeId Node("n");
