--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -22,6 +22,9 @@
 /// The reader's own read of the store lasts a second at most; where its answer
 /// is older than this, it has lost the store.
 constexpr Millis MostAge(2200);
+/// Nodes that are asked in one round: where the first ones have no current news,
+/// it is the store that does not answer.
+constexpr unsigned MostAsked = 2;
 /// A node that was not asked for this long closes the connection.
 constexpr Millis QuietTime(5000);
 constexpr int MostConnections = 256;
@@ -88,9 +91,13 @@
 /// Asks the first node of this data centre that answers; false where none is
 /// before this one.
 bool NewsExchange::askCentre(const NodeTable &Nodes) {
+  unsigned Asked = 0;
   for (const NodeInfo &Row : readersOf(Nodes, this->Board.Config.DataCentre)) {
-    if (Row.Node == this->Board.Config.Node)
+    if (Row.Node == this->Board.Config.Node || Asked == MostAsked)
       return false;
+    if (this->Failures.isLeft(Row.Node, SystemClock{}.now()))
+      continue;
+    ++Asked;
     if (this->askFrom(Row))
       return true;
   }
@@ -118,8 +125,6 @@
 /// nothing current.
 bool NewsExchange::askFrom(const NodeInfo &Reader) {
   TimePoint SentAt = SystemClock{}.now();
-  if (this->Failures.isLeft(Reader.Node, SentAt))
-    return false;
   LoadRows Loads;
   {
     LoadRows Own = this->ownLoads(SentAt);
