Keep reserves loaded, each once in a group of its own

Cause: a repair waits for its slowest member, the reserve, which loads staged weights in 1.1 to 1.6 s, while one whose last group ran the model joins in 0.2 s.

--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -132,6 +132,8 @@
   bool form(Step &S, const ModelSpec &Model, bool LoadsAnyway = false);
   void formScarce(Step &S);
   bool giveUpSmaller(Step &S, const ModelSpec &Model, std::size_t Warm);
+  void warmReserves(Step &S);
+  bool judgeWarmUp(Step &S, const GroupKey &Key, const Announced &Row);
   void stageMissing(Step &S);
   void stageSpares(Step &S);
   static const ModelSpec *scarcest(const Step &S);
@@ -155,6 +157,9 @@
   std::map<std::tuple<GroupKey, OrderKind, VmId>, TimePoint> LastOrder;
   /// When weights were ordered onto a host, by model.
   std::map<std::pair<VmId, std::string>, TimePoint> Staging;
+  /// Groups of one VM that only load its weights, and when they were ordered.
+  std::map<GroupKey, TimePoint> WarmUps;
+  std::set<VmId> WarmTried;
   std::vector<GoneTarget> Questions;
   std::uint64_t LastEpoch = 0;
   std::size_t SeenTargets = 0;
