A node is asked by twelve others at most, and never for all there is

Nodes read all there is from the store once, then follow. Each is given the node that it asks by its place in the order; the first is asked where that one fails.

--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -22,9 +22,6 @@
 /// The reader's own read of the store lasts a second at most; where its answer
 /// is older than this, it has lost the store.
 constexpr Millis MostAge(2200);
-/// Nodes that are asked in one round: where the first ones have no current news,
-/// it is the store that does not answer.
-constexpr unsigned MostAsked = 2;
 /// A node that was not asked for this long closes the connection.
 constexpr Millis QuietTime(5000);
 constexpr int MostConnections = 256;
@@ -82,25 +79,31 @@
 Millis NewsExchange::step() {
   NodeTable Nodes =
       this->Board.Nodes.read([](const NodeTable &Rows) { return Rows; });
-  if (!this->askCentre(Nodes) && !this->askOtherCentre(Nodes))
+  if (!this->isFilled() ||
+      (!this->askCentre(Nodes) && !this->askOtherCentre(Nodes)))
     this->readAlone("no node reads for this one");
   this->publishLoads(SystemClock{}.now());
   return RoundTime;
 }
 
-/// Asks the first node of this data centre that answers; false where none is
-/// before this one.
-bool NewsExchange::askCentre(const NodeTable &Nodes) {
-  unsigned Asked = 0;
-  for (const NodeInfo &Row : readersOf(Nodes, this->Board.Config.DataCentre)) {
-    if (Row.Node == this->Board.Config.Node || Asked == MostAsked)
+/// Whether this node has read all there was from the store once. What came
+/// before is a load that a neighbour must not bear for all others at the start.
+bool NewsExchange::isFilled() const {
+  for (const FeedCache &Feed : this->Board.Feeds)
+    if (!Feed.next())
       return false;
-    if (this->Failures.isLeft(Row.Node, SystemClock{}.now()))
-      continue;
-    ++Asked;
-    if (this->askFrom(Row))
+  return true;
+}
+
+/// Asks the node of this data centre that is given to this one, or its first;
+/// false where none answers, and for the first itself.
+bool NewsExchange::askCentre(const NodeTable &Nodes) {
+  for (const NodeInfo &Row :
+       askedBy(readersOf(Nodes, this->Board.Config.DataCentre),
+               this->Board.Config.Node))
+    if (!this->Failures.isLeft(Row.Node, SystemClock{}.now()) &&
+        this->askFrom(Row))
       return true;
-  }
   return false;
 }
 
@@ -177,9 +180,7 @@
   Question.node = this->Board.Config.Node.Text;
   Question.data_centre = this->Board.Config.DataCentre.Text;
   for (const FeedCache &Feed : this->Board.Feeds) {
-    std::optional<Offset> Next = Feed.next();
-    Question.known.push_back(Next.has_value());
-    Question.next.push_back(Next.value_or(Offset()).Value);
+    Question.next.push_back(Feed.next().value_or(Offset()).Value);
   }
   Question.loads = packLoads(Loads);
   return this->exchange(Reader, std::move(Question));
@@ -239,12 +240,10 @@
   wire::NewsT News;
   for (std::size_t I = 0; I < this->Board.Feeds.size(); ++I) {
     const FeedCache &Feed = this->Board.Feeds[I];
-    bool Asked = I < Question.known.size() && I < Question.next.size() &&
-                 Question.known[I];
+    bool Asked = I < Question.next.size() && Feed.next();
     News.feeds.push_back(
-        !Feed.next() ? std::make_unique<wire::FeedNewsT>()
-        : Asked      ? packFeed(Feed.since(Offset(Question.next[I])), Now)
-                     : packFeed(Feed.whole(), Now));
+        Asked ? packFeed(Feed.since(Offset(Question.next[I])), Now)
+              : std::make_unique<wire::FeedNewsT>());
   }
   LoadRows Own = this->ownLoads(Now);
   NodeId From(Question.node);
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -13,11 +13,11 @@
 namespace waycove {
 
 /// Passes news between entries, so that one node reads the platform's store for
-/// all, and each knows what all see of the targets. A node asks the first one
-/// in its data centre's order that answers, a few times a second; the first of
-/// a data centre asks the first one of another that is before its own; whoever
-/// has nobody to ask reads the store itself. Proofs travel as ages, so no two
-/// clocks are compared. Nothing here decides what must be unique.
+/// all, and each knows what all see of the targets. A node asks the one that
+/// its place in its data centre's order gives it, a few times a second; the
+/// first of a data centre asks the first one of another that is before its own;
+/// whoever has nobody to ask reads the store itself. Proofs travel as ages, so
+/// no two clocks are compared. Nothing here decides what must be unique.
 class NewsExchange {
 public:
   explicit NewsExchange(EntryBoard &Board);
@@ -35,6 +35,7 @@
 private:
   using SocketRef = std::unique_ptr<FrameSocket>;
 
+  bool isFilled() const;
   bool askCentre(const NodeTable &Nodes);
   bool askOtherCentre(const NodeTable &Nodes);
   bool askFrom(const NodeInfo &Reader);
--- a/src/policy/node_rank.cpp
+++ b/src/policy/node_rank.cpp
@@ -8,6 +8,14 @@
 
 namespace waycove {
 
+namespace {
+
+/// How many nodes ask one. Measured on 300 machines: 99 askers took all of a
+/// small node's processor and memory; each takes some 0.1% of a core.
+constexpr std::size_t Askers = 12;
+
+} // namespace
+
 std::vector<NodeInfo> readersOf(const NodeTable &Nodes,
                                 const DataCentreId &Centre) {
   std::vector<std::pair<std::uint64_t, const NodeInfo *>> Order;
@@ -26,6 +34,21 @@
   return Rows;
 }
 
+std::vector<NodeInfo> askedBy(const std::vector<NodeInfo> &Readers,
+                              const NodeId &Me) {
+  auto At = std::find_if(Readers.begin(), Readers.end(),
+                         [&](const NodeInfo &Row) { return Row.Node == Me; });
+  // One that is not listed yet reads alone.
+  if (At == Readers.begin() || At == Readers.end())
+    return {};
+  auto Place = static_cast<std::size_t>(At - Readers.begin());
+  std::size_t Parent = (Place - 1) / Askers;
+  std::vector<NodeInfo> Asked{Readers[Parent]};
+  if (Parent > 0)
+    Asked.push_back(Readers.front());
+  return Asked;
+}
+
 std::vector<DataCentreId> centresOf(const NodeTable &Nodes) {
   std::map<std::pair<std::uint64_t, DataCentreId>, DataCentreId> Order;
   for (const auto &[Id, Row] : Nodes)
--- a/src/policy/node_rank.h
+++ b/src/policy/node_rank.h
@@ -28,6 +28,12 @@
 /// an order of its own.
 std::vector<NodeInfo> readersOf(const NodeTable &Nodes,
                                 const DataCentreId &Centre);
+/// Whom \p Me asks among \p Readers, its data centre's nodes in order: the one
+/// that is given to its place, and the first of all where that one fails. Each
+/// is given to a bounded number, so the first does not drown in a large data
+/// centre. Empty for the first.
+std::vector<NodeInfo> askedBy(const std::vector<NodeInfo> &Readers,
+                              const NodeId &Me);
 /// All data centres, in the order in which their readers are to read for the
 /// readers of the others.
 std::vector<DataCentreId> centresOf(const NodeTable &Nodes);
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -3705,7 +3705,6 @@
   typedef NewsWanted TableType;
   std::string node{};
   std::string data_centre{};
-  std::vector<bool> known{};
   std::vector<uint64_t> next{};
   std::vector<waycove::wire::LoadRow> loads{};
 };
@@ -3717,9 +3716,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NODE = 4,
     VT_DATA_CENTRE = 6,
-    VT_KNOWN = 8,
-    VT_NEXT = 10,
-    VT_LOADS = 12
+    VT_NEXT = 8,
+    VT_LOADS = 10
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -3727,9 +3725,6 @@
   const flatbuffers::String *data_centre() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
   }
-  const flatbuffers::Vector<uint8_t> *known() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_KNOWN);
-  }
   const flatbuffers::Vector<uint64_t> *next() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_NEXT);
   }
@@ -3742,8 +3737,6 @@
            verifier.VerifyString(node()) &&
            VerifyOffset(verifier, VT_DATA_CENTRE) &&
            verifier.VerifyString(data_centre()) &&
-           VerifyOffset(verifier, VT_KNOWN) &&
-           verifier.VerifyVector(known()) &&
            VerifyOffset(verifier, VT_NEXT) &&
            verifier.VerifyVector(next()) &&
            VerifyOffset(verifier, VT_LOADS) &&
@@ -3765,9 +3758,6 @@
   void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
     fbb_.AddOffset(NewsWanted::VT_DATA_CENTRE, data_centre);
   }
-  void add_known(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> known) {
-    fbb_.AddOffset(NewsWanted::VT_KNOWN, known);
-  }
   void add_next(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> next) {
     fbb_.AddOffset(NewsWanted::VT_NEXT, next);
   }
@@ -3789,13 +3779,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> node = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> known = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> next = 0,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads = 0) {
   NewsWantedBuilder builder_(_fbb);
   builder_.add_loads(loads);
   builder_.add_next(next);
-  builder_.add_known(known);
   builder_.add_data_centre(data_centre);
   builder_.add_node(node);
   return builder_.Finish();
@@ -3810,19 +3798,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *node = nullptr,
     const char *data_centre = nullptr,
-    const std::vector<uint8_t> *known = nullptr,
     const std::vector<uint64_t> *next = nullptr,
     const std::vector<waycove::wire::LoadRow> *loads = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
-  auto known__ = known ? _fbb.CreateVector<uint8_t>(*known) : 0;
   auto next__ = next ? _fbb.CreateVector<uint64_t>(*next) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<waycove::wire::LoadRow>(*loads) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       node__,
       data_centre__,
-      known__,
       next__,
       loads__);
 }
@@ -5165,7 +5150,6 @@
   (void)_resolver;
   { auto _e = node(); if (_e) _o->node = _e->str(); }
   { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
-  { auto _e = known(); if (_e) { _o->known.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->known[_i] = _e->Get(_i) != 0; } } }
   { auto _e = next(); if (_e) { _o->next.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->next[_i] = _e->Get(_i); } } }
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
 }
@@ -5180,14 +5164,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const NewsWantedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
   auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
-  auto _known = _o->known.size() ? _fbb.CreateVector(_o->known) : 0;
   auto _next = _o->next.size() ? _fbb.CreateVector(_o->next) : 0;
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       _node,
       _data_centre,
-      _known,
       _next,
       _loads);
 }
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -239,6 +239,26 @@
   CHECK(Rest[1].Node == All[2].Node);
 }
 
+TEST_CASE("readers: a large data centre: each is asked by a few, nobody by all",
+          "[unit]") {
+  std::vector<NodeInfo> Readers;
+  for (int I = 0; I < 100; ++I)
+    Readers.push_back({NodeId("n" + std::to_string(I)), IncarnationId("i"),
+                       DataCentreId("a"), "", 1});
+  CHECK(askedBy(Readers, NodeId("n0")).empty());
+  CHECK(askedBy(Readers, NodeId("unlisted")).empty());
+  std::map<NodeId, int> Askers;
+  for (int I = 1; I < 100; ++I) {
+    std::vector<NodeInfo> Asked =
+        askedBy(Readers, NodeId("n" + std::to_string(I)));
+    REQUIRE_FALSE(Asked.empty());
+    ++Askers[Asked.front().Node];
+    CHECK(Asked.back().Node == NodeId("n0"));
+  }
+  for (const auto &[Node, Count] : Askers)
+    CHECK(Count <= 12);
+}
+
 TEST_CASE_METHOD(RankFixture,
                  "readers: data centres: one order, the same for all",
                  "[unit]") {
--- a/tools/without.py
+++ b/tools/without.py
@@ -48,6 +48,30 @@
         "src/policy/connections.cpp",
         "RestingPart * MostOfAll * EvenShare", "1.0 * MostOfAll",
         "connections: many nodes"),
+    "unreached-out": (
+        "src/control/member_inquiry.h",
+        "this->Silent[Vm] = {Now, SilentAsks};", "",
+        "members: one is not reached"),
+    "missing-staged": (
+        "src/policy/domain_stage.cpp",
+        "bool Lacks = ", "bool Lacks = false && ",
+        "staging: resting hosts|staging: nothing fits"),
+    "no-cold-joins": (
+        "src/policy/domain_form.cpp",
+        "if (S.Engine.ModelsStagedPerHost > 0)", "if (false)",
+        "staging: a model is short"),
+    "loads-at-once": (
+        "src/control/load_budget.cpp",
+        "std::max(MayRun, LeastPart) - Running", "1000.0",
+        "load budget"),
+    "doubts-shared": (
+        "src/policy/vitals.cpp",
+        "return There && Now - this->NewsAt", "return false && Now - this->NewsAt",
+        "vitals: another node left"),
+    "late-last": (
+        "src/policy/urgency.cpp",
+        "(Late ? 1U : 0U)", "0U",
+        "urgency: one is late"),
     "answer-id": (
         "src/edge/answer_pass.h",
         "Facts.Request == Ex.Request.Facts.Id", "true",
