--- a/src/board/feed_cache.cpp
+++ b/src/board/feed_cache.cpp
@@ -66,33 +66,28 @@
   this->HoldUntil = std::max(this->HoldUntil, Until);
 }
 
-KeyedPage FeedCache::head(bool Whole) const {
+/// What changed from \p From on, or with \p Whole all that there is.
+KeyedPage FeedCache::pageFrom(Offset From, bool Whole) const {
   KeyedPage Page;
   Page.Next = this->Next;
   Page.Whole = Whole;
   Page.ProvenAt = this->ProvenAt;
   Page.AnsweredAt = this->AnsweredAt;
   Page.HoldUntil = this->HoldUntil;
+  for (const auto &[Key, Row] : this->Rows)
+    if (Whole ? Row.Value.has_value() : Row.Below > From)
+      Page.Records.push_back({Key, Row.Value});
   return Page;
 }
 
 KeyedPage FeedCache::since(Offset From) const {
   std::lock_guard Lock(this->Mutex);
-  bool Whole = From < this->ForgottenBelow;
-  KeyedPage Page = this->head(Whole);
-  for (const auto &[Key, Row] : this->Rows)
-    if (Whole ? Row.Value.has_value() : Row.Below > From)
-      Page.Records.push_back({Key, Row.Value});
-  return Page;
+  return this->pageFrom(From, From < this->ForgottenBelow);
 }
 
 KeyedPage FeedCache::whole() const {
   std::lock_guard Lock(this->Mutex);
-  KeyedPage Page = this->head(true);
-  for (const auto &[Key, Row] : this->Rows)
-    if (Row.Value)
-      Page.Records.push_back({Key, Row.Value});
-  return Page;
+  return this->pageFrom(Offset(), true);
 }
 
 std::optional<Offset> FeedCache::next() const {
--- a/src/board/feed_cache.h
+++ b/src/board/feed_cache.h
@@ -77,7 +77,7 @@
   void put(const KeyedRecord &Record, Offset Below, TimePoint Now);
   void addMissing(const KeyedPage &Page, TimePoint Now);
   void prune(TimePoint Now);
-  KeyedPage head(bool Whole) const;
+  KeyedPage pageFrom(Offset From, bool Whole) const;
 
   mutable std::mutex Mutex;
   std::condition_variable Changed;
