Split asking a neighbour for news

askFrom() asked, judged the answer, took it and noted the choice in 46 lines; taking and noting are functions of their own now. Nobody used what takeFeeds() returned. The node that is asked is no longer called as the member that keeps the reader.

--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -22,8 +22,8 @@
 /// The reader's own read of the store lasts a second at most; where its answer
 /// is older than this, it has lost the store.
 constexpr Millis MostAge(2200);
-/// Nodes that are asked in one round: where the first ones have no current news,
-/// it is the store that does not answer.
+/// Nodes that are asked in one round: where the first ones have no current
+/// news, it is the store that does not answer.
 constexpr unsigned MostAsked = 2;
 /// A node that was not asked for this long closes the connection.
 constexpr Millis QuietTime(5000);
@@ -121,45 +121,37 @@
   return false;
 }
 
-/// Asks \p Reader for all that is new; false where it does not answer or has
+/// Asks \p Asked for all that is new; false where it does not answer or has
 /// nothing current.
-bool NewsExchange::askFrom(const NodeInfo &Reader) {
+bool NewsExchange::askFrom(const NodeInfo &Asked) {
   TimePoint SentAt = SystemClock{}.now();
-  LoadRows Loads;
-  {
-    LoadRows Own = this->ownLoads(SentAt);
-    std::lock_guard Lock(this->Mutex);
-    Loads = this->Book.upward(Own, SentAt);
+  absl::StatusOr<wire::NewsT> News = this->ask(Asked, SentAt);
+  if (!News.ok()) {
+    this->Failures.failed(Asked.Node, SystemClock{}.now());
+    this->readAlone(messageOf(News.status()));
+    return false;
   }
-  absl::StatusOr<wire::NewsT> News = this->ask(Reader, std::move(Loads));
-  TimePoint Now = SystemClock{}.now();
-  std::string Reason;
-  if (!News.ok())
-    Reason = messageOf(News.status());
-  else if (!this->isCurrent(*News))
-    Reason = "its own news are old";
-  if (!Reason.empty()) {
+  if (!this->isCurrent(*News)) {
     // One that answers with old news is asked again at once: as soon as it has
     // the store back, so have those that read from it.
-    if (!News.ok())
-      this->Failures.failed(Reader.Node, Now);
-    this->readAlone(Reason);
+    this->readAlone("its own news are old");
     return false;
   }
-  this->Failures.answered(Reader.Node);
-  this->takeFeeds(*News, SentAt);
-  {
-    std::lock_guard Lock(this->Mutex);
-    this->Book.tell(readLoads(News->loads), Now);
-  }
-  if (!this->Board.Relayed.exchange(true) || this->Reader != Reader.Node) {
-    this->Board.Log.emit(EventCode::ReaderChosen, Reader.Node.Text,
-                         LogFields().add("before", this->Reader.Text));
-    this->Reader = Reader.Node;
-  }
+  this->Failures.answered(Asked.Node);
+  this->takeNews(*News, SentAt);
+  this->readFrom(Asked.Node);
   return true;
 }
 
+/// \p Chosen reads the store for this node from here on.
+void NewsExchange::readFrom(const NodeId &Chosen) {
+  if (this->Board.Relayed.exchange(true) && this->Reader == Chosen)
+    return;
+  this->Board.Log.emit(EventCode::ReaderChosen, Chosen.Text,
+                       LogFields().add("before", this->Reader.Text));
+  this->Reader = Chosen;
+}
+
 /// Reads the store itself from here on.
 void NewsExchange::readAlone(const std::string &Reason) {
   if (!this->Board.Relayed.exchange(false))
@@ -167,12 +159,13 @@
   this->Board.Log.emit(EventCode::ReaderLost, this->Reader.Text,
                        LogFields().add("reason", Reason));
   this->Reader = NodeId();
-  for (std::size_t I = 0; I < this->Board.Feeds.size(); ++I)
-    this->Board.Feeds[I].wake();
+  for (FeedCache &Feed : this->Board.Feeds)
+    Feed.wake();
 }
 
-absl::StatusOr<wire::NewsT> NewsExchange::ask(const NodeInfo &Reader,
-                                              LoadRows Loads) {
+/// Tells \p Asked what this data centre sees, and asks for all that is new.
+absl::StatusOr<wire::NewsT> NewsExchange::ask(const NodeInfo &Asked,
+                                              TimePoint SentAt) {
   wire::NewsWantedT Question;
   Question.node = this->Board.Config.Node.Text;
   Question.data_centre = this->Board.Config.DataCentre.Text;
@@ -181,19 +174,23 @@
     Question.known.push_back(Next.has_value());
     Question.next.push_back(Next.value_or(Offset()).Value);
   }
-  Question.loads = packLoads(Loads);
-  return this->exchange(Reader, std::move(Question));
+  LoadRows Own = this->ownLoads(SentAt);
+  {
+    std::lock_guard Lock(this->Mutex);
+    Question.loads = packLoads(this->Book.upward(Own, SentAt));
+  }
+  return this->exchange(Asked, std::move(Question));
 }
 
-absl::StatusOr<wire::NewsT> NewsExchange::exchange(const NodeInfo &Reader,
+absl::StatusOr<wire::NewsT> NewsExchange::exchange(const NodeInfo &Asked,
                                                    wire::NewsWantedT Question) {
-  auto &[Incarnation, Link] = this->Links[Reader.Node];
-  if (!Link || Incarnation != Reader.Incarnation) {
+  auto &[Incarnation, Link] = this->Links[Asked.Node];
+  if (!Link || Incarnation != Asked.Incarnation) {
     absl::StatusOr<Poco::Net::StreamSocket> Socket =
-        FrameSocket::dial(Reader.Host, Reader.Port, DialTime);
+        FrameSocket::dial(Asked.Host, Asked.Port, DialTime);
     if (!Socket.ok())
       return Socket.status();
-    Incarnation = Reader.Incarnation;
+    Incarnation = Asked.Incarnation;
     Link = std::make_unique<FrameSocket>(*Socket, this->Board.Counters);
   }
   std::uint64_t Clock = this->Board.Clock.tick(SystemClock{}.wall());
@@ -223,15 +220,13 @@
 }
 
 /// Ages count from when the question was sent: the answer was made later.
-bool NewsExchange::takeFeeds(const wire::NewsT &News, TimePoint SentAt) {
+void NewsExchange::takeNews(const wire::NewsT &News, TimePoint SentAt) {
   TimePoint Now = SystemClock{}.now();
-  bool Any = false;
   for (std::size_t I = 0; I < this->Board.Feeds.size(); ++I)
     if (News.feeds[I]->known)
-      Any = this->Board.Feeds[I].take(readFeed(*News.feeds[I], SentAt, Now),
-                                      Now) ||
-            Any;
-  return Any;
+      this->Board.Feeds[I].take(readFeed(*News.feeds[I], SentAt, Now), Now);
+  std::lock_guard Lock(this->Mutex);
+  this->Book.tell(readLoads(News.loads), Now);
 }
 
 wire::NewsT NewsExchange::answer(const wire::NewsWantedT &Question) {
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -37,12 +37,13 @@
 
   bool askCentre(const NodeTable &Nodes);
   bool askOtherCentre(const NodeTable &Nodes);
-  bool askFrom(const NodeInfo &Reader);
+  bool askFrom(const NodeInfo &Asked);
   void readAlone(const std::string &Reason);
-  absl::StatusOr<wire::NewsT> ask(const NodeInfo &Reader, LoadRows Loads);
-  absl::StatusOr<wire::NewsT> exchange(const NodeInfo &Reader,
+  void readFrom(const NodeId &Chosen);
+  absl::StatusOr<wire::NewsT> ask(const NodeInfo &Asked, TimePoint SentAt);
+  absl::StatusOr<wire::NewsT> exchange(const NodeInfo &Asked,
                                        wire::NewsWantedT Question);
-  bool takeFeeds(const wire::NewsT &News, TimePoint SentAt);
+  void takeNews(const wire::NewsT &News, TimePoint SentAt);
   bool isCurrent(const wire::NewsT &News) const;
   wire::NewsT answer(const wire::NewsWantedT &Question);
   LoadRows ownLoads(TimePoint Now) const;
@@ -50,10 +51,12 @@
 
   EntryBoard &Board;
   std::mutex Mutex;
+  /// What others told of targets; under Mutex.
   LoadBook Book;
   NodeFailures Failures;
   /// Open connections to the nodes that this one asks.
   std::map<NodeId, std::pair<IncarnationId, SocketRef>> Links;
+  /// The node that reads for this one; empty where none does.
   NodeId Reader;
   std::unique_ptr<Poco::Net::TCPServer> Server;
 };
