Give the followers of feeds one cursor

The followers of configuration, registry and nodes each kept an offset, whether they had read the whole, and what to do when history is gone. A cursor keeps that for all three.

--- a/src/control/config_follow.h
+++ b/src/control/config_follow.h
@@ -19,9 +19,7 @@
 
   /// One read; how long to pause before the next.
   Millis step() {
-    absl::StatusOr<KeyedPage> Page =
-        this->Known ? this->Source.follow(this->Next, this->pollTime())
-                    : this->Source.newest();
+    absl::StatusOr<KeyedPage> Page = this->Source.read(this->pollTime());
     if (!Page.ok())
       return this->onFailure(Page.status());
     this->Waits.reset();
@@ -29,8 +27,6 @@
     for (const KeyedRecord &Row : Page->Records)
       if (Row.Key == Decoder::Key && Row.Value)
         this->apply(*Row.Value);
-    this->Next = Page->Next;
-    this->Known = true;
     if (this->Board.Routing.read(
             [](const RoutingConfigRef &Row) { return Row != nullptr; }))
       this->Board.ConfigFresh.renew(
@@ -52,10 +48,8 @@
   }
 
   Millis onFailure(const absl::Status &Why) {
-    if (kindOf(Why) == ErrorKind::NotFound) {
-      this->Known = false;
+    if (kindOf(Why) == ErrorKind::NotFound)
       return Millis(0);
-    }
     this->noteUp(false, messageOf(Why));
     return this->Waits.next();
   }
@@ -106,11 +100,9 @@
   }
 
   EntryBoard &Board;
-  Feed &Source;
+  FeedCursor<Feed> Source;
   Decoder Decode;
   Backoff Waits;
-  Offset Next;
-  bool Known = false;
   bool Up = true;
   bool WasProven = false;
 };
--- a/src/control/keyed_feed.h
+++ b/src/control/keyed_feed.h
@@ -24,6 +24,32 @@
   { Feed.follow(From, Wait) } -> std::same_as<absl::StatusOr<KeyedPage>>;
 };
 
+/// How far a feed was read. It reads the whole first, and again where the
+/// history behind it is gone, and else what came since. Those that follow a
+/// feed differ in what they make of its records alone. Used by one thread.
+template <KeyedFeed Feed> class FeedCursor {
+public:
+  explicit FeedCursor(Feed &Source) : Source(Source) {}
+
+  /// One read; waits up to \p Wait for something new. After error NotFound
+  /// the next one reads the whole.
+  absl::StatusOr<KeyedPage> read(Millis Wait) {
+    absl::StatusOr<KeyedPage> Page =
+        this->Next ? this->Source.follow(*this->Next, Wait)
+                   : this->Source.newest();
+    if (Page.ok())
+      this->Next = Page->Next;
+    else if (kindOf(Page.status()) == ErrorKind::NotFound)
+      this->Next.reset();
+    return Page;
+  }
+
+private:
+  Feed &Source;
+  /// Nothing before the whole was read.
+  std::optional<Offset> Next;
+};
+
 /// Where a node announces itself to the others, under its own key.
 template <typename D>
 concept NodeDirectory = requires(D &Directory, const std::string &Text) {
--- a/src/control/node_follow.h
+++ b/src/control/node_follow.h
@@ -24,18 +24,13 @@
       return this->leave();
     if (!this->Listed && !this->announce())
       return this->Waits.next();
-    absl::StatusOr<KeyedPage> Page =
-        this->Known ? this->Source.follow(this->Next, PollTime)
-                    : this->Source.newest();
+    absl::StatusOr<KeyedPage> Page = this->Source.read(PollTime);
     if (!Page.ok()) {
-      this->Known = this->Known && kindOf(Page.status()) != ErrorKind::NotFound;
       this->noteUp(false, messageOf(Page.status()));
       return this->Waits.next();
     }
     this->noteUp(true, "");
     this->Waits.reset();
-    this->Next = Page->Next;
-    this->Known = true;
     this->apply(*Page);
     return GatherTime;
   }
@@ -112,12 +107,10 @@
   }
 
   EntryBoard &Board;
-  Feed &Source;
+  FeedCursor<Feed> Source;
   Directory &Announced;
   Backoff Waits;
-  Offset Next;
   bool Listed = false;
-  bool Known = false;
   bool Up = true;
 };
 
--- a/src/control/registry_follow.h
+++ b/src/control/registry_follow.h
@@ -12,8 +12,9 @@
 namespace waycove {
 
 /// Follows the platform's registry of targets. \p Decode makes a target of an
-/// entry. After the store was away, entries that lapsed meanwhile get a while
-/// to come back before they count as gone.
+/// entry. After the store was away, entries that lapsed meanwhile count as gone
+/// only when the time is over that the page gives them to come back. Used by
+/// one thread.
 template <KeyedFeed Feed, typename Decoder> class RegistryFollower {
 public:
   RegistryFollower(EntryBoard &Board, Feed &Source, Decoder Decode)
@@ -22,17 +23,13 @@
   /// One read; how long to pause before the next.
   Millis step() {
     Millis Wait = this->Missing.empty() ? PollTime : HoldPollTime;
-    absl::StatusOr<KeyedPage> Page = this->Known
-                                         ? this->Source.follow(this->Next, Wait)
-                                         : this->Source.newest();
+    absl::StatusOr<KeyedPage> Page = this->Source.read(Wait);
     TimePoint Now = SystemClock{}.now();
     if (!Page.ok())
       return this->onFailure(Page.status());
     if (!std::exchange(this->Up, true))
       this->Board.Log.emit(EventCode::LogReachable, "registry");
     this->Waits.reset();
-    this->Next = Page->Next;
-    this->Known = true;
     this->Board.RegistryFresh.renew(Page->AnsweredAt, FreshTime);
     this->apply(*Page, Now);
     if (Page->Relayed)
@@ -42,8 +39,10 @@
   }
 
 private:
-  /// One call this often while nothing changes; changes come at once.
+  /// One call this often while nothing changes, unless neighbours rely on it;
+  /// changes come at once.
   static constexpr Millis PollTime{2000};
+  /// The same while dropped entries may still come back.
   static constexpr Millis HoldPollTime{300};
   /// Until the next read has to have come back: a poll and a slow answer. It
   /// counts from an answer, not from its question, since a read that waits
@@ -59,10 +58,8 @@
   static constexpr Millis GoneMemory{30000};
 
   Millis onFailure(const absl::Status &Why) {
-    if (kindOf(Why) == ErrorKind::NotFound) {
-      this->Known = false;
+    if (kindOf(Why) == ErrorKind::NotFound)
       return Millis(0);
-    }
     if (std::exchange(this->Up, false))
       this->Board.Log.emit(EventCode::LogUnreachable, "registry",
                            LogFields().add("reason", messageOf(Why)));
@@ -154,11 +151,9 @@
   }
 
   EntryBoard &Board;
-  Feed &Source;
+  FeedCursor<Feed> Source;
   Decoder Decode;
   Backoff Waits;
-  Offset Next;
-  bool Known = false;
   bool Up = true;
   /// Dropped from the registry, not yet taken for gone.
   std::set<VmId> Missing;
