Name what other nodes see in the vitals table

News and NewsAt hold what is seen elsewhere and when it was told. How long it counts stood in two files, and the longest wait was looked up in two places. The class's comment said that it knows this node's requests alone.

--- a/src/policy/load_news.cpp
+++ b/src/policy/load_news.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// A report counts this long: a few rounds of news.
-constexpr Millis ReportTime(900);
-
 void addAll(LoadRows &Into, const LoadRows &Rows) {
   for (const auto &[Target, Load] : Rows)
     Into[Target].add(Load);
@@ -63,7 +60,7 @@
 LoadRows LoadBook::upward(const LoadRows &Own, TimePoint Now) const {
   LoadRows Sum = Own;
   for (const auto &[Node, Row] : this->Reports)
-    if (!Row.OtherCentre && Now - Row.At < ReportTime)
+    if (!Row.OtherCentre && Now - Row.At < NewsTime)
       addAll(Sum, Row.Rows);
   return Sum;
 }
@@ -72,9 +69,9 @@
                             TimePoint Now) const {
   LoadRows Sum = Own;
   for (const auto &[Node, Row] : this->Reports)
-    if (Node != Asker && Now - Row.At < ReportTime)
+    if (Node != Asker && Now - Row.At < NewsTime)
       addAll(Sum, Row.Rows);
-  if (Now - this->Told.At < ReportTime)
+  if (Now - this->Told.At < NewsTime)
     addAll(Sum, this->Told.Rows);
   return Sum;
 }
--- a/src/policy/load_news.h
+++ b/src/policy/load_news.h
@@ -42,6 +42,9 @@
 
 using LoadRows = std::unordered_map<TargetHash, TargetLoad>;
 
+/// What other nodes see counts this long: a few rounds of news.
+inline constexpr Millis NewsTime(900);
+
 /// Silence on all answers under way that means standing still. Measured:
 /// events come up to 180 ms apart on a busy engine.
 inline constexpr Millis StillTime(320);
--- a/src/policy/vitals.cpp
+++ b/src/policy/vitals.cpp
@@ -14,8 +14,6 @@
 constexpr double Smoothing = 0.125;
 /// First-byte times follow the load faster.
 constexpr double WaitSmoothing = 0.3;
-/// What other nodes see counts this long: a few rounds of news.
-constexpr Millis NewsTime(900);
 /// A time to the first byte is told to others this long after it was measured.
 constexpr Millis SampleTime(2000);
 /// A target whose failures stand out by this share of its answers is left.
@@ -31,13 +29,19 @@
   return this->Answering > 0 && Now - this->LastProgress > StillTime;
 }
 
+std::optional<TimePoint> TargetVitals::oldestWait() const {
+  auto At =
+      std::min_element(this->WaitingSince.begin(), this->WaitingSince.end());
+  return At == this->WaitingSince.end() ? std::nullopt
+                                        : std::optional<TimePoint>(*At);
+}
+
 Millis TargetVitals::silence(TimePoint Now) const {
   if (this->InFlight == 0)
     return Millis(0);
   TimePoint Since = this->LastProgress;
-  if (this->Answering == 0 && !this->WaitingSince.empty())
-    Since = std::max(Since, *std::min_element(this->WaitingSince.begin(),
-                                              this->WaitingSince.end()));
+  if (this->Answering == 0)
+    Since = std::max(Since, this->oldestWait().value_or(Since));
   return std::chrono::duration_cast<Millis>(Now - Since);
 }
 
@@ -118,10 +122,8 @@
     Load.Answering = Row.Answering;
     Load.PromptWaiting = Row.PromptWaiting;
     Load.Silent = Row.silence(Now);
-    if (!Row.WaitingSince.empty())
-      Load.Waiting = std::chrono::duration_cast<Millis>(
-          Now -
-          *std::min_element(Row.WaitingSince.begin(), Row.WaitingSince.end()));
+    if (std::optional<TimePoint> Oldest = Row.oldestWait())
+      Load.Waiting = std::chrono::duration_cast<Millis>(Now - *Oldest);
     Load.FirstByteMs = Sampled ? Row.FirstByteMs : 0;
     if (Row.SuspectUntil > Now)
       Load.Suspect = std::chrono::duration_cast<Millis>(Row.SuspectUntil - Now);
@@ -130,20 +132,20 @@
 }
 
 void VitalsTable::takeNews(LoadRows Others, TimePoint Now) {
-  this->News = std::move(Others);
-  this->NewsAt = Now;
+  this->Elsewhere = std::move(Others);
+  this->ToldAt = Now;
 }
 
 bool VitalsTable::hasNews(TimePoint Now) const {
-  return !this->News.empty() && Now - this->NewsAt <= NewsTime;
+  return !this->Elsewhere.empty() && Now - this->ToldAt <= NewsTime;
 }
 
 const TargetLoad *VitalsTable::elsewhere(const VmId &Target,
                                          TimePoint Now) const {
   if (!this->hasNews(Now))
     return nullptr;
-  auto At = this->News.find(TargetHash(hashText(Target.Text)));
-  return At == this->News.end() ? nullptr : &At->second;
+  auto At = this->Elsewhere.find(TargetHash(hashText(Target.Text)));
+  return At == this->Elsewhere.end() ? nullptr : &At->second;
 }
 
 bool VitalsTable::standsStill(const VmId &Target, TimePoint Now) const {
@@ -160,7 +162,7 @@
     return true;
   const TargetLoad *There = this->elsewhere(Target, Now);
   bool Moves = Here.Answering > 0 && !Here.standsStill(Now);
-  return There && Now - this->NewsAt < There->Suspect && !There->moves() &&
+  return There && Now - this->ToldAt < There->Suspect && !There->moves() &&
          !Moves;
 }
 
--- a/src/policy/vitals.h
+++ b/src/policy/vitals.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace waycove {
@@ -17,10 +18,10 @@
 struct TargetVitals {
   /// Requests of this node that run or wait there.
   unsigned InFlight = 0;
-  /// Their prompt tokens that no answer has begun for.
-  double PromptWaiting = 0;
   /// Of these, how many get their answer already.
   unsigned Answering = 0;
+  /// Prompt tokens that no answer has begun for.
+  double PromptWaiting = 0;
   /// When those that wait for their answer's first byte were sent.
   std::vector<TimePoint> WaitingSince;
   /// Last time that anything came from it.
@@ -38,11 +39,15 @@
   /// Answers are under way and none of them moves: whatever it depends on has
   /// failed, or it has itself.
   bool standsStill(TimePoint Now) const;
+  /// When the one that waits longest for its first byte was sent.
+  std::optional<TimePoint> oldestWait() const;
   /// Time since anything came, or since the oldest request was sent.
   Millis silence(TimePoint Now) const;
 };
 
-/// What the node knows of targets from its own requests.
+/// What the node knows of targets: from its own requests, and from what other
+/// nodes told lately. A target is left on the word of all, since one node's
+/// silence may be its own fault. Not thread-safe.
 class VitalsTable {
 public:
   void onStart(const VmId &Target, double PromptTokens, TimePoint Now);
@@ -83,8 +88,9 @@
   static void stopWaiting(TargetVitals &Row, TimePoint SentAt,
                           double PromptTokens);
   std::map<VmId, TargetVitals> Rows;
-  LoadRows News;
-  TimePoint NewsAt;
+  /// What other nodes see, by the hash of the target's id.
+  LoadRows Elsewhere;
+  TimePoint ToldAt;
 };
 
 } // namespace waycove
