--- a/src/policy/connections.cpp
+++ b/src/policy/connections.cpp
@@ -17,6 +17,9 @@
 constexpr double RestingPart = 0.4;
 /// A node has a few requests at one target at a time.
 constexpr unsigned MostKept = 8;
+/// Steps of the draw that says which nodes keep one more: fine enough for
+/// parts of a connection, it has no other meaning.
+constexpr std::uint64_t DrawSteps = 1024;
 
 } // namespace
 
@@ -26,11 +29,9 @@
   if (Part >= MostKept)
     return MostKept;
   auto Sure = static_cast<unsigned>(Part);
-  constexpr double Steps = 1024;
-  double Draw =
-      static_cast<double>(mixHash(hashText(Node.Text), hashText(Target.Text)) %
-                          1024) /
-      Steps;
+  std::uint64_t Step =
+      mixHash(hashText(Node.Text), hashText(Target.Text)) % DrawSteps;
+  double Draw = static_cast<double>(Step) / DrawSteps;
   return Sure + (Draw < Part - Sure ? 1 : 0);
 }
 
--- a/src/policy/urgency.h
+++ b/src/policy/urgency.h
@@ -8,6 +8,9 @@
 
 namespace waycove {
 
+/// The last of the ranks that targets tell apart, as their headers say.
+inline constexpr unsigned LeastUrgent = 9;
+
 /// How long a caller has waited already when its request came, as far as it
 /// can be told: callers of a route have its whole time at first, and less when
 /// they come back. Zero where callers have less time than the route anyway.
@@ -20,6 +23,4 @@
 unsigned urgencyOf(const HttpRoute &Route, const KeyOwner *Owner,
                    Millis Waited);
 
-inline constexpr unsigned LeastUrgent = 9;
-
 } // namespace waycove
