Split forming a group; drop a parameter without effect

form() chose, counted loads and gave orders in 45 lines. Its parameter LoadsAnyway was given only where hosts cannot be staged, and mattered only where they can. Whether a model lacks groups was worked out in two files.

--- a/src/policy/domain_form.cpp
+++ b/src/policy/domain_form.cpp
@@ -43,11 +43,9 @@
       std::count_if(S.View.Targets.begin(), S.View.Targets.end(),
                     [&](const TargetRef &Row) { return S.isUsable(*Row); }));
   S.Wanted = groupsFor(S.Engine, Usable, S.View.Turn);
-  for (const ModelSpec *Model : largestFirst(S.Engine)) {
-    auto Index = static_cast<std::size_t>(Model - S.Engine.Models.data());
-    while (S.Have[Model->Name] < S.Wanted[Index] && this->form(S, *Model))
+  for (const ModelSpec *Model : largestFirst(S.Engine))
+    while (S.lacks(*Model) && this->form(S, *Model))
       ++S.Have[Model->Name];
-  }
   // Hosts that are ready for another group than planned serve rather than
   // rest.
   const ModelSpec *Scarce = scarcest(S);
@@ -82,7 +80,7 @@
   if (S.Engine.ModelsStagedPerHost > 0)
     return;
   if (const ModelSpec *Scarce = shortOf(S))
-    this->form(S, *Scarce, true);
+    this->form(S, *Scarce);
 }
 
 /// Names a new group, above each epoch that was used or seen.
@@ -96,19 +94,15 @@
           this->LastEpoch};
 }
 
-bool DomainPlanner::form(Step &S, const ModelSpec &Model, bool LoadsAnyway) {
+/// Forms a group of \p Model of VMs that are free; false where it cannot.
+bool DomainPlanner::form(Step &S, const ModelSpec &Model) {
   std::vector<TargetRef> Free = S.freeVms();
   std::size_t Warm = countWarm(Free, Model);
   if (Warm < Model.GroupSize && this->giveUpSmaller(S, Model, Warm))
     return false;
   if (Free.size() < Model.GroupSize)
     return false;
-  // Loads from the shared store take many seconds: hosts are staged first,
-  // meanwhile the others may serve, unless nothing serves the model at all.
-  bool Staging =
-      S.Engine.ModelsStagedPerHost > 0 && S.View.LoadsAllowed < FreeLoads;
-  if (Warm < Model.GroupSize && Staging && !LoadsAnyway &&
-      S.View.Serving.contains(Model.Name))
+  if (Warm < Model.GroupSize && S.stagesFirst(Model))
     return false;
   std::stable_sort(Free.begin(), Free.end(),
                    [&](const TargetRef &Left, const TargetRef &Right) {
@@ -116,29 +110,30 @@
                             loadRank(*Right, Model.Name);
                    });
   Free.resize(Model.GroupSize);
-  auto Cold = static_cast<unsigned>(
-      std::count_if(Free.begin(), Free.end(), [&](const TargetRef &Row) {
-        return loadRank(*Row, Model.Name) == 2;
-      }));
-  // Where nothing serves the model, its first group may go beyond the budget.
-  bool Served = S.View.Serving.contains(Model.Name);
-  if (Cold > S.LoadsLeft && (Served || S.LoadsLeft == 0))
+  auto Cold = static_cast<unsigned>(Free.size() - countWarm(Free, Model));
+  if (!S.takeLoads(Model, Cold))
     return false;
-  S.LoadsLeft -= std::min(Cold, S.LoadsLeft);
+  this->orderJoins(S, Model, Free, Cold);
+  return true;
+}
+
+/// Orders \p Members into a new group, of which \p Cold load from the store.
+void DomainPlanner::orderJoins(Step &S, const ModelSpec &Model,
+                               const std::vector<TargetRef> &Members,
+                               unsigned Cold) {
   GroupKey Key = this->nextKey(S, Model);
   Forming Row{Model.Name,
               {},
               S.View.Now,
               formLimit(Cold ? Model.LoadTime : Model.StagedLoadTime)};
-  for (const TargetRef &Vm : Free)
+  for (const TargetRef &Vm : Members)
     Row.Members.push_back(Vm->Id);
-  for (const TargetRef &Vm : Free) {
+  for (const TargetRef &Vm : Members) {
     S.Busy.insert(Vm->Id);
     S.Orders.push_back({OrderKind::Join, Vm, Key, Model.Name, Row.Members,
                         Cold ? "form, with loads" : "form"});
   }
   this->Pending.emplace(Key, std::move(Row));
-  return true;
 }
 
 /// Closes a group of a smaller model whose VMs make, with the \p Warm ones that
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -129,7 +129,9 @@
   void dropStaleForming(Step &S);
   void formMissing(Step &S);
   GroupKey nextKey(const Step &S, const ModelSpec &Model);
-  bool form(Step &S, const ModelSpec &Model, bool LoadsAnyway = false);
+  bool form(Step &S, const ModelSpec &Model);
+  void orderJoins(Step &S, const ModelSpec &Model,
+                  const std::vector<TargetRef> &Members, unsigned Cold);
   void formScarce(Step &S);
   bool giveUpSmaller(Step &S, const ModelSpec &Model, std::size_t Warm);
   void stageMissing(Step &S);
--- a/src/policy/domain_stage.cpp
+++ b/src/policy/domain_stage.cpp
@@ -2,8 +2,8 @@
 // Copyright 2026 the waycove authors. Licensed under the Apache License,
 // Version 2.0; see LICENSE.
 
-// Staging weights on hosts ahead of need, so that repairs do not wait for the
-// shared store.
+// Staging weights on hosts: what a group lacks before it forms, and ahead of
+// need, so that repairs do not wait for the shared store.
 
 #include "policy/domain_step.h"
 
@@ -55,8 +55,7 @@
   std::vector<TargetRef> Free = S.freeVms();
   const ModelSpec *Short = shortOf(S);
   for (const ModelSpec *Model : largestFirst(S.Engine)) {
-    auto Index = static_cast<std::size_t>(Model - S.Engine.Models.data());
-    bool Lacks = S.Have[Model->Name] < S.Wanted[Index] || Model == Short;
+    bool Lacks = S.lacks(*Model) || Model == Short;
     if (!Lacks || Free.size() < Model->GroupSize)
       continue;
     // Hosts that have the weights, or nothing to lose, come first.
--- a/src/policy/domain_step.cpp
+++ b/src/policy/domain_step.cpp
@@ -55,6 +55,26 @@
   return !Row.Draining && !this->View.Lost.contains(Row.Id);
 }
 
+bool DomainPlanner::Step::lacks(const ModelSpec &Model) const {
+  auto Index = static_cast<std::size_t>(&Model - this->Engine.Models.data());
+  auto At = this->Have.find(Model.Name);
+  return (At == this->Have.end() ? 0 : At->second) < this->Wanted[Index];
+}
+
+bool DomainPlanner::Step::stagesFirst(const ModelSpec &Model) const {
+  return this->Engine.ModelsStagedPerHost > 0 &&
+         this->View.LoadsAllowed < FreeLoads &&
+         this->View.Serving.contains(Model.Name);
+}
+
+bool DomainPlanner::Step::takeLoads(const ModelSpec &Model, unsigned Cold) {
+  bool Served = this->View.Serving.contains(Model.Name);
+  if (Cold > this->LoadsLeft && (Served || this->LoadsLeft == 0))
+    return false;
+  this->LoadsLeft -= std::min(Cold, this->LoadsLeft);
+  return true;
+}
+
 std::vector<TargetRef> DomainPlanner::Step::freeVms() const {
   std::vector<TargetRef> Free;
   for (const TargetRef &Row : this->View.Targets)
--- a/src/policy/domain_step.h
+++ b/src/policy/domain_step.h
@@ -32,6 +32,15 @@
   /// The same, for the work that it has.
   double supply(const ModelSpec &Model) const;
   bool isUsable(const TargetInfo &Row) const;
+  /// Whether the model has fewer groups than the domain's VMs make.
+  bool lacks(const ModelSpec &Model) const;
+  /// Whether its weights are to be staged before a group of it forms. Loads
+  /// from the shared store take many seconds: meanwhile the others may serve,
+  /// unless nothing serves the model at all.
+  bool stagesFirst(const ModelSpec &Model) const;
+  /// Takes \p Cold loads out of the budget; false where it has no room. Where
+  /// nothing serves the model, its first group may go beyond it.
+  bool takeLoads(const ModelSpec &Model, unsigned Cold);
   std::vector<TargetRef> freeVms() const;
   /// Keeps the group's members from being taken in this step.
   void hold(const Announced &Row);
