--- a/tests/failure/neighbours_test.cpp
+++ b/tests/failure/neighbours_test.cpp
@@ -3,7 +3,8 @@
 // Version 2.0; see LICENSE.
 
 // Several entries of one data centre, as real processes: one reads the store
-// for all, and what the others do when it is killed, frozen or cut off.
+// for all, and what the others do when it is killed or frozen, or the store is
+// away.
 #include "support/cluster.h"
 
 #include <catch2/catch.hpp>
@@ -17,6 +18,8 @@
 /// From a node's port for other nodes to its port for the balancer.
 constexpr int ReadyPorts = 10;
 
+const std::vector<std::string> Entries = {"n1", "n2", "n3"};
+
 std::string configOf(int Version, const std::string &Key) {
   return R"({"version":)" + std::to_string(Version) +
          R"(,"routes":[{"name":"safe","host":"a.example","timeout_ms":6000,)"
@@ -33,7 +36,7 @@
 struct NeighbourFixture {
   NeighbourFixture() {
     this->Run.addVms("p", 2, "a", "", "plain");
-    for (const char *Node : {"n1", "n2", "n3"})
+    for (const std::string &Node : Entries)
       this->Run.addNode(Node, "a");
     this->Run.TargetFlags = {"--registry=127.0.0.1:" +
                              std::to_string(this->Run.platformPort())};
@@ -41,7 +44,7 @@
     this->publish(1, "key-1");
     for (const char *Vm : {"p-1", "p-2"})
       this->Run.startVm(Vm);
-    for (const char *Node : {"n1", "n2", "n3"}) {
+    for (const std::string &Node : Entries) {
       this->Run.ExtraSettings =
           "entry: {ready: '127.0.0.1:" +
           std::to_string(this->Run.peerPort(Node) + ReadyPorts) +
@@ -82,20 +85,20 @@
   }
   int followers() {
     int Count = 0;
-    for (const char *Node : {"n1", "n2", "n3"})
+    for (const std::string &Node : Entries)
       Count += this->follows(Node) ? 1 : 0;
     return Count;
   }
   /// The node that reads for the others.
   std::string reader() {
-    for (const char *Node : {"n1", "n2", "n3"})
+    for (const std::string &Node : Entries)
       if (!this->follows(Node))
         return Node;
     return "";
   }
   std::vector<std::string> others(const std::string &Reader) {
     std::vector<std::string> Rows;
-    for (const char *Node : {"n1", "n2", "n3"})
+    for (const std::string &Node : Entries)
       if (Node != Reader)
         Rows.emplace_back(Node);
     return Rows;
@@ -121,7 +124,7 @@
 TEST_CASE_METHOD(NeighbourFixture,
                  "neighbours: all are calm: one reads for all", "[failure]") {
   this->publish(2, "key-2");
-  CHECK(this->allTake({"n1", "n2", "n3"}, "key-2"));
+  CHECK(this->allTake(Entries, "key-2"));
   CHECK(this->call("n1", "key-1") == 401);
   // Three nodes that each read for themselves need 14 reads and more in 4 s.
   std::uint64_t Before = this->reads();
@@ -165,7 +168,7 @@
       [&] { return Refused("n1") && Refused("n2") && Refused("n3"); },
       std::chrono::milliseconds(3600)));
   this->Run.atPlatform({"POST", "/store/down?how=no", "", {}});
-  CHECK(eventually([&] { return this->allTake({"n1", "n2", "n3"}, "key-1"); }));
+  CHECK(eventually([&] { return this->allTake(Entries, "key-1"); }));
 }
 
 } // namespace waycove::test
--- a/tests/unit/entry_policy_test.cpp
+++ b/tests/unit/entry_policy_test.cpp
@@ -8,6 +8,7 @@
 #include "policy/domain_plan.h"
 #include "policy/lease.h"
 #include "policy/spend.h"
+#include "support/times.h"
 
 #include <catch2/catch.hpp>
 
@@ -15,10 +16,6 @@
 
 namespace {
 
-TimePoint at(int Ms) {
-  return TimePoint(std::chrono::seconds(1000) + Millis(Ms));
-}
-
 HttpRoute routeOf(const std::string &Name, const std::string &Host,
                   const std::string &Prefix) {
   HttpRoute Route;
--- a/tests/unit/member_inquiry_test.cpp
+++ b/tests/unit/member_inquiry_test.cpp
@@ -4,6 +4,7 @@
 
 // What an owner of domains concludes of members that do not answer.
 #include "control/member_inquiry.h"
+#include "support/times.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,10 +12,6 @@
 
 namespace {
 
-TimePoint at(int Ms) {
-  return TimePoint(std::chrono::seconds(1000) + Millis(Ms));
-}
-
 /// Targets of which only those named answer.
 struct FakeControl {
   OrderEnd order(const GroupOrder &, std::uint64_t) { return OrderEnd::Taken; }
@@ -27,6 +24,7 @@
 
 } // namespace
 
+/// A domain of three VMs, of which two make a group.
 struct InquiryFixture {
   InquiryFixture() : Board(Settings(), IncarnationId("i")) {
     ModelSpec Model;
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -7,6 +7,7 @@
 #include "policy/choice.h"
 #include "policy/connections.h"
 #include "policy/node_rank.h"
+#include "support/times.h"
 #include "wire/news_frames.h"
 
 #include <catch2/catch.hpp>
@@ -15,10 +16,6 @@
 
 namespace {
 
-TimePoint at(int Ms) {
-  return TimePoint(std::chrono::seconds(1000) + Millis(Ms));
-}
-
 KeyedPage page(std::uint64_t Next, std::vector<KeyedRecord> Records,
                bool Whole = false) {
   KeyedPage Page;
@@ -41,6 +38,7 @@
 
 } // namespace
 
+/// A cache that took a whole page, and then changes and a drop.
 struct FeedFixture {
   FeedFixture() {
     this->Cache.take(page(10, {{"a", "1"}, {"b", "1"}}, true), at(0));
@@ -114,6 +112,7 @@
   CHECK_FALSE(unpackNode("").ok());
 }
 
+/// The book of a node to which others tell what they see of one head.
 struct LoadFixture {
   static LoadRows rows(unsigned InFlight, unsigned Answering, int SilentMs) {
     TargetLoad Load;
@@ -217,6 +216,7 @@
   CHECK(Vitals.loads(at(100)).begin()->second.Suspect == Millis(400));
 }
 
+/// Three nodes of one data centre and one of another.
 struct RankFixture {
   RankFixture() {
     for (const char *Name : {"n1", "n2", "n3", "n4"})
--- a/tests/unit/urgency_test.cpp
+++ b/tests/unit/urgency_test.cpp
@@ -10,6 +10,7 @@
 
 namespace waycove::test {
 
+/// A route with an objective that a request can miss.
 struct UrgencyFixture {
   UrgencyFixture() {
     this->Route.Timeout = Millis(6000);
