--- a/src/policy/node_rank.cpp
+++ b/src/policy/node_rank.cpp
@@ -21,6 +21,7 @@
                          : Left.second->Node < Right.second->Node;
             });
   std::vector<NodeInfo> Rows;
+  Rows.reserve(Order.size());
   for (const auto &[Hash, Row] : Order)
     Rows.push_back(*Row);
   return Rows;
@@ -31,6 +32,7 @@
   for (const auto &[Id, Row] : Nodes)
     Order[{hashText(Row.DataCentre.Text), Row.DataCentre}] = Row.DataCentre;
   std::vector<DataCentreId> Rows;
+  Rows.reserve(Order.size());
   for (const auto &[Place, Centre] : Order)
     Rows.push_back(Centre);
   return Rows;
