--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -104,7 +104,7 @@
        "A member was ordered to load under a fence."},
       {VmLeaving, Info, "vm_leaving", "A VM gets no new work from here on."},
       {PeerJoined, Info, "peer_joined", "A daemon became a live peer."},
-      {PeerLost, Warning, "peer_lost", "A daemon's heartbeats stopped."},
+      {PeerLost, Warning, "peer_lost", "A daemon's heartbeats stopped, or it left the directory."},
       {ReaderChosen, Info, "reader_chosen",
        "A neighbour reads the platform's store for this node from here on."},
       {ReaderLost, Warning, "reader_lost",
--- a/src/control/node_follow.h
+++ b/src/control/node_follow.h
@@ -8,6 +8,8 @@
 #include "control/keyed_feed.h"
 #include "wire/news_frames.h"
 
+#include <set>
+
 namespace waycove {
 
 /// Announces this node in the directory on the platform and follows who else
@@ -24,25 +26,21 @@
       return this->leave();
     if (!this->Listed && !this->announce())
       return this->Waits.next();
-    absl::StatusOr<KeyedPage> Page =
-        this->Known ? this->Source.follow(this->Next, PollTime)
-                    : this->Source.newest();
+    absl::StatusOr<KeyedPage> Page = this->Source.read(PollTime);
     if (!Page.ok()) {
-      this->Known = this->Known && kindOf(Page.status()) != ErrorKind::NotFound;
       this->noteUp(false, messageOf(Page.status()));
       return this->Waits.next();
     }
     this->noteUp(true, "");
     this->Waits.reset();
-    this->Next = Page->Next;
-    this->Known = true;
     this->apply(*Page);
     return GatherTime;
   }
 
 private:
-  /// Nothing has to be proved here, so one call lasts long.
-  static constexpr Millis PollTime{8000};
+  /// Nothing has to be proved here, but a planned stop has to be noticed: a
+  /// node drops itself once its call has ended.
+  static constexpr Millis PollTime{2000};
   /// All nodes come at the same moment at the start: gather a few.
   static constexpr Millis GatherTime{400};
   /// While the process ends.
@@ -72,6 +70,8 @@
   }
 
   void apply(const KeyedPage &Page) {
+    if (Page.Whole)
+      this->forgetAbsent(Page);
     for (const KeyedRecord &Row : Page.Records) {
       NodeId Id(Row.Key);
       if (!Row.Value) {
@@ -89,7 +89,22 @@
     }
   }
 
+  void forgetAbsent(const KeyedPage &Page) {
+    std::set<NodeId> Absent;
+    this->Board.Nodes.read([&](const NodeTable &Rows) {
+      for (const auto &[Id, Row] : Rows)
+        Absent.insert(Id);
+    });
+    for (const KeyedRecord &Row : Page.Records)
+      Absent.erase(NodeId(Row.Key));
+    for (const NodeId &Id : Absent)
+      this->forget(Id);
+  }
+
   void forget(const NodeId &Id) {
+    // An earlier life's drop may be carried out late: announce anew.
+    if (Id == this->Board.Config.Node)
+      this->Listed = false;
     bool Had = this->Board.Nodes.write(
         [&](NodeTable &Rows) { return Rows.erase(Id) > 0; });
     if (Had)
@@ -112,12 +127,10 @@
   }
 
   EntryBoard &Board;
-  Feed &Source;
+  FeedCursor<Feed> Source;
   Directory &Announced;
   Backoff Waits;
-  Offset Next;
   bool Listed = false;
-  bool Known = false;
   bool Up = true;
 };
 
--- /dev/null
+++ b/tests/unit/node_follow_test.cpp
@@ -0,0 +1,96 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// How a node follows the directory of nodes, and stays listed there.
+#include "control/node_follow.h"
+#include "support/times.h"
+
+#include <catch2/catch.hpp>
+
+namespace waycove::test {
+
+namespace {
+
+/// A directory whose next page a test sets; it counts announcements.
+struct FakeDirectory {
+  absl::StatusOr<KeyedPage> newest() { return this->Page; }
+  absl::StatusOr<KeyedPage> follow(Offset, Millis) { return this->Page; }
+  absl::Status put(const std::string &, const std::string &Value) {
+    ++(Value.empty() ? this->Drops : this->Announcements);
+    return absl::OkStatus();
+  }
+  KeyedPage Page;
+  int Announcements = 0;
+  int Drops = 0;
+};
+
+Settings settingsOf(const std::string &Node) {
+  Settings Given;
+  Given.Node = NodeId(Node);
+  Given.DataCentre = DataCentreId("a");
+  return Given;
+}
+
+KeyedRecord announcementOf(const std::string &Node) {
+  NodeInfo Info;
+  Info.Node = NodeId(Node);
+  Info.Incarnation = IncarnationId("i");
+  return {Node, packNode(Info)};
+}
+
+} // namespace
+
+/// A node that read the directory once and found another one there.
+struct DirectoryFixture {
+  DirectoryFixture() : Board(settingsOf("me"), IncarnationId("i")) {
+    this->Directory.Page.Records = {announcementOf("me"),
+                                    announcementOf("other")};
+    this->Directory.Page.Whole = true;
+    this->Follower.step();
+    this->Directory.Page.Records.clear();
+    this->Directory.Page.Whole = false;
+  }
+  std::size_t known() {
+    return this->Board.Nodes.read(
+        [](const NodeTable &Rows) { return Rows.size(); });
+  }
+  EntryBoard Board;
+  FakeDirectory Directory;
+  NodeFollower<FakeDirectory, FakeDirectory> Follower{
+      this->Board, this->Directory, this->Directory};
+};
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "directory: a whole page lacks a node: it is forgotten",
+                 "[unit]") {
+  REQUIRE(this->known() == 2);
+  this->Directory.Page.Records = {announcementOf("me")};
+  this->Directory.Page.Whole = true;
+  this->Follower.step();
+  CHECK(this->known() == 1);
+}
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "directory: an earlier life's drop comes late: announced anew",
+                 "[unit]") {
+  CHECK(this->Directory.Announcements == 1);
+  this->Follower.step();
+  CHECK(this->Directory.Announcements == 1);
+  this->Directory.Page.Records = {{"me", std::nullopt}};
+  this->Follower.step();
+  this->Directory.Page.Records.clear();
+  this->Follower.step();
+  CHECK(this->Directory.Announcements == 2);
+}
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "directory: a planned stop: this node is dropped, once",
+                 "[unit]") {
+  this->Board.Stopping = true;
+  this->Follower.step();
+  this->Follower.step();
+  CHECK(this->Directory.Drops == 1);
+}
+
+} // namespace waycove::test
