--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -242,6 +242,7 @@
 TEST_CASE("readers: a large data centre: each is asked by a few, nobody by all",
           "[unit]") {
   std::vector<NodeInfo> Readers;
+  Readers.reserve(100);
   for (int I = 0; I < 100; ++I)
     Readers.push_back({NodeId("n" + std::to_string(I)), IncarnationId("i"),
                        DataCentreId("a"), "", 1});
