--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -19,9 +19,9 @@
 /// and there is time left to read the store before a change has to be in force.
 constexpr Millis AnswerTime(450);
 constexpr Millis DialTime(250);
-/// The reader's own read of the store and its pause last 1.2 s at most, and each
-/// of two nodes between adds a round; where its answer is older than this, it
-/// has lost the store.
+/// The reader's own read of the store and its pause last 1.2 s at most, and
+/// each of two nodes between adds a round; where its answer is older than this,
+/// it has lost the store.
 constexpr Millis MostAge(1900);
 /// A node that was not asked for this long closes the connection.
 constexpr Millis QuietTime(5000);
