Let news count as current as long as before

With 1.9 s followers took turns in reading the store (14 reads in 4 s where 11 are allowed: neighbours, all are calm).

--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -22,7 +22,7 @@
 /// The reader's own read of the store and its pause last 1.2 s at most, and
 /// each of two nodes between adds a round; where its answer is older than this,
 /// it has lost the store.
-constexpr Millis MostAge(1900);
+constexpr Millis MostAge(2200);
 /// A node that was not asked for this long closes the connection.
 constexpr Millis QuietTime(5000);
 constexpr int MostConnections = 256;
