Renew the proof of the configuration before it ends

Cause: a proof counts from when its read was sent and is renewed when the next read has come back. A read took 0.45 of the revocation bound; two of them and the margin of 150 ms fill a bound of 1.5 s to the millisecond, so with any delay of the store's answer the proof ended for a moment in each round, and requests with keys got a 503 while the node was ready again at once. This is how the test "entry: the store is away" failed once in 157 (a 503 and then ready): the 503 was such a gap. Ruled out: a target that was busy (the answer names the keys).

--- a/src/control/config_follow.h
+++ b/src/control/config_follow.h
@@ -35,9 +35,11 @@
   }
 
 private:
-  /// A read takes this part of the revocation bound at most, so that a proof
-  /// is renewed several times before it ends.
-  static constexpr double PollPart = 0.45;
+  /// A read takes this part of the revocation bound at most. A proof counts
+  /// from when its read was sent, and the next one comes when the read after it
+  /// has ended: two reads, the margin below and slow answers have to fit into
+  /// the bound, at the shortest bound in use (1.5 s) with 0.45 s for answers.
+  static constexpr double PollPart = 0.3;
   /// For the time between the last check and the target's reading.
   static constexpr Millis ProofMargin{150};
 
