Queue the loads of weights over all domains

Cause: each owner had a fixed part of the loads that the shared store takes at full speed, and each domain staged one spare at a time.

Every owner now works out one queue from the registry: VMs without weights, those first whose loads put most VMs to work. No message is needed for it.

--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -104,6 +104,7 @@
       const EngineSpec &Engine = *Config.service(View.Service)->Engine;
       View.EpochFloor = Mine.Generation << CounterBits;
       View.LoadsAllowed = this->Loads.left(Engine, Now);
+      View.TurnsAllowed = this->Loads.turns(Engine, Now);
       View.Fates = this->Members.fates();
       View.Serving = Serving;
       View.Demand =
--- a/src/control/domain_views.cpp
+++ b/src/control/domain_views.cpp
@@ -4,10 +4,11 @@
 
 #include "control/domain_views.h"
 
-#include <iterator>
-#include <set>
+#include "policy/load_turns.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 
 namespace waycove {
 
@@ -28,6 +29,7 @@
                                             TimePoint Now) {
   std::map<DomainId, DomainView> Views;
   std::map<ServiceId, std::set<DomainId>> Domains;
+  std::map<ServiceId, std::vector<TargetRef>> All;
   auto Wanted = [&](const TargetInfo &Row) {
     const ServiceSpec *Spec = Config.service(Row.Service);
     if (!Spec || !Spec->hasGroups() || Row.Domain.empty())
@@ -43,17 +45,21 @@
     return View;
   };
   Board.Targets.read([&](const Fleet &Rows) {
-    for (const auto &[Id, Row] : Rows.Targets)
+    for (const auto &[Id, Row] : Rows.Targets) {
+      All[Row->Service].push_back(Row);
       if (Wanted(*Row))
         ViewOf(*Row).Targets.push_back(Row);
+    }
     for (const auto &[Id, Row] : Rows.Gone)
       if (Wanted(*Row.Last))
         ViewOf(*Row.Last).Gone.push_back(Row);
   });
   for (auto &[Domain, View] : Views) {
-    const std::set<DomainId> &All = Domains[View.Service];
-    View.Turn =
-        static_cast<std::size_t>(std::distance(All.begin(), All.find(Domain)));
+    const std::set<DomainId> &Order = Domains[View.Service];
+    View.Turn = static_cast<std::size_t>(
+        std::distance(Order.begin(), Order.find(Domain)));
+    View.LoadTurns =
+        loadTurns(All[View.Service], *Config.service(View.Service)->Engine);
   }
   return Views;
 }
--- a/src/control/load_budget.cpp
+++ b/src/control/load_budget.cpp
@@ -18,23 +18,37 @@
 
 } // namespace
 
-unsigned LoadBudget::left(const EngineSpec &Engine, TimePoint Now) {
-  if (this->Board.Config.Entry->FirstStart && !this->Board.Requested)
-    return FreeLoads;
+bool LoadBudget::isFree() const {
+  return this->Board.Config.Entry->FirstStart && !this->Board.Requested;
+}
+
+double LoadBudget::mayBegin(const EngineSpec &Engine, TimePoint Now) {
   std::erase_if(this->Loads, [&](const Load &Row) {
     return Now - Row.Begun > LoadWindow && Now > Row.Done;
   });
   auto Begun = static_cast<double>(std::count_if(
       this->Loads.begin(), this->Loads.end(),
       [&](const Load &Row) { return Now - Row.Begun <= LoadWindow; }));
+  double Seconds = std::chrono::duration<double>(LoadWindow).count();
+  double Most = Engine.LoadsPerSecond * Seconds * this->Board.Share;
+  return std::max(0.0, std::max(Most, LeastPart) - Begun);
+}
+
+unsigned LoadBudget::turns(const EngineSpec &Engine, TimePoint Now) {
+  if (this->isFree())
+    return FreeLoads;
+  return static_cast<unsigned>(this->mayBegin(Engine, Now));
+}
+
+unsigned LoadBudget::left(const EngineSpec &Engine, TimePoint Now) {
+  if (this->isFree())
+    return FreeLoads;
+  double MayBegin = this->mayBegin(Engine, Now);
   auto Running = static_cast<double>(
       std::count_if(this->Loads.begin(), this->Loads.end(),
                     [&](const Load &Row) { return Now <= Row.Done; }));
-  double Seconds = std::chrono::duration<double>(LoadWindow).count();
-  double MayBegin = Engine.LoadsPerSecond * Seconds * this->Board.Share;
   double MayRun = Engine.LoadsAtOnce * this->Board.Share;
-  double Left = std::min(std::max(MayBegin, LeastPart) - Begun,
-                         std::max(MayRun, LeastPart) - Running);
+  double Left = std::min(MayBegin, std::max(MayRun, LeastPart) - Running);
   return static_cast<unsigned>(std::max(0.0, Left));
 }
 
--- a/src/control/load_budget.h
+++ b/src/control/load_budget.h
@@ -17,12 +17,18 @@
 public:
   explicit LoadBudget(const EntryBoard &Board) : Board(Board) {}
 
-  /// Loads that may be ordered now.
+  /// Loads that may begin now on VMs whose turn it is: how many run is bounded
+  /// by the turns.
+  unsigned turns(const EngineSpec &Engine, TimePoint Now);
+  /// Other loads that may be ordered now.
   unsigned left(const EngineSpec &Engine, TimePoint Now);
   /// Counts the load that \p Order causes, if any.
   void count(const GroupOrder &Order, const EngineSpec &Engine, TimePoint Now);
 
 private:
+  /// Before the first request of a first start.
+  bool isFree() const;
+  double mayBegin(const EngineSpec &Engine, TimePoint Now);
   struct Load {
     TimePoint Begun;
     /// When it is done, if the store is not slowed down.
--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -67,7 +67,8 @@
   this->Questions.clear();
   if (!this->isSettled(View))
     return {};
-  Step S{View, Engine, {}, {}, {}, {}, {}, View.LoadsAllowed};
+  Step S{
+      View, Engine, {}, {}, {}, {}, {}, View.LoadsAllowed, View.TurnsAllowed};
   collect(S);
   for (const auto &[Key, Row] : S.Groups)
     this->judge(S, Key, Row);
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -70,6 +70,10 @@
   std::map<std::string, double> Demand;
   /// Weights that may be read from the shared store in this step, in loads.
   unsigned LoadsAllowed = 0;
+  /// VMs without weights whose turn it is to read them; see loadTurns().
+  std::set<VmId> LoadTurns;
+  /// Loads for these that may begin in this step.
+  unsigned TurnsAllowed = 0;
   TimePoint Now;
 };
 
@@ -142,7 +146,8 @@
   static const ModelSpec *shortOf(const Step &S);
   static std::vector<const Announced *>
   donorsFor(const Step &S, const ModelSpec &Large, std::size_t Free);
-  bool stage(Step &S, const TargetRef &Vm, const ModelSpec &Model, int AtOnce);
+  bool takeLoad(Step &S, const VmId &Vm, int AtOnce);
+  void stage(Step &S, const TargetRef &Vm, const ModelSpec &Model, int AtOnce);
   /// Gives an order, unless the same was given a short while ago.
   void order(Step &S, OrderKind Kind, const TargetRef &To,
              const GroupKey &Group, const std::string &Reason,
--- a/src/policy/domain_stage.cpp
+++ b/src/policy/domain_stage.cpp
@@ -69,8 +69,7 @@
         });
     auto Taken = Free.begin() + static_cast<std::ptrdiff_t>(Model->GroupSize);
     for (auto At = Free.begin(); At != Taken; ++At)
-      if (!this->stage(S, *At, *Model, MissingStagingsAtOnce))
-        return;
+      this->stage(S, *At, *Model, MissingStagingsAtOnce);
     Free.erase(Free.begin(), Taken);
   }
 }
@@ -102,41 +101,53 @@
                         : Reserves[Small.Name] < Reserves[Large.Name];
     const ModelSpec &Next = ForSmall ? Small : Large;
     ++Reserves[Next.Name];
-    if (!this->stage(S, Row, Next, StagingsAtOnce))
-      return;
+    this->stage(S, Row, Next, StagingsAtOnce);
   }
   for (const Announced *Donor : Donors)
     for (const auto &[Rank, Vm] : Donor->Ranks)
-      if (!this->stage(S, Vm, Large, StagingsAtOnce))
-        return;
+      this->stage(S, Vm, Large, StagingsAtOnce);
 }
 
-/// Orders the staging unless it is done or under way; false where no more
-/// loads may begin, or \p AtOnce are under way in the domain.
-bool DomainPlanner::stage(Step &S, const TargetRef &Vm, const ModelSpec &Model,
-                          int AtOnce) {
-  if (!S.isUsable(*Vm) || Vm->hasStaged(Model.Name))
-    return true;
-  TimePoint &At = this->Staging[{Vm->Id, Model.Name}];
-  if (At != TimePoint() && S.View.Now - At < Model.LoadTime * StageTimeFactor)
+/// Whether a load may begin on \p Vm, and counts it: in its turn where it holds
+/// no weights, else within what is left of the budget, and so that \p AtOnce
+/// run in the domain.
+bool DomainPlanner::takeLoad(Step &S, const VmId &Vm, int AtOnce) {
+  if (S.View.LoadTurns.contains(Vm)) {
+    if (S.TurnsLeft == 0)
+      return false;
+    --S.TurnsLeft;
     return true;
+  }
   bool Free = S.View.LoadsAllowed >= FreeLoads;
   auto UnderWay = std::count_if(
       this->Staging.begin(), this->Staging.end(), [&](const auto &Entry) {
-        return Entry.second != TimePoint() &&
-               S.View.Now - Entry.second < Model.LoadTime;
+        const ModelSpec *Model = S.Engine.model(Entry.first.second);
+        return Model && Entry.second != TimePoint() &&
+               S.View.Now - Entry.second < Model->LoadTime;
       });
   if (S.LoadsLeft == 0 || (!Free && UnderWay >= AtOnce))
     return false;
-  At = S.View.Now;
   --S.LoadsLeft;
+  return true;
+}
+
+/// Orders the staging unless it is done, under way, or may not begin yet.
+void DomainPlanner::stage(Step &S, const TargetRef &Vm, const ModelSpec &Model,
+                          int AtOnce) {
+  if (!S.isUsable(*Vm) || Vm->hasStaged(Model.Name))
+    return;
+  TimePoint &At = this->Staging[{Vm->Id, Model.Name}];
+  if (At != TimePoint() && S.View.Now - At < Model.LoadTime * StageTimeFactor)
+    return;
+  if (!this->takeLoad(S, Vm->Id, AtOnce))
+    return;
+  At = S.View.Now;
   GroupOrder Order;
   Order.Kind = OrderKind::Stage;
   Order.To = Vm;
   Order.Model = Model.Name;
   Order.Reason = "a reserve for repairs";
   S.Orders.push_back(std::move(Order));
-  return true;
 }
 
 } // namespace waycove
--- a/src/policy/domain_step.h
+++ b/src/policy/domain_step.h
@@ -24,6 +24,7 @@
   std::vector<unsigned> Wanted;
   std::vector<GroupOrder> Orders;
   unsigned LoadsLeft = 0;
+  unsigned TurnsLeft = 0;
 
   /// How much work a model has, in any unit that is the same for all.
   double needOf(const ModelSpec &Model) const;
