Try: hosts of open groups hold a second model

Hypothesis: a VM joins a group of the model that it ran last in 0.2 s whatever its host holds, so its host may hold another, and survivors can form either.

Survivors of large groups were put into small ones, and the large model's weights, which four VMs of one domain need at a time, were gone from the domain for good.

--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -142,6 +142,7 @@
   bool judgeWarmUp(Step &S, const GroupKey &Key, const Announced &Row);
   void stageMissing(Step &S);
   void stageSpares(Step &S);
+  void stageSecond(Step &S);
   static const ModelSpec *scarcest(const Step &S);
   static const ModelSpec *shortOf(const Step &S);
   static std::vector<const Announced *>
