Form the groups with which callers lose least

Cause: the share of models swung, as groups were compared by a ratio of counts with three thresholds. Now each step asks what callers lose with one group more, or one in place of another: by model, the work that they ask for, and how loaded its groups are, from the operators' figures of the engine, to a high power.

--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -10,6 +10,7 @@
 #include "board/feed_cache.h"
 #include "board/table.h"
 #include "policy/choice.h"
+#include "policy/group_load.h"
 #include "policy/lease.h"
 #include "policy/node_rank.h"
 #include "policy/spend.h"
@@ -18,10 +19,6 @@
 
 namespace waycove {
 
-/// Work that callers asked of each model, in weighted tokens; older work counts
-/// for less.
-using DemandTable = std::map<std::string, double>;
-
 /// Second sends, by service.
 using SpendTable = std::map<ServiceId, RetrySpend>;
 
@@ -46,6 +43,8 @@
   Table<Fleet, LockRank::Vms> Targets;
   Table<ServingViewRef, LockRank::Views> Serving;
   Table<SpendTable, LockRank::Once> Spend;
+  /// What callers asked of each model at this node; older requests count for
+  /// less.
   Table<DemandTable, LockRank::Tail> Demand;
   /// The entries that are announced, this one among them.
   Table<NodeTable, LockRank::Health> Nodes;
--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -107,8 +107,10 @@
       View.TurnsAllowed = this->Loads.turns(Engine, Now);
       View.Fates = this->Members.fates();
       View.Serving = Serving;
-      View.Demand =
-          this->Board.Demand.read([](const DemandTable &Rows) { return Rows; });
+      View.Demand = demandRates(
+          Engine,
+          this->Board.Demand.read([](const DemandTable &Rows) { return Rows; }),
+          this->Board.evenShare());
       this->Members.findLost(View);
       Owned &Row = this->Planners.try_emplace(Domain, View.EpochFloor, Now)
                        .first->second;
--- a/src/edge/entry_daemon.h
+++ b/src/edge/entry_daemon.h
@@ -107,9 +107,6 @@
   static constexpr Millis SweepEvery{1000};
   /// The balancer asks each second and believes the second miss.
   static constexpr Millis BalancerTime{2600};
-  /// Part of the demand that still counts a second later: about the last ten
-  /// seconds weigh.
-  static constexpr double DemandKept = 0.9;
 
   /// Whether keys may be used: they are proven current, or the operators allow
   /// to go on with those that were current when the store was last reached.
@@ -149,8 +146,8 @@
     this->Pool.sweep(IsListed, SystemClock{}.now());
     this->Board.Vitals.write([&](VitalsTable &Rows) { Rows.forget(IsListed); });
     this->Board.Demand.write([](DemandTable &Rows) {
-      for (auto &[Model, Work] : Rows)
-        Work *= DemandKept;
+      for (auto &[Model, Row] : Rows)
+        Row = Row.scaled(DemandKept);
     });
   }
 
--- a/src/edge/relay_choice.cpp
+++ b/src/edge/relay_choice.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// An answer's token costs an engine about as much as ten of a prompt.
-constexpr double AnswerTokenWeight = 10;
 /// Sends of one request, with those that targets did not take.
 constexpr unsigned MostSends = 5;
 
@@ -19,9 +17,10 @@
   const CallerFacts &Facts = Request.Facts;
   if (!Facts.Model.empty())
     this->Board.Demand.write([&](DemandTable &Rows) {
-      Rows[Facts.Model] +=
-          static_cast<double>(Facts.PromptTokens) +
-          AnswerTokenWeight * static_cast<double>(Facts.AnswerTokens);
+      ModelDemand &Row = Rows[Facts.Model];
+      ++Row.Requests;
+      Row.PromptTokens += static_cast<double>(Facts.PromptTokens);
+      Row.AnswerTokens += static_cast<double>(Facts.AnswerTokens);
     });
   const ServiceId &Service = Request.Service;
   const EntrySettings &Given = *this->Board.Config.Entry;
--- a/src/policy/domain_form.cpp
+++ b/src/policy/domain_form.cpp
@@ -13,13 +13,10 @@
 
 namespace {
 
-/// A model is short of groups below this part of the best supplied one's, for
-/// their parts of the work, and very short below the second.
-constexpr double ScarcePart = 0.7;
-constexpr double VeryScarcePart = 0.35;
-/// A group is given up for a larger model only while its own model keeps this
-/// part of the larger one's groups.
-constexpr double KeptPart = 0.5;
+/// A group of VMs that hold another model's weights loaded, or one in place of
+/// another group, has to save at least this part of what callers lose: the VMs
+/// lose weights that take many seconds to load again.
+constexpr double LeastGain = 0.15;
 
 /// 0 is best: the VM ran the model last, then its host has the weights.
 int loadRank(const TargetInfo &Row, const std::string &Model) {
@@ -28,6 +25,18 @@
   return Row.hasStaged(Model) ? 1 : 2;
 }
 
+/// Of \p Free, those that form a group of \p Model without losing weights of
+/// another one.
+std::size_t countOwn(const std::vector<TargetRef> &Free,
+                     const ModelSpec &Model) {
+  return static_cast<std::size_t>(
+      std::count_if(Free.begin(), Free.end(), [&](const TargetRef &Row) {
+        return Row->hasLoaded(Model.Name) ||
+               (Row->Loaded.empty() &&
+                (Row->Staged.empty() || Row->hasStaged(Model.Name)));
+      }));
+}
+
 std::size_t countWarm(const std::vector<TargetRef> &Free,
                       const ModelSpec &Model) {
   return static_cast<std::size_t>(
@@ -38,49 +47,54 @@
 
 } // namespace
 
+/// Forms groups of the VMs that are free. Where nothing serves yet, as the plan
+/// for all VMs says; else one after the other, each time the one with which
+/// callers lose least.
 void DomainPlanner::formMissing(Step &S) {
-  auto Usable = static_cast<std::size_t>(
-      std::count_if(S.View.Targets.begin(), S.View.Targets.end(),
-                    [&](const TargetRef &Row) { return S.isUsable(*Row); }));
-  S.Wanted = groupsFor(S.Engine, Usable, S.View.Turn);
-  for (const ModelSpec *Model : largestFirst(S.Engine))
-    while (S.lacks(*Model) && this->form(S, *Model))
-      ++S.Have[Model->Name];
-  // Hosts that are ready for another group than planned serve rather than
-  // rest.
-  const ModelSpec *Scarce = scarcest(S);
-  for (const ModelSpec *Model : largestFirst(S.Engine))
-    while (S.supply(*Scarce) >= ScarcePart * S.supply(*Model) &&
-           countWarm(S.freeVms(), *Model) >= Model->GroupSize &&
-           this->form(S, *Model))
-      ++S.Have[Model->Name];
-  this->formScarce(S);
-}
-
-/// The model that is short of groups, if enough VMs would rest to make one more
-/// of it. One stays as a reserve, unless the model is very short.
-const ModelSpec *DomainPlanner::shortOf(const Step &S) {
-  const ModelSpec *Scarce = scarcest(S);
-  if (!Scarce)
-    return nullptr;
-  double Most = 0;
-  for (const ModelSpec &Row : S.Engine.Models)
-    Most = std::max(Most, S.supply(Row));
-  if (S.supply(*Scarce) >= ScarcePart * Most)
-    return nullptr;
-  std::size_t Reserve = S.supply(*Scarce) < VeryScarcePart * Most ? 0 : 1;
-  bool Enough = S.freeVms().size() >= Scarce->GroupSize + Reserve;
-  return Enough ? Scarce : nullptr;
+  if (!S.anyServes()) {
+    auto Usable = static_cast<std::size_t>(
+        std::count_if(S.View.Targets.begin(), S.View.Targets.end(),
+                      [&](const TargetRef &Row) { return S.isUsable(*Row); }));
+    S.Wanted = groupsFor(S.Engine, Usable, S.View.Turn);
+    for (const ModelSpec *Model : largestFirst(S.Engine))
+      while (S.lacks(*Model) && this->form(S, *Model))
+        ++S.Have[Model->Name];
+    return;
+  }
+  while (const ModelSpec *Model = this->bestNext(S)) {
+    if (!this->form(S, *Model))
+      return;
+    ++S.Have[Model->Name];
+  }
 }
 
-/// Forms a group of a model that is short of them, with loads. Where weights
-/// can be staged, that is done first: members that wait for one's load, which
-/// takes many seconds, would serve nothing meanwhile.
-void DomainPlanner::formScarce(Step &S) {
-  if (S.Engine.ModelsStagedPerHost > 0)
-    return;
-  if (const ModelSpec *Scarce = shortOf(S))
-    this->form(S, *Scarce);
+/// The model of which one more group, of free VMs, serves callers best; null
+/// where none can form. Where it is better to close a smaller group for a
+/// larger one, that is done first, and nothing forms meanwhile.
+const ModelSpec *DomainPlanner::bestNext(Step &S) {
+  std::vector<TargetRef> Free = S.freeVms();
+  GroupCounts Now = S.groups();
+  double Before = S.lossOf(Now);
+  double Least = Before;
+  const ModelSpec *Best = nullptr;
+  for (const ModelSpec *Model : largestFirst(S.Engine)) {
+    bool Forms =
+        Free.size() >= Model->GroupSize &&
+        (countWarm(Free, *Model) >= Model->GroupSize || !S.stagesFirst(*Model));
+    GroupCounts After = Now;
+    ++After[Model->Name];
+    double Loss = S.lossOf(After);
+    bool Converts = countOwn(Free, *Model) < Model->GroupSize;
+    if (!Forms || Loss >= Least ||
+        (Converts && Loss > (1 - LeastGain) * Before))
+      continue;
+    Least = Loss;
+    Best = Model;
+  }
+  for (const ModelSpec *Model : largestFirst(S.Engine))
+    if (this->giveUpSmaller(S, *Model, Now, Least))
+      return nullptr;
+  return Best;
 }
 
 /// Names a new group, above each epoch that was used or seen.
@@ -98,8 +112,6 @@
 bool DomainPlanner::form(Step &S, const ModelSpec &Model) {
   std::vector<TargetRef> Free = S.freeVms();
   std::size_t Warm = countWarm(Free, Model);
-  if (Warm < Model.GroupSize && this->giveUpSmaller(S, Model, Warm))
-    return false;
   if (Free.size() < Model.GroupSize)
     return false;
   if (Warm < Model.GroupSize && S.stagesFirst(Model))
@@ -136,11 +148,14 @@
   this->Pending.emplace(Key, std::move(Row));
 }
 
-/// Closes a group of a smaller model whose VMs make, with the \p Warm ones that
-/// are free, a group of \p Model without loading weights. True where one is
-/// closed, or still closing.
+/// Closes a group of a smaller model whose VMs make, with warm ones that are
+/// free, a group of \p Model without loading weights, if callers lose less then
+/// than \p Least, by far. True where one is closed, or still closing.
 bool DomainPlanner::giveUpSmaller(Step &S, const ModelSpec &Model,
-                                  std::size_t Warm) {
+                                  const GroupCounts &Now, double Least) {
+  std::size_t Warm = countWarm(S.freeVms(), Model);
+  if (Warm >= Model.GroupSize)
+    return false;
   const std::pair<const GroupKey, Announced> *Best = nullptr;
   for (const auto &Entry : S.Groups) {
     const auto &[Key, Row] = Entry;
@@ -152,15 +167,16 @@
         std::count_if(Row.Ranks.begin(), Row.Ranks.end(), [&](const auto &R) {
           return S.isUsable(*R.second) && R.second->hasStaged(Model.Name);
         }));
-    MemberState State = Row.Head->Group->State;
-    if (State == MemberState::Open &&
-        S.servingOf(*Other) - 1 < KeptPart * S.servingOf(Model))
-      continue;
     if (Warm + Helps < Model.GroupSize)
       continue;
+    MemberState State = Row.Head->Group->State;
     if (State == MemberState::Closing && this->GivenUp.contains(Key))
       return true;
-    if (State == MemberState::Open && !Best)
+    GroupCounts After = Now;
+    ++After[Model.Name];
+    --After[Other->Name];
+    if (State == MemberState::Open && !Best &&
+        S.lossOf(After) < (1 - LeastGain) * Least)
       Best = &Entry;
   }
   if (!Best)
@@ -172,18 +188,4 @@
   return true;
 }
 
-/// The model that has the fewest groups for its part of the work.
-const ModelSpec *DomainPlanner::scarcest(const Step &S) {
-  const ModelSpec *Best = nullptr;
-  double Least = 0;
-  for (const ModelSpec *Row : largestFirst(S.Engine)) {
-    double Rate = S.supply(*Row);
-    if (!Best || Rate < Least) {
-      Best = Row;
-      Least = Rate;
-    }
-  }
-  return Best;
-}
-
 } // namespace waycove
--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -67,8 +67,10 @@
   this->Questions.clear();
   if (!this->isSettled(View))
     return {};
-  Step S{
-      View, Engine, {}, {}, {}, {}, {}, View.LoadsAllowed, View.TurnsAllowed};
+  Step S{View, Engine};
+  S.LoadsLeft = View.LoadsAllowed;
+  S.TurnsLeft = View.TurnsAllowed;
+  S.Demand = View.Demand.empty() ? expectedDemand(Engine) : View.Demand;
   collect(S);
   for (const auto &[Key, Row] : S.Groups)
     this->judge(S, Key, Row);
@@ -116,6 +118,9 @@
     Into.AnyDraining = Into.AnyDraining || Row->Draining;
     Into.AllReady = Into.AllReady && Row->Group->State == MemberState::Ready;
   }
+  for (const auto &[Key, Row] : S.Groups)
+    if (Row.Head && Row.Head->Group->State == MemberState::Open)
+      ++S.Open[modelOf(Key.Name)];
 }
 
 void DomainPlanner::order(Step &S, OrderKind Kind, const TargetRef &To,
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "policy/fleet.h"
+#include "policy/group_load.h"
 
 #include <tuple>
 
@@ -66,8 +67,9 @@
   std::uint64_t EpochFloor = 0;
   /// Groups with epochs up to this were formed before this ownership began.
   std::uint64_t OwnedFloor = 0;
-  /// Work that callers ask of each model lately; empty before the first.
-  std::map<std::string, double> Demand;
+  /// What callers ask of each model in a second, over all nodes; empty where
+  /// only operators' figures are known.
+  DemandTable Demand;
   /// Weights that may be read from the shared store in this step, in loads.
   unsigned LoadsAllowed = 0;
   /// VMs without weights whose turn it is to read them; see loadTurns().
@@ -136,15 +138,15 @@
   bool form(Step &S, const ModelSpec &Model);
   void orderJoins(Step &S, const ModelSpec &Model,
                   const std::vector<TargetRef> &Members, unsigned Cold);
-  void formScarce(Step &S);
-  bool giveUpSmaller(Step &S, const ModelSpec &Model, std::size_t Warm);
+  const ModelSpec *bestNext(Step &S);
+  bool giveUpSmaller(Step &S, const ModelSpec &Model, const GroupCounts &Now,
+                     double Least);
   void warmReserves(Step &S);
   bool judgeWarmUp(Step &S, const GroupKey &Key, const Announced &Row);
   void stageMissing(Step &S);
   void stageSpares(Step &S);
   void stageSecond(Step &S);
-  static const ModelSpec *scarcest(const Step &S);
-  static const ModelSpec *shortOf(const Step &S);
+  static std::vector<unsigned> bestUseOf(const Step &S, std::size_t Vms);
   static std::vector<const Announced *>
   donorsFor(const Step &S, const ModelSpec &Large, std::size_t Free);
   bool takeLoad(Step &S, const VmId &Vm, int AtOnce);
--- a/src/policy/domain_stage.cpp
+++ b/src/policy/domain_stage.cpp
@@ -46,30 +46,60 @@
   return Donors;
 }
 
-/// Stages what a group lacks on hosts that rest: where a domain came back from
-/// an outage, or lost some VMs, enough of them may be free for a group, with
-/// the weights of another model.
+/// How many groups of each model \p Vms more make, so that callers lose least.
+std::vector<unsigned> DomainPlanner::bestUseOf(const Step &S, std::size_t Vms) {
+  const std::vector<ModelSpec> &Models = S.Engine.Models;
+  std::vector<unsigned> Best(Models.size(), 0);
+  std::vector<unsigned> Counts = Best;
+  GroupCounts Groups = S.groups();
+  double Least = S.lossOf(Groups);
+  // Counts up through all that fit, as a number with one digit for a model.
+  for (std::size_t Digit = 0; Digit < Models.size();) {
+    ++Counts[Digit];
+    ++Groups[Models[Digit].Name];
+    std::size_t Used = 0;
+    for (std::size_t I = 0; I < Models.size(); ++I)
+      Used += Counts[I] * Models[I].GroupSize;
+    if (Used > Vms) {
+      Groups[Models[Digit].Name] -= Counts[Digit];
+      Counts[Digit++] = 0;
+      continue;
+    }
+    Digit = 0;
+    if (double Loss = S.lossOf(Groups); Loss < Least) {
+      Least = Loss;
+      Best = Counts;
+    }
+  }
+  return Best;
+}
+
+/// Stages what groups lack on hosts that rest: where a domain came back from an
+/// outage, got new VMs or lost some, enough of them may be free for a group,
+/// with the weights of another model or none.
 void DomainPlanner::stageMissing(Step &S) {
   if (S.Engine.ModelsStagedPerHost == 0)
     return;
   std::vector<TargetRef> Free = S.freeVms();
-  const ModelSpec *Short = shortOf(S);
+  std::vector<unsigned> Use = bestUseOf(S, Free.size());
   for (const ModelSpec *Model : largestFirst(S.Engine)) {
-    bool Lacks = S.lacks(*Model) || Model == Short;
-    if (!Lacks || Free.size() < Model->GroupSize)
-      continue;
+    auto Index = static_cast<std::size_t>(Model - S.Engine.Models.data());
+    std::size_t Members = Use[Index] * Model->GroupSize;
     // Hosts that have the weights, or nothing to lose, come first.
-    std::stable_sort(
-        Free.begin(), Free.end(),
-        [&](const TargetRef &Left, const TargetRef &Right) {
-          auto Rank = [&](const TargetInfo &Row) {
-            return Row.hasStaged(Model->Name) ? 0 : Row.Staged.empty() ? 1 : 2;
-          };
-          return Rank(*Left) < Rank(*Right);
-        });
-    auto Taken = Free.begin() + static_cast<std::ptrdiff_t>(Model->GroupSize);
+    std::stable_sort(Free.begin(), Free.end(),
+                     [&](const TargetRef &Left, const TargetRef &Right) {
+                       auto Rank = [&](const TargetInfo &Row) {
+                         if (Row.hasStaged(Model->Name) ||
+                             Row.hasLoaded(Model->Name))
+                           return 0;
+                         return Row.Staged.empty() ? 1 : 2;
+                       };
+                       return Rank(*Left) < Rank(*Right);
+                     });
+    auto Taken = Free.begin() + static_cast<std::ptrdiff_t>(Members);
     for (auto At = Free.begin(); At != Taken; ++At)
-      this->stage(S, *At, *Model, MissingStagingsAtOnce);
+      if (!(*At)->hasLoaded(Model->Name))
+        this->stage(S, *At, *Model, MissingStagingsAtOnce);
     Free.erase(Free.begin(), Taken);
   }
 }
@@ -109,9 +139,9 @@
 }
 
 /// Stages a second model on the hosts of open groups. A VM joins a group of the
-/// model that it ran last in 0.2 s, whatever its host holds, so the host is free
-/// to hold another: what survives of a large group makes small ones, and the
-/// VMs of small groups make a large one, without a load of many seconds.
+/// model that it ran last in 0.2 s, whatever its host holds, so the host is
+/// free to hold another: what survives of a large group makes small ones, and
+/// the VMs of small groups make a large one, without a load of many seconds.
 void DomainPlanner::stageSecond(Step &S) {
   if (S.Engine.ModelsStagedPerHost == 0 || S.Engine.Models.size() < 2)
     return;
--- a/src/policy/domain_step.cpp
+++ b/src/policy/domain_step.cpp
@@ -13,8 +13,6 @@
 /// A group forms in its load time; shared loading may double it.
 constexpr int LoadTimeFactor = 3;
 constexpr Millis FormSlack(3000);
-/// Guards a division where the operators state no share of the work.
-constexpr double LeastNeed = 1e-3;
 
 } // namespace
 
@@ -33,22 +31,31 @@
   return LoadTime * LoadTimeFactor + FormSlack;
 }
 
-double DomainPlanner::Step::needOf(const ModelSpec &Model) const {
-  auto At = this->View.Demand.find(Model.Name);
-  double Asked = At == this->View.Demand.end() ? 0 : At->second;
-  // The stated share counts VMs; groups are compared.
-  double Need = this->View.Demand.empty() ? Model.WorkShare / Model.GroupSize
-                                          : Asked * Model.TimeFactor;
-  return std::max(Need, LeastNeed);
+GroupCounts DomainPlanner::Step::groups() const {
+  GroupCounts Groups;
+  auto CountIn = [](const std::map<std::string, unsigned> &Counts,
+                    const std::string &Model) {
+    auto At = Counts.find(Model);
+    return At == Counts.end() ? 0.0 : At->second;
+  };
+  for (const ModelSpec &Model : this->Engine.Models) {
+    const std::string &Name = Model.Name;
+    double Elsewhere =
+        CountIn(this->View.Serving, Name) - CountIn(this->Open, Name);
+    Groups[Name] = std::max(0.0, Elsewhere) + CountIn(this->Have, Name);
+  }
+  return Groups;
 }
 
-double DomainPlanner::Step::servingOf(const ModelSpec &Model) const {
-  auto At = this->View.Serving.find(Model.Name);
-  return At == this->View.Serving.end() ? 0 : At->second;
+double DomainPlanner::Step::lossOf(const GroupCounts &Groups) const {
+  return serviceLoss(this->Engine, this->Demand, Groups);
 }
 
-double DomainPlanner::Step::supply(const ModelSpec &Model) const {
-  return this->servingOf(Model) / this->needOf(Model);
+bool DomainPlanner::Step::anyServes() const {
+  return std::any_of(this->Engine.Models.begin(), this->Engine.Models.end(),
+                     [&](const ModelSpec &Model) {
+                       return this->View.Serving.contains(Model.Name);
+                     });
 }
 
 bool DomainPlanner::Step::isUsable(const TargetInfo &Row) const {
--- a/src/policy/domain_step.h
+++ b/src/policy/domain_step.h
@@ -15,23 +15,26 @@
 struct DomainPlanner::Step {
   const DomainView &View;
   const EngineSpec &Engine;
-  std::map<GroupKey, Announced> Groups;
+  std::map<GroupKey, Announced> Groups{};
   /// VMs that must not be taken.
-  std::set<VmId> Busy;
+  std::set<VmId> Busy{};
   /// Groups per model that serve or will.
-  std::map<std::string, unsigned> Have;
+  std::map<std::string, unsigned> Have{};
+  /// Groups per model whose head is open, which View.Serving counts as well.
+  std::map<std::string, unsigned> Open{};
   /// Groups per model that the domain's VMs make, as groupsFor() says.
-  std::vector<unsigned> Wanted;
-  std::vector<GroupOrder> Orders;
+  std::vector<unsigned> Wanted{};
+  std::vector<GroupOrder> Orders{};
   unsigned LoadsLeft = 0;
   unsigned TurnsLeft = 0;
-
-  /// How much work a model has, in any unit that is the same for all.
-  double needOf(const ModelSpec &Model) const;
-  /// Groups that serve the model, over all domains.
-  double servingOf(const ModelSpec &Model) const;
-  /// The same, for the work that it has.
-  double supply(const ModelSpec &Model) const;
+  DemandTable Demand{};
+
+  /// Groups that serve in other domains, and here serve or will.
+  GroupCounts groups() const;
+  /// What callers lose with so many, as serviceLoss() says.
+  double lossOf(const GroupCounts &Groups) const;
+  /// Whether any model is served anywhere.
+  bool anyServes() const;
   bool isUsable(const TargetInfo &Row) const;
   /// Whether the model has fewer groups than the domain's VMs make.
   bool lacks(const ModelSpec &Model) const;
--- /dev/null
+++ b/src/policy/group_load.h
@@ -0,0 +1,70 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "policy/routing.h"
+
+#include <map>
+#include <string>
+
+namespace waycove {
+
+/// What callers ask of one model, in a second, over all nodes.
+struct ModelDemand {
+  double Requests = 0;
+  double PromptTokens = 0;
+  /// As far as callers and operators tell it ahead.
+  double AnswerTokens = 0;
+
+  ModelDemand scaled(double Factor) const {
+    return {this->Requests * Factor, this->PromptTokens * Factor,
+            this->AnswerTokens * Factor};
+  }
+  /// In tokens of a prompt; a token of an answer costs an engine about ten.
+  double work() const {
+    return this->PromptTokens + AnswerTokenWeight * this->AnswerTokens;
+  }
+
+private:
+  static constexpr double AnswerTokenWeight = 10;
+};
+
+/// By model.
+using DemandTable = std::map<std::string, ModelDemand>;
+
+/// Part of the counted demand that still counts a second later: about the last
+/// ten seconds weigh.
+inline constexpr double DemandKept = 0.9;
+
+/// The demand of a second over all nodes, from what one node counted, whose
+/// part of the requests is \p Part. What callers say of their answers' length
+/// is corrected by the operators' figure of a usual one; models that nobody
+/// asked for keep a small part of what operators expect.
+DemandTable demandRates(const EngineSpec &Engine, const DemandTable &Counted,
+                        double Part);
+
+/// Groups by model; a fraction where a group is not certain.
+using GroupCounts = std::map<std::string, double>;
+
+/// How loaded each of \p Groups groups of \p Model is when they share \p
+/// Demand: 1 where the scarcest of its means is used up, which are the time for
+/// steps and prompts, the places for requests, and the tokens of prompts that
+/// it reads in a pass. Above 1 requests queue without end. From the operators'
+/// figures of the engine; where they give none, in a unit that is the same for
+/// all models.
+double groupLoad(const EngineSpec &Engine, const ModelSpec &Model,
+                 const ModelDemand &Demand, double Groups);
+
+/// What callers lose with \p Groups, in any unit: by model, the work that they
+/// ask for, and how loaded its groups are, to a high power, since almost no
+/// answer is late up to half of the load and almost all at full load. Where the
+/// least is lost, groups are shared out best.
+double serviceLoss(const EngineSpec &Engine, const DemandTable &Demand,
+                   const GroupCounts &Groups);
+
+/// The operators' own guess of the demand, for before callers came.
+DemandTable expectedDemand(const EngineSpec &Engine);
+
+} // namespace waycove
--- a/tests/unit/domain_stage_test.cpp
+++ b/tests/unit/domain_stage_test.cpp
@@ -28,7 +28,7 @@
     this->View.Service = ServiceId("llm");
     this->View.LoadsAllowed = 20;
     this->View.Serving = {{"large", 9}, {"small", 18}};
-    this->View.Demand = {{"large", 100}, {"small", 200}};
+    this->View.Demand = {{"large", {1, 100, 0}}, {"small", {1, 200, 0}}};
     this->group("large", 8);
   }
 
