--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -146,7 +146,13 @@
   void stageMissing(Step &S);
   void stageSpares(Step &S);
   void stageSecond(Step &S);
-  static std::vector<unsigned> bestUseOf(const Step &S, std::size_t Vms);
+  /// A group to load weights for.
+  struct LoadPlan {
+    const ModelSpec *Model = nullptr;
+    std::vector<TargetRef> Members;
+  };
+  static LoadPlan bestLoads(const Step &S, const GroupCounts &Now,
+                            std::vector<TargetRef> Free);
   static std::vector<const Announced *>
   donorsFor(const Step &S, const ModelSpec &Large, std::size_t Free);
   bool takeLoad(Step &S, const VmId &Vm, int AtOnce);
--- a/src/policy/domain_stage.cpp
+++ b/src/policy/domain_stage.cpp
@@ -46,30 +46,39 @@
   return Donors;
 }
 
-/// How many groups of each model \p Vms more make, so that callers lose least.
-std::vector<unsigned> DomainPlanner::bestUseOf(const Step &S, std::size_t Vms) {
-  const std::vector<ModelSpec> &Models = S.Engine.Models;
-  std::vector<unsigned> Best(Models.size(), 0);
-  std::vector<unsigned> Counts = Best;
-  GroupCounts Groups = S.groups();
-  double Least = S.lossOf(Groups);
-  // Counts up through all that fit, as a number with one digit for a model.
-  for (std::size_t Digit = 0; Digit < Models.size();) {
-    ++Counts[Digit];
-    ++Groups[Models[Digit].Name];
-    std::size_t Used = 0;
-    for (std::size_t I = 0; I < Models.size(); ++I)
-      Used += Counts[I] * Models[I].GroupSize;
-    if (Used > Vms) {
-      Groups[Models[Digit].Name] -= Counts[Digit];
-      Counts[Digit++] = 0;
+/// The group of free VMs to load weights for next: of which callers win most
+/// for the time that its loads take together. Its VMs with the weights come
+/// first, then those without any. Empty members where none fits.
+DomainPlanner::LoadPlan DomainPlanner::bestLoads(const Step &S,
+                                                 const GroupCounts &Now,
+                                                 std::vector<TargetRef> Free) {
+  LoadPlan Best;
+  double BestRate = 0;
+  for (const ModelSpec *Model : largestFirst(S.Engine)) {
+    if (Free.size() < Model->GroupSize)
       continue;
-    }
-    Digit = 0;
-    if (double Loss = S.lossOf(Groups); Loss < Least) {
-      Least = Loss;
-      Best = Counts;
-    }
+    auto Rank = [&](const TargetRef &Row) {
+      if (Row->hasStaged(Model->Name) || Row->hasLoaded(Model->Name))
+        return 0;
+      return Row->Staged.empty() && Row->Loaded.empty() ? 1 : 2;
+    };
+    std::stable_sort(Free.begin(), Free.end(),
+                     [&](const TargetRef &Left, const TargetRef &Right) {
+                       return Rank(Left) < Rank(Right);
+                     });
+    auto End = Free.begin() + Model->GroupSize;
+    auto Lacks = std::count_if(
+        Free.begin(), End, [&](const TargetRef &Row) { return Rank(Row) > 0; });
+    GroupCounts After = Now;
+    ++After[Model->Name];
+    double Seconds = std::chrono::duration<double>(Model->LoadTime * Lacks +
+                                                   Model->StagedLoadTime)
+                         .count();
+    double Rate = (S.lossOf(Now) - S.lossOf(After)) / Seconds;
+    if (Rate <= BestRate)
+      continue;
+    BestRate = Rate;
+    Best = {Model, {Free.begin(), End}};
   }
   return Best;
 }
@@ -81,26 +90,17 @@
   if (S.Engine.ModelsStagedPerHost == 0)
     return;
   std::vector<TargetRef> Free = S.freeVms();
-  std::vector<unsigned> Use = bestUseOf(S, Free.size());
-  for (const ModelSpec *Model : largestFirst(S.Engine)) {
-    auto Index = static_cast<std::size_t>(Model - S.Engine.Models.data());
-    std::size_t Members = Use[Index] * Model->GroupSize;
-    // Hosts that have the weights, or nothing to lose, come first.
-    std::stable_sort(Free.begin(), Free.end(),
-                     [&](const TargetRef &Left, const TargetRef &Right) {
-                       auto Rank = [&](const TargetInfo &Row) {
-                         if (Row.hasStaged(Model->Name) ||
-                             Row.hasLoaded(Model->Name))
-                           return 0;
-                         return Row.Staged.empty() ? 1 : 2;
-                       };
-                       return Rank(*Left) < Rank(*Right);
-                     });
-    auto Taken = Free.begin() + static_cast<std::ptrdiff_t>(Members);
-    for (auto At = Free.begin(); At != Taken; ++At)
-      if (!(*At)->hasLoaded(Model->Name))
-        this->stage(S, *At, *Model, MissingStagingsAtOnce);
-    Free.erase(Free.begin(), Taken);
+  GroupCounts Groups = S.groups();
+  while (true) {
+    LoadPlan Plan = bestLoads(S, Groups, Free);
+    if (!Plan.Model)
+      return;
+    ++Groups[Plan.Model->Name];
+    for (const TargetRef &Row : Plan.Members) {
+      std::erase(Free, Row);
+      if (!Row->hasLoaded(Plan.Model->Name))
+        this->stage(S, Row, *Plan.Model, MissingStagingsAtOnce);
+    }
   }
 }
 
--- a/tests/unit/load_turns_test.cpp
+++ b/tests/unit/load_turns_test.cpp
@@ -15,6 +15,7 @@
     ModelSpec Model;
     Model.Name = "m";
     Model.GroupSize = 2;
+    Model.LoadTime = Millis(12000);
     this->Engine.Models = {Model};
     this->Engine.LoadsAtOnce = 2;
   }
@@ -55,6 +56,24 @@
   CHECK(this->turns() == "a1 b1 b2 b3 c1 ");
 }
 
+TEST_CASE_METHOD(TurnFixture,
+                 "load turns: most of a large group rests: its last load goes "
+                 "before two of a small one",
+                 "[unit]") {
+  ModelSpec Large;
+  Large.Name = "large";
+  Large.GroupSize = 4;
+  Large.LoadTime = Millis(16000);
+  this->Engine.Models.push_back(Large);
+  this->add("a1", "a");
+  this->add("a2", "a");
+  this->add("b1", "b");
+  for (const char *Id : {"b2", "b3", "b4"})
+    this->add(Id, "b", "large");
+  this->Engine.LoadsAtOnce = 1;
+  CHECK(this->turns() == "b1 ");
+}
+
 TEST_CASE_METHOD(TurnFixture,
                  "load turns: a VM shows its weights: the next one's turn",
                  "[unit]") {
