--- a/src/control/shared_feed.h
+++ b/src/control/shared_feed.h
@@ -20,12 +20,14 @@
       : Board(Board), Cache(Board.feed(Kind)), Kind(Kind), Store(Open(Board)) {}
 
   absl::StatusOr<KeyedPage> newest() {
-    if (this->Board.Relayed && this->Cache.next()) {
+    TimePoint SentAt = SystemClock{}.now();
+    // Old news would be too old again at once: the store is read, and where its
+    // history is gone, all of it.
+    if (this->Board.Relayed && this->Cache.next() && !this->isOld(SentAt)) {
       KeyedPage Page = this->Cache.whole();
       Page.Relayed = true;
       return Page;
     }
-    TimePoint SentAt = SystemClock{}.now();
     return this->finish(this->Store.newest(), SentAt, Offset());
   }
 
--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -78,8 +78,6 @@
   this->formMissing(S);
   this->stageMissing(S);
   this->stageSpares(S);
-  if (View.LoadsAllowed >= FreeLoads)
-    this->stageSecond(S);
   this->warmReserves(S);
   return std::move(S.Orders);
 }
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -152,7 +152,6 @@
   bool judgeWarmUp(Step &S, const GroupKey &Key, const Announced &Row);
   void stageMissing(Step &S);
   void stageSpares(Step &S);
-  void stageSecond(Step &S);
   /// A group to load weights for.
   struct LoadPlan {
     const ModelSpec *Model = nullptr;
--- a/src/policy/domain_stage.cpp
+++ b/src/policy/domain_stage.cpp
@@ -138,26 +138,6 @@
       this->stage(S, Vm, Large, StagingsAtOnce);
 }
 
-/// Stages a second model on the hosts of open groups. A VM joins a group of the
-/// model that it ran last in 0.2 s, whatever its host holds, so the host is
-/// free to hold another: what survives of a large group makes small ones, and
-/// the VMs of small groups make a large one, without a load of many seconds.
-void DomainPlanner::stageSecond(Step &S) {
-  if (S.Engine.ModelsStagedPerHost == 0 || S.Engine.Models.size() < 2)
-    return;
-  std::vector<const ModelSpec *> Models = largestFirst(S.Engine);
-  for (const auto &[Key, Group] : S.Groups) {
-    const ModelSpec *Model = S.Engine.model(modelOf(Key.Name));
-    if (!Model || !Group.Head || Group.Head->Group->State != MemberState::Open)
-      continue;
-    const ModelSpec &Second =
-        Model == Models.front() ? *Models.back() : *Models.front();
-    for (const auto &[Rank, Vm] : Group.Ranks)
-      if (Vm->hasLoaded(Model->Name))
-        this->stage(S, Vm, Second, StagingsAtOnce);
-  }
-}
-
 /// Whether a load may begin on \p Vm, and counts it: in its turn where it holds
 /// no weights, else within what is left of the budget, and so that \p AtOnce
 /// run in the domain.
--- /dev/null
+++ b/tests/unit/group_load_test.cpp
@@ -0,0 +1,93 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// How loaded the groups of a model are, and what callers lose by it.
+#include "policy/domain_plan.h"
+#include "policy/group_load.h"
+#include "support/times.h"
+
+#include <catch2/catch.hpp>
+
+namespace waycove::test {
+
+/// An engine with a large model and a faster small one.
+struct LoadFixture {
+  LoadFixture() {
+    this->Engine.ReadTokensPerSecond = 40000;
+    this->Engine.StepMillisPerRequest = 0.25;
+    this->Engine.UsualAnswer = 100;
+    ModelSpec Large;
+    Large.Name = "large";
+    Large.GroupSize = 4;
+    Large.WorkShare = 0.67;
+    Large.LoadTime = Millis(16000);
+    Large.StagedLoadTime = Millis(1600);
+    ModelSpec Small = Large;
+    Small.Name = "small";
+    Small.GroupSize = 2;
+    Small.WorkShare = 0.33;
+    Small.TimeFactor = 0.5;
+    this->Engine.Models = {Large, Small};
+    this->Engine.ModelsStagedPerHost = 1;
+    // A second's work for 4 large groups at a load of 0.5, and 2 small ones.
+    this->Demand["large"] = {40, 60000, 2000};
+    this->Demand["small"] = {40, 60000, 2000};
+  }
+  const ModelSpec &large() const { return this->Engine.Models[0]; }
+  const ModelSpec &small() const { return this->Engine.Models[1]; }
+  double loss(double Large, double Small) const {
+    return serviceLoss(this->Engine, this->Demand,
+                       {{"large", Large}, {"small", Small}});
+  }
+  EngineSpec Engine;
+  DemandTable Demand;
+};
+
+TEST_CASE_METHOD(LoadFixture,
+                 "group load: the engine's speed is stated: the busy part of "
+                 "its time",
+                 "[unit]") {
+  CHECK(groupLoad(this->Engine, this->large(), this->Demand["large"], 4) ==
+        Approx(0.5));
+  CHECK(groupLoad(this->Engine, this->small(), this->Demand["small"], 2) ==
+        Approx(0.5));
+}
+
+TEST_CASE_METHOD(LoadFixture,
+                 "group load: the engine's speed is not stated: by the work",
+                 "[unit]") {
+  this->Engine.ReadTokensPerSecond = 0;
+  double One = groupLoad(this->Engine, this->large(), this->Demand["large"], 4);
+  CHECK(One == Approx(2 * groupLoad(this->Engine, this->large(),
+                                    this->Demand["large"], 8)));
+  CHECK(One > groupLoad(this->Engine, this->small(), this->Demand["small"], 4));
+}
+
+TEST_CASE_METHOD(LoadFixture,
+                 "service loss: one model is short: its group is worth more",
+                 "[unit]") {
+  CHECK(this->loss(4, 4) < this->loss(5, 2));
+  CHECK(this->loss(4, 4) < this->loss(3, 6));
+  // A model without any group costs more than a crowded one.
+  CHECK(this->loss(8, 0) > this->loss(7, 1));
+}
+
+TEST_CASE_METHOD(LoadFixture,
+                 "demand: one of ten nodes counted ten seconds' worth: rates "
+                 "over all nodes, with usual answers",
+                 "[unit]") {
+  DemandTable Counted;
+  // Callers say 200 tokens, operators know 100.
+  Counted["large"] = {100, 150000, 20000};
+  DemandTable Rates = demandRates(this->Engine, Counted, 0.1);
+  CHECK(Rates["large"].Requests == Approx(100));
+  CHECK(Rates["large"].AnswerTokens == Approx(10000));
+  CHECK(Rates["small"].PromptTokens > 0);
+  CHECK(Rates["small"].work() < 0.05 * Rates["large"].work());
+  // Too few to go by.
+  Counted["large"].Requests = 3;
+  CHECK(demandRates(this->Engine, Counted, 0.1)["small"].work() > 0);
+}
+
+} // namespace waycove::test
--- a/tests/unit/shared_feed_test.cpp
+++ b/tests/unit/shared_feed_test.cpp
@@ -7,6 +7,7 @@
 #include "control/shared_feed.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 namespace waycove::test {
 
@@ -16,6 +17,7 @@
 struct CountedStore {
   static inline int Newest = 0;
   static inline int Follows = 0;
+  static inline bool HistoryGone = false;
   absl::StatusOr<KeyedPage> newest() {
     ++Newest;
     KeyedPage Page;
@@ -26,6 +28,8 @@
   }
   absl::StatusOr<KeyedPage> follow(Offset From, Millis) {
     ++Follows;
+    if (HistoryGone)
+      return makeError(ErrorKind::NotFound, "the history is gone");
     KeyedPage Page;
     Page.Next = From;
     return Page;
@@ -33,6 +37,7 @@
   static CountedStore open(EntryBoard &) {
     Newest = 0;
     Follows = 0;
+    HistoryGone = false;
     return {};
   }
 };
@@ -75,6 +80,19 @@
   CHECK(CountedStore::Follows + CountedStore::Newest == 0);
 }
 
+TEST_CASE_METHOD(SharedFeedFixture,
+                 "shared feed: the neighbour is silent, the store's history "
+                 "gone: the newest is read, once",
+                 "[unit]") {
+  CountedStore::HistoryGone = true;
+  FeedCursor<SharedFeed<CountedStore>> Cursor(this->Feed);
+  std::this_thread::sleep_for(Millis(400));
+  for (int Reads = 0; Reads < 4; ++Reads)
+    static_cast<void>(Cursor.read(Millis(10)));
+  CHECK(CountedStore::Newest == 1);
+  CHECK(CountedStore::Follows == 0);
+}
+
 TEST_CASE_METHOD(SharedFeedFixture,
                  "shared feed: the neighbour falls silent: the store is read "
                  "before the bound ends",
