--- a/src/edge/answer_wait.cpp
+++ b/src/edge/answer_wait.cpp
@@ -62,7 +62,7 @@
       continue;
     }
     if (!Try.FirstByteSeen && waitOf(Ex.Request, Now) > Ex.Request.Route->Goal)
-      this->Notes.urgentEnded(Ex, Try.To.Target->Id, Now);
+      this->Notes.urgentEnded(Ex, Now);
     if (Now >= Ex.Request.Deadline) {
       Try.Reason = "the deadline passed";
       return AttemptEnd::Stalled;
--- a/src/edge/relay_notes.cpp
+++ b/src/edge/relay_notes.cpp
@@ -54,30 +54,16 @@
                            .add("for_ms", Time));
 }
 
-bool RelayNotes::isFull(const RelayExchange &Ex, const VmId &Target,
-                        TimePoint Now) const {
-  const ServiceSpec *Spec = Ex.Request.Config->service(Ex.Request.Service);
-  return Spec && Spec->Engine && Spec->Engine->Slots > 0 &&
-         this->Board.Vitals.read([&](const VitalsTable &Rows) {
-           return Rows.inFlight(Target, Now) >= Spec->Engine->Slots;
-         });
-}
-
-void RelayNotes::urgentEnded(const RelayExchange &Ex, const VmId &Target,
-                             TimePoint Now) {
+void RelayNotes::urgentEnded(const RelayExchange &Ex, TimePoint Now) {
   if (!std::exchange(Ex.Run.UrgentOpen, false))
     return;
   Millis Waited = waitOf(Ex.Request, Now);
-  bool InTime = Waited <= Ex.Request.Route->Goal;
-  // A target with places left takes all at once, in whatever order.
-  if (!InTime && !this->isFull(Ex, Target, Now))
-    return;
   double Before = 0;
   double After = 0;
   this->Board.Urgent.write([&](UrgentShares &Rows) {
     UrgentShare &Row = Rows[Ex.Request.Facts.Model];
     Before = Row.part();
-    Row.note(InTime);
+    Row.note(Waited <= Ex.Request.Route->Goal);
     After = Row.part();
   });
   // One line a quarter, so the volume is bounded.
--- a/src/edge/relay_notes.h
+++ b/src/edge/relay_notes.h
@@ -23,7 +23,7 @@
   /// The request ended with the answer of \p To, or because the caller left.
   /// Notes once whether an urgent request kept its objective: its first byte
   /// came, or it waits beyond it.
-  void urgentEnded(const RelayExchange &Ex, const VmId &Target, TimePoint Now);
+  void urgentEnded(const RelayExchange &Ex, TimePoint Now);
   void done(const RelayExchange &Ex, const Serving &To, AttemptEnd End);
   /// The request ended with a target's own failure.
   void failed(const RelayExchange &Ex, const std::string &Reason);
@@ -32,9 +32,6 @@
   void refused(const RelayExchange &Ex, const absl::Status &Why);
 
 private:
-  /// Whether all places of the target are taken, so that requests wait there.
-  bool isFull(const RelayExchange &Ex, const VmId &Target, TimePoint Now) const;
-
   EntryBoard &Board;
 };
 
--- a/src/policy/vitals.cpp
+++ b/src/policy/vitals.cpp
@@ -148,11 +148,6 @@
   return At == this->Elsewhere.end() ? nullptr : &At->second;
 }
 
-unsigned VitalsTable::inFlight(const VmId &Target, TimePoint Now) const {
-  const TargetLoad *There = this->elsewhere(Target, Now);
-  return this->of(Target).InFlight + (There ? There->InFlight : 0);
-}
-
 bool VitalsTable::standsStill(const VmId &Target, TimePoint Now) const {
   const TargetVitals &Here = this->of(Target);
   const TargetLoad *There = this->elsewhere(Target, Now);
--- a/src/policy/vitals.h
+++ b/src/policy/vitals.h
@@ -68,8 +68,6 @@
   LoadRows loads(TimePoint Now) const;
   /// What all other nodes see, as told at \p Now.
   void takeNews(LoadRows Others, TimePoint Now);
-  /// Requests of all nodes that run or wait at the target.
-  unsigned inFlight(const VmId &Target, TimePoint Now) const;
   /// Whether other nodes told lately what they see.
   bool hasNews(TimePoint Now) const;
   /// What other nodes see of the target; null where nothing new is known.
