--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -162,9 +162,6 @@
        "A group is given up; the fields say why."},
       {TargetSuspected, Warning, "target_suspected",
        "A target gets no new work for a while; the fields say why."},
-      {UrgentShareChanged, Info, "urgent_share_changed",
-       "Another part of a model's requests goes first at its targets; the rest "
-       "goes behind, so that the first are in time."},
   };
   return Rows;
 }
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -62,7 +62,6 @@
   DomainOrderEnded = 312,
   DomainReleased = 313,
   TargetSuspected = 314,
-  UrgentShareChanged = 315,
   ReaderChosen = 402,
   ReaderLost = 403,
   FeedReadAlone = 404,
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -14,7 +14,6 @@
 #include "policy/lease.h"
 #include "policy/node_rank.h"
 #include "policy/spend.h"
-#include "policy/urgent_share.h"
 
 #include <array>
 
@@ -44,8 +43,6 @@
   Table<Fleet, LockRank::Vms> Targets;
   Table<ServingViewRef, LockRank::Views> Serving;
   Table<SpendTable, LockRank::Once> Spend;
-  /// Which part of the requests goes first, by model.
-  Table<UrgentShares, LockRank::Tail> Urgent;
   /// What callers asked of each model at this node; older requests count for
   /// less.
   Table<DemandTable, LockRank::Tail> Demand;
--- a/src/edge/answer_pass.h
+++ b/src/edge/answer_pass.h
@@ -221,7 +221,6 @@
                          static_cast<double>(Ex.Request.Facts.PromptTokens),
                          Now);
     });
-    this->Notes.urgentEnded(Ex, Now);
     this->Board.Counters.observe(Timer::FirstToken, Now - Ex.Request.Arrived);
   }
 
--- a/src/edge/answer_wait.cpp
+++ b/src/edge/answer_wait.cpp
@@ -61,8 +61,6 @@
       Try.WatchCaller = false;
       continue;
     }
-    if (!Try.FirstByteSeen && waitOf(Ex.Request, Now) > Ex.Request.Route->Goal)
-      this->Notes.urgentEnded(Ex, Now);
     if (Now >= Ex.Request.Deadline) {
       Try.Reason = "the deadline passed";
       return AttemptEnd::Stalled;
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -38,7 +38,6 @@
             : admitRequest(this->Board, Request, SystemClock{}.now());
     if (Admitted.ok()) {
       this->Choice.noteRequest(Request);
-      this->Choice.rank(Request, Run);
       this->run({Caller, Request, Run, Answer});
     } else {
       this->refuse({Caller, Request, Run, Answer}, Admitted);
@@ -139,12 +138,13 @@
   static std::string sendBytes(const RelayExchange &Ex,
                                const RelayAttempt &Try) {
     const RelayRequest &Request = Ex.Request;
+    Millis Waited =
+        waitedBefore(*Request.Route, Request.Facts.Deadline) +
+        std::chrono::duration_cast<Millis>(Try.SentAt - Request.Arrived);
     SendFacts Facts{
         Try.To.Target->Id, Request.Workspace,
         std::chrono::duration_cast<Millis>(Request.Deadline - Try.SentAt),
-        urgencyOf(*Request.Route, Request.Owner, waitOf(Request, Try.SentAt),
-                  Ex.Run.Deferred),
-        Ex.Run.LastEvent};
+        urgencyOf(*Request.Route, Request.Owner, Waited), Ex.Run.LastEvent};
     Poco::Net::HTTPRequest Head = Protocol::makeSend(Request.Head, Facts);
     if (!Request.Body.empty() || Request.Head.hasContentLength() ||
         Request.Head.getChunkedTransferEncoding())
--- a/src/edge/relay_choice.cpp
+++ b/src/edge/relay_choice.cpp
@@ -4,8 +4,6 @@
 
 #include "edge/relay_choice.h"
 
-#include "policy/urgency.h"
-
 namespace waycove {
 
 namespace {
@@ -33,19 +31,6 @@
   });
 }
 
-void RelayChoice::rank(const RelayRequest &Request, RelayRun &Run) {
-  // A stream that goes on has no first event to be late.
-  if (Request.Facts.Model.empty() || Request.Facts.LastEvent)
-    return;
-  bool First = this->Board.Urgent.read([&](const UrgentShares &Rows) {
-    auto At = Rows.find(Request.Facts.Model);
-    return At == Rows.end() || At->second.takes(Request.Random);
-  });
-  Run.Deferred = !First;
-  Run.UrgentOpen =
-      First && !isLate(*Request.Route, waitOf(Request, Request.Arrived));
-}
-
 std::optional<Serving> RelayChoice::choose(const RelayRequest &Request,
                                            const RelayRun &Run, TimePoint Now) {
   ServingViewRef View =
--- a/src/edge/relay_choice.h
+++ b/src/edge/relay_choice.h
@@ -17,8 +17,6 @@
 
   /// Counts a request that was admitted, for demand and second sends.
   void noteRequest(const RelayRequest &Request);
-  /// Decides whether the request goes first at its targets.
-  void rank(const RelayRequest &Request, RelayRun &Run);
   /// The best target that the request was not sent to yet.
   std::optional<Serving> choose(const RelayRequest &Request,
                                 const RelayRun &Run, TimePoint Now);
--- a/src/edge/relay_notes.cpp
+++ b/src/edge/relay_notes.cpp
@@ -4,18 +4,10 @@
 
 #include "edge/relay_notes.h"
 
-#include <cmath>
-#include <utility>
-
 namespace waycove {
 
 namespace {
 
-/// A change of the urgent share is logged where it passes one of these parts.
-constexpr double ShareSteps = 4;
-
-int asPercent(double Part) { return static_cast<int>(std::lround(100 * Part)); }
-
 /// The fields that every line about a request has.
 LogFields fieldsOf(const RelayExchange &Ex) {
   LogFields Fields;
@@ -30,7 +22,6 @@
         .add("model", Ex.Request.Facts.Model)
         .add("workspace", Ex.Request.Workspace.Text);
   return Fields.add("sends", Ex.Run.Sent)
-      .add("deferred", Ex.Run.Deferred)
       .add("may_have_run", Ex.Run.MayHaveRun);
 }
 
@@ -54,28 +45,6 @@
                            .add("for_ms", Time));
 }
 
-void RelayNotes::urgentEnded(const RelayExchange &Ex, TimePoint Now) {
-  if (!std::exchange(Ex.Run.UrgentOpen, false))
-    return;
-  Millis Waited = waitOf(Ex.Request, Now);
-  double Before = 0;
-  double After = 0;
-  this->Board.Urgent.write([&](UrgentShares &Rows) {
-    UrgentShare &Row = Rows[Ex.Request.Facts.Model];
-    Before = Row.part();
-    Row.note(Waited <= Ex.Request.Route->Goal);
-    After = Row.part();
-  });
-  // One line a quarter, so the volume is bounded.
-  if (std::floor(Before * ShareSteps) != std::floor(After * ShareSteps))
-    this->Board.Log.emit(EventCode::UrgentShareChanged, Ex.Request.Facts.Model,
-                         LogFields()
-                             .add("request", Ex.Request.Facts.Id.Text)
-                             .add("waited_ms", Waited)
-                             .add("before_percent", asPercent(Before))
-                             .add("percent", asPercent(After)));
-}
-
 void RelayNotes::attemptEnded(const RelayExchange &Ex,
                               const RelayAttempt &Try) {
   std::uint64_t View = this->Board.Serving.read(
--- a/src/edge/relay_notes.h
+++ b/src/edge/relay_notes.h
@@ -21,9 +21,6 @@
   /// A send ended without a whole answer.
   void attemptEnded(const RelayExchange &Ex, const RelayAttempt &Try);
   /// The request ended with the answer of \p To, or because the caller left.
-  /// Notes once whether an urgent request kept its objective: its first byte
-  /// came, or it waits beyond it.
-  void urgentEnded(const RelayExchange &Ex, TimePoint Now);
   void done(const RelayExchange &Ex, const Serving &To, AttemptEnd End);
   /// The request ended with a target's own failure.
   void failed(const RelayExchange &Ex, const std::string &Reason);
--- a/src/edge/relay_request.cpp
+++ b/src/edge/relay_request.cpp
@@ -4,8 +4,6 @@
 
 #include "edge/relay_request.h"
 
-#include "policy/urgency.h"
-
 #include <algorithm>
 
 namespace waycove {
@@ -55,11 +53,6 @@
   return absl::OkStatus();
 }
 
-Millis waitOf(const RelayRequest &Request, TimePoint Now) {
-  return waitedBefore(*Request.Route, Request.Facts.Deadline) +
-         std::chrono::duration_cast<Millis>(Now - Request.Arrived);
-}
-
 Millis comeBackAfter(const RelayRequest &Request) {
   Millis Most =
       std::chrono::duration_cast<Millis>(Request.Deadline - Request.Arrived) /
--- a/src/edge/relay_request.h
+++ b/src/edge/relay_request.h
@@ -44,10 +44,6 @@
   std::optional<std::uint64_t> LastEvent;
   /// From the request's arrival to the first byte of an answer.
   std::optional<Millis> FirstByte;
-  /// It goes behind others at its targets, so that these are in time.
-  bool Deferred = false;
-  /// It goes first, and whether it kept its objective is not known yet.
-  bool UrgentOpen = false;
   /// A target's own failure, to be given where no other target does better.
   std::optional<Poco::Net::HTTPResponse> Failure;
   std::string FailureBody;
@@ -61,10 +57,6 @@
 absl::Status admitRequest(const EntryBoard &Board, RelayRequest &Request,
                           TimePoint Now);
 
-/// How long the caller has waited at \p Now, since its first try as far as that
-/// can be told.
-Millis waitOf(const RelayRequest &Request, TimePoint Now);
-
 /// When a caller that was refused should come back.
 Millis comeBackAfter(const RelayRequest &Request);
 
--- a/src/policy/urgency.cpp
+++ b/src/policy/urgency.cpp
@@ -21,14 +21,10 @@
   return std::max(Millis(0), Route.Timeout - *TimeLeft);
 }
 
-bool isLate(const HttpRoute &Route, Millis Waited) {
-  return Route.Goal.count() > 0 && Waited + LeastServing > Route.Goal;
-}
-
-unsigned urgencyOf(const HttpRoute &Route, const KeyOwner *Owner, Millis Waited,
-                   bool Deferred) {
+unsigned urgencyOf(const HttpRoute &Route, const KeyOwner *Owner,
+                   Millis Waited) {
   unsigned Rank = Owner && Owner->Priority ? *Owner->Priority : Route.Priority;
-  bool Late = Deferred || isLate(Route, Waited);
+  bool Late = Route.Goal.count() > 0 && Waited + LeastServing > Route.Goal;
   return std::min(2 * Rank + (Late ? 1U : 0U), LeastUrgent);
 }
 
--- a/src/policy/urgency.h
+++ b/src/policy/urgency.h
@@ -16,16 +16,11 @@
 /// they come back. Zero where callers have less time than the route anyway.
 Millis waitedBefore(const HttpRoute &Route, std::optional<Millis> TimeLeft);
 
-/// Whether a request that has waited so long misses its route's objective
-/// whatever happens.
-bool isLate(const HttpRoute &Route, Millis Waited);
-
 /// How urgent a send is to a target, from 0, which goes first, to
 /// LeastUrgent. The operators' rank decides; of the same rank, requests that
 /// can still be in time go before those that are late whatever happens, since
-/// serving these first makes the others late too; a \p Deferred one goes with
-/// the late ones.
-unsigned urgencyOf(const HttpRoute &Route, const KeyOwner *Owner, Millis Waited,
-                   bool Deferred = false);
+/// serving these first makes the others late too.
+unsigned urgencyOf(const HttpRoute &Route, const KeyOwner *Owner,
+                   Millis Waited);
 
 } // namespace waycove
--- a/tests/unit/urgency_test.cpp
+++ b/tests/unit/urgency_test.cpp
@@ -5,7 +5,6 @@
 // Which request goes first at a target, and what the platform's headers say.
 #include "platform/callers.h"
 #include "policy/urgency.h"
-#include "policy/urgent_share.h"
 
 #include <catch2/catch.hpp>
 
@@ -54,46 +53,6 @@
   CHECK(waitedBefore(this->Route, std::nullopt) == Millis(0));
 }
 
-TEST_CASE_METHOD(
-    UrgencyFixture,
-    "urgency: one is deferred: behind those that are to be in time", "[unit]") {
-  CHECK(urgencyOf(this->Route, nullptr, Millis(0), true) ==
-        urgencyOf(this->Route, nullptr, Millis(900)));
-}
-
-TEST_CASE("urgent share: too few groups: it shrinks until those first are in "
-          "time",
-          "[unit]") {
-  // Targets that keep the objective of six requests in ten.
-  UrgentShare Share;
-  std::uint64_t Random = 1;
-  int First = 0;
-  int Missed = 0;
-  for (int I = 0; I < 4000; ++I) {
-    Random = mixHash(Random, 7);
-    if (!Share.takes(Random))
-      continue;
-    bool InTime = Share.part() <= 0.6;
-    Share.note(InTime);
-    First += I >= 1000 ? 1 : 0;
-    Missed += I >= 1000 && !InTime ? 1 : 0;
-  }
-  CHECK(First > 1400);
-  CHECK(First < 2100);
-  CHECK(Missed < First / 7);
-}
-
-TEST_CASE("urgent share: capacity is back: all go first again", "[unit]") {
-  UrgentShare Share;
-  for (int I = 0; I < 50; ++I)
-    Share.note(false);
-  CHECK(Share.part() < 0.3);
-  for (int I = 0; I < 100; ++I)
-    Share.note(true);
-  CHECK(Share.takes(12345));
-  CHECK(Share.part() == 1);
-}
-
 TEST_CASE("platform headers: a request: both token counts are read", "[unit]") {
   Poco::Net::HTTPRequest Asked;
   Asked.set("X-Token-Count", "1460,80");
