--- a/src/policy/domain_form.cpp
+++ b/src/policy/domain_form.cpp
@@ -17,12 +17,6 @@
 /// another group, has to save at least this part of what callers lose: the VMs
 /// lose weights that take many seconds to load again.
 constexpr double LeastGain = 0.15;
-/// A group is not given up for a larger model where those that stay of its own
-/// would be loaded above this. What is short may be so for a moment, while
-/// groups form anew, and the weights given up are gone for longer: a day with
-/// a quarter of 48 VMs unseen for 9 s went on with 3 small groups, at a load of
-/// 0.76, and 7 large ones.
-constexpr double MostLoadLeft = 0.6;
 
 /// 0 is best: the VM ran the model last, then its host has the weights.
 int loadRank(const TargetInfo &Row, const std::string &Model) {
@@ -181,8 +175,6 @@
     GroupCounts After = Now;
     ++After[Model.Name];
     --After[Other->Name];
-    if (S.loadWith(*Other, After) > MostLoadLeft)
-      continue;
     if (State == MemberState::Open && !Best &&
         S.lossOf(After) < (1 - LeastGain) * Least)
       Best = &Entry;
--- a/src/policy/domain_step.cpp
+++ b/src/policy/domain_step.cpp
@@ -59,19 +59,6 @@
   return Loss;
 }
 
-double DomainPlanner::Step::loadWith(const ModelSpec &Model,
-                                     const GroupCounts &Own) const {
-  auto Asked = this->Demand.find(Model.Name);
-  if (!statesSpeed(this->Engine) || Asked == this->Demand.end())
-    return 0;
-  auto CountIn = [&](const GroupCounts &Counts) {
-    auto At = Counts.find(Model.Name);
-    return At == Counts.end() ? 0.0 : At->second;
-  };
-  return groupLoad(this->Engine, Model, Asked->second,
-                   CountIn(this->View.Elsewhere) + CountIn(Own));
-}
-
 bool DomainPlanner::Step::anyServes() const {
   return std::any_of(this->Engine.Models.begin(), this->Engine.Models.end(),
                      [&](const ModelSpec &Model) {
--- a/src/policy/domain_step.h
+++ b/src/policy/domain_step.h
@@ -33,9 +33,6 @@
   /// says with those of all domains, and for models without any group in this
   /// data centre, which may be cut off and has to serve its callers alone then.
   double lossOf(const GroupCounts &Own) const;
-  /// How loaded the groups of \p Model are with these; 0 where operators do not
-  /// state how fast one is.
-  double loadWith(const ModelSpec &Model, const GroupCounts &Own) const;
   /// Whether any model is served anywhere.
   bool anyServes() const;
   bool isUsable(const TargetInfo &Row) const;
--- a/src/policy/group_load.cpp
+++ b/src/policy/group_load.cpp
@@ -26,12 +26,12 @@
 /// What a model that nobody asks for keeps of its expected part.
 constexpr double UnaskedPart = 0.03;
 
-} // namespace
-
 bool statesSpeed(const EngineSpec &Engine) {
   return Engine.ReadTokensPerSecond > 0 && Engine.StepMillisPerRequest > 0;
 }
 
+} // namespace
+
 double groupLoad(const EngineSpec &Engine, const ModelSpec &Model,
                  const ModelDemand &Demand, double Groups) {
   double Count = std::max(Groups, NoGroup);
--- a/src/policy/group_load.h
+++ b/src/policy/group_load.h
@@ -48,9 +48,6 @@
 /// Groups by model; a fraction where a group is not certain.
 using GroupCounts = std::map<std::string, double>;
 
-/// Whether operators state how fast a group is.
-bool statesSpeed(const EngineSpec &Engine);
-
 /// How loaded each of \p Groups groups of \p Model is when they share \p
 /// Demand: 1 where the scarcest of its means is used up, which are the time for
 /// steps and prompts, the places for requests, and the tokens of prompts that
--- a/tests/unit/group_load_test.cpp
+++ b/tests/unit/group_load_test.cpp
@@ -7,7 +7,6 @@
 #include "policy/group_load.h"
 #include "support/times.h"
 
-#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace waycove::test {
@@ -124,38 +123,4 @@
   CHECK(Formed() == "small");
 }
 
-TEST_CASE_METHOD(LoadFixture,
-                 "planner: a large group lost a member: a small one is closed "
-                 "for it only while the small ones left are not crowded",
-                 "[unit]") {
-  DomainView View;
-  View.Domain = DomainId("d");
-  View.Demand = this->Demand;
-  View.LoadsAllowed = 20;
-  auto Add = [&](const std::string &Id, std::optional<Membership> Group) {
-    auto Row = std::make_shared<TargetInfo>();
-    Row->Id = VmId(Id);
-    Row->Staged = {"large"};
-    Row->Group = std::move(Group);
-    View.Targets.push_back(Row);
-  };
-  for (const char *Id : {"a", "b", "c"})
-    Add(Id, std::nullopt);
-  GroupKey Small{groupName("small", DomainId("d"), 7), 7};
-  Add("s0", Membership{Small, 0, MemberState::Open});
-  Add("s1", Membership{Small, 1, MemberState::Ready});
-  auto Closes = [&](double SmallElsewhere) {
-    View.Serving = {{"large", 3}, {"small", 4}};
-    View.Elsewhere = {{"large", 3}, {"small", SmallElsewhere}};
-    DomainPlanner Planner;
-    View.Now = at(0);
-    std::vector<GroupOrder> Orders = Planner.step(View, this->Engine);
-    return std::any_of(Orders.begin(), Orders.end(), [](const GroupOrder &Row) {
-      return Row.Kind == OrderKind::Close;
-    });
-  };
-  CHECK(Closes(3));
-  CHECK_FALSE(Closes(1));
-}
-
 } // namespace waycove::test
