Let owners foresee each other

Cause: with a quarter of 48 VMs unseen for 9 s, four owners closed small groups for large ones at the same time; 3 small and 7 large ones were left for 20 s. Each owner now counts what other domains will make of their VMs, loose ones too, and takes it that the domains before its own trade as it would.

--- a/src/control/domain_views.cpp
+++ b/src/control/domain_views.cpp
@@ -4,6 +4,7 @@
 
 #include "control/domain_views.h"
 
+#include "policy/domain_outlook.h"
 #include "policy/load_turns.h"
 
 #include <algorithm>
@@ -21,53 +22,27 @@
          Mine.Parts.end();
 }
 
-/// Groups that serve or form, by domain and model: all members are listed, none
-/// drains, and the head neither closes nor is broken.
-std::map<DomainId, GroupCounts> formedGroups(const std::vector<TargetRef> &Rows,
-                                             const EngineSpec &Engine) {
-  struct Seen {
-    DomainId Domain;
-    unsigned Members = 0;
-    bool Ends = false;
-  };
-  std::map<GroupKey, Seen> Groups;
-  for (const TargetRef &Row : Rows) {
-    if (!Row->Group)
-      continue;
-    Seen &Into = Groups[Row->Group->Group];
-    Into.Domain = Row->Domain;
-    ++Into.Members;
-    Into.Ends = Into.Ends || Row->Draining ||
-                Row->Group->State == MemberState::Closing ||
-                Row->Group->State == MemberState::Broken;
-  }
-  std::map<DomainId, GroupCounts> Counts;
-  for (const auto &[Key, Row] : Groups)
-    if (const ModelSpec *Model = Engine.model(modelOf(Key.Name));
-        Model && !Row.Ends && Row.Members >= Model->GroupSize)
-      ++Counts[Row.Domain][Model->Name];
-  return Counts;
+void addTo(GroupCounts &Into, const GroupCounts &Counts) {
+  for (const auto &[Model, Count] : Counts)
+    Into[Model] += Count;
 }
 
 /// Tells \p View of the groups of all other domains of its service.
-void countElsewhere(const std::vector<TargetRef> &Rows,
-                    const EngineSpec &Engine, DomainView &View) {
-  std::map<DomainId, DataCentreId> Centres;
-  std::set<DataCentreId> All;
-  for (const TargetRef &Row : Rows) {
-    Centres[Row->Domain] = Row->DataCentre;
-    All.insert(Row->DataCentre);
-  }
-  View.Centres = All.size();
-  for (const auto &[Domain, Models] : formedGroups(Rows, Engine)) {
+void countElsewhere(const std::map<DomainId, DomainOutlook> &Outlooks,
+                    DomainView &View) {
+  std::set<DataCentreId> Centres;
+  const DataCentreId &Here = Outlooks.at(View.Domain).Centre;
+  for (const auto &[Domain, Row] : Outlooks) {
+    Centres.insert(Row.Centre);
     if (Domain == View.Domain)
       continue;
-    bool Near = Centres[Domain] == Centres[View.Domain];
-    for (const auto &[Model, Count] : Models) {
-      View.Elsewhere[Model] += Count;
-      View.ElsewhereInCentre[Model] += Near ? Count : 0;
-    }
+    addTo(View.Elsewhere, Row.Groups);
+    if (Row.Centre == Here)
+      addTo(View.ElsewhereInCentre, Row.Groups);
+    if (Domain < View.Domain)
+      addTo(View.TradesBefore, Row.Trade);
   }
+  View.Centres = Centres.size();
 }
 
 } // namespace
@@ -109,7 +84,7 @@
         std::distance(Order.begin(), Order.find(Domain)));
     const EngineSpec &Engine = *Config.service(View.Service)->Engine;
     View.LoadTurns = loadTurns(All[View.Service], Engine);
-    countElsewhere(All[View.Service], Engine, View);
+    countElsewhere(domainOutlooks(All[View.Service], Engine), View);
   }
   return Views;
 }
--- a/src/policy/domain_form.cpp
+++ b/src/policy/domain_form.cpp
@@ -74,6 +74,7 @@
 const ModelSpec *DomainPlanner::bestNext(Step &S) {
   std::vector<TargetRef> Free = S.freeVms();
   GroupCounts Now = S.own();
+  GroupCounts BestCounts = Now;
   double Before = S.lossOf(Now);
   double Least = Before;
   const ModelSpec *Best = nullptr;
@@ -90,9 +91,10 @@
       continue;
     Least = Loss;
     Best = Model;
+    BestCounts = std::move(After);
   }
   for (const ModelSpec *Model : largestFirst(S.Engine))
-    if (this->giveUpSmaller(S, *Model, Now, Least))
+    if (this->giveUpSmaller(S, *Model, BestCounts))
       return nullptr;
   return Best;
 }
@@ -150,9 +152,10 @@
 
 /// Closes a group of a smaller model whose VMs make, with warm ones that are
 /// free, a group of \p Model without loading weights, if callers lose less then
-/// than \p Least, by far. True where one is closed, or still closing.
+/// than with the groups \p Else, by far. True where one is closed, or still
+/// closing.
 bool DomainPlanner::giveUpSmaller(Step &S, const ModelSpec &Model,
-                                  const GroupCounts &Now, double Least) {
+                                  const GroupCounts &Else) {
   std::size_t Warm = countWarm(S.freeVms(), Model);
   if (Warm >= Model.GroupSize)
     return false;
@@ -172,11 +175,11 @@
     MemberState State = Row.Head->Group->State;
     if (State == MemberState::Closing && this->GivenUp.contains(Key))
       return true;
-    GroupCounts After = Now;
+    GroupCounts After = S.own();
     ++After[Model.Name];
     --After[Other->Name];
     if (State == MemberState::Open && !Best &&
-        S.lossOf(After) < (1 - LeastGain) * Least)
+        S.lossAfterTrades(After) < (1 - LeastGain) * S.lossAfterTrades(Else))
       Best = &Entry;
   }
   if (!Best)
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -60,10 +60,12 @@
   std::map<VmId, MemberFate> Fates;
   /// Groups that serve now, by model, over all domains.
   std::map<std::string, unsigned> Serving;
-  /// Groups of the other domains that serve or form, by model. Those that form
-  /// count, since owners decide at the same time: each would close a small
-  /// group to make the same large one.
+  /// Groups of the other domains, by model, as domainOutlooks() says.
   GroupCounts Elsewhere;
+  /// How these change where the domains before this one close small groups for
+  /// large ones. Each owner takes it that those before it do, so that not all
+  /// of them make up for the same lack.
+  GroupCounts TradesBefore;
   /// Of these, the ones in this domain's data centre, and how many data centres
   /// have VMs of the service.
   GroupCounts ElsewhereInCentre;
@@ -150,8 +152,7 @@
   void orderJoins(Step &S, const ModelSpec &Model,
                   const std::vector<TargetRef> &Members, unsigned Cold);
   const ModelSpec *bestNext(Step &S);
-  bool giveUpSmaller(Step &S, const ModelSpec &Model, const GroupCounts &Now,
-                     double Least);
+  bool giveUpSmaller(Step &S, const ModelSpec &Model, const GroupCounts &Else);
   void warmReserves(Step &S);
   bool judgeWarmUp(Step &S, const GroupKey &Key, const Announced &Row);
   void stageMissing(Step &S);
--- a/src/policy/domain_step.cpp
+++ b/src/policy/domain_step.cpp
@@ -43,7 +43,19 @@
 }
 
 double DomainPlanner::Step::lossOf(const GroupCounts &Own) const {
-  GroupCounts All = this->View.Elsewhere;
+  return this->lossWith(this->View.Elsewhere, Own);
+}
+
+double DomainPlanner::Step::lossAfterTrades(const GroupCounts &Own) const {
+  GroupCounts Elsewhere = this->View.Elsewhere;
+  for (const auto &[Model, Change] : this->View.TradesBefore)
+    Elsewhere[Model] = std::max(0.0, Elsewhere[Model] + Change);
+  return this->lossWith(Elsewhere, Own);
+}
+
+double DomainPlanner::Step::lossWith(const GroupCounts &Elsewhere,
+                                     const GroupCounts &Own) const {
+  GroupCounts All = Elsewhere;
   GroupCounts Centre = this->View.ElsewhereInCentre;
   for (const auto &[Model, Count] : Own) {
     All[Model] += Count;
--- a/src/policy/domain_step.h
+++ b/src/policy/domain_step.h
@@ -33,6 +33,8 @@
   /// says with those of all domains, and for models without any group in this
   /// data centre, which may be cut off and has to serve its callers alone then.
   double lossOf(const GroupCounts &Own) const;
+  /// The same where the domains before this one trade groups.
+  double lossAfterTrades(const GroupCounts &Own) const;
   /// Whether any model is served anywhere.
   bool anyServes() const;
   bool isUsable(const TargetInfo &Row) const;
@@ -46,6 +48,7 @@
   /// nothing serves the model, its first group may go beyond it.
   bool takeLoads(const ModelSpec &Model, unsigned Cold);
   std::vector<TargetRef> freeVms() const;
+  double lossWith(const GroupCounts &Elsewhere, const GroupCounts &Own) const;
   /// Keeps the group's members from being taken in this step.
   void hold(const Announced &Row);
 };
