--- a/src/control/domain_views.cpp
+++ b/src/control/domain_views.cpp
@@ -31,7 +31,10 @@
 void countElsewhere(const std::map<DomainId, DomainOutlook> &Outlooks,
                     DomainView &View) {
   std::set<DataCentreId> Centres;
-  const DataCentreId &Here = Outlooks.at(View.Domain).Centre;
+  // A domain of which no VM is listed any more has no outlook.
+  auto Own = Outlooks.find(View.Domain);
+  DataCentreId Here =
+      Own == Outlooks.end() ? DataCentreId() : Own->second.Centre;
   for (const auto &[Domain, Row] : Outlooks) {
     Centres.insert(Row.Centre);
     if (Domain == View.Domain)
--- /dev/null
+++ b/tests/unit/domain_views_test.cpp
@@ -0,0 +1,105 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// What an owner is shown of its domains and of the others.
+#include "control/domain_views.h"
+#include "policy/domain_outlook.h"
+#include "support/times.h"
+
+#include <catch2/catch.hpp>
+
+namespace waycove::test {
+
+/// A service with a large and a small model, owned whole by this node.
+struct ViewsFixture {
+  ViewsFixture() : Board(entrySettings(), IncarnationId("i")) {
+    ServiceSpec Spec;
+    Spec.Id = ServiceId("llm");
+    Spec.Engine.emplace();
+    for (auto [Name, Size] : {std::pair{"large", 4U}, std::pair{"small", 2U}}) {
+      ModelSpec Model;
+      Model.Name = Name;
+      Model.GroupSize = Size;
+      Spec.Engine->Models.push_back(Model);
+    }
+    this->Config.Services[Spec.Id] = Spec;
+    for (std::uint64_t Part = 0; Part < this->Board.Config.Entry->WorkParts;
+         ++Part)
+      this->Mine.Parts.push_back(Part);
+  }
+  static Settings entrySettings() {
+    Settings Given;
+    Given.Entry.emplace();
+    return Given;
+  }
+  std::shared_ptr<TargetInfo> vm(const std::string &Domain,
+                                 const std::string &Staged = "large") {
+    auto Row = std::make_shared<TargetInfo>();
+    Row->Id = VmId("vm" + std::to_string(++this->Vms));
+    Row->Service = ServiceId("llm");
+    Row->Domain = DomainId(Domain);
+    Row->DataCentre = DataCentreId("c");
+    Row->Staged = {Staged};
+    return Row;
+  }
+  void list(const TargetRef &Row) {
+    this->Board.Targets.write(
+        [&](Fleet &Rows) { Rows.Targets[Row->Id] = Row; });
+  }
+  /// \p Size members, of which \p Lost went.
+  void group(const std::string &Domain, const std::string &Model, unsigned Size,
+             unsigned Lost = 0) {
+    GroupKey Key{groupName(Model, DomainId(Domain), 7), 7};
+    for (unsigned Rank = Lost; Rank < Size; ++Rank) {
+      auto Row = this->vm(Domain);
+      Row->Group = Membership{
+          Key, Rank, Rank == 0 ? MemberState::Open : MemberState::Ready};
+      this->list(Row);
+    }
+  }
+  std::map<DomainId, DomainView> views() {
+    return ownedDomains(this->Board, this->Config, this->Mine, at(0));
+  }
+  EntryBoard Board;
+  RoutingConfig Config;
+  WorkShare Mine;
+  int Vms = 0;
+};
+
+TEST_CASE_METHOD(ViewsFixture,
+                 "domain views: all VMs of a domain went: it is still shown",
+                 "[unit]") {
+  this->group("b", "large", 4);
+  this->Board.Targets.write([&](Fleet &Rows) {
+    TargetRef Row = this->vm("a");
+    Rows.Gone[Row->Id] = {Row, at(0)};
+  });
+  std::map<DomainId, DomainView> Views = this->views();
+  REQUIRE(Views.size() == 2);
+  CHECK(Views.at(DomainId("a")).Elsewhere.at("large") == 1);
+  CHECK(Views.at(DomainId("b")).Elsewhere.empty());
+}
+
+TEST_CASE_METHOD(ViewsFixture,
+                 "domain views: other domains lost members: what they make of "
+                 "the rest is counted, and what those before do",
+                 "[unit]") {
+  // Three are left of four, beside a small group whose hosts help.
+  for (const char *Domain : {"a", "b", "c"}) {
+    this->group(Domain, "large", 4, 1);
+    this->group(Domain, "small", 2);
+  }
+  // Enough loose ones for a large group.
+  for (int I = 0; I < 4; ++I)
+    this->list(this->vm("d"));
+  std::map<DomainId, DomainView> Views = this->views();
+  DomainView &Last = Views.at(DomainId("c"));
+  CHECK(Last.Elsewhere.at("large") == 1);
+  CHECK(Last.Elsewhere.at("small") == 2);
+  CHECK(Last.TradesBefore.at("large") == 2);
+  CHECK(Last.TradesBefore.at("small") == -2);
+  CHECK(Views.at(DomainId("a")).TradesBefore.empty());
+}
+
+} // namespace waycove::test
