--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -62,14 +62,14 @@
   std::map<std::string, unsigned> Serving;
   /// Groups of the other domains, by model, as domainOutlooks() says.
   GroupCounts Elsewhere;
-  /// How these change where the domains before this one close small groups for
-  /// large ones. Each owner takes it that those before it do, so that not all
-  /// of them make up for the same lack.
-  GroupCounts TradesBefore;
   /// Of these, the ones in this domain's data centre, and how many data centres
   /// have VMs of the service.
   GroupCounts ElsewhereInCentre;
   std::size_t Centres = 1;
+  /// How Elsewhere changes where the domains before this one close small groups
+  /// for large ones. Each owner takes it that those before it do, so that not
+  /// all of them make up for the same lack.
+  GroupCounts TradesBefore;
   /// Listed targets that do not answer while their group's head stands still:
   /// taken for dead, ahead of the registry.
   std::set<VmId> Lost;
--- a/src/policy/group_load.h
+++ b/src/policy/group_load.h
@@ -48,12 +48,10 @@
 /// Groups by model; a fraction where a group is not certain.
 using GroupCounts = std::map<std::string, double>;
 
-/// How loaded each of \p Groups groups of \p Model is when they share \p
-/// Demand: 1 where the scarcest of its means is used up, which are the time for
-/// steps and prompts, the places for requests, and the tokens of prompts that
-/// it reads in a pass. Above 1 requests queue without end. From the operators'
-/// figures of the engine; where they give none, in a unit that is the same for
-/// all models.
+/// How loaded each of \p Groups groups of \p Model is when they share
+/// \p Demand: the part of its time for which it reads prompts or makes steps
+/// longer. Above 1 requests queue without end. From the operators' figures of
+/// the engine; where they give none, in a unit that is the same for all models.
 double groupLoad(const EngineSpec &Engine, const ModelSpec &Model,
                  const ModelDemand &Demand, double Groups);
 
--- a/src/policy/routing.h
+++ b/src/policy/routing.h
@@ -80,17 +80,11 @@
   /// Loads that run at the same time at full speed; with more, each is slower.
   unsigned LoadsAtOnce = 1;
   unsigned ModelsStagedPerHost = 0;
-  /// How fast one group is, as the operators state it; 0 where they do not. A
-  /// step makes a token for each request that writes, and takes so long ...
-  double StepMillis = 0;
-  /// ... and so much longer for each of these.
+  /// How fast one group is, as the operators state it; 0 where they do not: a
+  /// step, which makes a token for each request that writes, takes so much
+  /// longer for each of these.
   double StepMillisPerRequest = 0;
   double ReadTokensPerSecond = 0;
-  /// Between two readings of prompts, of so many tokens at most.
-  unsigned StepsPerPass = 1;
-  unsigned ReadTokensPerPass = 0;
-  /// Requests that a group works on at a time.
-  unsigned Slots = 0;
   /// Tokens of a usual answer.
   double UsualAnswer = 0;
   std::vector<ModelSpec> Models;
--- a/tests/failure/entry_test.cpp
+++ b/tests/failure/entry_test.cpp
@@ -307,6 +307,30 @@
   CHECK(this->call("/safe/x", "r2", "key-2").Status == 401);
 }
 
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: killed and restarted within its lease: it keeps its "
+                 "domains, and nothing is dealt anew",
+                 "[failure]") {
+  auto Generation = [&] {
+    std::string Log = this->Run.logOf("n1");
+    std::size_t At = Log.rfind("\"name\":\"domains_owned\"");
+    std::size_t Field = Log.find("\"generation\":", At);
+    return At == std::string::npos || Field == std::string::npos
+               ? std::string()
+               : Log.substr(Field, Log.find_first_of(",}", Field) - Field);
+  };
+  std::string Before = Generation();
+  REQUIRE_FALSE(Before.empty());
+  this->Run.killNode("n1");
+  this->Run.startNode("n1");
+  REQUIRE(eventually([&] { return this->isReady(); }));
+  CHECK(eventually([&] { return Generation() == Before; }));
+  // Its groups serve as before, and it forms others as needed.
+  CHECK(this->call("/chat/x", "r1").Status == 200);
+  this->Run.killVm("e-1");
+  CHECK(eventually([&] { return this->call("/chat/x", "r2").Status == 200; }));
+}
+
 TEST_CASE_METHOD(EntryFixture,
                  "entry: the caller leaves: the target's stream is dropped",
                  "[failure]") {
