--- a/tests/contract/settings_contract.cpp
+++ b/tests/contract/settings_contract.cpp
@@ -31,15 +31,19 @@
     auto At = Given.find(Found[2]);
     bool True = At != Given.end() && At->second != "false";
     bool Kept = (Found[1] == "#") == True;
-    Text = Found.prefix().str() + (Kept ? Found[3].str() : "") +
-           Found.suffix().str();
+    std::string Next = Found.prefix();
+    if (Kept)
+      Next += Found[3];
+    Next += Found.suffix();
+    Text = std::move(Next);
   }
   while (std::regex_search(Text, Found, Gap)) {
     auto At = Given.find(Found[1]);
-    std::string Value = At == Given.end() ? "" : At->second;
-    if (Found[2].matched)
-      Value = "\"" + Value + "\"";
-    Text = Found.prefix().str() + Value + Found.suffix().str();
+    const std::string Value = At == Given.end() ? "" : At->second;
+    std::string Quote = Found[2].matched ? "\"" : "";
+    std::string Next = Found.prefix();
+    Next.append(Quote).append(Value).append(Quote).append(Found.suffix());
+    Text = std::move(Next);
   }
   return Text;
 }
