--- a/tools/without.py
+++ b/tools/without.py
@@ -54,11 +54,12 @@
         "members: one is not reached"),
     "missing-staged": (
         "src/policy/domain_stage.cpp",
-        "bool Lacks = ", "bool Lacks = false && ",
+        "if (!Plan.Model)", "if (true)",
         "staging: resting hosts|staging: nothing fits"),
     "no-cold-joins": (
-        "src/policy/domain_form.cpp",
-        "if (S.Engine.ModelsStagedPerHost > 0)", "if (false)",
+        "src/policy/domain_step.cpp",
+        "return this->Engine.ModelsStagedPerHost > 0 &&",
+        "return false && this->Engine.ModelsStagedPerHost > 0 &&",
         "staging: a model is short"),
     "loads-at-once": (
         "src/control/load_budget.cpp",
@@ -66,8 +67,38 @@
         "load budget"),
     "doubts-shared": (
         "src/policy/vitals.cpp",
-        "return There && Now - this->NewsAt", "return false && Now - this->NewsAt",
+        "return There && Now - this->ToldAt", "return false && Now - this->ToldAt",
         "vitals: another node left"),
+    "load-queue": (
+        "src/policy/load_turns.cpp",
+        "std::min<std::size_t>(Queue.size(), Engine.LoadsAtOnce)",
+        "Queue.size()",
+        "load turns"),
+    "drain-hold": (
+        "src/policy/domain_judge.cpp",
+        "return S.View.Now - Since < S.View.DrainHold;", "return Since == S.View.Now && false;",
+        "members: one drains"),
+    "centre-kept": (
+        "src/policy/domain_step.cpp",
+        "if (Centre[Model] < 1)", "if (false)",
+        "planner: its data centre"),
+    "trades-foreseen": (
+        "src/control/domain_views.cpp",
+        "if (Domain < View.Domain)", "if (false)",
+        "domain views: other domains"),
+    "news-age": (
+        "src/control/shared_feed.h",
+        "Most && Now - this->Cache.answeredAt() >= *Most", "false && Most && Now > TimePoint()",
+        "shared feed: the neighbour falls silent"),
+    "large-left-out": (
+        "src/wire/news_frames.cpp",
+        "Bytes > MostPassedBytes", "Bytes > MostPassedBytes * 1000",
+        "news: a record is large"),
+    "same-member": (
+        "platform/store.cpp",
+        "Member(Board.Config.Node.Text)",
+        'Member(Board.Config.Node.Text + "." + Board.Incarnation.Text)',
+        "entry: killed and restarted"),
     "late-last": (
         "src/policy/urgency.cpp",
         "(Late ? 1U : 0U)", "0U",
