Let a request's line name the state of the registry it was chosen by, and its age

Cause: of a request that reached a target which had left, the logs could not tell whether the node did not know, was told an old state as new, or knew and kept the target; attempt_ended named the view in force at its end, by a number of the node's own.

Before: no line says from whom a node learned what of a feed, nor that a target which went is kept. After: request lines carry registry (end of the registry's records, the same number on all nodes) and registry_age_ms, taken at the choice; feed_advanced says from whom, to which offset and how old; target_kept; target_gone only for a target that was listed.

Ruled out: reading the view after the choice for the line; it may be newer by then.

No functional change

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -113,6 +113,9 @@
       {FeedReadAlone, Info, "feed_read_alone",
        "A neighbour left out what is large; this node reads it from the "
        "store."},
+      {FeedAdvanced, Info, "feed_advanced",
+       "What this node knows of a feed went on; the fields say from whom, to "
+       "which offset, and how old its proof was."},
       {RequestDone, Info, "request_done", "A whole answer was given."},
       {RequestRefused, Info, "request_refused",
        "A request got an error; the detail gives kind and reason."},
@@ -151,6 +154,9 @@
        "The registry shows a target new or in another state."},
       {TargetGone, Info, "target_gone",
        "The registry lists a target no longer."},
+      {TargetKept, Info, "target_kept",
+       "The registry dropped a target that may come back, since the store was "
+       "away: it is kept for a while."},
       {ServingChanged, Info, "serving_changed",
        "The targets that requests choose from are others."},
       {DomainsOwned, Info, "domains_owned",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -56,6 +56,7 @@
   RegistryRefused = 214,
   TargetChanged = 220,
   TargetGone = 221,
+  TargetKept = 223,
   ServingChanged = 222,
   DomainsOwned = 310,
   DomainOrder = 311,
@@ -65,6 +66,7 @@
   ReaderChosen = 402,
   ReaderLost = 403,
   FeedReadAlone = 404,
+  FeedAdvanced = 405,
 };
 
 enum class Severity { Debug, Info, Warning, Error };
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -27,8 +27,9 @@
                  "orders_sent",        "orders_failed",    "targets_suspected"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Timer::Count)>
-    TimerNames{"first_token_seconds", "between_tokens_seconds",
-               "whole_answer_seconds", "queue_wait_seconds", "route_seconds"};
+    TimerNames{"first_token_seconds",  "between_tokens_seconds",
+               "whole_answer_seconds", "queue_wait_seconds",
+               "route_seconds",        "registry_age_seconds"};
 
 } // namespace
 
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -46,7 +46,15 @@
   Count
 };
 
-enum class Timer { FirstToken, BetweenTokens, Whole, QueueWait, Route, Count };
+enum class Timer {
+  FirstToken,
+  BetweenTokens,
+  Whole,
+  QueueWait,
+  Route,
+  RegistryAge,
+  Count
+};
 
 /// A daemon's counters and time histograms. Thread-safe; adding to a counter
 /// takes no lock.
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -63,6 +63,8 @@
   Lease ConfigFresh;
   /// Holds while the registry's changes are followed without a gap.
   Lease RegistryFresh;
+  /// By when Targets was proven to be all of the registry.
+  LatestTime RegistryProven;
   /// This node's part of the shared work, 0 to 1.
   std::atomic<double> Share{0};
   std::atomic<bool> Stopping{false};
--- a/src/board/feed_cache.h
+++ b/src/board/feed_cache.h
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace waycove {
@@ -41,6 +42,18 @@
 /// The feeds that entries read, and pass on to each other.
 enum class FeedKind { Config, Registry, Nodes, Count };
 
+/// A feed's name in logs.
+constexpr std::string_view feedName(FeedKind Kind) {
+  switch (Kind) {
+  case FeedKind::Config:
+    return "config";
+  case FeedKind::Registry:
+    return "registry";
+  default:
+    return "directory";
+  }
+}
+
 /// What this node knows of one feed, whether the store or a neighbour told it:
 /// the newest record of each key, and how current that is. A node reads from
 /// it itself, and passes it on from any offset. Thread-safe.
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -4,6 +4,7 @@
 
 #include "control/news.h"
 
+#include "control/feed_notes.h"
 #include "wire/news_frames.h"
 
 #include <Poco/Net/TCPServerConnectionFactory.h>
@@ -142,7 +143,7 @@
     return false;
   }
   this->Failures.answered(Asked.Node);
-  this->takeNews(*News, SentAt);
+  this->takeNews(*News, Asked.Node, SentAt);
   this->readFrom(Asked.Node);
   this->catchUp(*News, SystemClock{}.now());
   return true;
@@ -239,11 +240,13 @@
 }
 
 /// Ages count from when the question was sent: the answer was made later.
-void NewsExchange::takeNews(const wire::NewsT &News, TimePoint SentAt) {
+void NewsExchange::takeNews(const wire::NewsT &News, const NodeId &From,
+                            TimePoint SentAt) {
   TimePoint Now = SystemClock{}.now();
   for (std::size_t I = 0; I < this->Board.Feeds.size(); ++I)
     if (News.feeds[I]->known && !News.feeds[I]->left_out)
-      this->Board.Feeds[I].take(readFeed(*News.feeds[I], SentAt, Now), Now);
+      takePage(this->Board, static_cast<FeedKind>(I),
+               readFeed(*News.feeds[I], SentAt, Now), From.Text, Now);
   std::lock_guard Lock(this->Mutex);
   this->Book.tell(readLoads(News.loads), Now);
 }
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -45,7 +45,7 @@
   absl::StatusOr<wire::NewsT> ask(const NodeInfo &Asked, TimePoint SentAt);
   absl::StatusOr<wire::NewsT> exchange(const NodeInfo &Asked,
                                        wire::NewsWantedT Question);
-  void takeNews(const wire::NewsT &News, TimePoint SentAt);
+  void takeNews(const wire::NewsT &News, const NodeId &From, TimePoint SentAt);
   bool isCurrent(const wire::NewsT &News) const;
   wire::NewsT answer(const wire::NewsWantedT &Question);
   LoadRows ownLoads(TimePoint Now) const;
--- a/src/control/registry_follow.h
+++ b/src/control/registry_follow.h
@@ -32,6 +32,7 @@
     this->Waits.reset();
     this->Board.RegistryFresh.renew(Page->AnsweredAt, FreshTime);
     this->apply(*Page, Now);
+    this->Board.RegistryProven.raise(Page->ProvenAt);
     if (Page->Relayed)
       return Millis(0);
     bool Awaited = this->Board.Share > 0 || this->Board.servesNews(Now);
@@ -96,12 +97,24 @@
     }
     if (Page.Whole)
       this->addAbsent(Come, Left);
-    this->Missing.insert(Left.begin(), Left.end());
-    if (Now < Page.HoldUntil)
-      Left.clear();
-    else
+    if (Now < Page.HoldUntil) {
+      this->keep(std::exchange(Left, {}), Page, Now);
+    } else {
+      this->Missing.insert(Left.begin(), Left.end());
       Left = std::exchange(this->Missing, {});
-    this->store(Come, Left, Now);
+    }
+    this->store(Come, Left, Page.Next, Now);
+  }
+
+  /// Keeps targets that went, until the store's lapsed entries are back.
+  void keep(const std::set<VmId> &Left, const KeyedPage &Page, TimePoint Now) {
+    for (const VmId &Id : Left)
+      if (this->Missing.insert(Id).second)
+        this->Board.Log.emit(EventCode::TargetKept, Id.Text,
+                             LogFields()
+                                 .add("registry", Page.Next.Value)
+                                 .add("for_ms", std::chrono::ceil<Millis>(
+                                                    Page.HoldUntil - Now)));
   }
 
   void addAbsent(const std::vector<TargetRef> &Come, std::set<VmId> &Left) {
@@ -116,11 +129,13 @@
   }
 
   void store(const std::vector<TargetRef> &Come, const std::set<VmId> &Left,
-             TimePoint Now) {
+             Offset Registry, TimePoint Now) {
     if (Come.empty() && Left.empty())
       return;
+    std::vector<VmId> Gone;
     this->Board.Targets.write([&](Fleet &Rows) {
       ++Rows.Version;
+      Rows.Registry = Registry;
       std::erase_if(Rows.Gone, [&](const auto &Entry) {
         return Now - Entry.second.Since > GoneMemory;
       });
@@ -132,21 +147,24 @@
         if (auto At = Rows.Targets.find(Id); At != Rows.Targets.end()) {
           Rows.Gone[Id] = {At->second, Now};
           Rows.Targets.erase(At);
+          Gone.push_back(Id);
         }
     });
     refreshServing(this->Board);
     for (const TargetRef &Row : Come)
-      this->logTarget(*Row);
-    for (const VmId &Id : Left)
-      this->Board.Log.emit(EventCode::TargetGone, Id.Text);
+      this->logTarget(*Row, Registry);
+    for (const VmId &Id : Gone)
+      this->Board.Log.emit(EventCode::TargetGone, Id.Text,
+                           LogFields().add("registry", Registry.Value));
   }
 
-  void logTarget(const TargetInfo &Row) {
+  void logTarget(const TargetInfo &Row, Offset Registry) {
     LogFields Fields;
     Fields.add("service", Row.Service.Text)
         .add("address", Row.Address.text())
         .add("domain", Row.Domain.Text)
-        .add("draining", Row.Draining);
+        .add("draining", Row.Draining)
+        .add("registry", Registry.Value);
     std::string Staged;
     for (const std::string &Model : Row.Staged)
       Staged += Model + " ";
--- a/src/control/shared_feed.h
+++ b/src/control/shared_feed.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "board/entry_board.h"
+#include "control/feed_notes.h"
 #include "control/keyed_feed.h"
 
 namespace waycove {
@@ -100,7 +101,7 @@
     if (Away)
       this->Cache.hold(Now + LapseTime);
     this->FailingSince.reset();
-    this->Cache.take(*Page, Now);
+    takePage(this->Board, this->Kind, *Page, "store", Now);
     return Page->Whole ? this->Cache.whole() : this->Cache.since(From);
   }
 
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -65,14 +65,17 @@
       TimePoint Now = SystemClock{}.now();
       if (Now >= Ex.Request.Deadline)
         return this->giveUp(Ex, "the deadline passed", true);
-      std::optional<Serving> To = this->Choice.choose(Ex.Request, Ex.Run, Now);
-      if (!To)
+      std::optional<ChosenTarget> Chosen =
+          this->Choice.choose(Ex.Request, Ex.Run, Now);
+      if (!Chosen)
         return this->giveUp(Ex, "no target serves", false);
+      Ex.Run.Basis = Chosen->Basis;
+      this->Board.Counters.observe(Timer::RegistryAge, Chosen->Basis.Age);
       if (Ex.Run.Sent > 0 && !this->Choice.spend(Ex.Request.Service, Now))
         return this->giveUp(Ex, "no second sends left in this window", false);
-      AttemptEnd End = this->attempt(Ex, *To);
+      AttemptEnd End = this->attempt(Ex, Chosen->To);
       if (End == AttemptEnd::Done || End == AttemptEnd::CallerGone)
-        return this->Notes.done(Ex, *To, End);
+        return this->Notes.done(Ex, Chosen->To, End);
       if (End == AttemptEnd::Broken || End == AttemptEnd::Stalled)
         ++Ex.Run.MayHaveRun;
       if (!RelayChoice::mayGoOn(Ex.Request, Ex.Run))
--- a/src/edge/relay_choice.cpp
+++ b/src/edge/relay_choice.cpp
@@ -31,8 +31,11 @@
   });
 }
 
-std::optional<Serving> RelayChoice::choose(const RelayRequest &Request,
-                                           const RelayRun &Run, TimePoint Now) {
+std::optional<ChosenTarget> RelayChoice::choose(const RelayRequest &Request,
+                                                const RelayRun &Run,
+                                                TimePoint Now) {
+  // Before the view: an age must not be understated.
+  TimePoint ProvenAt = this->Board.RegistryProven.get();
   ServingViewRef View =
       this->Board.Serving.read([](const ServingViewRef &Row) { return Row; });
   auto Rows = View->ByService.find(Request.Service);
@@ -44,9 +47,12 @@
   if (!Spec || !Spec->hasGroups())
     Query.Model.clear();
   return this->Board.Vitals.read(
-      [&](const VitalsTable &Vitals) -> std::optional<Serving> {
+      [&](const VitalsTable &Vitals) -> std::optional<ChosenTarget> {
         const Serving *Row = chooseTarget(Rows->second, Vitals, Query);
-        return Row ? std::optional<Serving>(*Row) : std::nullopt;
+        if (!Row)
+          return std::nullopt;
+        return ChosenTarget{
+            *Row, {View->Registry, std::chrono::ceil<Millis>(Now - ProvenAt)}};
       });
 }
 
@@ -64,10 +70,10 @@
   ++After.MayHaveRun;
   if (!Request.Route->mayRepeat() || !mayGoOn(Request, After))
     return false;
-  std::optional<Serving> To = this->choose(Request, After, Now);
-  return To && this->maySpend(Request.Service, Now) &&
+  std::optional<ChosenTarget> Other = this->choose(Request, After, Now);
+  return Other && this->maySpend(Request.Service, Now) &&
          this->Board.Vitals.read([&](const VitalsTable &Vitals) {
-           return !Vitals.isSuspect(To->Target->Id, Now);
+           return !Vitals.isSuspect(Other->To.Target->Id, Now);
          });
 }
 
--- a/src/edge/relay_choice.h
+++ b/src/edge/relay_choice.h
@@ -8,6 +8,12 @@
 
 namespace waycove {
 
+/// A target, and what it was chosen by.
+struct ChosenTarget {
+  Serving To;
+  ChoiceBasis Basis;
+};
+
 /// Decides where a request is sent, and whether once more: by the targets that
 /// serve, by what the route allows, and within the second sends that all share.
 /// Thread-safe.
@@ -18,8 +24,8 @@
   /// Counts a request that was admitted, for demand and second sends.
   void noteRequest(const RelayRequest &Request);
   /// The best target that the request was not sent to yet.
-  std::optional<Serving> choose(const RelayRequest &Request,
-                                const RelayRun &Run, TimePoint Now);
+  std::optional<ChosenTarget> choose(const RelayRequest &Request,
+                                     const RelayRun &Run, TimePoint Now);
   /// Whether one more send is allowed after one that did not end well.
   static bool mayGoOn(const RelayRequest &Request, const RelayRun &Run);
   /// Whether a send that shows no progress should be left for another target:
--- a/src/edge/relay_notes.cpp
+++ b/src/edge/relay_notes.cpp
@@ -21,6 +21,9 @@
         .add("service", Ex.Request.Service.Text)
         .add("model", Ex.Request.Facts.Model)
         .add("workspace", Ex.Request.Workspace.Text);
+  if (Ex.Run.Basis)
+    Fields.add("registry", Ex.Run.Basis->Registry.Value)
+        .add("registry_age_ms", Ex.Run.Basis->Age);
   return Fields.add("sends", Ex.Run.Sent)
       .add("may_have_run", Ex.Run.MayHaveRun);
 }
@@ -47,13 +50,10 @@
 
 void RelayNotes::attemptEnded(const RelayExchange &Ex,
                               const RelayAttempt &Try) {
-  std::uint64_t View = this->Board.Serving.read(
-      [](const ServingViewRef &Row) { return Row->FleetVersion; });
   this->Board.Log.emit(EventCode::AttemptEnded, Ex.Request.Facts.Id.Text,
                        fieldsOf(Ex)
                            .add("target", Try.To.Target->Id.Text)
                            .add("address", Try.To.Target->Address.text())
-                           .add("fleet", View)
                            .add("first_byte", Try.FirstByteSeen)
                            .add("last_event", Ex.Run.LastEvent.value_or(0))
                            .add("reason", Try.Reason));
--- a/src/edge/relay_request.h
+++ b/src/edge/relay_request.h
@@ -32,6 +32,14 @@
   std::uint64_t Random = 0;
 };
 
+/// The state of the registry that a target was chosen by.
+struct ChoiceBasis {
+  /// End of its records; the same on all nodes.
+  Offset Registry;
+  /// Since when that may have changed without this node's knowing.
+  Millis Age{0};
+};
+
 /// How a request's sends went so far.
 struct RelayRun {
   /// Targets that it was offered to.
@@ -40,6 +48,8 @@
   unsigned Sent = 0;
   /// Of these, how many may have begun to run.
   unsigned MayHaveRun = 0;
+  /// Of the newest choice; nothing before the first.
+  std::optional<ChoiceBasis> Basis;
   /// Last event that the caller was given.
   std::optional<std::uint64_t> LastEvent;
   /// From the request's arrival to the first byte of an answer.
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -75,6 +75,7 @@
                                const Fleet &Targets) {
   auto View = std::make_shared<ServingView>();
   View->FleetVersion = Targets.Version;
+  View->Registry = Targets.Registry;
   RanksByGroup Ranks = announcedRanks(Targets);
   for (const auto &[Id, Row] : Targets.Targets) {
     const ServiceSpec *Spec = Config.service(Row->Service);
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -66,6 +66,8 @@
   std::map<VmId, GoneTarget> Gone;
   /// Rises with each change.
   std::uint64_t Version = 0;
+  /// End of the registry's records that this shows; the same on all nodes.
+  Offset Registry;
 };
 
 /// Groups carry their model in their name, so that any node can tell from the
@@ -87,6 +89,8 @@
 struct ServingView {
   std::map<ServiceId, std::vector<Serving>> ByService;
   std::uint64_t FleetVersion = 0;
+  /// As in the fleet that it was built from.
+  Offset Registry;
 };
 
 using ServingViewRef = std::shared_ptr<const ServingView>;
--- a/src/policy/lease.h
+++ b/src/policy/lease.h
@@ -10,6 +10,25 @@
 
 namespace waycove {
 
+/// The latest of the times that it was given, on this process's steady clock.
+/// Thread-safe.
+class LatestTime {
+public:
+  void raise(TimePoint To) {
+    std::int64_t Count = To.time_since_epoch().count();
+    std::int64_t Old = this->At.load();
+    while (Old < Count && !this->At.compare_exchange_weak(Old, Count))
+      ;
+  }
+  void reset() { this->At.store(0); }
+  TimePoint get() const {
+    return TimePoint(TimePoint::duration(this->At.load()));
+  }
+
+private:
+  std::atomic<std::int64_t> At{0};
+};
+
 /// A time until which something holds, on this process's steady clock. It is
 /// counted from when the question was sent, never from when its answer came:
 /// whoever answered may have answered long ago. Thread-safe.
@@ -17,18 +36,13 @@
 public:
   /// Prolongs to \p SentAt + \p Time; never shortens.
   void renew(TimePoint SentAt, Millis Time) {
-    std::int64_t Until = (SentAt + Time).time_since_epoch().count();
-    std::int64_t Old = this->Until.load();
-    while (Old < Until && !this->Until.compare_exchange_weak(Old, Until))
-      ;
-  }
-  void drop() { this->Until.store(0); }
-  bool holds(TimePoint Now) const {
-    return Now.time_since_epoch().count() < this->Until.load();
+    this->Until.raise(SentAt + Time);
   }
+  void drop() { this->Until.reset(); }
+  bool holds(TimePoint Now) const { return Now < this->Until.get(); }
 
 private:
-  std::atomic<std::int64_t> Until{0};
+  LatestTime Until;
 };
 
 } // namespace waycove
--- a/tools/losses.py
+++ b/tools/losses.py
@@ -171,4 +171,5 @@
         print(f"  {count:8.0f}  {use}")
 
 
-main()
+if __name__ == "__main__":
+    main()
