Tests of requests that reach a target which has left: three that fail

Ruled out: that the request waits in the node after its choice (its line's after_ms).

The proxy of the soak moves to the tests' support and can silence open connections for good; the three entries of one data centre are a fixture of their own.

No functional change

--- a/src/control/feed_notes.h
+++ b/src/control/feed_notes.h
@@ -16,18 +16,17 @@
   Offset Before = Cache.next().value_or(Offset());
   if (!Cache.take(Page, Now) || Page.Next <= Before)
     return;
-  Millis Hold = std::chrono::ceil<Millis>(
-      std::max(Page.HoldUntil, Now) - Now);
-  Board.Log.emit(EventCode::FeedAdvanced, std::string(feedName(Kind)),
-                 LogFields()
-                     .add("source", Source)
-                     .add("before", Before.Value)
-                     .add("offset", Page.Next.Value)
-                     .add("records", Page.Records.size())
-                     .add("whole", Page.Whole)
-                     .add("proven_age_ms",
-                          std::chrono::ceil<Millis>(Now - Page.ProvenAt))
-                     .add("hold_ms", Hold));
+  Millis Hold = std::chrono::ceil<Millis>(std::max(Page.HoldUntil, Now) - Now);
+  Board.Log.emit(
+      EventCode::FeedAdvanced, std::string(feedName(Kind)),
+      LogFields()
+          .add("source", Source)
+          .add("before", Before.Value)
+          .add("offset", Page.Next.Value)
+          .add("records", Page.Records.size())
+          .add("whole", Page.Whole)
+          .add("proven_age_ms", std::chrono::ceil<Millis>(Now - Page.ProvenAt))
+          .add("hold_ms", Hold));
 }
 
 } // namespace waycove
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -16,8 +16,8 @@
 //
 // Exit status 0 where all promises held. A failed run names its seed and keeps
 // its logs.
-#include "soak/proxy.h"
 #include "support/cluster.h"
+#include "support/proxy.h"
 
 #include <algorithm>
 #include <atomic>
--- /dev/null
+++ b/tests/support/neighbours.cpp
@@ -0,0 +1,147 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "support/neighbours.h"
+
+#include <algorithm>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace waycove::test {
+
+namespace {
+
+/// From a node's port for other nodes to its port for the balancer.
+constexpr int ReadyPorts = 10;
+constexpr std::chrono::milliseconds BetweenCalls(10);
+
+std::string configOf(int Version, const std::string &Key) {
+  return R"({"version":)" + std::to_string(Version) +
+         R"(,"routes":[{"name":"safe","host":"a.example","timeout_ms":6000,)"
+         R"("goal_ms":300,"priority":1,"path_prefix":"/safe/",)"
+         R"("type":"idempotent","service":"plain","max_attempts":2}],)"
+         R"("services":[{"name":"plain","max_conns":50}],)"
+         R"("tenants":[{"name":"w1","api_keys":[")" +
+         Key + R"("]}]})";
+}
+
+} // namespace
+
+const std::vector<std::string> Neighbours::Entries = {"n1", "n2", "n3"};
+
+Neighbours::Neighbours(const std::string &Bounds, int Targets) {
+  this->Run.addVms("p", Targets, "a", "", "plain");
+  for (const std::string &Node : Entries)
+    this->Run.addNode(Node, "a");
+  this->Run.TargetFlags = {"--registry=127.0.0.1:" +
+                           std::to_string(this->Run.platformPort())};
+  this->Run.startPlatform();
+  this->publish(1, "key-1");
+  for (int I = 1; I <= Targets; ++I)
+    this->Run.startVm("p-" + std::to_string(I));
+  for (const std::string &Node : Entries) {
+    this->Links[Node] =
+        std::make_unique<LoopbackProxy>(this->Run.platformPort());
+    this->Run.PlatformVia = this->Links[Node]->port();
+    this->Run.ExtraSettings =
+        "entry: {ready: '127.0.0.1:" +
+        std::to_string(this->Run.peerPort(Node) + ReadyPorts) + "', " + Bounds +
+        ", grace_ms: 4000, first_start: true}";
+    this->Run.startNode(Node);
+  }
+  if (!eventually([&] { return this->followers() == 2; }))
+    throw std::runtime_error("no node reads for the others");
+}
+
+void Neighbours::publish(int Version, const std::string &Key) {
+  this->Run.atPlatform({"POST",
+                        "/store/put?topic=keyed.op&key=config",
+                        configOf(Version, Key),
+                        {}});
+}
+
+int Neighbours::call(const std::string &Node, const std::string &Key) {
+  std::string Id = "r" + std::to_string(this->Calls.size() + 1);
+  this->Calls[Id] = std::chrono::steady_clock::now();
+  return this->Run
+      .ask(Node, {"POST",
+                  "/safe/x",
+                  "body",
+                  {{"Host", "a.example"},
+                   {"Authorization", "Bearer " + Key},
+                   {"X-Request-Id", Id},
+                   {"X-Deadline-Ms", "3000"}}})
+      .Status;
+}
+
+int Neighbours::callUntil(const std::vector<std::string> &Nodes, Time Until) {
+  int Served = 0;
+  while (std::chrono::steady_clock::now() < Until)
+    for (const std::string &Node : Nodes) {
+      Served += this->call(Node, "key-1") == 200 ? 1 : 0;
+      std::this_thread::sleep_for(BetweenCalls);
+    }
+  return Served;
+}
+
+bool Neighbours::allTake(const std::vector<std::string> &Nodes,
+                         const std::string &Key) {
+  return eventually(
+      [&] {
+        return std::all_of(
+            Nodes.begin(), Nodes.end(),
+            [&](const std::string &Node) { return this->call(Node, Key) == 200; });
+      },
+      std::chrono::milliseconds(2000));
+}
+
+bool Neighbours::follows(const std::string &Node) {
+  std::string Log = this->Run.logOf(Node);
+  std::size_t Chosen = Log.rfind("\"reader_chosen\"");
+  std::size_t Lost = Log.rfind("\"reader_lost\"");
+  return Chosen != std::string::npos &&
+         (Lost == std::string::npos || Chosen > Lost);
+}
+
+int Neighbours::followers() {
+  return static_cast<int>(
+      std::count_if(Entries.begin(), Entries.end(),
+                    [&](const std::string &Node) { return this->follows(Node); }));
+}
+
+std::string Neighbours::reader() {
+  for (const std::string &Node : Entries)
+    if (!this->follows(Node))
+      return Node;
+  return "";
+}
+
+std::vector<std::string> Neighbours::others(const std::string &Reader) {
+  std::vector<std::string> Rows;
+  for (const std::string &Node : Entries)
+    if (Node != Reader)
+      Rows.emplace_back(Node);
+  return Rows;
+}
+
+std::uint64_t Neighbours::reads() {
+  return this->Run.atPlatform({.Path = "/store/reads"}).number("reads");
+}
+
+void Neighbours::dropTarget(const std::string &Vm) {
+  this->Run.atPlatform(
+      {"POST", "/store/put?topic=keyed.servers&key=" + Vm, "", {}});
+}
+
+Neighbours::Time Neighbours::lastRunAt(const std::string &Vm) {
+  Time Last;
+  std::istringstream Lines(this->Run.logOf(Vm));
+  for (std::string Word, Id; Lines >> Word;)
+    if (Word == "ran" && Lines >> Id && this->Calls.contains(Id))
+      Last = std::max(Last, this->Calls.at(Id));
+  return Last;
+}
+
+} // namespace waycove::test
