Reset a connection to a target on which a send is given up

Cause: a send that was given up, at the caller's deadline or since the target stood still, closed its connection in good order.

Ruled out: the 300 ms for an acknowledgement; they are set on routes whose requests may be repeated alone, and a deadline may come sooner.

Calls of the store and orders to targets that are given up end the same way, for the same reason.

--- a/src/edge/answer_pass.h
+++ b/src/edge/answer_pass.h
@@ -208,6 +208,7 @@
     this->Pool.keep(Target, std::move(*Try.Connection),
                     Facts.KeepAlive.value_or(Millis(0)), Most,
                     SystemClock{}.now());
+    Try.Connection.reset();
   }
 
   void noteFirstByte(const RelayExchange &Ex, RelayAttempt &Try) {
--- a/src/edge/http.cpp
+++ b/src/edge/http.cpp
@@ -92,12 +92,23 @@
     Sent = true;
     return this->exchange(Call);
   } catch (const Poco::Exception &Error) {
-    this->Session.reset();
+    this->drop();
     return makeError(Sent ? ErrorKind::OutcomeUnknown : ErrorKind::NoCapacity,
                      Error.displayText());
   }
 }
 
+/// Gives up a call: what was not delivered yet must not be delivered later.
+void HttpCaller::drop() {
+  try {
+    if (this->Session.connected())
+      this->Session.socket().setLinger(true, 0);
+  } catch (const Poco::Exception &) {
+    // Reset by the other end already, which is what was wanted.
+  }
+  this->Session.reset();
+}
+
 absl::StatusOr<HttpReply> HttpCaller::exchange(const HttpCall &Call) {
   Poco::Net::HTTPRequest Request(Call.Method, Call.Path,
                                  Poco::Net::HTTPMessage::HTTP_1_1);
--- a/src/edge/http.h
+++ b/src/edge/http.h
@@ -76,6 +76,7 @@
   absl::StatusOr<HttpReply> call(const HttpCall &Call, Millis Timeout);
 
 private:
+  void drop();
   absl::StatusOr<HttpReply> exchange(const HttpCall &Call);
 
   std::mutex Mutex;
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -103,6 +103,11 @@
       if (End != AttemptEnd::CallerGone)
         Vitals.onOutcome(Id, End == AttemptEnd::Broken, SystemClock{}.now());
     });
+    // What a cut still holds up must not be delivered seconds later, to a
+    // target that has left by then: a reset takes it back, an end in good order
+    // not.
+    if (End != AttemptEnd::Done && Try.Connection)
+      Try.Connection->abort();
     return this->noteAttempt(Ex, Try, End);
   }
 
