Send nothing to a target whose entry is missing while another one is listed

Cause: a node that could not reach the store for half a second takes it for away, and keeps what went from the registry for 2,300 ms, since lapsed entries come back within two seconds. It cannot tell its own loss from the store's, and the time is told to all who read from it. A target that had left was kept like one that had lapsed.

Ruled out: dropping missing entries at once (after an outage in which entries lapse, nothing at all would serve for two seconds); asking a witness (there is none where a node is alone).

--- a/src/control/registry_follow.h
+++ b/src/control/registry_follow.h
@@ -12,9 +12,10 @@
 namespace waycove {
 
 /// Follows the platform's registry of targets. \p Decode makes a target of an
-/// entry. After the store was away, entries that lapsed meanwhile count as gone
-/// only when the time is over that the page gives them to come back. Used by
-/// one thread.
+/// entry. Entries that went while the store was away are kept until the time is
+/// over that the page gives them to come back, but requests go there only where
+/// nothing that is listed serves: such an entry may have lapsed, or have left.
+/// Used by one thread.
 template <KeyedFeed Feed, typename Decoder> class RegistryFollower {
 public:
   RegistryFollower(EntryBoard &Board, Feed &Source, Decoder Decode)
@@ -22,7 +23,7 @@
 
   /// One read; how long to pause before the next.
   Millis step() {
-    Millis Wait = this->Missing.empty() ? PollTime : HoldPollTime;
+    Millis Wait = this->Kept.empty() ? PollTime : HoldPollTime;
     absl::StatusOr<KeyedPage> Page = this->Source.read(Wait);
     TimePoint Now = SystemClock{}.now();
     if (!Page.ok())
@@ -92,29 +93,42 @@
         continue;
       }
       Left.erase(Id);
-      this->Missing.erase(Id);
+      this->Kept.erase(Id);
       Come.push_back(std::make_shared<const TargetInfo>(std::move(*Read)));
     }
     if (Page.Whole)
       this->addAbsent(Come, Left);
+    bool News = !Come.empty();
     if (Now < Page.HoldUntil) {
-      this->keep(std::exchange(Left, {}), Page, Now);
+      News |= this->keep(std::exchange(Left, {}), Page, Now);
     } else {
-      this->Missing.insert(Left.begin(), Left.end());
-      Left = std::exchange(this->Missing, {});
+      Left.merge(this->Kept);
+      this->Kept.clear();
     }
-    this->store(Come, Left, Page.Next, Now);
+    if (News || !Left.empty())
+      this->store(Come, Left, Page.Next, Now);
   }
 
-  /// Keeps targets that went, until the store's lapsed entries are back.
-  void keep(const std::set<VmId> &Left, const KeyedPage &Page, TimePoint Now) {
-    for (const VmId &Id : Left)
-      if (this->Missing.insert(Id).second)
-        this->Board.Log.emit(EventCode::TargetKept, Id.Text,
-                             LogFields()
-                                 .add("registry", Page.Next.Value)
-                                 .add("for_ms", std::chrono::ceil<Millis>(
-                                                    Page.HoldUntil - Now)));
+  /// Keeps targets that went, until lapsed entries are back; whether one is
+  /// new.
+  bool keep(const std::set<VmId> &Left, const KeyedPage &Page, TimePoint Now) {
+    bool New = false;
+    for (const VmId &Id : Left) {
+      if (!this->isListed(Id) || !this->Kept.insert(Id).second)
+        continue;
+      New = true;
+      this->Board.Log.emit(
+          EventCode::TargetKept, Id.Text,
+          LogFields()
+              .add("registry", Page.Next.Value)
+              .add("for_ms", std::chrono::ceil<Millis>(Page.HoldUntil - Now)));
+    }
+    return New;
+  }
+
+  bool isListed(const VmId &Id) const {
+    return this->Board.Targets.read(
+        [&](const Fleet &Rows) { return Rows.Targets.contains(Id); });
   }
 
   void addAbsent(const std::vector<TargetRef> &Come, std::set<VmId> &Left) {
@@ -130,12 +144,11 @@
 
   void store(const std::vector<TargetRef> &Come, const std::set<VmId> &Left,
              Offset Registry, TimePoint Now) {
-    if (Come.empty() && Left.empty())
-      return;
     std::vector<VmId> Gone;
     this->Board.Targets.write([&](Fleet &Rows) {
       ++Rows.Version;
       Rows.Registry = Registry;
+      Rows.Kept = this->Kept;
       std::erase_if(Rows.Gone, [&](const auto &Entry) {
         return Now - Entry.second.Since > GoneMemory;
       });
@@ -182,7 +195,7 @@
   Backoff Waits;
   bool Up = true;
   /// Dropped from the registry, not yet taken for gone.
-  std::set<VmId> Missing;
+  std::set<VmId> Kept;
 };
 
 } // namespace waycove
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -61,6 +61,14 @@
   return Wait;
 }
 
+/// Whether a target of the model is listed, so that none that is merely kept
+/// has to serve.
+bool anyListed(const std::vector<Serving> &Rows, const std::string &Model) {
+  return std::any_of(Rows.begin(), Rows.end(), [&](const Serving &Row) {
+    return !Row.Kept && Row.Model == Model;
+  });
+}
+
 } // namespace
 
 const Serving *chooseTarget(const std::vector<Serving> &Rows,
@@ -68,9 +76,11 @@
                             const ChoiceQuery &Query) {
   const Serving *Best = nullptr;
   double BestWait = 0;
+  bool Listed = anyListed(Rows, Query.Model);
   for (std::size_t I = 0; I < Rows.size(); ++I) {
     const Serving &Row = Rows[I];
-    if (Row.Model != Query.Model || isAvoided(Query, Row.Target->Id))
+    if (Row.Model != Query.Model || (Row.Kept && Listed) ||
+        isAvoided(Query, Row.Target->Id))
       continue;
     double Wait = expectedWaitMs(Row, Vitals, Query) + jitter(Query.Random, I);
     if (!Best || Wait < BestWait) {
--- a/src/policy/choice.h
+++ b/src/policy/choice.h
@@ -25,7 +25,9 @@
 
 /// The target with the least expected wait. A target in another data centre
 /// and one that is under suspicion pay a penalty, so they are used where the
-/// others are worse, or nothing else is left. Null where none is listed.
+/// others are worse, or nothing else is left. One whose entry is missing is
+/// used only where none is listed: so a node that wrongly takes the store for
+/// away sends nothing to a target that has left. Null where there is none.
 const Serving *chooseTarget(const std::vector<Serving> &Rows,
                             const VitalsTable &Vitals,
                             const ChoiceQuery &Query);
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -81,11 +81,12 @@
     const ServiceSpec *Spec = Config.service(Row->Service);
     if (!Spec || Row->Draining)
       continue;
+    bool Kept = Targets.Kept.contains(Id);
     if (!Spec->hasGroups())
-      View->ByService[Row->Service].push_back({Row, ""});
+      View->ByService[Row->Service].push_back({Row, "", Kept});
     else if (isServingHead(*Row, *Spec->Engine, Ranks))
       View->ByService[Row->Service].push_back(
-          {Row, modelOf(Row->Group->Group.Name)});
+          {Row, modelOf(Row->Group->Group.Name), Kept});
   }
   return View;
 }
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -62,6 +62,9 @@
 /// All targets that the registry lists.
 struct Fleet {
   std::map<VmId, TargetRef> Targets;
+  /// Of these, those that went while the store was away: their entries may have
+  /// lapsed and come back, or they may have left.
+  std::set<VmId> Kept;
   /// Those that went a short while ago: a group's head may serve on unseen.
   std::map<VmId, GoneTarget> Gone;
   /// Rises with each change.
@@ -83,6 +86,8 @@
   TargetRef Target;
   /// Empty for plain services.
   std::string Model;
+  /// Its entry is missing: it is used only where nothing else serves.
+  bool Kept = false;
 };
 
 /// What requests choose from, by service. Built anew after each change.
--- a/tests/failure/leaving_test.cpp
+++ b/tests/failure/leaving_test.cpp
@@ -6,10 +6,11 @@
 // operators allow 2,000. The node that sent them had run undisturbed, and the
 // store had answered everybody for seconds.
 //
-// How it came about: the node that reads the registry for the others had just got
-// the store back, which it alone had lost. It took its own loss for the store's,
-// kept what had gone from the registry for 2,300 ms, as if the entry had lapsed
-// with the store away, and told those who read from it to do the same.
+// How it came about: the node that reads the registry for the others had just
+// got the store back, which it alone had lost. It took its own loss for the
+// store's, kept what had gone from the registry for 2,300 ms, as if the entry
+// had lapsed with the store away, and told those who read from it to do the
+// same.
 //
 // What proved it: the nodes that read for themselves dropped the target within
 // 5 ms, the reader and all who read from it 2,300 ms after the reader's first
@@ -37,6 +38,8 @@
 constexpr milliseconds DrainBound(1500);
 /// Longer than anything that keeps a target in view for a while.
 constexpr milliseconds WatchTime(4500);
+/// Longer than any call of the store waits for its answer.
+constexpr milliseconds LossTime(4000);
 /// Some ten of these go to each target in a second.
 constexpr int LeastCalls = 100;
 
@@ -53,8 +56,8 @@
   bool hasStoreBack(const std::string &Node) {
     std::string Log = this->Run.logOf(Node);
     auto Last = [&](const std::string &Name) {
-      return Log.rfind("\"" + Name +
-                       "\",\"node\":\"" + Node + "\",\"subject\":\"registry\"");
+      return Log.rfind("\"" + Name + "\",\"node\":\"" + Node +
+                       "\",\"subject\":\"registry\"");
     };
     std::size_t Back = Last("log_reachable");
     std::size_t Lost = Last("log_unreachable");
@@ -77,7 +80,7 @@
                  "[failure]") {
   std::string Reader = this->reader();
   this->Links[Reader]->set(LinkFault::Silent);
-  std::this_thread::sleep_for(milliseconds(3000));
+  std::this_thread::sleep_for(LossTime);
   this->Links[Reader]->set(LinkFault::None);
   REQUIRE(eventually([&] { return this->hasStoreBack(Reader); }));
   CHECK(this->sentAfterDrop(Entries) < DrainBound);
@@ -107,11 +110,12 @@
   DeafTargetFixture() : Deaf(Poco::Net::SocketAddress("127.0.0.1", 0)) {
     for (const char *Vm : {"p-1", "p-2", "p-3"})
       this->dropTarget(Vm);
-    this->Run.atPlatform(
-        {"POST", "/store/put?topic=keyed.servers&key=deaf",
-         R"({"service":"plain","address":")" + this->Deaf.address().toString() +
-             R"(","zone":"a","slots":8,"state":"ready"})",
-         {}});
+    this->Run.atPlatform({"POST",
+                          "/store/put?topic=keyed.servers&key=deaf",
+                          R"({"service":"plain","address":")" +
+                              this->Deaf.address().toString() +
+                              R"(","zone":"a","slots":8,"state":"ready"})",
+                          {}});
   }
   /// How the next connection to the target ends.
   bool endsInReset() {
--- a/tests/support/neighbours.cpp
+++ b/tests/support/neighbours.cpp
@@ -90,9 +90,10 @@
                          const std::string &Key) {
   return eventually(
       [&] {
-        return std::all_of(
-            Nodes.begin(), Nodes.end(),
-            [&](const std::string &Node) { return this->call(Node, Key) == 200; });
+        return std::all_of(Nodes.begin(), Nodes.end(),
+                           [&](const std::string &Node) {
+                             return this->call(Node, Key) == 200;
+                           });
       },
       std::chrono::milliseconds(2000));
 }
@@ -106,9 +107,9 @@
 }
 
 int Neighbours::followers() {
-  return static_cast<int>(
-      std::count_if(Entries.begin(), Entries.end(),
-                    [&](const std::string &Node) { return this->follows(Node); }));
+  return static_cast<int>(std::count_if(
+      Entries.begin(), Entries.end(),
+      [&](const std::string &Node) { return this->follows(Node); }));
 }
 
 std::string Neighbours::reader() {
--- a/tests/unit/entry_policy_test.cpp
+++ b/tests/unit/entry_policy_test.cpp
@@ -218,6 +218,31 @@
   CHECK(this->serving() == 0);
 }
 
+TEST_CASE("choice: an entry is missing, the target kept: only where none is "
+          "listed",
+          "[unit]") {
+  VitalsTable Vitals;
+  std::vector<Serving> Rows;
+  for (const char *Id : {"kept", "listed"}) {
+    auto Target = std::make_shared<TargetInfo>();
+    Target->Id = VmId(Id);
+    Rows.push_back({Target, "", Rows.empty()});
+  }
+  ChoiceQuery Query;
+  Query.Now = at(0);
+  // Also where the listed one is in doubt or has refused: the other may have
+  // left.
+  Vitals.suspect(VmId("listed"), at(0), Millis(500));
+  for (unsigned I = 0; I < 20; ++I) {
+    Query.Random = mixHash(7, I);
+    CHECK(chooseTarget(Rows, Vitals, Query)->Target->Id == VmId("listed"));
+  }
+  Query.Avoid = {VmId("listed")};
+  CHECK(chooseTarget(Rows, Vitals, Query) == nullptr);
+  Rows.pop_back();
+  CHECK(chooseTarget(Rows, Vitals, Query)->Target->Id == VmId("kept"));
+}
+
 TEST_CASE("planner: groups for a domain: one of each in turn, largest first",
           "[unit]") {
   EngineSpec Engine;
