Let a node that lost the store learn from any other one

Cause: who reads for whom is one order over all nodes. Its first node has nobody to ask: where it alone loses the store, it knows nothing new until it has it back, though all others read for themselves by then and are asked by nobody.

The change: a node whose view is older than its bound allows, and for which nobody reads, asks the others, one after the other, four times a second, its own data centre first. What it learns so it keeps to itself, since two nodes would else each take the other's word for the store's.

Ruled out: turning the order round (it is the same for all by design); telling the news with the questions (every question would carry them).

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -116,6 +116,10 @@
       {FeedAdvanced, Info, "feed_advanced",
        "What this node knows of a feed went on; the fields say from whom, to "
        "which offset, and how old its proof was."},
+      {NewsBorrowed, Info, "news_borrowed",
+       "This node lost the store and nobody reads for it: it learns from a "
+       "node "
+       "that may, until it has the store back."},
       {RequestDone, Info, "request_done", "A whole answer was given."},
       {RequestRefused, Info, "request_refused",
        "A request got an error; the detail gives kind and reason."},
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -53,6 +53,9 @@
   std::array<FeedCache, static_cast<std::size_t>(FeedKind::Count)> Feeds;
   /// A neighbour reads the feeds for this node.
   std::atomic<bool> Relayed{false};
+  /// The store is lost and no neighbour reads for this node: what it knows, it
+  /// has from one that may read through it. It is told to nobody.
+  std::atomic<bool> Borrowed{false};
   /// By FeedKind: the neighbour left out what is large, so this node has to
   /// read the newest of it from the store once.
   std::array<std::atomic<bool>, static_cast<std::size_t>(FeedKind::Count)>
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -24,6 +24,8 @@
 /// a quarter of a link of 20 Mbit/s then, and bounds on changes are 2 s and
 /// more.
 constexpr Millis CatchUpPause(600);
+/// Between two questions to nodes that do not read for this one.
+constexpr Millis BorrowPause(250);
 /// A node that was not asked for this long closes the connection.
 constexpr Millis QuietTime(5000);
 constexpr int MostConnections = 256;
@@ -82,8 +84,10 @@
   NodeTable Nodes =
       this->Board.Nodes.read([](const NodeTable &Rows) { return Rows; });
   if (!this->isFilled() ||
-      (!this->askCentre(Nodes) && !this->askOtherCentre(Nodes)))
+      (!this->askCentre(Nodes) && !this->askOtherCentre(Nodes))) {
     this->readAlone("no node reads for this one");
+    this->borrow(Nodes, SystemClock{}.now());
+  }
   this->publishLoads(SystemClock{}.now());
   return RoundTime;
 }
@@ -126,6 +130,44 @@
   return false;
 }
 
+/// Whether what this node knows of a feed is older than its bound allows.
+bool NewsExchange::isOverdue(TimePoint Now) const {
+  for (FeedKind Kind : {FeedKind::Config, FeedKind::Registry})
+    if (Now - this->Board.Feeds[static_cast<std::size_t>(Kind)].provenAt() >=
+        *this->Board.mostAge(Kind))
+      return true;
+  return false;
+}
+
+/// Where this node has lost the store and nobody reads for it, the first node
+/// of all among them, asks another node, each in turn. What it learns is for
+/// itself: told on, two nodes would each take the other's word for the store's.
+void NewsExchange::borrow(const NodeTable &Nodes, TimePoint Now) {
+  if (!this->isFilled() || !this->isOverdue(Now) ||
+      Now - this->BorrowedAt < BorrowPause)
+    return;
+  this->BorrowedAt = Now;
+  std::vector<NodeInfo> Others = lendersOf(Nodes, this->Board.self());
+  std::erase_if(Others, [&](const NodeInfo &Row) {
+    return this->Failures.isLeft(Row.Node, Now);
+  });
+  if (Others.empty())
+    return;
+  const NodeInfo &Asked = Others[this->BorrowTurn++ % Others.size()];
+  absl::StatusOr<wire::NewsT> News = this->ask(Asked, Now);
+  if (!News.ok()) {
+    this->Failures.failed(Asked.Node, SystemClock{}.now());
+    return;
+  }
+  if (!this->isCurrent(*News))
+    return;
+  // The next is asked only when this one's news have aged.
+  --this->BorrowTurn;
+  this->takeNews(*News, Asked.Node, Now);
+  if (!this->Board.Borrowed.exchange(true))
+    this->Board.Log.emit(EventCode::NewsBorrowed, Asked.Node.Text);
+}
+
 /// Asks \p Asked for all that is new; false where it does not answer or has
 /// nothing current.
 bool NewsExchange::askFrom(const NodeInfo &Asked) {
@@ -151,6 +193,7 @@
 
 /// \p Chosen reads the store for this node from here on.
 void NewsExchange::readFrom(const NodeId &Chosen) {
+  this->Board.Borrowed = false;
   if (this->Board.Relayed.exchange(true) && this->Reader == Chosen)
     return;
   this->Board.Log.emit(EventCode::ReaderChosen, Chosen.Text,
@@ -256,7 +299,8 @@
   wire::NewsT News;
   for (std::size_t I = 0; I < this->Board.Feeds.size(); ++I) {
     const FeedCache &Feed = this->Board.Feeds[I];
-    bool Asked = I < Question.next.size() && Feed.next();
+    bool Asked =
+        I < Question.next.size() && Feed.next() && !this->Board.Borrowed;
     News.feeds.push_back(
         Asked ? packFeed(Feed.since(Offset(Question.next[I])), Now)
               : std::make_unique<wire::FeedNewsT>());
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -39,6 +39,8 @@
   bool askCentre(const NodeTable &Nodes);
   bool askOtherCentre(const NodeTable &Nodes);
   bool askFrom(const NodeInfo &Asked);
+  void borrow(const NodeTable &Nodes, TimePoint Now);
+  bool isOverdue(TimePoint Now) const;
   void readAlone(const std::string &Reason);
   void readFrom(const NodeId &Chosen);
   void catchUp(const wire::NewsT &News, TimePoint Now);
@@ -60,6 +62,9 @@
   std::map<NodeId, std::pair<IncarnationId, SocketRef>> Links;
   /// The node that reads for this one; empty where none does.
   NodeId Reader;
+  /// Whose turn it is to be asked out of order, and when that was last done.
+  std::size_t BorrowTurn = 0;
+  TimePoint BorrowedAt;
   /// By FeedKind, when this node last had to read what was left out.
   std::array<TimePoint, static_cast<std::size_t>(FeedKind::Count)> CaughtUp{};
   std::unique_ptr<Poco::Net::TCPServer> Server;
--- a/src/control/store_reader.h
+++ b/src/control/store_reader.h
@@ -227,6 +227,8 @@
     this->FailingSince.reset();
     this->Failures = 0;
     takePage(this->Board, this->Kind, Page, "store", Now);
+    if (this->Kind == FeedKind::Registry)
+      this->Board.Borrowed = false;
   }
 
   EntryBoard &Board;
--- a/src/policy/node_rank.cpp
+++ b/src/policy/node_rank.cpp
@@ -61,6 +61,17 @@
   return Rows;
 }
 
+std::vector<NodeInfo> lendersOf(const NodeTable &Nodes, const NodeInfo &Me) {
+  std::vector<NodeInfo> Rows;
+  for (const auto &[Id, Row] : Nodes)
+    if (Id != Me.Node)
+      Rows.push_back(Row);
+  std::stable_partition(Rows.begin(), Rows.end(), [&](const NodeInfo &Row) {
+    return Row.DataCentre == Me.DataCentre;
+  });
+  return Rows;
+}
+
 void NodeFailures::failed(const NodeId &Node, TimePoint Now) {
   Row &At = this->Rows[Node];
   At.Pause = At.Pause.count() == 0 ? Least : std::min(2 * At.Pause, Most);
--- a/tests/failure/leaving_test.cpp
+++ b/tests/failure/leaving_test.cpp
@@ -104,6 +104,17 @@
   CHECK(this->sentAfterDrop({Others[0]}) < DrainBound);
 }
 
+TEST_CASE_METHOD(
+    LeavingFixture,
+    "leaving target: the reader loses the store for long: it learns "
+    "from those who read for themselves",
+    "[failure]") {
+  std::string Reader = this->reader();
+  this->Links[Reader]->set(LinkFault::Silent);
+  std::this_thread::sleep_for(LossTime);
+  CHECK(this->sentAfterDrop({Reader}) < DrainBound);
+}
+
 /// An entry before a target that takes connections and reads nothing for a
 /// while, as one that a cut hides does.
 struct DeafTargetFixture : LeavingFixture {
