Heed a target's own word where the registry is old

Cause: a node without a way to the store and to others that have one knows how old its view of the registry is, and made nothing of it: it sent to leaving targets as before, for as long as it was cut off.

The change: past the bound on leaving targets the node says so (registry_unproven), and a target whose last answer closed its connection, as one that leaves does, serves only where no other does. A node begins to ask others at half of the bound, so that a first one that does not answer leaves time for a second.

Ruled out: refusing (a data centre that is cut off has to go on serving); asking targets for their health (each question takes a place there); heeding the word at all times (some targets close connections for other reasons).

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -161,6 +161,12 @@
       {TargetKept, Info, "target_kept",
        "The registry dropped a target that may come back, since the store was "
        "away: it is kept for a while."},
+      {RegistryUnproven, Warning, "registry_unproven",
+       "What this node knows of targets is older than the bound on leaving "
+       "ones: "
+       "those that close their connections serve only where no other does."},
+      {RegistryProven, Info, "registry_proven",
+       "What this node knows of targets is within that bound again."},
       {ServingChanged, Info, "serving_changed",
        "The targets that requests choose from are others."},
       {DomainsOwned, Info, "domains_owned",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -57,6 +57,8 @@
   TargetChanged = 220,
   TargetGone = 221,
   TargetKept = 223,
+  RegistryUnproven = 224,
+  RegistryProven = 225,
   ServingChanged = 222,
   DomainsOwned = 310,
   DomainOrder = 311,
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -26,6 +26,9 @@
 constexpr Millis CatchUpPause(600);
 /// Between two questions to nodes that do not read for this one.
 constexpr Millis BorrowPause(250);
+/// Part of a feed's bound after which they are asked. Of 2 s it leaves one, for
+/// a round, a first node that does not answer, and a second round.
+constexpr double BorrowPart = 0.5;
 /// A node that was not asked for this long closes the connection.
 constexpr Millis QuietTime(5000);
 constexpr int MostConnections = 256;
@@ -130,11 +133,12 @@
   return false;
 }
 
-/// Whether what this node knows of a feed is older than its bound allows.
-bool NewsExchange::isOverdue(TimePoint Now) const {
+/// Whether what this node knows of a feed is older than reading for itself
+/// would let it become.
+bool NewsExchange::isBehind(TimePoint Now) const {
   for (FeedKind Kind : {FeedKind::Config, FeedKind::Registry})
-    if (Now - this->Board.Feeds[static_cast<std::size_t>(Kind)].provenAt() >=
-        *this->Board.mostAge(Kind))
+    if (Now - this->Board.feed(Kind).provenAt() >=
+        EntryBoard::partOf(*this->Board.boundOf(Kind), BorrowPart))
       return true;
   return false;
 }
@@ -143,7 +147,7 @@
 /// of all among them, asks another node, each in turn. What it learns is for
 /// itself: told on, two nodes would each take the other's word for the store's.
 void NewsExchange::borrow(const NodeTable &Nodes, TimePoint Now) {
-  if (!this->isFilled() || !this->isOverdue(Now) ||
+  if (!this->isFilled() || !this->isBehind(Now) ||
       Now - this->BorrowedAt < BorrowPause)
     return;
   this->BorrowedAt = Now;
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -40,7 +40,7 @@
   bool askOtherCentre(const NodeTable &Nodes);
   bool askFrom(const NodeInfo &Asked);
   void borrow(const NodeTable &Nodes, TimePoint Now);
-  bool isOverdue(TimePoint Now) const;
+  bool isBehind(TimePoint Now) const;
   void readAlone(const std::string &Reason);
   void readFrom(const NodeId &Chosen);
   void catchUp(const wire::NewsT &News, TimePoint Now);
--- a/src/control/registry_follow.h
+++ b/src/control/registry_follow.h
@@ -23,19 +23,19 @@
 
   /// Takes in what is new; waits for that a while.
   void step() {
-    absl::StatusOr<KeyedPage> Page =
-        this->Source.read(this->Kept.empty() ? WaitTime : KeptWaitTime);
+    absl::StatusOr<KeyedPage> Page = this->Source.read(WaitTime);
     if (!Page.ok())
       return;
     this->Board.RegistryFresh.renew(Page->ProvenAt, FreshTime);
     this->apply(*Page, SystemClock{}.now());
     this->Board.RegistryProven.raise(Page->ProvenAt);
+    this->noteAge(SystemClock{}.now() - Page->ProvenAt);
   }
 
 private:
-  static constexpr Millis WaitTime{2000};
-  /// The same while entries are kept, which ends by time.
-  static constexpr Millis KeptWaitTime{300};
+  /// Also where nothing comes it is looked this often whether kept entries have
+  /// gone, and how old all is.
+  static constexpr Millis WaitTime{300};
   /// How old a proof may be while groups are planned by it: a second past the
   /// longest that a bound of 2 s leaves, for a slow store.
   static constexpr Millis FreshTime{3000};
@@ -98,6 +98,15 @@
         [&](const Fleet &Rows) { return Rows.Targets.contains(Id); });
   }
 
+  void noteAge(TimePoint::duration Age) {
+    bool TooOld = Age > this->Board.Config.Entry->DrainBound;
+    if (std::exchange(this->Old, TooOld) != TooOld)
+      this->Board.Log.emit(
+          TooOld ? EventCode::RegistryUnproven : EventCode::RegistryProven,
+          this->Board.Config.Node.Text,
+          LogFields().add("registry_age_ms", std::chrono::ceil<Millis>(Age)));
+  }
+
   void addAbsent(const std::vector<TargetRef> &Come, std::set<VmId> &Left) {
     std::set<VmId> Present;
     for (const TargetRef &Row : Come)
@@ -161,6 +170,8 @@
   Decoder Decode;
   /// Dropped from the registry, not yet taken for gone.
   std::set<VmId> Kept;
+  /// All of it is older than the bound on leaving targets.
+  bool Old = false;
 };
 
 } // namespace waycove
--- a/src/edge/answer_pass.h
+++ b/src/edge/answer_pass.h
@@ -77,6 +77,9 @@
       return AttemptEnd::Refused;
     }
     this->noteFirstByte(Ex, Try);
+    this->Board.Vitals.write([&](VitalsTable &Vitals) {
+      Vitals.onAnswerHead(Try.To.Target->Id, !Head.getKeepAlive());
+    });
     bool Success = Status >= 200 && Status < 300;
     if (Success && (!Facts.Signed || Head.has("Content-Encoding"))) {
       Try.Reason = "a success that is not the target's own answer";
--- a/src/edge/relay_choice.cpp
+++ b/src/edge/relay_choice.cpp
@@ -41,8 +41,11 @@
   auto Rows = View->ByService.find(Request.Service);
   if (Rows == View->ByService.end())
     return std::nullopt;
-  ChoiceQuery Query{Request.Facts.Model, this->Board.Config.DataCentre,
-                    Run.Tried, Now, mixHash(Request.Random, Run.Tried.size())};
+  bool RegistryOld = Now - ProvenAt > this->Board.Config.Entry->DrainBound;
+  ChoiceQuery Query{
+      Request.Facts.Model, this->Board.Config.DataCentre,
+      Run.Tried,           Now,
+      RegistryOld,         mixHash(Request.Random, Run.Tried.size())};
   const ServiceSpec *Spec = Request.Config->service(Request.Service);
   if (!Spec || !Spec->hasGroups())
     Query.Model.clear();
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -61,11 +61,18 @@
   return Wait;
 }
 
-/// Whether a target of the model is listed, so that none that is merely kept
-/// has to serve.
-bool anyListed(const std::vector<Serving> &Rows, const std::string &Model) {
+/// Whether the target may be leaving, for all that is known.
+bool mayBeLeaving(const Serving &Row, const VitalsTable &Vitals,
+                  const ChoiceQuery &Query) {
+  return Row.Kept || (Query.RegistryOld && Vitals.of(Row.Target->Id).Closing);
+}
+
+/// Whether a target of the model stays, so that none that may be leaving has
+/// to serve.
+bool anyStays(const std::vector<Serving> &Rows, const VitalsTable &Vitals,
+              const ChoiceQuery &Query) {
   return std::any_of(Rows.begin(), Rows.end(), [&](const Serving &Row) {
-    return !Row.Kept && Row.Model == Model;
+    return Row.Model == Query.Model && !mayBeLeaving(Row, Vitals, Query);
   });
 }
 
@@ -76,11 +83,11 @@
                             const ChoiceQuery &Query) {
   const Serving *Best = nullptr;
   double BestWait = 0;
-  bool Listed = anyListed(Rows, Query.Model);
+  bool Stays = anyStays(Rows, Vitals, Query);
   for (std::size_t I = 0; I < Rows.size(); ++I) {
     const Serving &Row = Rows[I];
-    if (Row.Model != Query.Model || (Row.Kept && Listed) ||
-        isAvoided(Query, Row.Target->Id))
+    if (Row.Model != Query.Model || isAvoided(Query, Row.Target->Id) ||
+        (Stays && mayBeLeaving(Row, Vitals, Query)))
       continue;
     double Wait = expectedWaitMs(Row, Vitals, Query) + jitter(Query.Random, I);
     if (!Best || Wait < BestWait) {
--- a/src/policy/choice.h
+++ b/src/policy/choice.h
@@ -19,6 +19,8 @@
   /// Targets that this request was sent to before.
   std::vector<VmId> Avoid;
   TimePoint Now;
+  /// What is known of the registry is older than the bound on leaving targets.
+  bool RegistryOld = false;
   /// Uniform bits.
   std::uint64_t Random = 0;
 };
@@ -27,7 +29,9 @@
 /// and one that is under suspicion pay a penalty, so they are used where the
 /// others are worse, or nothing else is left. One whose entry is missing is
 /// used only where none is listed: so a node that wrongly takes the store for
-/// away sends nothing to a target that has left. Null where there is none.
+/// away sends nothing to a target that has left. The same holds for one that
+/// closes its connections, where the registry cannot say whether it leaves;
+/// some close them for other reasons. Null where there is none.
 const Serving *chooseTarget(const std::vector<Serving> &Rows,
                             const VitalsTable &Vitals,
                             const ChoiceQuery &Query);
--- a/src/policy/vitals.cpp
+++ b/src/policy/vitals.cpp
@@ -91,6 +91,10 @@
     --Row.Answering;
 }
 
+void VitalsTable::onAnswerHead(const VmId &Target, bool Closes) {
+  this->Rows[Target].Closing = Closes;
+}
+
 void VitalsTable::onOutcome(const VmId &Target, bool Failed, TimePoint Now) {
   TargetVitals &Row = this->Rows[Target];
   ++Row.Answers;
--- a/src/policy/vitals.h
+++ b/src/policy/vitals.h
@@ -35,6 +35,8 @@
   /// Smoothed share of answers that were errors of the target itself.
   double FailureShare = 0;
   unsigned Answers = 0;
+  /// Its last answer said that it closes the connection: it may be leaving.
+  bool Closing = false;
 
   /// Answers are under way and none of them moves: whatever it depends on has
   /// failed, or it has itself.
@@ -60,6 +62,8 @@
              double PromptTokens);
   /// Counts an answer of the target as failed or not.
   void onOutcome(const VmId &Target, bool Failed, TimePoint Now);
+  /// An answer of the target says whether it closes the connection.
+  void onAnswerHead(const VmId &Target, bool Closes);
   /// Takes the target out of choice for \p Time.
   void suspect(const VmId &Target, TimePoint Now, Millis Time);
   const TargetVitals &of(const VmId &Target) const;
--- a/tests/failure/leaving_test.cpp
+++ b/tests/failure/leaving_test.cpp
@@ -115,6 +115,17 @@
   CHECK(this->sentAfterDrop({Reader}) < DrainBound);
 }
 
+TEST_CASE_METHOD(LeavingFixture,
+                 "leaving target: no node knows how the registry stands: the "
+                 "target's own word counts",
+                 "[failure]") {
+  for (const std::string &Node : Entries)
+    this->Links[Node]->set(LinkFault::Silent);
+  std::this_thread::sleep_for(LossTime);
+  this->Run.vmFault("p-1", R"({"call":"closing"})");
+  CHECK(this->sentAfterDrop(Entries) < DrainBound);
+}
+
 /// An entry before a target that takes connections and reads nothing for a
 /// while, as one that a cut hides does.
 struct DeafTargetFixture : LeavingFixture {
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -12,6 +12,7 @@
 //   die_after   ends the stream after 5     still      stands still after 5
 //   disorder    an old event behind a good one, in one piece
 //   slow        answers after 700 ms        failed     500
+//   closing     says that it closes the connection, as one that leaves does
 #include "base/json.h"
 
 #include <Poco/JSON/Array.h>
@@ -220,6 +221,8 @@
       return this->stream(Request, Response, Fault);
     if (Fault == "extra")
       this->strayAnswer(Request);
+    if (Fault == "closing")
+      Response.setKeepAlive(false);
     reply(Response, 200,
           "ran " + Request.get("X-Request-Id", "") + " for " +
               Request.get("X-Tenant", "nobody") + " " + Body);
--- a/tests/unit/entry_policy_test.cpp
+++ b/tests/unit/entry_policy_test.cpp
@@ -243,6 +243,28 @@
   CHECK(chooseTarget(Rows, Vitals, Query)->Target->Id == VmId("kept"));
 }
 
+TEST_CASE("choice: the registry is old, a target closes its connections: only "
+          "where no other serves",
+          "[unit]") {
+  VitalsTable Vitals;
+  std::vector<Serving> Rows;
+  for (const char *Id : {"closing", "staying"}) {
+    auto Target = std::make_shared<TargetInfo>();
+    Target->Id = VmId(Id);
+    Rows.push_back({Target, ""});
+  }
+  Vitals.onAnswerHead(VmId("closing"), true);
+  // One request is there: the other target would be the better choice.
+  Vitals.onStart(VmId("staying"), 0, at(0));
+  ChoiceQuery Query;
+  Query.Now = at(10);
+  CHECK(chooseTarget(Rows, Vitals, Query)->Target->Id == VmId("closing"));
+  Query.RegistryOld = true;
+  CHECK(chooseTarget(Rows, Vitals, Query)->Target->Id == VmId("staying"));
+  Rows.pop_back();
+  CHECK(chooseTarget(Rows, Vitals, Query)->Target->Id == VmId("closing"));
+}
+
 TEST_CASE("planner: groups for a domain: one of each in turn, largest first",
           "[unit]") {
   EngineSpec Engine;
