Hold what a node knows of a feed and how its reads go in one row

Cause: four arrays of the board stood beside each other, each indexed by the kind of feed, with a cast at each use.

The test of a store that answers from an older state also has the history gone at the very offset that is known; without it, taking that answer for a proof was not seen.

--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -22,6 +22,18 @@
 /// Second sends, by service.
 using SpendTable = std::map<ServiceId, RetrySpend>;
 
+/// A feed as this node knows it, and how its own reads of the store go.
+struct FeedState {
+  FeedCache Cache;
+  /// The neighbour left out what is large, so this node has to read the newest
+  /// of it from the store once.
+  std::atomic<bool> LeftOut{false};
+  /// This node's newest read of the store failed.
+  std::atomic<bool> ReadFailed{false};
+  /// Up to this time, this node's own reads have shown all there was.
+  LatestTime OwnProof;
+};
+
 /// The blackboard of a daemon that serves as an entry on the platform. The
 /// controllers write it, requests read it. Locks are taken in the order of
 /// the ranks.
@@ -49,20 +61,10 @@
   /// The entries that are announced, this one among them.
   Table<NodeTable, LockRank::Health> Nodes;
 
-  /// What is known of the feeds, by FeedKind.
-  std::array<FeedCache, static_cast<std::size_t>(FeedKind::Count)> Feeds;
+  /// By FeedKind.
+  std::array<FeedState, static_cast<std::size_t>(FeedKind::Count)> Feeds;
   /// A neighbour reads the feeds for this node.
   std::atomic<bool> Relayed{false};
-  /// By FeedKind: this node's newest read of the store failed.
-  std::array<std::atomic<bool>, static_cast<std::size_t>(FeedKind::Count)>
-      ReadFailed{};
-  /// By FeedKind: up to this time, this node's own reads of the store have
-  /// shown all there was.
-  std::array<LatestTime, static_cast<std::size_t>(FeedKind::Count)> OwnProof;
-  /// By FeedKind: the neighbour left out what is large, so this node has to
-  /// read the newest of it from the store once.
-  std::array<std::atomic<bool>, static_cast<std::size_t>(FeedKind::Count)>
-      LeftOut{};
 
   /// Holds while the store confirmed less than the revocation bound ago that
   /// Routing is its newest version.
@@ -80,12 +82,13 @@
   std::atomic<bool> Requested{false};
   std::atomic<std::uint32_t> InFlight{0};
 
-  FeedCache &feed(FeedKind Kind) {
+  FeedState &state(FeedKind Kind) {
     return this->Feeds[static_cast<std::size_t>(Kind)];
   }
-  std::atomic<bool> &leftOut(FeedKind Kind) {
-    return this->LeftOut[static_cast<std::size_t>(Kind)];
+  const FeedState &state(FeedKind Kind) const {
+    return this->Feeds[static_cast<std::size_t>(Kind)];
   }
+  FeedCache &feed(FeedKind Kind) { return this->state(Kind).Cache; }
   /// By when operators want a change of the feed to be known; nothing where
   /// they do not say.
   std::optional<Millis> boundOf(FeedKind Kind) const {
@@ -109,7 +112,7 @@
   bool mayTell(FeedKind Kind, TimePoint Now) const {
     std::optional<Millis> Most = this->mostAge(Kind);
     return this->Relayed || !Most ||
-           Now - this->OwnProof[static_cast<std::size_t>(Kind)].get() < *Most;
+           Now - this->state(Kind).OwnProof.get() < *Most;
   }
   /// How this node announces itself.
   NodeInfo self() const {
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -99,8 +99,8 @@
 /// Whether this node has read all there was from the store once. What came
 /// before is a load that a neighbour must not bear for all others at the start.
 bool NewsExchange::isFilled() const {
-  for (const FeedCache &Feed : this->Board.Feeds)
-    if (!Feed.next())
+  for (const FeedState &Feed : this->Board.Feeds)
+    if (!Feed.Cache.next())
       return false;
   return true;
 }
@@ -139,7 +139,7 @@
 bool NewsExchange::isBehind(TimePoint Now) const {
   for (FeedKind Kind : {FeedKind::Config, FeedKind::Registry}) {
     Millis Most = *this->Board.mostAge(Kind);
-    if (this->Board.ReadFailed[static_cast<std::size_t>(Kind)])
+    if (this->Board.state(Kind).ReadFailed)
       Most = EntryBoard::partOf(*this->Board.boundOf(Kind), BorrowPart);
     if (Now - this->Board.feed(Kind).provenAt() >= Most)
       return true;
@@ -148,8 +148,8 @@
 }
 
 bool NewsExchange::readsFail() const {
-  return this->Board.ReadFailed[static_cast<std::size_t>(FeedKind::Config)] ||
-         this->Board.ReadFailed[static_cast<std::size_t>(FeedKind::Registry)];
+  return this->Board.state(FeedKind::Config).ReadFailed ||
+         this->Board.state(FeedKind::Registry).ReadFailed;
 }
 
 /// Where this node has lost the store and nobody reads for it, the first node
@@ -228,8 +228,8 @@
     this->Board.Log.emit(
         EventCode::FeedReadAlone, this->Reader.Text,
         LogFields().add("feed", I).add("offset", News.feeds[I]->next));
-    this->Board.LeftOut[I] = true;
-    this->Board.Feeds[I].wake();
+    this->Board.Feeds[I].LeftOut = true;
+    this->Board.Feeds[I].Cache.wake();
   }
 }
 
@@ -240,8 +240,8 @@
   this->Board.Log.emit(EventCode::ReaderLost, this->Reader.Text,
                        LogFields().add("reason", Reason));
   this->Reader = NodeId();
-  for (FeedCache &Feed : this->Board.Feeds)
-    Feed.wake();
+  for (FeedState &Feed : this->Board.Feeds)
+    Feed.Cache.wake();
 }
 
 /// Tells \p Asked what this data centre sees, and asks for all that is new.
@@ -250,9 +250,8 @@
   wire::NewsWantedT Question;
   Question.node = this->Board.Config.Node.Text;
   Question.data_centre = this->Board.Config.DataCentre.Text;
-  for (const FeedCache &Feed : this->Board.Feeds) {
-    Question.next.push_back(Feed.next().value_or(Offset()).Value);
-  }
+  for (const FeedState &Feed : this->Board.Feeds)
+    Question.next.push_back(Feed.Cache.next().value_or(Offset()).Value);
   LoadRows Own = this->ownLoads(SentAt);
   {
     std::lock_guard Lock(this->Mutex);
@@ -315,7 +314,7 @@
   TimePoint Now = SystemClock{}.now();
   wire::NewsT News;
   for (std::size_t I = 0; I < this->Board.Feeds.size(); ++I) {
-    const FeedCache &Feed = this->Board.Feeds[I];
+    const FeedCache &Feed = this->Board.Feeds[I].Cache;
     bool Asked = I < Question.next.size() && Feed.next() &&
                  this->Board.mayTell(static_cast<FeedKind>(I), Now);
     News.feeds.push_back(
--- a/src/control/store_reader.h
+++ b/src/control/store_reader.h
@@ -38,7 +38,7 @@
   /// One read, or a wait while a neighbour reads; how long to pause then.
   Millis step() {
     TimePoint Now = SystemClock{}.now();
-    std::atomic<bool> &LeftOut = this->Board.leftOut(this->Kind);
+    std::atomic<bool> &LeftOut = this->Board.state(this->Kind).LeftOut;
     bool Rested = !LeftOut && this->rest(Now);
     bool Whole = LeftOut.exchange(false);
     if (Rested && !Whole && !this->mustRead(SystemClock{}.now()))
@@ -186,7 +186,7 @@
       return Millis(0);
     }
     std::lock_guard Lock(this->Mutex);
-    this->Board.ReadFailed[static_cast<std::size_t>(this->Kind)] = true;
+    this->Board.state(this->Kind).ReadFailed = true;
     if (std::exchange(this->Up, false))
       this->Board.Log.emit(
           EventCode::LogUnreachable, std::string(feedName(this->Kind)),
@@ -207,7 +207,7 @@
 
   void onAnswer(KeyedPage &Page, TimePoint SentAt, TimePoint Now) {
     std::lock_guard Lock(this->Mutex);
-    this->Board.ReadFailed[static_cast<std::size_t>(this->Kind)] = false;
+    this->Board.state(this->Kind).ReadFailed = false;
     if (!std::exchange(this->Up, true))
       this->Board.Log.emit(EventCode::LogReachable,
                            std::string(feedName(this->Kind)));
@@ -216,8 +216,7 @@
     if (Proven != TimePoint() && SentAt - Proven > FeedCache::AwayGap)
       Page.HoldUntil = Now + FeedCache::LapseTime;
     takePage(this->Board, this->Kind, Page, "store", Now);
-    this->Board.OwnProof[static_cast<std::size_t>(this->Kind)].raise(
-        Page.ProvenAt);
+    this->Board.state(this->Kind).OwnProof.raise(Page.ProvenAt);
   }
 
   EntryBoard &Board;
--- a/tests/unit/store_reader_test.cpp
+++ b/tests/unit/store_reader_test.cpp
@@ -177,7 +177,7 @@
     "is read once",
     "[unit]") {
   FakeStore::End = 8;
-  this->Board.leftOut(FeedKind::Registry) = true;
+  this->Board.state(FeedKind::Registry).LeftOut = true;
   this->Reader->step();
   CHECK(this->cache().next() == Offset(8));
   CHECK(FakeStore::Newest == 1);
@@ -233,6 +233,8 @@
   this->Reader->step();
   CHECK(this->cache().next() == Offset(9));
   CHECK(this->cache().provenAt() == Proven);
+  // Where the history behind 9 is gone, there is something newer than 9.
+  FakeStore::End = 9;
   FakeStore::HistoryGone = true;
   this->Reader->step();
   this->Reader->step();
