Call nodes that are asked out of order peers

Cause: borrowing and lending were words of our own for asking a node that does not read for this one. Before and after: the same behaviour under the field's word.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -116,7 +116,7 @@
       {FeedAdvanced, Info, "feed_advanced",
        "What this node knows of a feed went on; the fields say from whom, to "
        "which offset, and how old its proof was."},
-      {NewsBorrowed, Info, "news_borrowed",
+      {NewsFromPeer, Info, "news_from_peer",
        "This node lost the store and nobody reads for it: it learns from a "
        "node "
        "that may, until it has the store back."},
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -69,7 +69,7 @@
   ReaderLost = 403,
   FeedReadAlone = 404,
   FeedAdvanced = 405,
-  NewsBorrowed = 406,
+  NewsFromPeer = 406,
 };
 
 enum class Severity { Debug, Info, Warning, Error };
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -27,9 +27,9 @@
 /// Part of a feed's bound after which a node whose reads fail asks others: of 2
 /// s it leaves one, for a round, a first one that does not answer, and a
 /// second.
-constexpr double BorrowPart = 0.5;
+constexpr double PeersPart = 0.5;
 /// How many it asks in a round.
-constexpr std::size_t LendersAsked = 2;
+constexpr std::size_t PeersAsked = 2;
 /// A node that was not asked for this long closes the connection.
 constexpr Millis QuietTime(5000);
 constexpr int MostConnections = 256;
@@ -90,7 +90,7 @@
   if (!this->isFilled() ||
       (!this->askCentre(Nodes) && !this->askOtherCentre(Nodes))) {
     this->readAlone("no node reads for this one");
-    this->borrow(Nodes, SystemClock{}.now());
+    this->askPeers(Nodes, SystemClock{}.now());
   }
   this->publishLoads(SystemClock{}.now());
   return RoundTime;
@@ -140,7 +140,7 @@
   for (FeedKind Kind : {FeedKind::Config, FeedKind::Registry}) {
     Millis Most = *this->Board.mostAge(Kind);
     if (this->Board.state(Kind).ReadFailed)
-      Most = EntryBoard::partOf(*this->Board.boundOf(Kind), BorrowPart);
+      Most = EntryBoard::partOf(*this->Board.boundOf(Kind), PeersPart);
     if (Now - this->Board.feed(Kind).provenAt() >= Most)
       return true;
   }
@@ -156,33 +156,33 @@
 /// of all among them, asks others, each in turn. What it learns so is not told
 /// on (EntryBoard::mayTell): two nodes would each take the other's word for the
 /// store's.
-void NewsExchange::borrow(const NodeTable &Nodes, TimePoint Now) {
-  this->Borrowing = this->Borrowing && this->readsFail();
-  if (!this->isFilled() || (!this->Borrowing && !this->isBehind(Now)))
+void NewsExchange::askPeers(const NodeTable &Nodes, TimePoint Now) {
+  this->AskingPeers = this->AskingPeers && this->readsFail();
+  if (!this->isFilled() || (!this->AskingPeers && !this->isBehind(Now)))
     return;
-  std::vector<NodeInfo> Others = lendersOf(Nodes, this->Board.self());
+  std::vector<NodeInfo> Others = peersOf(Nodes, this->Board.self());
   std::erase_if(Others, [&](const NodeInfo &Row) {
     return this->Failures.isLeft(Row.Node, Now);
   });
-  std::size_t Count = std::min(Others.size(), LendersAsked);
-  for (std::size_t I = 0; I < Count; ++I, ++this->BorrowTurn)
-    if (this->borrowFrom(Others[this->BorrowTurn % Others.size()]))
+  std::size_t Count = std::min(Others.size(), PeersAsked);
+  for (std::size_t I = 0; I < Count; ++I, ++this->PeerTurn)
+    if (this->askPeer(Others[this->PeerTurn % Others.size()]))
       return;
 }
 
-/// Whether \p Lender had something current.
-bool NewsExchange::borrowFrom(const NodeInfo &Lender) {
+/// Whether \p Peer had something current.
+bool NewsExchange::askPeer(const NodeInfo &Peer) {
   TimePoint SentAt = SystemClock{}.now();
-  absl::StatusOr<wire::NewsT> News = this->ask(Lender, SentAt);
+  absl::StatusOr<wire::NewsT> News = this->ask(Peer, SentAt);
   if (!News.ok()) {
-    this->Failures.failed(Lender.Node, SystemClock{}.now());
+    this->Failures.failed(Peer.Node, SystemClock{}.now());
     return false;
   }
   if (!this->isCurrent(*News))
     return false;
-  this->takeNews(*News, Lender.Node, SentAt);
-  if (!std::exchange(this->Borrowing, true))
-    this->Board.Log.emit(EventCode::NewsBorrowed, Lender.Node.Text);
+  this->takeNews(*News, Peer.Node, SentAt);
+  if (!std::exchange(this->AskingPeers, true))
+    this->Board.Log.emit(EventCode::NewsFromPeer, Peer.Node.Text);
   return true;
 }
 
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -39,8 +39,8 @@
   bool askCentre(const NodeTable &Nodes);
   bool askOtherCentre(const NodeTable &Nodes);
   bool askFrom(const NodeInfo &Asked);
-  void borrow(const NodeTable &Nodes, TimePoint Now);
-  bool borrowFrom(const NodeInfo &Lender);
+  void askPeers(const NodeTable &Nodes, TimePoint Now);
+  bool askPeer(const NodeInfo &Peer);
   bool isBehind(TimePoint Now) const;
   bool readsFail() const;
   void readAlone(const std::string &Reason);
@@ -65,8 +65,8 @@
   /// The node that reads for this one; empty where none does.
   NodeId Reader;
   /// Whose turn it is to be asked out of order, and whether that is done.
-  std::size_t BorrowTurn = 0;
-  bool Borrowing = false;
+  std::size_t PeerTurn = 0;
+  bool AskingPeers = false;
   /// By FeedKind, when this node last had to read what was left out.
   std::array<TimePoint, static_cast<std::size_t>(FeedKind::Count)> CaughtUp{};
   std::unique_ptr<Poco::Net::TCPServer> Server;
--- a/src/policy/node_rank.cpp
+++ b/src/policy/node_rank.cpp
@@ -61,7 +61,7 @@
   return Rows;
 }
 
-std::vector<NodeInfo> lendersOf(const NodeTable &Nodes, const NodeInfo &Me) {
+std::vector<NodeInfo> peersOf(const NodeTable &Nodes, const NodeInfo &Me) {
   std::vector<NodeInfo> Rows;
   for (const auto &[Id, Row] : Nodes)
     if (Id != Me.Node)
--- a/src/policy/node_rank.h
+++ b/src/policy/node_rank.h
@@ -39,7 +39,7 @@
 std::vector<DataCentreId> centresOf(const NodeTable &Nodes);
 
 /// All nodes but \p Me, those of its data centre first.
-std::vector<NodeInfo> lendersOf(const NodeTable &Nodes, const NodeInfo &Me);
+std::vector<NodeInfo> peersOf(const NodeTable &Nodes, const NodeInfo &Me);
 
 /// Nodes that did not answer or had nothing current, left alone for a time that
 /// grows with each failure. Not thread-safe.
--- a/tests/failure/leaving_test.cpp
+++ b/tests/failure/leaving_test.cpp
@@ -16,7 +16,7 @@
 // 5 ms, the reader and all who read from it 2,300 ms after the reader's first
 // answer; and so it is here, with the real programs.
 //
-// The same promise broke in three more ways while that was traced; each has its
+// The same promise broke in four more ways while that was traced; each has its
 // test below.
 #include "support/neighbours.h"
 
--- a/tools/without.py
+++ b/tools/without.py
@@ -102,9 +102,9 @@
         "src/policy/choice.cpp",
         "Query.RegistryOld &&", "false &&",
         "choice: the registry is old|leaving target: no node"),
-    "borrowed-news": (
+    "news-from-peers": (
         "src/control/news.cpp",
-        "this->borrow(Nodes, SystemClock{}.now());", "",
+        "this->askPeers(Nodes, SystemClock{}.now());", "",
         "leaving target: the reader loses"),
     "given-up-reset": (
         "src/edge/relay.h",
