Count the calls to the platform's store by use and cause

The change: StoreCalls counts each by what it is for (configuration, registry, directory, announcement, shared work) and why the node makes it itself; on the metrics address, and as one line of the log every five seconds while calls are made.

Ruled out: counting in the HTTP client, which knows no cause; a line for each call.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -120,6 +120,9 @@
        "This node lost the store and nobody reads for it: it learns from a "
        "node "
        "that may, until it has the store back."},
+      {StoreCallsMade, Info, "store_calls",
+       "How often this node called the platform's store since its start, by "
+       "use and cause."},
       {RequestDone, Info, "request_done", "A whole answer was given."},
       {RequestRefused, Info, "request_refused",
        "A request got an error; the detail gives kind and reason."},
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -70,6 +70,7 @@
   FeedReadAlone = 404,
   FeedAdvanced = 405,
   NewsFromPeer = 406,
+  StoreCallsMade = 407,
 };
 
 enum class Severity { Debug, Info, Warning, Error };
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -54,6 +54,7 @@
   for (std::size_t I = 0; I < CounterNames.size(); ++I)
     Out << "# TYPE waycove_" << CounterNames[I] << "_total counter\nwaycove_"
         << CounterNames[I] << "_total " << this->Counters[I].load() << "\n";
+  Out << this->Calls.text();
   std::lock_guard Lock(this->Mutex);
   for (std::size_t I = 0; I < TimerNames.size(); ++I) {
     const Series &Row = this->Timers[I];
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/store_calls.h"
 
 #include <array>
 #include <atomic>
@@ -61,6 +62,8 @@
 class Metrics {
 public:
   Metrics();
+  /// Calls to the platform's store, by use and cause.
+  StoreCalls Calls;
   void add(Counter Which, std::uint64_t Amount = 1) {
     this->Counters[static_cast<std::size_t>(Which)].fetch_add(
         Amount, std::memory_order_relaxed);
--- a/src/board/feed_cache.h
+++ b/src/board/feed_cache.h
@@ -33,6 +33,8 @@
   TimePoint ProvenAt;
   /// The store was away: keys that are missing may be back until then.
   TimePoint HoldUntil;
+  /// How many calls to the store it took.
+  unsigned Calls = 1;
 };
 
 /// The feeds that entries read, and pass on to each other.
--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -30,6 +30,7 @@
     }
     TimePoint SentAt = SystemClock{}.now();
     Millis Time = std::max(LeaseTime, this->Board.Config.Entry->LeaseLeast);
+    this->Board.Counters.Calls.add(StoreUse::Shares, this->causeOfJoin());
     absl::StatusOr<WorkShare> Share = this->Work.join(
         this->Held.read([](const WorkShare &Row) { return Row.Generation; }),
         Time);
@@ -95,6 +96,14 @@
   /// An order is on its way for at most this time after the lease was checked.
   static constexpr Millis LeaseMargin{300};
 
+  CallCause causeOfJoin() const {
+    if (this->Lost)
+      return CallCause::Retry;
+    if (!this->Joined)
+      return CallCause::Start;
+    return this->Board.Share > 0 ? CallCause::Duty : CallCause::Alone;
+  }
+
   std::vector<GroupOrder> planAll(const RoutingConfig &Config,
                                   const WorkShare &Mine, TimePoint Now) {
     std::vector<GroupOrder> Orders;
--- a/src/control/node_follow.h
+++ b/src/control/node_follow.h
@@ -40,6 +40,8 @@
 
   bool announce() {
     NodeInfo Me = this->Board.self();
+    this->Board.Counters.Calls.add(
+        StoreUse::Announcement, this->Up ? CallCause::Start : CallCause::Retry);
     absl::Status Put = this->Announced.put(Me.Node.Text, packNode(Me));
     this->noteUp(Put.ok(), messageOf(Put));
     return this->Listed = Put.ok();
--- a/src/control/store_reader.h
+++ b/src/control/store_reader.h
@@ -101,6 +101,7 @@
     Lane(EntryBoard &Board, Feed (*Open)(EntryBoard &)) : Store(Open(Board)) {}
     Feed Store;
     Backoff Waits;
+    bool Failed = false;
     /// The store does not hold what came since; all of it has to be read.
     bool HistoryGone = false;
   };
@@ -157,12 +158,41 @@
     }
   }
 
-  Millis read(Lane &By, Millis Wait, bool Whole) {
+  static StoreUse useOf(FeedKind Kind) {
+    switch (Kind) {
+    case FeedKind::Config:
+      return StoreUse::Config;
+    case FeedKind::Registry:
+      return StoreUse::Registry;
+    default:
+      return StoreUse::Directory;
+    }
+  }
+
+  CallCause causeOf(const Lane &By, TimePoint Now, bool LeftOut) const {
+    if (By.Failed)
+      return CallCause::Retry;
+    if (By.HistoryGone)
+      return CallCause::HistoryGone;
+    if (!this->Cache.next())
+      return CallCause::Start;
+    if (LeftOut)
+      return CallCause::Large;
+    if (this->Board.Relayed || &By == &this->Spare)
+      return CallCause::Aged;
+    return this->Board.servesNews(Now) ? CallCause::Duty : CallCause::Alone;
+  }
+
+  Millis read(Lane &By, Millis Wait, bool LeftOut) {
     std::optional<Offset> From = this->Cache.next();
     TimePoint SentAt = SystemClock{}.now();
-    Whole = Whole || By.HistoryGone || !From;
+    CallCause Cause = this->causeOf(By, SentAt, LeftOut);
+    bool Whole = LeftOut || By.HistoryGone || !From;
     absl::StatusOr<KeyedPage> Page =
         Whole ? By.Store.newest() : By.Store.follow(*From, Wait);
+    By.Failed = !Page.ok();
+    this->Board.Counters.Calls.add(useOf(this->Kind), Cause,
+                                   Page.ok() ? Page->Calls : 1);
     TimePoint Now = SystemClock{}.now();
     if (!Page.ok())
       return this->onFailure(By, Page.status(), SentAt, Now);
--- a/src/edge/entry_daemon.h
+++ b/src/edge/entry_daemon.h
@@ -82,6 +82,10 @@
       this->sweep();
       return SweepEvery;
     });
+    this->loop([this] {
+      this->tellCalls();
+      return TellCallsEvery;
+    });
     this->Board.Log.emit(
         EventCode::DaemonStarted, this->Board.Config.Node.Text,
         LogFields()
@@ -121,6 +125,8 @@
 private:
   static constexpr Millis PlanEvery{100};
   static constexpr Millis SweepEvery{1000};
+  /// A line of the log each time.
+  static constexpr Millis TellCallsEvery{5000};
   /// The balancer asks each second and believes the second miss.
   static constexpr Millis BalancerTime{2600};
 
@@ -167,6 +173,15 @@
     });
   }
 
+  /// How many calls to the store were made, and why, while any are.
+  void tellCalls() {
+    std::uint64_t Calls = this->Board.Counters.Calls.sum();
+    if (std::exchange(this->CallsTold, Calls) != Calls)
+      this->Board.Log.emit(EventCode::StoreCallsMade,
+                           this->Board.Config.Node.Text,
+                           this->Board.Counters.Calls.fields());
+  }
+
   template <typename F> void loop(F Step) {
     this->Loops.emplace_back(
         [Step = std::move(Step)](const std::stop_token &Stop) {
@@ -197,6 +212,7 @@
   Relay<typename Platform::Callers> Relayed;
   CallerServer<typename Platform::Callers> Callers;
   std::atomic<bool> WasReady{false};
+  std::uint64_t CallsTold = 0;
   TimePoint StopBegan;
   ReadyServer Ready;
   std::vector<std::jthread> Loops;
