Let as many nodes take part in the shared work as it needs

The change: the first nodes of each data centre's order take part, one for each part that falls to the centre and one more. When members last renewed goes along with the news; the next nodes step in where some do not renew, after a time that grows with their place.

Ruled out: asking the store who the members are (a call for each that asks); a second lease for the right to take part.

After: tests of 59 nodes in virtual time that start, lose some, lose all members and get them back; no more than twice as many as are wanted take part.

--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -13,6 +13,7 @@
 #include "policy/group_load.h"
 #include "policy/lease.h"
 #include "policy/node_rank.h"
+#include "policy/share_members.h"
 #include "policy/spend.h"
 
 #include <array>
@@ -60,6 +61,8 @@
   Table<DemandTable, LockRank::Tail> Demand;
   /// The entries that are announced, this one among them.
   Table<NodeTable, LockRank::Health> Nodes;
+  /// Members of the shared work in this data centre.
+  Table<ShareRenewals, LockRank::Peers> Renewals;
 
   /// By FeedKind.
   std::array<FeedState, static_cast<std::size_t>(FeedKind::Count)> Feeds;
--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -25,10 +25,15 @@
   Millis renew() {
     if (this->Board.Stopping) {
       if (this->Joined.exchange(false))
-        this->handBack();
+        this->handBack("stopping");
       return RenewEvery;
     }
     TimePoint SentAt = SystemClock{}.now();
+    if (!this->takesPart(SentAt)) {
+      if (this->Joined.exchange(false))
+        this->handBack("others take part");
+      return this->Listed ? RenewEvery : UnlistedLook;
+    }
     Millis Time = std::max(LeaseTime, this->Board.Config.Entry->LeaseLeast);
     this->Board.Counters.Calls.add(StoreUse::Shares, this->causeOfJoin());
     absl::StatusOr<WorkShare> Share = this->Work.join(
@@ -45,6 +50,9 @@
       this->Board.Log.emit(EventCode::LogReachable, "ownership");
     this->Waits.reset();
     this->Joined = true;
+    this->Board.Renewals.write([&](ShareRenewals &Rows) {
+      Rows.note(memberHash(this->Board.Config.Node), SentAt);
+    });
     this->Until.renew(SentAt, Time - LeaseMargin);
     this->take(*Share);
     return this->Board.Share > 0 ? RenewEvery : IdleRenewEvery;
@@ -90,12 +98,37 @@
   /// The same for a node that owns none: it learns this much later that it is
   /// dealt some.
   static constexpr Millis IdleRenewEvery{900};
+  /// All nodes start within 0.3 s of each other, as the platform states, and
+  /// read what the others announced within 0.2 s.
+  static constexpr Millis StartSpread{700};
+  /// Until the directory lists this node.
+  static constexpr Millis UnlistedLook{50};
   /// A VM that says it leaves serves on for the bound on leaving targets. Its
   /// saying is known here within 0.5 s, and its group is closed 0.2 s later.
   static constexpr Millis DrainMargin{700};
   /// An order is on its way for at most this time after the lease was checked.
   static constexpr Millis LeaseMargin{300};
 
+  /// Whether this node is one of those that take part in the shared work.
+  bool takesPart(TimePoint Now) {
+    // The directory fills while all nodes start at once.
+    if (this->Board.Config.Entry->FirstStart && Now - this->Began < StartSpread)
+      return false;
+    const Settings &Given = this->Board.Config;
+    NodeTable Nodes =
+        this->Board.Nodes.read([](const NodeTable &Rows) { return Rows; });
+    this->Listed = Nodes.contains(Given.Node);
+    std::vector<NodeInfo> Order = readersOf(Nodes, Given.DataCentre);
+    std::size_t Wanted =
+        membersWanted(Given.Entry->WorkParts, centresOf(Nodes).size());
+    bool Holds = this->Held.read(
+        [](const WorkShare &Row) { return !Row.Parts.empty(); });
+    ShareRenewals Known = this->Board.Renewals.read(
+        [](const ShareRenewals &Rows) { return Rows; });
+    return this->Membership.decide(
+        {Order, Given.Node, Known, Wanted, Holds, Now});
+  }
+
   CallCause causeOfJoin() const {
     if (this->Lost)
       return CallCause::Retry;
@@ -203,13 +236,12 @@
         LogFields().add("generation", Share.Generation).add("parts", Parts));
   }
 
-  void handBack() {
+  void handBack(const std::string &Reason) {
     this->Until.drop();
     this->Held.write([](WorkShare &Row) { Row.Parts.clear(); });
     this->Work.leave();
-    this->Board.Log.emit(
-        EventCode::DomainsOwned, this->Board.Config.Node.Text,
-        LogFields().add("parts", "").add("reason", "stopping"));
+    this->Board.Log.emit(EventCode::DomainsOwned, this->Board.Config.Node.Text,
+                         LogFields().add("parts", "").add("reason", Reason));
   }
 
   /// A domain's planner, from when its ownership began.
@@ -224,6 +256,9 @@
 
   EntryBoard &Board;
   Shares &Work;
+  const TimePoint Began = SystemClock{}.now();
+  ShareMembership Membership;
+  bool Listed = false;
   Lease Until;
   Table<WorkShare, LockRank::Peers> Held;
   std::atomic<bool> Joined{false};
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -257,6 +257,8 @@
     std::lock_guard Lock(this->Mutex);
     Question.loads = packLoads(this->Book.upward(Own, SentAt));
   }
+  if (Asked.DataCentre == this->Board.Config.DataCentre)
+    Question.renewals = this->renewals(SentAt);
   return this->exchange(Asked, std::move(Question));
 }
 
@@ -306,10 +308,23 @@
     if (News.feeds[I]->known && !News.feeds[I]->left_out)
       takePage(this->Board, static_cast<FeedKind>(I),
                readFeed(*News.feeds[I], SentAt, Now), From.Text, Now);
+  this->takeRenewals(News.renewals, SentAt);
   std::lock_guard Lock(this->Mutex);
   this->Book.tell(readLoads(News.loads), Now);
 }
 
+/// Members of this data centre, which no other one needs to know.
+std::vector<wire::RenewalRow> NewsExchange::renewals(TimePoint Now) const {
+  return this->Board.Renewals.read(
+      [&](const ShareRenewals &Rows) { return packRenewals(Rows, Now); });
+}
+
+void NewsExchange::takeRenewals(const std::vector<wire::RenewalRow> &Rows,
+                                TimePoint From) {
+  this->Board.Renewals.write(
+      [&](ShareRenewals &Into) { waycove::takeRenewals(Rows, From, Into); });
+}
+
 wire::NewsT NewsExchange::answer(const wire::NewsWantedT &Question) {
   TimePoint Now = SystemClock{}.now();
   wire::NewsT News;
@@ -321,10 +336,15 @@
         Asked ? packFeed(Feed.since(Offset(Question.next[I])), Now)
               : std::make_unique<wire::FeedNewsT>());
   }
+  bool SameCentre = Question.data_centre == this->Board.Config.DataCentre.Text;
+  if (SameCentre) {
+    this->takeRenewals(Question.renewals, Now);
+    News.renewals = this->renewals(Now);
+  }
   LoadRows Own = this->ownLoads(Now);
   NodeId From(Question.node);
   std::lock_guard Lock(this->Mutex);
-  if (Question.data_centre == this->Board.Config.DataCentre.Text)
+  if (SameCentre)
     this->Book.report(From, readLoads(Question.loads), Now);
   else
     this->Book.reportCentre(From, readLoads(Question.loads), Now);
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -53,6 +53,8 @@
   bool isCurrent(const wire::NewsT &News) const;
   wire::NewsT answer(const wire::NewsWantedT &Question);
   LoadRows ownLoads(TimePoint Now) const;
+  std::vector<wire::RenewalRow> renewals(TimePoint Now) const;
+  void takeRenewals(const std::vector<wire::RenewalRow> &Rows, TimePoint From);
   void publishLoads(TimePoint Now);
 
   EntryBoard &Board;
--- a/src/edge/entry_daemon.h
+++ b/src/edge/entry_daemon.h
@@ -82,10 +82,6 @@
       this->sweep();
       return SweepEvery;
     });
-    this->loop([this] {
-      this->tellCalls();
-      return TellCallsEvery;
-    });
     this->Board.Log.emit(
         EventCode::DaemonStarted, this->Board.Config.Node.Text,
         LogFields()
@@ -125,8 +121,8 @@
 private:
   static constexpr Millis PlanEvery{100};
   static constexpr Millis SweepEvery{1000};
-  /// A line of the log each time.
-  static constexpr Millis TellCallsEvery{5000};
+  /// In sweeps; a line of the log each time.
+  static constexpr unsigned CallsToldEvery = 5;
   /// The balancer asks each second and believes the second miss.
   static constexpr Millis BalancerTime{2600};
 
@@ -171,6 +167,8 @@
       for (auto &[Model, Row] : Rows)
         Row = Row.scaled(DemandKept);
     });
+    if (++this->Sweeps % CallsToldEvery == 0)
+      this->tellCalls();
   }
 
   /// How many calls to the store were made, and why, while any are.
@@ -212,6 +210,7 @@
   Relay<typename Platform::Callers> Relayed;
   CallerServer<typename Platform::Callers> Callers;
   std::atomic<bool> WasReady{false};
+  unsigned Sweeps = 0;
   std::uint64_t CallsTold = 0;
   TimePoint StopBegan;
   ReadyServer Ready;
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -79,6 +79,20 @@
   return Loads;
 }
 
+std::vector<wire::RenewalRow> packRenewals(const ShareRenewals &Renewals,
+                                           TimePoint Now) {
+  std::vector<wire::RenewalRow> Rows;
+  for (const auto &[Member, Age] : Renewals.fresh(Now))
+    Rows.emplace_back(Member.Value, static_cast<std::uint32_t>(Age.count()));
+  return Rows;
+}
+
+void takeRenewals(const std::vector<wire::RenewalRow> &Rows, TimePoint From,
+                  ShareRenewals &Into) {
+  for (const wire::RenewalRow &Row : Rows)
+    Into.note(MemberHash(Row.node()), From - Millis(Row.age_ms()));
+}
+
 std::unique_ptr<wire::FeedNewsT> packFeed(const KeyedPage &Page,
                                           TimePoint Now) {
   auto News = std::make_unique<wire::FeedNewsT>();
--- a/src/wire/news_frames.h
+++ b/src/wire/news_frames.h
@@ -6,7 +6,7 @@
 
 #include "board/feed_cache.h"
 #include "policy/load_news.h"
-#include "policy/node_rank.h"
+#include "policy/share_members.h"
 #include "wire/wire_generated.h"
 
 #include <absl/status/statusor.h>
@@ -21,6 +21,12 @@
 std::vector<wire::LoadRow> packLoads(const LoadRows &Loads);
 LoadRows readLoads(const std::vector<wire::LoadRow> &Rows);
 
+std::vector<wire::RenewalRow> packRenewals(const ShareRenewals &Renewals,
+                                           TimePoint Now);
+/// Ages count from \p From.
+void takeRenewals(const std::vector<wire::RenewalRow> &Rows, TimePoint From,
+                  ShareRenewals &Into);
+
 /// A node passes at most this much of a feed on in an answer. More is left out,
 /// and whoever asks reads it from the store: a configuration of 1,130 routes
 /// took 2.0 s to twelve neighbours over a link of 20 Mbit/s, and held up what
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -124,6 +124,8 @@
 
 struct LoadRow;
 
+struct RenewalRow;
+
 struct NewsWanted;
 struct NewsWantedBuilder;
 struct NewsWantedT;
@@ -614,6 +616,39 @@
   using type = LoadRow;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RenewalRow FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t node_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  RenewalRow()
+      : node_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  RenewalRow(uint64_t _node, uint32_t _age_ms)
+      : node_(flatbuffers::EndianScalar(_node)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t node() const {
+    return flatbuffers::EndianScalar(node_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RenewalRow, 16);
+
+struct RenewalRow::Traits {
+  using type = RenewalRow;
+};
+
 struct ConfigChangeT : public flatbuffers::NativeTable {
   typedef ConfigChange TableType;
   std::string kind{};
@@ -3707,6 +3742,7 @@
   std::string data_centre{};
   std::vector<uint64_t> next{};
   std::vector<waycove::wire::LoadRow> loads{};
+  std::vector<waycove::wire::RenewalRow> renewals{};
 };
 
 struct NewsWanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3717,7 +3753,8 @@
     VT_NODE = 4,
     VT_DATA_CENTRE = 6,
     VT_NEXT = 8,
-    VT_LOADS = 10
+    VT_LOADS = 10,
+    VT_RENEWALS = 12
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -3731,6 +3768,9 @@
   const flatbuffers::Vector<const waycove::wire::LoadRow *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const waycove::wire::LoadRow *> *>(VT_LOADS);
   }
+  const flatbuffers::Vector<const waycove::wire::RenewalRow *> *renewals() const {
+    return GetPointer<const flatbuffers::Vector<const waycove::wire::RenewalRow *> *>(VT_RENEWALS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -3741,6 +3781,8 @@
            verifier.VerifyVector(next()) &&
            VerifyOffset(verifier, VT_LOADS) &&
            verifier.VerifyVector(loads()) &&
+           VerifyOffset(verifier, VT_RENEWALS) &&
+           verifier.VerifyVector(renewals()) &&
            verifier.EndTable();
   }
   NewsWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3764,6 +3806,9 @@
   void add_loads(flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads) {
     fbb_.AddOffset(NewsWanted::VT_LOADS, loads);
   }
+  void add_renewals(flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals) {
+    fbb_.AddOffset(NewsWanted::VT_RENEWALS, renewals);
+  }
   explicit NewsWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3780,8 +3825,10 @@
     flatbuffers::Offset<flatbuffers::String> node = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> next = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals = 0) {
   NewsWantedBuilder builder_(_fbb);
+  builder_.add_renewals(renewals);
   builder_.add_loads(loads);
   builder_.add_next(next);
   builder_.add_data_centre(data_centre);
@@ -3799,17 +3846,20 @@
     const char *node = nullptr,
     const char *data_centre = nullptr,
     const std::vector<uint64_t> *next = nullptr,
-    const std::vector<waycove::wire::LoadRow> *loads = nullptr) {
+    const std::vector<waycove::wire::LoadRow> *loads = nullptr,
+    const std::vector<waycove::wire::RenewalRow> *renewals = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto next__ = next ? _fbb.CreateVector<uint64_t>(*next) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<waycove::wire::LoadRow>(*loads) : 0;
+  auto renewals__ = renewals ? _fbb.CreateVectorOfStructs<waycove::wire::RenewalRow>(*renewals) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       node__,
       data_centre__,
       next__,
-      loads__);
+      loads__,
+      renewals__);
 }
 
 flatbuffers::Offset<NewsWanted> CreateNewsWanted(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3818,6 +3868,7 @@
   typedef News TableType;
   std::vector<std::unique_ptr<waycove::wire::FeedNewsT>> feeds{};
   std::vector<waycove::wire::LoadRow> loads{};
+  std::vector<waycove::wire::RenewalRow> renewals{};
   NewsT() = default;
   NewsT(const NewsT &o);
   NewsT(NewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3830,7 +3881,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FEEDS = 4,
-    VT_LOADS = 6
+    VT_LOADS = 6,
+    VT_RENEWALS = 8
   };
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>> *feeds() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>> *>(VT_FEEDS);
@@ -3838,6 +3890,9 @@
   const flatbuffers::Vector<const waycove::wire::LoadRow *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const waycove::wire::LoadRow *> *>(VT_LOADS);
   }
+  const flatbuffers::Vector<const waycove::wire::RenewalRow *> *renewals() const {
+    return GetPointer<const flatbuffers::Vector<const waycove::wire::RenewalRow *> *>(VT_RENEWALS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FEEDS) &&
@@ -3845,6 +3900,8 @@
            verifier.VerifyVectorOfTables(feeds()) &&
            VerifyOffset(verifier, VT_LOADS) &&
            verifier.VerifyVector(loads()) &&
+           VerifyOffset(verifier, VT_RENEWALS) &&
+           verifier.VerifyVector(renewals()) &&
            verifier.EndTable();
   }
   NewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3862,6 +3919,9 @@
   void add_loads(flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads) {
     fbb_.AddOffset(News::VT_LOADS, loads);
   }
+  void add_renewals(flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals) {
+    fbb_.AddOffset(News::VT_RENEWALS, renewals);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3876,8 +3936,10 @@
 inline flatbuffers::Offset<News> CreateNews(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>>> feeds = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals = 0) {
   NewsBuilder builder_(_fbb);
+  builder_.add_renewals(renewals);
   builder_.add_loads(loads);
   builder_.add_feeds(feeds);
   return builder_.Finish();
@@ -3891,13 +3953,16 @@
 inline flatbuffers::Offset<News> CreateNewsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<waycove::wire::FeedNews>> *feeds = nullptr,
-    const std::vector<waycove::wire::LoadRow> *loads = nullptr) {
+    const std::vector<waycove::wire::LoadRow> *loads = nullptr,
+    const std::vector<waycove::wire::RenewalRow> *renewals = nullptr) {
   auto feeds__ = feeds ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedNews>>(*feeds) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<waycove::wire::LoadRow>(*loads) : 0;
+  auto renewals__ = renewals ? _fbb.CreateVectorOfStructs<waycove::wire::RenewalRow>(*renewals) : 0;
   return waycove::wire::CreateNews(
       _fbb,
       feeds__,
-      loads__);
+      loads__,
+      renewals__);
 }
 
 flatbuffers::Offset<News> CreateNews(flatbuffers::FlatBufferBuilder &_fbb, const NewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5152,6 +5217,7 @@
   { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
   { auto _e = next(); if (_e) { _o->next.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->next[_i] = _e->Get(_i); } } }
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
+  { auto _e = renewals(); if (_e) { _o->renewals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewals[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<NewsWanted> NewsWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5166,16 +5232,19 @@
   auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
   auto _next = _o->next.size() ? _fbb.CreateVector(_o->next) : 0;
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
+  auto _renewals = _o->renewals.size() ? _fbb.CreateVectorOfStructs(_o->renewals) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       _node,
       _data_centre,
       _next,
-      _loads);
+      _loads,
+      _renewals);
 }
 
 inline NewsT::NewsT(const NewsT &o)
-      : loads(o.loads) {
+      : loads(o.loads),
+        renewals(o.renewals) {
   feeds.reserve(o.feeds.size());
   for (const auto &feeds_ : o.feeds) { feeds.emplace_back((feeds_) ? new waycove::wire::FeedNewsT(*feeds_) : nullptr); }
 }
@@ -5183,6 +5252,7 @@
 inline NewsT &NewsT::operator=(NewsT o) FLATBUFFERS_NOEXCEPT {
   std::swap(feeds, o.feeds);
   std::swap(loads, o.loads);
+  std::swap(renewals, o.renewals);
   return *this;
 }
 
@@ -5197,6 +5267,7 @@
   (void)_resolver;
   { auto _e = feeds(); if (_e) { _o->feeds.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->feeds[_i] = std::unique_ptr<waycove::wire::FeedNewsT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
+  { auto _e = renewals(); if (_e) { _o->renewals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewals[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<News> News::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5209,10 +5280,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const NewsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _feeds = _o->feeds.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedNews>> (_o->feeds.size(), [](size_t i, _VectorArgs *__va) { return CreateFeedNews(*__va->__fbb, __va->__o->feeds[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
+  auto _renewals = _o->renewals.size() ? _fbb.CreateVectorOfStructs(_o->renewals) : 0;
   return waycove::wire::CreateNews(
       _fbb,
       _feeds,
-      _loads);
+      _loads,
+      _renewals);
 }
 
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- /dev/null
+++ b/tests/unit/share_members_test.cpp
@@ -0,0 +1,162 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// Who takes part in the shared work. The load that this answers: every member
+// renews its lease for as long as it lives, whether or not it holds anything,
+// so that renewals grow with the nodes and not with the work.
+#include "policy/share_members.h"
+#include "support/times.h"
+
+#include <catch2/catch.hpp>
+
+namespace waycove::test {
+
+/// A data centre of nodes that all know each other, and hear of renewals
+/// after the time that news takes over four hops.
+struct ShareMembersFixture {
+  explicit ShareMembersFixture(int Count = 59) {
+    NodeTable Nodes;
+    for (int I = 0; I < Count; ++I) {
+      NodeInfo Row;
+      Row.Node = NodeId("n" + std::to_string(I));
+      Row.DataCentre = DataCentreId("a");
+      Nodes[Row.Node] = Row;
+    }
+    this->Order = readersOf(Nodes, DataCentreId("a"));
+    for (const NodeInfo &Row : this->Order)
+      this->Rows[Row.Node];
+  }
+
+  /// Lets \p Ms go by; members renew every 0.5 s, and each node decides then.
+  void run(int Ms) {
+    for (int End = this->NowMs + Ms; this->NowMs < End; this->NowMs += Step)
+      for (auto &[Id, Row] : this->Rows)
+        if (!Row.Dead)
+          this->decide(Id, Row);
+  }
+  std::size_t members() const {
+    return static_cast<std::size_t>(
+        std::count_if(this->Rows.begin(), this->Rows.end(), [](const auto &R) {
+          return R.second.Member && !R.second.Dead;
+        }));
+  }
+  void kill(std::size_t From, std::size_t Count) {
+    for (std::size_t I = From; I < From + Count; ++I)
+      this->Rows[this->Order[I].Node].Dead = true;
+  }
+  void restart(std::size_t From, std::size_t Count) {
+    for (std::size_t I = From; I < From + Count; ++I)
+      this->Rows[this->Order[I].Node] = {};
+  }
+
+  static constexpr int Step = 500;
+  static constexpr int NewsMs = 1000;
+  static constexpr std::size_t Wanted = 6;
+
+  struct Node {
+    ShareMembership Decision;
+    bool Member = false;
+    bool Dead = false;
+  };
+  std::vector<NodeInfo> Order;
+  std::map<NodeId, Node> Rows;
+  std::map<NodeId, std::vector<int>> RenewedMs;
+  int NowMs = 0;
+  bool HoldsParts = false;
+
+private:
+  void decide(const NodeId &Id, Node &Row) {
+    ShareRenewals Known;
+    for (const auto &[Other, Times] : this->RenewedMs)
+      for (int Ms : Times)
+        if (Ms + NewsMs <= this->NowMs || Other == Id)
+          Known.note(memberHash(Other), at(Ms));
+    Row.Member = Row.Decision.decide(
+        {this->Order, Id, Known, Wanted, this->HoldsParts, at(this->NowMs)});
+    if (Row.Member)
+      this->RenewedMs[Id].push_back(this->NowMs);
+  }
+};
+
+TEST_CASE("share members: parts by data centre: one each and a spare",
+          "[unit]") {
+  CHECK(membersWanted(24, 5) == 6);
+  CHECK(membersWanted(12, 3) == 5);
+  CHECK(membersWanted(12, 1) == 13);
+  CHECK(membersWanted(12, 0) == 13);
+}
+
+TEST_CASE_METHOD(ShareMembersFixture,
+                 "share members: many nodes start: as many as are wanted",
+                 "[unit]") {
+  this->run(500);
+  CHECK(this->members() == Wanted);
+  this->run(20000);
+  CHECK(this->members() == Wanted);
+  for (std::size_t I = 0; I < Wanted; ++I)
+    CHECK(this->Rows[this->Order[I].Node].Member);
+}
+
+TEST_CASE("share members: fewer nodes than are wanted: all of them", "[unit]") {
+  ShareMembersFixture Few(3);
+  Few.run(500);
+  CHECK(Few.members() == 3);
+}
+
+TEST_CASE_METHOD(ShareMembersFixture,
+                 "share members: some members die: the next nodes step in",
+                 "[unit]") {
+  this->run(5000);
+  this->kill(0, 4);
+  this->run(8000);
+  CHECK(this->members() >= Wanted);
+  CHECK(this->members() <= Wanted + 4);
+}
+
+TEST_CASE_METHOD(ShareMembersFixture,
+                 "share members: all members die: others step in, not all",
+                 "[unit]") {
+  this->run(5000);
+  this->kill(0, Wanted);
+  this->run(10000);
+  CHECK(this->members() >= Wanted);
+  CHECK(this->members() <= 2 * Wanted);
+}
+
+TEST_CASE_METHOD(ShareMembersFixture,
+                 "share members: the first nodes are back: those that hold "
+                 "nothing go",
+                 "[unit]") {
+  this->run(5000);
+  this->kill(0, 4);
+  this->run(8000);
+  this->restart(0, 4);
+  this->run(20000);
+  CHECK(this->members() == Wanted);
+}
+
+TEST_CASE_METHOD(ShareMembersFixture,
+                 "share members: a member holds parts: it stays", "[unit]") {
+  this->run(5000);
+  this->kill(0, 4);
+  this->run(8000);
+  std::size_t Before = this->members();
+  this->HoldsParts = true;
+  this->restart(0, 4);
+  this->run(20000);
+  CHECK(this->members() == Before);
+}
+
+TEST_CASE_METHOD(ShareMembersFixture,
+                 "share members: the directory does not list this node: it "
+                 "takes part in the end",
+                 "[unit]") {
+  ShareMembership Unlisted;
+  NodeId Me("unlisted");
+  ShareRenewals None;
+  CHECK_FALSE(Unlisted.decide({this->Order, Me, None, Wanted, false, at(0)}));
+  CHECK(Unlisted.decide({this->Order, Me, None, Wanted, false, at(5000)}));
+}
+
+} // namespace waycove::test
