Expect of an unknown target what is usual of its kind

Cause: what a node knows of a target fades to nothing, and nothing known meant no wait. A group that had just opened got the next request of every node: 57 at once before 22 places.

The change: a wait that was measured long ago, or never, counts as the mean of what this node measured of the model's targets.

--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// What was learned of a target's wait counts for less as it ages, so that it
-/// is tried again: by half in this time.
+/// What was learned of a target's wait counts for less as it ages, against what
+/// is usual of its kind: by half in this time.
 constexpr double WaitHalfLifeSeconds = 1.5;
 /// What one request in flight counts for, in milliseconds of first-byte time:
 /// measured on a calm day, a group slows by about this much for each request.
@@ -36,11 +36,33 @@
          Query.Avoid.end();
 }
 
-/// The first-byte time to expect: what was measured, and no less than what
-/// the longest waiting request has waited already.
-double firstByteMs(const TargetVitals &Seen, TimePoint Now) {
+/// The mean of what this node measured of the model's targets; 0 where it
+/// measured none.
+double usualFirstByteMs(const std::vector<Serving> &Rows,
+                        const VitalsTable &Vitals, const std::string &Model) {
+  double Sum = 0;
+  int Measured = 0;
+  for (const Serving &Row : Rows) {
+    double Ms = Vitals.of(Row.Target->Id).FirstByteMs;
+    if (Row.Model != Model || Ms == 0)
+      continue;
+    Sum += Ms;
+    ++Measured;
+  }
+  return Measured > 0 ? Sum / Measured : 0;
+}
+
+/// The first-byte time to expect: what was measured, or \p Usual where that is
+/// long ago or nothing was, and no less than what the longest waiting request
+/// has waited already. A target of which nothing is known must not look idle:
+/// the next request of each node went to a group that had just opened, 57 of 59
+/// nodes before 22 places, and the half of all late answers on a calm day came
+/// from groups younger than 5.4 s.
+double firstByteMs(const TargetVitals &Seen, double Usual, TimePoint Now) {
   double Age = std::chrono::duration<double>(Now - Seen.FirstByteAt).count();
-  double Known = Seen.FirstByteMs * std::exp2(-Age / WaitHalfLifeSeconds);
+  double Known = Usual;
+  if (Seen.FirstByteMs > 0)
+    Known += (Seen.FirstByteMs - Usual) * std::exp2(-Age / WaitHalfLifeSeconds);
   for (TimePoint Since : Seen.WaitingSince)
     Known = std::max(
         Known, std::chrono::duration<double, std::milli>(Now - Since).count());
@@ -48,10 +70,10 @@
 }
 
 double expectedWaitMs(const Serving &Row, const VitalsTable &Vitals,
-                      const ChoiceQuery &Query) {
+                      const ChoiceQuery &Query, double Usual) {
   const VmId &Id = Row.Target->Id;
   const TargetVitals &Seen = Vitals.of(Id);
-  double Wait = firstByteMs(Seen, Query.Now) +
+  double Wait = firstByteMs(Seen, Usual, Query.Now) +
                 WaitPerRequestMs * Seen.InFlight +
                 WaitPerThousandTokensMs * Seen.PromptWaiting / 1000;
   if (Row.Target->DataCentre != Query.Here)
@@ -83,13 +105,15 @@
                             const ChoiceQuery &Query) {
   const Serving *Best = nullptr;
   double BestWait = 0;
+  double Usual = usualFirstByteMs(Rows, Vitals, Query.Model);
   bool Stays = anyStays(Rows, Vitals, Query);
   for (std::size_t I = 0; I < Rows.size(); ++I) {
     const Serving &Row = Rows[I];
     if (Row.Model != Query.Model || isAvoided(Query, Row.Target->Id) ||
         (Stays && mayBeLeaving(Row, Vitals, Query)))
       continue;
-    double Wait = expectedWaitMs(Row, Vitals, Query) + jitter(Query.Random, I);
+    double Wait =
+        expectedWaitMs(Row, Vitals, Query, Usual) + jitter(Query.Random, I);
     if (!Best || Wait < BestWait) {
       Best = &Row;
       BestWait = Wait;
