Queue all loads of weights over all domains

Seen second by second: 35 loads of weights began within 15 s on a store that serves six at full speed, from 14 owners of domains that each may begin two; each load took 24 to 40 s instead of 12, and its host was lost before a group was whole. VMs whose weights were the wrong ones had no part in the queue that exists for empty ones.

The change: one queue for all loads, worked out alike by every owner, first for models that nothing serves. A VM that is in no group loads by joining one of its own, which the registry shows, so that all owners count the loads under way; a new owner waits for it. No group is formed of VMs that have yet to load. An owner's budget bounds what begins in a second alone.

Ruled out: fewer loads for each owner (one alone could not load a whole group then); loads counted from orders (an owner does not see the others').

--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -152,8 +152,7 @@
     for (auto &[Domain, View] : Views) {
       const EngineSpec &Engine = *Config.service(View.Service)->Engine;
       View.EpochFloor = Mine.Generation << CounterBits;
-      View.LoadsAllowed = this->Loads.left(Engine, Now);
-      View.TurnsAllowed = this->Loads.turns(Engine, Now);
+      View.LoadsAllowed = this->Loads.allowed(View.LoadsAllowed, Engine, Now);
       View.Fates = this->Members.fates();
       View.Serving = Serving;
       View.Demand = demandRates(
--- a/src/control/load_budget.cpp
+++ b/src/control/load_budget.cpp
@@ -12,9 +12,6 @@
 
 /// Orders of loads count this long.
 constexpr Millis LoadWindow{5000};
-/// An owner may load this many, however small its part: not all owners load at
-/// a time, and a group mostly lacks one or two.
-constexpr double LeastPart = 2;
 
 } // namespace
 
@@ -22,34 +19,20 @@
   return this->Board.Config.Entry->FirstStart && !this->Board.Requested;
 }
 
-double LoadBudget::mayBegin(const EngineSpec &Engine, TimePoint Now) {
-  std::erase_if(this->Loads, [&](const Load &Row) {
-    return Now - Row.Begun > LoadWindow && Now > Row.Done;
-  });
-  auto Begun = static_cast<double>(std::count_if(
-      this->Loads.begin(), this->Loads.end(),
-      [&](const Load &Row) { return Now - Row.Begun <= LoadWindow; }));
-  double Seconds = std::chrono::duration<double>(LoadWindow).count();
-  double Most = Engine.LoadsPerSecond * Seconds * this->Board.Share;
-  return std::max(0.0, std::max(Most, LeastPart) - Begun);
-}
-
-unsigned LoadBudget::turns(const EngineSpec &Engine, TimePoint Now) {
-  if (this->isFree())
-    return FreeLoads;
-  return static_cast<unsigned>(this->mayBegin(Engine, Now));
-}
-
-unsigned LoadBudget::left(const EngineSpec &Engine, TimePoint Now) {
+unsigned LoadBudget::allowed(unsigned Turns, const EngineSpec &Engine,
+                             TimePoint Now) {
   if (this->isFree())
     return FreeLoads;
-  double MayBegin = this->mayBegin(Engine, Now);
-  auto Running = static_cast<double>(
-      std::count_if(this->Loads.begin(), this->Loads.end(),
-                    [&](const Load &Row) { return Now <= Row.Done; }));
-  double MayRun = Engine.LoadsAtOnce * this->Board.Share;
-  double Left = std::min(MayBegin, std::max(MayRun, LeastPart) - Running);
-  return static_cast<unsigned>(std::max(0.0, Left));
+  std::erase_if(this->Loads,
+                [&](TimePoint At) { return Now - At > LoadWindow; });
+  double Seconds = std::chrono::duration<double>(LoadWindow).count();
+  double OfAll = Engine.LoadsPerSecond * Seconds;
+  // However small its part, an owner may begin all loads that run at full
+  // speed, or half of what all may begin: few owners load at a time.
+  double Least = std::min<double>(Engine.LoadsAtOnce, OfAll / 2);
+  double Most = std::max(OfAll * this->Board.Share, Least);
+  auto Begun = static_cast<double>(this->Loads.size());
+  return std::min(Turns, static_cast<unsigned>(std::max(0.0, Most - Begun)));
 }
 
 void LoadBudget::count(const GroupOrder &Order, const EngineSpec &Engine,
@@ -58,9 +41,8 @@
       Order.Kind == OrderKind::Stage ||
       (Order.Kind == OrderKind::Join && !Order.To->hasLoaded(Order.Model) &&
        !Order.To->hasStaged(Order.Model));
-  const ModelSpec *Model = Engine.model(Order.Model);
-  if (Loads && Model)
-    this->Loads.push_back({Now, Now + Model->LoadTime});
+  if (Loads && Engine.model(Order.Model))
+    this->Loads.push_back(Now);
 }
 
 } // namespace waycove
--- a/src/policy/domain_form.cpp
+++ b/src/policy/domain_form.cpp
@@ -81,7 +81,7 @@
   for (const ModelSpec *Model : largestFirst(S.Engine)) {
     bool Forms =
         Free.size() >= Model->GroupSize &&
-        (countWarm(Free, *Model) >= Model->GroupSize || !S.stagesFirst(*Model));
+        (countWarm(Free, *Model) >= Model->GroupSize || !S.loadsFirst());
     GroupCounts After = Now;
     ++After[Model->Name];
     double Loss = S.lossOf(After);
@@ -116,7 +116,7 @@
   std::size_t Warm = countWarm(Free, Model);
   if (Free.size() < Model.GroupSize)
     return false;
-  if (Warm < Model.GroupSize && S.stagesFirst(Model))
+  if (Warm < Model.GroupSize && S.loadsFirst())
     return false;
   std::stable_sort(Free.begin(), Free.end(),
                    [&](const TargetRef &Left, const TargetRef &Right) {
@@ -125,8 +125,6 @@
                    });
   Free.resize(Model.GroupSize);
   auto Cold = static_cast<unsigned>(Free.size() - countWarm(Free, Model));
-  if (!S.takeLoads(Model, Cold))
-    return false;
   this->orderJoins(S, Model, Free, Cold);
   return true;
 }
--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -68,13 +68,14 @@
   if (!this->isSettled(View))
     return {};
   Step S{View, Engine};
-  S.LoadsLeft = View.LoadsAllowed;
-  S.TurnsLeft = View.TurnsAllowed;
+  S.LoadsLeft =
+      View.LoadsAllowed - std::min(View.LoadsAllowed, this->unseenLoads(S));
   S.Demand = View.Demand.empty() ? expectedDemand(Engine) : View.Demand;
   collect(S);
   for (const auto &[Key, Row] : S.Groups)
     this->judge(S, Key, Row);
   this->dropStaleForming(S);
+  this->holdWarmUps(S);
   this->formMissing(S);
   this->stageMissing(S);
   this->stageSpares(S);
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -42,7 +42,7 @@
 /// the registry within about 0.6 s, and other views lag a little more.
 inline constexpr Millis TakeoverWait{1000};
 
-/// LoadsAllowed where loads are not bounded.
+/// Loads allowed where they are not bounded.
 inline constexpr unsigned FreeLoads = 1000;
 
 /// How a domain looks in one planning step.
@@ -80,12 +80,9 @@
   /// What callers ask of each model in a second, over all nodes; empty where
   /// only operators' figures are known.
   DemandTable Demand;
-  /// Weights that may be read from the shared store in this step, in loads.
+  /// Loads of weights from the shared store whose turn it is, as loadTurns()
+  /// says, within the owner's LoadBudget; FreeLoads where they are not bounded.
   unsigned LoadsAllowed = 0;
-  /// VMs without weights whose turn it is to read them; see loadTurns().
-  std::set<VmId> LoadTurns;
-  /// Loads for these that may begin in this step.
-  unsigned TurnsAllowed = 0;
   /// For so long after a member was seen to drain its group goes on.
   Millis DrainHold{0};
   TimePoint Now;
@@ -154,7 +151,10 @@
   const ModelSpec *bestNext(Step &S);
   bool giveUpSmaller(Step &S, const ModelSpec &Model, const GroupCounts &Else);
   void warmReserves(Step &S);
+  void joinAlone(Step &S, const TargetRef &Vm, const ModelSpec &Model,
+                 const std::string &Reason);
   bool judgeWarmUp(Step &S, const GroupKey &Key, const Announced &Row);
+  void holdWarmUps(Step &S);
   void stageMissing(Step &S);
   void stageSpares(Step &S);
   /// A group to load weights for.
@@ -162,11 +162,16 @@
     const ModelSpec *Model = nullptr;
     std::vector<TargetRef> Members;
   };
-  static LoadPlan bestLoads(const Step &S, const GroupCounts &Now,
-                            std::vector<TargetRef> Free);
+  std::vector<TargetRef> loadingVms(const Step &S) const;
+  std::optional<int> loadRankOf(const TargetInfo &Vm,
+                                const ModelSpec &Model) const;
+  LoadPlan bestLoads(const Step &S, const GroupCounts &Now,
+                     const std::vector<TargetRef> &Vms) const;
   static std::vector<const Announced *>
   donorsFor(const Step &S, const ModelSpec &Large, std::size_t Free);
-  bool takeLoad(Step &S, const VmId &Vm, int AtOnce);
+  unsigned unseenLoads(const Step &S) const;
+  int loadsUnderWay(const Step &S) const;
+  bool takeLoad(Step &S, int AtOnce);
   void stage(Step &S, const TargetRef &Vm, const ModelSpec &Model, int AtOnce);
   /// Gives an order, unless the same was given a short while ago.
   void order(Step &S, OrderKind Kind, const TargetRef &To,
@@ -186,8 +191,14 @@
   std::map<std::tuple<GroupKey, OrderKind, VmId>, TimePoint> LastOrder;
   /// When weights were ordered onto a host, by model.
   std::map<std::pair<VmId, std::string>, TimePoint> Staging;
-  /// Groups of one VM that only load its weights, and when they were ordered.
-  std::map<GroupKey, TimePoint> WarmUps;
+  /// A group of one VM that only loads its weights.
+  struct WarmUp {
+    VmId Vm;
+    TimePoint Since;
+    /// From the shared store, not from its host.
+    bool Cold = false;
+  };
+  std::map<GroupKey, WarmUp> WarmUps;
   std::set<VmId> WarmTried;
   std::vector<GoneTarget> Questions;
   std::uint64_t LastEpoch = 0;
--- a/src/policy/domain_stage.cpp
+++ b/src/policy/domain_stage.cpp
@@ -8,6 +8,7 @@
 #include "policy/domain_step.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace waycove {
 
@@ -18,8 +19,9 @@
 /// Hosts of one domain that are staged at the same time: the store slows down
 /// where more than a few load.
 constexpr int StagingsAtOnce = 1;
-/// The same where hosts rest that would make a group with other weights.
-constexpr int MissingStagingsAtOnce = 4;
+/// Where hosts rest that would make a group with other weights, turns alone
+/// bound the loads.
+constexpr int MissingLoadsAtOnce = std::numeric_limits<int>::max();
 /// Groups of smaller models whose hosts hold the largest model besides, in a
 /// domain with at least so many free VMs, and in one without. Tried: two
 /// everywhere left the smaller model short where domains have free VMs, one
@@ -46,29 +48,55 @@
   return Donors;
 }
 
-/// The group of free VMs to load weights for next: of which callers win most
-/// for the time that its loads take together. Its VMs with the weights come
-/// first, then those without any. Empty members where none fits.
-DomainPlanner::LoadPlan DomainPlanner::bestLoads(const Step &S,
-                                                 const GroupCounts &Now,
-                                                 std::vector<TargetRef> Free) {
+/// The VMs that load weights in a group of their own, as far as they are
+/// listed.
+std::vector<TargetRef> DomainPlanner::loadingVms(const Step &S) const {
+  std::vector<TargetRef> Rows;
+  for (const auto &[Key, Row] : this->WarmUps) {
+    auto At = std::find_if(
+        S.View.Targets.begin(), S.View.Targets.end(),
+        [&, Id = Row.Vm](const TargetRef &Vm) { return Vm->Id == Id; });
+    if (At != S.View.Targets.end() && S.isUsable(**At))
+      Rows.push_back(*At);
+  }
+  return Rows;
+}
+
+/// How far \p Vm is from a group of \p Model: 0 where it has the weights or
+/// loads them, 1 with none, 2 with others; nothing where it loads others.
+std::optional<int> DomainPlanner::loadRankOf(const TargetInfo &Vm,
+                                             const ModelSpec &Model) const {
+  for (const auto &[Key, Row] : this->WarmUps)
+    if (Row.Vm == Vm.Id)
+      return modelOf(Key.Name) == Model.Name ? std::optional(0) : std::nullopt;
+  if (Vm.hasStaged(Model.Name) || Vm.hasLoaded(Model.Name))
+    return 0;
+  return Vm.Staged.empty() && Vm.Loaded.empty() ? 1 : 2;
+}
+
+/// The group of \p Vms to load weights for next: of which callers win most for
+/// the time that its loads take together. Its VMs with the weights come first,
+/// then those without any. Empty members where none fits.
+DomainPlanner::LoadPlan
+DomainPlanner::bestLoads(const Step &S, const GroupCounts &Now,
+                         const std::vector<TargetRef> &Vms) const {
   LoadPlan Best;
   double BestRate = 0;
   for (const ModelSpec *Model : largestFirst(S.Engine)) {
-    if (Free.size() < Model->GroupSize)
+    std::vector<std::pair<int, TargetRef>> Ranked;
+    for (const TargetRef &Row : Vms)
+      if (std::optional<int> Rank = this->loadRankOf(*Row, *Model))
+        Ranked.emplace_back(*Rank, Row);
+    if (Ranked.size() < Model->GroupSize)
       continue;
-    auto Rank = [&](const TargetRef &Row) {
-      if (Row->hasStaged(Model->Name) || Row->hasLoaded(Model->Name))
-        return 0;
-      return Row->Staged.empty() && Row->Loaded.empty() ? 1 : 2;
-    };
-    std::stable_sort(Free.begin(), Free.end(),
-                     [&](const TargetRef &Left, const TargetRef &Right) {
-                       return Rank(Left) < Rank(Right);
+    std::stable_sort(Ranked.begin(), Ranked.end(),
+                     [](const auto &Left, const auto &Right) {
+                       return Left.first < Right.first;
                      });
-    auto End = Free.begin() + Model->GroupSize;
-    auto Lacks = std::count_if(
-        Free.begin(), End, [&](const TargetRef &Row) { return Rank(Row) > 0; });
+    Ranked.resize(Model->GroupSize);
+    auto Lacks =
+        std::count_if(Ranked.begin(), Ranked.end(),
+                      [](const auto &Entry) { return Entry.first > 0; });
     GroupCounts After = Now;
     ++After[Model->Name];
     double Seconds = std::chrono::duration<double>(Model->LoadTime * Lacks +
@@ -78,28 +106,34 @@
     if (Rate <= BestRate)
       continue;
     BestRate = Rate;
-    Best = {Model, {Free.begin(), End}};
+    Best = {Model, {}};
+    for (const auto &[Rank, Row] : Ranked)
+      Best.Members.push_back(Row);
   }
   return Best;
 }
 
-/// Stages what groups lack on hosts that rest: where a domain came back from an
-/// outage, got new VMs or lost some, enough of them may be free for a group,
+/// Loads what groups lack onto hosts that rest: where a domain came back from
+/// an outage, got new VMs or lost some, enough of them may be free for a group,
 /// with the weights of another model or none.
 void DomainPlanner::stageMissing(Step &S) {
   if (S.Engine.ModelsStagedPerHost == 0)
     return;
-  std::vector<TargetRef> Free = S.freeVms();
+  std::vector<TargetRef> Vms = S.freeVms();
+  std::vector<TargetRef> Loading = this->loadingVms(S);
+  Vms.insert(Vms.end(), Loading.begin(), Loading.end());
   GroupCounts Groups = S.own();
   while (true) {
-    LoadPlan Plan = bestLoads(S, Groups, Free);
+    LoadPlan Plan = this->bestLoads(S, Groups, Vms);
     if (!Plan.Model)
       return;
     ++Groups[Plan.Model->Name];
     for (const TargetRef &Row : Plan.Members) {
-      std::erase(Free, Row);
-      if (!Row->hasLoaded(Plan.Model->Name))
-        this->stage(S, Row, *Plan.Model, MissingStagingsAtOnce);
+      std::erase(Vms, Row);
+      bool Comes =
+          std::find(Loading.begin(), Loading.end(), Row) != Loading.end();
+      if (!Comes && !Row->hasLoaded(Plan.Model->Name))
+        this->stage(S, Row, *Plan.Model, MissingLoadsAtOnce);
     }
   }
 }
@@ -138,30 +172,56 @@
       this->stage(S, Vm, Large, StagingsAtOnce);
 }
 
-/// Whether a load may begin on \p Vm, and counts it: in its turn where it holds
-/// no weights, else within what is left of the budget, and so that \p AtOnce
+/// Loads from the shared store that were ordered and that the registry may not
+/// show yet, so that loadTurns() counts them once more.
+unsigned DomainPlanner::unseenLoads(const Step &S) const {
+  auto Unseen = [&](TimePoint Since) {
+    return Since != TimePoint() && S.View.Now - Since < ShowTime;
+  };
+  auto Alone = std::count_if(
+      this->WarmUps.begin(), this->WarmUps.end(), [&](const auto &Entry) {
+        return Entry.second.Cold && Unseen(Entry.second.Since) &&
+               !S.Groups.contains(Entry.first);
+      });
+  auto Staged =
+      std::count_if(this->Staging.begin(), this->Staging.end(),
+                    [&](const auto &Entry) { return Unseen(Entry.second); });
+  return static_cast<unsigned>(Alone + Staged);
+}
+
+/// Loads of this domain that run, for all that was ordered.
+int DomainPlanner::loadsUnderWay(const Step &S) const {
+  auto Runs = [&](const std::string &Name, TimePoint Since) {
+    const ModelSpec *Model = S.Engine.model(Name);
+    return Model && Since != TimePoint() &&
+           S.View.Now - Since < Model->LoadTime;
+  };
+  auto Staged = std::count_if(this->Staging.begin(), this->Staging.end(),
+                              [&](const auto &Entry) {
+                                return Runs(Entry.first.second, Entry.second);
+                              });
+  auto Alone = std::count_if(
+      this->WarmUps.begin(), this->WarmUps.end(), [&](const auto &Entry) {
+        return Entry.second.Cold &&
+               Runs(modelOf(Entry.first.Name), Entry.second.Since);
+      });
+  return static_cast<int>(Staged + Alone);
+}
+
+/// Whether a load may begin, and counts it: in its turn, and so that \p AtOnce
 /// run in the domain.
-bool DomainPlanner::takeLoad(Step &S, const VmId &Vm, int AtOnce) {
-  if (S.View.LoadTurns.contains(Vm)) {
-    if (S.TurnsLeft == 0)
-      return false;
-    --S.TurnsLeft;
+bool DomainPlanner::takeLoad(Step &S, int AtOnce) {
+  if (S.View.LoadsAllowed >= FreeLoads)
     return true;
-  }
-  bool Free = S.View.LoadsAllowed >= FreeLoads;
-  auto UnderWay = std::count_if(
-      this->Staging.begin(), this->Staging.end(), [&](const auto &Entry) {
-        const ModelSpec *Model = S.Engine.model(Entry.first.second);
-        return Model && Entry.second != TimePoint() &&
-               S.View.Now - Entry.second < Model->LoadTime;
-      });
-  if (S.LoadsLeft == 0 || (!Free && UnderWay >= AtOnce))
+  if (S.LoadsLeft == 0 || this->loadsUnderWay(S) >= AtOnce)
     return false;
   --S.LoadsLeft;
   return true;
 }
 
-/// Orders the staging unless it is done, under way, or may not begin yet.
+/// Has the host load the weights unless that is done, under way, or may not
+/// begin yet. A VM that is in no group joins one of its own for that, which
+/// shows all owners that it loads; the host of a member is staged beside it.
 void DomainPlanner::stage(Step &S, const TargetRef &Vm, const ModelSpec &Model,
                           int AtOnce) {
   if (!S.isUsable(*Vm) || Vm->hasStaged(Model.Name))
@@ -169,8 +229,12 @@
   TimePoint &At = this->Staging[{Vm->Id, Model.Name}];
   if (At != TimePoint() && S.View.Now - At < Model.LoadTime * StageTimeFactor)
     return;
-  if (!this->takeLoad(S, Vm->Id, AtOnce))
+  if (!this->takeLoad(S, AtOnce))
     return;
+  if (!Vm->Group) {
+    this->joinAlone(S, Vm, Model, "it loads its weights");
+    return;
+  }
   At = S.View.Now;
   GroupOrder Order;
   Order.Kind = OrderKind::Stage;
--- a/src/policy/domain_step.cpp
+++ b/src/policy/domain_step.cpp
@@ -88,18 +88,9 @@
   return (At == this->Have.end() ? 0 : At->second) < this->Wanted[Index];
 }
 
-bool DomainPlanner::Step::stagesFirst(const ModelSpec &Model) const {
+bool DomainPlanner::Step::loadsFirst() const {
   return this->Engine.ModelsStagedPerHost > 0 &&
-         this->View.LoadsAllowed < FreeLoads &&
-         this->View.Serving.contains(Model.Name);
-}
-
-bool DomainPlanner::Step::takeLoads(const ModelSpec &Model, unsigned Cold) {
-  bool Served = this->View.Serving.contains(Model.Name);
-  if (Cold > this->LoadsLeft && (Served || this->LoadsLeft == 0))
-    return false;
-  this->LoadsLeft -= std::min(Cold, this->LoadsLeft);
-  return true;
+         this->View.LoadsAllowed < FreeLoads;
 }
 
 std::vector<TargetRef> DomainPlanner::Step::freeVms() const {
--- a/src/policy/domain_step.h
+++ b/src/policy/domain_step.h
@@ -24,7 +24,6 @@
   std::vector<unsigned> Wanted{};
   std::vector<GroupOrder> Orders{};
   unsigned LoadsLeft = 0;
-  unsigned TurnsLeft = 0;
   DemandTable Demand{};
 
   /// Groups of the domain that serve or will.
@@ -40,19 +39,20 @@
   bool isUsable(const TargetInfo &Row) const;
   /// Whether the model has fewer groups than the domain's VMs make.
   bool lacks(const ModelSpec &Model) const;
-  /// Whether its weights are to be staged before a group of it forms. Loads
-  /// from the shared store take many seconds: meanwhile the others may serve,
-  /// unless nothing serves the model at all.
-  bool stagesFirst(const ModelSpec &Model) const;
-  /// Takes \p Cold loads out of the budget; false where it has no room. Where
-  /// nothing serves the model, its first group may go beyond it.
-  bool takeLoads(const ModelSpec &Model, unsigned Cold);
+  /// Whether weights are to be on the hosts before a group forms. Loads from
+  /// the shared store take many seconds: meanwhile the others may serve, and
+  /// one that dies takes no others with it.
+  bool loadsFirst() const;
   std::vector<TargetRef> freeVms() const;
   double lossWith(const GroupCounts &Elsewhere, const GroupCounts &Own) const;
   /// Keeps the group's members from being taken in this step.
   void hold(const Announced &Row);
 };
 
+/// A member shows a join within about 0.6 s; past this the order is taken for
+/// lost and outbid.
+inline constexpr Millis ShowTime{1500};
+
 /// The models of \p Engine, those with the largest groups first.
 std::vector<const ModelSpec *> largestFirst(const EngineSpec &Engine);
 
--- a/src/policy/domain_warm.cpp
+++ b/src/policy/domain_warm.cpp
@@ -8,6 +8,7 @@
 // and leaves it when its weights are loaded.
 
 #include "policy/domain_step.h"
+#include "policy/load_turns.h"
 
 #include <algorithm>
 
@@ -22,30 +23,39 @@
     auto Model = std::find_if(
         S.Engine.Models.begin(), S.Engine.Models.end(),
         [&](const ModelSpec &Each) { return Row->hasStaged(Each.Name); });
-    if (Model == S.Engine.Models.end() ||
-        !this->WarmTried.insert(Row->Id).second)
-      continue;
-    GroupKey Key = this->nextKey(S, *Model);
-    this->WarmUps[Key] = S.View.Now;
-    S.Orders.push_back({OrderKind::Join,
-                        Row,
-                        Key,
-                        Model->Name,
-                        {Row->Id},
-                        "a reserve is kept loaded"});
+    if (Model != S.Engine.Models.end() &&
+        this->WarmTried.insert(Row->Id).second)
+      this->joinAlone(S, Row, *Model, "a reserve is kept loaded");
   }
 }
 
-/// Whether \p Key is such a group; it is left as soon as its VM is ready, or
-/// where that takes too long.
+/// Orders \p Vm to join a group of its own.
+void DomainPlanner::joinAlone(Step &S, const TargetRef &Vm,
+                              const ModelSpec &Model,
+                              const std::string &Reason) {
+  GroupKey Key = this->nextKey(S, Model);
+  Key.Name = loadGroupName(Model.Name, S.View.Domain, Key.Epoch);
+  bool Cold = !Vm->hasStaged(Model.Name) && !Vm->hasLoaded(Model.Name);
+  this->WarmUps[Key] = {Vm->Id, S.View.Now, Cold};
+  S.Busy.insert(Vm->Id);
+  S.Orders.push_back({OrderKind::Join, Vm, Key, Model.Name, {Vm->Id}, Reason});
+}
+
+/// Whether \p Key is such a group, of this owner or an earlier one; it is left
+/// as soon as its VM is ready, or where that takes too long.
 bool DomainPlanner::judgeWarmUp(Step &S, const GroupKey &Key,
                                 const Announced &Row) {
-  auto At = this->WarmUps.find(Key);
-  if (At == this->WarmUps.end())
+  if (!isLoadGroup(Key.Name) || !Row.Head)
     return false;
   const ModelSpec *Model = S.Engine.model(modelOf(Key.Name));
-  bool Late =
-      !Model || S.View.Now - At->second > formLimit(Model->StagedLoadTime);
+  WarmUp &Entry = this->WarmUps
+                      .try_emplace(Key, WarmUp{Row.Head->Id, S.View.Now,
+                                               isLoading(*Row.Head)})
+                      .first->second;
+  Millis Limit = !Model       ? Millis(0)
+                 : Entry.Cold ? formLimit(Model->LoadTime)
+                              : formLimit(Model->StagedLoadTime);
+  bool Late = S.View.Now - Entry.Since > Limit;
   if (Row.AllReady || Late)
     this->release(S, Key, Row, Row.AllReady ? "it is loaded" : "it loads late");
   else
@@ -53,4 +63,19 @@
   return true;
 }
 
+/// VMs that were ordered into such a group and do not show it yet are not free;
+/// an order that is lost is forgotten.
+void DomainPlanner::holdWarmUps(Step &S) {
+  std::erase_if(this->WarmUps, [&](const auto &Entry) {
+    const auto &[Key, Row] = Entry;
+    if (S.Groups.contains(Key))
+      return false;
+    bool Awaited =
+        !this->HeadLeft.contains(Key) && S.View.Now - Row.Since < ShowTime;
+    if (Awaited)
+      S.Busy.insert(Row.Vm);
+    return !Awaited;
+  });
+}
+
 } // namespace waycove
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -12,6 +12,8 @@
 
 /// Parts a group's name: "MODEL,DOMAIN,EPOCH". Models and domains hold none.
 constexpr char NameSeparator = ',';
+/// At the end of the name of a group that only loads weights.
+constexpr std::string_view LoadSuffix = ",load";
 
 bool contains(const std::vector<std::string> &Rows, const std::string &Name) {
   return std::find(Rows.begin(), Rows.end(), Name) != Rows.end();
@@ -66,6 +68,15 @@
          std::to_string(Epoch);
 }
 
+std::string loadGroupName(const std::string &Model, const DomainId &Domain,
+                          std::uint64_t Epoch) {
+  return groupName(Model, Domain, Epoch) + std::string(LoadSuffix);
+}
+
+bool isLoadGroup(const std::string &GroupName) {
+  return GroupName.ends_with(LoadSuffix);
+}
+
 std::string modelOf(const std::string &GroupName) {
   std::size_t End = GroupName.find(NameSeparator);
   return End == std::string::npos ? "" : GroupName.substr(0, End);
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -77,7 +77,12 @@
 /// registry alone how many members make one whole.
 std::string groupName(const std::string &Model, const DomainId &Domain,
                       std::uint64_t Epoch);
-/// The model of a group named by groupName; empty for another name.
+/// Names a group of one VM that only loads the model's weights, and is never
+/// opened.
+std::string loadGroupName(const std::string &Model, const DomainId &Domain,
+                          std::uint64_t Epoch);
+bool isLoadGroup(const std::string &GroupName);
+/// The model of a group named by one of these; empty for another name.
 std::string modelOf(const std::string &GroupName);
 
 /// A target that takes requests: a plain one, or the head of a whole, open
--- a/src/policy/load_turns.cpp
+++ b/src/policy/load_turns.cpp
@@ -5,78 +5,128 @@
 #include "policy/load_turns.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace waycove {
 
 namespace {
 
-/// The VMs of a domain that are in no group.
+/// The VMs of a domain that are in no group, and those that load weights in one
+/// of their own.
 struct Resting {
   /// How many have the weights of a model, by model.
   std::map<std::string, std::size_t> Have;
-  /// Those without any, in the order of their ids.
-  std::set<VmId> Empty;
+  std::size_t Vms = 0;
+  /// Those without any weights.
+  std::size_t Empty = 0;
 };
 
-std::map<DomainId, Resting> restingByDomain(const std::vector<TargetRef> &Rows,
-                                            const EngineSpec &Engine) {
+struct Survey {
   std::map<DomainId, Resting> Domains;
+  /// Models of which a group serves.
+  std::set<std::string> Served;
+  std::size_t Loading = 0;
+};
+
+Survey surveyOf(const std::vector<TargetRef> &Rows, const EngineSpec &Engine) {
+  Survey All;
   for (const TargetRef &Row : Rows) {
-    if (Row->Group || Row->Draining)
+    All.Loading += isLoading(*Row) ? 1 : 0;
+    if (Row->Group && Row->Group->Rank == 0 &&
+        Row->Group->State == MemberState::Open)
+      All.Served.insert(modelOf(Row->Group->Group.Name));
+    Resting &Into = All.Domains[Row->Domain];
+    if (Row->Draining)
       continue;
-    Resting &Into = Domains[Row->Domain];
-    if (Row->Staged.empty() && Row->Loaded.empty())
-      Into.Empty.insert(Row->Id);
+    if (Row->Group && isLoadGroup(Row->Group->Group.Name)) {
+      ++Into.Vms;
+      ++Into.Have[modelOf(Row->Group->Group.Name)];
+    }
+    if (Row->Group)
+      continue;
+    ++Into.Vms;
+    Into.Empty += Row->Staged.empty() && Row->Loaded.empty() ? 1 : 0;
     for (const ModelSpec &Model : Engine.Models)
       if (Row->hasStaged(Model.Name) || Row->hasLoaded(Model.Name))
         ++Into.Have[Model.Name];
   }
-  return Domains;
+  return All;
 }
 
 /// The group that puts most VMs to work for the time that it loads.
 struct NextGroup {
+  bool Unserved = false;
   double VmsPerLoadSecond = 0;
-  /// Loads that it lacks; 0 where no group can be completed.
+  /// Loads that it lacks; 0 where none can be completed by loads.
   std::size_t Lacks = 0;
+
+  auto rank() const {
+    return std::tuple(!this->Unserved, -this->VmsPerLoadSecond);
+  }
 };
 
-NextGroup nextGroup(const Resting &Row, const EngineSpec &Engine) {
+NextGroup nextGroup(const Resting &Row, const Survey &All,
+                    const EngineSpec &Engine) {
   NextGroup Best;
   for (const ModelSpec &Model : Engine.Models) {
     auto At = Row.Have.find(Model.Name);
     std::size_t Has = At == Row.Have.end() ? 0 : At->second;
-    std::size_t Lacks = Model.GroupSize > Has ? Model.GroupSize - Has : 0;
-    if (Lacks == 0 || Lacks > Row.Empty.size())
+    if (Has >= Model.GroupSize || Row.Vms < Model.GroupSize)
       continue;
-    double Seconds = std::chrono::duration<double>(Model.LoadTime).count();
-    double Rate = Model.GroupSize / (Seconds * static_cast<double>(Lacks));
-    if (Rate > Best.VmsPerLoadSecond)
-      Best = {Rate, Lacks};
+    NextGroup Next;
+    Next.Unserved = !All.Served.contains(Model.Name);
+    Next.Lacks = Model.GroupSize - Has;
+    Next.VmsPerLoadSecond =
+        Model.GroupSize /
+        (std::chrono::duration<double>(Model.LoadTime).count() *
+         static_cast<double>(Next.Lacks));
+    if (Best.Lacks == 0 || Next.rank() < Best.rank())
+      Best = Next;
   }
   return Best;
 }
 
 } // namespace
 
-std::set<VmId> loadTurns(const std::vector<TargetRef> &Targets,
-                         const EngineSpec &Engine) {
-  // Loads that complete no group come last. Those of one domain stay together,
-  // so that a group is complete before the next one begins.
-  std::vector<std::tuple<bool, double, DomainId, VmId>> Queue;
-  for (const auto &[Domain, Row] : restingByDomain(Targets, Engine)) {
-    NextGroup Next = nextGroup(Row, Engine);
-    std::size_t Place = 0;
-    for (const VmId &Id : Row.Empty)
-      Queue.emplace_back(Place++ >= Next.Lacks, -Next.VmsPerLoadSecond, Domain,
-                         Id);
+bool isLoading(const TargetInfo &Row) {
+  if (!Row.Group || Row.Group->State != MemberState::Joining)
+    return false;
+  std::string Model = modelOf(Row.Group->Group.Name);
+  return !Row.hasStaged(Model) && !Row.hasLoaded(Model);
+}
+
+LoadTurns loadTurns(const std::vector<TargetRef> &Targets,
+                    const EngineSpec &Engine) {
+  Survey All = surveyOf(Targets, Engine);
+  std::size_t Free = Engine.LoadsAtOnce -
+                     std::min<std::size_t>(Engine.LoadsAtOnce, All.Loading);
+  LoadTurns Turns;
+  auto Give = [&](const DomainId &Domain, std::size_t Wanted) {
+    std::size_t Given = std::min(Wanted, Free);
+    Free -= Given;
+    if (Given > 0)
+      Turns[Domain] += static_cast<unsigned>(Given);
+  };
+  std::vector<std::pair<NextGroup, DomainId>> Queue;
+  for (const auto &[Domain, Row] : All.Domains)
+    if (NextGroup Next = nextGroup(Row, All, Engine); Next.Lacks > 0)
+      Queue.emplace_back(Next, Domain);
+  std::stable_sort(Queue.begin(), Queue.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.first.rank() < Right.first.rank();
+                   });
+  for (const auto &[Next, Domain] : Queue)
+    Give(Domain, Next.Lacks);
+  // Hosts of groups that serve may hold another model besides. That does not
+  // show in the registry while it loads, so it has to wait until nothing else
+  // does.
+  bool Calm = Queue.empty() && All.Loading == 0;
+  for (const auto &[Domain, Row] : All.Domains) {
+    auto Given = Turns.find(Domain);
+    std::size_t Has = Given == Turns.end() ? 0 : Given->second;
+    Give(Domain, Row.Empty - std::min(Row.Empty, Has) + (Calm ? 1 : 0));
   }
-  std::sort(Queue.begin(), Queue.end());
-  Queue.resize(std::min<std::size_t>(Queue.size(), Engine.LoadsAtOnce));
-  std::set<VmId> Turns;
-  for (const auto &[Extra, Rate, Domain, Id] : Queue)
-    Turns.insert(Id);
   return Turns;
 }
 
--- a/src/policy/load_turns.h
+++ b/src/policy/load_turns.h
@@ -6,22 +6,29 @@
 
 #include "policy/fleet.h"
 
-#include <set>
+#include <map>
 #include <vector>
 
 namespace waycove {
 
-/// Which VMs without weights may read them from the shared store now. The store
-/// serves a few loads at full speed, and all more slowly beyond; so loads
-/// queue, those first that put most VMs to work for the time that they take.
-/// Every owner of a domain works out the same queue from the registry alone: a
-/// VM leaves it when it shows its weights, and the next one moves up. Without
-/// the queue each owner had a fixed part of the loads, and in a day of 41 s
-/// with 48 VMs new ones rested 302 VM-seconds while owners elsewhere loaded
-/// nothing.
+/// Loads by domain.
+using LoadTurns = std::map<DomainId, unsigned>;
+
+/// How many loads of weights from the shared store each domain may begin now.
+/// The store serves a few loads at full speed, and all more slowly beyond: 35
+/// at a time where six run at full speed took 40 s each instead of 12, and
+/// hosts were lost before any group was whole. So loads queue: first those of
+/// models that nothing serves, then those that put most VMs to work for the
+/// time that they take, and last those of reserves. Every owner of a domain
+/// works out the same queue from the registry alone, in which a VM shows that
+/// it loads: it is joining a group whose weights its host does not hold.
 ///
 /// \p Targets: all VMs of one service.
-std::set<VmId> loadTurns(const std::vector<TargetRef> &Targets,
-                         const EngineSpec &Engine);
+LoadTurns loadTurns(const std::vector<TargetRef> &Targets,
+                    const EngineSpec &Engine);
+
+/// Whether the VM reads weights from the shared store, for a group that it
+/// joins.
+bool isLoading(const TargetInfo &Row);
 
 } // namespace waycove
