Take what one more group gains from its model's part alone

Where another model has no group at all, the loss over all models is so large that what the large one gains is lost in rounding. Members of a group whose head had left were in no queue for loads. A domain that came back from an outage had its VMs loaded each on its own, 2 s, as its first one was listed, before enough were listed for a group.

The change: gains by model; members without a head count as free; a reserve is loaded on its own after 0.7 s; a domain that forms a group without loads takes no other's turn.

That a domain which forms without loads takes no turn, and that loads of an earlier owner are waited for, is tested, but was not seen to fail.

--- a/src/policy/domain_form.cpp
+++ b/src/policy/domain_form.cpp
@@ -75,23 +75,21 @@
   std::vector<TargetRef> Free = S.freeVms();
   GroupCounts Now = S.own();
   GroupCounts BestCounts = Now;
-  double Before = S.lossOf(Now);
-  double Least = Before;
+  double Most = 0;
   const ModelSpec *Best = nullptr;
   for (const ModelSpec *Model : largestFirst(S.Engine)) {
     bool Forms =
         Free.size() >= Model->GroupSize &&
         (countWarm(Free, *Model) >= Model->GroupSize || !S.loadsFirst());
-    GroupCounts After = Now;
-    ++After[Model->Name];
-    double Loss = S.lossOf(After);
+    double Gain = S.gainOf(*Model, Now);
     bool Converts = countOwn(Free, *Model) < Model->GroupSize;
-    if (!Forms || Loss >= Least ||
-        (Converts && Loss > (1 - LeastGain) * Before))
+    if (!Forms || Gain <= Most ||
+        (Converts && Gain < LeastGain * S.lossOf(Now)))
       continue;
-    Least = Loss;
+    Most = Gain;
     Best = Model;
-    BestCounts = std::move(After);
+    BestCounts = Now;
+    ++BestCounts[Model->Name];
   }
   for (const ModelSpec *Model : largestFirst(S.Engine))
     if (this->giveUpSmaller(S, *Model, BestCounts))
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -200,6 +200,8 @@
   };
   std::map<GroupKey, WarmUp> WarmUps;
   std::set<VmId> WarmTried;
+  /// Since when each VM that is free has been so.
+  std::map<VmId, TimePoint> FreeSince;
   std::vector<GoneTarget> Questions;
   std::uint64_t LastEpoch = 0;
   std::size_t SeenTargets = 0;
--- a/src/policy/domain_stage.cpp
+++ b/src/policy/domain_stage.cpp
@@ -97,12 +97,10 @@
     auto Lacks =
         std::count_if(Ranked.begin(), Ranked.end(),
                       [](const auto &Entry) { return Entry.first > 0; });
-    GroupCounts After = Now;
-    ++After[Model->Name];
     double Seconds = std::chrono::duration<double>(Model->LoadTime * Lacks +
                                                    Model->StagedLoadTime)
                          .count();
-    double Rate = (S.lossOf(Now) - S.lossOf(After)) / Seconds;
+    double Rate = S.gainOf(*Model, Now) / Seconds;
     if (Rate <= BestRate)
       continue;
     BestRate = Rate;
--- a/src/policy/domain_step.cpp
+++ b/src/policy/domain_step.cpp
@@ -46,6 +46,30 @@
   return this->lossWith(this->View.Elsewhere, Own);
 }
 
+double DomainPlanner::Step::gainOf(const ModelSpec &Model,
+                                   const GroupCounts &Own) const {
+  auto Asked = this->Demand.find(Model.Name);
+  if (Asked == this->Demand.end())
+    return 0;
+  auto Count = [&](const GroupCounts &Groups) {
+    auto At = Groups.find(Model.Name);
+    return At == Groups.end() ? 0.0 : At->second;
+  };
+  double Has = Count(Own) + Count(this->View.Elsewhere);
+  double Gain = modelLoss(this->Engine, Model, Asked->second, Has) -
+                modelLoss(this->Engine, Model, Asked->second, Has + 1);
+  if (Count(Own) + Count(this->View.ElsewhereInCentre) < 1)
+    Gain += this->cutOffLoss(Asked->second);
+  return Gain;
+}
+
+/// What callers of a model lose that has no group in this data centre.
+double DomainPlanner::Step::cutOffLoss(const ModelDemand &Asked) const {
+  if (this->View.Centres < 2)
+    return 0;
+  return CutOffPart * Asked.work() / static_cast<double>(this->View.Centres);
+}
+
 double DomainPlanner::Step::lossAfterTrades(const GroupCounts &Own) const {
   GroupCounts Elsewhere = this->View.Elsewhere;
   for (const auto &[Model, Change] : this->View.TradesBefore)
@@ -62,12 +86,9 @@
     Centre[Model] += Count;
   }
   double Loss = serviceLoss(this->Engine, this->Demand, All);
-  if (this->View.Centres < 2)
-    return Loss;
   for (const auto &[Model, Asked] : this->Demand)
     if (Centre[Model] < 1)
-      Loss +=
-          CutOffPart * Asked.work() / static_cast<double>(this->View.Centres);
+      Loss += this->cutOffLoss(Asked);
   return Loss;
 }
 
--- a/src/policy/domain_step.h
+++ b/src/policy/domain_step.h
@@ -32,7 +32,9 @@
   /// says with those of all domains, and for models without any group in this
   /// data centre, which may be cut off and has to serve its callers alone then.
   double lossOf(const GroupCounts &Own) const;
-  /// The same where the domains before this one trade groups.
+  /// How much of it one more group of \p Model saves.
+  double gainOf(const ModelSpec &Model, const GroupCounts &Own) const;
+  /// The same as lossOf() where the domains before this one trade groups.
   double lossAfterTrades(const GroupCounts &Own) const;
   /// Whether any model is served anywhere.
   bool anyServes() const;
@@ -45,6 +47,7 @@
   bool loadsFirst() const;
   std::vector<TargetRef> freeVms() const;
   double lossWith(const GroupCounts &Elsewhere, const GroupCounts &Own) const;
+  double cutOffLoss(const ModelDemand &Asked) const;
   /// Keeps the group's members from being taken in this step.
   void hold(const Announced &Row);
 };
--- a/src/policy/domain_warm.cpp
+++ b/src/policy/domain_warm.cpp
@@ -14,11 +14,25 @@
 
 namespace waycove {
 
+namespace {
+
+/// The VMs of a domain that comes back are listed one after the other within
+/// half a second: those that make a group are not to be kept from it, for 2 s,
+/// by loading each on its own.
+constexpr Millis ReserveWait{700};
+
+} // namespace
+
 /// Orders reserves that never ran a model to load the one that their hosts have
 /// staged. Each is tried once.
 void DomainPlanner::warmReserves(Step &S) {
+  std::map<VmId, TimePoint> Since;
   for (const TargetRef &Row : S.freeVms()) {
-    if (!Row->Loaded.empty() || Row->Group)
+    auto Before = this->FreeSince.find(Row->Id);
+    Since[Row->Id] =
+        Before == this->FreeSince.end() ? S.View.Now : Before->second;
+    if (!Row->Loaded.empty() || Row->Group ||
+        S.View.Now - Since[Row->Id] < ReserveWait)
       continue;
     auto Model = std::find_if(
         S.Engine.Models.begin(), S.Engine.Models.end(),
@@ -27,6 +41,7 @@
         this->WarmTried.insert(Row->Id).second)
       this->joinAlone(S, Row, *Model, "a reserve is kept loaded");
   }
+  this->FreeSince = std::move(Since);
 }
 
 /// Orders \p Vm to join a group of its own.
--- a/src/policy/group_load.cpp
+++ b/src/policy/group_load.cpp
@@ -44,17 +44,21 @@
          Count;
 }
 
+double modelLoss(const EngineSpec &Engine, const ModelSpec &Model,
+                 const ModelDemand &Demand, double Groups) {
+  double Load = groupLoad(Engine, Model, Demand, Groups);
+  return Demand.work() * std::pow(Load, LossPower);
+}
+
 double serviceLoss(const EngineSpec &Engine, const DemandTable &Demand,
                    const GroupCounts &Groups) {
   double Loss = 0;
   for (const ModelSpec &Model : Engine.Models) {
     auto Asked = Demand.find(Model.Name);
     auto Has = Groups.find(Model.Name);
-    if (Asked == Demand.end())
-      continue;
-    double Load = groupLoad(Engine, Model, Asked->second,
-                            Has == Groups.end() ? 0 : Has->second);
-    Loss += Asked->second.work() * std::pow(Load, LossPower);
+    if (Asked != Demand.end())
+      Loss += modelLoss(Engine, Model, Asked->second,
+                        Has == Groups.end() ? 0 : Has->second);
   }
   return Loss;
 }
--- a/src/policy/group_load.h
+++ b/src/policy/group_load.h
@@ -61,6 +61,11 @@
 /// least is lost, groups are shared out best.
 double serviceLoss(const EngineSpec &Engine, const DemandTable &Demand,
                    const GroupCounts &Groups);
+/// One model's part of it. What one more group of a model gains has to be taken
+/// from its part alone: where another model has no group at all, the sum is so
+/// large that the difference is lost in rounding.
+double modelLoss(const EngineSpec &Engine, const ModelSpec &Model,
+                 const ModelDemand &Demand, double Groups);
 
 /// The operators' own guess of the demand, for before callers came.
 DemandTable expectedDemand(const EngineSpec &Engine);
--- a/src/policy/load_turns.cpp
+++ b/src/policy/load_turns.cpp
@@ -31,6 +31,10 @@
 
 Survey surveyOf(const std::vector<TargetRef> &Rows, const EngineSpec &Engine) {
   Survey All;
+  std::set<GroupKey> Heads;
+  for (const TargetRef &Row : Rows)
+    if (Row->Group && Row->Group->Rank == 0)
+      Heads.insert(Row->Group->Group);
   for (const TargetRef &Row : Rows) {
     All.Loading += isLoading(*Row) ? 1 : 0;
     if (Row->Group && Row->Group->Rank == 0 &&
@@ -42,8 +46,10 @@
     if (Row->Group && isLoadGroup(Row->Group->Group.Name)) {
       ++Into.Vms;
       ++Into.Have[modelOf(Row->Group->Group.Name)];
+      continue;
     }
-    if (Row->Group)
+    // Members of a group whose head left or died are about to be free.
+    if (Row->Group && Heads.contains(Row->Group->Group))
       continue;
     ++Into.Vms;
     Into.Empty += Row->Staged.empty() && Row->Loaded.empty() ? 1 : 0;
@@ -72,7 +78,10 @@
   for (const ModelSpec &Model : Engine.Models) {
     auto At = Row.Have.find(Model.Name);
     std::size_t Has = At == Row.Have.end() ? 0 : At->second;
-    if (Has >= Model.GroupSize || Row.Vms < Model.GroupSize)
+    // It forms without loads; what is left then is seen afterwards.
+    if (Has >= Model.GroupSize)
+      return {};
+    if (Row.Vms < Model.GroupSize)
       continue;
     NextGroup Next;
     Next.Unserved = !All.Served.contains(Model.Name);
--- a/tests/unit/load_turns_test.cpp
+++ b/tests/unit/load_turns_test.cpp
@@ -141,6 +141,38 @@
   CHECK(this->turns() == "b1 ");
 }
 
+TEST_CASE_METHOD(
+    TurnFixture,
+    "load turns: a group has lost its head: its members are as good "
+    "as free",
+    "[unit]") {
+  auto Member = this->add("a1", "a", "other");
+  Member->Group = Membership{
+      {groupName("other", DomainId("a"), 3), 3}, 1, MemberState::Ready};
+  this->add("a2", "a", "m");
+  // So that nothing is given to reserves.
+  this->add("c1", "c")->Group = Membership{
+      {loadGroupName("m", DomainId("c"), 7), 7}, 0, MemberState::Joining};
+  CHECK(this->turns() == "a1 ");
+  this->add("a3", "a", "other")->Group =
+      Membership{Member->Group->Group, 0, MemberState::Open};
+  CHECK(this->turns().empty());
+}
+
+TEST_CASE_METHOD(
+    TurnFixture,
+    "load turns: a group forms without loads: its domain waits, and "
+    "takes no other's turn",
+    "[unit]") {
+  for (const char *Id : {"a1", "a2"})
+    this->add(Id, "a", "m");
+  this->add("a3", "a");
+  this->add("b1", "b", "m");
+  this->add("b2", "b");
+  this->Engine.LoadsAtOnce = 1;
+  CHECK(this->turns() == "b1 ");
+}
+
 TEST_CASE_METHOD(TurnFixture,
                  "load turns: nothing is missing and nothing loads: one a "
                  "domain, for a reserve",
