Pass on what changed, not what came again

The change: a row that comes again with its value stays as old as it was.

Before: test fails. After: passes.

--- a/src/board/feed_cache.cpp
+++ b/src/board/feed_cache.cpp
@@ -41,8 +41,12 @@
 }
 
 void FeedCache::put(const KeyedRecord &Record, Offset Below, TimePoint Now) {
-  this->Rows[Record.Key] = {Record.Value, Below,
-                            Record.Value ? TimePoint() : Now};
+  // All of a feed comes anew where its history was dropped. What has not
+  // changed is no news to whoever asks from before it: passed on again, 931
+  // entries were too large, and each of 295 nodes read them from the store.
+  auto [At, New] = this->Rows.try_emplace(Record.Key);
+  if (New || At->second.Value != Record.Value)
+    At->second = {Record.Value, Below, Record.Value ? TimePoint() : Now};
 }
 
 void FeedCache::addMissing(const KeyedPage &Page, TimePoint Now) {
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -82,6 +82,20 @@
   CHECK(keysOf(this->Cache.since(Offset(13))) == Keys{"b-", "c=3"});
 }
 
+TEST_CASE_METHOD(
+    FeedFixture,
+    "feed cache: a whole page repeats what is known: that is no news",
+    "[unit]") {
+  this->Cache.take(page(20, {{"b", "2"}, {"c", "1"}, {"d", "1"}}, true), at(0));
+  CHECK(keysOf(this->Cache.since(Offset(13))) == Keys{"d=1"});
+  CHECK(keysOf(this->Cache.since(Offset(10))) ==
+        Keys{"a-", "b=2", "c=1", "d=1"});
+  // Changed and back again within what was not seen: the same to all.
+  this->Cache.take(page(22, {{"c", "9"}}), at(0));
+  this->Cache.take(page(30, {{"b", "2"}, {"c", "1"}, {"d", "1"}}, true), at(0));
+  CHECK(keysOf(this->Cache.since(Offset(20))) == Keys{"c=1"});
+}
+
 TEST_CASE_METHOD(FeedFixture,
                  "feed cache: a drop was forgotten: the whole is given",
                  "[unit]") {
