Read the directory of nodes more rarely

The change: what comes within 1.5 s shares a read, and tries of a store that fails are four times rarer than those of the other feeds.

--- a/src/control/store_reader.h
+++ b/src/control/store_reader.h
@@ -87,8 +87,11 @@
   /// a call. Nodes that order groups, or read for those, wait for orders to
   /// show; hence no longer.
   static constexpr Millis RegistryGather{220};
-  /// All nodes announce themselves at the same moment at the start.
-  static constexpr Millis DirectoryGather{400};
+  /// Nodes come in series, too, and nothing waits for one more of them.
+  static constexpr Millis DirectoryGather{1500};
+  /// So much more rarely than the other feeds it is tried where the store
+  /// fails.
+  static constexpr int DirectoryPatience = 4;
   /// Versions come in series too, up to 17 in a second.
   static constexpr Millis ConfigGather{100};
   /// Where nobody waits for what this node reads: neither others that read
@@ -248,7 +251,8 @@
               .add("reason", messageOf(Why))
               .add("after_ms", std::chrono::ceil<Millis>(Now - SentAt)));
     ProbePace Pace = this->Board.storePace();
-    return By.Waits.next(Pace.Least, Pace.Most);
+    int Patience = this->Kind == FeedKind::Nodes ? DirectoryPatience : 1;
+    return By.Waits.next(Pace.Least * Patience, Pace.Most * Patience);
   }
 
   /// What the store tells is older than what this node knows: a read of a copy
