--- a/tools/without.py
+++ b/tools/without.py
@@ -63,7 +63,7 @@
         "staging: a model is short"),
     "loads-at-once": (
         "src/control/load_budget.cpp",
-        "std::max(MayRun, LeastPart) - Running", "1000.0",
+        "Most - Begun", "1000.0",
         "load budget"),
     "doubts-shared": (
         "src/policy/vitals.cpp",
@@ -71,8 +71,7 @@
         "vitals: another node left"),
     "load-queue": (
         "src/policy/load_turns.cpp",
-        "std::min<std::size_t>(Queue.size(), Engine.LoadsAtOnce)",
-        "Queue.size()",
+        "std::min<std::size_t>(Engine.LoadsAtOnce, All.Loading)", "0",
         "load turns"),
     "drain-hold": (
         "src/policy/domain_judge.cpp",
@@ -124,7 +123,7 @@
         "feed cache: told that the store"),
     "large-left-out": (
         "src/wire/news_frames.cpp",
-        "Bytes > MostPassedBytes", "Bytes > MostPassedBytes * 1000",
+        "this->Deflated.size() > Most", "false",
         "news: a record is large"),
     "same-member": (
         "platform/store.cpp",
@@ -233,6 +232,47 @@
         "src/control/follow.h",
         "if (Page->First > From || ", "if (false && ",
         "config: the log forgot"),
+    "few-members": (
+        "src/policy/share_members.cpp",
+        "if (Row.OthersBefore < Lacking)\n    return true;", "return true;",
+        "share members:"),
+    "next-before": (
+        "src/policy/news_route.cpp",
+        "for (std::size_t I = 0; I < Place; ++I)",
+        "for (std::size_t I = 0; I < 0; ++I)",
+        "news route:"),
+    "probe-pace": (
+        "src/policy/news_route.cpp",
+        "return {Most == FewNodesPause ? LeastPause : Most / 2, Most};",
+        "return {LeastPause, FewNodesPause};",
+        "news route:"),
+    "told-at-start": (
+        "src/control/news.cpp",
+        "if (!News.ok() || !this->isCurrent(*News))\n      continue;",
+        "continue;",
+        "neighbours: one restarts: another"),
+    "whole-no-news": (
+        "src/board/feed_cache.cpp",
+        "if (New || At->second.Value != Record.Value)", "",
+        "feed cache: a whole page repeats"),
+    "unknown-usual": (
+        "src/policy/choice.cpp",
+        "double Known = Usual;", "double Known = 0;",
+        "choice of many nodes"),
+    "loads-shown": (
+        "src/policy/load_turns.cpp",
+        "All.Loading += isLoading(*Row) ? 1 : 0;", "",
+        "load turns: loads are under way"),
+    "formed-of-what-is-there": (
+        "src/policy/domain_form.cpp",
+        "if (!S.anyServes() && !S.loadsFirst())", "if (!S.anyServes())",
+        "forming: nothing serves"),
+    "gain-alone": (
+        "src/policy/domain_form.cpp",
+        "double Gain = S.gainOf(*Model, Now);",
+        "GroupCounts After = Now;\n    ++After[Model->Name];\n"
+        "    double Gain = S.lossOf(Now) - S.lossOf(After);",
+        "forming: another model has no group"),
     "labels-deny": (
         "src/policy/labels.cpp",
         "if (!Value)\n      return false;", "if (!Value)\n      continue;",
