--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -25,7 +25,7 @@
 /// a quarter of a link of 20 Mbit/s then, and bounds on changes are 2 s and
 /// more.
 constexpr Millis CatchUpPause(600);
-/// The same while what this node knows is old: the store may just be back.
+/// A round while what this node knows is old: the store may just be back.
 constexpr Millis BehindRound(100);
 /// While a node that has just started knows nothing.
 constexpr Millis FillRound(50);
