--- a/src/edge/entry_daemon.h
+++ b/src/edge/entry_daemon.h
@@ -124,9 +124,9 @@
 private:
   static constexpr Millis PlanEvery{100};
   /// For other nodes to tell a node that starts what there is, before it reads
-  /// the store: one reads it for all of a data centre in 0.1 s, and passes it on
-  /// over two hops in 0.5 s. Callers wait for a node that restarts; while the
-  /// whole system starts there are none yet.
+  /// the store: one reads it for all of a data centre in 0.1 s, and passes it
+  /// on over two hops in 0.5 s. Callers wait for a node that restarts; while
+  /// the whole system starts there are none yet.
   static constexpr Millis FillTime{1000};
   static constexpr Millis FirstFillTime{2000};
   static constexpr Millis SweepEvery{1000};
