Tell nodes that are behind what went before a node started

A node that has just read all of a feed does not know which keys were dropped before. Asked by a node that is behind that state, it gave all its records as changes, without a word of what had gone: a target that had left stayed in use there until the next whole read.

Ruled out: the feed's readers at the store, which ask for the whole where history is gone.

The change: what was dropped before the first page counts as forgotten, so the whole is given. Whole pages may be as large as for a node that knows nothing.

Before: the test fails (the key stays). After: it passes.

--- a/src/board/feed_cache.cpp
+++ b/src/board/feed_cache.cpp
@@ -28,6 +28,9 @@
     if (Ahead) {
       if (Page.Whole)
         this->addMissing(Page, Now);
+      // What was dropped before the first page is not known here.
+      if (!this->Known)
+        this->ForgottenBelow = Page.Next;
       for (const KeyedRecord &Record : Page.Records)
         this->put(Record, Page.Next, Now);
       this->Next = Page.Next;
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -419,7 +419,7 @@
     return std::make_unique<wire::FeedNewsT>();
   bool Fills = From == NothingKnown;
   KeyedPage Page = Fills ? Cache.whole() : Cache.since(From);
-  std::size_t Most = Fills ? MostFilledBytes : MostPassedBytes;
+  std::size_t Most = Page.Whole ? MostFilledBytes : MostPassedBytes;
   std::lock_guard Lock(this->Mutex);
   return this->Packers[static_cast<std::size_t>(Kind)].pack(Page, From, Now,
                                                             Most);
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -136,6 +136,22 @@
   CHECK(Other.Cache.since(Offset(13)).HoldUntil == Told.HoldUntil);
 }
 
+// A reader restarts, and a node that reads through it knows the feed from
+// before: the reader never saw the drops in between, and told of none. A target
+// that had left stayed in use at that node until it read all of the registry
+// again.
+TEST_CASE("feed cache: a node has just started: one that is behind it learns "
+          "what went before that",
+          "[unit]") {
+  FeedCache Behind;
+  Behind.take(page(10, {{"a", "1"}, {"b", "1"}}, true), at(0));
+  FeedCache Started;
+  Started.take(page(12, {{"b", "1"}}, true), at(0));
+  Behind.take(Started.since(Offset(10)), at(100));
+  CHECK(keysOf(Behind.whole()) == Keys{"b=1"});
+  CHECK_FALSE(Started.since(Offset(12)).Whole);
+}
+
 TEST_CASE("feed cache: nothing known: changes alone are not taken", "[unit]") {
   FeedCache Cache;
   CHECK_FALSE(Cache.take(page(5, {{"a", "1"}}), at(0)));
