Log where requests leave a busy data centre

Cause: a changed belief that decides where requests go, and no line told of it. The change: centre_busy and centre_eased, once each, with the part that stays.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -172,6 +172,11 @@
        "those that close their connections serve only where no other does."},
       {RegistryProven, Info, "registry_proven",
        "What this node knows of targets is within that bound again."},
+      {CentreBusy, Info, "centre_busy",
+       "Targets of this data centre are busier than others, or fewer than "
+       "they were: a part of the requests goes to other data centres."},
+      {CentreEased, Info, "centre_eased",
+       "Nearly all requests stay in this data centre again."},
       {ServingChanged, Info, "serving_changed",
        "The targets that requests choose from are others."},
       {DomainsOwned, Info, "domains_owned",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -59,6 +59,8 @@
   TargetKept = 223,
   RegistryUnproven = 224,
   RegistryProven = 225,
+  CentreBusy = 226,
+  CentreEased = 227,
   ServingChanged = 222,
   DomainsOwned = 310,
   DomainOrder = 311,
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -481,8 +481,13 @@
     Rows.takeNews(std::move(Others), Now);
     return centreLoads(*View, Rows, this->Board.Config.DataCentre, Now);
   });
-  this->Board.Balance.write(
-      [&](CentreBalance &Parts) { Parts.update(Loads, Now); });
+  auto Changes = this->Board.Balance.write(
+      [&](CentreBalance &Parts) { return Parts.update(Loads, Now); });
+  for (const CentreBalance::Change &Row : Changes)
+    this->Board.Log.emit(
+        Row.Busy ? EventCode::CentreBusy : EventCode::CentreEased,
+        Row.Pool.Service.Text,
+        LogFields().add("model", Row.Pool.Model).add("stay", Row.Stay));
 }
 
 } // namespace waycove
--- a/src/policy/centre_balance.cpp
+++ b/src/policy/centre_balance.cpp
@@ -5,6 +5,7 @@
 #include "policy/centre_balance.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace waycove {
 
@@ -19,6 +20,10 @@
 constexpr double LeastLoad = 1;
 /// After a longer pause what was learned counts as one step.
 constexpr double MostStepSeconds = 0.5;
+/// Told where less stays, and again where more does: chance alone makes a
+/// twelfth of the requests leave.
+constexpr double BusyStay = 0.75;
+constexpr double EasedStay = 0.95;
 
 struct Tally {
   double InFlight = 0;
@@ -60,7 +65,8 @@
   return Loads;
 }
 
-void CentreBalance::update(const CentreLoads &Loads, TimePoint Now) {
+std::vector<CentreBalance::Change>
+CentreBalance::update(const CentreLoads &Loads, TimePoint Now) {
   double Step =
       std::min(std::chrono::duration<double>(Now - this->UpdatedAt).count(),
                MostStepSeconds);
@@ -68,15 +74,20 @@
   std::erase_if(this->Rows, [&](const auto &Entry) {
     return !Loads.contains(Entry.first);
   });
+  std::vector<Change> Changes;
   for (const auto &[Pool, Load] : Loads) {
     double Excess = (Load.Here - Load.All) / std::max(Load.All, LeastLoad);
     Row &Kept =
         this->Rows.try_emplace(Pool, Row{1, Load.Targets}).first->second;
     // What the targets that are left can take is known before they fill up.
-    double Stay = std::min(1.0, Kept.Stay * Load.Targets / Kept.Targets);
-    Kept = {std::clamp(Stay - GainPerSecond * Step * Excess, 0.0, 1.0),
-            Load.Targets};
+    double Part = std::min(1.0, Kept.Stay * Load.Targets / Kept.Targets);
+    Kept.Stay = std::clamp(Part - GainPerSecond * Step * Excess, 0.0, 1.0);
+    Kept.Targets = Load.Targets;
+    bool Busy = Kept.Stay < (Kept.Busy ? EasedStay : BusyStay);
+    if (std::exchange(Kept.Busy, Busy) != Busy)
+      Changes.push_back({Pool, Busy, Kept.Stay});
   }
+  return Changes;
 }
 
 double CentreBalance::stay(const PoolKey &Pool) const {
--- a/src/policy/centre_balance.h
+++ b/src/policy/centre_balance.h
@@ -9,6 +9,7 @@
 
 #include <compare>
 #include <map>
+#include <vector>
 
 namespace waycove {
 
@@ -56,7 +57,14 @@
 /// ones.
 class CentreBalance {
 public:
-  void update(const CentreLoads &Loads, TimePoint Now);
+  /// A pool of which more requests leave than before, or hardly any more.
+  struct Change {
+    PoolKey Pool;
+    bool Busy = false;
+    double Stay = 1;
+  };
+  /// Takes a round of news; what changed by it.
+  std::vector<Change> update(const CentreLoads &Loads, TimePoint Now);
   /// 0 to 1; 1 for pools of which nothing is known.
   double stay(const PoolKey &Pool) const;
 
@@ -64,6 +72,7 @@
   struct Row {
     double Stay = 1;
     double Targets = 1;
+    bool Busy = false;
   };
   std::map<PoolKey, Row> Rows;
   TimePoint UpdatedAt;
--- a/tests/unit/choice_load_test.cpp
+++ b/tests/unit/choice_load_test.cpp
@@ -310,11 +310,14 @@
 public:
   const PoolKey Pool{ServiceId("s"), "m"};
   CentreBalance Balance;
+  std::vector<CentreBalance::Change> Changes;
   /// Rounds of news that tell \p Load, for ten seconds.
   void tell(const CentreLoad &Load) {
-    for (int Ms = 0; Ms < 10000; Ms += NewsEveryMs)
-      this->Balance.update({{this->Pool, Load}},
-                           at(this->NowMs += NewsEveryMs));
+    for (int Ms = 0; Ms < 10000; Ms += NewsEveryMs) {
+      auto New = this->Balance.update({{this->Pool, Load}},
+                                      at(this->NowMs += NewsEveryMs));
+      this->Changes.insert(this->Changes.end(), New.begin(), New.end());
+    }
   }
 
 private:
@@ -345,6 +348,18 @@
   CHECK(this->Balance.stay(this->Pool) > 0.9);
 }
 
+TEST_CASE_METHOD(CentreBalanceFixture,
+                 "balance of data centres: this one becomes busier and eases: "
+                 "told once each",
+                 "[unit]") {
+  this->tell({20, 10});
+  REQUIRE(this->Changes.size() == 1);
+  CHECK(this->Changes[0].Busy);
+  this->tell({5, 10});
+  REQUIRE(this->Changes.size() == 2);
+  CHECK_FALSE(this->Changes[1].Busy);
+}
+
 TEST_CASE_METHOD(CentreBalanceFixture,
                  "balance of data centres: half of the targets fall out: half "
                  "of the requests leave at once",
