Wait in the labels test until a node has heard of the other data centre

Cause: "labels: a request lands only where all labels allow" failed once in a run of all tests beside load, and once in six beside load again, now with the answer shown: 503, "no allowed data centre answers", not run, come back in 1 s. Node n2 had not heard of the entry in the other data centre yet; the test had waited for n1 and n3 alone.

Ruled out: a request that landed elsewhere or was lost; the answer tells what is so.

The change: the test comes back while n2 says exactly this, checks that it says not run, and takes any other answer as before.

No functional change

--- a/tests/failure/config_test.cpp
+++ b/tests/failure/config_test.cpp
@@ -228,7 +228,19 @@
         std::chrono::milliseconds(5000)));
   }
   // The model runs in b only; asked for in a, it is passed on.
-  Reply Passed = this->Run.generate("n2", 6, true);
+  // On a busy machine n2 may not have heard of b's entry yet: that is told as
+  // what it is, and nothing else is waited for.
+  Reply Passed;
+  REQUIRE(eventually([&] {
+    Passed = this->Run.generate("n2", 6, true);
+    bool Unheard =
+        Passed.Status == 503 &&
+        Passed.Body.find("no allowed data centre answers") != std::string::npos;
+    if (Unheard)
+      CHECK(Passed.text("ran") == "no");
+    return !Unheard;
+  }));
+  CAPTURE(Passed.Status, Passed.Body);
   CHECK(streamedIndexes(Passed.Body).size() == 6);
   // A workspace's own limits hold too, and a selector that nobody defined
   // allows nothing.
