--- a/tools/losses.py
+++ b/tools/losses.py
@@ -1,15 +1,16 @@
 #!/usr/bin/env python3
 """Says where a day's service was lost, from the daemons' structured logs.
 
-  tools/losses.py LOG [--step SECONDS] [--from SECONDS] [--domains]
+  tools/losses.py LOG [--step SECONDS] [--begin SECONDS] [--domains] [--centres]
 
 LOG holds the lines of all nodes, each a JSON object, with or without a time in
-seconds and a node's name before it. Two tables by moment:
+seconds and a node's name before it. By moment:
 
-- requests: answered within their route's objective, late by place, refused and
-  failed by reason;
-- VMs, as the node that saw the most tells it: in groups that serve, by model,
-  and why the others serve nobody.
+- requests: answered, and refused and failed by reason;
+- VMs, as the node that told of the most tells it: in groups that serve, by
+  model, and why the others serve nobody; with --domains by domain, too;
+- with --centres: first events later than --late milliseconds, of all, by the
+  data centre of the node that the caller came to.
 
 Standard library alone, so it runs on the machine of whoever is on call.
 """
@@ -20,7 +21,7 @@
 import sys
 
 STATES = ["joining", "ready", "open", "closing", "broken"]
-OPEN, CLOSING, BROKEN = 2, 3, 4
+OPEN = 2
 
 
 def read(path):
@@ -54,16 +55,26 @@
         elif row.get("domain"):
             self.rows[row["subject"]] = row
 
-    def judge(self):
-        """Counts VMs by what they do."""
+    def groups(self):
+        """The members of each group, by rank."""
         groups = collections.defaultdict(dict)
         for vm in self.rows.values():
             if "group" in vm:
                 groups[vm["group"]][vm["rank"]] = vm
-        counts = collections.Counter()
+        return groups
+
+    def uses(self):
+        """Counts VMs by what they do."""
+        groups = self.groups()
+        return collections.Counter(
+            self.use(vm, groups) for vm in self.rows.values())
+
+    def uses_by_domain(self):
+        groups = self.groups()
+        by = collections.defaultdict(collections.Counter)
         for vm in self.rows.values():
-            counts[self.use(vm, groups)] += 1
-        return counts
+            by[vm["domain"]][self.use(vm, groups)] += 1
+        return by
 
     @staticmethod
     def use(vm, groups):
@@ -81,93 +92,107 @@
         return STATES[head["state"]] + " " + model
 
 
-def place_of(row, goal):
-    """Why an answer was late."""
-    first = row.get("first_byte_ms", 0)
-    if row.get("sends", 1) > 1:
-        return "late, sent again"
-    if goal and first > goal:
-        return "late, first byte"
-    return "answered"
+class Requests:
+    """What became of the requests of one moment."""
+
+    def __init__(self, late_ms):
+        self.late_ms = late_ms
+        self.first_bytes = collections.defaultdict(list)
+        self.targets = collections.defaultdict(set)
+        self.lost = collections.Counter()
+        self.by_centre = collections.defaultdict(lambda: [0, 0])
+
+    def take(self, row, centre):
+        model = row.get("model", "")
+        if row["name"] == "request_done" and "status" not in row:
+            first_byte = row.get("first_byte_ms", 0)
+            self.first_bytes[model].append(first_byte)
+            self.targets[model].add(row.get("target"))
+            count = self.by_centre[(model, centre)]
+            count[0] += first_byte > self.late_ms
+            count[1] += 1
+        elif row["name"] in ("request_refused", "request_cut", "request_done"):
+            self.lost[f"{row['name'][8:]} {model or 'plain'}: "
+                      f"{row.get('reason', '')}"] += 1
+
+    def show(self):
+        for model, firsts in sorted(self.first_bytes.items()):
+            firsts.sort()
+            print(f"          {model or 'plain'}: {len(firsts)} answers at "
+                  f"{len(self.targets[model])} targets, first byte p50 "
+                  f"{firsts[len(firsts) // 2]} p90 "
+                  f"{firsts[len(firsts) * 9 // 10]} ms")
+        if self.lost:
+            print("          lost: " + "; ".join(
+                f"{count} {why}" for why, count in self.lost.most_common(6)))
+
+    def show_centres(self):
+        for model in sorted({model for model, _ in self.by_centre if model}):
+            print(f"          late {model}: " + "; ".join(
+                f"{centre} {late} of {count}"
+                for (of, centre), (late, count) in sorted(self.by_centre.items())
+                if of == model))
+
 
+def line_of(uses):
+    return "; ".join(f"{count} {use}" for use, count in sorted(uses.items()))
 
-def main():
+
+def show_moment(at, vms, requests, opt):
+    print(f"{at:6.1f}  {line_of(vms.uses())}")
+    requests.show()
+    if opt.centres:
+        requests.show_centres()
+    if opt.domains:
+        for domain, uses in sorted(vms.uses_by_domain().items()):
+            print(f"          {domain}: {line_of(uses)}")
+
+
+def parse_args():
     args = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     args.add_argument("log")
     args.add_argument("--step", type=float, default=2)
     args.add_argument("--begin", type=float, default=0)
-    args.add_argument("--goals", default="",
-                      help="ROUTE_PREFIX=MS,... objectives of routes")
+    args.add_argument("--late", type=int, default=400,
+                      help="operators' objective for the first event, in ms")
     args.add_argument("--domains", action="store_true")
-    opt = args.parse_args()
+    args.add_argument("--centres", action="store_true")
+    return args.parse_args()
+
+
+def main():
+    opt = parse_args()
     rows = list(read(opt.log))
-    goals = dict(p.split("=") for p in opt.goals.split(",") if p)
-    seen = collections.Counter(
+    told = collections.Counter(
         node for _, node, row in rows if row["name"] == "target_changed")
-    if not seen:
+    if not told:
         sys.exit("no target_changed lines in " + opt.log)
-    best = seen.most_common(1)[0][0]
+    best = told.most_common(1)[0][0]
+    centres = {node: row["data_centre"] for _, node, row in rows
+               if row["name"] == "daemon_started" and "data_centre" in row}
     print(f"# VMs as {best} saw them; requests of all nodes")
-    vms = Vms()
+    vms, requests = Vms(), Requests(opt.late)
     end = opt.begin + opt.step
-    uses = collections.Counter()
-    done = collections.defaultdict(list)
-    lost = collections.Counter()
-    heads = collections.defaultdict(set)
-
-    def flush():
-        counts = vms.judge()
-        for use, count in counts.items():
-            uses[use] += count * opt.step
-        line = f"{end - opt.step:6.1f}  "
-        line += "; ".join(f"{c} {u}" for u, c in sorted(counts.items()))
-        print(line)
-        for model, firsts in sorted(done.items()):
-            firsts.sort()
-            print(f"          {model or 'plain'}: {len(firsts)} answers at "
-                  f"{len(heads[model])} targets, first byte p50 "
-                  f"{firsts[len(firsts) // 2]} p90 "
-                  f"{firsts[len(firsts) * 9 // 10]} ms")
-        if lost:
-            print("          lost: " + "; ".join(
-                f"{c} {u}" for u, c in lost.most_common(6)))
-        if opt.domains:
-            by = collections.defaultdict(list)
-            groups = collections.defaultdict(dict)
-            for vm in vms.rows.values():
-                if "group" in vm:
-                    groups[vm["group"]][vm["rank"]] = vm
-            for vm in vms.rows.values():
-                by[vm["domain"]].append(vms.use(vm, groups))
-            for d in sorted(by):
-                c = collections.Counter(by[d])
-                print(f"          {d}: " + "; ".join(
-                    f"{n} {u}" for u, n in sorted(c.items())))
-        done.clear()
-        lost.clear()
-        heads.clear()
+    totals = collections.Counter()
+
+    def close():
+        show_moment(end - opt.step, vms, requests, opt)
+        for use, count in vms.uses().items():
+            totals[use] += count * opt.step
 
     for at, node, row in rows:
-        if at < opt.begin:
-            if node == best and row["name"].startswith("target_"):
-                vms.take(row)
-            continue
         while at >= end:
-            flush()
+            close()
+            requests = Requests(opt.late)
             end += opt.step
-        name = row["name"]
-        if node == best and name in ("target_changed", "target_gone"):
-            vms.take(row)
-        elif name == "request_done" and "status" not in row:
-            done[row.get("model", "")].append(row.get("first_byte_ms", 0))
-            heads[row.get("model", "")].add(row.get("target"))
-        elif name in ("request_refused", "request_cut") or (
-                name == "request_done" and "status" in row):
-            lost[f"{name[8:]} {row.get('model') or 'plain'}: "
-                 f"{row.get('reason', '')}"] += 1
-    flush()
+        if row["name"] in ("target_changed", "target_gone"):
+            if node == best:
+                vms.take(row)
+        elif at >= opt.begin and row["name"].startswith("request_"):
+            requests.take(row, centres.get(node, ""))
+    close()
     print("# VM-seconds by use")
-    for use, count in uses.most_common():
+    for use, count in totals.most_common():
         print(f"  {count:8.0f}  {use}")
 
 
