--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -163,6 +163,9 @@
        "The registry shows a target new or in another state."},
       {TargetGone, Info, "target_gone",
        "The registry lists a target no longer."},
+      {TargetReborn, Info, "target_reborn",
+       "A target started again under its id: nothing holds of what it held and "
+       "knew before."},
       {TargetKept, Info, "target_kept",
        "The registry dropped a target that may come back, since the store was "
        "away: it is kept for a while."},
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -62,6 +62,7 @@
   CentreBusy = 226,
   CentreEased = 227,
   ServingChanged = 222,
+  TargetReborn = 228,
   DomainsOwned = 310,
   DomainOrder = 311,
   DomainOrderEnded = 312,
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -56,6 +56,16 @@
 using Tokens = Number<struct TokensTag>;
 /// Milliseconds since the Unix epoch, as written into records.
 using WallMs = Number<struct WallTag>;
+/// One life of a VM's process. A VM may start again under its id: it holds
+/// nothing then of what the life before held, and knows nothing of it.
+struct VmLife {
+  VmId Id;
+  /// When it started; zero where the VM does not tell.
+  WallMs Born;
+  // The comparison that the compiler makes is no text of ours. NOLINTNEXTLINE
+  auto operator<=>(const VmLife &) const = default;
+};
+
 /// Hash of a node's name and incarnation, as heartbeats carry it.
 using NodeHash = Number<struct NodeHashTag>;
 
--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -199,21 +199,25 @@
   /// Tells the planner of a target that is no longer in its group. One that
   /// refuses to leave is in another group, or in none.
   void noteLeft(const GroupOrder &Order, OrderEnd End) {
-    if ((End != OrderEnd::Taken && End != OrderEnd::Refused) ||
-        Order.Kind != OrderKind::Leave)
+    bool Left = End == OrderEnd::Taken || End == OrderEnd::Refused ||
+                End == OrderEnd::Ended;
+    if (!Left || Order.Kind != OrderKind::Leave)
       return;
     if (auto At = this->Planners.find(Order.To->Domain);
         At != this->Planners.end())
       At->second.Planner.onLeft(Order);
   }
 
-  /// Whoever does not take an order to join is left out of the next group. An
-  /// order that was held back here says nothing of its target.
+  /// Whoever does not take an order to join, or whose process has ended, is
+  /// left out of the next group: the registry lists a dead VM for up to three
+  /// heartbeats, and each group that is formed with one costs 1.5 s. An order
+  /// that was held back here says nothing of its target.
   void noteUnreached(const GroupOrder &Order, OrderEnd End) {
     TimePoint Now = SystemClock{}.now();
     bool Silent = End == OrderEnd::NotSent || End == OrderEnd::Unknown;
-    if (Order.Kind == OrderKind::Join && Silent && this->Until.holds(Now))
-      this->Members.noteUnreached(Order.To->Id, Now);
+    bool Lost = Order.Kind == OrderKind::Join && Silent;
+    if ((Lost || End == OrderEnd::Ended) && this->Until.holds(Now))
+      this->Members.noteUnreached(Order.To->life(), Now);
   }
 
   void take(const WorkShare &Share) {
--- a/src/control/group_control.h
+++ b/src/control/group_control.h
@@ -18,6 +18,8 @@
   Refused,
   /// The target has seen a newer owner's order.
   Fenced,
+  /// Another process answers in the target's place: its life has ended.
+  Ended,
   /// Nothing reached the target.
   NotSent,
   /// It may be carried out yet.
@@ -27,7 +29,7 @@
 /// Whether a target can be reached from this node.
 enum class Reach {
   Answers,
-  /// Its process has ended.
+  /// Its process has ended: another one answers, also under its id.
   Ended,
   Silent,
 };
--- a/src/control/member_inquiry.h
+++ b/src/control/member_inquiry.h
@@ -22,7 +22,7 @@
       : Board(Board), Targets(Targets) {}
 
   /// What became of the members that were asked after.
-  const std::map<VmId, MemberFate> &fates() const { return this->Fates; }
+  const std::map<VmLife, MemberFate> &fates() const { return this->Fates; }
 
   /// What was learned of members is of use only while it is new: one that was
   /// cut off may be back.
@@ -37,13 +37,15 @@
 
   /// An order to join did not get through to \p Vm. It is taken for dead for a
   /// while, so that the group is formed of others at once.
-  void noteUnreached(const VmId &Vm, TimePoint Now) {
+  void noteUnreached(const VmLife &Vm, TimePoint Now) {
     this->Silent[Vm] = {Now, SilentAsks};
   }
 
-  /// Where a head stands still under this node's requests, asks its members:
-  /// one that does not answer twice is taken for dead, long before the
-  /// registry drops it. Whoever is used again is told to leave first, so a
+  /// Where a head stands still, asks its members: one that does not answer
+  /// twice, or has started again, is taken for dead, long before the registry
+  /// tells. A head that any node doubts for another reason is asked itself: one
+  /// that started again behind a cut from the registry refuses at once, so it
+  /// never stands still. Whoever is used again is told to leave first, so a
   /// wrong guess costs a repair and breaks no promise.
   void findLost(DomainView &View) {
     std::erase_if(this->Silent, [&](const auto &Entry) {
@@ -51,18 +53,28 @@
     });
     std::map<GroupKey, std::vector<TargetRef>> Groups;
     std::set<GroupKey> Still;
+    std::set<GroupKey> Doubted;
     for (const TargetRef &Row : View.Targets) {
       if (!Row->Group)
         continue;
       Groups[Row->Group->Group].push_back(Row);
-      if (Row->Group->Rank == 0 && Row->Group->State == MemberState::Open &&
+      if (Row->Group->Rank != 0 || Row->Group->State != MemberState::Open)
+        continue;
+      auto [Silence, Suspect] =
           this->Board.Vitals.read([&](const VitalsTable &Rows) {
-            return Rows.silence(Row->Id, View.Now) > HeadSilence;
-          }))
+            VmLife Life = Row->life();
+            return std::pair(Rows.silence(Life, View.Now),
+                             Rows.isSuspect(Life, View.Now));
+          });
+      if (Silence > HeadSilence)
         Still.insert(Row->Group->Group);
+      else if (Suspect)
+        Doubted.insert(Row->Group->Group);
     }
     for (const GroupKey &Key : Still)
       this->askMembers(Groups[Key], View.Now);
+    for (const GroupKey &Key : Doubted)
+      this->askHead(Groups[Key], View.Now);
     for (const auto &[Id, Row] : this->Silent)
       if (Row.Silent >= SilentAsks)
         View.Lost.insert(Id);
@@ -73,8 +85,8 @@
   void askAfter(const DomainView &View,
                 const std::vector<GoneTarget> &Members) {
     for (const GoneTarget &Row : Members) {
-      Asked &Entry = this->Questions[Row.Last->Id];
-      MemberFate &Known = this->Fates[Row.Last->Id];
+      Asked &Entry = this->Questions[Row.Last->life()];
+      MemberFate &Known = this->Fates[Row.Last->life()];
       Millis Pause = Known == MemberFate::Unknown ? AskEvery : AskAgain;
       if (Entry.At != TimePoint() && View.Now - Entry.At < Pause)
         continue;
@@ -118,10 +130,18 @@
     unsigned Silent = 0;
   };
 
+  /// Asks the head, and a few others to see whether this node reaches any.
+  void askHead(std::vector<TargetRef> Members, TimePoint Now) {
+    auto IsHead = [](const TargetRef &Row) { return Row->Group->Rank == 0; };
+    std::stable_partition(Members.begin(), Members.end(), IsHead);
+    Members.resize(std::min(Members.size(), 1 + ControlAsks));
+    this->askMembers(Members, Now);
+  }
+
   void askMembers(const std::vector<TargetRef> &Members, TimePoint Now) {
     std::vector<TargetRef> Due;
     for (const TargetRef &Row : Members) {
-      Asked &Entry = this->Silent[Row->Id];
+      Asked &Entry = this->Silent[Row->life()];
       if (Entry.Silent < SilentAsks &&
           (Entry.At == TimePoint() || Now - Entry.At >= AskEvery))
         Due.push_back(Row);
@@ -133,11 +153,13 @@
         Askers.emplace_back([&, I] { Ends[I] = this->Targets.reach(*Due[I]); });
     }
     // Where nobody answers, it is this node that is cut off.
-    bool Any =
-        std::find(Ends.begin(), Ends.end(), Reach::Answers) != Ends.end();
-    for (std::size_t I = 0; Any && I < Due.size(); ++I) {
-      Asked &Entry = this->Silent[Due[I]->Id];
+    bool Any = std::any_of(Ends.begin(), Ends.end(),
+                           [](Reach End) { return End != Reach::Silent; });
+    for (std::size_t I = 0; I < Due.size(); ++I) {
+      Asked &Entry = this->Silent[Due[I]->life()];
       Entry.At = Now;
+      if (!Any)
+        continue;
       Entry.Silent = Ends[I] == Reach::Answers ? 0
                      : Ends[I] == Reach::Ended ? SilentAsks
                                                : Entry.Silent + 1;
@@ -145,7 +167,10 @@
         this->Board.Log.emit(
             EventCode::DomainReleased, Due[I]->Id.Text,
             LogFields()
-                .add("reason", "does not answer while its head stands still")
+                .add("reason", Ends[I] == Reach::Ended
+                                   ? "another process answers in its place"
+                                   : "does not answer while its head stands "
+                                     "still")
                 .add("group", Due[I]->Group->Group.Name)
                 .add("silent_asks", Entry.Silent));
     }
@@ -161,9 +186,9 @@
 
   EntryBoard &Board;
   Control &Targets;
-  std::map<VmId, MemberFate> Fates;
-  std::map<VmId, Asked> Questions;
-  std::map<VmId, Asked> Silent;
+  std::map<VmLife, MemberFate> Fates;
+  std::map<VmLife, Asked> Questions;
+  std::map<VmLife, Asked> Silent;
 };
 
 } // namespace waycove
--- a/src/control/order_sender.h
+++ b/src/control/order_sender.h
@@ -41,7 +41,7 @@
 
 private:
   bool isFenced(const GroupOrder &Order, std::uint64_t Generation) const {
-    auto At = this->FencedAt.find(Order.To->Id);
+    auto At = this->FencedAt.find(Order.To->life());
     return At != this->FencedAt.end() && At->second >= Generation;
   }
 
@@ -51,7 +51,7 @@
     if (End != OrderEnd::Taken)
       this->Board.Counters.add(Counter::OrdersFailed);
     if (End == OrderEnd::Fenced)
-      this->FencedAt[Order.To->Id] = Generation;
+      this->FencedAt[Order.To->life()] = Generation;
     this->Board.Log.emit(EventCode::DomainOrderEnded, Order.To->Id.Text,
                          LogFields()
                              .add("order", orderName(Order.Kind))
@@ -64,8 +64,9 @@
 
   EntryBoard &Board;
   Control &Targets;
-  /// Generation at which a target refused for a newer owner's order.
-  std::map<VmId, std::uint64_t> FencedAt;
+  /// Generation at which a target refused for a newer owner's order; a later
+  /// life of it knows nothing of that.
+  std::map<VmLife, std::uint64_t> FencedAt;
 };
 
 } // namespace waycove
--- a/src/control/registry_follow.h
+++ b/src/control/registry_follow.h
@@ -7,6 +7,7 @@
 #include "control/keyed_feed.h"
 #include "control/serving.h"
 
+#include <map>
 #include <set>
 
 namespace waycove {
@@ -15,6 +16,9 @@
 /// entry. Entries that went while the store was away are kept until the time is
 /// over that the page gives them to come back, but requests go there only where
 /// nothing that is listed serves: such an entry may have lapsed, or have left.
+/// A VM may start again under its id: what an earlier life wrote and comes late
+/// changes nothing. An entry that cannot be read names no target: what its key
+/// named before is not used any more, and the others hold.
 /// Used by one thread.
 template <KeyedFeed Feed, typename Decoder> class RegistryFollower {
 public:
@@ -43,37 +47,107 @@
   /// ask after it.
   static constexpr Millis GoneMemory{30000};
 
-  void apply(const KeyedPage &Page, TimePoint Now) {
+  /// What a page says, by what becomes of it.
+  struct Sorted {
     std::vector<TargetRef> Come;
+    /// Keys that were dropped.
     std::set<VmId> Left;
+    /// Keys whose entries are there and name no target.
+    std::set<VmId> Refused;
+    /// Keys of which an earlier life's entry came late.
+    std::set<VmId> Outdated;
+  };
+
+  void apply(const KeyedPage &Page, TimePoint Now) {
+    Sorted Read = this->sort(Page);
+    if (Page.Whole)
+      this->addAbsent(Read);
+    bool News = !Read.Come.empty();
+    if (Now < Page.HoldUntil) {
+      News |= this->keep(std::exchange(Read.Left, {}), Page, Now);
+    } else {
+      Read.Left.merge(this->Kept);
+      this->Kept.clear();
+    }
+    Read.Left.merge(Read.Refused);
+    if (News || !Read.Left.empty())
+      this->store(Read.Come, Read.Left, Page.Next, Now);
+  }
+
+  Sorted sort(const KeyedPage &Page) {
+    Sorted Into;
     for (const KeyedRecord &Row : Page.Records) {
       VmId Id(Row.Key);
       if (!Row.Value) {
-        Left.insert(Id);
+        Into.Left.insert(Id);
+        this->RefusedValues.erase(Id);
         continue;
       }
       absl::StatusOr<TargetInfo> Read = this->Decode(Row.Key, *Row.Value);
       if (!Read.ok()) {
-        this->Board.Log.emit(
-            EventCode::RegistryRefused, Row.Key,
-            LogFields().add("reason", messageOf(Read.status())));
+        Into.Refused.insert(Id);
+        this->Kept.erase(Id);
+        this->noteRefused(Id, *Row.Value, messageOf(Read.status()));
+        continue;
+      }
+      this->BirthsTold |= Read->Born != WallMs();
+      if (Read->Born < this->newestBirth(Id)) {
+        Into.Outdated.insert(Id);
+        this->noteRefused(Id, *Row.Value, "an earlier life's entry");
         continue;
       }
-      Left.erase(Id);
+      Into.Left.erase(Id);
       this->Kept.erase(Id);
-      Come.push_back(std::make_shared<const TargetInfo>(std::move(*Read)));
+      Into.Come.push_back(std::make_shared<const TargetInfo>(std::move(*Read)));
     }
+    if (this->BirthsTold)
+      this->refuseUndated(Into);
+    this->forgetRefused(Page, Into);
+    return Into;
+  }
+
+  /// Where targets tell their start, an entry that does not is another
+  /// writer's. Platforms on which no target tells it are served as they are.
+  void refuseUndated(Sorted &Into) {
+    std::erase_if(Into.Come, [&](const TargetRef &Row) {
+      if (Row->Born != WallMs())
+        return false;
+      Into.Refused.insert(Row->Id);
+      this->noteRefused(Row->Id, Row->Address.text(), "it tells no start");
+      return true;
+    });
+  }
+
+  void forgetRefused(const KeyedPage &Page, const Sorted &Read) {
+    for (const TargetRef &Row : Read.Come)
+      this->RefusedValues.erase(Row->Id);
     if (Page.Whole)
-      this->addAbsent(Come, Left);
-    bool News = !Come.empty();
-    if (Now < Page.HoldUntil) {
-      News |= this->keep(std::exchange(Left, {}), Page, Now);
-    } else {
-      Left.merge(this->Kept);
-      this->Kept.clear();
-    }
-    if (News || !Left.empty())
-      this->store(Come, Left, Page.Next, Now);
+      std::erase_if(this->RefusedValues, [&](const auto &Entry) {
+        return !Read.Refused.contains(Entry.first) &&
+               !Read.Outdated.contains(Entry.first);
+      });
+  }
+
+  /// One line a change: all of the registry is read again at times.
+  void noteRefused(const VmId &Id, const std::string &Value,
+                   const std::string &Reason) {
+    std::uint64_t Hash = hashText(Value);
+    auto [At, New] = this->RefusedValues.try_emplace(Id, Hash);
+    if (!New && std::exchange(At->second, Hash) == Hash)
+      return;
+    this->Board.Log.emit(EventCode::RegistryRefused, Id.Text,
+                         LogFields().add("reason", Reason));
+  }
+
+  /// Of the lives under this id that were listed within GoneMemory, when the
+  /// newest one started.
+  WallMs newestBirth(const VmId &Id) const {
+    return this->Board.Targets.read([&](const Fleet &Rows) {
+      if (auto At = Rows.Targets.find(Id); At != Rows.Targets.end())
+        return At->second->Born;
+      auto Gone = Rows.Gone.find(Id);
+      return Gone == Rows.Gone.end() ? WallMs() : Gone->second.Last->Born;
+    });
   }
 
   /// Keeps targets that went, until lapsed entries are back; whether one is
@@ -107,20 +181,22 @@
           LogFields().add("registry_age_ms", std::chrono::ceil<Millis>(Age)));
   }
 
-  void addAbsent(const std::vector<TargetRef> &Come, std::set<VmId> &Left) {
-    std::set<VmId> Present;
-    for (const TargetRef &Row : Come)
+  void addAbsent(Sorted &Read) const {
+    std::set<VmId> Present = Read.Outdated;
+    for (const TargetRef &Row : Read.Come)
       Present.insert(Row->Id);
     this->Board.Targets.read([&](const Fleet &Rows) {
       for (const auto &[Id, Row] : Rows.Targets)
         if (!Present.contains(Id))
-          Left.insert(Id);
+          Read.Left.insert(Id);
     });
   }
 
   void store(const std::vector<TargetRef> &Come, const std::set<VmId> &Left,
              Offset Registry, TimePoint Now) {
     std::vector<VmId> Gone;
+    std::vector<std::pair<TargetRef, TargetRef>> Reborn;
+    std::vector<VmLife> Regrouped;
     this->Board.Targets.write([&](Fleet &Rows) {
       ++Rows.Version;
       Rows.Registry = Registry;
@@ -129,7 +205,12 @@
         return Now - Entry.second.Since > GoneMemory;
       });
       for (const TargetRef &Row : Come) {
-        Rows.Targets[Row->Id] = Row;
+        TargetRef &Last = Rows.Targets[Row->Id];
+        if (Last && Last->Born != Row->Born)
+          Reborn.emplace_back(Last, Row);
+        else if (Last && groupOf(*Last) != groupOf(*Row))
+          Regrouped.push_back(Row->life());
+        Last = Row;
         Rows.Gone.erase(Row->Id);
       }
       for (const VmId &Id : Left)
@@ -139,6 +220,10 @@
           Gone.push_back(Id);
         }
     });
+    this->Board.Vitals.write([&](VitalsTable &Rows) {
+      for (const VmLife &Target : Regrouped)
+        Rows.onRegrouped(Target);
+    });
     refreshServing(this->Board);
     // What a node finds at its start is the same in all nodes: the first of
     // each data centre tells of it, row by row. 918 lines cost the others 9 ms,
@@ -147,17 +232,28 @@
     if (!Found || this->Board.FirstOfCentre)
       for (const TargetRef &Row : Come)
         this->logTarget(*Row, Registry);
+    for (const auto &[Last, Row] : Reborn)
+      this->Board.Log.emit(EventCode::TargetReborn, Row->Id.Text,
+                           LogFields()
+                               .add("born", Row->Born.Value)
+                               .add("before", Last->Born.Value)
+                               .add("registry", Registry.Value));
     for (const VmId &Id : Gone)
       this->Board.Log.emit(EventCode::TargetGone, Id.Text,
                            LogFields().add("registry", Registry.Value));
   }
 
+  static std::optional<GroupKey> groupOf(const TargetInfo &Row) {
+    return Row.Group ? std::optional(Row.Group->Group) : std::nullopt;
+  }
+
   void logTarget(const TargetInfo &Row, Offset Registry) {
     LogFields Fields;
     Fields.add("service", Row.Service.Text)
         .add("address", Row.Address.text())
         .add("domain", Row.Domain.Text)
         .add("draining", Row.Draining)
+        .add("born", Row.Born.Value)
         .add("registry", Registry.Value);
     std::string Staged;
     for (const std::string &Model : Row.Staged)
@@ -175,6 +271,10 @@
   Decoder Decode;
   /// Dropped from the registry, not yet taken for gone.
   std::set<VmId> Kept;
+  /// Some target told when it started.
+  bool BirthsTold = false;
+  /// By key, the hash of the newest value that was refused.
+  std::map<VmId, std::uint64_t> RefusedValues;
   /// Something was taken in since the start.
   bool Began = false;
   /// All of it is older than the bound on leaving targets.
--- a/src/edge/answer_pass.h
+++ b/src/edge/answer_pass.h
@@ -59,6 +59,12 @@
 private:
   /// A target that takes no more for now.
   static constexpr Millis FullTime{300};
+  /// A target that is no head of a group, against what the registry says: a VM
+  /// that started again behind a cut from the registry is listed as before
+  /// until the cut ends, or three heartbeats passed. Asked again each 0.3 s,
+  /// such heads used up the second sends of all others. What the registry shows
+  /// anew ends it (RegistryFollower).
+  static constexpr Millis MistakenTime{3600};
   static constexpr std::size_t MostHeadBytes = 64 << 10;
   /// Late answers to requests before ours that are skipped on a connection.
   static constexpr unsigned MostSkipped = 3;
@@ -72,13 +78,14 @@
       if (this->Wait.readBody(Ex, Try, Body, Unused) == AttemptEnd::Done)
         this->keepConnection(Ex, Try, Head, Facts, Body);
       Try.Reason = "not taken, status " + std::to_string(Status);
-      this->Notes.suspect(Try.To.Target->Id, FullTime, Try.Reason,
+      this->Notes.suspect(Try.To.Target->life(),
+                          Facts.Mistaken ? MistakenTime : FullTime, Try.Reason,
                           Ex.Request.Facts.Id);
       return AttemptEnd::Refused;
     }
     this->noteFirstByte(Ex, Try);
     this->Board.Vitals.write([&](VitalsTable &Vitals) {
-      Vitals.onAnswerHead(Try.To.Target->Id, !Head.getKeepAlive());
+      Vitals.onAnswerHead(Try.To.Target->life(), !Head.getKeepAlive());
     });
     bool Success = Status >= 200 && Status < 300;
     if (Success && (!Facts.Signed || Head.has("Content-Encoding"))) {
@@ -126,7 +133,7 @@
       bool InOrder = takeEvents(Ex, Payload, FirstEvent, Ready);
       if (!Ready.empty())
         this->Board.Vitals.write([&](VitalsTable &Vitals) {
-          Vitals.onProgress(Try.To.Target->Id, Try.LastByte);
+          Vitals.onProgress(Try.To.Target->life(), Try.LastByte);
         });
       // What came in order counts as had by the caller: it goes out first.
       if (!sendEvents(Ex, Head, Ready))
@@ -203,11 +210,11 @@
                       const TargetFacts &Facts, const BodyDecoder &Body) {
     if (!Head.getKeepAlive() || Body.kind() == Framing::UntilClose)
       return;
-    const VmId &Target = Try.To.Target->Id;
+    const VmLife Target = Try.To.Target->life();
     const ServiceSpec *Spec = Ex.Request.Config->service(Ex.Request.Service);
     unsigned Most = keptConnections(Spec ? Spec->MaxConnections : 1,
                                     this->Board.evenShare(),
-                                    this->Board.Config.Node, Target);
+                                    this->Board.Config.Node, Target.Id);
     this->Pool.keep(Target, std::move(*Try.Connection),
                     Facts.KeepAlive.value_or(Millis(0)), Most,
                     SystemClock{}.now());
@@ -221,7 +228,7 @@
       Ex.Run.FirstByte =
           std::chrono::duration_cast<Millis>(Now - Ex.Request.Arrived);
     this->Board.Vitals.write([&](VitalsTable &Vitals) {
-      Vitals.onFirstByte(Try.To.Target->Id, Try.SentAt,
+      Vitals.onFirstByte(Try.To.Target->life(), Try.SentAt,
                          static_cast<double>(Ex.Request.Facts.PromptTokens),
                          Now);
     });
--- a/src/edge/caller_protocol.h
+++ b/src/edge/caller_protocol.h
@@ -47,6 +47,9 @@
   RequestId Request;
   /// The target says that it did not and will not run the request.
   bool NotRun = false;
+  /// It is not what the sender takes it for: another process, or no head of a
+  /// group.
+  bool Mistaken = false;
   /// The answer bears the target's signature.
   bool Signed = false;
   /// How long the target keeps an idle connection.
--- a/src/edge/entry_daemon.h
+++ b/src/edge/entry_daemon.h
@@ -163,13 +163,13 @@
   }
 
   void sweep() {
-    std::set<VmId> Listed = this->Board.Targets.read([](const Fleet &Rows) {
-      std::set<VmId> Ids;
+    std::set<VmLife> Listed = this->Board.Targets.read([](const Fleet &Rows) {
+      std::set<VmLife> Lives;
       for (const auto &[Id, Row] : Rows.Targets)
-        Ids.insert(Id);
-      return Ids;
+        Lives.insert(Row->life());
+      return Lives;
     });
-    auto IsListed = [&](const VmId &Id) { return Listed.contains(Id); };
+    auto IsListed = [&](const VmLife &Life) { return Listed.contains(Life); };
     this->Pool.sweep(IsListed, SystemClock{}.now());
     this->Board.Vitals.write([&](VitalsTable &Rows) { Rows.forget(IsListed); });
     this->Board.Demand.write([](DemandTable &Rows) {
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -86,22 +86,23 @@
 
   AttemptEnd attempt(RelayExchange &Ex, const Serving &To) {
     RelayAttempt Try{To, {}, {}, {}, false, true, ""};
-    const VmId &Id = To.Target->Id;
-    Ex.Run.Tried.push_back(Id);
+    const VmLife Life = To.Target->life();
+    Ex.Run.Tried.push_back(Life.Id);
     if (!this->connect(Ex, Try)) {
-      this->Notes.suspect(Id, UnreachableTime, Try.Reason, Ex.Request.Facts.Id);
+      this->Notes.suspect(Life, UnreachableTime, Try.Reason,
+                          Ex.Request.Facts.Id);
       return this->noteAttempt(Ex, Try, AttemptEnd::NotSent);
     }
     auto Prompt = static_cast<double>(Ex.Request.Facts.PromptTokens);
     Try.SentAt = SystemClock{}.now();
     Try.LastByte = Try.SentAt;
     this->Board.Vitals.write(
-        [&](VitalsTable &Vitals) { Vitals.onStart(Id, Prompt, Try.SentAt); });
+        [&](VitalsTable &Vitals) { Vitals.onStart(Life, Prompt, Try.SentAt); });
     AttemptEnd End = this->exchange(Ex, Try);
     this->Board.Vitals.write([&](VitalsTable &Vitals) {
-      Vitals.onEnd(Id, Try.SentAt, Try.FirstByteSeen, Prompt);
+      Vitals.onEnd(Life, Try.SentAt, Try.FirstByteSeen, Prompt);
       if (End != AttemptEnd::CallerGone)
-        Vitals.onOutcome(Id, End == AttemptEnd::Broken, SystemClock{}.now());
+        Vitals.onOutcome(Life, End == AttemptEnd::Broken, SystemClock{}.now());
     });
     // What a cut still holds up must not be delivered seconds later, to a
     // target that has left by then: a reset takes it back, an end in good order
@@ -116,7 +117,7 @@
     // A kept connection may just be closing; what cannot be repeated is not
     // put at that risk.
     if (Ex.Request.Route->mayRepeat())
-      Try.Connection = this->Pool.take(Try.To.Target->Id, Now);
+      Try.Connection = this->Pool.take(Try.To.Target->life(), Now);
     if (Try.Connection)
       return true;
     IoEnd End = Channel::dial(Try.To.Target->Address,
--- a/src/edge/relay_choice.cpp
+++ b/src/edge/relay_choice.cpp
@@ -92,7 +92,7 @@
   std::optional<ChosenTarget> Other = this->choose(Request, After, Now);
   return Other && this->maySpend(Request.Service, Now) &&
          this->Board.Vitals.read([&](const VitalsTable &Vitals) {
-           return !Vitals.isSuspect(Other->To.Target->Id, Now);
+           return !Vitals.isSuspect(Other->To.Target->life(), Now);
          });
 }
 
--- a/src/edge/relay_notes.cpp
+++ b/src/edge/relay_notes.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-void RelayNotes::suspect(const VmId &Target, Millis Time,
+void RelayNotes::suspect(const VmLife &Target, Millis Time,
                          const std::string &Reason, const RequestId &Because) {
   TimePoint Now = SystemClock{}.now();
   bool New = this->Board.Vitals.write([&](VitalsTable &Vitals) {
@@ -41,7 +41,7 @@
   if (!New)
     return;
   this->Board.Counters.add(Counter::TargetsSuspected);
-  this->Board.Log.emit(EventCode::TargetSuspected, Target.Text,
+  this->Board.Log.emit(EventCode::TargetSuspected, Target.Id.Text,
                        LogFields()
                            .add("request", Because.Text)
                            .add("reason", Reason)
--- a/src/edge/relay_notes.h
+++ b/src/edge/relay_notes.h
@@ -16,7 +16,7 @@
 
   /// Takes the target out of choice for \p Time, and tells of it where it is
   /// not out already.
-  void suspect(const VmId &Target, Millis Time, const std::string &Reason,
+  void suspect(const VmLife &Target, Millis Time, const std::string &Reason,
                const RequestId &Because);
   /// A send ended without a whole answer.
   void attemptEnded(const RelayExchange &Ex, const RelayAttempt &Try);
--- a/src/edge/target_pool.cpp
+++ b/src/edge/target_pool.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-std::optional<Channel> TargetPool::take(const VmId &Target, TimePoint Now) {
+std::optional<Channel> TargetPool::take(const VmLife &Target, TimePoint Now) {
   std::lock_guard Lock(this->Mutex);
   auto At = this->Rows.find(Target);
   if (At == this->Rows.end())
@@ -32,8 +32,8 @@
   return std::nullopt;
 }
 
-void TargetPool::keep(const VmId &Target, Channel Connection, Millis KeepAlive,
-                      unsigned Most, TimePoint Now) {
+void TargetPool::keep(const VmLife &Target, Channel Connection,
+                      Millis KeepAlive, unsigned Most, TimePoint Now) {
   Millis Rest = KeepAlive.count() > 0 ? KeepAlive - RestMargin : ShortRest;
   if (Rest.count() <= 0 || Most == 0 || !Connection.buffer().empty())
     return;
@@ -44,7 +44,7 @@
     Row.pop_front();
 }
 
-void TargetPool::sweep(const std::function<bool(const VmId &)> &IsListed,
+void TargetPool::sweep(const std::function<bool(const VmLife &)> &IsListed,
                        TimePoint Now) {
   std::lock_guard Lock(this->Mutex);
   for (auto At = this->Rows.begin(); At != this->Rows.end();) {
--- a/src/edge/target_pool.h
+++ b/src/edge/target_pool.h
@@ -13,18 +13,19 @@
 
 namespace waycove {
 
-/// Kept connections to targets, by incarnation: a new incarnation at an old
-/// address never gets a connection of the old one. Thread-safe.
+/// Kept connections to targets, by life: a new one at an old address, also
+/// under the same id, never gets a connection of the one before. Thread-safe.
 class TargetPool {
 public:
   /// A kept connection that is still good; nothing where there is none.
-  std::optional<Channel> take(const VmId &Target, TimePoint Now);
+  std::optional<Channel> take(const VmLife &Target, TimePoint Now);
   /// Keeps a connection whose last answer was whole for \p KeepAlive, unless
   /// \p Most to this target rest already.
-  void keep(const VmId &Target, Channel Connection, Millis KeepAlive,
+  void keep(const VmLife &Target, Channel Connection, Millis KeepAlive,
             unsigned Most, TimePoint Now);
   /// Closes what has rested too long, and all of targets not listed.
-  void sweep(const std::function<bool(const VmId &)> &IsListed, TimePoint Now);
+  void sweep(const std::function<bool(const VmLife &)> &IsListed,
+             TimePoint Now);
 
 private:
   struct Kept {
@@ -32,7 +33,7 @@
     TimePoint GoodUntil;
   };
   std::mutex Mutex;
-  std::map<VmId, std::deque<Kept>> Rows;
+  std::map<VmLife, std::deque<Kept>> Rows;
 };
 
 } // namespace waycove
--- a/src/policy/centre_balance.cpp
+++ b/src/policy/centre_balance.cpp
@@ -51,9 +51,10 @@
                        : std::min(More / Usual, -LeastEase);
 }
 
-double inFlight(const VmId &Id, const VitalsTable &Vitals, TimePoint Now) {
-  const TargetLoad *Others = Vitals.elsewhere(Id, Now);
-  return Vitals.of(Id).InFlight + (Others ? Others->InFlight : 0.0);
+double inFlight(const VmLife &Target, const VitalsTable &Vitals,
+                TimePoint Now) {
+  const TargetLoad *Others = Vitals.elsewhere(Target, Now);
+  return Vitals.of(Target).InFlight + (Others ? Others->InFlight : 0.0);
 }
 
 } // namespace
@@ -67,10 +68,10 @@
     std::map<std::string, Tally> Near;
     std::map<std::string, Tally> All;
     for (const Serving &Row : Rows) {
-      const VmId &Id = Row.Target->Id;
-      if (Row.Kept || Vitals.isSuspect(Id, Now))
+      const VmLife Target = Row.Target->life();
+      if (Row.Kept || Vitals.isSuspect(Target, Now))
         continue;
-      double Requests = inFlight(Id, Vitals, Now);
+      double Requests = inFlight(Target, Vitals, Now);
       All[Row.Model].add(Requests);
       if (Row.Target->DataCentre == Here)
         Near[Row.Model].add(Requests);
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -43,7 +43,7 @@
   double Sum = 0;
   int Measured = 0;
   for (const Serving &Row : Rows) {
-    double Ms = Vitals.of(Row.Target->Id).FirstByteMs;
+    double Ms = Vitals.of(Row.Target->life()).FirstByteMs;
     if (Row.Model != Model || Ms == 0)
       continue;
     Sum += Ms;
@@ -71,14 +71,14 @@
 
 double expectedWaitMs(const Serving &Row, const VitalsTable &Vitals,
                       const ChoiceQuery &Query, double Usual) {
-  const VmId &Id = Row.Target->Id;
-  const TargetVitals &Seen = Vitals.of(Id);
+  const VmLife Target = Row.Target->life();
+  const TargetVitals &Seen = Vitals.of(Target);
   double Wait = firstByteMs(Seen, Usual, Query.Now) +
                 WaitPerRequestMs * Seen.InFlight +
                 WaitPerThousandTokensMs * Seen.PromptWaiting / 1000;
   if (!Query.Anywhere && Row.Target->DataCentre != Query.Here)
     Wait += OtherCentreMs;
-  if (Vitals.isSuspect(Id, Query.Now))
+  if (Vitals.isSuspect(Target, Query.Now))
     Wait += SuspectMs;
   return Wait;
 }
@@ -86,7 +86,8 @@
 /// Whether the target may be leaving, for all that is known.
 bool mayBeLeaving(const Serving &Row, const VitalsTable &Vitals,
                   const ChoiceQuery &Query) {
-  return Row.Kept || (Query.RegistryOld && Vitals.of(Row.Target->Id).Closing);
+  return Row.Kept ||
+         (Query.RegistryOld && Vitals.of(Row.Target->life()).Closing);
 }
 
 /// Whether a target of the model stays, so that none that may be leaving has
--- a/src/policy/domain_form.cpp
+++ b/src/policy/domain_form.cpp
@@ -138,11 +138,14 @@
               {},
               S.View.Now,
               formLimit(Cold ? Model.LoadTime : Model.StagedLoadTime)};
-  for (const TargetRef &Vm : Members)
-    Row.Members.push_back(Vm->Id);
+  std::vector<VmId> Ids;
   for (const TargetRef &Vm : Members) {
-    S.Busy.insert(Vm->Id);
-    S.Orders.push_back({OrderKind::Join, Vm, Key, Model.Name, Row.Members,
+    Row.Members.push_back(Vm->life());
+    Ids.push_back(Vm->Id);
+  }
+  for (const TargetRef &Vm : Members) {
+    S.Busy.insert(Vm->life());
+    S.Orders.push_back({OrderKind::Join, Vm, Key, Model.Name, Ids,
                         Cold ? "form, with loads" : "form"});
   }
   this->Pending.emplace(Key, std::move(Row));
--- a/src/policy/domain_judge.cpp
+++ b/src/policy/domain_judge.cpp
@@ -11,8 +11,6 @@
 
 namespace waycove {
 
-namespace {} // namespace
-
 void DomainPlanner::judge(Step &S, const GroupKey &Key, const Announced &Row) {
   bool Serves = Row.Head && (Row.Head->Group->State == MemberState::Open ||
                              Row.Head->Group->State == MemberState::Closing);
@@ -60,7 +58,7 @@
 MemberFate DomainPlanner::fateOf(const Step &S, const GoneTarget &Row) {
   // Asked for as long as it matters: who is cut off now may die later.
   this->Questions.push_back(Row);
-  auto At = S.View.Fates.find(Row.Last->Id);
+  auto At = S.View.Fates.find(Row.Last->life());
   return At == S.View.Fates.end() ? MemberFate::Unknown : At->second;
 }
 
@@ -103,9 +101,9 @@
 void DomainPlanner::releaseEach(Step &S, const GroupKey &Key,
                                 const Announced &Row) {
   for (const auto &[Rank, Vm] : Row.Ranks) {
-    if (this->MemberLeft.contains({Key, Vm->Id}))
+    if (this->MemberLeft.contains({Key, Vm->life()}))
       continue;
-    S.Busy.insert(Vm->Id);
+    S.Busy.insert(Vm->life());
     this->order(S, OrderKind::Leave, Vm, Key, "its head is lost");
   }
 }
@@ -131,7 +129,7 @@
     // An earlier owner's, still loading: give it time once.
     Forming Adopted{Model->Name, {}, Now, formLimit(Model->LoadTime)};
     for (const auto &[Rank, Vm] : Row.Ranks)
-      Adopted.Members.push_back(Vm->Id);
+      Adopted.Members.push_back(Vm->life());
     if (!Whole)
       Adopted.Limit = ShowTime;
     Mine = this->Pending.emplace(Key, std::move(Adopted)).first;
@@ -162,18 +160,19 @@
 void DomainPlanner::dropStaleForming(Step &S) {
   std::erase_if(this->Pending, [&](const auto &Entry) {
     const auto &[Key, Row] = Entry;
-    auto Listed = [&](const VmId &Id) {
-      return std::any_of(
-          S.View.Targets.begin(), S.View.Targets.end(),
-          [&](const TargetRef &T) { return T->Id == Id && S.isUsable(*T); });
+    auto Listed = [&](const VmLife &Life) {
+      return std::any_of(S.View.Targets.begin(), S.View.Targets.end(),
+                         [&](const TargetRef &T) {
+                           return T->life() == Life && S.isUsable(*T);
+                         });
     };
     bool Late = !S.Groups.contains(Key) && S.View.Now - Row.Since > ShowTime;
     if (Late || !std::all_of(Row.Members.begin(), Row.Members.end(), Listed)) {
       this->GivenUp.insert(Key);
       return true;
     }
-    for (const VmId &Id : Row.Members)
-      S.Busy.insert(Id);
+    for (const VmLife &Life : Row.Members)
+      S.Busy.insert(Life);
     auto Shown = S.Groups.find(Key);
     if (Shown == S.Groups.end() || !Shown->second.AllReady ||
         Shown->second.Ranks.size() != Row.Members.size())
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -57,7 +57,7 @@
   /// Those that went lately.
   std::vector<GoneTarget> Gone;
   /// Fates of members that went, as far as asked.
-  std::map<VmId, MemberFate> Fates;
+  std::map<VmLife, MemberFate> Fates;
   /// Groups that serve now, by model, over all domains.
   std::map<std::string, unsigned> Serving;
   /// Groups of the other domains, by model, as domainOutlooks() says.
@@ -72,7 +72,7 @@
   GroupCounts TradesBefore;
   /// Listed targets that do not answer while their group's head stands still:
   /// taken for dead, ahead of the registry.
-  std::set<VmId> Lost;
+  std::set<VmLife> Lost;
   /// Orders carry epochs above this: the owner's fence.
   std::uint64_t EpochFloor = 0;
   /// Groups with epochs up to this were formed before this ownership began.
@@ -125,7 +125,7 @@
   /// A group that this planner ordered and that is not open yet.
   struct Forming {
     std::string Model;
-    std::vector<VmId> Members;
+    std::vector<VmLife> Members;
     TimePoint Since;
     Millis Limit{0};
   };
@@ -183,25 +183,25 @@
   /// Groups whose head took the order to leave.
   std::set<GroupKey> HeadLeft;
   /// Members of groups without head that took the order to leave.
-  std::set<std::pair<GroupKey, VmId>> MemberLeft;
+  std::set<std::pair<GroupKey, VmLife>> MemberLeft;
   /// Groups that did not form in time; never opened by this planner.
   std::set<GroupKey> GivenUp;
   /// Since when a member of the group drains.
   std::map<GroupKey, TimePoint> DrainsSince;
-  std::map<std::tuple<GroupKey, OrderKind, VmId>, TimePoint> LastOrder;
+  std::map<std::tuple<GroupKey, OrderKind, VmLife>, TimePoint> LastOrder;
   /// When weights were ordered onto a host, by model.
-  std::map<std::pair<VmId, std::string>, TimePoint> Staging;
+  std::map<std::pair<VmLife, std::string>, TimePoint> Staging;
   /// A group of one VM that only loads its weights.
   struct WarmUp {
-    VmId Vm;
+    VmLife Vm;
     TimePoint Since;
     /// From the shared store, not from its host.
     bool Cold = false;
   };
   std::map<GroupKey, WarmUp> WarmUps;
-  std::set<VmId> WarmTried;
+  std::set<VmLife> WarmTried;
   /// Since when each VM that is free has been so.
-  std::map<VmId, TimePoint> FreeSince;
+  std::map<VmLife, TimePoint> FreeSince;
   std::vector<GoneTarget> Questions;
   std::uint64_t LastEpoch = 0;
   std::size_t SeenTargets = 0;
--- a/src/policy/domain_stage.cpp
+++ b/src/policy/domain_stage.cpp
@@ -55,7 +55,7 @@
   for (const auto &[Key, Row] : this->WarmUps) {
     auto At = std::find_if(
         S.View.Targets.begin(), S.View.Targets.end(),
-        [&, Id = Row.Vm](const TargetRef &Vm) { return Vm->Id == Id; });
+        [&, Life = Row.Vm](const TargetRef &Vm) { return Vm->life() == Life; });
     if (At != S.View.Targets.end() && S.isUsable(**At))
       Rows.push_back(*At);
   }
@@ -67,7 +67,7 @@
 std::optional<int> DomainPlanner::loadRankOf(const TargetInfo &Vm,
                                              const ModelSpec &Model) const {
   for (const auto &[Key, Row] : this->WarmUps)
-    if (Row.Vm == Vm.Id)
+    if (Row.Vm == Vm.life())
       return modelOf(Key.Name) == Model.Name ? std::optional(0) : std::nullopt;
   if (Vm.hasStaged(Model.Name) || Vm.hasLoaded(Model.Name))
     return 0;
@@ -224,7 +224,7 @@
                           int AtOnce) {
   if (!S.isUsable(*Vm) || Vm->hasStaged(Model.Name))
     return;
-  TimePoint &At = this->Staging[{Vm->Id, Model.Name}];
+  TimePoint &At = this->Staging[{Vm->life(), Model.Name}];
   if (At != TimePoint() && S.View.Now - At < Model.LoadTime * StageTimeFactor)
     return;
   if (!this->takeLoad(S, AtOnce))
--- a/src/policy/domain_step.cpp
+++ b/src/policy/domain_step.cpp
@@ -100,7 +100,7 @@
 }
 
 bool DomainPlanner::Step::isUsable(const TargetInfo &Row) const {
-  return !Row.Draining && !this->View.Lost.contains(Row.Id);
+  return !Row.Draining && !this->View.Lost.contains(Row.life());
 }
 
 bool DomainPlanner::Step::lacks(const ModelSpec &Model) const {
@@ -117,14 +117,14 @@
 std::vector<TargetRef> DomainPlanner::Step::freeVms() const {
   std::vector<TargetRef> Free;
   for (const TargetRef &Row : this->View.Targets)
-    if (this->isUsable(*Row) && !this->Busy.contains(Row->Id))
+    if (this->isUsable(*Row) && !this->Busy.contains(Row->life()))
       Free.push_back(Row);
   return Free;
 }
 
 void DomainPlanner::Step::hold(const Announced &Row) {
   for (const auto &[Rank, Vm] : Row.Ranks)
-    this->Busy.insert(Vm->Id);
+    this->Busy.insert(Vm->life());
 }
 
 } // namespace waycove
--- a/src/policy/domain_warm.cpp
+++ b/src/policy/domain_warm.cpp
@@ -26,19 +26,19 @@
 /// Orders reserves that never ran a model to load the one that their hosts have
 /// staged. Each is tried once.
 void DomainPlanner::warmReserves(Step &S) {
-  std::map<VmId, TimePoint> Since;
+  std::map<VmLife, TimePoint> Since;
   for (const TargetRef &Row : S.freeVms()) {
-    auto Before = this->FreeSince.find(Row->Id);
-    Since[Row->Id] =
+    auto Before = this->FreeSince.find(Row->life());
+    Since[Row->life()] =
         Before == this->FreeSince.end() ? S.View.Now : Before->second;
     if (!Row->Loaded.empty() || Row->Group ||
-        S.View.Now - Since[Row->Id] < ReserveWait)
+        S.View.Now - Since[Row->life()] < ReserveWait)
       continue;
     auto Model = std::find_if(
         S.Engine.Models.begin(), S.Engine.Models.end(),
         [&](const ModelSpec &Each) { return Row->hasStaged(Each.Name); });
     if (Model != S.Engine.Models.end() &&
-        this->WarmTried.insert(Row->Id).second)
+        this->WarmTried.insert(Row->life()).second)
       this->joinAlone(S, Row, *Model, "a reserve is kept loaded");
   }
   this->FreeSince = std::move(Since);
@@ -51,8 +51,8 @@
   GroupKey Key = this->nextKey(S, Model);
   Key.Name = loadGroupName(Model.Name, S.View.Domain, Key.Epoch);
   bool Cold = !Vm->hasStaged(Model.Name) && !Vm->hasLoaded(Model.Name);
-  this->WarmUps[Key] = {Vm->Id, S.View.Now, Cold};
-  S.Busy.insert(Vm->Id);
+  this->WarmUps[Key] = {Vm->life(), S.View.Now, Cold};
+  S.Busy.insert(Vm->life());
   S.Orders.push_back({OrderKind::Join, Vm, Key, Model.Name, {Vm->Id}, Reason});
 }
 
@@ -64,7 +64,7 @@
     return false;
   const ModelSpec *Model = S.Engine.model(modelOf(Key.Name));
   WarmUp &Entry = this->WarmUps
-                      .try_emplace(Key, WarmUp{Row.Head->Id, S.View.Now,
+                      .try_emplace(Key, WarmUp{Row.Head->life(), S.View.Now,
                                                isLoading(*Row.Head)})
                       .first->second;
   Millis Limit = !Model       ? Millis(0)
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -36,6 +36,8 @@
 /// A target as the platform's registry last showed it.
 struct TargetInfo {
   VmId Id;
+  /// As in its VmLife.
+  WallMs Born;
   ServiceId Service;
   VmAddress Address;
   DataCentreId DataCentre;
@@ -47,6 +49,7 @@
   std::vector<std::string> Loaded;
   std::optional<Membership> Group;
 
+  VmLife life() const { return {this->Id, this->Born}; }
   bool hasStaged(const std::string &Model) const;
   bool hasLoaded(const std::string &Model) const;
 };
--- a/src/policy/load_news.h
+++ b/src/policy/load_news.h
@@ -11,9 +11,13 @@
 
 namespace waycove {
 
-/// Hash of a target's id, as nodes name it to each other.
+/// Hash of a target's life, as nodes name it to each other.
 using TargetHash = Number<struct TargetHashTag>;
 
+inline TargetHash hashOf(const VmLife &Target) {
+  return TargetHash(hashText(Target.Id.Text, Target.Born.Value));
+}
+
 /// How one target looks from some nodes, summed up.
 struct TargetLoad {
   /// Their requests that run or wait there.
--- a/tests/failure/entry_test.cpp
+++ b/tests/failure/entry_test.cpp
@@ -5,7 +5,7 @@
 // An entry on the platform, as real processes: what callers get while targets
 // fail, keys are taken away and the store is gone.
 #include "edge/http.h"
-#include "support/cluster.h"
+#include "support/entry_fixture.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
@@ -16,103 +16,6 @@
 
 namespace waycove::test {
 
-namespace {
-
-constexpr int StreamEvents = 40;
-
-std::string configOf(int Version, const std::string &Key) {
-  const std::string Route =
-      R"("host":"a.example","timeout_ms":6000,"goal_ms":300,"priority":1,)";
-  return R"({"version":)" + std::to_string(Version) + R"(,"routes":[)" +
-         R"({"name":"chat",)" + Route +
-         R"("path_prefix":"/chat/","type":"streaming","service":"llm",)"
-         R"("max_attempts":2,"resumable":true,"gap_target_ms":200},)"
-         R"({"name":"once",)" +
-         Route +
-         R"("path_prefix":"/once/","type":"non_idempotent","service":"plain",)"
-         R"("max_attempts":1},{"name":"safe",)" +
-         Route +
-         R"("path_prefix":"/safe/","type":"idempotent","service":"plain",)"
-         R"("max_attempts":2}],"services":[{"name":"plain","max_conns":50},)"
-         R"({"name":"llm","max_conns":50,"engine":{"slots":8,"retains":1,)"
-         R"("loads_per_s":50,"models":[{"name":"model","size":2,"share":1,)"
-         R"("pace":1,"load_s":0.1,"warm_s":0.05}]}}],)"
-         R"("tenants":[{"name":"w1","api_keys":[")" +
-         Key + R"("]}]})";
-}
-
-} // namespace
-
-/// One entry before four engines, that make two groups, and two plain targets.
-struct EntryFixture {
-  /// \p More: further settings of the entry.
-  explicit EntryFixture(const std::string &More = "") {
-    this->Run.addVms("e", 4, "a", "d");
-    this->Run.addVms("p", 2, "a", "", "plain");
-    this->Run.addNode("n1", "a");
-    this->Run.TargetFlags = {"--token_ms=10", "--load_ms=50",
-                             "--registry=127.0.0.1:" +
-                                 std::to_string(this->Run.platformPort())};
-    this->Run.ExtraSettings =
-        "entry: {ready: '127.0.0.1:" +
-        std::to_string(this->Run.peerPort("n1") + 1) +
-        "', revoke_bound_ms: 1500, grace_ms: 4000, first_start: true" + More +
-        "}";
-    this->Run.startPlatform();
-    this->publish(1, "key-1");
-    for (const char *Vm : {"e-1", "e-2", "e-3", "e-4", "p-1", "p-2"})
-      this->Run.startVm(Vm);
-    this->Run.startNode("n1");
-    REQUIRE(eventually([&] { return this->isReady(); }));
-    REQUIRE(eventually([&] {
-      return this->Run.logOf("n1").find("\"targets\":4") != std::string::npos;
-    }));
-  }
-
-  void publish(int Version, const std::string &Key) {
-    this->Run.atPlatform({"POST",
-                          "/store/put?topic=keyed.op&key=config",
-                          configOf(Version, Key),
-                          {}});
-  }
-  bool isReady() {
-    return http(static_cast<std::uint16_t>(this->Run.peerPort("n1") + 1),
-                {.Path = "/api/ready"})
-               .Status == 200;
-  }
-  Reply call(const std::string &Path, const std::string &Id,
-             const std::string &Key = "key-1") {
-    return this->Run.ask("n1", {"POST",
-                                Path,
-                                "body",
-                                {{"Host", "a.example"},
-                                 {"Authorization", "Bearer " + Key},
-                                 {"X-Request-Id", Id},
-                                 {"X-Model", "model"},
-                                 {"X-Token-Count", "100,50"},
-                                 {"X-Deadline-Ms", "6000"}}});
-  }
-  void faultAll(const std::string &Prefix, int Count,
-                const std::string &Fault) {
-    for (int I = 1; I <= Count; ++I)
-      this->Run.vmFault(Prefix + "-" + std::to_string(I),
-                        "{\"call\":\"" + Fault + "\"}");
-  }
-  std::uint64_t runs(const std::string &Vm) {
-    return this->Run.atVm(Vm, {.Path = "/runs"}).number("runs");
-  }
-  std::uint64_t plainRuns() { return this->runs("p-1") + this->runs("p-2"); }
-  static std::string wholeStream() {
-    std::string Text;
-    for (int I = 1; I <= StreamEvents; ++I)
-      Text += "id: " + std::to_string(I) + "\ndata: piece " +
-              std::to_string(I) + "\n\n";
-    return Text;
-  }
-
-  Cluster Run;
-};
-
 TEST_CASE_METHOD(
     EntryFixture,
     "http caller: a kept connection: each call has its own timeout",
--- a/tests/property/domain_plan_property.cpp
+++ b/tests/property/domain_plan_property.cpp
@@ -25,10 +25,14 @@
 
 struct WorldVm {
   VmId Id;
+  /// Rises with each start under this id.
+  std::uint64_t Life = 1;
   bool Alive = true;
   int DeadFor = 0;
   /// Steps for which its registry entry stays away.
   int Unlisted = 0;
+  /// Steps for which the registry shows it as it was last.
+  int Stale = 0;
   std::uint64_t EpochSeen = 0;
   std::optional<Membership> Group;
   std::vector<VmId> Members;
@@ -80,6 +84,15 @@
     return Text;
   }
 
+  /// Groups that are open and whole.
+  unsigned openNow() {
+    unsigned Count = 0;
+    for (const WorldVm &Row : this->Rows)
+      Count += Row.Alive && Row.Group && Row.Group->Rank == 0 &&
+               Row.Group->State == MemberState::Open && Row.StandingStill == 0;
+    return Count;
+  }
+
   /// What was ordered and what came of it, newest last.
   std::deque<std::string> Trace;
   /// Empty while all rules hold.
@@ -87,6 +100,8 @@
   unsigned OpenedGroups = 0;
   /// Chances in a thousand, a step.
   int Disturbance = 20;
+  /// The same, that a VM starts again under its id.
+  int Rebirths = 0;
 
 private:
   int roll(int Below) {
@@ -101,7 +116,31 @@
     return nullptr;
   }
 
+  VmLife lifeOf(const WorldVm &Row) const { return {Row.Id, WallMs(Row.Life)}; }
+
+  /// Starts a VM again under its id, at times behind a cut from the registry;
+  /// the owner may have learned of that already.
+  void rebirth() {
+    if (this->Rebirths == 0 || !this->chance(this->Rebirths))
+      return;
+    WorldVm &Row = this->Rows[static_cast<std::size_t>(
+        roll(static_cast<int>(this->Rows.size())))];
+    if (!Row.Alive)
+      return;
+    if (this->chance(500))
+      this->WronglyLost.insert(this->lifeOf(Row));
+    WorldVm Fresh;
+    Fresh.Id = Row.Id;
+    Fresh.Life = Row.Life + 1;
+    Fresh.Stale = this->chance(600) ? roll(50) : 0;
+    Row = Fresh;
+    this->Trace.push_back(
+        std::to_string(this->Now.time_since_epoch() / Millis(1)) + " " +
+        Row.Id.Text + " starts again\n");
+  }
+
   void disturb() {
+    this->rebirth();
     if (!this->chance(this->Disturbance))
       return;
     WorldVm &Row = this->Rows[static_cast<std::size_t>(
@@ -125,7 +164,7 @@
       break;
     }
     case 3:
-      this->WronglyLost.insert(Row.Id);
+      this->WronglyLost.insert(this->lifeOf(Row));
       break;
     default:
       if (!Row.Alive) {
@@ -271,6 +310,7 @@
   TargetRef listed(const WorldVm &Row) const {
     auto Info = std::make_shared<TargetInfo>();
     Info->Id = Row.Id;
+    Info->Born = WallMs(Row.Life);
     Info->Domain = DomainId("d");
     Info->Group = Row.Group;
     Info->Staged = {"large", "small"};
@@ -282,11 +322,14 @@
   /// Keeps what the registry shows, for views that lag.
   void remember() {
     std::vector<TargetRef> Shown;
-    for (const WorldVm &Row : this->Rows) {
+    for (WorldVm &Row : this->Rows) {
       bool There = Row.Alive
                        ? Row.Unlisted == 0
                        : Row.DeadFor < ListedAfterDeath && Row.Unlisted == 0;
-      if (There) {
+      if (There && Row.Stale > 0 && this->LastShown.contains(Row.Id)) {
+        --Row.Stale;
+        Shown.push_back(this->LastShown[Row.Id]);
+      } else if (There) {
         // The dead still show what they said last.
         Shown.push_back(this->listed(Row));
         this->Gone.erase(Row.Id);
@@ -323,9 +366,11 @@
       bool Answers = Vm && Vm->Group && Row.Last->Group &&
                      Vm->Group->Group == Row.Last->Group->Group;
       // One that is cut off from the owner too counts as dead.
-      View.Fates[Id] = Answers && !this->WronglyLost.contains(Id)
-                           ? MemberFate::Alive
-                           : MemberFate::Dead;
+      VmLife Life = Row.Last->life();
+      View.Fates[Life] = Answers && this->lifeOf(*Vm) == Life &&
+                                 !this->WronglyLost.contains(Life)
+                             ? MemberFate::Alive
+                             : MemberFate::Dead;
     }
     View.Lost = this->WronglyLost;
     View.EpochFloor = std::max(this->Generation << 20, this->OwnedFloor);
@@ -363,7 +408,7 @@
   std::deque<std::vector<TargetRef>> Registry;
   std::map<VmId, TargetRef> LastShown;
   std::map<VmId, GoneTarget> Gone;
-  std::set<VmId> WronglyLost;
+  std::set<VmLife> WronglyLost;
   std::vector<LateOrder> Late;
   std::set<std::pair<GroupKey, VmId>> ReadyOnce;
 };
@@ -393,4 +438,34 @@
   }
 }
 
+/// VMs start again under their ids: they hold nothing then, have forgotten each
+/// epoch, and take orders that were meant for the life before.
+TEST_CASE("planner: VMs start again under their ids: no VM in two groups, no "
+          "partial group",
+          "[property]") {
+  for (std::uint64_t Seed = 0; Seed < 1500; ++Seed) {
+    World Run(Seed);
+    Run.Rebirths = 30;
+    Run.run(500);
+    INFO("seed " << Seed << ": " << Run.Broken << "\n" << Run.traceText());
+    CHECK(Run.Broken.empty());
+  }
+}
+
+TEST_CASE("planner: VMs start again under their ids, then all is calm: it "
+          "opens groups of them",
+          "[property]") {
+  for (std::uint64_t Seed = 0; Seed < 200; ++Seed) {
+    World Run(Seed);
+    Run.Disturbance = 0;
+    Run.Rebirths = 60;
+    Run.run(200);
+    Run.Rebirths = 0;
+    Run.run(150);
+    INFO("seed " << Seed << ": " << Run.Broken << "\n" << Run.traceText());
+    CHECK(Run.Broken.empty());
+    CHECK(Run.openNow() >= 2);
+  }
+}
+
 } // namespace waycove::test
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -13,6 +13,9 @@
 //   disorder    an old event behind a good one, in one piece
 //   slow        answers after 700 ms        failed     500
 //   closing     says that it closes the connection, as one that leaves does
+//
+// POST /restart starts it again under its id; with ?unseen=1 behind a cut from
+// the registry, which shows it as before until the next order or restart.
 #include "base/json.h"
 
 #include <Poco/JSON/Array.h>
@@ -21,6 +24,7 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <atomic>
+#include <chrono>
 #include <iostream>
 #include <mutex>
 #include <thread>
@@ -54,6 +58,8 @@
       this->report(Response);
     else if (Path == "/runs")
       this->runs(Response);
+    else if (Path.rfind("/restart", 0) == 0)
+      this->restart(Response, Path.ends_with("unseen=1"));
     else if (Request.has("X-Expect-Replica"))
       this->call(Request, Response, Body, Fault);
     else
@@ -101,8 +107,12 @@
     Out.set("address", this->Given.Address);
     Out.set("zone", this->Given.DataCentre);
     Out.set("domain", this->Given.Domain);
+    Out.set("version", std::string("v1"));
     Out.set("slots", 8);
     Out.set("state", std::string("ready"));
+    Out.set("cold_left_ms", 0);
+    Out.set("sequence", 0);
+    Out.set("born", this->Born);
     Poco::JSON::Array Staged;
     Staged.add(std::string("model"));
     Out.set("staged", Staged);
@@ -177,10 +187,32 @@
   void report(Poco::Net::HTTPServerResponse &Response) {
     std::lock_guard Lock(this->Mutex);
     Poco::JSON::Object Out;
+    Out.set("born", this->Born);
     this->entryGroup(Out);
     reply(Response, 200, dumpJson(Out));
   }
 
+  /// Nothing holds afterwards of what it held and had seen before.
+  void restart(Poco::Net::HTTPServerResponse &Response, bool Unseen) {
+    {
+      std::lock_guard Lock(this->Mutex);
+      this->Born = nowMs();
+      this->Group.clear();
+      this->Epoch = 0;
+      this->State.clear();
+    }
+    if (!Unseen)
+      this->publish();
+    reply(Response, 200, "{}");
+  }
+
+  static std::uint64_t nowMs() {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+  }
+
   void runs(Poco::Net::HTTPServerResponse &Response) {
     Poco::JSON::Object Out;
     Out.set("runs", this->Runs.load());
@@ -200,7 +232,12 @@
     Response.set("X-Request-Id", Request.get("X-Request-Id", ""));
     if (Request.get("X-Expect-Replica") != this->Given.Id)
       return reply(Response, 421, "");
-    if (!Head || Fault == "busy") {
+    // Who is no head takes no requests, and says which process it is.
+    if (!Head) {
+      Response.set("X-Replica-Id", this->Given.Id);
+      return reply(Response, 421, "");
+    }
+    if (Fault == "busy") {
       Response.set("X-Not-Executed", "1");
       return reply(Response, 503, "");
     }
@@ -266,6 +303,7 @@
 
   const ReplicaSetup Given;
   std::mutex Mutex;
+  std::uint64_t Born = nowMs();
   std::string Group;
   std::uint64_t Epoch = 0;
   std::size_t Rank = 0;
--- a/tests/unit/choice_load_test.cpp
+++ b/tests/unit/choice_load_test.cpp
@@ -182,12 +182,13 @@
                              Row->Target->DataCentre != Query.Here);
     std::size_t Group = std::stoul(Row->Target->Id.Text.substr(1));
     this->Engines[Group].Queue.push_back({Node, at(this->NowMs)});
-    this->Seen[Node].onStart(Row->Target->Id, PromptTokens, at(this->NowMs));
+    this->Seen[Node].onStart(Row->Target->life(), PromptTokens,
+                             at(this->NowMs));
   }
 
   void work(std::size_t Group) {
     Engine &Row = this->Engines[Group];
-    VmId Id("g" + std::to_string(Group));
+    VmLife Id{VmId("g" + std::to_string(Group)), {}};
     while (!Row.Queue.empty() && Row.Running.size() < Slots) {
       Row.Running.push_back(Row.Queue.front());
       Row.Queue.pop_front();
@@ -209,7 +210,7 @@
     }
   }
 
-  void makeEvent(std::size_t Group, const VmId &Id, Job &Row) {
+  void makeEvent(std::size_t Group, const VmLife &Id, Job &Row) {
     VitalsTable &Vitals = this->Seen[Row.Node];
     TimePoint Now = at(this->NowMs);
     if (Row.Made++ == 0) {
--- a/tests/unit/entry_policy_test.cpp
+++ b/tests/unit/entry_policy_test.cpp
@@ -84,15 +84,15 @@
 TEST_CASE_METHOD(ChoiceFixture, "choice: one target is less loaded: taken",
                  "[unit]") {
   for (int I = 0; I < 4; ++I) {
-    this->Vitals.onStart(VmId("a"), 1000, at(0));
-    this->Vitals.onStart(VmId("c"), 1000, at(0));
+    this->Vitals.onStart({VmId("a"), {}}, 1000, at(0));
+    this->Vitals.onStart({VmId("c"), {}}, 1000, at(0));
   }
   CHECK(this->choose() == "b");
 }
 
 TEST_CASE_METHOD(ChoiceFixture, "choice: suspects and tried ones: come last",
                  "[unit]") {
-  this->Vitals.suspect(VmId("a"), at(0), Millis(1000));
+  this->Vitals.suspect({VmId("a"), {}}, at(0), Millis(1000));
   this->Query.Avoid = {VmId("b")};
   CHECK(this->choose() == "c");
   this->Query.Avoid = {VmId("b"), VmId("c")};
@@ -103,28 +103,28 @@
                  "[unit]") {
   for (const char *Name : {"b", "c"})
     for (int I = 0; I < 6; ++I)
-      this->Vitals.onStart(VmId(Name), 0, at(0));
-  this->Vitals.onStart(VmId("a"), 0, at(0));
-  this->Vitals.onFirstByte(VmId("a"), at(0), 0, at(50));
+      this->Vitals.onStart({VmId(Name), {}}, 0, at(0));
+  this->Vitals.onStart({VmId("a"), {}}, 0, at(0));
+  this->Vitals.onFirstByte({VmId("a"), {}}, at(0), 0, at(50));
   this->Query.Now = at(100);
   CHECK(this->choose() == "a");
   this->Query.Now = at(500);
-  CHECK(this->Vitals.of(VmId("a")).standsStill(at(500)));
+  CHECK(this->Vitals.of({VmId("a"), {}}).standsStill(at(500)));
   CHECK(this->choose() != "a");
-  this->Vitals.onProgress(VmId("a"), at(490));
-  CHECK_FALSE(this->Vitals.of(VmId("a")).standsStill(at(500)));
+  this->Vitals.onProgress({VmId("a"), {}}, at(490));
+  CHECK_FALSE(this->Vitals.of({VmId("a"), {}}).standsStill(at(500)));
 }
 
 TEST_CASE_METHOD(ChoiceFixture,
                  "choice: one target fails far more than others: left a while",
                  "[unit]") {
   for (int I = 0; I < 20; ++I) {
-    this->Vitals.onOutcome(VmId("a"), I % 2 == 0, at(0));
-    this->Vitals.onOutcome(VmId("b"), I % 8 == 0, at(0));
-    this->Vitals.onOutcome(VmId("c"), I % 8 == 0, at(0));
+    this->Vitals.onOutcome({VmId("a"), {}}, I % 2 == 0, at(0));
+    this->Vitals.onOutcome({VmId("b"), {}}, I % 8 == 0, at(0));
+    this->Vitals.onOutcome({VmId("c"), {}}, I % 8 == 0, at(0));
   }
-  CHECK(this->Vitals.of(VmId("a")).SuspectUntil > at(0));
-  CHECK(this->Vitals.of(VmId("b")).SuspectUntil <= at(0));
+  CHECK(this->Vitals.of({VmId("a"), {}}).SuspectUntil > at(0));
+  CHECK(this->Vitals.of({VmId("b"), {}}).SuspectUntil <= at(0));
 }
 
 TEST_CASE("config: a model whose group has no VMs: refused as a whole",
@@ -232,7 +232,7 @@
   Query.Now = at(0);
   // Also where the listed one is in doubt or has refused: the other may have
   // left.
-  Vitals.suspect(VmId("listed"), at(0), Millis(500));
+  Vitals.suspect({VmId("listed"), {}}, at(0), Millis(500));
   for (unsigned I = 0; I < 20; ++I) {
     Query.Random = mixHash(7, I);
     CHECK(chooseTarget(Rows, Vitals, Query)->Target->Id == VmId("listed"));
@@ -253,9 +253,9 @@
     Target->Id = VmId(Id);
     Rows.push_back({Target, ""});
   }
-  Vitals.onAnswerHead(VmId("closing"), true);
+  Vitals.onAnswerHead({VmId("closing"), {}}, true);
   // One request is there: the other target would be the better choice.
-  Vitals.onStart(VmId("staying"), 0, at(0));
+  Vitals.onStart({VmId("staying"), {}}, 0, at(0));
   ChoiceQuery Query;
   Query.Now = at(10);
   CHECK(chooseTarget(Rows, Vitals, Query)->Target->Id == VmId("closing"));
--- a/tests/unit/member_inquiry_test.cpp
+++ b/tests/unit/member_inquiry_test.cpp
@@ -17,9 +17,13 @@
   OrderEnd order(const GroupOrder &, std::uint64_t) { return OrderEnd::Taken; }
   MemberFate ask(const TargetInfo &) { return MemberFate::Unknown; }
   Reach reach(const TargetInfo &Target) {
+    if (this->Ended.contains(Target.Id))
+      return Reach::Ended;
     return this->Silent.contains(Target.Id) ? Reach::Silent : Reach::Answers;
   }
   std::set<VmId> Silent;
+  /// In their place, another process answers.
+  std::set<VmId> Ended;
 };
 
 } // namespace
@@ -68,7 +72,7 @@
                  "[unit]") {
   this->joins(0);
   REQUIRE(this->joins(800) == std::vector<std::string>{"a", "b"});
-  this->Members.noteUnreached(VmId("b"), at(900));
+  this->Members.noteUnreached({VmId("b"), {}}, at(900));
   // The order to the other one got through, and shows in the registry.
   auto Joined = std::make_shared<TargetInfo>(*this->View.Targets[0]);
   Joined->Group = Membership{
@@ -86,7 +90,7 @@
 TEST_CASE_METHOD(InquiryFixture,
                  "members: one was not reached once: it is used again later",
                  "[unit]") {
-  this->Members.noteUnreached(VmId("b"), at(0));
+  this->Members.noteUnreached({VmId("b"), {}}, at(0));
   this->joins(0);
   CHECK(this->joins(800) == std::vector<std::string>{"a", "c"});
   this->View.Now = at(8000);
@@ -95,4 +99,25 @@
   CHECK(this->View.Lost.empty());
 }
 
+TEST_CASE_METHOD(InquiryFixture,
+                 "members: a head refuses, having started again behind a cut: "
+                 "taken for dead at the first question, its new life not",
+                 "[unit]") {
+  auto Head = std::make_shared<TargetInfo>(*this->View.Targets[0]);
+  Head->Born = WallMs(100);
+  Head->Group =
+      Membership{{groupName("m", DomainId("d"), 1), 1}, 0, MemberState::Open};
+  this->View.Targets[0] = Head;
+  this->View.Now = at(0);
+  this->Control.Ended.insert(Head->Id);
+  this->Members.findLost(this->View);
+  REQUIRE(this->View.Lost.empty());
+  this->Board.Vitals.write([&](VitalsTable &Rows) {
+    Rows.suspect(Head->life(), at(0), Millis(3000));
+  });
+  this->Members.findLost(this->View);
+  CHECK(this->View.Lost == std::set<VmLife>{Head->life()});
+  CHECK_FALSE(this->View.Lost.contains({Head->Id, WallMs(200)}));
+}
+
 } // namespace waycove::test
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -229,11 +229,11 @@
 TEST_CASE("vitals: a target stands still elsewhere: known here without a send",
           "[unit]") {
   VitalsTable Vitals;
-  VmId Head("head");
+  VmLife Head{VmId("head"), {}};
   TargetLoad Load;
   Load.InFlight = Load.Answering = 4;
   Load.Silent = Millis(600);
-  Vitals.takeNews({{TargetHash(hashText("head")), Load}}, at(0));
+  Vitals.takeNews({{hashOf(Head), Load}}, at(0));
   CHECK(Vitals.standsStill(Head, at(100)));
   CHECK(Vitals.silence(Head, at(100)) == Millis(600));
   // What moves here shows that it is the other nodes that are cut off.
@@ -241,7 +241,7 @@
   Vitals.onFirstByte(Head, at(50), 10, at(90));
   CHECK_FALSE(Vitals.standsStill(Head, at(100)));
   // Old news say nothing.
-  CHECK(Vitals.silence(VmId("head2"), at(100)) == Millis(0));
+  CHECK(Vitals.silence({VmId("head2"), {}}, at(100)) == Millis(0));
   CHECK(Vitals.elsewhere(Head, at(3000)) == nullptr);
 }
 
@@ -249,7 +249,7 @@
           "move",
           "[unit]") {
   VitalsTable Vitals;
-  VmId Head("head");
+  VmLife Head{VmId("head"), {}};
   TargetHash Hash(hashText("head"));
   TargetLoad Load;
   // Whoever had answers under way there has left; it would look idle.
@@ -277,10 +277,10 @@
 
 TEST_CASE("vitals: doubts are told to others: only this node's own", "[unit]") {
   VitalsTable Vitals;
-  VmId Head("head");
+  VmLife Head{VmId("head"), {}};
   TargetLoad Load;
   Load.Suspect = Millis(3000);
-  Vitals.takeNews({{TargetHash(hashText("head")), Load}}, at(0));
+  Vitals.takeNews({{hashOf(Head), Load}}, at(0));
   CHECK(Vitals.loads(at(10)).empty());
   Vitals.suspect(Head, at(0), Millis(500));
   CHECK(Vitals.loads(at(100)).begin()->second.Suspect == Millis(400));
