Tell other nodes in parts what changed, and no node to read it from the store

Cause: with 3,000 targets that join groups within seconds, what changed between two rounds was larger than an answer may be and was left out, so each of 301 nodes read all of the registry from the store, 2.4 MB each at 80 MB/s for all.

Now records keep their own offsets, an answer holds the first part of them that fits, and whoever gets a part asks on at once. A part proves nothing of the rest. Views of owned domains work out the other domains' outlook once, not once for each.

Ruled out: heartbeats; entries come anew only where more than their count changes.

--- a/src/board/feed_cache.cpp
+++ b/src/board/feed_cache.cpp
@@ -32,7 +32,8 @@
       if (!this->Known)
         this->ForgottenBelow = Page.Next;
       for (const KeyedRecord &Record : Page.Records)
-        this->put(Record, Page.Next, Now);
+        this->put(Record, Record.Below == Offset() ? Page.Next : Record.Below,
+                  Now);
       this->Next = Page.Next;
       this->Known = true;
       this->prune(Now);
@@ -80,13 +81,40 @@
   Page.HoldUntil = this->HoldUntil;
   for (const auto &[Key, Row] : this->Rows)
     if (Whole ? Row.Value.has_value() : Row.Below > From)
-      Page.Records.push_back({Key, Row.Value});
+      Page.Records.push_back({Key, Row.Value, Row.Below});
   return Page;
 }
 
-KeyedPage FeedCache::since(Offset From) const {
+/// Leaves the records with the lowest offsets, up to \p MostBytes. Where a
+/// registry of 3,000 targets changes within seconds, what a node missed is
+/// larger than a link carries in a round: it has to come in parts that each
+/// leave room for the other feeds, and never from the store to each node.
+void FeedCache::cut(KeyedPage &Page, std::size_t MostBytes) {
+  std::stable_sort(Page.Records.begin(), Page.Records.end(),
+                   [](const KeyedRecord &Left, const KeyedRecord &Right) {
+                     return Left.Below < Right.Below;
+                   });
+  std::size_t Bytes = 0;
+  Offset Last;
+  for (auto At = Page.Records.begin(); At != Page.Records.end(); ++At) {
+    Bytes += At->Key.size() + (At->Value ? At->Value->size() : 0);
+    bool Fits = Bytes <= MostBytes || Last == Offset() || At->Below == Last;
+    if (!Fits) {
+      Page.Records.erase(At, Page.Records.end());
+      Page.Next = Last;
+      Page.Partial = true;
+      return;
+    }
+    Last = At->Below;
+  }
+}
+
+KeyedPage FeedCache::since(Offset From, std::size_t MostBytes) const {
   std::lock_guard Lock(this->Mutex);
-  return this->pageFrom(From, From < this->ForgottenBelow);
+  KeyedPage Page = this->pageFrom(From, From < this->ForgottenBelow);
+  if (!Page.Whole && MostBytes != AllBytes)
+    cut(Page, MostBytes);
+  return Page;
 }
 
 KeyedPage FeedCache::whole() const {
--- a/src/board/feed_cache.h
+++ b/src/board/feed_cache.h
@@ -7,6 +7,8 @@
 #include "base/ids.h"
 
 #include <condition_variable>
+#include <cstddef>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -20,6 +22,9 @@
 struct KeyedRecord {
   std::string Key;
   std::optional<std::string> Value;
+  /// No record of the key has this offset or a later one, up to where its page
+  /// ends. Zero where only the page's end is known.
+  Offset Below{};
 };
 
 /// Part of a feed, and how current it is. Times are of this process's clock.
@@ -29,6 +34,8 @@
   Offset Next;
   /// The records are all that there is: other keys do not exist.
   bool Whole = false;
+  /// More is known than up to Next: the rest is to be asked for.
+  bool Partial = false;
   /// The store held nothing beyond Next at this time or a later one.
   TimePoint ProvenAt;
   /// The store was away: keys that are missing may be back until then.
@@ -64,12 +71,16 @@
   /// or anybody's. While the store answers, proofs come after 2.0 s at most:
   /// three hops, and a bound of 4 s. Entries lapse after 3.6 s of silence.
   static constexpr Millis AwayGap{2000};
+  static constexpr std::size_t AllBytes =
+      std::numeric_limits<std::size_t>::max();
 
   /// Takes what is newer in \p Page; false where it had nothing new and proves
   /// nothing newer.
   bool take(const KeyedPage &Page, TimePoint Now);
-  /// What changed from \p From on; all of it where that is not known any more.
-  KeyedPage since(Offset From) const;
+  /// What changed from \p From on, in order, as far as \p MostBytes of records
+  /// go, and at least what one offset ends; all of it where that is not known
+  /// any more.
+  KeyedPage since(Offset From, std::size_t MostBytes = AllBytes) const;
   KeyedPage whole() const;
   /// Nothing before the first whole page came.
   std::optional<Offset> next() const;
@@ -97,6 +108,7 @@
   void addMissing(const KeyedPage &Page, TimePoint Now);
   void prune(TimePoint Now);
   KeyedPage pageFrom(Offset From, bool Whole) const;
+  static void cut(KeyedPage &Page, std::size_t MostBytes);
 
   mutable std::mutex Mutex;
   std::condition_variable Changed;
--- a/src/control/domain_views.cpp
+++ b/src/control/domain_views.cpp
@@ -82,18 +82,21 @@
         ViewOf(*Row.Last).Gone.push_back(Row);
   });
   std::map<ServiceId, LoadTurns> Turns;
+  std::map<ServiceId, std::map<DomainId, DomainOutlook>> Outlooks;
   for (auto &[Domain, View] : Views) {
     const std::set<DomainId> &Order = Domains[View.Service];
     View.Turn = static_cast<std::size_t>(
         std::distance(Order.begin(), Order.find(Domain)));
     const EngineSpec &Engine = *Config.service(View.Service)->Engine;
     auto At = Turns.find(View.Service);
-    if (At == Turns.end())
+    if (At == Turns.end()) {
       At = Turns.emplace(View.Service, loadTurns(All[View.Service], Engine))
                .first;
+      Outlooks[View.Service] = domainOutlooks(All[View.Service], Engine);
+    }
     auto Turn = At->second.find(Domain);
     View.LoadsAllowed = Turn == At->second.end() ? 0 : Turn->second;
-    countElsewhere(domainOutlooks(All[View.Service], Engine), View);
+    countElsewhere(Outlooks[View.Service], View);
   }
   return Views;
 }
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -27,6 +27,9 @@
 constexpr Millis CatchUpPause(600);
 /// A round while what this node knows is old: the store may just be back.
 constexpr Millis BehindRound(100);
+/// Where a part of what changed came and more waits: what the answer holds has
+/// been on its way meanwhile, so this bounds questions and not bytes.
+constexpr Millis PartRound(20);
 /// While a node that has just started knows nothing.
 constexpr Millis FillRound(50);
 /// A connection that fails sooner was reset.
@@ -116,6 +119,8 @@
     this->askPeers(Nodes, SystemClock{}.now());
   }
   this->publishLoads(SystemClock{}.now());
+  if (std::exchange(this->MoreWaits, false))
+    return PartRound;
   return this->isBehind(SystemClock{}.now()) ? BehindRound : RoundTime;
 }
 
@@ -384,6 +389,7 @@
   for (std::size_t I = 0; I < this->Board.Feeds.size(); ++I) {
     if (!News.feeds[I]->known || News.feeds[I]->left_out)
       continue;
+    this->MoreWaits |= News.feeds[I]->partial;
     auto Kind = static_cast<FeedKind>(I);
     if (absl::StatusOr<KeyedPage> Page = readFeed(*News.feeds[I], SentAt, Now);
         Page.ok())
@@ -418,7 +424,7 @@
   if (!Cache.next() || !this->Board.mayTell(Kind, Now))
     return std::make_unique<wire::FeedNewsT>();
   bool Fills = From == NothingKnown;
-  KeyedPage Page = Fills ? Cache.whole() : Cache.since(From);
+  KeyedPage Page = Fills ? Cache.whole() : Cache.since(From, MostPartBytes);
   std::size_t Most = Page.Whole ? MostFilledBytes : MostPassedBytes;
   std::lock_guard Lock(this->Mutex);
   return this->Packers[static_cast<std::size_t>(Kind)].pack(Page, From, Now,
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -91,6 +91,8 @@
   TimePoint PeersDue;
   Backoff PeerWaits;
   bool AskingPeers = false;
+  /// The newest answer held a part of what changed.
+  bool MoreWaits = false;
   /// By FeedKind, when this node last had to read what was left out.
   std::array<TimePoint, static_cast<std::size_t>(FeedKind::Count)> CaughtUp{};
   std::unique_ptr<Poco::Net::TCPServer> Server;
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -42,13 +42,14 @@
   auto Row = std::make_unique<wire::FeedRowT>();
   Row->key = Record.Key;
   Row->dropped = !Record.Value;
+  Row->below = Record.Below.Value;
   if (Record.Value)
     Row->value.assign(Record.Value->begin(), Record.Value->end());
   return Row;
 }
 
 KeyedRecord readRecord(const wire::FeedRowT &Row) {
-  KeyedRecord Record{Row.key, std::nullopt};
+  KeyedRecord Record{Row.key, std::nullopt, Offset(Row.below)};
   if (!Row.dropped)
     Record.Value = std::string(Row.value.begin(), Row.value.end());
   return Record;
@@ -166,12 +167,30 @@
   return Rows;
 }
 
+const std::vector<std::uint8_t> &FeedPacker::deflated(const KeyedPage &Page,
+                                                      Offset From) {
+  auto At = std::find_if(this->Kept.begin(), this->Kept.end(),
+                         [&](const Packed &Row) {
+                           return Row.From == From && Row.Next == Page.Next &&
+                                  Row.Whole == Page.Whole;
+                         });
+  if (At == this->Kept.end()) {
+    this->Kept.push_front(
+        {From, Page.Next, Page.Whole, deflateRecords(Page.Records)});
+    if (this->Kept.size() > MostKept)
+      this->Kept.pop_back();
+    At = this->Kept.begin();
+  }
+  return At->Bytes;
+}
+
 std::unique_ptr<wire::FeedNewsT> FeedPacker::pack(const KeyedPage &Page,
                                                   Offset From, TimePoint Now,
                                                   std::size_t Most) {
   auto News = std::make_unique<wire::FeedNewsT>();
   News->known = true;
   News->whole = Page.Whole;
+  News->partial = Page.Partial;
   News->next = Page.Next.Value;
   News->proven_age_ms = ageOf(Page.ProvenAt, Now);
   News->hold_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(
@@ -184,16 +203,10 @@
       News->rows.push_back(packRecord(Record));
     return News;
   }
-  if (this->Deflated.empty() || this->From != From || this->Next != Page.Next ||
-      this->Whole != Page.Whole) {
-    this->From = From;
-    this->Next = Page.Next;
-    this->Whole = Page.Whole;
-    this->Deflated = deflateRecords(Page.Records);
-  }
-  News->left_out = this->Deflated.size() > Most;
+  const std::vector<std::uint8_t> &Deflated = this->deflated(Page, From);
+  News->left_out = Deflated.size() > Most;
   if (!News->left_out)
-    News->deflated = this->Deflated;
+    News->deflated = Deflated;
   return News;
 }
 
@@ -202,7 +215,10 @@
   KeyedPage Page;
   Page.Whole = News.whole;
   Page.Next = Offset(News.next);
-  Page.ProvenAt = SentAt - Millis(News.proven_age_ms);
+  Page.Partial = News.partial;
+  // A part says nothing of what came after it.
+  if (!News.partial)
+    Page.ProvenAt = SentAt - Millis(News.proven_age_ms);
   if (News.hold_ms > 0)
     Page.HoldUntil = Now + Millis(News.hold_ms);
   for (const auto &Row : News.rows)
--- a/src/wire/news_frames.h
+++ b/src/wire/news_frames.h
@@ -10,6 +10,7 @@
 #include "wire/wire_generated.h"
 
 #include <absl/status/statusor.h>
+#include <deque>
 
 namespace waycove {
 
@@ -27,14 +28,21 @@
 void takeRenewals(const std::vector<wire::RenewalRow> &Rows, TimePoint From,
                   ShareRenewals &Into);
 
-/// A node passes at most this much of a feed on in an answer. More is left out,
-/// and whoever asks reads it from the store: a configuration of 1,130 routes
-/// took 2.0 s to twelve neighbours over a link of 20 Mbit/s, and held up what
-/// the registry told of leaving targets behind it; this much takes 0.16 s.
+/// A node passes at most this much of a feed on in an answer. What changed
+/// comes in parts; a single record that is larger is left out, and whoever asks
+/// reads it from the store: a configuration of 1,130 routes took 2.0 s to
+/// twelve neighbours over a link of 20 Mbit/s, and held up what the registry
+/// told of leaving targets behind it; this much takes 0.16 s.
 inline constexpr std::size_t MostPassedBytes = 32 << 10;
-/// The same for a node that knows nothing yet: few ask at a time, and a
-/// registry of 1,000 targets fits.
-inline constexpr std::size_t MostFilledBytes = 128 << 10;
+/// Of records before they are deflated, in a part: they shrink to a sixth, so
+/// that such a part is about as large.
+inline constexpr std::size_t MostPartBytes = 160 << 10;
+/// The same for all of a feed, as a node gets it that knows nothing yet or is
+/// behind what its reader remembers: the entries of 3,000 targets are some 0.2
+/// MB. Left out, they went from the store to each of 301 nodes, 2.4 MB each
+/// where it gives 80 MB/s in all, and configurations came 10 s late behind
+/// them.
+inline constexpr std::size_t MostFilledBytes = 512 << 10;
 
 /// Records as one block of bytes, deflated; they repeat their field names and
 /// addresses and shrink to about a sixth.
@@ -43,7 +51,7 @@
 absl::StatusOr<std::vector<KeyedRecord>>
 inflateRecords(const std::vector<std::uint8_t> &Bytes);
 
-/// Makes what a node tells of a feed. What it deflated last is kept, since
+/// Makes what a node tells of a feed. What it deflated lately is kept, since
 /// those that read through it ask for the same one after the other. Not
 /// thread-safe.
 class FeedPacker {
@@ -57,10 +65,16 @@
                                         std::size_t Most = MostPassedBytes);
 
 private:
-  Offset From;
-  Offset Next;
-  bool Whole = false;
-  std::vector<std::uint8_t> Deflated;
+  /// Nodes that ask this one are a few parts apart, where much has changed.
+  static constexpr std::size_t MostKept = 4;
+  struct Packed {
+    Offset From;
+    Offset Next;
+    bool Whole = false;
+    std::vector<std::uint8_t> Bytes;
+  };
+  const std::vector<std::uint8_t> &deflated(const KeyedPage &Page, Offset From);
+  std::deque<Packed> Kept;
 };
 /// The same back; ages count from \p SentAt, when the question left, and what
 /// is still to come from \p Now.
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -3511,6 +3511,7 @@
   std::string key{};
   std::vector<uint8_t> value{};
   bool dropped = false;
+  uint64_t below = 0;
 };
 
 struct FeedRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3520,7 +3521,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KEY = 4,
     VT_VALUE = 6,
-    VT_DROPPED = 8
+    VT_DROPPED = 8,
+    VT_BELOW = 10
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -3531,6 +3533,9 @@
   bool dropped() const {
     return GetField<uint8_t>(VT_DROPPED, 0) != 0;
   }
+  uint64_t below() const {
+    return GetField<uint64_t>(VT_BELOW, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -3538,6 +3543,7 @@
            VerifyOffset(verifier, VT_VALUE) &&
            verifier.VerifyVector(value()) &&
            VerifyField<uint8_t>(verifier, VT_DROPPED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_BELOW, 8) &&
            verifier.EndTable();
   }
   FeedRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3558,6 +3564,9 @@
   void add_dropped(bool dropped) {
     fbb_.AddElement<uint8_t>(FeedRow::VT_DROPPED, static_cast<uint8_t>(dropped), 0);
   }
+  void add_below(uint64_t below) {
+    fbb_.AddElement<uint64_t>(FeedRow::VT_BELOW, below, 0);
+  }
   explicit FeedRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3573,8 +3582,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
-    bool dropped = false) {
+    bool dropped = false,
+    uint64_t below = 0) {
   FeedRowBuilder builder_(_fbb);
+  builder_.add_below(below);
   builder_.add_value(value);
   builder_.add_key(key);
   builder_.add_dropped(dropped);
@@ -3590,14 +3601,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *key = nullptr,
     const std::vector<uint8_t> *value = nullptr,
-    bool dropped = false) {
+    bool dropped = false,
+    uint64_t below = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
   return waycove::wire::CreateFeedRow(
       _fbb,
       key__,
       value__,
-      dropped);
+      dropped,
+      below);
 }
 
 flatbuffers::Offset<FeedRow> CreateFeedRow(flatbuffers::FlatBufferBuilder &_fbb, const FeedRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3612,6 +3625,7 @@
   uint32_t hold_ms = 0;
   bool left_out = false;
   std::vector<uint8_t> deflated{};
+  bool partial = false;
   FeedNewsT() = default;
   FeedNewsT(const FeedNewsT &o);
   FeedNewsT(FeedNewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3630,7 +3644,8 @@
     VT_PROVEN_AGE_MS = 12,
     VT_HOLD_MS = 16,
     VT_LEFT_OUT = 18,
-    VT_DEFLATED = 20
+    VT_DEFLATED = 20,
+    VT_PARTIAL = 22
   };
   bool known() const {
     return GetField<uint8_t>(VT_KNOWN, 0) != 0;
@@ -3656,6 +3671,9 @@
   const flatbuffers::Vector<uint8_t> *deflated() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DEFLATED);
   }
+  bool partial() const {
+    return GetField<uint8_t>(VT_PARTIAL, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KNOWN, 1) &&
@@ -3669,6 +3687,7 @@
            VerifyField<uint8_t>(verifier, VT_LEFT_OUT, 1) &&
            VerifyOffset(verifier, VT_DEFLATED) &&
            verifier.VerifyVector(deflated()) &&
+           VerifyField<uint8_t>(verifier, VT_PARTIAL, 1) &&
            verifier.EndTable();
   }
   FeedNewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3704,6 +3723,9 @@
   void add_deflated(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> deflated) {
     fbb_.AddOffset(FeedNews::VT_DEFLATED, deflated);
   }
+  void add_partial(bool partial) {
+    fbb_.AddElement<uint8_t>(FeedNews::VT_PARTIAL, static_cast<uint8_t>(partial), 0);
+  }
   explicit FeedNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3724,13 +3746,15 @@
     uint32_t proven_age_ms = 0,
     uint32_t hold_ms = 0,
     bool left_out = false,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> deflated = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> deflated = 0,
+    bool partial = false) {
   FeedNewsBuilder builder_(_fbb);
   builder_.add_next(next);
   builder_.add_deflated(deflated);
   builder_.add_hold_ms(hold_ms);
   builder_.add_proven_age_ms(proven_age_ms);
   builder_.add_rows(rows);
+  builder_.add_partial(partial);
   builder_.add_left_out(left_out);
   builder_.add_whole(whole);
   builder_.add_known(known);
@@ -3751,7 +3775,8 @@
     uint32_t proven_age_ms = 0,
     uint32_t hold_ms = 0,
     bool left_out = false,
-    const std::vector<uint8_t> *deflated = nullptr) {
+    const std::vector<uint8_t> *deflated = nullptr,
+    bool partial = false) {
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedRow>>(*rows) : 0;
   auto deflated__ = deflated ? _fbb.CreateVector<uint8_t>(*deflated) : 0;
   return waycove::wire::CreateFeedNews(
@@ -3763,7 +3788,8 @@
       proven_age_ms,
       hold_ms,
       left_out,
-      deflated__);
+      deflated__,
+      partial);
 }
 
 flatbuffers::Offset<FeedNews> CreateFeedNews(flatbuffers::FlatBufferBuilder &_fbb, const FeedNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5226,6 +5252,7 @@
   { auto _e = key(); if (_e) _o->key = _e->str(); }
   { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
   { auto _e = dropped(); _o->dropped = _e; }
+  { auto _e = below(); _o->below = _e; }
 }
 
 inline flatbuffers::Offset<FeedRow> FeedRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FeedRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5239,11 +5266,13 @@
   auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
   auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
   auto _dropped = _o->dropped;
+  auto _below = _o->below;
   return waycove::wire::CreateFeedRow(
       _fbb,
       _key,
       _value,
-      _dropped);
+      _dropped,
+      _below);
 }
 
 inline FeedNewsT::FeedNewsT(const FeedNewsT &o)
@@ -5253,7 +5282,8 @@
         proven_age_ms(o.proven_age_ms),
         hold_ms(o.hold_ms),
         left_out(o.left_out),
-        deflated(o.deflated) {
+        deflated(o.deflated),
+        partial(o.partial) {
   rows.reserve(o.rows.size());
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new waycove::wire::FeedRowT(*rows_) : nullptr); }
 }
@@ -5267,6 +5297,7 @@
   std::swap(hold_ms, o.hold_ms);
   std::swap(left_out, o.left_out);
   std::swap(deflated, o.deflated);
+  std::swap(partial, o.partial);
   return *this;
 }
 
@@ -5287,6 +5318,7 @@
   { auto _e = hold_ms(); _o->hold_ms = _e; }
   { auto _e = left_out(); _o->left_out = _e; }
   { auto _e = deflated(); if (_e) { _o->deflated.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->deflated.begin()); } }
+  { auto _e = partial(); _o->partial = _e; }
 }
 
 inline flatbuffers::Offset<FeedNews> FeedNews::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FeedNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5305,6 +5337,7 @@
   auto _hold_ms = _o->hold_ms;
   auto _left_out = _o->left_out;
   auto _deflated = _o->deflated.size() ? _fbb.CreateVector(_o->deflated) : 0;
+  auto _partial = _o->partial;
   return waycove::wire::CreateFeedNews(
       _fbb,
       _known,
@@ -5314,7 +5347,8 @@
       _proven_age_ms,
       _hold_ms,
       _left_out,
-      _deflated);
+      _deflated,
+      _partial);
 }
 
 inline FeedRowsT::FeedRowsT(const FeedRowsT &o) {
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -152,6 +152,51 @@
   CHECK_FALSE(Started.since(Offset(12)).Whole);
 }
 
+TEST_CASE("feed cache: more changed than goes into an answer: it comes in "
+          "parts, and none of them proves anything of the rest",
+          "[unit]") {
+  FeedCache Reader;
+  Reader.take(page(1, {{"k0", "1"}}, true), at(0));
+  KeyedPage Changes = page(101, {});
+  for (std::uint64_t I = 1; I <= 100; ++I)
+    Changes.Records.push_back(
+        {"k" + std::to_string(I), std::string(100, 'v'), Offset(I + 1)});
+  Reader.take(Changes, at(10));
+  FeedCache Behind;
+  Behind.take(page(1, {{"k0", "1"}}, true), at(0));
+  TimePoint Proven = Behind.provenAt();
+  unsigned Parts = 0;
+  for (bool More = true; More; ++Parts) {
+    KeyedPage Part = Reader.since(*Behind.next(), 1000);
+    More = Part.Partial;
+    if (More) {
+      CHECK(Part.Records.size() <= 10);
+      Part.ProvenAt = TimePoint();
+    }
+    REQUIRE(Behind.take(Part, at(20)));
+    CHECK((Behind.provenAt() == Proven) == More);
+  }
+  CHECK(Parts == 12);
+  CHECK(Behind.next() == Reader.next());
+  CHECK(keysOf(Behind.whole()) == keysOf(Reader.whole()));
+  // What it knows it passes on in parts as well.
+  CHECK(Behind.since(Offset(1), 1000).Partial);
+}
+
+TEST_CASE("feed cache: one record is larger than an answer: it comes alone",
+          "[unit]") {
+  FeedCache Reader;
+  Reader.take(page(1, {}, true), at(0));
+  KeyedPage Changes = page(3, {});
+  Changes.Records = {{"large", std::string(5000, 'v'), Offset(2)},
+                     {"small", std::string("v"), Offset(3)}};
+  Reader.take(Changes, at(10));
+  KeyedPage Part = Reader.since(Offset(1), 1000);
+  CHECK(Part.Partial);
+  CHECK(Part.Next == Offset(2));
+  CHECK(keysOf(Part).size() == 1);
+}
+
 TEST_CASE("feed cache: nothing known: changes alone are not taken", "[unit]") {
   FeedCache Cache;
   CHECK_FALSE(Cache.take(page(5, {{"a", "1"}}), at(0)));
