Plan groups by the slots that requests hold, and by what all nodes count

Cause: the load of a group left out the step that all its requests share, so eight groups of 48 slots before 290 streams of 150 tokens a second counted as loaded by 0.6; by Little's law their slots are full. And each owner planned by its own node's count: of 89 nodes one sees six requests of the rare model in ten seconds.

Now a token costs its part of the shared step, too, and nodes tell each other what callers ask of each model, with the news that they exchange anyway.

Ruled out: a bias of the counted answers (callers tell the most that may come; the operators' usual answer corrects the sum).

Test: group load: steps that all requests share; it fails without the shared step.

--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -61,6 +61,10 @@
   /// What callers asked of each model at this node; older requests count for
   /// less.
   Table<DemandTable, LockRank::Tail> Demand;
+  /// The same at all other nodes, as far as their news tell; empty where none
+  /// came. One of 89 nodes counts six requests of a rare model in ten seconds:
+  /// groups planned by that swing with chance.
+  Table<DemandTable, LockRank::Tail> DemandElsewhere;
   /// The entries that are announced, this one among them.
   Table<NodeTable, LockRank::Health> Nodes;
   /// Members of the shared work in this data centre.
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -321,9 +321,11 @@
   for (const FeedState &Feed : this->Board.Feeds)
     Question.next.push_back(Feed.Cache.next().value_or(NothingKnown).Value);
   LoadRows Own = this->ownLoads(SentAt);
+  DemandTable Asks = this->ownDemand();
   {
     std::lock_guard Lock(this->Mutex);
     Question.loads = packLoads(this->Book.upward(Own, SentAt));
+    Question.demand = packDemand(this->Demand.upward(Asks, SentAt));
   }
   if (Asked.DataCentre == this->Board.Config.DataCentre)
     Question.renewals = this->renewals(SentAt);
@@ -403,6 +405,7 @@
   this->takeRenewals(News.renewals, SentAt);
   std::lock_guard Lock(this->Mutex);
   this->Book.tell(readLoads(News.loads), Now);
+  this->Demand.tell(readDemand(News.demand), Now);
 }
 
 /// Members of this data centre, which no other one needs to know.
@@ -445,13 +448,18 @@
     News.renewals = this->renewals(Now);
   }
   LoadRows Own = this->ownLoads(Now);
+  DemandTable Asks = this->ownDemand();
   NodeId From(Question.node);
   std::lock_guard Lock(this->Mutex);
-  if (SameCentre)
+  if (SameCentre) {
     this->Book.report(From, readLoads(Question.loads), Now);
-  else
+    this->Demand.report(From, readDemand(Question.demand), Now);
+  } else {
     this->Book.reportCentre(From, readLoads(Question.loads), Now);
+    this->Demand.reportCentre(From, readDemand(Question.demand), Now);
+  }
   News.loads = packLoads(this->Book.downward(Own, From, Now));
+  News.demand = packDemand(this->Demand.downward(Asks, From, Now));
   return News;
 }
 
@@ -475,12 +483,20 @@
       [&](const VitalsTable &Rows) { return Rows.loads(Now); });
 }
 
+DemandTable NewsExchange::ownDemand() const {
+  return this->Board.Demand.read([](const DemandTable &Rows) { return Rows; });
+}
+
 void NewsExchange::publishLoads(TimePoint Now) {
   LoadRows Others;
+  DemandTable Asked;
   {
     std::lock_guard Lock(this->Mutex);
     Others = this->Book.others(Now);
+    Asked = this->Demand.others(Now);
   }
+  this->Board.DemandElsewhere.write(
+      [&](DemandTable &Rows) { Rows = std::move(Asked); });
   ServingViewRef View =
       this->Board.Serving.read([](const ServingViewRef &Row) { return Row; });
   CentreLoads Loads = this->Board.Vitals.write([&](VitalsTable &Rows) {
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -68,6 +68,7 @@
                                           TimePoint Now);
   wire::NewsT answer(const wire::NewsWantedT &Question);
   LoadRows ownLoads(TimePoint Now) const;
+  DemandTable ownDemand() const;
   std::vector<wire::RenewalRow> renewals(TimePoint Now) const;
   void takeRenewals(const std::vector<wire::RenewalRow> &Rows, TimePoint From);
   void publishLoads(TimePoint Now);
@@ -76,6 +77,8 @@
   std::mutex Mutex;
   /// What others told of targets; under Mutex.
   LoadBook Book;
+  /// What others told of callers' requests; under Mutex.
+  ReportBook<DemandTable> Demand;
   /// By FeedKind; under Mutex.
   std::array<FeedPacker, static_cast<std::size_t>(FeedKind::Count)> Packers;
   NewsRoute Route;
--- a/src/policy/group_load.cpp
+++ b/src/policy/group_load.cpp
@@ -33,6 +33,11 @@
 
 } // namespace
 
+double tokenMillis(const EngineSpec &Engine) {
+  double Shared = Engine.Slots > 0 ? Engine.StepMillis / Engine.Slots : 0;
+  return Shared + Engine.StepMillisPerRequest;
+}
+
 double groupLoad(const EngineSpec &Engine, const ModelSpec &Model,
                  const ModelDemand &Demand, double Groups) {
   double Count = std::max(Groups, NoGroup);
@@ -40,7 +45,7 @@
     return Demand.work() * Model.TimeFactor / Count;
   return Model.TimeFactor *
          (Demand.PromptTokens / Engine.ReadTokensPerSecond +
-          Demand.AnswerTokens * Engine.StepMillisPerRequest / MillisPerSecond) /
+          Demand.AnswerTokens * tokenMillis(Engine) / MillisPerSecond) /
          Count;
 }
 
--- a/src/policy/group_load.h
+++ b/src/policy/group_load.h
@@ -18,6 +18,11 @@
   /// As far as callers and operators tell it ahead.
   double AnswerTokens = 0;
 
+  void add(const ModelDemand &Other) {
+    this->Requests += Other.Requests;
+    this->PromptTokens += Other.PromptTokens;
+    this->AnswerTokens += Other.AnswerTokens;
+  }
   ModelDemand scaled(double Factor) const {
     return {this->Requests * Factor, this->PromptTokens * Factor,
             this->AnswerTokens * Factor};
@@ -38,7 +43,7 @@
 /// ten seconds weigh.
 inline constexpr double DemandKept = 0.9;
 
-/// The demand of a second over all nodes, from what one node counted, whose
+/// The demand of a second over all nodes, from what was counted at nodes whose
 /// part of the requests is \p Part. What callers say of their answers' length
 /// is corrected by the operators' figure of a usual one; models that nobody
 /// asked for keep a small part of what operators expect.
@@ -48,10 +53,25 @@
 /// Groups by model; a fraction where a group is not certain.
 using GroupCounts = std::map<std::string, double>;
 
+/// Of a group whose slots are all taken, the time that a token of an answer
+/// takes, in milliseconds: its part of the step that all share, and what it
+/// makes that longer.
+double tokenMillis(const EngineSpec &Engine);
+
 /// How loaded each of \p Groups groups of \p Model is when they share
-/// \p Demand: the part of its time for which it reads prompts or makes steps
-/// longer. Above 1 requests queue without end. From the operators' figures of
-/// the engine; where they give none, in a unit that is the same for all models.
+/// \p Demand: their rate as a part of that at which all slots are taken. A
+/// request holds its slot while it writes, and all wait while prompts are read;
+/// with S slots, A tokens of an answer, P of a prompt, steps of s + p B ms for B
+/// requests that write, and R prompt tokens read in a ms, Little's law gives
+///
+///   B (1 - rate P / R) = rate A (s + p B), so that at B = S
+///   1 / rate = A (s / S + p) + P / R.
+///
+/// Above 1 requests queue without end. Without the step that all share, eight
+/// groups of 48 slots that made 290 answers of 150 tokens a second counted as
+/// loaded by 0.6, and each of their slots was taken. From the operators'
+/// figures of the engine; where they give none, in a unit that is the same for
+/// all models.
 double groupLoad(const EngineSpec &Engine, const ModelSpec &Model,
                  const ModelDemand &Demand, double Groups);
 
--- a/src/policy/load_news.h
+++ b/src/policy/load_news.h
@@ -53,35 +53,63 @@
 /// events come up to 180 ms apart on a busy engine.
 inline constexpr Millis StillTime(320);
 
-/// What other nodes tell of targets: each node tells the one that it reads
-/// from what it sees itself, and is told the sum of all others. Not
-/// thread-safe.
-class LoadBook {
+/// What other nodes tell, summed up: each node tells the one that it reads from
+/// what it counts itself and was told by those that read from it, and is told
+/// the sum of all others. \p Rows maps keys to what has add(). Not thread-safe.
+template <typename Rows> class ReportBook {
 public:
   /// Another node of this data centre told what it and those that read from it
   /// see.
-  void report(const NodeId &From, LoadRows Rows, TimePoint Now);
+  void report(const NodeId &From, Rows Told, TimePoint Now) {
+    this->Reports[From] = {std::move(Told), Now, false};
+  }
   /// The reader of another data centre told what that one's nodes see.
-  void reportCentre(const NodeId &From, LoadRows Rows, TimePoint Now);
+  void reportCentre(const NodeId &From, Rows Told, TimePoint Now) {
+    this->Reports[From] = {std::move(Told), Now, true};
+  }
   /// The node that this one reads from told what all others see.
-  void tell(LoadRows Rows, TimePoint Now);
+  void tell(Rows Told, TimePoint Now) {
+    this->Told = {std::move(Told), Now, false};
+  }
 
   /// What this data centre sees as far as it was told here, with \p Own.
-  LoadRows upward(const LoadRows &Own, TimePoint Now) const;
+  Rows upward(const Rows &Own, TimePoint Now) const {
+    Rows Sum = Own;
+    for (const auto &[Node, Row] : this->Reports)
+      if (!Row.OtherCentre && Now - Row.At < NewsTime)
+        addAll(Sum, Row.Told);
+    return Sum;
+  }
   /// What all but \p Asker see.
-  LoadRows downward(const LoadRows &Own, const NodeId &Asker,
-                    TimePoint Now) const;
+  Rows downward(const Rows &Own, const NodeId &Asker, TimePoint Now) const {
+    Rows Sum = Own;
+    for (const auto &[Node, Row] : this->Reports)
+      if (Node != Asker && Now - Row.At < NewsTime)
+        addAll(Sum, Row.Told);
+    if (Now - this->Told.At < NewsTime)
+      addAll(Sum, this->Told.Told);
+    return Sum;
+  }
   /// What all other nodes see.
-  LoadRows others(TimePoint Now) const;
+  Rows others(TimePoint Now) const {
+    return this->downward({}, NodeId(), Now);
+  }
 
 private:
   struct Report {
-    LoadRows Rows;
+    Rows Told;
     TimePoint At;
     bool OtherCentre = false;
   };
+  static void addAll(Rows &Into, const Rows &More) {
+    for (const auto &[Key, Row] : More)
+      Into[Key].add(Row);
+  }
   std::map<NodeId, Report> Reports;
   Report Told;
 };
 
+/// What nodes see of targets.
+using LoadBook = ReportBook<LoadRows>;
+
 } // namespace waycove
--- a/src/policy/routing.h
+++ b/src/policy/routing.h
@@ -81,9 +81,11 @@
   unsigned LoadsAtOnce = 1;
   unsigned ModelsStagedPerHost = 0;
   /// How fast one group is, as the operators state it; 0 where they do not: a
-  /// step, which makes a token for each request that writes, takes so much
-  /// longer for each of these.
+  /// step, which makes a token for each request that writes, takes StepMillis
+  /// and so much longer for each of these. Slots requests run at a time.
+  double StepMillis = 0;
   double StepMillisPerRequest = 0;
+  unsigned Slots = 0;
   double ReadTokensPerSecond = 0;
   /// Tokens of a usual answer.
   double UsualAnswer = 0;
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -113,6 +113,28 @@
   return Loads;
 }
 
+std::vector<std::unique_ptr<wire::DemandRowT>>
+packDemand(const DemandTable &Demand) {
+  std::vector<std::unique_ptr<wire::DemandRowT>> Rows;
+  for (const auto &[Model, Asked] : Demand) {
+    Rows.push_back(std::make_unique<wire::DemandRowT>());
+    Rows.back()->model = Model;
+    Rows.back()->requests = static_cast<float>(Asked.Requests);
+    Rows.back()->prompt_tokens = static_cast<float>(Asked.PromptTokens);
+    Rows.back()->answer_tokens = static_cast<float>(Asked.AnswerTokens);
+  }
+  return Rows;
+}
+
+DemandTable
+readDemand(const std::vector<std::unique_ptr<wire::DemandRowT>> &Rows) {
+  DemandTable Demand;
+  for (const auto &Row : Rows)
+    Demand[Row->model] = {Row->requests, Row->prompt_tokens,
+                          Row->answer_tokens};
+  return Demand;
+}
+
 std::vector<wire::RenewalRow> packRenewals(const ShareRenewals &Renewals,
                                            TimePoint Now) {
   std::vector<wire::RenewalRow> Rows;
--- a/src/wire/news_frames.h
+++ b/src/wire/news_frames.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "board/feed_cache.h"
+#include "policy/group_load.h"
 #include "policy/load_news.h"
 #include "policy/share_members.h"
 #include "wire/wire_generated.h"
@@ -22,6 +23,11 @@
 std::vector<wire::LoadRow> packLoads(const LoadRows &Loads);
 LoadRows readLoads(const std::vector<wire::LoadRow> &Rows);
 
+std::vector<std::unique_ptr<wire::DemandRowT>>
+packDemand(const DemandTable &Demand);
+DemandTable
+readDemand(const std::vector<std::unique_ptr<wire::DemandRowT>> &Rows);
+
 std::vector<wire::RenewalRow> packRenewals(const ShareRenewals &Renewals,
                                            TimePoint Now);
 /// Ages count from \p From.
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -130,6 +130,10 @@
 
 struct RenewalRow;
 
+struct DemandRow;
+struct DemandRowBuilder;
+struct DemandRowT;
+
 struct NewsWanted;
 struct NewsWantedBuilder;
 struct NewsWantedT;
@@ -3867,6 +3871,113 @@
 
 flatbuffers::Offset<FeedRows> CreateFeedRows(flatbuffers::FlatBufferBuilder &_fbb, const FeedRowsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct DemandRowT : public flatbuffers::NativeTable {
+  typedef DemandRow TableType;
+  std::string model{};
+  float requests = 0.0f;
+  float prompt_tokens = 0.0f;
+  float answer_tokens = 0.0f;
+};
+
+struct DemandRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DemandRowT NativeTableType;
+  typedef DemandRowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MODEL = 4,
+    VT_REQUESTS = 6,
+    VT_PROMPT_TOKENS = 8,
+    VT_ANSWER_TOKENS = 10
+  };
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  float requests() const {
+    return GetField<float>(VT_REQUESTS, 0.0f);
+  }
+  float prompt_tokens() const {
+    return GetField<float>(VT_PROMPT_TOKENS, 0.0f);
+  }
+  float answer_tokens() const {
+    return GetField<float>(VT_ANSWER_TOKENS, 0.0f);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           VerifyField<float>(verifier, VT_REQUESTS, 4) &&
+           VerifyField<float>(verifier, VT_PROMPT_TOKENS, 4) &&
+           VerifyField<float>(verifier, VT_ANSWER_TOKENS, 4) &&
+           verifier.EndTable();
+  }
+  DemandRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DemandRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DemandRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DemandRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DemandRowBuilder {
+  typedef DemandRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(DemandRow::VT_MODEL, model);
+  }
+  void add_requests(float requests) {
+    fbb_.AddElement<float>(DemandRow::VT_REQUESTS, requests, 0.0f);
+  }
+  void add_prompt_tokens(float prompt_tokens) {
+    fbb_.AddElement<float>(DemandRow::VT_PROMPT_TOKENS, prompt_tokens, 0.0f);
+  }
+  void add_answer_tokens(float answer_tokens) {
+    fbb_.AddElement<float>(DemandRow::VT_ANSWER_TOKENS, answer_tokens, 0.0f);
+  }
+  explicit DemandRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DemandRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DemandRow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DemandRow> CreateDemandRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> model = 0,
+    float requests = 0.0f,
+    float prompt_tokens = 0.0f,
+    float answer_tokens = 0.0f) {
+  DemandRowBuilder builder_(_fbb);
+  builder_.add_answer_tokens(answer_tokens);
+  builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_requests(requests);
+  builder_.add_model(model);
+  return builder_.Finish();
+}
+
+struct DemandRow::Traits {
+  using type = DemandRow;
+  static auto constexpr Create = CreateDemandRow;
+};
+
+inline flatbuffers::Offset<DemandRow> CreateDemandRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *model = nullptr,
+    float requests = 0.0f,
+    float prompt_tokens = 0.0f,
+    float answer_tokens = 0.0f) {
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  return waycove::wire::CreateDemandRow(
+      _fbb,
+      model__,
+      requests,
+      prompt_tokens,
+      answer_tokens);
+}
+
+flatbuffers::Offset<DemandRow> CreateDemandRow(flatbuffers::FlatBufferBuilder &_fbb, const DemandRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct NewsWantedT : public flatbuffers::NativeTable {
   typedef NewsWanted TableType;
   std::string node{};
@@ -3874,6 +3985,11 @@
   std::vector<uint64_t> next{};
   std::vector<waycove::wire::LoadRow> loads{};
   std::vector<waycove::wire::RenewalRow> renewals{};
+  std::vector<std::unique_ptr<waycove::wire::DemandRowT>> demand{};
+  NewsWantedT() = default;
+  NewsWantedT(const NewsWantedT &o);
+  NewsWantedT(NewsWantedT&&) FLATBUFFERS_NOEXCEPT = default;
+  NewsWantedT &operator=(NewsWantedT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct NewsWanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3885,7 +4001,8 @@
     VT_DATA_CENTRE = 6,
     VT_NEXT = 8,
     VT_LOADS = 10,
-    VT_RENEWALS = 12
+    VT_RENEWALS = 12,
+    VT_DEMAND = 14
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -3902,6 +4019,9 @@
   const flatbuffers::Vector<const waycove::wire::RenewalRow *> *renewals() const {
     return GetPointer<const flatbuffers::Vector<const waycove::wire::RenewalRow *> *>(VT_RENEWALS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>> *>(VT_DEMAND);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -3914,6 +4034,9 @@
            verifier.VerifyVector(loads()) &&
            VerifyOffset(verifier, VT_RENEWALS) &&
            verifier.VerifyVector(renewals()) &&
+           VerifyOffset(verifier, VT_DEMAND) &&
+           verifier.VerifyVector(demand()) &&
+           verifier.VerifyVectorOfTables(demand()) &&
            verifier.EndTable();
   }
   NewsWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3940,6 +4063,9 @@
   void add_renewals(flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals) {
     fbb_.AddOffset(NewsWanted::VT_RENEWALS, renewals);
   }
+  void add_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand) {
+    fbb_.AddOffset(NewsWanted::VT_DEMAND, demand);
+  }
   explicit NewsWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3957,8 +4083,10 @@
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> next = 0,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand = 0) {
   NewsWantedBuilder builder_(_fbb);
+  builder_.add_demand(demand);
   builder_.add_renewals(renewals);
   builder_.add_loads(loads);
   builder_.add_next(next);
@@ -3978,19 +4106,22 @@
     const char *data_centre = nullptr,
     const std::vector<uint64_t> *next = nullptr,
     const std::vector<waycove::wire::LoadRow> *loads = nullptr,
-    const std::vector<waycove::wire::RenewalRow> *renewals = nullptr) {
+    const std::vector<waycove::wire::RenewalRow> *renewals = nullptr,
+    const std::vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto next__ = next ? _fbb.CreateVector<uint64_t>(*next) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<waycove::wire::LoadRow>(*loads) : 0;
   auto renewals__ = renewals ? _fbb.CreateVectorOfStructs<waycove::wire::RenewalRow>(*renewals) : 0;
+  auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>>(*demand) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       node__,
       data_centre__,
       next__,
       loads__,
-      renewals__);
+      renewals__,
+      demand__);
 }
 
 flatbuffers::Offset<NewsWanted> CreateNewsWanted(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4000,6 +4131,7 @@
   std::vector<std::unique_ptr<waycove::wire::FeedNewsT>> feeds{};
   std::vector<waycove::wire::LoadRow> loads{};
   std::vector<waycove::wire::RenewalRow> renewals{};
+  std::vector<std::unique_ptr<waycove::wire::DemandRowT>> demand{};
   NewsT() = default;
   NewsT(const NewsT &o);
   NewsT(NewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4013,7 +4145,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FEEDS = 4,
     VT_LOADS = 6,
-    VT_RENEWALS = 8
+    VT_RENEWALS = 8,
+    VT_DEMAND = 10
   };
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>> *feeds() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>> *>(VT_FEEDS);
@@ -4024,6 +4157,9 @@
   const flatbuffers::Vector<const waycove::wire::RenewalRow *> *renewals() const {
     return GetPointer<const flatbuffers::Vector<const waycove::wire::RenewalRow *> *>(VT_RENEWALS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>> *>(VT_DEMAND);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FEEDS) &&
@@ -4033,6 +4169,9 @@
            verifier.VerifyVector(loads()) &&
            VerifyOffset(verifier, VT_RENEWALS) &&
            verifier.VerifyVector(renewals()) &&
+           VerifyOffset(verifier, VT_DEMAND) &&
+           verifier.VerifyVector(demand()) &&
+           verifier.VerifyVectorOfTables(demand()) &&
            verifier.EndTable();
   }
   NewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4053,6 +4192,9 @@
   void add_renewals(flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals) {
     fbb_.AddOffset(News::VT_RENEWALS, renewals);
   }
+  void add_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand) {
+    fbb_.AddOffset(News::VT_DEMAND, demand);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4068,8 +4210,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>>> feeds = 0,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand = 0) {
   NewsBuilder builder_(_fbb);
+  builder_.add_demand(demand);
   builder_.add_renewals(renewals);
   builder_.add_loads(loads);
   builder_.add_feeds(feeds);
@@ -4085,15 +4229,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<waycove::wire::FeedNews>> *feeds = nullptr,
     const std::vector<waycove::wire::LoadRow> *loads = nullptr,
-    const std::vector<waycove::wire::RenewalRow> *renewals = nullptr) {
+    const std::vector<waycove::wire::RenewalRow> *renewals = nullptr,
+    const std::vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand = nullptr) {
   auto feeds__ = feeds ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedNews>>(*feeds) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<waycove::wire::LoadRow>(*loads) : 0;
   auto renewals__ = renewals ? _fbb.CreateVectorOfStructs<waycove::wire::RenewalRow>(*renewals) : 0;
+  auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>>(*demand) : 0;
   return waycove::wire::CreateNews(
       _fbb,
       feeds__,
       loads__,
-      renewals__);
+      renewals__,
+      demand__);
 }
 
 flatbuffers::Offset<News> CreateNews(flatbuffers::FlatBufferBuilder &_fbb, const NewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5387,6 +5534,61 @@
       _rows);
 }
 
+inline DemandRowT *DemandRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DemandRowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DemandRow::UnPackTo(DemandRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = requests(); _o->requests = _e; }
+  { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
+  { auto _e = answer_tokens(); _o->answer_tokens = _e; }
+}
+
+inline flatbuffers::Offset<DemandRow> DemandRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DemandRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDemandRow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DemandRow> CreateDemandRow(flatbuffers::FlatBufferBuilder &_fbb, const DemandRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DemandRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _model = _o->model.empty() ? 0 : _fbb.CreateString(_o->model);
+  auto _requests = _o->requests;
+  auto _prompt_tokens = _o->prompt_tokens;
+  auto _answer_tokens = _o->answer_tokens;
+  return waycove::wire::CreateDemandRow(
+      _fbb,
+      _model,
+      _requests,
+      _prompt_tokens,
+      _answer_tokens);
+}
+
+inline NewsWantedT::NewsWantedT(const NewsWantedT &o)
+      : node(o.node),
+        data_centre(o.data_centre),
+        next(o.next),
+        loads(o.loads),
+        renewals(o.renewals) {
+  demand.reserve(o.demand.size());
+  for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new waycove::wire::DemandRowT(*demand_) : nullptr); }
+}
+
+inline NewsWantedT &NewsWantedT::operator=(NewsWantedT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(data_centre, o.data_centre);
+  std::swap(next, o.next);
+  std::swap(loads, o.loads);
+  std::swap(renewals, o.renewals);
+  std::swap(demand, o.demand);
+  return *this;
+}
+
 inline NewsWantedT *NewsWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<NewsWantedT>();
   UnPackTo(_o.get(), _resolver);
@@ -5401,6 +5603,7 @@
   { auto _e = next(); if (_e) { _o->next.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->next[_i] = _e->Get(_i); } } }
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
   { auto _e = renewals(); if (_e) { _o->renewals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewals[_i] = *_e->Get(_i); } } }
+  { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<waycove::wire::DemandRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<NewsWanted> NewsWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5416,13 +5619,15 @@
   auto _next = _o->next.size() ? _fbb.CreateVector(_o->next) : 0;
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
   auto _renewals = _o->renewals.size() ? _fbb.CreateVectorOfStructs(_o->renewals) : 0;
+  auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateDemandRow(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       _node,
       _data_centre,
       _next,
       _loads,
-      _renewals);
+      _renewals,
+      _demand);
 }
 
 inline NewsT::NewsT(const NewsT &o)
@@ -5430,12 +5635,15 @@
         renewals(o.renewals) {
   feeds.reserve(o.feeds.size());
   for (const auto &feeds_ : o.feeds) { feeds.emplace_back((feeds_) ? new waycove::wire::FeedNewsT(*feeds_) : nullptr); }
+  demand.reserve(o.demand.size());
+  for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new waycove::wire::DemandRowT(*demand_) : nullptr); }
 }
 
 inline NewsT &NewsT::operator=(NewsT o) FLATBUFFERS_NOEXCEPT {
   std::swap(feeds, o.feeds);
   std::swap(loads, o.loads);
   std::swap(renewals, o.renewals);
+  std::swap(demand, o.demand);
   return *this;
 }
 
@@ -5451,6 +5659,7 @@
   { auto _e = feeds(); if (_e) { _o->feeds.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->feeds[_i] = std::unique_ptr<waycove::wire::FeedNewsT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
   { auto _e = renewals(); if (_e) { _o->renewals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewals[_i] = *_e->Get(_i); } } }
+  { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<waycove::wire::DemandRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<News> News::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5464,11 +5673,13 @@
   auto _feeds = _o->feeds.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedNews>> (_o->feeds.size(), [](size_t i, _VectorArgs *__va) { return CreateFeedNews(*__va->__fbb, __va->__o->feeds[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
   auto _renewals = _o->renewals.size() ? _fbb.CreateVectorOfStructs(_o->renewals) : 0;
+  auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateDemandRow(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
   return waycove::wire::CreateNews(
       _fbb,
       _feeds,
       _loads,
-      _renewals);
+      _renewals,
+      _demand);
 }
 
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/unit/group_load_test.cpp
+++ b/tests/unit/group_load_test.cpp
@@ -54,6 +54,43 @@
         Approx(0.5));
 }
 
+/// Requests of one group that run at a time when \p PerSecond come in a second,
+/// worked out step by step: as many tokens as requests that write, and prompts
+/// read between the steps.
+double slotsTaken(const EngineSpec &Engine, double PerSecond, double Prompt,
+                  double Answer) {
+  double Running = 0;
+  for (int Round = 0; Round < 1000; ++Round) {
+    double StepMs = Engine.StepMillis + Engine.StepMillisPerRequest * Running;
+    double Reads = PerSecond * Prompt / Engine.ReadTokensPerSecond;
+    double Seconds = Answer * StepMs / 1000 / (1 - Reads);
+    Running = PerSecond * Seconds;
+  }
+  return Running;
+}
+
+// Eight groups of a model before 290 requests a second looked half idle, and
+// their slots were full: half of the first events were late.
+TEST_CASE_METHOD(LoadFixture,
+                 "group load: steps that all requests share: full slots are a "
+                 "load of 1",
+                 "[unit]") {
+  this->Engine.StepMillis = 6.45;
+  this->Engine.StepMillisPerRequest = 0.0967;
+  this->Engine.ReadTokensPerSecond = 56100;
+  this->Engine.Slots = 48;
+  ModelSpec Model = this->large();
+  Model.TimeFactor = 1;
+  auto Load = [&](double PerSecond) {
+    ModelDemand Asked{PerSecond, PerSecond * 674, PerSecond * 150};
+    return groupLoad(this->Engine, Model, Asked, 1);
+  };
+  double Full = 1 / Load(1);
+  CHECK(slotsTaken(this->Engine, Full, 674, 150) == Approx(48).epsilon(0.01));
+  CHECK(slotsTaken(this->Engine, 0.7 * Full, 674, 150) < 0.6 * 48);
+  CHECK(Load(0.5 * Full) == Approx(0.5));
+}
+
 TEST_CASE_METHOD(LoadFixture,
                  "group load: the engine's speed is not stated: by the work",
                  "[unit]") {
