Let groups give way to another model's where the demand has shifted

Cause: giving up a small group for a large one was the only change that a group which serves could make.

Now a group, or as many small ones as a large one needs, closes where callers lose half of what they lost or less, only for a model whose groups are busy, one domain at a time, begun by the domain with the most such groups, and not while a group closes anywhere. Its VMs load alone, which all owners see and count. VMs that rest empty load as far as turns allow, not one in each domain.

--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -153,6 +153,7 @@
       const EngineSpec &Engine = *Config.service(View.Service)->Engine;
       View.EpochFloor = Mine.Generation << CounterBits;
       View.LoadsAllowed = this->Loads.allowed(View.LoadsAllowed, Engine, Now);
+      View.LoadsSpare = this->Loads.allowed(View.LoadsSpare, Engine, Now);
       View.Fates = this->Members.fates();
       View.Serving = Serving;
       View.Demand = this->demandOf(Engine);
--- a/src/control/domain_views.cpp
+++ b/src/control/domain_views.cpp
@@ -31,12 +31,18 @@
 void countElsewhere(const std::map<DomainId, DomainOutlook> &Outlooks,
                     DomainView &View) {
   std::set<DataCentreId> Centres;
+  // By model, the most groups of one domain, and which that is.
+  std::map<std::string, std::pair<double, DomainId>> Most;
   // A domain of which no VM is listed any more has no outlook.
   auto Own = Outlooks.find(View.Domain);
   DataCentreId Here =
       Own == Outlooks.end() ? DataCentreId() : Own->second.Centre;
   for (const auto &[Domain, Row] : Outlooks) {
     Centres.insert(Row.Centre);
+    View.AnyCloses |= Row.Closes;
+    for (const auto &[Model, Count] : Row.Serving)
+      if (auto &Best = Most[Model]; Count > Best.first)
+        Best = {Count, Domain};
     if (Domain == View.Domain)
       continue;
     addTo(View.Elsewhere, Row.Groups);
@@ -46,6 +52,9 @@
       addTo(View.TradesBefore, Row.Trade);
   }
   View.Centres = Centres.size();
+  for (const auto &[Model, Best] : Most)
+    if (Best.second == View.Domain)
+      View.MayGiveUp.insert(Model);
 }
 
 } // namespace
@@ -94,8 +103,10 @@
                .first;
       Outlooks[View.Service] = domainOutlooks(All[View.Service], Engine);
     }
-    auto Turn = At->second.find(Domain);
-    View.LoadsAllowed = Turn == At->second.end() ? 0 : Turn->second;
+    const std::map<DomainId, unsigned> &ByDomain = At->second.ByDomain;
+    auto Turn = ByDomain.find(Domain);
+    View.LoadsAllowed = Turn == ByDomain.end() ? 0 : Turn->second;
+    View.LoadsSpare = At->second.Spare;
     countElsewhere(Outlooks[View.Service], View);
   }
   return Views;
--- a/src/policy/domain_form.cpp
+++ b/src/policy/domain_form.cpp
@@ -13,11 +13,6 @@
 
 namespace {
 
-/// A group of VMs that hold another model's weights loaded, or one in place of
-/// another group, has to save at least this part of what callers lose: the VMs
-/// lose weights that take many seconds to load again.
-constexpr double LeastGain = 0.15;
-
 /// 0 is best: the VM ran the model last, then its host has the weights.
 int loadRank(const TargetInfo &Row, const std::string &Model) {
   if (Row.hasLoaded(Model))
@@ -74,12 +69,12 @@
 /// where none can form. Where it is better to close a smaller group for a
 /// larger one, that is done first, and nothing forms meanwhile.
 const ModelSpec *DomainPlanner::bestNext(Step &S) {
-  std::vector<TargetRef> Free = S.freeVms();
   GroupCounts Now = S.own();
   GroupCounts BestCounts = Now;
   double Most = 0;
   const ModelSpec *Best = nullptr;
   for (const ModelSpec *Model : largestFirst(S.Engine)) {
+    std::vector<TargetRef> Free = this->freeFor(S, *Model);
     bool Forms =
         Free.size() >= Model->GroupSize &&
         (countWarm(Free, *Model) >= Model->GroupSize || !S.loadsFirst());
@@ -99,6 +94,16 @@
   return Best;
 }
 
+/// Free VMs but for those that are to load another model.
+std::vector<TargetRef> DomainPlanner::freeFor(const Step &S,
+                                              const ModelSpec &Model) const {
+  std::vector<TargetRef> Free = S.freeVms();
+  std::erase_if(Free, [&](const TargetRef &Vm) {
+    return this->isEarmarkedElse(*Vm, Model);
+  });
+  return Free;
+}
+
 /// Names a new group, above each epoch that was used or seen.
 GroupKey DomainPlanner::nextKey(const Step &S, const ModelSpec &Model) {
   std::uint64_t Seen = S.View.EpochFloor;
@@ -112,7 +117,7 @@
 
 /// Forms a group of \p Model of VMs that are free; false where it cannot.
 bool DomainPlanner::form(Step &S, const ModelSpec &Model) {
-  std::vector<TargetRef> Free = S.freeVms();
+  std::vector<TargetRef> Free = this->freeFor(S, Model);
   std::size_t Warm = countWarm(Free, Model);
   if (Free.size() < Model.GroupSize)
     return false;
@@ -157,7 +162,7 @@
 /// closing.
 bool DomainPlanner::giveUpSmaller(Step &S, const ModelSpec &Model,
                                   const GroupCounts &Else) {
-  std::size_t Warm = countWarm(S.freeVms(), Model);
+  std::size_t Warm = countWarm(this->freeFor(S, Model), Model);
   if (Warm >= Model.GroupSize)
     return false;
   const std::pair<const GroupKey, Announced> *Best = nullptr;
--- a/src/policy/domain_outlook.cpp
+++ b/src/policy/domain_outlook.cpp
@@ -21,7 +21,13 @@
          Row->Group->State == MemberState::Broken;
 }
 
+bool loadsAlone(const TargetRef &Row) {
+  return Row->Group && isLoadGroup(Row->Group->Group.Name);
+}
+
 bool hasWeights(const TargetRef &Row, const ModelSpec &Model) {
+  if (loadsAlone(Row))
+    return modelOf(Row->Group->Group.Name) == Model.Name;
   return Row->hasStaged(Model.Name) || Row->hasLoaded(Model.Name);
 }
 
@@ -36,15 +42,29 @@
   return Models;
 }
 
+bool isHeadIn(const TargetRef &Row, MemberState State) {
+  return Row->Group->Rank == 0 && Row->Group->State == State;
+}
+
+bool anyHeadIn(const std::vector<TargetRef> &Rows, MemberState State) {
+  return std::any_of(Rows.begin(), Rows.end(), [&](const TargetRef &Row) {
+    return isHeadIn(Row, State);
+  });
+}
+
 /// Counts whole groups, and adds the members of others to the loose VMs.
-GroupCounts countWhole(Sorted &Domain, const EngineSpec &Engine) {
+GroupCounts countWhole(Sorted &Domain, const EngineSpec &Engine,
+                       DomainOutlook &Into) {
   GroupCounts Groups;
   for (const auto &[Key, Rows] : Domain.Members) {
     const ModelSpec *Model = Engine.model(modelOf(Key.Name));
     bool Whole = Model && Rows.size() >= Model->GroupSize &&
                  std::none_of(Rows.begin(), Rows.end(), endsSoon);
+    Into.Closes |= anyHeadIn(Rows, MemberState::Closing);
     if (Whole) {
       ++Groups[Model->Name];
+      if (anyHeadIn(Rows, MemberState::Open))
+        ++Into.Serving[Model->Name];
       continue;
     }
     for (const TargetRef &Row : Rows)
@@ -95,14 +115,14 @@
   std::map<DomainId, DomainOutlook> Outlooks;
   for (const TargetRef &Row : Targets) {
     Outlooks[Row->Domain].Centre = Row->DataCentre;
-    if (Row->Group)
+    if (Row->Group && !loadsAlone(Row))
       Domains[Row->Domain].Members[Row->Group->Group].push_back(Row);
     else if (!Row->Draining)
       Domains[Row->Domain].Loose.push_back(Row);
   }
   for (auto &[Domain, Row] : Domains) {
     DomainOutlook &Outlook = Outlooks[Domain];
-    Outlook.Groups = countWhole(Row, Engine);
+    Outlook.Groups = countWhole(Row, Engine, Outlook);
     takeLoose(Row, Engine, Outlook.Groups);
     Outlook.Trade = tradeOf(Row, Engine, Outlook.Groups);
   }
--- a/src/policy/domain_outlook.h
+++ b/src/policy/domain_outlook.h
@@ -18,8 +18,13 @@
 /// beside 7 large ones.
 struct DomainOutlook {
   DataCentreId Centre;
-  /// Groups that serve, that form, and that loose VMs make.
+  /// Groups that serve, that form, and that loose VMs make; those that load
+  /// weights alone count as having them.
   GroupCounts Groups;
+  /// Of these, whole ones that are open.
+  GroupCounts Serving;
+  /// A group is closing.
+  bool Closes = false;
   /// How these change where its owner closes a small group, which with its
   /// loose VMs makes a large one. Empty where that is not possible.
   GroupCounts Trade;
--- a/src/policy/domain_plan.cpp
+++ b/src/policy/domain_plan.cpp
@@ -68,15 +68,18 @@
   if (!this->isSettled(View))
     return {};
   Step S{View, Engine};
-  S.LoadsLeft =
-      View.LoadsAllowed - std::min(View.LoadsAllowed, this->unseenLoads(S));
+  unsigned Unseen = this->unseenLoads(S);
+  S.LoadsLeft = View.LoadsAllowed - std::min(View.LoadsAllowed, Unseen);
+  S.SpareLoadsLeft = View.LoadsSpare - std::min(View.LoadsSpare, Unseen);
   S.Demand = View.Demand.empty() ? expectedDemand(Engine) : View.Demand;
   collect(S);
   for (const auto &[Key, Row] : S.Groups)
     this->judge(S, Key, Row);
   this->dropStaleForming(S);
   this->holdWarmUps(S);
+  this->keepEarmarks(S);
   this->formMissing(S);
+  this->convert(S);
   this->stageMissing(S);
   this->stageSpares(S);
   this->warmReserves(S);
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -83,6 +83,13 @@
   /// Loads of weights from the shared store whose turn it is, as loadTurns()
   /// says, within the owner's LoadBudget; FreeLoads where they are not bounded.
   unsigned LoadsAllowed = 0;
+  /// Further loads that the store serves at full speed.
+  unsigned LoadsSpare = 0;
+  /// Models of which no other domain has more groups that serve, or as many
+  /// and comes first: where such groups are to give way, this one begins.
+  std::set<std::string> MayGiveUp;
+  /// In some domain a group is closing.
+  bool AnyCloses = false;
   /// For so long after a member was seen to drain its group goes on.
   Millis DrainHold{0};
   TimePoint Now;
@@ -144,12 +151,28 @@
   void releaseEach(Step &S, const GroupKey &Key, const Announced &Row);
   void dropStaleForming(Step &S);
   void formMissing(Step &S);
+  std::vector<TargetRef> freeFor(const Step &S, const ModelSpec &Model) const;
   GroupKey nextKey(const Step &S, const ModelSpec &Model);
   bool form(Step &S, const ModelSpec &Model);
   void orderJoins(Step &S, const ModelSpec &Model,
                   const std::vector<TargetRef> &Members, unsigned Cold);
   const ModelSpec *bestNext(Step &S);
   bool giveUpSmaller(Step &S, const ModelSpec &Model, const GroupCounts &Else);
+  void convert(Step &S);
+  bool mayConvert(const Step &S) const;
+  void keepEarmarks(const Step &S);
+  void loadEarmarked(Step &S);
+  /// Groups of one model that give way to others.
+  struct Conversion {
+    const ModelSpec *From = nullptr;
+    const ModelSpec *To = nullptr;
+    std::size_t Closed = 0;
+    double LossAfter = 0;
+  };
+  Conversion bestConversion(const Step &S) const;
+  std::vector<const std::pair<const GroupKey, Announced> *>
+  openGroups(const Step &S, const ModelSpec &Model) const;
+  bool isEarmarkedElse(const TargetInfo &Vm, const ModelSpec &Model) const;
   void warmReserves(Step &S);
   void joinAlone(Step &S, const TargetRef &Vm, const ModelSpec &Model,
                  const std::string &Reason);
@@ -200,6 +223,14 @@
   };
   std::map<GroupKey, WarmUp> WarmUps;
   std::set<VmLife> WarmTried;
+  /// VMs whose group gave way, the model that they are to load, and until when.
+  struct Earmark {
+    std::string Model;
+    TimePoint Until;
+  };
+  std::map<VmLife, Earmark> Earmarks;
+  /// When a group was last seen to close anywhere.
+  TimePoint ClosedAt;
   /// Since when each VM that is free has been so.
   std::map<VmLife, TimePoint> FreeSince;
   std::vector<GoneTarget> Questions;
--- a/src/policy/domain_stage.cpp
+++ b/src/policy/domain_stage.cpp
@@ -16,11 +16,12 @@
 
 /// Staging is given again where it did not show after this.
 constexpr int StageTimeFactor = 3;
-/// Hosts of one domain that are staged at the same time: the store slows down
-/// where more than a few load.
+/// Hosts of one domain that are staged beside their work at the same time: what
+/// they load does not show in the registry, so turns do not count it.
 constexpr int StagingsAtOnce = 1;
-/// Where hosts rest that would make a group with other weights, turns alone
-/// bound the loads.
+/// Turns alone bound the loads of VMs that rest. One at a time in each domain
+/// was slower than two new VMs came in three seconds: eight of 162 rested
+/// empty.
 constexpr int MissingLoadsAtOnce = std::numeric_limits<int>::max();
 /// Groups of smaller models whose hosts hold the largest model besides, in a
 /// domain with at least so many free VMs, and in one without. Tried: two
@@ -66,6 +67,8 @@
 /// loads them, 1 with none, 2 with others; nothing where it loads others.
 std::optional<int> DomainPlanner::loadRankOf(const TargetInfo &Vm,
                                              const ModelSpec &Model) const {
+  if (this->isEarmarkedElse(Vm, Model))
+    return std::nullopt;
   for (const auto &[Key, Row] : this->WarmUps)
     if (Row.Vm == Vm.life())
       return modelOf(Key.Name) == Model.Name ? std::optional(0) : std::nullopt;
@@ -163,7 +166,7 @@
                         : Reserves[Small.Name] < Reserves[Large.Name];
     const ModelSpec &Next = ForSmall ? Small : Large;
     ++Reserves[Next.Name];
-    this->stage(S, Row, Next, StagingsAtOnce);
+    this->stage(S, Row, Next, MissingLoadsAtOnce);
   }
   for (const Announced *Donor : Donors)
     for (const auto &[Rank, Vm] : Donor->Ranks)
--- a/src/policy/domain_step.cpp
+++ b/src/policy/domain_step.cpp
@@ -46,6 +46,18 @@
   return this->lossWith(this->View.Elsewhere, Own);
 }
 
+double DomainPlanner::Step::loadOf(const ModelSpec &Model,
+                                   const GroupCounts &Own) const {
+  auto Asked = this->Demand.find(Model.Name);
+  auto Here = Own.find(Model.Name);
+  auto There = this->View.Elsewhere.find(Model.Name);
+  double Groups = (Here == Own.end() ? 0 : Here->second) +
+                  (There == this->View.Elsewhere.end() ? 0 : There->second);
+  return Asked == this->Demand.end()
+             ? 0
+             : groupLoad(this->Engine, Model, Asked->second, Groups);
+}
+
 double DomainPlanner::Step::gainOf(const ModelSpec &Model,
                                    const GroupCounts &Own) const {
   auto Asked = this->Demand.find(Model.Name);
--- a/src/policy/domain_step.h
+++ b/src/policy/domain_step.h
@@ -24,6 +24,7 @@
   std::vector<unsigned> Wanted{};
   std::vector<GroupOrder> Orders{};
   unsigned LoadsLeft = 0;
+  unsigned SpareLoadsLeft = 0;
   DemandTable Demand{};
 
   /// Groups of the domain that serve or will.
@@ -32,6 +33,8 @@
   /// says with those of all domains, and for models without any group in this
   /// data centre, which may be cut off and has to serve its callers alone then.
   double lossOf(const GroupCounts &Own) const;
+  /// How loaded the groups of \p Model are, over all domains.
+  double loadOf(const ModelSpec &Model, const GroupCounts &Own) const;
   /// How much of it one more group of \p Model saves.
   double gainOf(const ModelSpec &Model, const GroupCounts &Own) const;
   /// The same as lossOf() where the domains before this one trade groups.
@@ -52,6 +55,11 @@
   void hold(const Announced &Row);
 };
 
+/// A group of VMs that hold another model's weights loaded, or one in place of
+/// another group, has to save at least this part of what callers lose: the VMs
+/// lose weights that take many seconds to load again.
+inline constexpr double LeastGain = 0.15;
+
 /// A member shows a join within about 0.6 s; past this the order is taken for
 /// lost and outbid.
 inline constexpr Millis ShowTime{1500};
--- a/src/policy/group_load.h
+++ b/src/policy/group_load.h
@@ -61,8 +61,8 @@
 /// How loaded each of \p Groups groups of \p Model is when they share
 /// \p Demand: their rate as a part of that at which all slots are taken. A
 /// request holds its slot while it writes, and all wait while prompts are read;
-/// with S slots, A tokens of an answer, P of a prompt, steps of s + p B ms for B
-/// requests that write, and R prompt tokens read in a ms, Little's law gives
+/// with S slots, A tokens of an answer, P of a prompt, steps of s + p B ms for
+/// B requests that write, and R prompt tokens read in a ms, Little's law gives
 ///
 ///   B (1 - rate P / R) = rate A (s + p B), so that at B = S
 ///   1 / rate = A (s / S + p) + P / R.
--- a/src/policy/load_news.h
+++ b/src/policy/load_news.h
@@ -91,9 +91,7 @@
     return Sum;
   }
   /// What all other nodes see.
-  Rows others(TimePoint Now) const {
-    return this->downward({}, NodeId(), Now);
-  }
+  Rows others(TimePoint Now) const { return this->downward({}, NodeId(), Now); }
 
 private:
   struct Report {
--- a/src/policy/load_turns.cpp
+++ b/src/policy/load_turns.cpp
@@ -115,7 +115,7 @@
     std::size_t Given = std::min(Wanted, Free);
     Free -= Given;
     if (Given > 0)
-      Turns[Domain] += static_cast<unsigned>(Given);
+      Turns.ByDomain[Domain] += static_cast<unsigned>(Given);
   };
   std::vector<std::pair<NextGroup, DomainId>> Queue;
   for (const auto &[Domain, Row] : All.Domains)
@@ -132,10 +132,11 @@
   // does.
   bool Calm = Queue.empty() && All.Loading == 0;
   for (const auto &[Domain, Row] : All.Domains) {
-    auto Given = Turns.find(Domain);
-    std::size_t Has = Given == Turns.end() ? 0 : Given->second;
+    auto Given = Turns.ByDomain.find(Domain);
+    std::size_t Has = Given == Turns.ByDomain.end() ? 0 : Given->second;
     Give(Domain, Row.Empty - std::min(Row.Empty, Has) + (Calm ? 1 : 0));
   }
+  Turns.Spare = static_cast<unsigned>(Free);
   return Turns;
 }
 
--- a/src/policy/load_turns.h
+++ b/src/policy/load_turns.h
@@ -11,8 +11,12 @@
 
 namespace waycove {
 
-/// Loads by domain.
-using LoadTurns = std::map<DomainId, unsigned>;
+/// Loads that may begin now.
+struct LoadTurns {
+  std::map<DomainId, unsigned> ByDomain;
+  /// Beyond these, as many as the store still serves at full speed.
+  unsigned Spare = 0;
+};
 
 /// How many loads of weights from the shared store each domain may begin now.
 /// The store serves a few loads at full speed, and all more slowly beyond: 35
