--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -189,9 +189,6 @@
        "How a target took an order."},
       {DomainReleased, Warning, "domain_released",
        "A group is given up; the fields say why."},
-      {OverloadChanged, Warning, "overload_changed",
-       "A model has too few groups for all its requests, so that a part of them "
-       "goes behind; or that is over."},
       {TargetSuspected, Warning, "target_suspected",
        "A target gets no new work for a while; the fields say why."},
   };
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -68,7 +68,6 @@
   DomainOrderEnded = 312,
   DomainReleased = 313,
   TargetSuspected = 314,
-  OverloadChanged = 315,
   ReaderChosen = 402,
   ReaderLost = 403,
   FeedReadAlone = 404,
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -16,7 +16,6 @@
 #include "policy/news_route.h"
 #include "policy/share_members.h"
 #include "policy/spend.h"
-#include "policy/urgent_share.h"
 
 #include <array>
 
@@ -66,8 +65,6 @@
   /// came. One of 89 nodes counts six requests of a rare model in ten seconds:
   /// groups planned by that swing with chance.
   Table<DemandTable, LockRank::Tail> DemandElsewhere;
-  /// Which part of the requests goes first, in overload.
-  Table<UrgentShares, LockRank::Tail> Urgent;
   /// The entries that are announced, this one among them.
   Table<NodeTable, LockRank::Health> Nodes;
   /// Members of the shared work in this data centre.
@@ -157,16 +154,6 @@
         this->Nodes.read([](const NodeTable &Rows) { return Rows.size(); });
     return Count > 0 ? 1.0 / static_cast<double>(Count) : this->Share.load();
   }
-  /// What callers ask of each model, counted by all nodes, or by this one alone
-  /// where no others tell; and the counting nodes' part of all.
-  std::pair<DemandTable, double> countedDemand() const {
-    auto Copy = [](const DemandTable &Rows) { return Rows; };
-    DemandTable Counted = this->Demand.read(Copy);
-    DemandTable Others = this->DemandElsewhere.read(Copy);
-    for (const auto &[Model, Row] : Others)
-      Counted[Model].add(Row);
-    return {std::move(Counted), Others.empty() ? this->evenShare() : 1};
-  }
   /// A neighbour asked this node for news.
   void noteAsked(TimePoint Now) {
     this->AskedAt = Now.time_since_epoch().count();
--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -156,8 +156,7 @@
       View.LoadsSpare = this->Loads.allowed(View.LoadsSpare, Engine, Now);
       View.Fates = this->Members.fates();
       View.Serving = Serving;
-      auto [Counted, Part] = this->Board.countedDemand();
-      View.Demand = demandRates(Engine, Counted, Part);
+      View.Demand = this->demandOf(Engine);
       this->Members.findLost(View);
       Owned &Row = this->Planners.try_emplace(Domain, Now).first->second;
       if (Now - Row.Since < TakeoverWait)
@@ -177,6 +176,17 @@
     return Orders;
   }
 
+  /// What all nodes counted, or this one alone where no others tell.
+  DemandTable demandOf(const EngineSpec &Engine) const {
+    auto Copy = [](const DemandTable &Rows) { return Rows; };
+    DemandTable Counted = this->Board.Demand.read(Copy);
+    DemandTable Others = this->Board.DemandElsewhere.read(Copy);
+    for (const auto &[Model, Row] : Others)
+      Counted[Model].add(Row);
+    return demandRates(Engine, Counted,
+                       Others.empty() ? this->Board.evenShare() : 1);
+  }
+
   /// Above each epoch that was used before this ownership began, as far as the
   /// domain's VMs tell, and above what an earlier life of this process may have
   /// used unseen: restarted within its lease, it keeps its domains and their
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -490,24 +490,6 @@
       [&](const VitalsTable &Rows) { return Rows.loads(Now); });
 }
 
-/// Works out which requests go behind where a model has too few groups.
-void NewsExchange::updateUrgent() {
-  RoutingConfigRef Config =
-      this->Board.Routing.read([](const RoutingConfigRef &Row) { return Row; });
-  if (!Config)
-    return;
-  ServingViewRef View =
-      this->Board.Serving.read([](const ServingViewRef &Row) { return Row; });
-  auto [Counted, Part] = this->Board.countedDemand();
-  std::vector<std::string> Changed = this->Board.Urgent.write(
-      [&, &Counted = Counted, Part = Part](UrgentShares &Rows) {
-        return Rows.update(*Config, *View, Counted, Part);
-      });
-  for (const std::string &Model : Changed)
-    this->Board.Log.emit(EventCode::OverloadChanged, Model,
-                         LogFields().add("counted_part", Part));
-}
-
 DemandTable NewsExchange::ownDemand() const {
   return this->Board.Demand.read([](const DemandTable &Rows) { return Rows; });
 }
@@ -522,7 +504,6 @@
   }
   this->Board.DemandElsewhere.write(
       [&](DemandTable &Rows) { Rows = std::move(Asked); });
-  this->updateUrgent();
   ServingViewRef View =
       this->Board.Serving.read([](const ServingViewRef &Row) { return Row; });
   CentreLoads Loads = this->Board.Vitals.write([&](VitalsTable &Rows) {
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -72,7 +72,6 @@
   std::vector<wire::RenewalRow> renewals(TimePoint Now) const;
   void takeRenewals(const std::vector<wire::RenewalRow> &Rows, TimePoint From);
   void publishLoads(TimePoint Now);
-  void updateUrgent();
 
   EntryBoard &Board;
   std::mutex Mutex;
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -38,7 +38,6 @@
             : admitRequest(this->Board, Request, SystemClock{}.now());
     if (Admitted.ok()) {
       this->Choice.noteRequest(Request);
-      Run.Deferred = this->Choice.isDeferred(Request);
       this->run({Caller, Request, Run, Answer});
     } else {
       this->refuse({Caller, Request, Run, Answer}, Admitted);
@@ -154,8 +153,7 @@
     SendFacts Facts{
         Try.To.Target->Id, Request.Workspace,
         std::chrono::duration_cast<Millis>(Request.Deadline - Try.SentAt),
-        urgencyOf(*Request.Route, Request.Owner, Waited, Ex.Run.Deferred),
-        Ex.Run.LastEvent};
+        urgencyOf(*Request.Route, Request.Owner, Waited), Ex.Run.LastEvent};
     Poco::Net::HTTPRequest Head = Protocol::makeSend(Request.Head, Facts);
     if (!Request.Body.empty() || Request.Head.hasContentLength() ||
         Request.Head.getChunkedTransferEncoding())
--- a/src/edge/relay_choice.cpp
+++ b/src/edge/relay_choice.cpp
@@ -35,15 +35,6 @@
   });
 }
 
-bool RelayChoice::isDeferred(const RelayRequest &Request) const {
-  const CallerFacts &Facts = Request.Facts;
-  if (Facts.Model.empty() || Facts.LastEvent)
-    return false;
-  return this->Board.Urgent.read([&](const UrgentShares &Parts) {
-    return !Parts.takes(Request.Service, Facts.Model, Request.Random);
-  });
-}
-
 std::optional<ChosenTarget> RelayChoice::choose(const RelayRequest &Request,
                                                 const RelayRun &Run,
                                                 TimePoint Now) {
--- a/src/edge/relay_choice.h
+++ b/src/edge/relay_choice.h
@@ -23,9 +23,6 @@
 
   /// Counts a request that was admitted, for demand and second sends.
   void noteRequest(const RelayRequest &Request);
-  /// Whether the request goes behind others of its model, which has too few
-  /// groups. A stream that goes on has no first event to be late.
-  bool isDeferred(const RelayRequest &Request) const;
   /// The best target that the request was not sent to yet.
   std::optional<ChosenTarget> choose(const RelayRequest &Request,
                                      const RelayRun &Run, TimePoint Now);
--- a/src/edge/relay_request.h
+++ b/src/edge/relay_request.h
@@ -48,8 +48,6 @@
   unsigned Sent = 0;
   /// Of these, how many may have begun to run.
   unsigned MayHaveRun = 0;
-  /// It goes behind others at its targets, which are overloaded.
-  bool Deferred = false;
   /// Of the newest choice; nothing before the first.
   std::optional<ChoiceBasis> Basis;
   /// Last event that the caller was given.
--- a/src/policy/group_load.cpp
+++ b/src/policy/group_load.cpp
@@ -27,12 +27,12 @@
 /// What a model that nobody asks for keeps of its expected part.
 constexpr double UnaskedPart = 0.03;
 
-} // namespace
-
 bool statesSpeed(const EngineSpec &Engine) {
   return Engine.ReadTokensPerSecond > 0 && Engine.StepMillisPerRequest > 0;
 }
 
+} // namespace
+
 double tokenMillis(const EngineSpec &Engine) {
   double Shared = Engine.Slots > 0 ? Engine.StepMillis / Engine.Slots : 0;
   return Shared + Engine.StepMillisPerRequest;
--- a/src/policy/group_load.h
+++ b/src/policy/group_load.h
@@ -53,9 +53,6 @@
 /// Groups by model; a fraction where a group is not certain.
 using GroupCounts = std::map<std::string, double>;
 
-/// Whether operators state how fast a group is.
-bool statesSpeed(const EngineSpec &Engine);
-
 /// Of a group whose slots are all taken, the time that a token of an answer
 /// takes, in milliseconds: its part of the step that all share, and what it
 /// makes that longer.
--- a/src/policy/urgency.cpp
+++ b/src/policy/urgency.cpp
@@ -21,11 +21,11 @@
   return std::max(Millis(0), Route.Timeout - *TimeLeft);
 }
 
-unsigned urgencyOf(const HttpRoute &Route, const KeyOwner *Owner, Millis Waited,
-                   bool Deferred) {
+unsigned urgencyOf(const HttpRoute &Route, const KeyOwner *Owner,
+                   Millis Waited) {
   unsigned Rank = Owner && Owner->Priority ? *Owner->Priority : Route.Priority;
   bool Late = Route.Goal.count() > 0 && Waited + LeastServing > Route.Goal;
-  return std::min(2 * Rank + (Late || Deferred ? 1U : 0U), LeastUrgent);
+  return std::min(2 * Rank + (Late ? 1U : 0U), LeastUrgent);
 }
 
 } // namespace waycove
--- a/src/policy/urgency.h
+++ b/src/policy/urgency.h
@@ -20,8 +20,7 @@
 /// LeastUrgent. The operators' rank decides; of the same rank, requests that
 /// can still be in time go before those that are late whatever happens, since
 /// serving these first makes the others late too.
-/// \p Deferred: one that goes behind in overload, as those that are late do.
-unsigned urgencyOf(const HttpRoute &Route, const KeyOwner *Owner, Millis Waited,
-                   bool Deferred = false);
+unsigned urgencyOf(const HttpRoute &Route, const KeyOwner *Owner,
+                   Millis Waited);
 
 } // namespace waycove
