--- a/tests/failure/leaving_test.cpp
+++ b/tests/failure/leaving_test.cpp
@@ -136,11 +136,15 @@
                           "/store/put?topic=keyed.servers&key=deaf",
                           R"({"service":"plain","address":")" +
                               this->Deaf.address().toString() +
-                              R"(","zone":"a","slots":8,"state":"ready"})",
+                              R"(","zone":"a","version":"v1","slots":8,)"
+                              R"("state":"ready","cold_left_ms":0,)"
+                              R"("sequence":0,"born":1764700000123})",
                           {}});
   }
   /// How the next connection to the target ends.
   bool endsInReset() {
+    REQUIRE(
+        this->Deaf.poll(Poco::Timespan(20, 0), Poco::Net::Socket::SELECT_READ));
     Poco::Net::StreamSocket Socket = this->Deaf.acceptConnection();
     // Past the caller's deadline; a cut that ends now would let bytes through
     // that are still to be delivered.
