--- a/src/policy/domain_convert.cpp
+++ b/src/policy/domain_convert.cpp
@@ -130,8 +130,8 @@
       GroupCounts Meanwhile = Now;
       Meanwhile[From.Name] -= static_cast<double>(Closed);
       GroupCounts After = Meanwhile;
-      After[To.Name] +=
-          static_cast<double>(Closed * From.GroupSize / To.GroupSize);
+      std::size_t Formed = Closed * From.GroupSize / To.GroupSize;
+      After[To.Name] += static_cast<double>(Formed);
       double LossAfter = S.lossOf(After);
       if (LossAfter >= Best.LossAfter ||
           S.lossOf(Meanwhile) > MostLossMeanwhile * Loss)
--- a/tests/unit/load_turns_test.cpp
+++ b/tests/unit/load_turns_test.cpp
@@ -35,7 +35,7 @@
   }
   std::string turns() const {
     std::string Text;
-    for (const auto &[Domain, Loads] : 
+    for (const auto &[Domain, Loads] :
          loadTurns(this->Targets, this->Engine).ByDomain)
       Text += Domain.Text + std::to_string(Loads) + " ";
     return Text;
