Test that a target's orders and reports tell of the end of a life

The stand-in for targets answered orders and reports that were meant for another process; it refuses them now, as the users' page says.

--- a/tests/failure/rebirth_test.cpp
+++ b/tests/failure/rebirth_test.cpp
@@ -4,6 +4,7 @@
 
 // Targets that start again under their ids, as real processes: whatever hung on
 // the life that ended, requests are served by the new one soon.
+#include "platform/control.h"
 #include "support/entry_fixture.h"
 
 namespace waycove::test {
@@ -60,4 +61,31 @@
   CHECK(eventually([&] { return this->serves(3); }));
 }
 
+TEST_CASE_METHOD(RebirthFixture,
+                 "rebirth: another process answers in a target's place, or a "
+                 "later life: orders and questions tell that its life ended",
+                 "[failure]") {
+  Settings Given;
+  Given.Entry.emplace();
+  EntryBoard Board(Given, IncarnationId("i"));
+  platform::TargetControl Control(Board);
+  TargetInfo Target;
+  Target.Id = VmId("e-1");
+  Target.Address = {"127.0.0.1", this->Run.vmPort("e-1")};
+  Target.Born = WallMs(1);
+  // It was listed as it started long ago; what answers has started since.
+  CHECK(Control.reach(Target) == Reach::Ended);
+  CHECK(Control.ask(Target) == MemberFate::Dead);
+  Target.Born = WallMs();
+  CHECK(Control.reach(Target) == Reach::Answers);
+  auto Other = std::make_shared<TargetInfo>(Target);
+  Other->Id = VmId("another");
+  CHECK(Control.reach(*Other) == Reach::Ended);
+  GroupOrder Order;
+  Order.Kind = OrderKind::Leave;
+  Order.To = Other;
+  Order.Group = {"g", 1};
+  CHECK(Control.order(Order, 1) == OrderEnd::Ended);
+}
+
 } // namespace waycove::test
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -52,7 +52,12 @@
               Poco::Net::HTTPServerResponse &Response, const std::string &Body,
               const std::string &Fault) {
     const std::string &Path = Request.getURI();
-    if (Path == "/api/order")
+    // Whatever is asked of another process than this one.
+    if (Request.get("X-Expect-Replica", this->Given.Id) != this->Given.Id) {
+      Response.set("X-Request-Id", Request.get("X-Request-Id", ""));
+      Response.set("X-Replica-Id", this->Given.Id);
+      reply(Response, 421, "");
+    } else if (Path == "/api/order")
       this->order(Response, Body);
     else if (Path == "/api/report")
       this->report(Response);
@@ -230,8 +235,6 @@
              (this->State == "open" && this->Rank == 0 && !this->Group.empty());
     }
     Response.set("X-Request-Id", Request.get("X-Request-Id", ""));
-    if (Request.get("X-Expect-Replica") != this->Given.Id)
-      return reply(Response, 421, "");
     // Who is no head takes no requests, and says which process it is.
     if (!Head) {
       Response.set("X-Replica-Id", this->Given.Id);
