Log the era of the store beside offsets

Whether a smaller end of a log is a copy that lags or a store that came back from an older copy could not be told from the logs: the store says it in Store-Era, in all its answers. It is read in the adapter and logged in log_stale and feed_advanced; nothing decides by it yet.

No functional change

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -49,6 +49,10 @@
 
 /// Position of a record in the platform's log.
 using Offset = Number<struct OffsetTag>;
+/// How often the platform's store came back from an older copy of itself. What
+/// it had acknowledged since that copy is lost then, and its offsets are given
+/// out again. Zero where the store does not tell.
+using StoreEra = Number<struct StoreEraTag>;
 /// Offset of the record that formed a group; it is also the group's identity.
 /// Zero stands for "no group".
 using Fence = Number<struct FenceTag>;
--- a/src/board/feed_cache.h
+++ b/src/board/feed_cache.h
@@ -30,6 +30,8 @@
 /// Part of a feed, and how current it is. Times are of this process's clock.
 struct KeyedPage {
   std::vector<KeyedRecord> Records;
+  /// The store's when it answered.
+  StoreEra Era;
   /// Where the next read goes on.
   Offset Next;
   /// The records are all that there is: other keys do not exist.
--- a/src/control/feed_notes.h
+++ b/src/control/feed_notes.h
@@ -23,6 +23,7 @@
           .add("source", Source)
           .add("before", Before.Value)
           .add("offset", Page.Next.Value)
+          .add("era", Page.Era.Value)
           .add("records", Page.Records.size())
           .add("whole", Page.Whole)
           .add("proven_age_ms", std::chrono::ceil<Millis>(Now - Page.ProvenAt))
--- a/src/control/store_reader.h
+++ b/src/control/store_reader.h
@@ -265,7 +265,10 @@
   Millis onStale(Lane &By, const KeyedPage &Page, Offset Known) {
     this->Board.Log.emit(
         EventCode::LogStale, std::string(feedName(this->Kind)),
-        LogFields().add("offset", Page.Next.Value).add("known", Known.Value));
+        LogFields()
+            .add("offset", Page.Next.Value)
+            .add("known", Known.Value)
+            .add("era", Page.Era.Value));
     return By.Waits.next();
   }
 
--- a/src/edge/http.cpp
+++ b/src/edge/http.cpp
@@ -160,6 +160,7 @@
   Reply.NotRun = Response.get("X-Waycove-Not-Run", "") == "yes";
   Reply.Leaving = Response.get("X-Waycove-Leaving", "") == "yes";
   Reply.RequestId = Response.get("X-Request-Id", "");
+  Reply.Header = Response;
   this->Counters.add(this->Count.In, headBytes(Response) + Reply.Body.size());
   if (!Response.getKeepAlive())
     this->Session.reset();
--- a/src/edge/http.h
+++ b/src/edge/http.h
@@ -43,6 +43,8 @@
   bool NotRun = false;
   bool Leaving = false;
   std::string RequestId;
+  /// All of the answer's header, by names without regard to case.
+  Poco::Net::NameValueCollection Header;
 };
 
 /// A client session that can tell a whole chunked body from a cut one, and a
