Test that what is written after a restore of the store is in force (red)

What callers saw: requests on routes that a configuration had taken away were served 2.1 s and more after the store had acknowledged it. The test brings it about with three entries and a store that comes back from an older copy of itself: no node takes the version that is written then, all serve the older one. The stand-in store can now be copied and restored, names its era in all answers, refuses (410) a read from an offset that it does not have, and tells the offset of each newest record, as the platform does.

No functional change

--- /dev/null
+++ b/tests/failure/restored_test.cpp
@@ -0,0 +1,77 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// Requests were served on routes that a configuration had taken away, more than
+// two seconds after the store had acknowledged it, and everything else was
+// refused meanwhile, with the store sound.
+//
+// How it came about: the store was away for a moment and came back from a copy
+// some seconds old. What it had acknowledged since was gone, its offsets went
+// back and were given out again.
+#include "support/neighbours.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+namespace waycove::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds ConfigBound(2000);
+constexpr milliseconds RevokeBound(5000);
+constexpr milliseconds DrainBound(2000);
+/// How long the store is away before it comes back from its copy.
+constexpr milliseconds AwayTime(800);
+
+} // namespace
+
+/// Three entries, one of which reads the store for the others, and a store that
+/// comes back from an older copy of itself.
+struct RestoredFixture : Neighbours {
+  RestoredFixture()
+      : Neighbours(
+            "revoke_bound_ms: " + std::to_string(RevokeBound.count()) +
+                ", drain_bound_ms: " + std::to_string(DrainBound.count()) +
+                ", config_bound_ms: " + std::to_string(ConfigBound.count()),
+            3) {}
+
+  void atStore(const std::string &Path) {
+    this->Run.atPlatform({"POST", Path, "", {}});
+  }
+  /// What the store holds now is what it comes back with.
+  void copy() { this->atStore("/store/copy"); }
+  void restore() {
+    this->atStore("/store/down?how=refuse");
+    std::this_thread::sleep_for(AwayTime);
+    this->atStore("/store/restore");
+    this->atStore("/store/down?how=no");
+  }
+  /// Publishes versions up to \p Last, each of which is in force.
+  void publishUpTo(int Last) {
+    for (int Version = 2; Version <= Last; ++Version) {
+      std::string Key = "key-" + std::to_string(Version);
+      this->publish(Version, Key);
+      REQUIRE(this->allTake(Entries, Key));
+    }
+  }
+};
+
+TEST_CASE_METHOD(RestoredFixture,
+                 "store restored: a configuration is written: in force "
+                 "everywhere in time",
+                 "[failure]") {
+  this->copy();
+  this->publishUpTo(5);
+  this->restore();
+  this->publish(6, "key-6");
+  auto Written = std::chrono::steady_clock::now();
+  CHECK(this->allTake(Entries, "key-6"));
+  CHECK(std::chrono::steady_clock::now() - Written < ConfigBound);
+  for (const std::string &Node : Entries)
+    CHECK(this->call(Node, "key-5") == 401);
+}
+
+} // namespace waycove::test
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -103,6 +103,7 @@
     if (auto Answer = Entries.answer(Path, Query, Body)) {
       Response.setStatusAndReason(
           static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Answer->Status));
+      Response.set("Store-Era", std::to_string(Answer->Era));
       reply(Response, Answer->Body);
     } else if (Path == "/faults")
       this->setFaults(Response, Body);
--- a/tests/standins/store.h
+++ b/tests/standins/store.h
@@ -8,6 +8,9 @@
 // topics that are read and waited on, and work that is dealt to members.
 //   POST /store/put?topic=T&key=K   body: the value; empty drops the key
 //   POST /store/down?how=no|refuse|silent&topic=T   with a topic, that alone
+//   POST /store/copy   what the store holds now is what a restore brings back
+//   POST /store/restore   what was written since the copy is gone; offsets and
+//                         generations go back and are given out again
 //   GET /store/reads?topic=T        how many reads were asked for so far, of
 //   all
 //                                   topics or of one
@@ -30,6 +33,8 @@
 struct StoreAnswer {
   int Status = 200;
   std::string Body;
+  /// How often the store came back from a copy, as each of its answers tells.
+  std::uint64_t Era = 0;
 };
 
 class Store {
@@ -47,8 +52,11 @@
     std::lock_guard Lock(this->Mutex);
     const auto &Records = this->Topics[Asked["topic"]];
     std::map<std::string, std::string> Newest;
-    for (const auto &[Key, Value] : Records)
-      Newest[Key] = Value;
+    std::map<std::string, std::size_t> At;
+    for (std::size_t I = 0; I < Records.size(); ++I) {
+      Newest[Records[I].first] = Records[I].second;
+      At[Records[I].first] = I;
+    }
     Poco::JSON::Array Items;
     for (const auto &[Key, Value] : Newest) {
       if (Value.empty())
@@ -56,6 +64,7 @@
       Poco::JSON::Object Item;
       Item.set("key", Key);
       Item.set("value", toBase64(Value));
+      Item.set("offset", At[Key]);
       Items.add(Item);
     }
     Poco::JSON::Object Out;
@@ -82,12 +91,16 @@
     std::chrono::milliseconds Wait(std::stoull(Asked["wait_ms"]));
     std::unique_lock Lock(this->Mutex);
     auto &Records = this->Topics[Asked["topic"]];
+    std::uint64_t Asking = this->Era;
     // A store that goes away answers nobody who waits, either.
     this->Changed.wait_for(Lock, Wait, [&] {
-      return Records.size() > From || this->refuses(Asked["topic"]);
+      return Records.size() != From || this->refuses(Asked["topic"]) ||
+             this->Era != Asking;
     });
-    if (this->refuses(Asked["topic"]))
+    if (this->refuses(Asked["topic"]) || this->Era != Asking)
       return {503, "{}"};
+    if (From > Records.size())
+      return {410, "{\"first_offset\":0}"};
     std::string Bytes = bigEndian(Records.size(), 8) + bigEndian(0, 8);
     for (std::size_t I = From; I < Records.size(); ++I) {
       const auto &[Key, Value] = Records[I];
@@ -136,6 +149,34 @@
   /// The answer to a call of the platform's; nothing for another path.
   std::optional<StoreAnswer> answer(const std::string &Path, Query &Asked,
                                     const std::string &Body) {
+    std::optional<StoreAnswer> Answer = this->answerOf(Path, Asked, Body);
+    if (Answer)
+      Answer->Era = this->era();
+    return Answer;
+  }
+
+private:
+  static constexpr std::uint64_t Parts = 12;
+
+  /// What a restore brings back.
+  struct Content {
+    std::map<std::string, std::vector<std::pair<std::string, std::string>>>
+        Topics;
+    std::map<std::string, std::chrono::steady_clock::time_point> Members;
+    std::uint64_t Generation = 0;
+  };
+
+  std::optional<StoreAnswer> answerOf(const std::string &Path, Query &Asked,
+                                      const std::string &Body) {
+    if (Path == "/store/copy") {
+      std::lock_guard Lock(this->Mutex);
+      this->Copy = {this->Topics, this->Members, this->Generation};
+      return StoreAnswer{200, "{}"};
+    }
+    if (Path == "/store/restore") {
+      this->restore();
+      return StoreAnswer{200, "{}"};
+    }
     if (Path == "/store/put") {
       this->put(Asked["topic"], Asked["key"], Body);
       return StoreAnswer{200, "{}"};
@@ -163,8 +204,21 @@
     return std::nullopt;
   }
 
-private:
-  static constexpr std::uint64_t Parts = 12;
+  std::uint64_t era() {
+    std::lock_guard Lock(this->Mutex);
+    return this->Era;
+  }
+
+  void restore() {
+    {
+      std::lock_guard Lock(this->Mutex);
+      this->Topics = this->Copy.Topics;
+      this->Members = this->Copy.Members;
+      this->Generation = this->Copy.Generation;
+      ++this->Era;
+    }
+    this->Changed.notify_all();
+  }
 
   /// Lock held.
   bool refuses(const std::string &Topic) const {
@@ -218,6 +272,8 @@
       Topics;
   std::map<std::string, std::chrono::steady_clock::time_point> Members;
   std::uint64_t Generation = 0;
+  std::uint64_t Era = 0;
+  Content Copy;
   std::string Down;
   /// Empty where all are.
   std::string DownTopic;
