--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -88,6 +88,10 @@
        "The platform's log answers again."},
       {LogStale, Warning, "log_stale",
        "The log offered less than was folded before; it was not taken."},
+      {StoreRestored, Warning, "store_restored",
+       "The platform's store came back from an older copy of itself: what it "
+       "acknowledged since is gone, offsets are given out again. The fields "
+       "say what this node knew of the feed, and what the store holds."},
       {CheckpointWritten, Info, "checkpoint_written",
        "The folded state was appended as a checkpoint."},
       {CheckpointLoaded, Info, "checkpoint_loaded",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -29,6 +29,7 @@
   CheckpointWritten = 205,
   CheckpointLoaded = 206,
   RecordsFromPeer = 207,
+  StoreRestored = 208,
   GroupProposed = 300,
   GroupReady = 301,
   GroupNotReady = 302,
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -53,6 +53,19 @@
 /// it had acknowledged since that copy is lost then, and its offsets are given
 /// out again. Zero where the store does not tell.
 using StoreEra = Number<struct StoreEraTag>;
+/// A place in one of the store's logs. Offsets compare within an era alone:
+/// after a restore the same ones stand for other records, so a later era is
+/// ahead of all that was known before, however small its offsets are.
+struct StorePosition {
+  StoreEra Era;
+  Offset At;
+  constexpr StorePosition() = default;
+  constexpr StorePosition(StoreEra Since, Offset Where)
+      : Era(Since), At(Where) {}
+  // The comparison that the compiler makes is no text of ours. NOLINTNEXTLINE
+  auto operator<=>(const StorePosition &) const = default;
+  constexpr StorePosition next() const { return {this->Era, this->At.next()}; }
+};
 /// Offset of the record that formed a group; it is also the group's identity.
 /// Zero stands for "no group".
 using Fence = Number<struct FenceTag>;
--- a/src/board/feed_cache.cpp
+++ b/src/board/feed_cache.cpp
@@ -21,35 +21,50 @@
     // Whoever is behind this node has nothing to tell it, and proves nothing.
     bool Ahead = !this->Known || Page.Next > this->Next;
     bool Proves = Page.Next == this->Next && Page.ProvenAt > this->ProvenAt;
-    if ((!this->Known && !Page.Whole) || (!Ahead && !Proves))
+    bool Restored = this->Known && Page.Next.Era > this->Next.Era;
+    // What is known here and what changed in another era do not add up.
+    if ((!this->Known || Restored) && !Page.Whole)
       return false;
-    if (!this->isRefuted(Page))
+    if (!Ahead && !Proves)
+      return false;
+    if (Restored || !this->isRefuted(Page))
       this->HoldUntil = std::max(this->HoldUntil, Page.HoldUntil);
-    if (Ahead) {
-      if (Page.Whole)
-        this->addMissing(Page, Now);
-      // What was dropped before the first page is not known here.
-      if (!this->Known)
-        this->ForgottenBelow = Page.Next;
-      for (const KeyedRecord &Record : Page.Records)
-        this->put(Record, Record.Below == Offset() ? Page.Next : Record.Below,
-                  Now);
-      this->Next = Page.Next;
-      this->Known = true;
-      this->prune(Now);
-    }
+    // Whoever asks from an earlier era is told all: the same offsets stand for
+    // other records now, and which of them it has seen is not known.
+    if (Restored)
+      this->ForgottenBelow = {Page.Next.Era, Offset()};
+    if (Ahead)
+      this->advance(Page, Now);
     this->ProvenAt = std::max(this->ProvenAt, Page.ProvenAt);
   }
   this->Changed.notify_all();
   return true;
 }
 
-void FeedCache::put(const KeyedRecord &Record, Offset Below, TimePoint Now) {
+void FeedCache::advance(const KeyedPage &Page, TimePoint Now) {
+  if (Page.Whole)
+    this->addMissing(Page, Now);
+  // What was dropped before the first page is not known here.
+  if (!this->Known)
+    this->ForgottenBelow = Page.Next;
+  for (const KeyedRecord &Record : Page.Records)
+    this->put(Record, Record.Below.At == Offset() ? Page.Next : Record.Below,
+              Now);
+  this->Next = Page.Next;
+  this->Known = true;
+  this->prune(Now);
+}
+
+void FeedCache::put(const KeyedRecord &Record, StorePosition Below,
+                    TimePoint Now) {
   // All of a feed comes anew where its history was dropped. What has not
   // changed is no news to whoever asks from before it: passed on again, 931
-  // entries were too large, and each of 295 nodes read them from the store.
+  // entries were too large, and each of 295 nodes read them from the store. In
+  // a new era it is news all the same: others may know an older value of it.
   auto [At, New] = this->Rows.try_emplace(Record.Key);
-  if (New || At->second.Value != Record.Value)
+  bool Same = !New && At->second.Value == Record.Value &&
+              At->second.Below.Era == Below.Era;
+  if (!Same)
     At->second = {Record.Value, Below, Record.Value ? TimePoint() : Now};
 }
 
@@ -73,7 +88,7 @@
 }
 
 /// What changed from \p From on, or with \p Whole all that there is.
-KeyedPage FeedCache::pageFrom(Offset From, bool Whole) const {
+KeyedPage FeedCache::pageFrom(StorePosition From, bool Whole) const {
   KeyedPage Page;
   Page.Next = this->Next;
   Page.Whole = Whole;
@@ -95,10 +110,11 @@
                      return Left.Below < Right.Below;
                    });
   std::size_t Bytes = 0;
-  Offset Last;
+  StorePosition Last;
   for (auto At = Page.Records.begin(); At != Page.Records.end(); ++At) {
     Bytes += At->Key.size() + (At->Value ? At->Value->size() : 0);
-    bool Fits = Bytes <= MostBytes || Last == Offset() || At->Below == Last;
+    bool Fits =
+        Bytes <= MostBytes || Last == StorePosition() || At->Below == Last;
     if (!Fits) {
       Page.Records.erase(At, Page.Records.end());
       Page.Next = Last;
@@ -109,7 +125,7 @@
   }
 }
 
-KeyedPage FeedCache::since(Offset From, std::size_t MostBytes) const {
+KeyedPage FeedCache::since(StorePosition From, std::size_t MostBytes) const {
   std::lock_guard Lock(this->Mutex);
   KeyedPage Page = this->pageFrom(From, From < this->ForgottenBelow);
   if (!Page.Whole && MostBytes != AllBytes)
@@ -119,12 +135,12 @@
 
 KeyedPage FeedCache::whole() const {
   std::lock_guard Lock(this->Mutex);
-  return this->pageFrom(Offset(), true);
+  return this->pageFrom(StorePosition(), true);
 }
 
-std::optional<Offset> FeedCache::next() const {
+std::optional<StorePosition> FeedCache::next() const {
   std::lock_guard Lock(this->Mutex);
-  return this->Known ? std::optional<Offset>(this->Next) : std::nullopt;
+  return this->Known ? std::optional<StorePosition>(this->Next) : std::nullopt;
 }
 
 TimePoint FeedCache::provenAt() const {
@@ -132,7 +148,7 @@
   return this->ProvenAt;
 }
 
-void FeedCache::wait(Offset From, TimePoint Proof, TimePoint Until) {
+void FeedCache::wait(StorePosition From, TimePoint Proof, TimePoint Until) {
   std::unique_lock Lock(this->Mutex);
   this->Changed.wait_until(Lock, Until, [&] {
     return this->Known && (this->Next > From || this->ProvenAt > Proof);
--- a/src/board/feed_cache.h
+++ b/src/board/feed_cache.h
@@ -24,16 +24,14 @@
   std::optional<std::string> Value;
   /// No record of the key has this offset or a later one, up to where its page
   /// ends. Zero where only the page's end is known.
-  Offset Below{};
+  StorePosition Below{};
 };
 
 /// Part of a feed, and how current it is. Times are of this process's clock.
 struct KeyedPage {
   std::vector<KeyedRecord> Records;
-  /// The store's when it answered.
-  StoreEra Era;
   /// Where the next read goes on.
-  Offset Next;
+  StorePosition Next;
   /// The records are all that there is: other keys do not exist.
   bool Whole = false;
   /// More is known than up to Next: the rest is to be asked for.
@@ -82,14 +80,14 @@
   /// What changed from \p From on, in order, as far as \p MostBytes of records
   /// go, and at least what one offset ends; all of it where that is not known
   /// any more.
-  KeyedPage since(Offset From, std::size_t MostBytes = AllBytes) const;
+  KeyedPage since(StorePosition From, std::size_t MostBytes = AllBytes) const;
   KeyedPage whole() const;
   /// Nothing before the first whole page came.
-  std::optional<Offset> next() const;
+  std::optional<StorePosition> next() const;
   TimePoint provenAt() const;
   /// Waits until there are records from \p From on, or a newer proof than
   /// \p Proof, or until \p Until.
-  void wait(Offset From, TimePoint Proof, TimePoint Until);
+  void wait(StorePosition From, TimePoint Proof, TimePoint Until);
   /// Waits for wake() alone, or until \p Until.
   void waitWake(TimePoint Until);
   /// Where the feed comes from has changed.
@@ -102,14 +100,15 @@
   struct Row {
     std::optional<std::string> Value;
     /// No record of the key has this offset or a later one.
-    Offset Below;
+    StorePosition Below;
     TimePoint DroppedAt;
   };
   bool isRefuted(const KeyedPage &Page) const;
-  void put(const KeyedRecord &Record, Offset Below, TimePoint Now);
+  void advance(const KeyedPage &Page, TimePoint Now);
+  void put(const KeyedRecord &Record, StorePosition Below, TimePoint Now);
   void addMissing(const KeyedPage &Page, TimePoint Now);
   void prune(TimePoint Now);
-  KeyedPage pageFrom(Offset From, bool Whole) const;
+  KeyedPage pageFrom(StorePosition From, bool Whole) const;
   static void cut(KeyedPage &Page, std::size_t MostBytes);
 
   mutable std::mutex Mutex;
@@ -117,9 +116,9 @@
   std::condition_variable Woken;
   std::map<std::string, Row> Rows;
   bool Known = false;
-  Offset Next;
+  StorePosition Next;
   /// Of keys that were dropped before it, some are forgotten.
-  Offset ForgottenBelow;
+  StorePosition ForgottenBelow;
   TimePoint ProvenAt;
   TimePoint HoldUntil;
   std::uint64_t Wakes = 0;
--- a/src/control/cached_feed.h
+++ b/src/control/cached_feed.h
@@ -17,7 +17,8 @@
 
   /// Error NotFound: nothing is known yet; it waits a while for that.
   absl::StatusOr<KeyedPage> newest() {
-    this->Cache.wait(Offset(), TimePoint(), SystemClock{}.now() + FirstWait);
+    this->Cache.wait(StorePosition(), TimePoint(),
+                     SystemClock{}.now() + FirstWait);
     if (!this->Cache.next())
       return makeError(ErrorKind::NotFound, "nothing is known yet");
     KeyedPage Page = this->Cache.whole();
@@ -26,7 +27,7 @@
   }
 
   /// Waits for something new, or for a newer proof that there is nothing.
-  absl::StatusOr<KeyedPage> follow(Offset From, Millis Wait) {
+  absl::StatusOr<KeyedPage> follow(StorePosition From, Millis Wait) {
     this->Cache.wait(From, this->LastProof, SystemClock{}.now() + Wait);
     KeyedPage Page = this->Cache.since(From);
     this->LastProof = Page.ProvenAt;
--- a/src/control/feed_notes.h
+++ b/src/control/feed_notes.h
@@ -13,17 +13,26 @@
 inline void takePage(EntryBoard &Board, FeedKind Kind, const KeyedPage &Page,
                      const std::string &Source, TimePoint Now) {
   FeedCache &Cache = Board.feed(Kind);
-  Offset Before = Cache.next().value_or(Offset());
+  std::optional<StorePosition> Known = Cache.next();
+  StorePosition Before = Known.value_or(StorePosition());
   if (!Cache.take(Page, Now) || Page.Next <= Before)
     return;
+  if (Known && Page.Next.Era > Before.Era)
+    Board.Log.emit(EventCode::StoreRestored, std::string(feedName(Kind)),
+                   LogFields()
+                       .add("source", Source)
+                       .add("known", Before.At.Value)
+                       .add("known_era", Before.Era.Value)
+                       .add("offset", Page.Next.At.Value)
+                       .add("era", Page.Next.Era.Value));
   Millis Hold = std::chrono::ceil<Millis>(std::max(Page.HoldUntil, Now) - Now);
   Board.Log.emit(
       EventCode::FeedAdvanced, std::string(feedName(Kind)),
       LogFields()
           .add("source", Source)
-          .add("before", Before.Value)
-          .add("offset", Page.Next.Value)
-          .add("era", Page.Era.Value)
+          .add("before", Before.At.Value)
+          .add("offset", Page.Next.At.Value)
+          .add("era", Page.Next.Era.Value)
           .add("records", Page.Records.size())
           .add("whole", Page.Whole)
           .add("proven_age_ms", std::chrono::ceil<Millis>(Now - Page.ProvenAt))
--- a/src/control/keyed_feed.h
+++ b/src/control/keyed_feed.h
@@ -19,7 +19,7 @@
 /// key. follow() waits up to \p Wait for a record; error NotFound says that
 /// the history behind \p From is gone and the whole has to be read again.
 template <typename F>
-concept KeyedFeed = requires(F &Feed, Offset From, Millis Wait) {
+concept KeyedFeed = requires(F &Feed, StorePosition From, Millis Wait) {
   { Feed.newest() } -> std::same_as<absl::StatusOr<KeyedPage>>;
   { Feed.follow(From, Wait) } -> std::same_as<absl::StatusOr<KeyedPage>>;
 };
@@ -47,7 +47,7 @@
 private:
   Feed &Source;
   /// Nothing before the whole was read.
-  std::optional<Offset> Next;
+  std::optional<StorePosition> Next;
 };
 
 /// Where a node announces itself to the others, under its own key.
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -55,7 +55,15 @@
 constexpr int IdleThreadSeconds = 5;
 
 /// In a question, where a node knows nothing of a feed.
-constexpr Offset NothingKnown(std::numeric_limits<std::uint64_t>::max());
+constexpr StorePosition
+    NothingKnown(StoreEra(), Offset(std::numeric_limits<std::uint64_t>::max()));
+
+/// From where on \p Question asks for a feed. A node of an earlier version
+/// tells no eras.
+StorePosition askedFrom(const wire::NewsWantedT &Question, std::size_t Feed) {
+  StoreEra Era(Feed < Question.eras.size() ? Question.eras[Feed] : 0);
+  return {Era, Offset(Question.next[Feed])};
+}
 
 class NewsConnection : public Poco::Net::TCPServerConnection {
 public:
@@ -318,8 +326,11 @@
   wire::NewsWantedT Question;
   Question.node = this->Board.Config.Node.Text;
   Question.data_centre = this->Board.Config.DataCentre.Text;
-  for (const FeedState &Feed : this->Board.Feeds)
-    Question.next.push_back(Feed.Cache.next().value_or(NothingKnown).Value);
+  for (const FeedState &Feed : this->Board.Feeds) {
+    StorePosition Next = Feed.Cache.next().value_or(NothingKnown);
+    Question.next.push_back(Next.At.Value);
+    Question.eras.push_back(Next.Era.Value);
+  }
   LoadRows Own = this->ownLoads(SentAt);
   DemandTable Asks = this->ownDemand();
   {
@@ -429,7 +440,7 @@
 
 /// What came after \p From, as far as others may rely on this node for it.
 std::unique_ptr<wire::FeedNewsT>
-NewsExchange::newsOf(FeedKind Kind, Offset From, TimePoint Now) {
+NewsExchange::newsOf(FeedKind Kind, StorePosition From, TimePoint Now) {
   const FeedCache &Cache = this->Board.feed(Kind);
   if (!Cache.next() || !this->Board.mayTell(Kind, Now))
     return std::make_unique<wire::FeedNewsT>();
@@ -447,7 +458,7 @@
   for (std::size_t I = 0; I < this->Board.Feeds.size(); ++I)
     News.feeds.push_back(I < Question.next.size()
                              ? this->newsOf(static_cast<FeedKind>(I),
-                                            Offset(Question.next[I]), Now)
+                                            askedFrom(Question, I), Now)
                              : std::make_unique<wire::FeedNewsT>());
   bool SameCentre = Question.data_centre == this->Board.Config.DataCentre.Text;
   if (SameCentre) {
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -64,7 +64,7 @@
                                     const wire::FrameT &Question);
   void takeNews(const wire::NewsT &News, const NodeId &From, TimePoint SentAt);
   bool isCurrent(const wire::NewsT &News) const;
-  std::unique_ptr<wire::FeedNewsT> newsOf(FeedKind Kind, Offset From,
+  std::unique_ptr<wire::FeedNewsT> newsOf(FeedKind Kind, StorePosition From,
                                           TimePoint Now);
   wire::NewsT answer(const wire::NewsWantedT &Question);
   LoadRows ownLoads(TimePoint Now) const;
--- a/src/control/registry_follow.h
+++ b/src/control/registry_follow.h
@@ -161,7 +161,7 @@
       this->Board.Log.emit(
           EventCode::TargetKept, Id.Text,
           LogFields()
-              .add("registry", Page.Next.Value)
+              .add("registry", Page.Next.At.Value)
               .add("for_ms", std::chrono::ceil<Millis>(Page.HoldUntil - Now)));
     }
     return New;
@@ -193,7 +193,7 @@
   }
 
   void store(const std::vector<TargetRef> &Come, const std::set<VmId> &Left,
-             Offset Registry, TimePoint Now) {
+             StorePosition Registry, TimePoint Now) {
     std::vector<VmId> Gone;
     std::vector<std::pair<TargetRef, TargetRef>> Reborn;
     std::vector<VmLife> Regrouped;
@@ -237,24 +237,24 @@
                            LogFields()
                                .add("born", Row->Born.Value)
                                .add("before", Last->Born.Value)
-                               .add("registry", Registry.Value));
+                               .add("registry", Registry.At.Value));
     for (const VmId &Id : Gone)
       this->Board.Log.emit(EventCode::TargetGone, Id.Text,
-                           LogFields().add("registry", Registry.Value));
+                           LogFields().add("registry", Registry.At.Value));
   }
 
   static std::optional<GroupKey> groupOf(const TargetInfo &Row) {
     return Row.Group ? std::optional(Row.Group->Group) : std::nullopt;
   }
 
-  void logTarget(const TargetInfo &Row, Offset Registry) {
+  void logTarget(const TargetInfo &Row, StorePosition Registry) {
     LogFields Fields;
     Fields.add("service", Row.Service.Text)
         .add("address", Row.Address.text())
         .add("domain", Row.Domain.Text)
         .add("draining", Row.Draining)
         .add("born", Row.Born.Value)
-        .add("registry", Registry.Value);
+        .add("registry", Registry.At.Value);
     std::string Staged;
     for (const std::string &Model : Row.Staged)
       Staged += Model + " ";
--- a/src/control/store_reader.h
+++ b/src/control/store_reader.h
@@ -216,7 +216,7 @@
   }
 
   Millis read(Lane &By, Millis Wait, bool LeftOut) {
-    std::optional<Offset> From = this->Cache.next();
+    std::optional<StorePosition> From = this->Cache.next();
     TimePoint SentAt = SystemClock{}.now();
     CallCause Cause = this->causeOf(By, SentAt, LeftOut);
     bool Whole = LeftOut || By.HistoryGone || !From;
@@ -228,6 +228,12 @@
     TimePoint Now = SystemClock{}.now();
     if (!Page.ok())
       return this->onFailure(By, Page.status(), SentAt, Now);
+    // The store came back from an older copy: what follows the old offset there
+    // does not follow what this node knows.
+    if (!Whole && Page->Next.Era > From->Era) {
+      By.HistoryGone = true;
+      return Millis(0);
+    }
     // A read that waited in vain shows at its end that nothing had come.
     bool InVain = !Whole && Page->Records.empty() && Now - SentAt >= Wait;
     Page->ProvenAt = InVain ? SentAt + Wait : SentAt;
@@ -262,13 +268,12 @@
 
   /// What the store tells is older than what this node knows: a read of a copy
   /// that lags. It proves nothing, and what has gone stays gone.
-  Millis onStale(Lane &By, const KeyedPage &Page, Offset Known) {
-    this->Board.Log.emit(
-        EventCode::LogStale, std::string(feedName(this->Kind)),
-        LogFields()
-            .add("offset", Page.Next.Value)
-            .add("known", Known.Value)
-            .add("era", Page.Era.Value));
+  Millis onStale(Lane &By, const KeyedPage &Page, StorePosition Known) {
+    this->Board.Log.emit(EventCode::LogStale, std::string(feedName(this->Kind)),
+                         LogFields()
+                             .add("offset", Page.Next.At.Value)
+                             .add("known", Known.At.Value)
+                             .add("era", Page.Next.Era.Value));
     return By.Waits.next();
   }
 
--- a/src/edge/relay_notes.cpp
+++ b/src/edge/relay_notes.cpp
@@ -22,7 +22,7 @@
         .add("model", Ex.Request.Facts.Model)
         .add("workspace", Ex.Request.Workspace.Text);
   if (Ex.Run.Basis)
-    Fields.add("registry", Ex.Run.Basis->Registry.Value)
+    Fields.add("registry", Ex.Run.Basis->Registry.At.Value)
         .add("registry_age_ms", Ex.Run.Basis->Age);
   return Fields.add("sends", Ex.Run.Sent)
       .add("may_have_run", Ex.Run.MayHaveRun);
--- a/src/edge/relay_request.h
+++ b/src/edge/relay_request.h
@@ -35,7 +35,7 @@
 /// The state of the registry that a target was chosen by.
 struct ChoiceBasis {
   /// End of its records; the same on all nodes.
-  Offset Registry;
+  StorePosition Registry;
   /// Since when that may have changed without this node's knowing.
   Millis Age{0};
 };
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -73,7 +73,7 @@
   /// Rises with each change.
   std::uint64_t Version = 0;
   /// End of the registry's records that this shows; the same on all nodes.
-  Offset Registry;
+  StorePosition Registry;
 };
 
 /// Groups carry their model in their name, so that any node can tell from the
@@ -103,7 +103,7 @@
   std::map<ServiceId, std::vector<Serving>> ByService;
   std::uint64_t FleetVersion = 0;
   /// As in the fleet that it was built from.
-  Offset Registry;
+  StorePosition Registry;
 };
 
 using ServingViewRef = std::shared_ptr<const ServingView>;
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -42,14 +42,14 @@
   auto Row = std::make_unique<wire::FeedRowT>();
   Row->key = Record.Key;
   Row->dropped = !Record.Value;
-  Row->below = Record.Below.Value;
+  Row->below = Record.Below.At.Value;
   if (Record.Value)
     Row->value.assign(Record.Value->begin(), Record.Value->end());
   return Row;
 }
 
 KeyedRecord readRecord(const wire::FeedRowT &Row) {
-  KeyedRecord Record{Row.key, std::nullopt, Offset(Row.below)};
+  KeyedRecord Record{Row.key, std::nullopt, {StoreEra(), Offset(Row.below)}};
   if (!Row.dropped)
     Record.Value = std::string(Row.value.begin(), Row.value.end());
   return Record;
@@ -190,7 +190,7 @@
 }
 
 const std::vector<std::uint8_t> &FeedPacker::deflated(const KeyedPage &Page,
-                                                      Offset From) {
+                                                      StorePosition From) {
   auto At = std::find_if(this->Kept.begin(), this->Kept.end(),
                          [&](const Packed &Row) {
                            return Row.From == From && Row.Next == Page.Next &&
@@ -207,13 +207,15 @@
 }
 
 std::unique_ptr<wire::FeedNewsT> FeedPacker::pack(const KeyedPage &Page,
-                                                  Offset From, TimePoint Now,
+                                                  StorePosition From,
+                                                  TimePoint Now,
                                                   std::size_t Most) {
   auto News = std::make_unique<wire::FeedNewsT>();
   News->known = true;
   News->whole = Page.Whole;
   News->partial = Page.Partial;
-  News->next = Page.Next.Value;
+  News->next = Page.Next.At.Value;
+  News->era = Page.Next.Era.Value;
   News->proven_age_ms = ageOf(Page.ProvenAt, Now);
   News->hold_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(
       0, std::chrono::ceil<Millis>(Page.HoldUntil - Now).count()));
@@ -236,7 +238,7 @@
                                    TimePoint SentAt, TimePoint Now) {
   KeyedPage Page;
   Page.Whole = News.whole;
-  Page.Next = Offset(News.next);
+  Page.Next = {StoreEra(News.era), Offset(News.next)};
   Page.Partial = News.partial;
   // A part says nothing of what came after it.
   if (!News.partial)
@@ -245,12 +247,15 @@
     Page.HoldUntil = Now + Millis(News.hold_ms);
   for (const auto &Row : News.rows)
     Page.Records.push_back(readRecord(*Row));
-  if (News.deflated.empty())
-    return Page;
-  absl::StatusOr<std::vector<KeyedRecord>> Rows = inflateRecords(News.deflated);
-  if (!Rows.ok())
-    return Rows.status();
-  Page.Records = std::move(*Rows);
+  if (!News.deflated.empty()) {
+    absl::StatusOr<std::vector<KeyedRecord>> Rows =
+        inflateRecords(News.deflated);
+    if (!Rows.ok())
+      return Rows.status();
+    Page.Records = std::move(*Rows);
+  }
+  for (KeyedRecord &Record : Page.Records)
+    Record.Below.Era = Page.Next.Era;
   return Page;
 }
 
--- a/src/wire/news_frames.h
+++ b/src/wire/news_frames.h
@@ -53,7 +53,8 @@
 /// Records as one block of bytes, deflated; they repeat their field names and
 /// addresses and shrink to about a sixth.
 std::vector<std::uint8_t> deflateRecords(const std::vector<KeyedRecord> &Rows);
-/// The same back. Errors: BadRequest where the bytes are damaged.
+/// The same back, with offsets but no era. Errors: BadRequest where the bytes
+/// are damaged.
 absl::StatusOr<std::vector<KeyedRecord>>
 inflateRecords(const std::vector<std::uint8_t> &Bytes);
 
@@ -66,20 +67,21 @@
   /// \p Now; without its records where they are more than \p Most even when
   /// deflated. Few are sent as they are: that is not worth the processor's
   /// time.
-  std::unique_ptr<wire::FeedNewsT> pack(const KeyedPage &Page, Offset From,
-                                        TimePoint Now,
+  std::unique_ptr<wire::FeedNewsT> pack(const KeyedPage &Page,
+                                        StorePosition From, TimePoint Now,
                                         std::size_t Most = MostPassedBytes);
 
 private:
   /// Nodes that ask this one are a few parts apart, where much has changed.
   static constexpr std::size_t MostKept = 4;
   struct Packed {
-    Offset From;
-    Offset Next;
+    StorePosition From;
+    StorePosition Next;
     bool Whole = false;
     std::vector<std::uint8_t> Bytes;
   };
-  const std::vector<std::uint8_t> &deflated(const KeyedPage &Page, Offset From);
+  const std::vector<std::uint8_t> &deflated(const KeyedPage &Page,
+                                            StorePosition From);
   std::deque<Packed> Kept;
 };
 /// The same back; ages count from \p SentAt, when the question left, and what
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -3630,6 +3630,7 @@
   bool left_out = false;
   std::vector<uint8_t> deflated{};
   bool partial = false;
+  uint64_t era = 0;
   FeedNewsT() = default;
   FeedNewsT(const FeedNewsT &o);
   FeedNewsT(FeedNewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3649,7 +3650,8 @@
     VT_HOLD_MS = 16,
     VT_LEFT_OUT = 18,
     VT_DEFLATED = 20,
-    VT_PARTIAL = 22
+    VT_PARTIAL = 22,
+    VT_ERA = 24
   };
   bool known() const {
     return GetField<uint8_t>(VT_KNOWN, 0) != 0;
@@ -3678,6 +3680,9 @@
   bool partial() const {
     return GetField<uint8_t>(VT_PARTIAL, 0) != 0;
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KNOWN, 1) &&
@@ -3692,6 +3697,7 @@
            VerifyOffset(verifier, VT_DEFLATED) &&
            verifier.VerifyVector(deflated()) &&
            VerifyField<uint8_t>(verifier, VT_PARTIAL, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   FeedNewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3730,6 +3736,9 @@
   void add_partial(bool partial) {
     fbb_.AddElement<uint8_t>(FeedNews::VT_PARTIAL, static_cast<uint8_t>(partial), 0);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(FeedNews::VT_ERA, era, 0);
+  }
   explicit FeedNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3751,8 +3760,10 @@
     uint32_t hold_ms = 0,
     bool left_out = false,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> deflated = 0,
-    bool partial = false) {
+    bool partial = false,
+    uint64_t era = 0) {
   FeedNewsBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_next(next);
   builder_.add_deflated(deflated);
   builder_.add_hold_ms(hold_ms);
@@ -3780,7 +3791,8 @@
     uint32_t hold_ms = 0,
     bool left_out = false,
     const std::vector<uint8_t> *deflated = nullptr,
-    bool partial = false) {
+    bool partial = false,
+    uint64_t era = 0) {
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedRow>>(*rows) : 0;
   auto deflated__ = deflated ? _fbb.CreateVector<uint8_t>(*deflated) : 0;
   return waycove::wire::CreateFeedNews(
@@ -3793,7 +3805,8 @@
       hold_ms,
       left_out,
       deflated__,
-      partial);
+      partial,
+      era);
 }
 
 flatbuffers::Offset<FeedNews> CreateFeedNews(flatbuffers::FlatBufferBuilder &_fbb, const FeedNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3986,6 +3999,7 @@
   std::vector<waycove::wire::LoadRow> loads{};
   std::vector<waycove::wire::RenewalRow> renewals{};
   std::vector<std::unique_ptr<waycove::wire::DemandRowT>> demand{};
+  std::vector<uint64_t> eras{};
   NewsWantedT() = default;
   NewsWantedT(const NewsWantedT &o);
   NewsWantedT(NewsWantedT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4002,7 +4016,8 @@
     VT_NEXT = 8,
     VT_LOADS = 10,
     VT_RENEWALS = 12,
-    VT_DEMAND = 14
+    VT_DEMAND = 14,
+    VT_ERAS = 16
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -4022,6 +4037,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>> *>(VT_DEMAND);
   }
+  const flatbuffers::Vector<uint64_t> *eras() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ERAS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -4037,6 +4055,8 @@
            VerifyOffset(verifier, VT_DEMAND) &&
            verifier.VerifyVector(demand()) &&
            verifier.VerifyVectorOfTables(demand()) &&
+           VerifyOffset(verifier, VT_ERAS) &&
+           verifier.VerifyVector(eras()) &&
            verifier.EndTable();
   }
   NewsWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4066,6 +4086,9 @@
   void add_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand) {
     fbb_.AddOffset(NewsWanted::VT_DEMAND, demand);
   }
+  void add_eras(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> eras) {
+    fbb_.AddOffset(NewsWanted::VT_ERAS, eras);
+  }
   explicit NewsWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4084,8 +4107,10 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> next = 0,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> eras = 0) {
   NewsWantedBuilder builder_(_fbb);
+  builder_.add_eras(eras);
   builder_.add_demand(demand);
   builder_.add_renewals(renewals);
   builder_.add_loads(loads);
@@ -4107,13 +4132,15 @@
     const std::vector<uint64_t> *next = nullptr,
     const std::vector<waycove::wire::LoadRow> *loads = nullptr,
     const std::vector<waycove::wire::RenewalRow> *renewals = nullptr,
-    const std::vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand = nullptr) {
+    const std::vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand = nullptr,
+    const std::vector<uint64_t> *eras = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto next__ = next ? _fbb.CreateVector<uint64_t>(*next) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<waycove::wire::LoadRow>(*loads) : 0;
   auto renewals__ = renewals ? _fbb.CreateVectorOfStructs<waycove::wire::RenewalRow>(*renewals) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>>(*demand) : 0;
+  auto eras__ = eras ? _fbb.CreateVector<uint64_t>(*eras) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       node__,
@@ -4121,7 +4148,8 @@
       next__,
       loads__,
       renewals__,
-      demand__);
+      demand__,
+      eras__);
 }
 
 flatbuffers::Offset<NewsWanted> CreateNewsWanted(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5430,7 +5458,8 @@
         hold_ms(o.hold_ms),
         left_out(o.left_out),
         deflated(o.deflated),
-        partial(o.partial) {
+        partial(o.partial),
+        era(o.era) {
   rows.reserve(o.rows.size());
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new waycove::wire::FeedRowT(*rows_) : nullptr); }
 }
@@ -5445,6 +5474,7 @@
   std::swap(left_out, o.left_out);
   std::swap(deflated, o.deflated);
   std::swap(partial, o.partial);
+  std::swap(era, o.era);
   return *this;
 }
 
@@ -5466,6 +5496,7 @@
   { auto _e = left_out(); _o->left_out = _e; }
   { auto _e = deflated(); if (_e) { _o->deflated.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->deflated.begin()); } }
   { auto _e = partial(); _o->partial = _e; }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<FeedNews> FeedNews::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FeedNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5485,6 +5516,7 @@
   auto _left_out = _o->left_out;
   auto _deflated = _o->deflated.size() ? _fbb.CreateVector(_o->deflated) : 0;
   auto _partial = _o->partial;
+  auto _era = _o->era;
   return waycove::wire::CreateFeedNews(
       _fbb,
       _known,
@@ -5495,7 +5527,8 @@
       _hold_ms,
       _left_out,
       _deflated,
-      _partial);
+      _partial,
+      _era);
 }
 
 inline FeedRowsT::FeedRowsT(const FeedRowsT &o) {
@@ -5574,7 +5607,8 @@
         data_centre(o.data_centre),
         next(o.next),
         loads(o.loads),
-        renewals(o.renewals) {
+        renewals(o.renewals),
+        eras(o.eras) {
   demand.reserve(o.demand.size());
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new waycove::wire::DemandRowT(*demand_) : nullptr); }
 }
@@ -5586,6 +5620,7 @@
   std::swap(loads, o.loads);
   std::swap(renewals, o.renewals);
   std::swap(demand, o.demand);
+  std::swap(eras, o.eras);
   return *this;
 }
 
@@ -5604,6 +5639,7 @@
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
   { auto _e = renewals(); if (_e) { _o->renewals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewals[_i] = *_e->Get(_i); } } }
   { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<waycove::wire::DemandRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = eras(); if (_e) { _o->eras.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->eras[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<NewsWanted> NewsWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5620,6 +5656,7 @@
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
   auto _renewals = _o->renewals.size() ? _fbb.CreateVectorOfStructs(_o->renewals) : 0;
   auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateDemandRow(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _eras = _o->eras.size() ? _fbb.CreateVector(_o->eras) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       _node,
@@ -5627,7 +5664,8 @@
       _next,
       _loads,
       _renewals,
-      _demand);
+      _demand,
+      _eras);
 }
 
 inline NewsT::NewsT(const NewsT &o)
--- a/tests/failure/restored_test.cpp
+++ b/tests/failure/restored_test.cpp
@@ -8,7 +8,14 @@
 //
 // How it came about: the store was away for a moment and came back from a copy
 // some seconds old. What it had acknowledged since was gone, its offsets went
-// back and were given out again.
+// back and were given out again. Nodes took a smaller end of a log for a copy
+// that lags: none read on until the log had grown past what they knew, and of
+// what was written until then they never learned.
+//
+// What proved it: the same smaller end, at the same moment, at nodes that read
+// over connections of their own, while the store acknowledged versions of which
+// none of them saw one; they took the first whose offset was past what they
+// knew. The store says in all its answers how often it came back (Store-Era).
 #include "support/neighbours.h"
 
 #include <catch2/catch.hpp>
--- a/tests/support/times.h
+++ b/tests/support/times.h
@@ -14,4 +14,9 @@
   return TimePoint(std::chrono::seconds(1000) + Millis(Ms));
 }
 
+/// An offset of the store's first era, or of a later one.
+inline StorePosition atOffset(std::uint64_t Where = 0, std::uint64_t Era = 0) {
+  return {StoreEra(Era), Offset(Where)};
+}
+
 } // namespace waycove::test
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -19,7 +19,7 @@
 KeyedPage page(std::uint64_t Next, std::vector<KeyedRecord> Records,
                bool Whole = false) {
   KeyedPage Page;
-  Page.Next = Offset(Next);
+  Page.Next = atOffset(Next);
   Page.Records = std::move(Records);
   Page.Whole = Whole;
   Page.ProvenAt = at(static_cast<int>(Next));
@@ -60,18 +60,107 @@
 
 TEST_CASE_METHOD(FeedFixture, "feed cache: asked from an offset: what is newer",
                  "[unit]") {
-  CHECK(keysOf(this->Cache.since(Offset(10))) == Keys{"a-", "b=2", "c=1"});
-  CHECK(keysOf(this->Cache.since(Offset(12))) == Keys{"a-"});
-  CHECK(keysOf(this->Cache.since(Offset(13))).empty());
+  CHECK(keysOf(this->Cache.since(atOffset(10))) == Keys{"a-", "b=2", "c=1"});
+  CHECK(keysOf(this->Cache.since(atOffset(12))) == Keys{"a-"});
+  CHECK(keysOf(this->Cache.since(atOffset(13))).empty());
   CHECK(keysOf(this->Cache.whole()) == Keys{"b=2", "c=1"});
 }
 
+/// The cache's feed after the store came back from an older copy of itself.
+struct RestoredFeedFixture : FeedFixture {
+  static KeyedPage pageOfEra(std::uint64_t Next,
+                             std::vector<KeyedRecord> Records, bool Whole) {
+    KeyedPage Page = page(Next, std::move(Records), Whole);
+    Page.Next = atOffset(Next, 1);
+    return Page;
+  }
+  RestoredFeedFixture() {
+    this->Cache.take(
+        pageOfEra(11, {{"b", "1", atOffset(9, 1)}, {"d", "1", atOffset(11, 1)}},
+                  true),
+        at(20));
+  }
+};
+
+TEST_CASE_METHOD(RestoredFeedFixture,
+                 "feed cache: the store came back with smaller offsets: what "
+                 "it holds is taken",
+                 "[unit]") {
+  CHECK(this->Cache.next() == atOffset(11, 1));
+  CHECK(keysOf(this->Cache.whole()) == Keys{"b=1", "d=1"});
+  this->Cache.take(pageOfEra(12, {{"b", "3"}}, false), at(30));
+  CHECK(keysOf(this->Cache.since(atOffset(11, 1))) == Keys{"b=3"});
+}
+
+TEST_CASE_METHOD(RestoredFeedFixture,
+                 "feed cache: asked from before the store came back: all of it",
+                 "[unit]") {
+  // The offset stands for other records now.
+  for (std::uint64_t From : {5, 11, 13, 90}) {
+    KeyedPage Page = this->Cache.since(atOffset(From));
+    CHECK(Page.Whole);
+    CHECK(keysOf(Page) == Keys{"b=1", "d=1"});
+  }
+  // Who has read the copy itself is told what changed since, also where that
+  // is what this node knew before.
+  this->Cache.take(pageOfEra(12, {{"b", "2", atOffset(12, 1)}}, false), at(30));
+  CHECK(keysOf(this->Cache.since(atOffset(11, 1))) == Keys{"b=2"});
+}
+
+TEST_CASE_METHOD(RestoredFeedFixture,
+                 "feed cache: a value is as it was before the store came back: "
+                 "news to who knows the copy's",
+                 "[unit]") {
+  FeedCache Late;
+  Late.take(page(13, {{"b", "2"}}, true), at(0));
+  // It reads the store after the value was written again.
+  Late.take(pageOfEra(12, {{"b", "2", atOffset(12, 1)}}, true), at(30));
+  CHECK(keysOf(Late.since(atOffset(11, 1))) == Keys{"b=2"});
+}
+
+TEST_CASE_METHOD(RestoredFeedFixture,
+                 "feed cache: news of an earlier era, or of a part of a later "
+                 "one: not taken",
+                 "[unit]") {
+  KeyedPage Earlier = page(99, {{"z", "1"}}, true);
+  Earlier.ProvenAt = at(500);
+  CHECK_FALSE(this->Cache.take(Earlier, at(510)));
+  KeyedPage Part = page(99, {{"z", "1"}});
+  Part.Next = atOffset(2, 2);
+  CHECK_FALSE(this->Cache.take(Part, at(510)));
+  CHECK(this->Cache.next() == atOffset(11, 1));
+  CHECK(keysOf(this->Cache.whole()) == Keys{"b=1", "d=1"});
+}
+
+TEST_CASE_METHOD(RestoredFeedFixture,
+                 "feed news: the store's era goes with the offsets to other "
+                 "nodes and back",
+                 "[unit]") {
+  FeedPacker Packer;
+  FeedCache Other;
+  for (std::size_t Size : {10U, 10000U}) {
+    this->Cache.take(pageOfEra(12 + Size,
+                               {{"c", noise(Size), atOffset(12 + Size, 1)}},
+                               false),
+                     at(100));
+    StorePosition From = Other.next().value_or(atOffset(0));
+    auto News = Packer.pack(this->Cache.since(From), From, at(200));
+    Other.take(*readFeed(*News, at(150), at(250)), at(250));
+    CHECK(Other.next() == this->Cache.next());
+    CHECK(keysOf(Other.whole()) == keysOf(this->Cache.whole()));
+  }
+  // A later question of another node is answered as the first node would.
+  CHECK(keysOf(Other.since(atOffset(22, 1))) ==
+        keysOf(this->Cache.since(atOffset(22, 1))));
+  CHECK(Other.since(atOffset(22)).Whole);
+}
+
 TEST_CASE_METHOD(FeedFixture, "feed cache: a page from behind: never goes back",
                  "[unit]") {
   KeyedPage Behind = page(11, {{"b", "old"}});
   Behind.ProvenAt = at(50);
   this->Cache.take(Behind, at(60));
-  CHECK(this->Cache.next() == Offset(13));
+  CHECK(this->Cache.next() == atOffset(13));
   CHECK(keysOf(this->Cache.whole()) == Keys{"b=2", "c=1"});
 }
 
@@ -79,7 +168,7 @@
                  "feed cache: a whole page: what it lacks is dropped",
                  "[unit]") {
   this->Cache.take(page(20, {{"c", "3"}}, true), at(0));
-  CHECK(keysOf(this->Cache.since(Offset(13))) == Keys{"b-", "c=3"});
+  CHECK(keysOf(this->Cache.since(atOffset(13))) == Keys{"b-", "c=3"});
 }
 
 TEST_CASE_METHOD(
@@ -87,23 +176,23 @@
     "feed cache: a whole page repeats what is known: that is no news",
     "[unit]") {
   this->Cache.take(page(20, {{"b", "2"}, {"c", "1"}, {"d", "1"}}, true), at(0));
-  CHECK(keysOf(this->Cache.since(Offset(13))) == Keys{"d=1"});
-  CHECK(keysOf(this->Cache.since(Offset(10))) ==
+  CHECK(keysOf(this->Cache.since(atOffset(13))) == Keys{"d=1"});
+  CHECK(keysOf(this->Cache.since(atOffset(10))) ==
         Keys{"a-", "b=2", "c=1", "d=1"});
   // Changed and back again within what was not seen: the same to all.
   this->Cache.take(page(22, {{"c", "9"}}), at(0));
   this->Cache.take(page(30, {{"b", "2"}, {"c", "1"}, {"d", "1"}}, true), at(0));
-  CHECK(keysOf(this->Cache.since(Offset(20))) == Keys{"c=1"});
+  CHECK(keysOf(this->Cache.since(atOffset(20))) == Keys{"c=1"});
 }
 
 TEST_CASE_METHOD(FeedFixture,
                  "feed cache: a drop was forgotten: the whole is given",
                  "[unit]") {
   this->Cache.take(page(14, {{"d", "1"}}), at(120000));
-  KeyedPage Page = this->Cache.since(Offset(12));
+  KeyedPage Page = this->Cache.since(atOffset(12));
   CHECK(Page.Whole);
   CHECK(keysOf(Page) == Keys{"b=2", "c=1", "d=1"});
-  CHECK_FALSE(this->Cache.since(Offset(13)).Whole);
+  CHECK_FALSE(this->Cache.since(atOffset(13)).Whole);
 }
 
 TEST_CASE_METHOD(FeedFixture,
@@ -129,11 +218,11 @@
   Told.ProvenAt = at(10000);
   Told.HoldUntil = at(10000) + FeedCache::LapseTime;
   this->Cache.take(Told, at(10100));
-  CHECK(this->Cache.since(Offset(13)).HoldUntil == TimePoint());
+  CHECK(this->Cache.since(atOffset(13)).HoldUntil == TimePoint());
   // Without such a proof, lapsed entries may be back until then.
   FeedFixture Other;
   Other.Cache.take(Told, at(10100));
-  CHECK(Other.Cache.since(Offset(13)).HoldUntil == Told.HoldUntil);
+  CHECK(Other.Cache.since(atOffset(13)).HoldUntil == Told.HoldUntil);
 }
 
 // A reader restarts, and a node that reads through it knows the feed from
@@ -147,9 +236,9 @@
   Behind.take(page(10, {{"a", "1"}, {"b", "1"}}, true), at(0));
   FeedCache Started;
   Started.take(page(12, {{"b", "1"}}, true), at(0));
-  Behind.take(Started.since(Offset(10)), at(100));
+  Behind.take(Started.since(atOffset(10)), at(100));
   CHECK(keysOf(Behind.whole()) == Keys{"b=1"});
-  CHECK_FALSE(Started.since(Offset(12)).Whole);
+  CHECK_FALSE(Started.since(atOffset(12)).Whole);
 }
 
 TEST_CASE("feed cache: more changed than goes into an answer: it comes in "
@@ -160,7 +249,7 @@
   KeyedPage Changes = page(101, {});
   for (std::uint64_t I = 1; I <= 100; ++I)
     Changes.Records.push_back(
-        {"k" + std::to_string(I), std::string(100, 'v'), Offset(I + 1)});
+        {"k" + std::to_string(I), std::string(100, 'v'), atOffset(I + 1)});
   Reader.take(Changes, at(10));
   FeedCache Behind;
   Behind.take(page(1, {{"k0", "1"}}, true), at(0));
@@ -180,7 +269,7 @@
   CHECK(Behind.next() == Reader.next());
   CHECK(keysOf(Behind.whole()) == keysOf(Reader.whole()));
   // What it knows it passes on in parts as well.
-  CHECK(Behind.since(Offset(1), 1000).Partial);
+  CHECK(Behind.since(atOffset(1), 1000).Partial);
 }
 
 TEST_CASE("feed cache: one record is larger than an answer: it comes alone",
@@ -188,12 +277,12 @@
   FeedCache Reader;
   Reader.take(page(1, {}, true), at(0));
   KeyedPage Changes = page(3, {});
-  Changes.Records = {{"large", std::string(5000, 'v'), Offset(2)},
-                     {"small", std::string("v"), Offset(3)}};
+  Changes.Records = {{"large", std::string(5000, 'v'), atOffset(2)},
+                     {"small", std::string("v"), atOffset(3)}};
   Reader.take(Changes, at(10));
-  KeyedPage Part = Reader.since(Offset(1), 1000);
+  KeyedPage Part = Reader.since(atOffset(1), 1000);
   CHECK(Part.Partial);
-  CHECK(Part.Next == Offset(2));
+  CHECK(Part.Next == atOffset(2));
   CHECK(keysOf(Part).size() == 1);
 }
 
@@ -210,7 +299,7 @@
   // The other process' clock is 5 s ahead; the question left at 5,350 there.
   FeedPacker Packer;
   KeyedPage Got =
-      *readFeed(*Packer.pack(Page, Offset(), at(400)), at(5350), at(5410));
+      *readFeed(*Packer.pack(Page, atOffset(), at(400)), at(5350), at(5410));
   CHECK(Got.Next == Page.Next);
   CHECK(keysOf(Got) == Keys{"a=1", "b-"});
   CHECK(Got.ProvenAt <= at(5100));
@@ -396,12 +485,12 @@
           "[unit]") {
   FeedPacker Packer;
   KeyedPage Large = page(20, {{"config", noise(400'000)}});
-  auto News = Packer.pack(Large, Offset(7), at(21));
+  auto News = Packer.pack(Large, atOffset(7), at(21));
   CHECK(News->left_out);
   CHECK(News->rows.empty());
   CHECK(News->deflated.empty());
   CHECK(News->proven_age_ms == 1);
-  auto Small = Packer.pack(page(20, {{"config", "x"}}), Offset(19), at(21));
+  auto Small = Packer.pack(page(20, {{"config", "x"}}), atOffset(19), at(21));
   CHECK_FALSE(Small->left_out);
   CHECK(Small->rows.size() == 1);
 }
@@ -417,7 +506,7 @@
              R"("type":"streaming","max_attempts":2,"priority":1})";
   KeyedPage Large = page(20, {{"config", Value}, {"gone", std::nullopt}});
   FeedPacker Packer;
-  auto News = Packer.pack(Large, Offset(7), at(21));
+  auto News = Packer.pack(Large, atOffset(7), at(21));
   CHECK_FALSE(News->left_out);
   CHECK(News->deflated.size() < MostPassedBytes);
   absl::StatusOr<KeyedPage> Got = readFeed(*News, at(30), at(31));
@@ -425,7 +514,7 @@
   CHECK(keysOf(*Got) == keysOf(Large));
   // A newer version, asked for from the same offset, is deflated anew.
   KeyedPage Newer = page(21, {{"config", Value + "x"}});
-  CHECK(keysOf(*readFeed(*Packer.pack(Newer, Offset(7), at(22)), at(30),
+  CHECK(keysOf(*readFeed(*Packer.pack(Newer, atOffset(7), at(22)), at(30),
                          at(31))) == keysOf(Newer));
 }
 
--- a/tests/unit/node_follow_test.cpp
+++ b/tests/unit/node_follow_test.cpp
@@ -15,7 +15,7 @@
 /// A directory whose next page a test sets; it counts announcements.
 struct FakeDirectory {
   absl::StatusOr<KeyedPage> newest() { return this->Page; }
-  absl::StatusOr<KeyedPage> follow(Offset, Millis) { return this->Page; }
+  absl::StatusOr<KeyedPage> follow(StorePosition, Millis) { return this->Page; }
   absl::Status put(const std::string &, const std::string &Value) {
     ++(Value.empty() ? this->Drops : this->Announcements);
     return absl::OkStatus();
--- a/tests/unit/registry_follow_test.cpp
+++ b/tests/unit/registry_follow_test.cpp
@@ -7,6 +7,7 @@
 #include "control/cached_feed.h"
 #include "control/registry_follow.h"
 #include "platform/decode.h"
+#include "support/times.h"
 
 #include <catch2/catch.hpp>
 #include <iostream>
@@ -40,7 +41,7 @@
     KeyedPage Page;
     Page.Records = Records;
     Page.Whole = Whole;
-    Page.Next = Offset(++this->End);
+    Page.Next = atOffset(++this->End);
     Page.ProvenAt = SystemClock{}.now();
     this->Board.feed(FeedKind::Registry).take(Page, Page.ProvenAt);
     this->Follow.step();
--- a/tests/unit/registry_spread_test.cpp
+++ b/tests/unit/registry_spread_test.cpp
@@ -76,7 +76,7 @@
     All.Whole = true;
     for (std::uint64_t T = 0; T < Targets; ++T)
       All.Records.push_back({"i-" + std::to_string(T), entry(T, 0)});
-    All.Next = Offset(this->End);
+    All.Next = atOffset(this->End);
     All.ProvenAt = at(0);
     for (Level &Row : this->Levels)
       Row.Cache.take(All, at(0));
@@ -89,13 +89,13 @@
         this->Targets * ChangesEach * static_cast<std::uint64_t>(Ms) / BurstMs);
     KeyedPage Page;
     for (; this->Told < Due; ++this->Told) {
-      Offset Below(++this->End);
+      StorePosition Below = atOffset(++this->End);
       std::uint64_t Target = this->Told % this->Targets;
       Page.Records.push_back({"i-" + std::to_string(Target),
                               entry(Target, 1 + static_cast<int>(this->End)),
                               Below});
     }
-    Page.Next = Offset(this->End);
+    Page.Next = atOffset(this->End);
     Page.ProvenAt = at(Ms);
     this->Levels[0].Cache.take(Page, at(Ms));
   }
@@ -104,7 +104,7 @@
   void ask(std::size_t Index, int Ms) {
     Level &Asked = this->Levels[Index - 1];
     Level &Asks = this->Levels[Index];
-    Offset From = *Asks.Cache.next();
+    StorePosition From = *Asks.Cache.next();
     KeyedPage Page = Asked.Cache.since(From, MostPartBytes);
     auto News = Asked.Packer.pack(Page, From, at(Ms));
     if (News->left_out)
@@ -131,7 +131,7 @@
         if (Ms >= this->Levels[I].AsksAt)
           this->ask(I, Ms);
       if (Ms > BurstMs + GatherMs &&
-          this->Levels.back().Cache.next() == Offset(this->End))
+          this->Levels.back().Cache.next() == atOffset(this->End))
         return Ms - BurstMs;
     }
     return 4 * BoundMs;
@@ -165,7 +165,7 @@
           "[unit]") {
   SpreadFixture Run(2, 3000);
   FeedPacker Packer;
-  auto News = Packer.pack(Run.Levels[0].Cache.whole(), Offset(), at(0),
+  auto News = Packer.pack(Run.Levels[0].Cache.whole(), atOffset(), at(0),
                           MostFilledBytes);
   INFO(News->deflated.size() << " bytes");
   CHECK_FALSE(News->left_out);
--- a/tests/unit/store_reader_test.cpp
+++ b/tests/unit/store_reader_test.cpp
@@ -8,6 +8,7 @@
 #include "control/cached_feed.h"
 #include "control/config_follow.h"
 #include "control/store_reader.h"
+#include "support/times.h"
 
 #include <catch2/catch.hpp>
 #include <thread>
@@ -24,6 +25,8 @@
   static inline int Follows = 0;
   static inline bool HistoryGone = false;
   static inline std::uint64_t End = 7;
+  /// How often it came back from an older copy.
+  static inline std::uint64_t Era = 0;
   /// The first connection is dead: a call there ends after this time only.
   static inline Millis Hangs{0};
   /// How late each answer is.
@@ -40,11 +43,11 @@
       return makeError(ErrorKind::OutcomeUnknown, "Timeout");
     KeyedPage Page;
     Page.Whole = true;
-    Page.Next = Offset(End);
+    Page.Next = atOffset(End, Era);
     Page.Records.push_back({"a", "newest"});
     return Page;
   }
-  absl::StatusOr<KeyedPage> follow(Offset From, Millis Wait) {
+  absl::StatusOr<KeyedPage> follow(StorePosition Asked, Millis Wait) {
     ++Follows;
     LastWait = Wait;
     if (this->hangs())
@@ -52,9 +55,11 @@
     if (HistoryGone)
       return makeError(ErrorKind::NotFound, "the history is gone");
     KeyedPage Page;
-    Page.Next = std::min(From, Offset(End));
-    if (From < Offset(End)) {
-      Page.Next = Offset(End);
+    // As the platform's: the offset alone is what a question names.
+    StorePosition From(StoreEra(Era), Asked.At);
+    Page.Next = std::min(From, atOffset(End, Era));
+    if (From < atOffset(End, Era)) {
+      Page.Next = atOffset(End, Era);
       Page.Records.push_back({"a", "newest"});
     } else {
       std::this_thread::sleep_for(Wait);
@@ -77,6 +82,7 @@
     Opened = Newest = Follows = 0;
     HistoryGone = false;
     End = 7;
+    Era = 0;
     Hangs = Late = LastWait = Millis(0);
   }
 };
@@ -106,7 +112,7 @@
   void tell(std::uint64_t Next) {
     KeyedPage Page;
     Page.Whole = true;
-    Page.Next = Offset(Next);
+    Page.Next = atOffset(Next);
     Page.ProvenAt = SystemClock{}.now();
     this->cache().take(Page, Page.ProvenAt);
   }
@@ -155,7 +161,7 @@
   this->run(Millis(300));
   CHECK(FakeStore::Newest == 1);
   CHECK(FakeStore::Follows <= 2);
-  CHECK(this->cache().next() == Offset(9));
+  CHECK(this->cache().next() == atOffset(9));
 }
 
 TEST_CASE_METHOD(StoreReaderFixture,
@@ -164,7 +170,7 @@
                  "[unit]") {
   FakeStore::End = 8;
   TimePoint Began = SystemClock{}.now();
-  while (this->cache().next() == Offset(7) &&
+  while (this->cache().next() == atOffset(7) &&
          SystemClock{}.now() - Began < Millis(2000))
     this->Reader->step();
   CHECK(SystemClock{}.now() - Began < DrainBound);
@@ -179,7 +185,7 @@
   FakeStore::End = 8;
   this->Board.state(FeedKind::Registry).LeftOut = true;
   this->Reader->step();
-  CHECK(this->cache().next() == Offset(8));
+  CHECK(this->cache().next() == atOffset(8));
   CHECK(FakeStore::Newest == 1);
   CHECK(FakeStore::Follows == 0);
 }
@@ -196,8 +202,8 @@
   std::this_thread::sleep_for(Millis(50));
   this->tell(8);
   TimePoint Told = SystemClock{}.now();
-  absl::StatusOr<KeyedPage> Page = Follower.follow(Offset(7), Millis(900));
-  CHECK(Page->Next == Offset(8));
+  absl::StatusOr<KeyedPage> Page = Follower.follow(atOffset(7), Millis(900));
+  CHECK(Page->Next == atOffset(8));
   CHECK(SystemClock{}.now() - Told < Millis(200));
   Turn.join();
 }
@@ -213,9 +219,9 @@
   TimePoint Began = SystemClock{}.now();
   std::thread Known([&] {
     CachedFeed Follower(this->cache());
-    while (this->cache().next() == Offset(7) &&
+    while (this->cache().next() == atOffset(7) &&
            SystemClock{}.now() - Began < Millis(1400))
-      static_cast<void>(Follower.follow(Offset(7), Millis(20)));
+      static_cast<void>(Follower.follow(atOffset(7), Millis(20)));
     CHECK(SystemClock{}.now() - Began < DrainBound);
   });
   this->run(Millis(600));
@@ -231,7 +237,7 @@
   FakeStore::End = 8;
   this->Board.Relayed = false;
   this->Reader->step();
-  CHECK(this->cache().next() == Offset(9));
+  CHECK(this->cache().next() == atOffset(9));
   CHECK(this->cache().provenAt() == Proven);
   // Where the history behind 9 is gone, there is something newer than 9.
   FakeStore::End = 9;
@@ -239,7 +245,48 @@
   this->Reader->step();
   this->Reader->step();
   CHECK(FakeStore::Newest == 1);
-  CHECK(this->cache().next() == Offset(9));
+  CHECK(this->cache().next() == atOffset(9));
+  CHECK(this->cache().provenAt() == Proven);
+}
+
+TEST_CASE_METHOD(StoreReaderFixture,
+                 "store reader: the store came back from an older copy: all of "
+                 "it is read, however far it goes",
+                 "[unit]") {
+  this->Board.Relayed = false;
+  for (std::uint64_t End : {3, 7, 9}) {
+    FakeStore::End = End;
+    ++FakeStore::Era;
+    FakeStore::Newest = 0;
+    this->Reader->step();
+    this->Reader->step();
+    CHECK(FakeStore::Newest == 1);
+    CHECK(this->cache().next() == atOffset(End, FakeStore::Era));
+  }
+  // What it says of an offset that it has not any more is as good.
+  FakeStore::HistoryGone = true;
+  FakeStore::End = 2;
+  ++FakeStore::Era;
+  this->Reader->step();
+  this->Reader->step();
+  CHECK(this->cache().next() == atOffset(2, FakeStore::Era));
+}
+
+TEST_CASE_METHOD(StoreReaderFixture,
+                 "store reader: an answer from before the store came back: it "
+                 "is not taken and proves nothing",
+                 "[unit]") {
+  this->Board.Relayed = false;
+  FakeStore::Era = 2;
+  FakeStore::End = 3;
+  this->Reader->step();
+  this->Reader->step();
+  REQUIRE(this->cache().next() == atOffset(3, 2));
+  TimePoint Proven = this->cache().provenAt();
+  FakeStore::Era = 1;
+  FakeStore::End = 90;
+  this->Reader->step();
+  CHECK(this->cache().next() == atOffset(3, 2));
   CHECK(this->cache().provenAt() == Proven);
 }
 
