Keep older configurations and their keys out after a restore of the store

What callers saw, in the test that failed first: with the store back from a copy that had an older configuration, an entry that started took that one from the store or from a neighbour, and served requests under a key that had been taken away. And on every node the copy counted as proof that nothing newer than the version in force existed, though what the store had acknowledged between the node's last proof and the restore was lost unseen.

Cause: 'newer' was judged by each process alone, from what it had seen in its life, and proofs by positions, which the restore had set back.

Versions are the writer's and are never given out again. A feed now carries the newest version that the store has shown in this era, and the newest one known before it; nodes tell each other both, upwards and downwards. While the store shows less than was known before, no keys are proven, and a node whose own version is older than that has none in force: it refuses, as not run. It holds because the operators write again what was lost: the first version that is not older ends it. config_lost and config_written_again say so. Weighed: to trust the copy (serves keys that may have been taken away since the last proof), and to keep the lost value in every cache and pass it on (more code; serves a node that starts within the few seconds until operators write).

Before: a revoked key was served at restarted entries. Where the outage and the time until the operators write again are longer than the revocation bound, keyed requests are refused for the rest of that time.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -161,6 +161,12 @@
        "keys are refused, unless the settings allow the newest known."},
       {ConfigProven, Info, "config_proven",
        "The store confirms the configuration again."},
+      {ConfigLost, Warning, "config_lost",
+       "The store came back without a version of the configuration that was in "
+       "force, here or at another node: it proves no keys until operators have "
+       "written again. The fields say which is in force here."},
+      {ConfigWrittenAgain, Info, "config_written_again",
+       "The store shows the version that it had lost, or a newer one."},
       {RegistryRefused, Warning, "registry_refused",
        "An entry of the registry could not be read and was left out."},
       {TargetChanged, Info, "target_changed",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -55,6 +55,8 @@
   ConfigUnproven = 212,
   ConfigProven = 213,
   RegistryRefused = 214,
+  ConfigLost = 215,
+  ConfigWrittenAgain = 216,
   TargetChanged = 220,
   TargetGone = 221,
   TargetKept = 223,
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -66,6 +66,9 @@
   auto operator<=>(const StorePosition &) const = default;
   constexpr StorePosition next() const { return {this->Era, this->At.next()}; }
 };
+/// What the writer of a value in the store numbers it by; zero where it does
+/// not. Unlike an offset it is never given out again.
+using ValueVersion = Number<struct ValueVersionTag>;
 /// Offset of the record that formed a group; it is also the group's identity.
 /// Zero stands for "no group".
 using Fence = Number<struct FenceTag>;
--- a/src/board/feed_cache.cpp
+++ b/src/board/feed_cache.cpp
@@ -29,18 +29,47 @@
       return false;
     if (Restored || !this->isRefuted(Page))
       this->HoldUntil = std::max(this->HoldUntil, Page.HoldUntil);
-    // Whoever asks from an earlier era is told all: the same offsets stand for
-    // other records now, and which of them it has seen is not known.
     if (Restored)
-      this->ForgottenBelow = {Page.Next.Era, Offset()};
+      this->beginEra(Page.Next.Era);
     if (Ahead)
       this->advance(Page, Now);
+    this->note({Page.Next.Era, Page.Versions});
     this->ProvenAt = std::max(this->ProvenAt, Page.ProvenAt);
   }
   this->Changed.notify_all();
   return true;
 }
 
+void FeedCache::beginEra(StoreEra Era) {
+  // Whoever asks from an earlier era is told all: the same offsets stand for
+  // other records now, and which of them it has seen is not known.
+  this->ForgottenBelow = {Era, Offset()};
+  this->Versions.Before = std::max(this->Versions.Before, this->Versions.Shown);
+  this->Versions.Shown = ValueVersion();
+}
+
+/// What was shown in an earlier era was known before this one.
+void FeedCache::note(const EraMarks &Told) {
+  if (Told.Era > this->Next.Era)
+    return;
+  VersionMarks &Mine = this->Versions;
+  ValueVersion &Known = Told.Era == this->Next.Era ? Mine.Shown : Mine.Before;
+  Known = std::max(Known, Told.Versions.Shown);
+  Mine.Before = std::max(Mine.Before, Told.Versions.Before);
+}
+
+void FeedCache::hear(const EraMarks &Told) {
+  std::lock_guard Lock(this->Mutex);
+  // A node that knows nothing takes no part of it for all.
+  if (this->Known)
+    this->note(Told);
+}
+
+EraMarks FeedCache::marks() const {
+  std::lock_guard Lock(this->Mutex);
+  return {this->Next.Era, this->Versions};
+}
+
 void FeedCache::advance(const KeyedPage &Page, TimePoint Now) {
   if (Page.Whole)
     this->addMissing(Page, Now);
@@ -91,6 +120,7 @@
 KeyedPage FeedCache::pageFrom(StorePosition From, bool Whole) const {
   KeyedPage Page;
   Page.Next = this->Next;
+  Page.Versions = this->Versions;
   Page.Whole = Whole;
   Page.ProvenAt = this->ProvenAt;
   Page.HoldUntil = this->HoldUntil;
--- a/src/board/feed_cache.h
+++ b/src/board/feed_cache.h
@@ -25,6 +25,24 @@
   /// No record of the key has this offset or a later one, up to where its page
   /// ends. Zero where only the page's end is known.
   StorePosition Below{};
+  ValueVersion Version{};
+};
+
+/// The newest versions of a feed's values, as seen in one era of the store.
+struct VersionMarks {
+  /// That the store has shown since the era began.
+  ValueVersion Shown;
+  /// That was known before the era began, to this node or to any that told it.
+  ValueVersion Before;
+  /// The store lost a version that was in force, and its writer has not written
+  /// it or a newer one again.
+  bool isLost() const { return this->Shown < this->Before; }
+};
+
+/// The same with the era in which it was seen, as nodes tell each other.
+struct EraMarks {
+  StoreEra Era;
+  VersionMarks Versions;
 };
 
 /// Part of a feed, and how current it is. Times are of this process's clock.
@@ -32,6 +50,7 @@
   std::vector<KeyedRecord> Records;
   /// Where the next read goes on.
   StorePosition Next;
+  VersionMarks Versions;
   /// The records are all that there is: other keys do not exist.
   bool Whole = false;
   /// More is known than up to Next: the rest is to be asked for.
@@ -77,6 +96,10 @@
   /// Takes what is newer in \p Page; false where it had nothing new and proves
   /// nothing newer.
   bool take(const KeyedPage &Page, TimePoint Now);
+  /// What another node has seen of versions: where the store lost what was in
+  /// force, a node that started since knows it from others alone.
+  void hear(const EraMarks &Told);
+  EraMarks marks() const;
   /// What changed from \p From on, in order, as far as \p MostBytes of records
   /// go, and at least what one offset ends; all of it where that is not known
   /// any more.
@@ -105,6 +128,8 @@
   };
   bool isRefuted(const KeyedPage &Page) const;
   void advance(const KeyedPage &Page, TimePoint Now);
+  void beginEra(StoreEra Era);
+  void note(const EraMarks &Told);
   void put(const KeyedRecord &Record, StorePosition Below, TimePoint Now);
   void addMissing(const KeyedPage &Page, TimePoint Now);
   void prune(TimePoint Now);
@@ -117,6 +142,8 @@
   std::map<std::string, Row> Rows;
   bool Known = false;
   StorePosition Next;
+  /// In the era of Next.
+  VersionMarks Versions;
   /// Of keys that were dropped before it, some are forgotten.
   StorePosition ForgottenBelow;
   TimePoint ProvenAt;
--- a/src/control/config_follow.h
+++ b/src/control/config_follow.h
@@ -37,15 +37,45 @@
   }
 
   void take(const KeyedPage &Page) {
+    this->noteLost(Page.Versions);
     for (const KeyedRecord &Row : Page.Records)
       if (Row.Key == Decoder::Key && Row.Value)
         this->apply(*Row.Value);
-    if (this->Board.Routing.read(
-            [](const RoutingConfigRef &Row) { return Row != nullptr; }))
+    // From what the store lost nobody can tell which keys were taken away after
+    // this node's last proof: what it holds now proves nothing until operators
+    // have written again what was in force, or something newer.
+    if (!Page.Versions.isLost() && this->inForce() > 0)
       this->Board.ConfigFresh.renew(
           Page.ProvenAt, this->Board.Config.Entry->RevokeBound - ProofMargin);
   }
 
+  /// Zero where no version is.
+  std::uint64_t inForce() const {
+    return this->Board.Routing.read(
+        [](const RoutingConfigRef &Row) { return Row ? Row->Version : 0; });
+  }
+
+  /// A node that started after the store had lost the newest version found an
+  /// older one there: no version is in force then, and nothing is served, until
+  /// operators have written again.
+  void noteLost(const VersionMarks &Versions) {
+    bool Lost = Versions.isLost();
+    this->Least = Lost ? Versions.Before.Value : 0;
+    if (std::exchange(this->WasLost, Lost) != Lost)
+      this->Board.Log.emit(Lost ? EventCode::ConfigLost
+                                : EventCode::ConfigWrittenAgain,
+                           Decoder::Key,
+                           LogFields()
+                               .add("in_force", this->inForce())
+                               .add("before", Versions.Before.Value)
+                               .add("shown", Versions.Shown.Value));
+    if (this->inForce() >= this->Least)
+      return;
+    this->Board.ConfigFresh.drop();
+    this->Board.Routing.write([](RoutingConfigRef &Row) { Row.reset(); });
+    refreshServing(this->Board);
+  }
+
   void noteProof() {
     bool Proven = this->Board.ConfigFresh.holds(SystemClock{}.now());
     if (std::exchange(this->WasProven, Proven) != Proven)
@@ -65,7 +95,8 @@
     std::uint64_t Before = 0;
     bool Taken = this->Board.Routing.write([&](RoutingConfigRef &Row) {
       Before = Row ? Row->Version : 0;
-      if (Row && Config->Version <= Row->Version)
+      if (Config->Version < this->Least ||
+          (Row && Config->Version <= Row->Version))
         return false;
       Row = Config;
       return true;
@@ -87,6 +118,9 @@
   FeedCursor<Feed> Source;
   Decoder Decode;
   bool WasProven = false;
+  bool WasLost = false;
+  /// No older version comes in force: the store lost this one.
+  std::uint64_t Least = 0;
 };
 
 } // namespace waycove
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -58,11 +58,11 @@
 constexpr StorePosition
     NothingKnown(StoreEra(), Offset(std::numeric_limits<std::uint64_t>::max()));
 
-/// From where on \p Question asks for a feed. A node of an earlier version
-/// tells no eras.
-StorePosition askedFrom(const wire::NewsWantedT &Question, std::size_t Feed) {
-  StoreEra Era(Feed < Question.eras.size() ? Question.eras[Feed] : 0);
-  return {Era, Offset(Question.next[Feed])};
+/// What the node that asks has seen of a feed's versions; in the store's first
+/// era it has nothing to tell of them.
+EraMarks marksOf(const wire::NewsWantedT &Question, std::size_t Feed) {
+  return Feed < Question.restored.size() ? readMarks(Question.restored[Feed])
+                                         : EraMarks();
 }
 
 class NewsConnection : public Poco::Net::TCPServerConnection {
@@ -326,11 +326,15 @@
   wire::NewsWantedT Question;
   Question.node = this->Board.Config.Node.Text;
   Question.data_centre = this->Board.Config.DataCentre.Text;
+  bool Restored = false;
   for (const FeedState &Feed : this->Board.Feeds) {
     StorePosition Next = Feed.Cache.next().value_or(NothingKnown);
     Question.next.push_back(Next.At.Value);
-    Question.eras.push_back(Next.Era.Value);
+    Question.restored.push_back(packMarks(Feed.Cache.marks()));
+    Restored |= Next.Era > StoreEra();
   }
+  if (!Restored)
+    Question.restored.clear();
   LoadRows Own = this->ownLoads(SentAt);
   DemandTable Asks = this->ownDemand();
   {
@@ -452,14 +456,22 @@
                                                             Most);
 }
 
+std::unique_ptr<wire::FeedNewsT>
+NewsExchange::answerFor(std::size_t Feed, const wire::NewsWantedT &Question,
+                        TimePoint Now) {
+  if (Feed >= Question.next.size())
+    return std::make_unique<wire::FeedNewsT>();
+  EraMarks Seen = marksOf(Question, Feed);
+  this->Board.Feeds[Feed].Cache.hear(Seen);
+  StorePosition From(Seen.Era, Offset(Question.next[Feed]));
+  return this->newsOf(static_cast<FeedKind>(Feed), From, Now);
+}
+
 wire::NewsT NewsExchange::answer(const wire::NewsWantedT &Question) {
   TimePoint Now = SystemClock{}.now();
   wire::NewsT News;
   for (std::size_t I = 0; I < this->Board.Feeds.size(); ++I)
-    News.feeds.push_back(I < Question.next.size()
-                             ? this->newsOf(static_cast<FeedKind>(I),
-                                            askedFrom(Question, I), Now)
-                             : std::make_unique<wire::FeedNewsT>());
+    News.feeds.push_back(this->answerFor(I, Question, Now));
   bool SameCentre = Question.data_centre == this->Board.Config.DataCentre.Text;
   if (SameCentre) {
     this->takeRenewals(Question.renewals, Now);
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -66,6 +66,8 @@
   bool isCurrent(const wire::NewsT &News) const;
   std::unique_ptr<wire::FeedNewsT> newsOf(FeedKind Kind, StorePosition From,
                                           TimePoint Now);
+  std::unique_ptr<wire::FeedNewsT>
+  answerFor(std::size_t Feed, const wire::NewsWantedT &Question, TimePoint Now);
   wire::NewsT answer(const wire::NewsWantedT &Question);
   LoadRows ownLoads(TimePoint Now) const;
   DemandTable ownDemand() const;
--- a/src/control/store_reader.h
+++ b/src/control/store_reader.h
@@ -243,6 +243,8 @@
       return this->onStale(By, *Page, *From);
     By.HistoryGone = false;
     By.Waits.reset();
+    for (const KeyedRecord &Record : Page->Records)
+      Page->Versions.Shown = std::max(Page->Versions.Shown, Record.Version);
     this->onAnswer(*Page, SentAt, Now);
     return this->gatherTime(Cause);
   }
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -149,6 +149,16 @@
     Into.note(MemberHash(Row.node()), From - Millis(Row.age_ms()));
 }
 
+wire::FeedMark packMarks(const EraMarks &Marks) {
+  return {Marks.Era.Value, Marks.Versions.Shown.Value,
+          Marks.Versions.Before.Value};
+}
+
+EraMarks readMarks(const wire::FeedMark &Row) {
+  return {StoreEra(Row.era()),
+          {ValueVersion(Row.shown()), ValueVersion(Row.before())}};
+}
+
 std::vector<std::uint8_t> deflateRecords(const std::vector<KeyedRecord> &Rows) {
   wire::FeedRowsT Table;
   for (const KeyedRecord &Record : Rows)
@@ -216,6 +226,8 @@
   News->partial = Page.Partial;
   News->next = Page.Next.At.Value;
   News->era = Page.Next.Era.Value;
+  News->shown = Page.Versions.Shown.Value;
+  News->before = Page.Versions.Before.Value;
   News->proven_age_ms = ageOf(Page.ProvenAt, Now);
   News->hold_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(
       0, std::chrono::ceil<Millis>(Page.HoldUntil - Now).count()));
@@ -239,6 +251,7 @@
   KeyedPage Page;
   Page.Whole = News.whole;
   Page.Next = {StoreEra(News.era), Offset(News.next)};
+  Page.Versions = {ValueVersion(News.shown), ValueVersion(News.before)};
   Page.Partial = News.partial;
   // A part says nothing of what came after it.
   if (!News.partial)
--- a/src/wire/news_frames.h
+++ b/src/wire/news_frames.h
@@ -34,6 +34,9 @@
 void takeRenewals(const std::vector<wire::RenewalRow> &Rows, TimePoint From,
                   ShareRenewals &Into);
 
+wire::FeedMark packMarks(const EraMarks &Marks);
+EraMarks readMarks(const wire::FeedMark &Row);
+
 /// A node passes at most this much of a feed on in an answer. What changed
 /// comes in parts; a single record that is larger is left out, and whoever asks
 /// reads it from the store: a configuration of 1,130 routes took 2.0 s to
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -122,6 +122,8 @@
 struct FeedNewsBuilder;
 struct FeedNewsT;
 
+struct FeedMark;
+
 struct FeedRows;
 struct FeedRowsBuilder;
 struct FeedRowsT;
@@ -560,6 +562,40 @@
   using type = Heartbeat;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) FeedMark FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t era_;
+  uint64_t shown_;
+  uint64_t before_;
+
+ public:
+  struct Traits;
+  FeedMark()
+      : era_(0),
+        shown_(0),
+        before_(0) {
+  }
+  FeedMark(uint64_t _era, uint64_t _shown, uint64_t _before)
+      : era_(flatbuffers::EndianScalar(_era)),
+        shown_(flatbuffers::EndianScalar(_shown)),
+        before_(flatbuffers::EndianScalar(_before)) {
+  }
+  uint64_t era() const {
+    return flatbuffers::EndianScalar(era_);
+  }
+  uint64_t shown() const {
+    return flatbuffers::EndianScalar(shown_);
+  }
+  uint64_t before() const {
+    return flatbuffers::EndianScalar(before_);
+  }
+};
+FLATBUFFERS_STRUCT_END(FeedMark, 24);
+
+struct FeedMark::Traits {
+  using type = FeedMark;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LoadRow FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t target_;
@@ -3631,6 +3667,8 @@
   std::vector<uint8_t> deflated{};
   bool partial = false;
   uint64_t era = 0;
+  uint64_t shown = 0;
+  uint64_t before = 0;
   FeedNewsT() = default;
   FeedNewsT(const FeedNewsT &o);
   FeedNewsT(FeedNewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3651,7 +3689,9 @@
     VT_LEFT_OUT = 18,
     VT_DEFLATED = 20,
     VT_PARTIAL = 22,
-    VT_ERA = 24
+    VT_ERA = 24,
+    VT_SHOWN = 26,
+    VT_BEFORE = 28
   };
   bool known() const {
     return GetField<uint8_t>(VT_KNOWN, 0) != 0;
@@ -3683,6 +3723,12 @@
   uint64_t era() const {
     return GetField<uint64_t>(VT_ERA, 0);
   }
+  uint64_t shown() const {
+    return GetField<uint64_t>(VT_SHOWN, 0);
+  }
+  uint64_t before() const {
+    return GetField<uint64_t>(VT_BEFORE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KNOWN, 1) &&
@@ -3698,6 +3744,8 @@
            verifier.VerifyVector(deflated()) &&
            VerifyField<uint8_t>(verifier, VT_PARTIAL, 1) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SHOWN, 8) &&
+           VerifyField<uint64_t>(verifier, VT_BEFORE, 8) &&
            verifier.EndTable();
   }
   FeedNewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3739,6 +3787,12 @@
   void add_era(uint64_t era) {
     fbb_.AddElement<uint64_t>(FeedNews::VT_ERA, era, 0);
   }
+  void add_shown(uint64_t shown) {
+    fbb_.AddElement<uint64_t>(FeedNews::VT_SHOWN, shown, 0);
+  }
+  void add_before(uint64_t before) {
+    fbb_.AddElement<uint64_t>(FeedNews::VT_BEFORE, before, 0);
+  }
   explicit FeedNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3761,8 +3815,12 @@
     bool left_out = false,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> deflated = 0,
     bool partial = false,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    uint64_t shown = 0,
+    uint64_t before = 0) {
   FeedNewsBuilder builder_(_fbb);
+  builder_.add_before(before);
+  builder_.add_shown(shown);
   builder_.add_era(era);
   builder_.add_next(next);
   builder_.add_deflated(deflated);
@@ -3792,7 +3850,9 @@
     bool left_out = false,
     const std::vector<uint8_t> *deflated = nullptr,
     bool partial = false,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    uint64_t shown = 0,
+    uint64_t before = 0) {
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedRow>>(*rows) : 0;
   auto deflated__ = deflated ? _fbb.CreateVector<uint8_t>(*deflated) : 0;
   return waycove::wire::CreateFeedNews(
@@ -3806,7 +3866,9 @@
       left_out,
       deflated__,
       partial,
-      era);
+      era,
+      shown,
+      before);
 }
 
 flatbuffers::Offset<FeedNews> CreateFeedNews(flatbuffers::FlatBufferBuilder &_fbb, const FeedNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3999,7 +4061,7 @@
   std::vector<waycove::wire::LoadRow> loads{};
   std::vector<waycove::wire::RenewalRow> renewals{};
   std::vector<std::unique_ptr<waycove::wire::DemandRowT>> demand{};
-  std::vector<uint64_t> eras{};
+  std::vector<waycove::wire::FeedMark> restored{};
   NewsWantedT() = default;
   NewsWantedT(const NewsWantedT &o);
   NewsWantedT(NewsWantedT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4017,7 +4079,7 @@
     VT_LOADS = 10,
     VT_RENEWALS = 12,
     VT_DEMAND = 14,
-    VT_ERAS = 16
+    VT_RESTORED = 16
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -4037,8 +4099,8 @@
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>> *>(VT_DEMAND);
   }
-  const flatbuffers::Vector<uint64_t> *eras() const {
-    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ERAS);
+  const flatbuffers::Vector<const waycove::wire::FeedMark *> *restored() const {
+    return GetPointer<const flatbuffers::Vector<const waycove::wire::FeedMark *> *>(VT_RESTORED);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -4055,8 +4117,8 @@
            VerifyOffset(verifier, VT_DEMAND) &&
            verifier.VerifyVector(demand()) &&
            verifier.VerifyVectorOfTables(demand()) &&
-           VerifyOffset(verifier, VT_ERAS) &&
-           verifier.VerifyVector(eras()) &&
+           VerifyOffset(verifier, VT_RESTORED) &&
+           verifier.VerifyVector(restored()) &&
            verifier.EndTable();
   }
   NewsWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4086,8 +4148,8 @@
   void add_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand) {
     fbb_.AddOffset(NewsWanted::VT_DEMAND, demand);
   }
-  void add_eras(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> eras) {
-    fbb_.AddOffset(NewsWanted::VT_ERAS, eras);
+  void add_restored(flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::FeedMark *>> restored) {
+    fbb_.AddOffset(NewsWanted::VT_RESTORED, restored);
   }
   explicit NewsWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -4108,9 +4170,9 @@
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> eras = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::FeedMark *>> restored = 0) {
   NewsWantedBuilder builder_(_fbb);
-  builder_.add_eras(eras);
+  builder_.add_restored(restored);
   builder_.add_demand(demand);
   builder_.add_renewals(renewals);
   builder_.add_loads(loads);
@@ -4133,14 +4195,14 @@
     const std::vector<waycove::wire::LoadRow> *loads = nullptr,
     const std::vector<waycove::wire::RenewalRow> *renewals = nullptr,
     const std::vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand = nullptr,
-    const std::vector<uint64_t> *eras = nullptr) {
+    const std::vector<waycove::wire::FeedMark> *restored = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto next__ = next ? _fbb.CreateVector<uint64_t>(*next) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<waycove::wire::LoadRow>(*loads) : 0;
   auto renewals__ = renewals ? _fbb.CreateVectorOfStructs<waycove::wire::RenewalRow>(*renewals) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>>(*demand) : 0;
-  auto eras__ = eras ? _fbb.CreateVector<uint64_t>(*eras) : 0;
+  auto restored__ = restored ? _fbb.CreateVectorOfStructs<waycove::wire::FeedMark>(*restored) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       node__,
@@ -4149,7 +4211,7 @@
       loads__,
       renewals__,
       demand__,
-      eras__);
+      restored__);
 }
 
 flatbuffers::Offset<NewsWanted> CreateNewsWanted(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5459,7 +5521,9 @@
         left_out(o.left_out),
         deflated(o.deflated),
         partial(o.partial),
-        era(o.era) {
+        era(o.era),
+        shown(o.shown),
+        before(o.before) {
   rows.reserve(o.rows.size());
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new waycove::wire::FeedRowT(*rows_) : nullptr); }
 }
@@ -5475,6 +5539,8 @@
   std::swap(deflated, o.deflated);
   std::swap(partial, o.partial);
   std::swap(era, o.era);
+  std::swap(shown, o.shown);
+  std::swap(before, o.before);
   return *this;
 }
 
@@ -5497,6 +5563,8 @@
   { auto _e = deflated(); if (_e) { _o->deflated.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->deflated.begin()); } }
   { auto _e = partial(); _o->partial = _e; }
   { auto _e = era(); _o->era = _e; }
+  { auto _e = shown(); _o->shown = _e; }
+  { auto _e = before(); _o->before = _e; }
 }
 
 inline flatbuffers::Offset<FeedNews> FeedNews::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FeedNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5517,6 +5585,8 @@
   auto _deflated = _o->deflated.size() ? _fbb.CreateVector(_o->deflated) : 0;
   auto _partial = _o->partial;
   auto _era = _o->era;
+  auto _shown = _o->shown;
+  auto _before = _o->before;
   return waycove::wire::CreateFeedNews(
       _fbb,
       _known,
@@ -5528,7 +5598,9 @@
       _left_out,
       _deflated,
       _partial,
-      _era);
+      _era,
+      _shown,
+      _before);
 }
 
 inline FeedRowsT::FeedRowsT(const FeedRowsT &o) {
@@ -5608,7 +5680,7 @@
         next(o.next),
         loads(o.loads),
         renewals(o.renewals),
-        eras(o.eras) {
+        restored(o.restored) {
   demand.reserve(o.demand.size());
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new waycove::wire::DemandRowT(*demand_) : nullptr); }
 }
@@ -5620,7 +5692,7 @@
   std::swap(loads, o.loads);
   std::swap(renewals, o.renewals);
   std::swap(demand, o.demand);
-  std::swap(eras, o.eras);
+  std::swap(restored, o.restored);
   return *this;
 }
 
@@ -5639,7 +5711,7 @@
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
   { auto _e = renewals(); if (_e) { _o->renewals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewals[_i] = *_e->Get(_i); } } }
   { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<waycove::wire::DemandRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = eras(); if (_e) { _o->eras.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->eras[_i] = _e->Get(_i); } } }
+  { auto _e = restored(); if (_e) { _o->restored.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->restored[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<NewsWanted> NewsWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5656,7 +5728,7 @@
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
   auto _renewals = _o->renewals.size() ? _fbb.CreateVectorOfStructs(_o->renewals) : 0;
   auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateDemandRow(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _eras = _o->eras.size() ? _fbb.CreateVector(_o->eras) : 0;
+  auto _restored = _o->restored.size() ? _fbb.CreateVectorOfStructs(_o->restored) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       _node,
@@ -5665,7 +5737,7 @@
       _loads,
       _renewals,
       _demand,
-      _eras);
+      _restored);
 }
 
 inline NewsT::NewsT(const NewsT &o)
--- a/tests/failure/restored_test.cpp
+++ b/tests/failure/restored_test.cpp
@@ -18,6 +18,7 @@
 // knew. The store says in all its answers how often it came back (Store-Era).
 #include "support/neighbours.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -81,4 +82,36 @@
     CHECK(this->call(Node, "key-5") == 401);
 }
 
+// The copy has a key that was taken away since, and nobody may use it again:
+// not where the newer configuration is in force, and not at an entry that
+// starts and finds the copy's in the store.
+TEST_CASE_METHOD(RestoredFixture,
+                 "store restored: a key was taken away before: refused "
+                 "everywhere, also by entries that start",
+                 "[failure]") {
+  this->publishUpTo(2);
+  this->copy();
+  this->publish(4, "key-4");
+  REQUIRE(this->allTake(Entries, "key-4"));
+  this->restore();
+  auto MayServe = [&] {
+    return std::any_of(Entries.begin(), Entries.end(),
+                       [&](const std::string &Node) {
+                         return this->call(Node, "key-2") == 200;
+                       });
+  };
+  auto NeverServes = [&](milliseconds Within) {
+    return !eventually(MayServe, Within);
+  };
+  CHECK(NeverServes(milliseconds(700)));
+  std::string Reader = this->reader();
+  this->restart(this->others(Reader).front());
+  CHECK(NeverServes(milliseconds(1500)));
+  this->restart(Reader);
+  CHECK(NeverServes(milliseconds(2500)));
+  this->publish(6, "key-6");
+  CHECK(this->allTake(Entries, "key-6"));
+  CHECK(NeverServes(milliseconds(500)));
+}
+
 } // namespace waycove::test
--- /dev/null
+++ b/tests/unit/config_follow_test.cpp
@@ -0,0 +1,168 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// Which configuration is in force, and whether its keys may be used, where the
+// store comes back from a copy that has an older one. What was in force has to
+// stay, and what operators may have published since nobody can know from the
+// copy: it proves nothing of keys until they have written again.
+#include "control/cached_feed.h"
+#include "control/config_follow.h"
+#include "support/times.h"
+
+#include <catch2/catch.hpp>
+
+namespace waycove::test {
+
+namespace {
+
+Settings entrySettings() {
+  Settings Config;
+  Config.Node = NodeId("n1");
+  Config.Entry.emplace();
+  Config.Entry->ConfigBound = Millis(2000);
+  // Keys are used for this less a margin after the last proof.
+  Config.Entry->RevokeBound = Millis(300);
+  return Config;
+}
+
+/// A value is its version.
+struct VersionDecoder {
+  static constexpr const char *Key = "config";
+  absl::StatusOr<RoutingConfig> operator()(const std::string &Value) const {
+    RoutingConfig Config;
+    Config.Version = std::stoull(Value);
+    return Config;
+  }
+};
+
+} // namespace
+
+struct ConfigFollowFixture {
+  ConfigFollowFixture() : Board(entrySettings(), IncarnationId("i")) {}
+
+  /// The store's feed ends at \p Next in its era \p Era and shows \p Version.
+  static KeyedPage pageOf(std::uint64_t Version, std::uint64_t Next,
+                          std::uint64_t Era) {
+    KeyedPage Page;
+    Page.Whole = true;
+    Page.Next = atOffset(Next, Era);
+    Page.Records = {{"config", std::to_string(Version)}};
+    Page.Versions.Shown = ValueVersion(Version);
+    Page.ProvenAt = SystemClock{}.now();
+    return Page;
+  }
+  void show(std::uint64_t Version, std::uint64_t Next, std::uint64_t Era) {
+    this->cache().take(pageOf(Version, Next, Era), SystemClock{}.now());
+    this->Follower.step();
+  }
+  FeedCache &cache() { return this->Board.feed(FeedKind::Config); }
+  /// Zero where none is.
+  std::uint64_t inForce() {
+    return this->Board.Routing.read([](const RoutingConfigRef &Row) {
+      return Row ? Row->Version : 0;
+    });
+  }
+  bool mayUseKeys() {
+    return this->Board.ConfigFresh.holds(SystemClock{}.now());
+  }
+  void waitOutProof() { std::this_thread::sleep_for(Millis(300)); }
+
+  EntryBoard Board;
+  CachedFeed Feed{Board.feed(FeedKind::Config)};
+  ConfigFollower<CachedFeed, VersionDecoder> Follower{Board, Feed, {}};
+};
+
+TEST_CASE_METHOD(ConfigFollowFixture,
+                 "config: the store came back with an older version: the newer "
+                 "one stays, and its keys are not proven",
+                 "[unit]") {
+  this->show(19, 7, 0);
+  REQUIRE(this->mayUseKeys());
+  this->waitOutProof();
+  this->show(6, 3, 1);
+  CHECK(this->inForce() == 19);
+  CHECK_FALSE(this->mayUseKeys());
+  // Operators write some of it again, in order: not all yet.
+  this->show(15, 4, 1);
+  CHECK(this->inForce() == 19);
+  CHECK_FALSE(this->mayUseKeys());
+  this->show(22, 5, 1);
+  CHECK(this->inForce() == 22);
+  CHECK(this->mayUseKeys());
+}
+
+TEST_CASE_METHOD(ConfigFollowFixture,
+                 "config: the store came back with the version in force: its "
+                 "keys are proven",
+                 "[unit]") {
+  this->show(19, 7, 0);
+  this->waitOutProof();
+  this->show(19, 6, 1);
+  CHECK(this->mayUseKeys());
+  // Written again as it was, after another restore that had lost it.
+  this->waitOutProof();
+  this->show(15, 5, 2);
+  CHECK_FALSE(this->mayUseKeys());
+  this->show(19, 6, 2);
+  CHECK(this->mayUseKeys());
+}
+
+TEST_CASE_METHOD(ConfigFollowFixture,
+                 "config: two restores before operators write again: what the "
+                 "first one lost is still missed",
+                 "[unit]") {
+  this->show(19, 7, 0);
+  this->show(6, 3, 1);
+  this->show(6, 3, 2);
+  this->waitOutProof();
+  this->show(15, 4, 2);
+  CHECK(this->inForce() == 19);
+  CHECK_FALSE(this->mayUseKeys());
+}
+
+TEST_CASE_METHOD(ConfigFollowFixture,
+                 "config: a node that starts learns that a newer version was "
+                 "in force: the copy's is not",
+                 "[unit]") {
+  this->show(6, 3, 1);
+  REQUIRE(this->inForce() == 6);
+  // Another node asks, which knew version 19 before the restore.
+  this->cache().hear({StoreEra(1), {ValueVersion(6), ValueVersion(19)}});
+  this->Follower.step();
+  CHECK(this->inForce() == 0);
+  CHECK_FALSE(this->mayUseKeys());
+  this->show(15, 4, 1);
+  CHECK(this->inForce() == 0);
+  this->show(22, 5, 1);
+  CHECK(this->inForce() == 22);
+  CHECK(this->mayUseKeys());
+}
+
+TEST_CASE_METHOD(ConfigFollowFixture,
+                 "config: a node that has not seen the restore yet asks: what "
+                 "it knows was in force before",
+                 "[unit]") {
+  this->show(6, 3, 1);
+  this->cache().hear({StoreEra(0), {ValueVersion(19), ValueVersion()}});
+  this->Follower.step();
+  CHECK(this->inForce() == 0);
+  // One that is ahead of this node says nothing of this node's era.
+  this->show(22, 5, 1);
+  this->cache().hear({StoreEra(2), {ValueVersion(22), ValueVersion(90)}});
+  this->Follower.step();
+  CHECK(this->inForce() == 22);
+}
+
+TEST_CASE_METHOD(ConfigFollowFixture,
+                 "config: another node is ahead, and the store lost nothing: "
+                 "what is in force stays",
+                 "[unit]") {
+  this->show(19, 7, 0);
+  this->cache().hear({StoreEra(0), {ValueVersion(22), ValueVersion()}});
+  this->Follower.step();
+  CHECK(this->inForce() == 19);
+  CHECK(this->mayUseKeys());
+}
+
+} // namespace waycove::test
