Refuse keys from a restored copy where all entries started after the restore

What callers saw, in the test that failed first: with the store back from an older copy and all entries killed meanwhile, a key that had been taken away was served, since nobody was left who knew the newer configuration.

A node that starts in a later era than the store's first now proves keys only when it knows what was in force before: told by a node that lived then, by the operators writing again, or by the directory, where the first node of a data centre notes once that the era is settled. Without any of it it gives operators the time for which an old key may be in use anyway (revoke_bound_ms), and then takes what the store has.

A node whose announcement the restore lost before it was read back is announced anew (test, failed first by reading: it took its absence from a whole page for nothing new).

--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -139,12 +139,14 @@
   }
   /// How this node announces itself.
   NodeInfo self() const {
-    return {this->Config.Node,
-            this->Incarnation,
-            this->Config.DataCentre,
-            this->Config.PeerListen.Host,
-            this->Config.PeerListen.Port,
-            static_cast<std::uint32_t>(this->Config.Entry->LinkMbps)};
+    return {
+        this->Config.Node,
+        this->Incarnation,
+        this->Config.DataCentre,
+        this->Config.PeerListen.Host,
+        this->Config.PeerListen.Port,
+        static_cast<std::uint32_t>(this->Config.Entry->LinkMbps),
+        this->state(FeedKind::Config).Cache.settledEra().value_or(StoreEra())};
   }
   /// This node's part of what all nodes share alike, 0 to 1: as many are
   /// announced. Before the directory is known, its part of the shared work,
--- a/src/board/feed_cache.cpp
+++ b/src/board/feed_cache.cpp
@@ -31,9 +31,13 @@
       this->HoldUntil = std::max(this->HoldUntil, Page.HoldUntil);
     if (Restored)
       this->beginEra(Page.Next.Era);
+    bool Written =
+        this->Known && !Restored && Page.Versions.Shown > this->Versions.Shown;
     if (Ahead)
       this->advance(Page, Now);
     this->note({Page.Next.Era, Page.Versions});
+    // Nothing was lost before the first era, which nobody has to settle.
+    this->Versions.BeforeKnown |= Written || this->Next.Era == this->Settled;
     this->ProvenAt = std::max(this->ProvenAt, Page.ProvenAt);
   }
   this->Changed.notify_all();
@@ -56,6 +60,8 @@
   ValueVersion &Known = Told.Era == this->Next.Era ? Mine.Shown : Mine.Before;
   Known = std::max(Known, Told.Versions.Shown);
   Mine.Before = std::max(Mine.Before, Told.Versions.Before);
+  bool JustBefore = Told.Era.next() >= this->Next.Era;
+  Mine.BeforeKnown |= Told.Versions.BeforeKnown && JustBefore;
 }
 
 void FeedCache::hear(const EraMarks &Told) {
@@ -65,6 +71,19 @@
     this->note(Told);
 }
 
+void FeedCache::settle(StoreEra Era) {
+  std::lock_guard Lock(this->Mutex);
+  this->Settled = std::max(this->Settled, Era);
+  this->Versions.BeforeKnown |= this->Known && this->Next.Era == this->Settled;
+}
+
+std::optional<StoreEra> FeedCache::settledEra() const {
+  std::lock_guard Lock(this->Mutex);
+  bool Settled =
+      this->Known && this->Versions.BeforeKnown && !this->Versions.isLost();
+  return Settled ? std::optional(this->Next.Era) : std::nullopt;
+}
+
 EraMarks FeedCache::marks() const {
   std::lock_guard Lock(this->Mutex);
   return {this->Next.Era, this->Versions};
--- a/src/board/feed_cache.h
+++ b/src/board/feed_cache.h
@@ -34,6 +34,9 @@
   ValueVersion Shown;
   /// That was known before the era began, to this node or to any that told it.
   ValueVersion Before;
+  /// Before is all there is to know: this node lived when the era began, or was
+  /// told by one that did, or the writer has written since.
+  bool BeforeKnown = false;
   /// The store lost a version that was in force, and its writer has not written
   /// it or a newer one again.
   bool isLost() const { return this->Shown < this->Before; }
@@ -99,6 +102,11 @@
   /// What another node has seen of versions: where the store lost what was in
   /// force, a node that started since knows it from others alone.
   void hear(const EraMarks &Told);
+  /// The directory says that a node saw \p Era settled.
+  void settle(StoreEra Era);
+  /// The era in which all that was in force before is written again, as far as
+  /// this node can tell; nothing while it cannot.
+  std::optional<StoreEra> settledEra() const;
   EraMarks marks() const;
   /// What changed from \p From on, in order, as far as \p MostBytes of records
   /// go, and at least what one offset ends; all of it where that is not known
@@ -144,6 +152,8 @@
   StorePosition Next;
   /// In the era of Next.
   VersionMarks Versions;
+  /// The newest that the directory tells of.
+  StoreEra Settled;
   /// Of keys that were dropped before it, some are forgotten.
   StorePosition ForgottenBelow;
   TimePoint ProvenAt;
--- a/src/control/config_follow.h
+++ b/src/control/config_follow.h
@@ -44,11 +44,23 @@
     // From what the store lost nobody can tell which keys were taken away after
     // this node's last proof: what it holds now proves nothing until operators
     // have written again what was in force, or something newer.
-    if (!Page.Versions.isLost() && this->inForce() > 0)
+    if (!Page.Versions.isLost() && this->isBeforeKnown(Page.Versions) &&
+        this->inForce() > 0)
       this->Board.ConfigFresh.renew(
           Page.ProvenAt, this->Board.Config.Entry->RevokeBound - ProofMargin);
   }
 
+  /// Where all nodes started after a restore, none can tell what it lost. They
+  /// give operators the time for which an old key may be in use anyway to write
+  /// again; from then on what the store has is what there is.
+  bool isBeforeKnown(const VersionMarks &Versions) {
+    TimePoint Now = SystemClock{}.now();
+    if (!this->FirstRead)
+      this->FirstRead = Now;
+    return Versions.BeforeKnown ||
+           Now - *this->FirstRead >= this->Board.Config.Entry->RevokeBound;
+  }
+
   /// Zero where no version is.
   std::uint64_t inForce() const {
     return this->Board.Routing.read(
@@ -119,6 +131,7 @@
   Decoder Decode;
   bool WasProven = false;
   bool WasLost = false;
+  std::optional<TimePoint> FirstRead;
   /// No older version comes in force: the store lost this one.
   std::uint64_t Least = 0;
 };
--- a/src/control/node_follow.h
+++ b/src/control/node_follow.h
@@ -26,7 +26,8 @@
       return this->leave();
     // Where the whole system starts, nobody is listed yet.
     bool KnowsFirst = this->Read || this->Board.Config.Entry->FirstStart;
-    if (KnowsFirst && !this->Listed && !this->announce())
+    bool Due = !this->Listed || this->hasSettled();
+    if (KnowsFirst && Due && !this->announce())
       return this->Waits.next();
     this->Waits.reset();
     if (absl::StatusOr<KeyedPage> Page = this->Source.read(WaitTime);
@@ -43,15 +44,31 @@
   /// While the process ends.
   static constexpr Millis IdleTime{1000};
 
+  /// Whether this node, for all of its data centre, has to note in the
+  /// directory that what was in force before the store's present era is written
+  /// again: nodes that all start at once after a restore could not tell
+  /// otherwise, and would refuse keys for as long as the revocation bound.
+  bool hasSettled() const {
+    StoreEra Settled = this->Board.self().Settled;
+    return this->Board.FirstOfCentre && Settled > this->SettledEra;
+  }
+
   bool announce() {
     NodeInfo Me = this->Board.self();
     this->Board.Counters.Calls.add(
         StoreUse::Announcement, this->Up ? CallCause::Start : CallCause::Retry);
     absl::Status Put = this->Announced.put(Me.Node.Text, packNode(Me));
     this->noteUp(Put.ok(), messageOf(Put));
+    if (Put.ok())
+      this->noteSettled(Me.Settled);
     return this->Listed = Put.ok();
   }
 
+  void noteSettled(StoreEra Era) {
+    this->SettledEra = std::max(this->SettledEra, Era);
+    this->Board.feed(FeedKind::Config).settle(Era);
+  }
+
   Millis leave() {
     if (std::exchange(this->Listed, false))
       if (absl::Status Put =
@@ -88,7 +105,9 @@
                              LogFields().add("reason", "no announcement of a "
                                                        "node of this name"));
     }
-    this->noteOwn(Come, Left);
+    for (const NodeInfo &Row : Come)
+      this->noteSettled(Row.Settled);
+    this->noteOwn(Page, Come, Left);
     this->store(Come, Left);
   }
 
@@ -101,10 +120,11 @@
     });
   }
 
-  void noteOwn(const std::vector<NodeInfo> &Come,
+  void noteOwn(const KeyedPage &Page, const std::vector<NodeInfo> &Come,
                const std::set<NodeId> &Left) {
-    // An earlier life's drop may be carried out late: announce anew.
-    if (Left.contains(this->Board.Config.Node))
+    // An earlier life's drop may be carried out late, or the store came back
+    // from a copy that is older than the announcement: announce anew.
+    if (Page.Whole || Left.contains(this->Board.Config.Node))
       this->Listed = false;
     // An earlier life announced it at the same place.
     for (const NodeInfo &Row : Come)
@@ -144,6 +164,8 @@
   bool Read = false;
   bool Listed = false;
   bool Up = true;
+  /// The newest that some node has noted in the directory.
+  StoreEra SettledEra;
 };
 
 } // namespace waycove
--- a/src/policy/node_rank.h
+++ b/src/policy/node_rank.h
@@ -22,6 +22,10 @@
   std::uint16_t Port = 0;
   /// Of its network link, in Mbit/s; 0 where operators do not say.
   std::uint32_t LinkMbps = 0;
+  /// It knew which configuration was in force before this era of the store
+  /// began, and saw it written again. A node that finds this in the directory
+  /// may take what the store has for the newest.
+  StoreEra Settled{};
 
   /// Whether both are the same node, reached at the same address over the same
   /// link.
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -65,6 +65,7 @@
   Row.host = Node.Host;
   Row.peer_port = Node.Port;
   Row.link_mbps = Node.LinkMbps;
+  Row.settled_era = Node.Settled.Value;
   flatbuffers::FlatBufferBuilder Builder;
   Builder.Finish(wire::PeerRow::Pack(Builder, &Row));
   return {reinterpret_cast<const char *>(Builder.GetBufferPointer()),
@@ -83,7 +84,8 @@
                   DataCentreId(Row.data_centre),
                   Row.host,
                   Row.peer_port,
-                  Row.link_mbps};
+                  Row.link_mbps,
+                  StoreEra(Row.settled_era)};
 }
 
 std::vector<wire::LoadRow> packLoads(const LoadRows &Loads) {
@@ -151,12 +153,13 @@
 
 wire::FeedMark packMarks(const EraMarks &Marks) {
   return {Marks.Era.Value, Marks.Versions.Shown.Value,
-          Marks.Versions.Before.Value};
+          Marks.Versions.Before.Value, Marks.Versions.BeforeKnown};
 }
 
 EraMarks readMarks(const wire::FeedMark &Row) {
   return {StoreEra(Row.era()),
-          {ValueVersion(Row.shown()), ValueVersion(Row.before())}};
+          {ValueVersion(Row.shown()), ValueVersion(Row.before()),
+           Row.before_known()}};
 }
 
 std::vector<std::uint8_t> deflateRecords(const std::vector<KeyedRecord> &Rows) {
@@ -228,6 +231,7 @@
   News->era = Page.Next.Era.Value;
   News->shown = Page.Versions.Shown.Value;
   News->before = Page.Versions.Before.Value;
+  News->before_known = Page.Versions.BeforeKnown;
   News->proven_age_ms = ageOf(Page.ProvenAt, Now);
   News->hold_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(
       0, std::chrono::ceil<Millis>(Page.HoldUntil - Now).count()));
@@ -251,7 +255,8 @@
   KeyedPage Page;
   Page.Whole = News.whole;
   Page.Next = {StoreEra(News.era), Offset(News.next)};
-  Page.Versions = {ValueVersion(News.shown), ValueVersion(News.before)};
+  Page.Versions = {ValueVersion(News.shown), ValueVersion(News.before),
+                   News.before_known};
   Page.Partial = News.partial;
   // A part says nothing of what came after it.
   if (!News.partial)
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -567,18 +567,34 @@
   uint64_t era_;
   uint64_t shown_;
   uint64_t before_;
+  uint8_t before_known_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
 
  public:
   struct Traits;
   FeedMark()
       : era_(0),
         shown_(0),
-        before_(0) {
+        before_(0),
+        before_known_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
   }
-  FeedMark(uint64_t _era, uint64_t _shown, uint64_t _before)
+  FeedMark(uint64_t _era, uint64_t _shown, uint64_t _before, bool _before_known)
       : era_(flatbuffers::EndianScalar(_era)),
         shown_(flatbuffers::EndianScalar(_shown)),
-        before_(flatbuffers::EndianScalar(_before)) {
+        before_(flatbuffers::EndianScalar(_before)),
+        before_known_(flatbuffers::EndianScalar(static_cast<uint8_t>(_before_known))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
   }
   uint64_t era() const {
     return flatbuffers::EndianScalar(era_);
@@ -589,8 +605,11 @@
   uint64_t before() const {
     return flatbuffers::EndianScalar(before_);
   }
+  bool before_known() const {
+    return flatbuffers::EndianScalar(before_known_) != 0;
+  }
 };
-FLATBUFFERS_STRUCT_END(FeedMark, 24);
+FLATBUFFERS_STRUCT_END(FeedMark, 32);
 
 struct FeedMark::Traits {
   using type = FeedMark;
@@ -1997,6 +2016,7 @@
   uint64_t sequence = 0;
   bool relay = false;
   uint32_t link_mbps = 0;
+  uint64_t settled_era = 0;
 };
 
 struct PeerRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2012,7 +2032,8 @@
     VT_HTTP_PORT = 14,
     VT_SEQUENCE = 16,
     VT_RELAY = 18,
-    VT_LINK_MBPS = 20
+    VT_LINK_MBPS = 20,
+    VT_SETTLED_ERA = 22
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -2041,6 +2062,9 @@
   uint32_t link_mbps() const {
     return GetField<uint32_t>(VT_LINK_MBPS, 0);
   }
+  uint64_t settled_era() const {
+    return GetField<uint64_t>(VT_SETTLED_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -2056,6 +2080,7 @@
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint8_t>(verifier, VT_RELAY, 1) &&
            VerifyField<uint32_t>(verifier, VT_LINK_MBPS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_SETTLED_ERA, 8) &&
            verifier.EndTable();
   }
   PeerRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2094,6 +2119,9 @@
   void add_link_mbps(uint32_t link_mbps) {
     fbb_.AddElement<uint32_t>(PeerRow::VT_LINK_MBPS, link_mbps, 0);
   }
+  void add_settled_era(uint64_t settled_era) {
+    fbb_.AddElement<uint64_t>(PeerRow::VT_SETTLED_ERA, settled_era, 0);
+  }
   explicit PeerRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2115,8 +2143,10 @@
     uint16_t http_port = 0,
     uint64_t sequence = 0,
     bool relay = false,
-    uint32_t link_mbps = 0) {
+    uint32_t link_mbps = 0,
+    uint64_t settled_era = 0) {
   PeerRowBuilder builder_(_fbb);
+  builder_.add_settled_era(settled_era);
   builder_.add_sequence(sequence);
   builder_.add_link_mbps(link_mbps);
   builder_.add_host(host);
@@ -2144,7 +2174,8 @@
     uint16_t http_port = 0,
     uint64_t sequence = 0,
     bool relay = false,
-    uint32_t link_mbps = 0) {
+    uint32_t link_mbps = 0,
+    uint64_t settled_era = 0) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
@@ -2159,7 +2190,8 @@
       http_port,
       sequence,
       relay,
-      link_mbps);
+      link_mbps,
+      settled_era);
 }
 
 flatbuffers::Offset<PeerRow> CreatePeerRow(flatbuffers::FlatBufferBuilder &_fbb, const PeerRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3669,6 +3701,7 @@
   uint64_t era = 0;
   uint64_t shown = 0;
   uint64_t before = 0;
+  bool before_known = false;
   FeedNewsT() = default;
   FeedNewsT(const FeedNewsT &o);
   FeedNewsT(FeedNewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3691,7 +3724,8 @@
     VT_PARTIAL = 22,
     VT_ERA = 24,
     VT_SHOWN = 26,
-    VT_BEFORE = 28
+    VT_BEFORE = 28,
+    VT_BEFORE_KNOWN = 30
   };
   bool known() const {
     return GetField<uint8_t>(VT_KNOWN, 0) != 0;
@@ -3729,6 +3763,9 @@
   uint64_t before() const {
     return GetField<uint64_t>(VT_BEFORE, 0);
   }
+  bool before_known() const {
+    return GetField<uint8_t>(VT_BEFORE_KNOWN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KNOWN, 1) &&
@@ -3746,6 +3783,7 @@
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            VerifyField<uint64_t>(verifier, VT_SHOWN, 8) &&
            VerifyField<uint64_t>(verifier, VT_BEFORE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_BEFORE_KNOWN, 1) &&
            verifier.EndTable();
   }
   FeedNewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3793,6 +3831,9 @@
   void add_before(uint64_t before) {
     fbb_.AddElement<uint64_t>(FeedNews::VT_BEFORE, before, 0);
   }
+  void add_before_known(bool before_known) {
+    fbb_.AddElement<uint8_t>(FeedNews::VT_BEFORE_KNOWN, static_cast<uint8_t>(before_known), 0);
+  }
   explicit FeedNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3817,7 +3858,8 @@
     bool partial = false,
     uint64_t era = 0,
     uint64_t shown = 0,
-    uint64_t before = 0) {
+    uint64_t before = 0,
+    bool before_known = false) {
   FeedNewsBuilder builder_(_fbb);
   builder_.add_before(before);
   builder_.add_shown(shown);
@@ -3827,6 +3869,7 @@
   builder_.add_hold_ms(hold_ms);
   builder_.add_proven_age_ms(proven_age_ms);
   builder_.add_rows(rows);
+  builder_.add_before_known(before_known);
   builder_.add_partial(partial);
   builder_.add_left_out(left_out);
   builder_.add_whole(whole);
@@ -3852,7 +3895,8 @@
     bool partial = false,
     uint64_t era = 0,
     uint64_t shown = 0,
-    uint64_t before = 0) {
+    uint64_t before = 0,
+    bool before_known = false) {
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedRow>>(*rows) : 0;
   auto deflated__ = deflated ? _fbb.CreateVector<uint8_t>(*deflated) : 0;
   return waycove::wire::CreateFeedNews(
@@ -3868,7 +3912,8 @@
       partial,
       era,
       shown,
-      before);
+      before,
+      before_known);
 }
 
 flatbuffers::Offset<FeedNews> CreateFeedNews(flatbuffers::FlatBufferBuilder &_fbb, const FeedNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4948,6 +4993,7 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = relay(); _o->relay = _e; }
   { auto _e = link_mbps(); _o->link_mbps = _e; }
+  { auto _e = settled_era(); _o->settled_era = _e; }
 }
 
 inline flatbuffers::Offset<PeerRow> PeerRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PeerRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4967,6 +5013,7 @@
   auto _sequence = _o->sequence;
   auto _relay = _o->relay;
   auto _link_mbps = _o->link_mbps;
+  auto _settled_era = _o->settled_era;
   return waycove::wire::CreatePeerRow(
       _fbb,
       _node,
@@ -4977,7 +5024,8 @@
       _http_port,
       _sequence,
       _relay,
-      _link_mbps);
+      _link_mbps,
+      _settled_era);
 }
 
 inline HealthRowT *HealthRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5523,7 +5571,8 @@
         partial(o.partial),
         era(o.era),
         shown(o.shown),
-        before(o.before) {
+        before(o.before),
+        before_known(o.before_known) {
   rows.reserve(o.rows.size());
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new waycove::wire::FeedRowT(*rows_) : nullptr); }
 }
@@ -5541,6 +5590,7 @@
   std::swap(era, o.era);
   std::swap(shown, o.shown);
   std::swap(before, o.before);
+  std::swap(before_known, o.before_known);
   return *this;
 }
 
@@ -5565,6 +5615,7 @@
   { auto _e = era(); _o->era = _e; }
   { auto _e = shown(); _o->shown = _e; }
   { auto _e = before(); _o->before = _e; }
+  { auto _e = before_known(); _o->before_known = _e; }
 }
 
 inline flatbuffers::Offset<FeedNews> FeedNews::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FeedNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5587,6 +5638,7 @@
   auto _era = _o->era;
   auto _shown = _o->shown;
   auto _before = _o->before;
+  auto _before_known = _o->before_known;
   return waycove::wire::CreateFeedNews(
       _fbb,
       _known,
@@ -5600,7 +5652,8 @@
       _partial,
       _era,
       _shown,
-      _before);
+      _before,
+      _before_known);
 }
 
 inline FeedRowsT::FeedRowsT(const FeedRowsT &o) {
--- a/tests/failure/restored_test.cpp
+++ b/tests/failure/restored_test.cpp
@@ -57,6 +57,23 @@
     this->atStore("/store/restore");
     this->atStore("/store/down?how=no");
   }
+  void killAll() {
+    for (const std::string &Node : Entries)
+      this->Run.killNode(Node);
+  }
+  void startAll() {
+    for (const std::string &Node : Entries)
+      this->restart(Node);
+  }
+  /// Whether no entry serves a request with \p Key for as long as \p Within.
+  bool neverServes(const std::string &Key, milliseconds Within) {
+    auto Serves = [&](const std::string &Node) {
+      return this->call(Node, Key) == 200;
+    };
+    return !eventually(
+        [&] { return std::any_of(Entries.begin(), Entries.end(), Serves); },
+        Within);
+  }
   /// Publishes versions up to \p Last, each of which is in force.
   void publishUpTo(int Last) {
     for (int Version = 2; Version <= Last; ++Version) {
@@ -94,24 +111,54 @@
   this->publish(4, "key-4");
   REQUIRE(this->allTake(Entries, "key-4"));
   this->restore();
-  auto MayServe = [&] {
-    return std::any_of(Entries.begin(), Entries.end(),
-                       [&](const std::string &Node) {
-                         return this->call(Node, "key-2") == 200;
-                       });
-  };
-  auto NeverServes = [&](milliseconds Within) {
-    return !eventually(MayServe, Within);
-  };
-  CHECK(NeverServes(milliseconds(700)));
+  CHECK(this->neverServes("key-2", milliseconds(700)));
   std::string Reader = this->reader();
   this->restart(this->others(Reader).front());
-  CHECK(NeverServes(milliseconds(1500)));
+  CHECK(this->neverServes("key-2", milliseconds(1500)));
   this->restart(Reader);
-  CHECK(NeverServes(milliseconds(2500)));
+  CHECK(this->neverServes("key-2", milliseconds(2500)));
+  this->publish(6, "key-6");
+  CHECK(this->allTake(Entries, "key-6"));
+  CHECK(this->neverServes("key-2", milliseconds(500)));
+}
+
+// Nobody is left who knows what was in force before.
+TEST_CASE_METHOD(RestoredFixture,
+                 "store restored: all entries start after it: a key that was "
+                 "taken away is refused while operators write again",
+                 "[failure]") {
+  this->publishUpTo(2);
+  this->copy();
+  this->publish(4, "key-4");
+  REQUIRE(this->allTake(Entries, "key-4"));
+  this->killAll();
+  this->restore();
+  this->startAll();
+  CHECK(this->neverServes("key-2", milliseconds(3500)));
+  // Operators write nothing: what the copy has is what there is.
+  CHECK(eventually([&] { return this->call("n1", "key-2") == 200; },
+                   RevokeBound));
   this->publish(6, "key-6");
   CHECK(this->allTake(Entries, "key-6"));
-  CHECK(NeverServes(milliseconds(500)));
+}
+
+TEST_CASE_METHOD(RestoredFixture,
+                 "store restored: written again, then all entries start: they "
+                 "serve at once",
+                 "[failure]") {
+  this->publishUpTo(2);
+  this->copy();
+  this->publish(4, "key-4");
+  REQUIRE(this->allTake(Entries, "key-4"));
+  this->restore();
+  this->publish(6, "key-6");
+  REQUIRE(this->allTake(Entries, "key-6"));
+  // For one of them to note it in the directory.
+  std::this_thread::sleep_for(milliseconds(1500));
+  this->killAll();
+  this->startAll();
+  CHECK(eventually([&] { return this->call("n1", "key-6") == 200; },
+                   RevokeBound / 2));
 }
 
 } // namespace waycove::test
--- a/tests/unit/config_follow_test.cpp
+++ b/tests/unit/config_follow_test.cpp
@@ -59,9 +59,8 @@
   FeedCache &cache() { return this->Board.feed(FeedKind::Config); }
   /// Zero where none is.
   std::uint64_t inForce() {
-    return this->Board.Routing.read([](const RoutingConfigRef &Row) {
-      return Row ? Row->Version : 0;
-    });
+    return this->Board.Routing.read(
+        [](const RoutingConfigRef &Row) { return Row ? Row->Version : 0; });
   }
   bool mayUseKeys() {
     return this->Board.ConfigFresh.holds(SystemClock{}.now());
--- a/tests/unit/node_follow_test.cpp
+++ b/tests/unit/node_follow_test.cpp
@@ -33,10 +33,11 @@
   return Given;
 }
 
-KeyedRecord announcementOf(const std::string &Node) {
+KeyedRecord announcementOf(const std::string &Node, std::uint64_t Settled = 0) {
   NodeInfo Info;
   Info.Node = NodeId(Node);
   Info.Incarnation = IncarnationId("i");
+  Info.Settled = StoreEra(Settled);
   return {Node, packNode(Info)};
 }
 
@@ -88,6 +89,68 @@
   CHECK(this->Directory.Announcements == 2);
 }
 
+TEST_CASE_METHOD(DirectoryFixture,
+                 "directory: the store came back without this node's "
+                 "announcement: announced anew",
+                 "[unit]") {
+  // It was not read back before the restore.
+  REQUIRE(this->Directory.Announcements == 1);
+  this->Directory.Page.Records = {announcementOf("other")};
+  this->Directory.Page.Whole = true;
+  this->Directory.Page.Next = atOffset(1, 1);
+  this->Follower.step();
+  this->Directory.Page.Records = {};
+  this->Directory.Page.Whole = false;
+  this->Follower.step();
+  CHECK(this->Directory.Announcements == 2);
+}
+
+/// A node that follows the configuration, too.
+struct SettledFixture : DirectoryFixture {
+  void showConfig(std::uint64_t Version, std::uint64_t Era) {
+    KeyedPage Page;
+    Page.Whole = true;
+    Page.Next = atOffset(3, Era);
+    Page.Versions.Shown = ValueVersion(Version);
+    this->Board.feed(FeedKind::Config).take(Page, at(0));
+  }
+};
+
+TEST_CASE_METHOD(SettledFixture,
+                 "directory: the configuration was written again after a "
+                 "restore: noted there once",
+                 "[unit]") {
+  this->showConfig(19, 0);
+  this->Follower.step();
+  CHECK(this->Directory.Announcements == 1);
+  this->showConfig(6, 1);
+  this->Follower.step();
+  CHECK(this->Directory.Announcements == 1);
+  this->Board.feed(FeedKind::Config)
+      .hear({StoreEra(1), {ValueVersion(22), ValueVersion(), false}});
+  this->Follower.step();
+  this->Follower.step();
+  CHECK(this->Directory.Announcements == 2);
+}
+
+TEST_CASE_METHOD(SettledFixture,
+                 "directory: another node noted that the era is settled: known "
+                 "to a node that starts in it",
+                 "[unit]") {
+  FeedCache &Config = this->Board.feed(FeedKind::Config);
+  this->showConfig(6, 2);
+  CHECK_FALSE(Config.marks().Versions.BeforeKnown);
+  // The copy holds what was noted of an earlier era.
+  this->Directory.Page.Records = {announcementOf("other", 1)};
+  this->Follower.step();
+  CHECK_FALSE(Config.marks().Versions.BeforeKnown);
+  this->Directory.Page.Records = {announcementOf("other", 2)};
+  this->Follower.step();
+  CHECK(Config.marks().Versions.BeforeKnown);
+  // Nothing is left to be noted.
+  CHECK(this->Directory.Announcements == 1);
+}
+
 TEST_CASE("directory: an earlier life announced the same: nothing is written",
           "[unit]") {
   EntryBoard Board(settingsOf("me"), IncarnationId("second"));
--- a/tools/without.py
+++ b/tools/without.py
@@ -89,6 +89,26 @@
         "src/control/store_reader.h",
         "Most && Now - this->Cache.provenAt() >= *Most", "false && Most && Now > TimePoint()",
         "store reader: the neighbour falls silent"),
+    "era-compared": (
+        "src/control/store_reader.h",
+        "if (!Whole && Page->Next.Era > From->Era) {", "if (false) {",
+        "store reader: the store came back"),
+    "lost-proves-nothing": (
+        "src/control/config_follow.h",
+        "!Page.Versions.isLost() &&", "",
+        "config: the store came back with an older"),
+    "older-not-in-force": (
+        "src/control/config_follow.h",
+        "if (this->inForce() >= this->Least)", "if (true)",
+        "config: a node that starts"),
+    "strangers-wait": (
+        "src/control/config_follow.h",
+        "return Versions.BeforeKnown ||", "return true ||",
+        "store restored: all entries"),
+    "era-noted": (
+        "src/control/node_follow.h",
+        "for (const NodeInfo &Row : Come)\n      this->noteSettled(Row.Settled);", "",
+        "directory: another node|store restored: written again"),
     "second-connection": (
         "src/control/store_reader.h",
         "Millis Pause = this->read(this->Spare, Millis(0), false);", "Millis Pause(50);",
