Go by what is known of targets where the store came back with older entries

What callers saw, in the test that failed first: requests went to a target that had left before the restore, since the store's copy listed it again.

Cause: an entry that the store shows was taken for the newest that its target wrote. After a restore it may be older than what this node knows: the target has left since, is leaving, or is in another group.

Within an era nothing changes. On the first page of a later one, an entry of the same life that is older (its sequence is smaller, or its target was leaving or gone) stays out of use until its target has written again, which one that lives does within a heartbeat; after three an entry that is still there holds, since others lapse by then. What was leaving stays leaving.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -173,6 +173,9 @@
        "The registry shows a target new or in another state."},
       {TargetGone, Info, "target_gone",
        "The registry lists a target no longer."},
+      {EntryHeld, Info, "entry_held",
+       "The store came back with an entry of this target that is older than "
+       "what is known of it, which stays in use; the fields say why."},
       {TargetReborn, Info, "target_reborn",
        "A target started again under its id: nothing holds of what it held and "
        "knew before."},
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -66,6 +66,7 @@
   CentreEased = 227,
   ServingChanged = 222,
   TargetReborn = 228,
+  EntryHeld = 229,
   DomainsOwned = 310,
   DomainOrder = 311,
   DomainOrderEnded = 312,
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -76,6 +76,8 @@
                                            Result.RetryWindow, 100, 3600000);
   Result.LeaseLeast =
       readMillis(Map, "lease_least_ms", Result.LeaseLeast, 10, 600000);
+  Result.TargetHeartbeat = readMillis(Map, "target_heartbeat_ms",
+                                      Result.TargetHeartbeat, 10, 600000);
   Result.FirstStart = Map.flag("first_start", Result.FirstStart);
   Result.LinkMbps = Map.real("link_mbps", Result.LinkMbps, 0, 1e6);
   Result.WorkParts =
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -47,6 +47,9 @@
   Millis RetryWindow{10000};
   /// Shortest lease that the platform grants on shared work.
   Millis LeaseLeast{1000};
+  /// How often targets write to the registry; operators set it. An entry lapses
+  /// after three heartbeats of silence.
+  Millis TargetHeartbeat{1200};
   /// The whole system starts for the first time: weights may be loaded freely
   /// until the first request comes.
   bool FirstStart = false;
--- a/src/control/registry_follow.h
+++ b/src/control/registry_follow.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "control/keyed_feed.h"
+#include "control/restored_entries.h"
 #include "control/serving.h"
 
 #include <map>
@@ -18,20 +19,27 @@
 /// nothing that is listed serves: such an entry may have lapsed, or have left.
 /// A VM may start again under its id: what an earlier life wrote and comes late
 /// changes nothing. An entry that cannot be read names no target: what its key
-/// named before is not used any more, and the others hold.
+/// named before is not used any more, and the others hold. Where the store
+/// comes back from an older copy of itself, what is known better stays in use
+/// (RestoredEntries), and no groups are planned until targets have written
+/// again: whether an order was carried out does not show in the copy.
 /// Used by one thread.
 template <KeyedFeed Feed, typename Decoder> class RegistryFollower {
 public:
   RegistryFollower(EntryBoard &Board, Feed &Source, Decoder Decode)
-      : Board(Board), Source(Source), Decode(std::move(Decode)) {}
+      : Board(Board), Source(Source), Decode(std::move(Decode)),
+        Restored(Board.Config.Entry->TargetHeartbeat) {}
 
   /// Takes in what is new; waits for that a while.
   void step() {
     absl::StatusOr<KeyedPage> Page = this->Source.read(WaitTime);
     if (!Page.ok())
       return;
-    this->Board.RegistryFresh.renew(Page->ProvenAt, FreshTime);
-    this->apply(*Page, SystemClock{}.now());
+    TimePoint Now = SystemClock{}.now();
+    this->noteEra(Page->Next.Era, Now);
+    if (Now >= this->SettledAt)
+      this->Board.RegistryFresh.renew(Page->ProvenAt, FreshTime);
+    this->apply(*Page, Now);
     this->Board.RegistryProven.raise(Page->ProvenAt);
     this->noteAge(SystemClock{}.now() - Page->ProvenAt);
   }
@@ -58,10 +66,21 @@
     std::set<VmId> Outdated;
   };
 
+  void noteEra(StoreEra Now, TimePoint At) {
+    StoreEra Before = std::exchange(this->Era, Now);
+    this->BeginsEra = this->Began && Now > Before;
+    if (!this->BeginsEra)
+      return;
+    this->SettledAt = At + FeedCache::LapseTime;
+    this->Board.RegistryFresh.drop();
+  }
+
   void apply(const KeyedPage &Page, TimePoint Now) {
-    Sorted Read = this->sort(Page);
+    Sorted Read = this->sort(Page, Now);
     if (Page.Whole)
       this->addAbsent(Read);
+    for (TargetRef &Row : this->Restored.takeDue(Now))
+      Read.Come.push_back(std::move(Row));
     bool News = !Read.Come.empty();
     if (Now < Page.HoldUntil) {
       News |= this->keep(std::exchange(Read.Left, {}), Page, Now);
@@ -74,13 +93,14 @@
       this->store(Read.Come, Read.Left, Page.Next, Now);
   }
 
-  Sorted sort(const KeyedPage &Page) {
+  Sorted sort(const KeyedPage &Page, TimePoint Now) {
     Sorted Into;
     for (const KeyedRecord &Row : Page.Records) {
       VmId Id(Row.Key);
       if (!Row.Value) {
         Into.Left.insert(Id);
         this->RefusedValues.erase(Id);
+        this->Restored.release(Id);
         continue;
       }
       absl::StatusOr<TargetInfo> Read = this->Decode(Row.Key, *Row.Value);
@@ -96,16 +116,45 @@
         this->noteRefused(Id, *Row.Value, "an earlier life's entry");
         continue;
       }
+      if (this->isHeld(*Read, hashText(*Row.Value), Now)) {
+        Into.Outdated.insert(Id);
+        continue;
+      }
       Into.Left.erase(Id);
       this->Kept.erase(Id);
       Into.Come.push_back(std::make_shared<const TargetInfo>(std::move(*Read)));
     }
+    if (Page.Whole)
+      this->Restored.keepOnly(Into.Outdated);
     if (this->BirthsTold)
       this->refuseUndated(Into);
     this->forgetRefused(Page, Into);
     return Into;
   }
 
+  /// Whether the store brought the entry back and this node knows better.
+  bool isHeld(const TargetInfo &Read, std::uint64_t Hash, TimePoint Now) {
+    if (this->Restored.holds(Read.Id, Hash))
+      return true;
+    this->Restored.release(Read.Id);
+    if (!this->BeginsEra)
+      return false;
+    std::optional<EntryDoubt> Doubt =
+        this->Board.Targets.read([&](const Fleet &Rows) {
+          return RestoredEntries::doubtOf(Read, Rows);
+        });
+    if (!Doubt)
+      return false;
+    this->Restored.hold(std::make_shared<const TargetInfo>(Read), Hash, *Doubt,
+                        Now);
+    this->Board.Log.emit(EventCode::EntryHeld, Read.Id.Text,
+                         LogFields()
+                             .add("reason", doubtName(*Doubt))
+                             .add("sequence", Read.Sequence)
+                             .add("for_ms", this->Restored.holdTime()));
+    return true;
+  }
+
   /// Where targets tell their start, an entry that does not is another
   /// writer's. Platforms on which no target tells it are served as they are.
   void refuseUndated(Sorted &Into) {
@@ -269,6 +318,13 @@
   EntryBoard &Board;
   FeedCursor<Feed> Source;
   Decoder Decode;
+  RestoredEntries Restored;
+  /// The store's, as of the newest page.
+  StoreEra Era;
+  /// That page is the first of its era, and this node knows of earlier ones.
+  bool BeginsEra = false;
+  /// From then on targets have written again after the newest restore.
+  TimePoint SettledAt;
   /// Dropped from the registry, not yet taken for gone.
   std::set<VmId> Kept;
   /// Some target told when it started.
--- a/src/control/store_reader.h
+++ b/src/control/store_reader.h
@@ -285,9 +285,13 @@
     if (!std::exchange(this->Up, true))
       this->Board.Log.emit(EventCode::LogReachable,
                            std::string(feedName(this->Kind)));
-    // Nobody had a proof for so long: entries may have lapsed meanwhile.
+    // Nobody had a proof for so long: entries may have lapsed meanwhile. Or the
+    // store came back without those that were written since its copy.
     TimePoint Proven = this->Cache.provenAt();
-    if (Proven != TimePoint() && SentAt - Proven > FeedCache::AwayGap)
+    bool Away = Proven != TimePoint() && SentAt - Proven > FeedCache::AwayGap;
+    std::optional<StorePosition> Known = this->Cache.next();
+    bool Restored = Known && Page.Next.Era > Known->Era;
+    if (Away || Restored)
       Page.HoldUntil = Now + FeedCache::LapseTime;
     takePage(this->Board, this->Kind, Page, "store", Now);
     this->Board.state(this->Kind).OwnProof.raise(Page.ProvenAt);
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -43,6 +43,9 @@
   DataCentreId DataCentre;
   DomainId Domain;
   bool Draining = false;
+  /// Counts what this life wrote of itself: of two entries, the one with the
+  /// larger count is the later.
+  std::uint64_t Sequence = 0;
   /// Models whose weights lie on its host.
   std::vector<std::string> Staged;
   /// Models that it has loaded.
--- a/tests/failure/restored_test.cpp
+++ b/tests/failure/restored_test.cpp
@@ -161,4 +161,20 @@
                    RevokeBound / 2));
 }
 
+// The copy lists a target that has left since. It serves on for a while, and
+// its entry lapses again only after three heartbeats of silence.
+TEST_CASE_METHOD(RestoredFixture,
+                 "store restored: a target had left before: gets nothing more",
+                 "[failure]") {
+  this->copy();
+  this->dropTarget("p-1");
+  auto Gone = std::chrono::steady_clock::now() + milliseconds(1000);
+  REQUIRE(this->callUntil(Entries, Gone) > 0);
+  this->restore();
+  this->publish(3, "key-1");
+  auto Lapsed = std::chrono::steady_clock::now() + milliseconds(3600);
+  CHECK(this->callUntil(Entries, Lapsed) > 0);
+  CHECK(this->lastRunAt("p-1") < Gone);
+}
+
 } // namespace waycove::test
--- a/tests/unit/registry_follow_test.cpp
+++ b/tests/unit/registry_follow_test.cpp
@@ -21,14 +21,16 @@
   Settings Given;
   Given.Node = NodeId("n");
   Given.Entry.emplace();
+  Given.Entry->TargetHeartbeat = Millis(100);
   return Given;
 }
 
-std::string entryOf(std::uint64_t Born, const std::string &More = "") {
+std::string entryOf(std::uint64_t Born, const std::string &More = "",
+                    int Sequence = 0) {
   std::string Start = Born ? R"("born":)" + std::to_string(Born) + "," : "";
   return R"({"service":"plain","address":"10.0.0.1:80","zone":"a",)"
          R"("version":"v1","slots":6,"state":"ready","cold_left_ms":0,)" +
-         Start + More + R"("sequence":0})";
+         Start + More + R"("sequence":)" + std::to_string(Sequence) + "}";
 }
 
 } // namespace
@@ -41,7 +43,7 @@
     KeyedPage Page;
     Page.Records = Records;
     Page.Whole = Whole;
-    Page.Next = atOffset(++this->End);
+    Page.Next = atOffset(++this->End, this->Era);
     Page.ProvenAt = SystemClock{}.now();
     this->Board.feed(FeedKind::Registry).take(Page, Page.ProvenAt);
     this->Follow.step();
@@ -68,6 +70,7 @@
   RegistryFollower<CachedFeed, platform::TargetDecoder> Follow{
       this->Board, this->Feed, {}};
   std::uint64_t End = 0;
+  std::uint64_t Era = 0;
 };
 
 TEST_CASE_METHOD(RegistryFixture,
@@ -134,6 +137,122 @@
   CHECK(this->born("i-2") == 0);
 }
 
+/// A node that has followed the registry when the store comes back from an
+/// older copy of itself.
+struct RestoredRegistryFixture : RegistryFixture {
+  /// An entry as its target wrote it the \p Sequence-th time.
+  static std::string entry(const std::string &State, int Sequence) {
+    return R"({"service":"plain","address":"10.0.0.1:80","zone":"a",)"
+           R"("version":"v1","slots":6,"cold_left_ms":0,"born":100,"state":")" +
+           State + R"(","sequence":)" + std::to_string(Sequence) + "}";
+  }
+  static std::string member(const std::string &Group, int Sequence) {
+    return entryOf(100,
+                   R"("domain":"d","group":{"name":")" + Group +
+                       R"(","epoch":1,"rank":0,"state":"open"},)",
+                   Sequence);
+  }
+  /// The store is back, with a copy that holds \p Records.
+  void restore(const std::vector<KeyedRecord> &Records) {
+    ++this->Era;
+    this->End = 0;
+    this->show(Records, true);
+  }
+  bool isListed(const std::string &Id) { return this->born(Id).has_value(); }
+  TargetRef target(const std::string &Id) {
+    return this->Board.Targets.read(
+        [&](const Fleet &Rows) { return Rows.Targets.at(VmId(Id)); });
+  }
+  /// Until each target that lives has written again, and other entries lapsed.
+  void waitForTargets() {
+    std::this_thread::sleep_for(3 * this->Board.Config.Entry->TargetHeartbeat);
+    this->Follow.step();
+  }
+};
+
+TEST_CASE_METHOD(RestoredRegistryFixture,
+                 "registry restored: a target was leaving before: it leaves, "
+                 "whatever the copy says",
+                 "[unit]") {
+  this->show({{"i-1", entry("ready", 1)}, {"i-2", entry("ready", 1)}}, true);
+  this->show({{"i-1", entry("draining", 2)}});
+  this->restore({{"i-1", entry("ready", 1)}, {"i-2", entry("ready", 1)}});
+  CHECK(this->target("i-1")->Draining);
+  CHECK_FALSE(this->target("i-2")->Draining);
+  this->waitForTargets();
+  CHECK(this->target("i-1")->Draining);
+  // All of the copy is read once more.
+  this->show({{"i-1", entry("ready", 1)}, {"i-2", entry("ready", 1)}}, true);
+  CHECK(this->target("i-1")->Draining);
+  this->show({{"i-1", std::nullopt}});
+  CHECK_FALSE(this->isListed("i-1"));
+}
+
+TEST_CASE_METHOD(
+    RestoredRegistryFixture,
+    "registry restored: a target had gone before: it is not listed "
+    "until it writes again, or has not lapsed",
+    "[unit]") {
+  this->show({{"i-1", entry("ready", 1)},
+              {"i-2", entry("ready", 1)},
+              {"i-3", entry("ready", 1)}},
+             true);
+  this->show({{"i-1", std::nullopt}, {"i-2", std::nullopt}});
+  this->show({{"i-3", std::nullopt}});
+  this->restore({{"i-1", entry("ready", 1)},
+                 {"i-2", entry("ready", 1)},
+                 {"i-3", entry("ready", 1)}});
+  CHECK_FALSE(this->isListed("i-1"));
+  this->show({{"i-2", entry("ready", 5)}, {"i-3", std::nullopt}});
+  CHECK(this->isListed("i-2"));
+  CHECK_FALSE(this->isListed("i-1"));
+  this->waitForTargets();
+  CHECK(this->isListed("i-1"));
+  CHECK_FALSE(this->isListed("i-3"));
+}
+
+TEST_CASE_METHOD(
+    RestoredRegistryFixture,
+    "registry restored: a target had gone and lapses again unseen: "
+    "it is not listed",
+    "[unit]") {
+  this->show({{"i-1", entry("ready", 1)}, {"i-2", entry("ready", 1)}}, true);
+  this->show({{"i-1", std::nullopt}});
+  this->restore({{"i-1", entry("ready", 1)}, {"i-2", entry("ready", 1)}});
+  // All is read anew: nothing says that its entry was dropped.
+  this->show({{"i-2", entry("ready", 1)}}, true);
+  this->waitForTargets();
+  CHECK_FALSE(this->isListed("i-1"));
+}
+
+TEST_CASE_METHOD(RestoredRegistryFixture,
+                 "registry restored: a target's entry is older than what is "
+                 "known: that holds until the target has written",
+                 "[unit]") {
+  this->show({{"i-1", member("g2", 9)}, {"i-2", member("g2", 9)}}, true);
+  this->restore({{"i-1", member("g1", 4)}, {"i-2", member("g1", 4)}});
+  CHECK(this->target("i-1")->Group->Group.Name == "g2");
+  this->show({{"i-1", member("g3", 11)}});
+  CHECK(this->target("i-1")->Group->Group.Name == "g3");
+  CHECK(this->target("i-2")->Group->Group.Name == "g2");
+  // What it holds now is what the copy says: nothing had to be written.
+  this->waitForTargets();
+  CHECK(this->target("i-2")->Group->Group.Name == "g1");
+}
+
+TEST_CASE_METHOD(RestoredRegistryFixture,
+                 "registry restored: nothing is planned until targets have "
+                 "written again",
+                 "[unit]") {
+  this->show({{"i-1", member("g2", 9)}}, true);
+  REQUIRE(this->Board.RegistryFresh.holds(SystemClock{}.now()));
+  this->restore({{"i-1", member("g2", 9)}});
+  CHECK_FALSE(this->Board.RegistryFresh.holds(SystemClock{}.now()));
+  std::this_thread::sleep_for(FeedCache::LapseTime);
+  this->show({});
+  CHECK(this->Board.RegistryFresh.holds(SystemClock{}.now()));
+}
+
 TEST_CASE_METHOD(RegistryFixture,
                  "vitals: a target starts again: nothing holds of what was "
                  "seen of it, and what ends late changes nothing",
--- a/tests/unit/store_reader_test.cpp
+++ b/tests/unit/store_reader_test.cpp
@@ -272,6 +272,21 @@
   CHECK(this->cache().next() == atOffset(2, FakeStore::Era));
 }
 
+TEST_CASE_METHOD(StoreReaderFixture,
+                 "store reader: the store came back from an older copy: keys "
+                 "that it lacks may be written again for a while",
+                 "[unit]") {
+  this->Board.Relayed = false;
+  ++FakeStore::Era;
+  this->Reader->step();
+  this->Reader->step();
+  REQUIRE(this->cache().next()->Era == StoreEra(1));
+  Millis Left = std::chrono::ceil<Millis>(this->cache().whole().HoldUntil -
+                                          SystemClock{}.now());
+  CHECK(Left > FeedCache::LapseTime - Millis(500));
+  CHECK(Left <= FeedCache::LapseTime);
+}
+
 TEST_CASE_METHOD(StoreReaderFixture,
                  "store reader: an answer from before the store came back: it "
                  "is not taken and proves nothing",
--- a/tools/without.py
+++ b/tools/without.py
@@ -109,6 +109,14 @@
         "src/control/node_follow.h",
         "for (const NodeInfo &Row : Come)\n      this->noteSettled(Row.Settled);", "",
         "directory: another node|store restored: written again"),
+    "restored-held": (
+        "src/control/registry_follow.h",
+        "if (this->isHeld(*Read, hashText(*Row.Value), Now)) {", "if (false) {",
+        "registry restored|store restored: a target"),
+    "restored-unplanned": (
+        "src/control/registry_follow.h",
+        "if (Now >= this->SettledAt)", "if (true)",
+        "registry restored: nothing is planned"),
     "second-connection": (
         "src/control/store_reader.h",
         "Millis Pause = this->read(this->Spare, Millis(0), false);", "Millis Pause(50);",
