Order above what was ordered before a restore of the store

What targets saw, in the tests that failed first: with the store back from an older copy, the generation of the shared work went back, and with it the fence and the epochs of every order. Targets that check fences refuse all of them until the generation has grown back, so no group is repaired; those that do not could be given one epoch twice with other members.

Cause: the generation, which the store counts, was taken for something that only grows; it is given out again after a restore. The copy may also deal a domain to one node while another one's lease of before still runs.

The fence is now the store's era above the generation, and epochs count below it. After a restore nothing is ordered for the length of a lease, nor while the registry is of another era than the share; the store is not told a generation of an earlier era as heard.

--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -104,6 +104,13 @@
   const FeedState &state(FeedKind Kind) const {
     return this->Feeds[static_cast<std::size_t>(Kind)];
   }
+  /// The newest era of the store that this node knows of.
+  StoreEra storeEra() const {
+    StoreEra Newest;
+    for (const FeedState &Feed : this->Feeds)
+      Newest = std::max(Newest, Feed.Cache.marks().Era);
+    return Newest;
+  }
   FeedCache &feed(FeedKind Kind) { return this->state(Kind).Cache; }
   /// By when operators want a change of the feed to be known; nothing where
   /// they do not say.
--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -13,8 +13,12 @@
 
 /// Owns some of the fabric domains, as the platform deals them out, and keeps
 /// their groups right. It orders only while its lease holds by its own clock;
-/// the generation of its ownership, below which a counter runs, fences what
-/// is late.
+/// the fence of its share, below which a counter runs, fences what is late.
+///
+/// Where the store comes back from an older copy, that may deal a domain to
+/// this node that another one owned, whose lease runs on by that node's clock;
+/// so nothing is ordered for the length of a lease. No lease of before outlives
+/// it: none could be renewed since the store went away.
 template <WorkShares Shares, GroupControl Control> class DomainOwner {
 public:
   DomainOwner(EntryBoard &Board, Shares &Work, Control &Targets)
@@ -36,9 +40,8 @@
     }
     Millis Time = std::max(LeaseTime, this->Board.Config.Entry->LeaseLeast);
     this->Board.Counters.Calls.add(StoreUse::Shares, this->causeOfJoin());
-    absl::StatusOr<WorkShare> Share = this->Work.join(
-        this->Held.read([](const WorkShare &Row) { return Row.Generation; }),
-        Time);
+    absl::StatusOr<WorkShare> Share =
+        this->Work.join(this->generationHeard(), Time);
     if (!Share.ok()) {
       if (!this->Lost.exchange(true))
         this->Board.Log.emit(
@@ -54,7 +57,7 @@
       Rows.note(memberHash(this->Board.Config.Node), SentAt);
     });
     this->Until.renew(SentAt, Time - LeaseMargin);
-    this->take(*Share);
+    this->take(*Share, Time);
     return this->Board.Share > 0 ? RenewEvery : IdleRenewEvery;
   }
 
@@ -62,24 +65,22 @@
   void step() {
     TimePoint Now = SystemClock{}.now();
     WorkShare Mine = this->Held.read([](const WorkShare &Row) { return Row; });
-    if (this->Board.Stopping || !this->Until.holds(Now) ||
-        !this->Board.RegistryFresh.holds(Now)) {
+    if (this->Board.Stopping || !this->mayOrder(Mine, Now)) {
       this->Lapsed = true;
       return;
     }
     // While the lease was out, another may have owned and ordered. Where the
-    // generation is the same, nobody has.
-    if (std::exchange(this->Lapsed, false) &&
-        this->PlannedAt != Mine.Generation)
+    // shares are the same, nobody has.
+    if (std::exchange(this->Lapsed, false) && this->PlannedAt != Mine.fence())
       this->Planners.clear();
-    this->PlannedAt = Mine.Generation;
+    this->PlannedAt = Mine.fence();
     RoutingConfigRef Config = this->Board.Routing.read(
         [](const RoutingConfigRef &Row) { return Row; });
     if (!Config)
       return;
     std::vector<GroupOrder> Next = this->planAll(*Config, Mine, Now);
     std::vector<OrderEnd> Ends =
-        this->Orders.give(Next, Mine.Generation, this->Until);
+        this->Orders.give(Next, Mine.fence(), this->Until);
     for (std::size_t I = 0; I < Next.size(); ++I) {
       this->noteLeft(Next[I], Ends[I]);
       this->noteUnreached(Next[I], Ends[I]);
@@ -87,7 +88,7 @@
   }
 
 private:
-  /// Below the generation, epochs count this many bits.
+  /// Below the fence, epochs count this many bits.
   static constexpr unsigned CounterBits = 20;
   /// A process cannot use so many epochs of a domain before the registry shows
   /// one: a step plans a group for each few VMs, ten times a second.
@@ -130,6 +131,23 @@
         {Order, Given.Node, Known, Wanted, Holds, Now});
   }
 
+  /// To name one of an earlier era to the store would tell it that this node
+  /// has given up what was dealt to others up to there, of which it heard
+  /// nothing.
+  std::uint64_t generationHeard() const {
+    WorkShare Mine = this->Held.read([](const WorkShare &Row) { return Row; });
+    return Mine.Era < this->Board.storeEra() ? 0 : Mine.Generation;
+  }
+
+  /// What is ordered follows from the registry, so that has to be of the era in
+  /// which the domains were dealt.
+  bool mayOrder(const WorkShare &Mine, TimePoint Now) const {
+    StoreEra Listed = this->Board.Targets.read(
+        [](const Fleet &Rows) { return Rows.Registry.Era; });
+    return this->Until.holds(Now) && this->Board.RegistryFresh.holds(Now) &&
+           Mine.Era == Listed && !this->OthersMayOwn.holds(Now);
+  }
+
   CallCause causeOfJoin() const {
     if (this->Lost)
       return CallCause::Retry;
@@ -151,7 +169,7 @@
     });
     for (auto &[Domain, View] : Views) {
       const EngineSpec &Engine = *Config.service(View.Service)->Engine;
-      View.EpochFloor = Mine.Generation << CounterBits;
+      View.EpochFloor = Mine.fence() << CounterBits;
       View.LoadsAllowed = this->Loads.allowed(View.LoadsAllowed, Engine, Now);
       View.LoadsSpare = this->Loads.allowed(View.LoadsSpare, Engine, Now);
       View.Fates = this->Members.fates();
@@ -229,13 +247,14 @@
       this->Members.noteUnreached(Order.To->life(), Now);
   }
 
-  void take(const WorkShare &Share) {
-    bool Changed = this->Held.write([&](WorkShare &Row) {
-      bool Other =
-          Row.Generation != Share.Generation || Row.Parts != Share.Parts;
-      Row = Share;
-      return Other;
-    });
+  void take(const WorkShare &Share, Millis LeaseTime) {
+    WorkShare Before = this->Held.write(
+        [&](WorkShare &Row) { return std::exchange(Row, Share); });
+    bool Knew = Before.fence() > 0;
+    if (Knew && Share.Era > Before.Era)
+      this->OthersMayOwn.renew(SystemClock{}.now(), LeaseTime);
+    bool Changed =
+        Before.fence() != Share.fence() || Before.Parts != Share.Parts;
     this->Board.Share =
         static_cast<double>(Share.Parts.size()) /
         static_cast<double>(this->Board.Config.Entry->WorkParts);
@@ -244,9 +263,11 @@
     std::string Parts;
     for (std::uint64_t Part : Share.Parts)
       Parts += (Parts.empty() ? "" : " ") + std::to_string(Part);
-    this->Board.Log.emit(
-        EventCode::DomainsOwned, this->Board.Config.Node.Text,
-        LogFields().add("generation", Share.Generation).add("parts", Parts));
+    this->Board.Log.emit(EventCode::DomainsOwned, this->Board.Config.Node.Text,
+                         LogFields()
+                             .add("generation", Share.Generation)
+                             .add("era", Share.Era.Value)
+                             .add("parts", Parts));
   }
 
   void handBack(const std::string &Reason) {
@@ -278,7 +299,9 @@
   std::atomic<bool> Lost{false};
   Backoff Waits;
   std::map<DomainId, Owned> Planners;
-  /// Generation of the last step that planned.
+  /// After a restore, while a lease that the store knows nothing of may run.
+  Lease OthersMayOwn;
+  /// Fence of the last step that planned.
   std::uint64_t PlannedAt = 0;
   bool Lapsed = false;
   MemberInquiry<Control> Members;
--- a/src/control/keyed_feed.h
+++ b/src/control/keyed_feed.h
@@ -58,8 +58,23 @@
 
 /// What a node holds of work that the platform deals out.
 struct WorkShare {
+  /// Of the store that dealt it: generations go back with a restore, and are
+  /// given out again.
+  StoreEra Era;
   std::uint64_t Generation = 0;
   std::vector<std::uint64_t> Parts;
+
+  /// What orders under this share are fenced with. It rises with each change of
+  /// the shares, also over a restore: targets refuse an owner whose fence is
+  /// below one that they have seen, and after a restore the generation alone is
+  /// below that for as long as it takes to grow back.
+  std::uint64_t fence() const {
+    return (this->Era.Value << GenerationBits) | this->Generation;
+  }
+
+private:
+  /// For 16 million changes within an era. A million eras fit above.
+  static constexpr unsigned GenerationBits = 24;
 };
 
 /// Shared work. An owner holds its parts until the lease that it asked for
--- a/src/control/order_sender.h
+++ b/src/control/order_sender.h
@@ -11,8 +11,8 @@
 
 namespace waycove {
 
-/// Carries orders to targets under the generation of an ownership, and tells
-/// the log how each was taken. Used by one thread.
+/// Carries orders to targets under the fence of an ownership, and tells the
+/// log how each was taken. Used by one thread.
 template <GroupControl Control> class OrderSender {
 public:
   OrderSender(EntryBoard &Board, Control &Targets)
@@ -22,7 +22,7 @@
   /// not answer holds up none of the others, while \p Until holds. How each
   /// was taken.
   std::vector<OrderEnd> give(const std::vector<GroupOrder> &Orders,
-                             std::uint64_t Generation, const Lease &Until) {
+                             std::uint64_t Fence, const Lease &Until) {
     std::vector<OrderEnd> Ends(Orders.size(), OrderEnd::NotSent);
     {
       std::vector<std::jthread> Senders;
@@ -30,41 +30,40 @@
         Senders.emplace_back([&, I] {
           // Time may have passed, also while this process stood still.
           if (Until.holds(SystemClock{}.now()) &&
-              !this->isFenced(Orders[I], Generation))
-            Ends[I] = this->Targets.order(Orders[I], Generation);
+              !this->isFenced(Orders[I], Fence))
+            Ends[I] = this->Targets.order(Orders[I], Fence);
         });
     }
     for (std::size_t I = 0; I < Orders.size(); ++I)
-      this->noteEnd(Orders[I], Ends[I], Generation);
+      this->noteEnd(Orders[I], Ends[I], Fence);
     return Ends;
   }
 
 private:
-  bool isFenced(const GroupOrder &Order, std::uint64_t Generation) const {
+  bool isFenced(const GroupOrder &Order, std::uint64_t Fence) const {
     auto At = this->FencedAt.find(Order.To->life());
-    return At != this->FencedAt.end() && At->second >= Generation;
+    return At != this->FencedAt.end() && At->second >= Fence;
   }
 
-  void noteEnd(const GroupOrder &Order, OrderEnd End,
-               std::uint64_t Generation) {
+  void noteEnd(const GroupOrder &Order, OrderEnd End, std::uint64_t Fence) {
     this->Board.Counters.add(Counter::OrdersSent);
     if (End != OrderEnd::Taken)
       this->Board.Counters.add(Counter::OrdersFailed);
     if (End == OrderEnd::Fenced)
-      this->FencedAt[Order.To->life()] = Generation;
+      this->FencedAt[Order.To->life()] = Fence;
     this->Board.Log.emit(EventCode::DomainOrderEnded, Order.To->Id.Text,
                          LogFields()
                              .add("order", orderName(Order.Kind))
                              .add("group", Order.Group.Name)
                              .add("epoch", Order.Group.Epoch)
-                             .add("generation", Generation)
+                             .add("fence", Fence)
                              .add("reason", Order.Reason)
                              .add("end", static_cast<int>(End)));
   }
 
   EntryBoard &Board;
   Control &Targets;
-  /// Generation at which a target refused for a newer owner's order; a later
+  /// Fence at which a target refused for a newer owner's order; a later
   /// life of it knows nothing of that.
   std::map<VmLife, std::uint64_t> FencedAt;
 };
