Wait for operators after a restore also where nothing seems to be lost

A configuration that took a key away may have been acknowledged after this node's last proof and before the store went away, and be lost before any node saw it: the copy then shows the version in force, and proved its keys.

The rule has a class of its own, ConfigProof.

The unit test of a restore with the version in force asked for a proof at once; it now asks for none at first, and for one when the time is over or a newer version is written.

--- a/src/control/config_follow.h
+++ b/src/control/config_follow.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "control/config_proof.h"
 #include "control/keyed_feed.h"
 #include "control/serving.h"
 
@@ -15,7 +16,8 @@
 template <KeyedFeed Feed, typename Decoder> class ConfigFollower {
 public:
   ConfigFollower(EntryBoard &Board, Feed &Source, Decoder Decode)
-      : Board(Board), Source(Source), Decode(std::move(Decode)) {}
+      : Board(Board), Source(Source), Decode(std::move(Decode)),
+        Proof(Board.Config.Entry->RevokeBound) {}
 
   /// Takes in what is new; waits for that a while.
   void step() {
@@ -41,26 +43,12 @@
     for (const KeyedRecord &Row : Page.Records)
       if (Row.Key == Decoder::Key && Row.Value)
         this->apply(*Row.Value);
-    // From what the store lost nobody can tell which keys were taken away after
-    // this node's last proof: what it holds now proves nothing until operators
-    // have written again what was in force, or something newer.
-    if (!Page.Versions.isLost() && this->isBeforeKnown(Page.Versions) &&
-        this->inForce() > 0)
+    bool Proven = this->Proof.proves(Page, SystemClock{}.now());
+    if (Proven && this->inForce() > 0)
       this->Board.ConfigFresh.renew(
           Page.ProvenAt, this->Board.Config.Entry->RevokeBound - ProofMargin);
   }
 
-  /// Where all nodes started after a restore, none can tell what it lost. They
-  /// give operators the time for which an old key may be in use anyway to write
-  /// again; from then on what the store has is what there is.
-  bool isBeforeKnown(const VersionMarks &Versions) {
-    TimePoint Now = SystemClock{}.now();
-    if (!this->FirstRead)
-      this->FirstRead = Now;
-    return Versions.BeforeKnown ||
-           Now - *this->FirstRead >= this->Board.Config.Entry->RevokeBound;
-  }
-
   /// Zero where no version is.
   std::uint64_t inForce() const {
     return this->Board.Routing.read(
@@ -129,9 +117,9 @@
   EntryBoard &Board;
   FeedCursor<Feed> Source;
   Decoder Decode;
+  ConfigProof Proof;
   bool WasProven = false;
   bool WasLost = false;
-  std::optional<TimePoint> FirstRead;
   /// No older version comes in force: the store lost this one.
   std::uint64_t Least = 0;
 };
--- a/tests/unit/config_follow_test.cpp
+++ b/tests/unit/config_follow_test.cpp
@@ -91,13 +91,17 @@
   CHECK(this->mayUseKeys());
 }
 
+// It may have lost one that took a key away, and that this node had not seen.
 TEST_CASE_METHOD(ConfigFollowFixture,
                  "config: the store came back with the version in force: its "
-                 "keys are proven",
+                 "keys are proven when operators could have written again",
                  "[unit]") {
   this->show(19, 7, 0);
   this->waitOutProof();
   this->show(19, 6, 1);
+  CHECK_FALSE(this->mayUseKeys());
+  std::this_thread::sleep_for(FeedCache::LapseTime);
+  this->show(19, 6, 1);
   CHECK(this->mayUseKeys());
   // Written again as it was, after another restore that had lost it.
   this->waitOutProof();
@@ -107,6 +111,29 @@
   CHECK(this->mayUseKeys());
 }
 
+TEST_CASE_METHOD(ConfigFollowFixture,
+                 "config: the store came back with the version in force, and a "
+                 "newer one is written: its keys are proven at once",
+                 "[unit]") {
+  this->show(19, 7, 0);
+  this->waitOutProof();
+  this->show(19, 6, 1);
+  this->show(22, 7, 1);
+  CHECK(this->mayUseKeys());
+}
+
+TEST_CASE_METHOD(ConfigFollowFixture,
+                 "config: a node starts long after a restore, and others know "
+                 "what was in force before: its keys are proven at once",
+                 "[unit]") {
+  KeyedPage Told = pageOf(22, 5, 1);
+  Told.Versions.Before = ValueVersion(19);
+  Told.Versions.BeforeKnown = true;
+  this->cache().take(Told, SystemClock{}.now());
+  this->Follower.step();
+  CHECK(this->mayUseKeys());
+}
+
 TEST_CASE_METHOD(ConfigFollowFixture,
                  "config: two restores before operators write again: what the "
                  "first one lost is still missed",
