Soak: the store comes back from older copies while keys are taken away

It checks that a key that was taken away is never served after the bound on revoked keys, also where the store lost that version, and that the last version is in force in the end. Its random numbers are its own, so earlier seeds are what they were. The stand-in target now counts what it writes and checks fences, as the platform's do.

No functional change

--- a/src/control/config_proof.h
+++ b/src/control/config_proof.h
@@ -46,7 +46,8 @@
     this->ShownFirst = Page.Versions.Shown;
     // Where all nodes started after a restore, none can tell what it lost: they
     // wait for as long as a key that was taken away may be in use anyway.
-    this->WaitUntil = Now + (this->LivedThrough ? WriteTime : this->RevokeBound);
+    this->WaitUntil =
+        Now + (this->LivedThrough ? WriteTime : this->RevokeBound);
   }
 
   const Millis RevokeBound;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -12,7 +12,14 @@
 // - an answer belongs to its request;
 // - after the faults have ended, requests are served.
 //
-//   soak --seed=N --seconds=S [--seeds=K]   K runs with following seeds
+// With --restores the store also comes back from older copies of itself again
+// and again, while operators replace a key with each version they publish:
+// - a key that was taken away is refused after the bound on revoked keys, for
+//   good, whatever the store has lost;
+// - what is written last is in force at all entries.
+//
+//   soak --seed=N --seconds=S [--seeds=K] [--restores]   K runs, with following
+//   seeds
 //
 // Exit status 0 where all promises held. A failed run names its seed and keeps
 // its logs.
@@ -36,6 +43,7 @@
 DEFINE_uint64(seed, 1, "seed of the first run");
 DEFINE_uint64(seeds, 1, "number of runs, with following seeds");
 DEFINE_int32(seconds, 15, "time with faults in one run");
+DEFINE_bool(restores, false, "the store comes back from older copies");
 
 namespace waycove::test {
 
@@ -51,11 +59,20 @@
 /// Faults that overlap at most, so that something is left to serve.
 constexpr int MostFaults = 3;
 constexpr milliseconds RecoverTime(15000);
+constexpr milliseconds RevokeBound(1500);
+/// Targets are given this to write again, and operators.
+constexpr int WriteAgainMs = 1000;
+/// Apart from the seeds of the other faults.
+constexpr std::uint64_t RestoreSeeds = 1'000'000;
+
+std::string turnKey(int Version) { return "turn-" + std::to_string(Version); }
 
-std::string config() {
+/// The version's own key goes with the next one.
+std::string config(int Version) {
   const std::string Route =
       R"("host":"a.example","timeout_ms":6000,"goal_ms":300,"priority":1,)";
-  return R"({"version":1,"routes":[{"name":"chat",)" + Route +
+  return R"({"version":)" + std::to_string(Version) +
+         R"(,"routes":[{"name":"chat",)" + Route +
          R"("path_prefix":"/chat/","type":"streaming","service":"llm",)"
          R"("max_attempts":2,"resumable":true,"gap_target_ms":200},)"
          R"({"name":"once",)" +
@@ -65,7 +82,8 @@
          R"({"name":"llm","max_conns":50,"engine":{"slots":8,"retains":1,)"
          R"("loads_per_s":50,"models":[{"name":"model","size":2,"share":1,)"
          R"("pace":1,"load_s":0.1,"warm_s":0.05}]}}],)"
-         R"("tenants":[{"name":"w1","api_keys":["key-1"]}]})";
+         R"("tenants":[{"name":"w1","api_keys":["key-1",")" +
+         turnKey(Version) + R"("]}]})";
 }
 
 std::string wholeStream() {
@@ -79,7 +97,9 @@
 /// One run: a small system behind proxies, callers, and a source of faults.
 class Soak {
 public:
-  explicit Soak(std::uint64_t Seed) : Random(Seed) { this->startAll(); }
+  explicit Soak(std::uint64_t Seed) : Seed(Seed), Random(Seed) {
+    this->startAll();
+  }
 
   /// The promises that were broken; empty where none was.
   std::string run() {
@@ -91,12 +111,25 @@
         for (int N = 0; !Stop; ++N)
           this->callOnce(I, N);
       });
+    std::thread Operators([&] {
+      if (FLAGS_restores)
+        this->restoreAgainAndAgain(Stop);
+    });
+    std::thread Thieves([&] {
+      while (FLAGS_restores && !Stop)
+        this->tryOldKey();
+    });
     this->makeFaults();
     this->endFaults();
+    this->FaultsOver = true;
+    Operators.join();
     bool Back = eventually([&] { return this->isServing(); }, RecoverTime);
+    if (FLAGS_restores && !this->isLastInForce())
+      this->fail("the last configuration is not in force everywhere");
     Stop = true;
     for (std::thread &Row : Callers)
       Row.join();
+    Thieves.join();
     if (!Back)
       this->fail("not served " + std::to_string(RecoverTime.count()) +
                  " ms after the last fault");
@@ -124,8 +157,7 @@
     for (const char *Node : {"n1", "n2"})
       this->Run.addNode(Node, "a");
     this->Run.startPlatform();
-    this->Run.atPlatform(
-        {"POST", "/store/put?topic=keyed.op&key=config", config(), {}});
+    this->publish();
     for (int I = 1; I <= Engines; ++I)
       this->addVm("e-" + std::to_string(I));
     for (int I = 1; I <= Plains; ++I)
@@ -158,17 +190,18 @@
     this->Run.ExtraSettings =
         "entry: {ready: '127.0.0.1:" +
         std::to_string(this->Run.peerPort(Node) + 5) +
-        "', revoke_bound_ms: 1500, grace_ms: 3000, lease_least_ms: 500}";
+        "', revoke_bound_ms: " + std::to_string(RevokeBound.count()) +
+        ", grace_ms: 3000, lease_least_ms: 500, target_heartbeat_ms: 400}";
     this->Run.startNode(Node);
   }
 
   Reply call(const std::string &Node, const std::string &Path,
-             const std::string &Id) {
+             const std::string &Id, const std::string &Key = "key-1") {
     return this->Run.ask(Node, {"POST",
                                 Path,
                                 "body",
                                 {{"Host", "a.example"},
-                                 {"Authorization", "Bearer key-1"},
+                                 {"Authorization", "Bearer " + Key},
                                  {"X-Request-Id", Id},
                                  {"X-Model", "model"},
                                  {"X-Token-Count", "100,50"},
@@ -293,6 +326,97 @@
 
   void endFaults() { this->endDue(Clock::time_point::max()); }
 
+  /// Publishes the next version, which takes the last one's key away.
+  void publish() {
+    int Version = ++this->Version;
+    this->Run.atPlatform(
+        {"POST", "/store/put?topic=keyed.op&key=config", config(Version), {}});
+    std::lock_guard Lock(this->Mutex);
+    if (Version > 1)
+      this->TakenAway.push_back({turnKey(Version - 1), Clock::now()});
+  }
+
+  /// Its own random numbers: the other faults of a seed stay as they are.
+  void restoreAgainAndAgain(const std::atomic<bool> &Stop) {
+    std::mt19937_64 Own(this->Seed + RestoreSeeds);
+    auto Pause = [&](int Least, int Most) {
+      std::this_thread::sleep_for(
+          milliseconds(std::uniform_int_distribution<int>(Least, Most)(Own)));
+    };
+    while (!Stop && !this->FaultsOver) {
+      this->Run.atPlatform({"POST", "/store/copy", "", {}});
+      for (int Changes = static_cast<int>(Own() % 4); Changes >= 0; --Changes) {
+        Pause(50, 1200);
+        this->publish();
+      }
+      Pause(0, 500);
+      this->Run.atPlatform({"POST", "/store/down?how=refuse", "", {}});
+      Pause(100, 1200);
+      this->Run.atPlatform({"POST", "/store/restore", "", {}});
+      this->Run.atPlatform({"POST", "/store/down?how=no", "", {}});
+      std::thread Targets([&] { this->writeAgain(); });
+      Pause(0, WriteAgainMs);
+      this->publish();
+      Targets.join();
+      Pause(0, 2000);
+    }
+  }
+
+  /// Each target that lives writes its entry again; others' lapse.
+  void writeAgain() {
+    auto Publish = [this](const std::string &Vm) {
+      return this->Run.atVm(Vm,
+                            {"POST", "/publish", "", {}, milliseconds(500)});
+    };
+    for (const std::string &Vm : this->Vms) {
+      std::this_thread::sleep_for(
+          milliseconds(WriteAgainMs / this->Vms.size()));
+      if (!Publish(Vm).Refused)
+        continue;
+      this->Run.atPlatform(
+          {"POST", "/store/put?topic=keyed.servers&key=" + Vm, "", {}});
+      // It may have started meanwhile.
+      Publish(Vm);
+    }
+  }
+
+  /// Calls with a key that may not be used any more.
+  void tryOldKey() {
+    std::this_thread::sleep_for(milliseconds(20));
+    std::string Key;
+    {
+      std::lock_guard Lock(this->Mutex);
+      auto Late = std::find_if(
+          this->TakenAway.rbegin(), this->TakenAway.rend(),
+          [](const auto &Row) { return Clock::now() - Row.At > RevokeBound; });
+      if (Late == this->TakenAway.rend())
+        return;
+      auto Count = this->TakenAway.rend() - Late;
+      Key = this->TakenAway[this->Tries % static_cast<unsigned>(Count)].Key;
+      // The newest half of the time: the one that a copy may still hold.
+      if (this->Tries % 2 == 0)
+        Key = Late->Key;
+    }
+    unsigned Try = ++this->Tries;
+    std::string Node = Try % 4 < 2 ? "n1" : "n2";
+    Reply Answer =
+        this->call(Node, "/once/x", "thief-" + std::to_string(Try), Key);
+    if (Answer.Status == 200)
+      this->fail(Node + ": served a request with " + Key +
+                 ", which was taken away");
+  }
+
+  bool isLastInForce() {
+    std::string Key = turnKey(this->Version);
+    return eventually(
+        [&] {
+          std::string Id = "last-" + std::to_string(++this->Tries);
+          return this->call("n1", "/once/x", Id, Key).Status == 200 &&
+                 this->call("n2", "/once/x", Id + "b", Key).Status == 200;
+        },
+        RecoverTime);
+  }
+
   /// Compares what targets say that they ran with what callers were told.
   void checkRuns() {
     std::map<std::string, int> Runs;
@@ -315,6 +439,7 @@
     std::function<void()> End;
   };
 
+  const std::uint64_t Seed;
   std::mt19937_64 Random;
   Cluster Run;
   std::vector<std::string> Vms;
@@ -323,6 +448,15 @@
   std::mutex Mutex;
   std::string Broken;
   std::set<std::string> NotRun;
+  /// Keys that operators took away, and when the store acknowledged that.
+  struct TakenKey {
+    std::string Key;
+    Clock::time_point At;
+  };
+  std::vector<TakenKey> TakenAway;
+  std::atomic<int> Version{0};
+  std::atomic<unsigned> Tries{0};
+  std::atomic<bool> FaultsOver{false};
   std::atomic<unsigned long> Served{0};
   std::atomic<unsigned long> Refused{0};
 };
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -14,6 +14,8 @@
 //   slow        answers after 700 ms        failed     500
 //   closing     says that it closes the connection, as one that leaves does
 //
+// POST /publish writes its entry to the registry, as each heartbeat does where
+// the store has an older one.
 // POST /restart starts it again under its id; with ?unseen=1 behind a cut from
 // the registry, which shows it as before until the next order or restart.
 #include "base/json.h"
@@ -63,6 +65,8 @@
       this->report(Response);
     else if (Path == "/runs")
       this->runs(Response);
+    else if (Path == "/publish")
+      this->publishAgain(Response);
     else if (Path.rfind("/restart", 0) == 0)
       this->restart(Response, Path.ends_with("unseen=1"));
     else if (Request.has("X-Expect-Replica"))
@@ -77,6 +81,7 @@
     std::string Text;
     {
       std::lock_guard Lock(this->Mutex);
+      ++this->Sequence;
       Text = dumpJson(this->entry());
     }
     std::size_t Colon = this->Given.Registry.find(':');
@@ -116,7 +121,7 @@
     Out.set("slots", 8);
     Out.set("state", std::string("ready"));
     Out.set("cold_left_ms", 0);
-    Out.set("sequence", 0);
+    Out.set("sequence", this->Sequence);
     Out.set("born", this->Born);
     Poco::JSON::Array Staged;
     Staged.add(std::string("model"));
@@ -154,6 +159,10 @@
   int carryOut(const JsonObject &Row) {
     std::string Op = textAt(Row, "op");
     std::uint64_t Wanted = numberAt(Row, "epoch");
+    std::uint64_t Fence = numberAt(Row, "fencing_token");
+    if (Fence < this->SeenFence)
+      return 412;
+    this->SeenFence = Fence;
     if (Op == "phase")
       return 202;
     if (Op == "join") {
@@ -197,11 +206,18 @@
     reply(Response, 200, dumpJson(Out));
   }
 
+  void publishAgain(Poco::Net::HTTPServerResponse &Response) {
+    this->publish();
+    reply(Response, 200, "{}");
+  }
+
   /// Nothing holds afterwards of what it held and had seen before.
   void restart(Poco::Net::HTTPServerResponse &Response, bool Unseen) {
     {
       std::lock_guard Lock(this->Mutex);
       this->Born = nowMs();
+      this->Sequence = 0;
+      this->SeenFence = 0;
       this->Group.clear();
       this->Epoch = 0;
       this->State.clear();
@@ -307,6 +323,8 @@
   const ReplicaSetup Given;
   std::mutex Mutex;
   std::uint64_t Born = nowMs();
+  std::uint64_t Sequence = 0;
+  std::uint64_t SeenFence = 0;
   std::string Group;
   std::uint64_t Epoch = 0;
   std::size_t Rank = 0;
