Trust no node that has not waited for operators after a restore itself

Cause: a node that lived through the restore told the new one that it knew what had been in force before, and the new one took that for 'written again', though the teller itself was still waiting for operators to write. Ruled out by the log: the new node's own wait, of the bound on revoked keys, was not over.

What nodes tell each other, and note in the directory, is now that the era is settled: operators have written since it began, or a node has waited for them. What another was shown of later versions is no longer taken for what this node was shown itself. The wait has a class of its own, RestoreWait.

The soak keeps the logs of a failed run, as it says.

--- a/src/board/feed_cache.cpp
+++ b/src/board/feed_cache.cpp
@@ -35,9 +35,12 @@
         this->Known && !Restored && Page.Versions.Shown > this->Versions.Shown;
     if (Ahead)
       this->advance(Page, Now);
-    this->note({Page.Next.Era, Page.Versions});
+    if (Page.Next.Era == this->Next.Era)
+      this->Versions.Shown =
+          std::max(this->Versions.Shown, Page.Versions.Shown);
+    this->noteBefore({Page.Next.Era, Page.Versions});
     // Nothing was lost before the first era, which nobody has to settle.
-    this->Versions.BeforeKnown |= Written || this->Next.Era == this->Settled;
+    this->Versions.Settled |= Written || this->Next.Era == this->SettledEra;
     this->ProvenAt = std::max(this->ProvenAt, Page.ProvenAt);
   }
   this->Changed.notify_all();
@@ -50,37 +53,39 @@
   this->ForgottenBelow = {Era, Offset()};
   this->Versions.Before = std::max(this->Versions.Before, this->Versions.Shown);
   this->Versions.Shown = ValueVersion();
+  this->Versions.Settled = false;
 }
 
-/// What was shown in an earlier era was known before this one.
-void FeedCache::note(const EraMarks &Told) {
+/// What was shown in an earlier era was known before this one; what another
+/// node was shown in this one, this node has yet to read.
+void FeedCache::noteBefore(const EraMarks &Told) {
   if (Told.Era > this->Next.Era)
     return;
   VersionMarks &Mine = this->Versions;
-  ValueVersion &Known = Told.Era == this->Next.Era ? Mine.Shown : Mine.Before;
-  Known = std::max(Known, Told.Versions.Shown);
   Mine.Before = std::max(Mine.Before, Told.Versions.Before);
-  bool JustBefore = Told.Era.next() >= this->Next.Era;
-  Mine.BeforeKnown |= Told.Versions.BeforeKnown && JustBefore;
+  if (Told.Era < this->Next.Era)
+    Mine.Before = std::max(Mine.Before, Told.Versions.Shown);
+  else
+    Mine.Settled |= Told.Versions.Settled;
 }
 
 void FeedCache::hear(const EraMarks &Told) {
   std::lock_guard Lock(this->Mutex);
   // A node that knows nothing takes no part of it for all.
   if (this->Known)
-    this->note(Told);
+    this->noteBefore(Told);
 }
 
 void FeedCache::settle(StoreEra Era) {
   std::lock_guard Lock(this->Mutex);
-  this->Settled = std::max(this->Settled, Era);
-  this->Versions.BeforeKnown |= this->Known && this->Next.Era == this->Settled;
+  this->SettledEra = std::max(this->SettledEra, Era);
+  this->Versions.Settled |= this->Known && this->Next.Era == this->SettledEra;
 }
 
 std::optional<StoreEra> FeedCache::settledEra() const {
   std::lock_guard Lock(this->Mutex);
   bool Settled =
-      this->Known && this->Versions.BeforeKnown && !this->Versions.isLost();
+      this->Known && this->Versions.Settled && !this->Versions.isLost();
   return Settled ? std::optional(this->Next.Era) : std::nullopt;
 }
 
--- a/src/board/feed_cache.h
+++ b/src/board/feed_cache.h
@@ -34,9 +34,9 @@
   ValueVersion Shown;
   /// That was known before the era began, to this node or to any that told it.
   ValueVersion Before;
-  /// Before is all there is to know: this node lived when the era began, or was
-  /// told by one that did, or the writer has written since.
-  bool BeforeKnown = false;
+  /// What was lost before the era began is written again, as far as anybody can
+  /// tell: the writer has written since, or has had the time to.
+  bool Settled = false;
   /// The store lost a version that was in force, and its writer has not written
   /// it or a newer one again.
   bool isLost() const { return this->Shown < this->Before; }
@@ -102,10 +102,10 @@
   /// What another node has seen of versions: where the store lost what was in
   /// force, a node that started since knows it from others alone.
   void hear(const EraMarks &Told);
-  /// The directory says that a node saw \p Era settled.
+  /// What was lost before \p Era began is written again: this node has waited
+  /// for it, or the directory says that another one has.
   void settle(StoreEra Era);
-  /// The era in which all that was in force before is written again, as far as
-  /// this node can tell; nothing while it cannot.
+  /// The present era, where it is settled and nothing is missed.
   std::optional<StoreEra> settledEra() const;
   EraMarks marks() const;
   /// What changed from \p From on, in order, as far as \p MostBytes of records
@@ -137,7 +137,7 @@
   bool isRefuted(const KeyedPage &Page) const;
   void advance(const KeyedPage &Page, TimePoint Now);
   void beginEra(StoreEra Era);
-  void note(const EraMarks &Told);
+  void noteBefore(const EraMarks &Told);
   void put(const KeyedRecord &Record, StorePosition Below, TimePoint Now);
   void addMissing(const KeyedPage &Page, TimePoint Now);
   void prune(TimePoint Now);
@@ -152,8 +152,8 @@
   StorePosition Next;
   /// In the era of Next.
   VersionMarks Versions;
-  /// The newest that the directory tells of.
-  StoreEra Settled;
+  /// The newest that is known to be settled.
+  StoreEra SettledEra;
   /// Of keys that were dropped before it, some are forgotten.
   StorePosition ForgottenBelow;
   TimePoint ProvenAt;
--- a/src/control/config_follow.h
+++ b/src/control/config_follow.h
@@ -4,8 +4,8 @@
 
 #pragma once
 
-#include "control/config_proof.h"
 #include "control/keyed_feed.h"
+#include "control/restore_wait.h"
 #include "control/serving.h"
 
 namespace waycove {
@@ -17,7 +17,7 @@
 public:
   ConfigFollower(EntryBoard &Board, Feed &Source, Decoder Decode)
       : Board(Board), Source(Source), Decode(std::move(Decode)),
-        Proof(Board.Config.Entry->RevokeBound) {}
+        Wait(Board.Config.Entry->RevokeBound) {}
 
   /// Takes in what is new; waits for that a while.
   void step() {
@@ -43,10 +43,17 @@
     for (const KeyedRecord &Row : Page.Records)
       if (Row.Key == Decoder::Key && Row.Value)
         this->apply(*Row.Value);
-    bool Proven = this->Proof.proves(Page, SystemClock{}.now());
-    if (Proven && this->inForce() > 0)
-      this->Board.ConfigFresh.renew(
-          Page.ProvenAt, this->Board.Config.Entry->RevokeBound - ProofMargin);
+    if (!this->isProof(Page) || this->inForce() == 0)
+      return;
+    this->Board.feed(FeedKind::Config).settle(Page.Next.Era);
+    this->Board.ConfigFresh.renew(
+        Page.ProvenAt, this->Board.Config.Entry->RevokeBound - ProofMargin);
+  }
+
+  /// Whether no key of what \p Page shows was taken away, as of its proof.
+  bool isProof(const KeyedPage &Page) {
+    bool Waited = this->Wait.isOver(Page, SystemClock{}.now());
+    return Waited && !Page.Versions.isLost();
   }
 
   /// Zero where no version is.
@@ -117,7 +124,7 @@
   EntryBoard &Board;
   FeedCursor<Feed> Source;
   Decoder Decode;
-  ConfigProof Proof;
+  RestoreWait Wait;
   bool WasProven = false;
   bool WasLost = false;
   /// No older version comes in force: the store lost this one.
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -153,13 +153,13 @@
 
 wire::FeedMark packMarks(const EraMarks &Marks) {
   return {Marks.Era.Value, Marks.Versions.Shown.Value,
-          Marks.Versions.Before.Value, Marks.Versions.BeforeKnown};
+          Marks.Versions.Before.Value, Marks.Versions.Settled};
 }
 
 EraMarks readMarks(const wire::FeedMark &Row) {
-  return {StoreEra(Row.era()),
-          {ValueVersion(Row.shown()), ValueVersion(Row.before()),
-           Row.before_known()}};
+  return {
+      StoreEra(Row.era()),
+      {ValueVersion(Row.shown()), ValueVersion(Row.before()), Row.settled()}};
 }
 
 std::vector<std::uint8_t> deflateRecords(const std::vector<KeyedRecord> &Rows) {
@@ -231,7 +231,7 @@
   News->era = Page.Next.Era.Value;
   News->shown = Page.Versions.Shown.Value;
   News->before = Page.Versions.Before.Value;
-  News->before_known = Page.Versions.BeforeKnown;
+  News->settled = Page.Versions.Settled;
   News->proven_age_ms = ageOf(Page.ProvenAt, Now);
   News->hold_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(
       0, std::chrono::ceil<Millis>(Page.HoldUntil - Now).count()));
@@ -256,7 +256,7 @@
   Page.Whole = News.whole;
   Page.Next = {StoreEra(News.era), Offset(News.next)};
   Page.Versions = {ValueVersion(News.shown), ValueVersion(News.before),
-                   News.before_known};
+                   News.settled};
   Page.Partial = News.partial;
   // A part says nothing of what came after it.
   if (!News.partial)
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -567,7 +567,7 @@
   uint64_t era_;
   uint64_t shown_;
   uint64_t before_;
-  uint8_t before_known_;
+  uint8_t settled_;
   int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
 
  public:
@@ -576,7 +576,7 @@
       : era_(0),
         shown_(0),
         before_(0),
-        before_known_(0),
+        settled_(0),
         padding0__(0),
         padding1__(0),
         padding2__(0) {
@@ -584,11 +584,11 @@
     (void)padding1__;
     (void)padding2__;
   }
-  FeedMark(uint64_t _era, uint64_t _shown, uint64_t _before, bool _before_known)
+  FeedMark(uint64_t _era, uint64_t _shown, uint64_t _before, bool _settled)
       : era_(flatbuffers::EndianScalar(_era)),
         shown_(flatbuffers::EndianScalar(_shown)),
         before_(flatbuffers::EndianScalar(_before)),
-        before_known_(flatbuffers::EndianScalar(static_cast<uint8_t>(_before_known))),
+        settled_(flatbuffers::EndianScalar(static_cast<uint8_t>(_settled))),
         padding0__(0),
         padding1__(0),
         padding2__(0) {
@@ -605,8 +605,8 @@
   uint64_t before() const {
     return flatbuffers::EndianScalar(before_);
   }
-  bool before_known() const {
-    return flatbuffers::EndianScalar(before_known_) != 0;
+  bool settled() const {
+    return flatbuffers::EndianScalar(settled_) != 0;
   }
 };
 FLATBUFFERS_STRUCT_END(FeedMark, 32);
@@ -3701,7 +3701,7 @@
   uint64_t era = 0;
   uint64_t shown = 0;
   uint64_t before = 0;
-  bool before_known = false;
+  bool settled = false;
   FeedNewsT() = default;
   FeedNewsT(const FeedNewsT &o);
   FeedNewsT(FeedNewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3725,7 +3725,7 @@
     VT_ERA = 24,
     VT_SHOWN = 26,
     VT_BEFORE = 28,
-    VT_BEFORE_KNOWN = 30
+    VT_SETTLED = 30
   };
   bool known() const {
     return GetField<uint8_t>(VT_KNOWN, 0) != 0;
@@ -3763,8 +3763,8 @@
   uint64_t before() const {
     return GetField<uint64_t>(VT_BEFORE, 0);
   }
-  bool before_known() const {
-    return GetField<uint8_t>(VT_BEFORE_KNOWN, 0) != 0;
+  bool settled() const {
+    return GetField<uint8_t>(VT_SETTLED, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -3783,7 +3783,7 @@
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            VerifyField<uint64_t>(verifier, VT_SHOWN, 8) &&
            VerifyField<uint64_t>(verifier, VT_BEFORE, 8) &&
-           VerifyField<uint8_t>(verifier, VT_BEFORE_KNOWN, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SETTLED, 1) &&
            verifier.EndTable();
   }
   FeedNewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3831,8 +3831,8 @@
   void add_before(uint64_t before) {
     fbb_.AddElement<uint64_t>(FeedNews::VT_BEFORE, before, 0);
   }
-  void add_before_known(bool before_known) {
-    fbb_.AddElement<uint8_t>(FeedNews::VT_BEFORE_KNOWN, static_cast<uint8_t>(before_known), 0);
+  void add_settled(bool settled) {
+    fbb_.AddElement<uint8_t>(FeedNews::VT_SETTLED, static_cast<uint8_t>(settled), 0);
   }
   explicit FeedNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -3859,7 +3859,7 @@
     uint64_t era = 0,
     uint64_t shown = 0,
     uint64_t before = 0,
-    bool before_known = false) {
+    bool settled = false) {
   FeedNewsBuilder builder_(_fbb);
   builder_.add_before(before);
   builder_.add_shown(shown);
@@ -3869,7 +3869,7 @@
   builder_.add_hold_ms(hold_ms);
   builder_.add_proven_age_ms(proven_age_ms);
   builder_.add_rows(rows);
-  builder_.add_before_known(before_known);
+  builder_.add_settled(settled);
   builder_.add_partial(partial);
   builder_.add_left_out(left_out);
   builder_.add_whole(whole);
@@ -3896,7 +3896,7 @@
     uint64_t era = 0,
     uint64_t shown = 0,
     uint64_t before = 0,
-    bool before_known = false) {
+    bool settled = false) {
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedRow>>(*rows) : 0;
   auto deflated__ = deflated ? _fbb.CreateVector<uint8_t>(*deflated) : 0;
   return waycove::wire::CreateFeedNews(
@@ -3913,7 +3913,7 @@
       era,
       shown,
       before,
-      before_known);
+      settled);
 }
 
 flatbuffers::Offset<FeedNews> CreateFeedNews(flatbuffers::FlatBufferBuilder &_fbb, const FeedNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5572,7 +5572,7 @@
         era(o.era),
         shown(o.shown),
         before(o.before),
-        before_known(o.before_known) {
+        settled(o.settled) {
   rows.reserve(o.rows.size());
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new waycove::wire::FeedRowT(*rows_) : nullptr); }
 }
@@ -5590,7 +5590,7 @@
   std::swap(era, o.era);
   std::swap(shown, o.shown);
   std::swap(before, o.before);
-  std::swap(before_known, o.before_known);
+  std::swap(settled, o.settled);
   return *this;
 }
 
@@ -5615,7 +5615,7 @@
   { auto _e = era(); _o->era = _e; }
   { auto _e = shown(); _o->shown = _e; }
   { auto _e = before(); _o->before = _e; }
-  { auto _e = before_known(); _o->before_known = _e; }
+  { auto _e = settled(); _o->settled = _e; }
 }
 
 inline flatbuffers::Offset<FeedNews> FeedNews::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FeedNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5638,7 +5638,7 @@
   auto _era = _o->era;
   auto _shown = _o->shown;
   auto _before = _o->before;
-  auto _before_known = _o->before_known;
+  auto _settled = _o->settled;
   return waycove::wire::CreateFeedNews(
       _fbb,
       _known,
@@ -5653,7 +5653,7 @@
       _era,
       _shown,
       _before,
-      _before_known);
+      _settled);
 }
 
 inline FeedRowsT::FeedRowsT(const FeedRowsT &o) {
--- a/tests/failure/restored_test.cpp
+++ b/tests/failure/restored_test.cpp
@@ -16,6 +16,7 @@
 // over connections of their own, while the store acknowledged versions of which
 // none of them saw one; they took the first whose offset was past what they
 // knew. The store says in all its answers how often it came back (Store-Era).
+#include "board/feed_cache.h"
 #include "support/neighbours.h"
 
 #include <algorithm>
@@ -153,8 +154,9 @@
   this->restore();
   this->publish(6, "key-6");
   REQUIRE(this->allTake(Entries, "key-6"));
-  // For one of them to note it in the directory.
-  std::this_thread::sleep_for(milliseconds(1500));
+  // For one of them to have waited for operators, and to note in the directory
+  // that it has.
+  std::this_thread::sleep_for(FeedCache::LapseTime + milliseconds(1500));
   this->killAll();
   this->startAll();
   CHECK(eventually([&] { return this->call("n1", "key-6") == 200; },
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -134,6 +134,7 @@
       this->fail("not served " + std::to_string(RecoverTime.count()) +
                  " ms after the last fault");
     this->checkRuns();
+    this->Run.KeepLogs = !this->Broken.empty();
     return this->Broken;
   }
 
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -238,7 +238,7 @@
   this->Vms.clear();
   this->Platform.reset();
   this->checkLogs();
-  if (!std::getenv("WAYCOVE_KEEP_LOGS"))
+  if (!this->KeepLogs && !std::getenv("WAYCOVE_KEEP_LOGS"))
     std::filesystem::remove_all(this->Folder);
 }
 
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -95,6 +95,8 @@
   std::string ExtraSettings;
   /// Where daemons reach the platform; 0: at its own port.
   std::uint16_t PlatformVia = 0;
+  /// Leaves its folder, which folder() names, behind.
+  bool KeepLogs = false;
   std::vector<std::string> TargetFlags{"--token_ms=5", "--load_ms=50"};
 
   void startPlatform();
--- a/tests/unit/config_follow_test.cpp
+++ b/tests/unit/config_follow_test.cpp
@@ -122,18 +122,35 @@
   CHECK(this->mayUseKeys());
 }
 
-TEST_CASE_METHOD(ConfigFollowFixture,
-                 "config: a node starts long after a restore, and others know "
-                 "what was in force before: its keys are proven at once",
-                 "[unit]") {
+TEST_CASE_METHOD(
+    ConfigFollowFixture,
+    "config: a node starts long after a restore, as others tell it: "
+    "its keys are proven at once",
+    "[unit]") {
   KeyedPage Told = pageOf(22, 5, 1);
   Told.Versions.Before = ValueVersion(19);
-  Told.Versions.BeforeKnown = true;
+  Told.Versions.Settled = true;
   this->cache().take(Told, SystemClock{}.now());
   this->Follower.step();
   CHECK(this->mayUseKeys());
 }
 
+// It lived through the restore, and waits for operators itself.
+TEST_CASE_METHOD(
+    ConfigFollowFixture,
+    "config: a node starts during a restore, and another one tells "
+    "it what was in force before: that proves no keys yet",
+    "[unit]") {
+  this->show(19, 6, 2);
+  FeedCache Other;
+  Other.take(pageOf(18, 7, 1), SystemClock{}.now());
+  Other.take(pageOf(19, 8, 1), SystemClock{}.now());
+  Other.take(pageOf(19, 6, 2), SystemClock{}.now());
+  this->cache().hear(Other.marks());
+  this->Follower.step();
+  CHECK_FALSE(this->mayUseKeys());
+}
+
 TEST_CASE_METHOD(ConfigFollowFixture,
                  "config: two restores before operators write again: what the "
                  "first one lost is still missed",
--- a/tests/unit/node_follow_test.cpp
+++ b/tests/unit/node_follow_test.cpp
@@ -107,10 +107,11 @@
 
 /// A node that follows the configuration, too.
 struct SettledFixture : DirectoryFixture {
-  void showConfig(std::uint64_t Version, std::uint64_t Era) {
+  void showConfig(std::uint64_t Version, std::uint64_t Next,
+                  std::uint64_t Era) {
     KeyedPage Page;
     Page.Whole = true;
-    Page.Next = atOffset(3, Era);
+    Page.Next = atOffset(Next, Era);
     Page.Versions.Shown = ValueVersion(Version);
     this->Board.feed(FeedKind::Config).take(Page, at(0));
   }
@@ -120,14 +121,13 @@
                  "directory: the configuration was written again after a "
                  "restore: noted there once",
                  "[unit]") {
-  this->showConfig(19, 0);
+  this->showConfig(19, 7, 0);
   this->Follower.step();
   CHECK(this->Directory.Announcements == 1);
-  this->showConfig(6, 1);
+  this->showConfig(6, 3, 1);
   this->Follower.step();
   CHECK(this->Directory.Announcements == 1);
-  this->Board.feed(FeedKind::Config)
-      .hear({StoreEra(1), {ValueVersion(22), ValueVersion(), false}});
+  this->showConfig(22, 4, 1);
   this->Follower.step();
   this->Follower.step();
   CHECK(this->Directory.Announcements == 2);
@@ -138,15 +138,15 @@
                  "to a node that starts in it",
                  "[unit]") {
   FeedCache &Config = this->Board.feed(FeedKind::Config);
-  this->showConfig(6, 2);
-  CHECK_FALSE(Config.marks().Versions.BeforeKnown);
+  this->showConfig(6, 3, 2);
+  CHECK_FALSE(Config.marks().Versions.Settled);
   // The copy holds what was noted of an earlier era.
   this->Directory.Page.Records = {announcementOf("other", 1)};
   this->Follower.step();
-  CHECK_FALSE(Config.marks().Versions.BeforeKnown);
+  CHECK_FALSE(Config.marks().Versions.Settled);
   this->Directory.Page.Records = {announcementOf("other", 2)};
   this->Follower.step();
-  CHECK(Config.marks().Versions.BeforeKnown);
+  CHECK(Config.marks().Versions.Settled);
   // Nothing is left to be noted.
   CHECK(this->Directory.Announcements == 1);
 }
--- a/tools/without.py
+++ b/tools/without.py
@@ -94,16 +94,16 @@
         "if (!Whole && Page->Next.Era > From->Era) {", "if (false) {",
         "store reader: the store came back"),
     "lost-proves-nothing": (
-        "src/control/config_proof.h",
-        "if (Page.Versions.isLost())", "if (false)",
+        "src/control/config_follow.h",
+        "return Waited && !Page.Versions.isLost();", "return Waited;",
         "config: the store came back with an older"),
     "older-not-in-force": (
         "src/control/config_follow.h",
         "if (this->inForce() >= this->Least)", "if (true)",
         "config: a node that starts"),
     "strangers-wait": (
-        "src/control/config_proof.h",
-        "return !this->LivedThrough && Page.Versions.BeforeKnown;", "return true;",
+        "src/control/restore_wait.h",
+        "return Page.Versions.Settled || Now >= this->Until;", "return true;",
         "store restored: all entries|config: the store came back with the version in force: "),
     "era-noted": (
         "src/control/node_follow.h",
