End the wait for operators after a restore with a proof from its end

Cause: it waited for operators to write again, by its clock; but for most of that time it could not read the store, so it could not have seen what they wrote. Its last proof was from before the end of the wait.

The wait is over with a proof from its end or later. The unit test failed first.

--- a/src/control/restore_wait.h
+++ b/src/control/restore_wait.h
@@ -25,7 +25,8 @@
   bool isOver(const KeyedPage &Page, TimePoint Now) {
     if (this->Era != Page.Next.Era)
       this->begin(Page.Next.Era, Now);
-    return Page.Versions.Settled || Now >= this->Until;
+    // While the store cannot be read, nobody sees what operators write.
+    return Page.Versions.Settled || Page.ProvenAt >= this->Until;
   }
 
 private:
--- a/tests/unit/config_follow_test.cpp
+++ b/tests/unit/config_follow_test.cpp
@@ -151,6 +151,21 @@
   CHECK_FALSE(this->mayUseKeys());
 }
 
+// What operators wrote in that time it could not see.
+TEST_CASE_METHOD(ConfigFollowFixture,
+                 "config: a node starts after a restore and loses the store "
+                 "while it waits for operators: its wait proves no keys",
+                 "[unit]") {
+  this->show(19, 6, 1);
+  std::this_thread::sleep_for(Millis(210));
+  this->show(19, 6, 1);
+  std::this_thread::sleep_for(Millis(100));
+  this->Follower.step();
+  CHECK_FALSE(this->mayUseKeys());
+  this->show(19, 6, 1);
+  CHECK(this->mayUseKeys());
+}
+
 TEST_CASE_METHOD(ConfigFollowFixture,
                  "config: two restores before operators write again: what the "
                  "first one lost is still missed",
--- a/tools/without.py
+++ b/tools/without.py
@@ -103,7 +103,7 @@
         "config: a node that starts"),
     "strangers-wait": (
         "src/control/restore_wait.h",
-        "return Page.Versions.Settled || Now >= this->Until;", "return true;",
+        "return Page.Versions.Settled || Page.ProvenAt >= this->Until;", "return true;",
         "store restored: all entries|config: the store came back with the version in force: "),
     "era-noted": (
         "src/control/node_follow.h",
