Fold the log anew where it came back from an older copy, and write again what it lost

What operators and callers saw of the product's own interface, in the tests that failed first: after a restore of the platform's log no daemon took what was published (502, unknown outcome), a daemon that started found objects as they had been, with workspace keys that had been replaced, and changes of the VM list were not seen.

Offsets of the log, and the revisions, fences and stamps made of them, and versions of the VM list, were compared as if they only grew.

Offsets now hold the store's era above the count, which the client of the log adds, so that they do only grow. Where the era rises, each daemon folds the copy anew, as one that starts does: all states are made of the log alone. What it knew before is written again: objects as they were last published, removals, and who may dispatch a keyed call. The first copy of a record counts; what operators publish after the restore is later and stays. Until all daemons had the time for it, 3 s, they take no requests, so no key that was claimed is claimed anew, and no older configuration comes in force; a claim that was on its way is never dispatched. A checkpoint of an earlier era counts where the log holds its last record in the same place.

Weighed: keeping the folded state and going on from there (daemons that had folded more or less of what was lost would differ for good), and forming the lost groups again (their VMs are free by the log; the next round forms what is to serve, at the price of loading under new fences).

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -92,6 +92,9 @@
        "The platform's store came back from an older copy of itself: what it "
        "acknowledged since is gone, offsets are given out again. The fields "
        "say what this node knew of the feed, and what the store holds."},
+      {RecordWrittenAgain, Info, "record_written_again",
+       "A record that the log lost when it came back from an older copy was "
+       "appended again, or could not be; the detail says where, or why not."},
       {CheckpointWritten, Info, "checkpoint_written",
        "The folded state was appended as a checkpoint."},
       {CheckpointLoaded, Info, "checkpoint_loaded",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -30,6 +30,7 @@
   CheckpointLoaded = 206,
   RecordsFromPeer = 207,
   StoreRestored = 208,
+  RecordWrittenAgain = 209,
   GroupProposed = 300,
   GroupReady = 301,
   GroupNotReady = 302,
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -66,6 +66,20 @@
   auto operator<=>(const StorePosition &) const = default;
   constexpr StorePosition next() const { return {this->Era, this->At.next()}; }
 };
+/// Both in one number that only grows, for what counts along a log: a trillion
+/// records in each of 16 million eras. In the first era it is the offset.
+constexpr unsigned EraShift = 40;
+constexpr std::uint64_t packPosition(StoreEra Era, std::uint64_t Count) {
+  return (Era.Value << EraShift) | Count;
+}
+constexpr StoreEra eraOf(std::uint64_t Packed) {
+  return StoreEra(Packed >> EraShift);
+}
+constexpr StoreEra eraOf(Offset Packed) { return eraOf(Packed.Value); }
+/// The count within the era.
+constexpr std::uint64_t withoutEra(std::uint64_t Packed) {
+  return Packed & ((std::uint64_t(1) << EraShift) - 1);
+}
 /// What the writer of a value in the store numbers it by; zero where it does
 /// not. Unlike an offset it is never given out again.
 using ValueVersion = Number<struct ValueVersionTag>;
--- a/src/board/board.h
+++ b/src/board/board.h
@@ -58,6 +58,9 @@
   /// The newest state that platform or peers offer was folded once.
   std::atomic<bool> Ready{false};
   std::atomic<bool> Stopping{false};
+  /// The log came back from an older copy, and what it lost is being written
+  /// again: until then no requests are taken.
+  std::atomic<bool> Restoring{false};
   /// The platform's log answered the last call.
   std::atomic<bool> LogUp{false};
   /// The VM list was had once, from the platform or a peer.
--- a/src/control/claims.h
+++ b/src/control/claims.h
@@ -19,6 +19,9 @@
 constexpr Millis ClaimPausePerDaemon(4);
 
 /// Binds idempotency keys to dispatchers through the log, many in one record.
+/// Where the log came back from an older copy meanwhile, another dispatcher may
+/// have held a key, and the record of that be lost: whatever the log says then,
+/// such a key is not dispatched here.
 template <LogService Service> class ClaimBinder {
 public:
   ClaimBinder(Board &Tables, Submitter<Service> &Submit)
@@ -30,7 +33,7 @@
   /// KeyExpired.
   absl::StatusOr<IncarnationId> bind(const ClaimId &Id, WallMs Issued,
                                      TimePoint Until) {
-    if (!this->Tables.LogUp)
+    if (!this->Tables.LogUp || this->Tables.Restoring)
       return makeError(ErrorKind::LogUnavailable, "the log does not answer",
                        Millis(1000));
     auto Entry = std::make_shared<Waiter>();
@@ -71,11 +74,32 @@
         Body.claims.push_back(std::move(Key));
       }
       TimePoint Until = SystemClock{}.now() + std::chrono::seconds(2);
-      this->settle(Rows, this->Submit.submit(std::move(Body), Until));
+      StoreEra Began = this->logEra();
+      absl::StatusOr<FoldOutcome> Outcome =
+          this->Submit.submit(std::move(Body), Until);
+      if (this->Tables.Restoring || this->logEra() != Began) {
+        this->giveUp(Rows);
+        Outcome = makeError(ErrorKind::LogUnavailable,
+                            "the log came back from an older copy");
+      }
+      this->settle(Rows, Outcome);
       std::this_thread::sleep_for(this->pause());
     }
   }
 
+  StoreEra logEra() const {
+    return this->Tables.State.read(
+        [](const FoldState &State) { return eraOf(State.next()); });
+  }
+
+  /// The log may name this daemon as their dispatcher from now on.
+  void giveUp(const Batch &Rows) {
+    this->Tables.Once.write([&](OnceTable &Known) {
+      for (const auto &Row : Rows)
+        Known.giveUp(Row->Id, Row->Issued);
+    });
+  }
+
   Millis pause() const {
     std::size_t Daemons = this->Tables.Peers.read(
         [](const PeerTable &Rows) { return Rows.rows().size() + 1; });
--- a/src/control/folder.cpp
+++ b/src/control/folder.cpp
@@ -49,21 +49,54 @@
   return Taken;
 }
 
-absl::Status Folder::takeCheckpoint(const std::string &Bytes) {
+absl::Status Folder::takeCheckpoint(const std::string &Bytes, StoreEra Era) {
+  FoldState Old =
+      this->Tables.State.read([](const FoldState &State) { return State; });
   absl::Status Result = this->Tables.State.write([&](FoldState &State) {
-    absl::Status Loaded = State.load(Bytes);
+    absl::Status Loaded = State.load(Bytes, Era);
     if (Loaded.ok())
       this->Tables.Tail.write([](RecordTail &Tail) { Tail.clear(); });
     return Loaded;
   });
-  if (Result.ok()) {
-    this->Tables.RoutingVersion.fetch_add(1);
-    this->Tables.Log.emit(EventCode::CheckpointLoaded,
-                          std::to_string(this->next().Value));
-  }
+  if (!Result.ok())
+    return Result;
+  this->noteRestart(std::move(Old), this->next());
+  this->Tables.RoutingVersion.fetch_add(1);
+  this->Tables.Log.emit(EventCode::CheckpointLoaded,
+                        std::to_string(this->next().Value));
   return Result;
 }
 
+void Folder::restart(Offset First) {
+  FoldState Old = this->Tables.State.write([&](FoldState &State) {
+    this->Tables.Tail.write([](RecordTail &Tail) { Tail.clear(); });
+    return std::exchange(State, FoldState(First));
+  });
+  this->noteRestart(std::move(Old), First);
+  this->Tables.RoutingVersion.fetch_add(1);
+}
+
+/// Keeps \p Old where the log is of a later era by now.
+void Folder::noteRestart(FoldState Old, Offset Now) {
+  if (Old.next() == Offset() || eraOf(Now) <= eraOf(Old.next()))
+    return;
+  this->Tables.Restoring = true;
+  this->Tables.Ready = false;
+  this->Tables.Log.emit(EventCode::StoreRestored, "log",
+                        LogFields()
+                            .add("known", withoutEra(Old.next().Value))
+                            .add("known_era", eraOf(Old.next()).Value)
+                            .add("offset", withoutEra(Now.Value))
+                            .add("era", eraOf(Now).Value));
+  std::lock_guard Lock(this->Mutex);
+  this->Before = std::move(Old);
+}
+
+std::optional<FoldState> Folder::takeBefore() {
+  std::lock_guard Lock(this->Mutex);
+  return std::exchange(this->Before, std::nullopt);
+}
+
 Offset Folder::next() const {
   return this->Tables.State.read(
       [](const FoldState &State) { return State.next(); });
--- a/src/control/folder.h
+++ b/src/control/folder.h
@@ -25,15 +25,25 @@
 
 /// Takes records into the folded state, from wherever they come, and tells
 /// those who wait for one of them. A record is taken only when it is the next
-/// one, so the state never goes back and never skips. Thread-safe.
+/// one, so the state never goes back and never skips. Where the log came back
+/// from an older copy, the state is folded anew from that, as on each daemon
+/// that starts; what was known before is kept for writing it again, and the
+/// daemon takes no requests meanwhile. Thread-safe.
 class Folder {
 public:
   explicit Folder(Board &Tables) : Tables(Tables) {}
 
   /// Takes in what of \p Records comes next; returns how many were.
   std::size_t take(const std::vector<LogRecord> &Records);
-  /// Takes in a checkpoint, if it is ahead.
-  absl::Status takeCheckpoint(const std::string &Bytes);
+  /// Takes in a checkpoint, if it is ahead; one from the log, in the era of
+  /// that.
+  absl::Status takeCheckpoint(const std::string &Bytes,
+                              StoreEra Era = StoreEra());
+  /// The log came back from an older copy, of which \p First is the first
+  /// record that it holds.
+  void restart(Offset First);
+  /// What was known before the newest restart, once.
+  std::optional<FoldState> takeBefore();
   Offset next() const;
 
   /// To be called before the record is appended.
@@ -43,9 +53,11 @@
 
 private:
   void resolve(const FoldOutcome &Outcome);
+  void noteRestart(FoldState Old, Offset Now);
 
   Board &Tables;
   mutable std::mutex Mutex;
+  std::optional<FoldState> Before;
   std::unordered_map<std::string, std::shared_ptr<PendingRecord>> Waiting;
 };
 
--- a/src/control/follow.h
+++ b/src/control/follow.h
@@ -7,6 +7,7 @@
 #include "control/folder.h"
 #include "control/log.h"
 #include "policy/rendezvous.h"
+#include "policy/rewrite.h"
 
 #include <thread>
 
@@ -20,9 +21,18 @@
 /// and the others learn records from their peers.
 constexpr std::size_t EveryoneReadsUpTo = 9;
 constexpr Millis FallbackRead(5000);
+/// For each daemon to notice that the log came back from an older copy, by its
+/// long poll, and to write again what that lost: a call's time-out later.
+constexpr Millis WriteAgainTime(3000);
+/// Between two tries to write the same record again.
+constexpr Millis WriteAgainPause(500);
 
 /// Reads the platform's log and folds it; loads a checkpoint where the log has
-/// forgotten what comes next, and writes one now and then.
+/// forgotten what comes next, and writes one now and then. Where the log came
+/// back from an older copy, it folds that from its start, writes again what is
+/// lost, and has the daemon take requests when all daemons had the time to: a
+/// key that one of them had claimed must not be claimed anew, and no older
+/// configuration comes in force.
 template <LogService Service> class Follower {
 public:
   Follower(Board &Tables, Folder &Fold, Service &Platform)
@@ -44,24 +54,30 @@
     this->noteReachable(Page.status());
     if (!Page.ok())
       return UnreachablePause;
-    // 3. An answer older than the state is not taken.
+    // 3. The log came back from an older copy: nothing follows from the state.
+    if (eraOf(Page->Next) > eraOf(From)) {
+      this->beginEra(Page->First);
+      return Millis(0);
+    }
+    // 4. An answer older than the state is not taken.
     if (Page->Next < From) {
       this->Tables.Log.emit(EventCode::LogStale,
                             std::to_string(Page->Next.Value),
                             "folded " + std::to_string(From.Value));
       return UnreachablePause;
     }
-    // 4. The log forgot what comes next: a checkpoint has it.
-    if (Page->First > From || (From == Offset() && !this->TriedCheckpoint)) {
+    // 5. The log forgot what comes next: a checkpoint has it.
+    bool AtStart = From == Page->First && !this->TriedCheckpoint;
+    if (Page->First > From || AtStart) {
       this->TriedCheckpoint = true;
       if (!this->loadCheckpoint() && Page->First > From)
         return UnreachablePause;
       if (this->Fold.next() != From)
         return Millis(0);
     }
-    // 5. Fold, and see whether that is all there is.
+    // 6. Fold, and see whether that is all there is.
     this->Fold.take(Page->Records);
-    if (this->Fold.next() >= Page->Next)
+    if (this->Fold.next() >= Page->Next && this->isWrittenAgain())
       this->becomeReady();
     this->checkpointIfDue(From);
     return Millis(0);
@@ -106,24 +122,85 @@
       this->Tables.Log.emit(EventCode::LogReachable, "log");
   }
 
+  void beginEra(Offset First) {
+    this->Fold.restart(First);
+    this->TriedCheckpoint = false;
+    this->WrittenAt = SystemClock{}.now() + WriteAgainTime;
+  }
+
+  /// Writes what the newest restore lost; whether nothing is left, and other
+  /// daemons had the time to write what this one does not know.
+  bool isWrittenAgain() {
+    TimePoint Now = SystemClock{}.now();
+    if (std::optional<FoldState> Before = this->Fold.takeBefore()) {
+      this->WrittenAt = Now + WriteAgainTime;
+      this->Lost = this->Tables.State.read(
+          [&](const FoldState &State) { return lostRecords(*Before, State); });
+    }
+    this->Tables.State.read([&](const FoldState &State) {
+      std::erase_if(this->Lost, [&](const wire::RecordT &Row) {
+        return isSettled(Row, State);
+      });
+    });
+    if (!this->Lost.empty() && Now >= this->WriteDue) {
+      this->WriteDue = Now + WriteAgainPause;
+      for (wire::RecordT &Row : this->Lost)
+        this->writeAgain(Row);
+    }
+    return this->Lost.empty() && Now >= this->WrittenAt;
+  }
+
+  void writeAgain(wire::RecordT &Row) {
+    Row.node = this->Tables.Me.Node.Text;
+    absl::StatusOr<Offset> At =
+        this->Platform.append(LogStream::Records, packRecord(Row));
+    this->Tables.Log.emit(EventCode::RecordWrittenAgain, Row.id,
+                          At.ok() ? std::to_string(withoutEra(At->Value))
+                                  : messageOf(At.status()));
+  }
+
+  /// Whether the log has the record before \p Place where the checkpoint says.
+  /// One of an earlier era may have been written by a daemon that had not
+  /// noticed that the log came back; then the log holds another record there.
+  bool holds(const CheckpointPlace &Place, StoreEra Era) {
+    std::uint64_t Next = withoutEra(Place.Next.Value);
+    if (eraOf(Place.Next) == Era)
+      return true;
+    if (Next == 0 || Place.LastRecord.empty())
+      return false;
+    absl::StatusOr<LogPage> Page = this->Platform.read(
+        LogStream::Records, Offset(packPosition(Era, Next - 1)), 1, Millis(0));
+    if (!Page.ok() || Page->Records.empty())
+      return false;
+    std::optional<wire::RecordT> Record =
+        unpackRecord(Page->Records.front().Bytes);
+    return withoutEra(Page->Records.front().At.Value) == Next - 1 && Record &&
+           Record->id == Place.LastRecord;
+  }
+
   bool loadCheckpoint() {
     absl::StatusOr<LogPage> Head = this->Platform.read(
         LogStream::Checkpoints, Offset(UINT64_MAX), 1, Millis(0));
-    if (!Head.ok() || Head->Next == Offset())
+    if (!Head.ok())
       return false;
+    StoreEra Era = eraOf(Head->Next);
     // The newest may be damaged or half written: then the one before it.
     for (std::uint64_t At = Head->Next.Value; At > Head->First.Value; --At) {
       absl::StatusOr<LogPage> Page = this->Platform.read(
           LogStream::Checkpoints, Offset(At - 1), 1, Millis(0));
       if (!Page.ok() || Page->Records.empty())
         return false;
-      if (this->Fold.takeCheckpoint(Page->Records[0].Bytes).ok())
+      const std::string &Bytes = Page->Records[0].Bytes;
+      std::optional<CheckpointPlace> Place = placeOfCheckpoint(Bytes);
+      if (Place && this->holds(*Place, Era) &&
+          this->Fold.takeCheckpoint(Bytes, Era).ok())
         return true;
     }
     return false;
   }
 
   void becomeReady() {
+    this->Tables.Restoring = false;
     if (!this->Tables.Ready.exchange(true))
       this->Tables.Log.emit(EventCode::DaemonReady, this->Tables.Me.Node.Text,
                             "log folded up to " +
@@ -151,6 +228,12 @@
   Service &Platform;
   TimePoint LastRead;
   bool TriedCheckpoint = false;
+  /// What the newest restore lost and is not written again yet.
+  std::vector<wire::RecordT> Lost;
+  /// When it is tried again.
+  TimePoint WriteDue;
+  /// By when all daemons had the time to write again what it lost.
+  TimePoint WrittenAt;
 };
 
 } // namespace waycove
--- a/src/control/log.h
+++ b/src/control/log.h
@@ -11,7 +11,9 @@
 
 namespace waycove {
 
-/// What a read of a stream gives.
+/// What a read of a stream gives. Its offsets hold the store's era (EraShift),
+/// so that they only grow: where the log came back from an older copy, the same
+/// records have larger ones.
 struct LogPage {
   /// Offset of the oldest record that the log still holds.
   Offset First;
--- a/src/control/peer_records.cpp
+++ b/src/control/peer_records.cpp
@@ -44,8 +44,9 @@
   }
   // A daemon that started while the platform is away serves as soon as it has
   // all that its peers have.
-  if (!this->Tables.Ready && !this->Tables.LogUp && AnyServes &&
-      Mine.Value >= Highest && !this->Tables.Ready.exchange(true))
+  bool MayServe = !this->Tables.LogUp && !this->Tables.Restoring;
+  if (!this->Tables.Ready && MayServe && AnyServes && Mine.Value >= Highest &&
+      !this->Tables.Ready.exchange(true))
     this->Tables.Log.emit(EventCode::DaemonReady, this->Tables.Me.Node.Text,
                           "state taken from peers, up to " +
                               std::to_string(Mine.Value));
--- a/src/control/vmwatch.h
+++ b/src/control/vmwatch.h
@@ -21,6 +21,9 @@
         this->Tables.Vms.read([](const VmTable &Vms) { return Vms.Version; });
     absl::StatusOr<VmPage> Page =
         this->Platform.list(this->Tables.Me.DataCentre, Since);
+    // After a restore, what changed since a version of before says nothing.
+    if (Page.ok() && eraOf(Page->Version) > eraOf(Since) && !Page->Whole)
+      Page = this->Platform.list(this->Tables.Me.DataCentre, 0);
     if (!Page.ok())
       return false;
     // The list lags, and may come from a replica that lags more.
--- a/src/edge/platform.cpp
+++ b/src/edge/platform.cpp
@@ -7,6 +7,7 @@
 #include "base/json.h"
 
 #include <Poco/JSON/Array.h>
+#include <Poco/NumberParser.h>
 
 namespace waycove {
 
@@ -29,6 +30,14 @@
   return makeError(Kind, messageOf(Status), Millis(1000));
 }
 
+/// The era of the platform's store that \p Reply names; zero where it does not.
+StoreEra eraOfReply(const HttpReply &Reply) {
+  Poco::UInt64 Era = 0;
+  Poco::NumberParser::tryParseUnsigned64(Reply.Header.get("Store-Era", ""),
+                                         Era);
+  return StoreEra(Era);
+}
+
 absl::StatusOr<JsonObject> jsonReply(const absl::StatusOr<HttpReply> &Reply) {
   if (!Reply.ok())
     return asLogError(Reply.status());
@@ -74,30 +83,34 @@
 absl::StatusOr<Offset> HttpLog::append(LogStream Stream,
                                        const std::string &Bytes) {
   HttpCall Call{"POST", pathOf(Stream), Bytes, "application/octet-stream", {}};
-  absl::StatusOr<JsonObject> Body =
-      jsonReply(this->Writer.call(Call, CallTimeout));
+  absl::StatusOr<HttpReply> Reply = this->Writer.call(Call, CallTimeout);
+  absl::StatusOr<JsonObject> Body = jsonReply(Reply);
   if (!Body.ok())
     return Body.status();
   if (!(*Body)->has("offset"))
     return makeError(ErrorKind::OutcomeUnknown, "no offset in the answer");
-  return Offset(numberAt(*Body, "offset"));
+  return Offset(packPosition(eraOfReply(*Reply), numberAt(*Body, "offset")));
 }
 
 absl::StatusOr<LogPage> HttpLog::read(LogStream Stream, Offset From,
                                       std::size_t Max, Millis Wait) {
   HttpCall Call{"GET",
-                pathOf(Stream) + "?from=" + std::to_string(From.Value) +
+                pathOf(Stream) +
+                    "?from=" + std::to_string(withoutEra(From.Value)) +
                     "&max=" + std::to_string(Max) +
                     "&wait_ms=" + std::to_string(Wait.count()),
                 "",
                 "",
                 {}};
-  absl::StatusOr<JsonObject> Body =
-      jsonReply(this->Reader.call(Call, CallTimeout + Wait));
+  absl::StatusOr<HttpReply> Reply = this->Reader.call(Call, CallTimeout + Wait);
+  absl::StatusOr<JsonObject> Body = jsonReply(Reply);
   if (!Body.ok())
     return Body.status();
-  LogPage Page{
-      Offset(numberAt(*Body, "first")), Offset(numberAt(*Body, "next")), {}};
+  auto At = [Era = eraOfReply(*Reply)](const JsonObject &Row,
+                                       const std::string &Key) {
+    return Offset(packPosition(Era, numberAt(Row, Key)));
+  };
+  LogPage Page{At(*Body, "first"), At(*Body, "next"), {}};
   Poco::JSON::Array::Ptr Rows = arrayAt(*Body, "records");
   for (unsigned I = 0; I < Rows->size(); ++I) {
     JsonObject Row = Rows->getObject(I);
@@ -106,7 +119,7 @@
     absl::StatusOr<std::string> Bytes = fromBase64(textAt(Row, "data"));
     if (!Bytes.ok())
       return Bytes.status();
-    Page.Records.push_back({Offset(numberAt(Row, "offset")), *Bytes});
+    Page.Records.push_back({At(Row, "offset"), *Bytes});
   }
   return Page;
 }
@@ -118,16 +131,16 @@
                                         std::uint64_t Since) {
   HttpCall Call{"GET",
                 "/vms?data_centre=" + Centre.Text +
-                    "&since=" + std::to_string(Since),
+                    "&since=" + std::to_string(withoutEra(Since)),
                 "",
                 "",
                 {}};
-  absl::StatusOr<JsonObject> Body =
-      jsonReply(this->Caller.call(Call, CallTimeout));
+  absl::StatusOr<HttpReply> Reply = this->Caller.call(Call, CallTimeout);
+  absl::StatusOr<JsonObject> Body = jsonReply(Reply);
   if (!Body.ok())
     return Body.status();
   VmPage Page;
-  Page.Version = numberAt(*Body, "version");
+  Page.Version = packPosition(eraOfReply(*Reply), numberAt(*Body, "version"));
   Page.Whole = flagAt(*Body, "whole", false);
   Poco::JSON::Array::Ptr Rows = arrayAt(*Body, "vms");
   for (unsigned I = 0; I < Rows->size(); ++I) {
--- a/src/edge/platform.h
+++ b/src/edge/platform.h
@@ -15,6 +15,8 @@
 ///   GET  /log/STREAM?from=N&max=M&wait_ms=W
 ///        answer {"first": F, "next": N, "records": [{"offset", "data"}]},
 ///        data in base64. Waits up to W for a record.
+/// In all answers, Store-Era tells how often the platform came back from an
+/// older copy of itself; it is part of the offsets given here.
 class HttpLog {
 public:
   HttpLog(const Settings &Config, Metrics &Counters);
@@ -27,7 +29,7 @@
   HttpCaller Writer;
 };
 
-/// Changes of the VM list since a version.
+/// Changes of the VM list since a version, which holds the era as offsets do.
 struct VmPage {
   std::uint64_t Version = 0;
   /// The answer holds all VMs, not only changes.
--- a/src/policy/fold.cpp
+++ b/src/policy/fold.cpp
@@ -59,6 +59,7 @@
     return Outcome;
   }
   this->Next = At.next();
+  this->LastRecord.clear();
   // 1. Read; damage is refused alike everywhere.
   std::optional<wire::RecordT> Record = unpackRecord(Bytes);
   if (!Record) {
@@ -66,6 +67,7 @@
     return Outcome;
   }
   Outcome.RecordId = Record->id;
+  this->LastRecord = Record->id;
   // 2. Move the clock, which only ages idempotency keys.
   std::uint64_t Most = this->Clock.Value + MaxClockStepMs;
   if (this->Clock.Value == 0)
@@ -75,7 +77,7 @@
   this->pruneClaims();
   // 3. Decide.
   if (const auto *Config = Record->change.AsConfigChange())
-    this->foldConfig(*Config, Outcome);
+    this->foldConfig(*Config, WallMs(Record->written_ms), Outcome);
   else if (const auto *Formed = Record->change.AsGroupChange())
     this->foldGroup(*Formed, Outcome);
   else if (const auto *Batch = Record->change.AsClaimBatch())
@@ -85,7 +87,7 @@
   return Outcome;
 }
 
-void FoldState::foldConfig(const wire::ConfigChangeT &Change,
+void FoldState::foldConfig(const wire::ConfigChangeT &Change, WallMs Written,
                            FoldOutcome &Outcome) {
   std::optional<ObjectKind> Kind = kindFromName(Change.kind);
   if (!Kind) {
@@ -131,6 +133,7 @@
   }
   // 4. In force.
   Parsed[0].Revision = this->Next.Value;
+  Parsed[0].Written = Written;
   this->putObject(std::make_shared<const Object>(std::move(Parsed[0])));
   Outcome.Accepted = Outcome.TouchesRouting = true;
   Outcome.Reason = Key.text() + " revision " + std::to_string(this->Next.Value);
@@ -292,11 +295,13 @@
   wire::CheckpointT Saved;
   Saved.next = this->Next.Value;
   Saved.clock_ms = this->Clock.Value;
+  Saved.last_record = this->LastRecord;
   for (const auto &[Key, Row] : this->Objects) {
     auto Out = std::make_unique<wire::SavedObjectT>();
     Out->kind = kindName(Key.Kind);
     Out->name = Key.Name;
     Out->revision = Row->Revision;
+    Out->written_ms = Row->Written.Value;
     Out->body = Row->Body;
     Saved.objects.push_back(std::move(Out));
   }
@@ -346,22 +351,54 @@
   return packTable<wire::Checkpoint>(Saved);
 }
 
-absl::Status FoldState::load(const std::string &Bytes) {
+std::optional<CheckpointPlace> placeOfCheckpoint(const std::string &Bytes) {
+  const auto *Table = readTable<wire::Checkpoint>(Bytes, MaxCheckpointBytes);
+  if (!Table)
+    return std::nullopt;
+  return CheckpointPlace{Offset(Table->next()),
+                         Table->last_record() ? Table->last_record()->str()
+                                              : std::string()};
+}
+
+namespace {
+
+/// Takes what counts along the log into \p Era. Zero stands for none.
+void moveInto(StoreEra Era, wire::CheckpointT &Saved) {
+  auto Move = [Era](std::uint64_t &Count) {
+    if (Count > 0 && eraOf(Count) < Era)
+      Count = packPosition(Era, withoutEra(Count));
+  };
+  Saved.next = std::max(Saved.next, packPosition(Era, withoutEra(Saved.next)));
+  for (auto &Row : Saved.objects)
+    Move(Row->revision);
+  for (auto &Row : Saved.vms) {
+    Move(Row->stamp);
+    Move(Row->group);
+  }
+  for (auto &Row : Saved.groups)
+    Move(Row->fence);
+}
+
+} // namespace
+
+absl::Status FoldState::load(const std::string &Bytes, StoreEra Era) {
   const auto *Table = readTable<wire::Checkpoint>(Bytes, MaxCheckpointBytes);
   if (!Table)
     return makeError(ErrorKind::Internal, "unreadable checkpoint");
   wire::CheckpointT Saved;
   Table->UnPackTo(&Saved);
-  // 1. Never back, and never a damaged one.
-  if (Saved.next < this->Next.Value)
-    return makeError(ErrorKind::Internal, "checkpoint older than the state");
+  // 1. Never a damaged one, and never back.
   std::uint64_t Digest = Saved.digest;
   Saved.digest = 0;
   if (hashText(packTable<wire::Checkpoint>(Saved)) != Digest)
     return makeError(ErrorKind::Internal, "checkpoint digest differs");
+  moveInto(Era, Saved);
+  if (Saved.next < this->Next.Value)
+    return makeError(ErrorKind::Internal, "checkpoint older than the state");
   // 2. Build aside, so that a bad object leaves the present state whole.
   FoldState Fresh;
   Fresh.Next = Offset(Saved.next);
+  Fresh.LastRecord = Saved.last_record;
   Fresh.Clock = WallMs(Saved.clock_ms);
   for (const auto &Row : Saved.objects) {
     Mistakes Found;
@@ -369,6 +406,7 @@
     if (!Found.empty() || Parsed.size() != 1)
       return makeError(ErrorKind::Internal, "checkpoint holds a bad object");
     Parsed[0].Revision = Row->revision;
+    Parsed[0].Written = WallMs(Row->written_ms);
     Parsed[0].Body = Row->body;
     Fresh.putObject(std::make_shared<const Object>(std::move(Parsed[0])));
   }
--- a/src/policy/fold.h
+++ b/src/policy/fold.h
@@ -71,6 +71,10 @@
 /// anything. Not thread-safe; knows no I/O.
 class FoldState {
 public:
+  FoldState() = default;
+  /// Nothing, before the record at \p First.
+  explicit FoldState(Offset First) : Next(First) {}
+
   /// Takes in the record at \p At, which must be next(). A record that cannot
   /// be read is refused and counts as taken, alike on every node.
   FoldOutcome fold(Offset At, const std::string &Bytes);
@@ -95,6 +99,9 @@
   const std::map<Fence, Group> &groups() const { return this->Groups; }
   const Claim *claim(const ClaimId &Id) const;
   std::size_t claimCount() const { return this->Claims.size(); }
+  const std::unordered_map<ClaimId, Claim, ClaimIdHash> &claims() const {
+    return this->Claims;
+  }
   /// Workspace whose callers hold the key with this digest; null if none.
   ObjectRef workspaceByDigest(const std::string &Digest) const;
   /// True where \p Issued lies inside the validity window as of the fold.
@@ -105,13 +112,16 @@
                                   const std::vector<std::string> &Names) const;
 
   /// The whole state as a checkpoint, and back. Loading refuses (and changes
-  /// nothing) on damage, and where the checkpoint is older than this state.
+  /// nothing) on damage, and where the checkpoint is older than this state. One
+  /// of an earlier era than \p Era is taken into that: its records are in the
+  /// copy that the log came back from.
   std::string save() const;
-  absl::Status load(const std::string &Bytes);
+  absl::Status load(const std::string &Bytes, StoreEra Era = StoreEra());
   std::uint64_t digest() const;
 
 private:
-  void foldConfig(const wire::ConfigChangeT &Change, FoldOutcome &Outcome);
+  void foldConfig(const wire::ConfigChangeT &Change, WallMs Written,
+                  FoldOutcome &Outcome);
   void foldGroup(const wire::GroupChangeT &Change, FoldOutcome &Outcome);
   void foldClaims(const wire::ClaimBatchT &Batch, FoldOutcome &Outcome);
   void pruneClaims();
@@ -120,6 +130,8 @@
   wire::CheckpointT saved() const;
 
   Offset Next;
+  /// Id of the record before Next; empty where that could not be read.
+  std::string LastRecord;
   WallMs Clock;
   std::map<ObjectKey, ObjectRef> Objects;
   std::unordered_map<std::string, ObjectRef> ByDigest;
@@ -135,6 +147,14 @@
 /// How far a key's time may lie ahead of the fold's clock.
 constexpr Millis KeySkew = std::chrono::minutes(5);
 
+/// Where a checkpoint goes on, and the record before.
+struct CheckpointPlace {
+  Offset Next;
+  std::string LastRecord;
+};
+/// Nothing where \p Bytes are no checkpoint.
+std::optional<CheckpointPlace> placeOfCheckpoint(const std::string &Bytes);
+
 /// Serialises a record for the log.
 std::string packRecord(const wire::RecordT &Record);
 /// Reads a record; nothing where the bytes are no whole, valid record.
--- a/src/policy/objects.h
+++ b/src/policy/objects.h
@@ -93,6 +93,8 @@
 struct Object {
   ObjectKey Key;
   std::uint64_t Revision = 0;
+  /// When its record was written, by the writer's clock.
+  WallMs Written;
   std::string Body;
   std::variant<Deployment, Service, Workspace, NamedSelector, Drain, DataCentre>
       Spec;
--- a/src/policy/once.cpp
+++ b/src/policy/once.cpp
@@ -31,8 +31,8 @@
   auto At = this->Rows.find(Id);
   if (At == this->Rows.end())
     return {};
-  return {At->second.State, At->second.Fingerprint != Fingerprint,
-          At->second.Answer};
+  bool Differs = At->second.Fingerprint.value_or(Fingerprint) != Fingerprint;
+  return {At->second.State, Differs, At->second.Answer};
 }
 
 bool OnceTable::begin(const ClaimId &Id, std::uint64_t Fingerprint,
@@ -88,6 +88,13 @@
     At->second.State = OnceState::Unknown;
 }
 
+void OnceTable::giveUp(const ClaimId &Id, WallMs Issued) {
+  auto [At, Fresh] = this->Rows.try_emplace(
+      Id, Row{OnceState::Unknown, std::nullopt, Issued, std::nullopt});
+  if (Fresh)
+    this->Ages.emplace(Issued, Id);
+}
+
 void OnceTable::prune(WallMs Now) {
   while (!this->Ages.empty() &&
          this->Ages.begin()->first.Value + KeepMs <= Now.Value) {
--- a/src/policy/once.h
+++ b/src/policy/once.h
@@ -41,6 +41,9 @@
   void abandon(const ClaimId &Id);
   void finish(const ClaimId &Id, StoredAnswer Answer);
   void finishUnknown(const ClaimId &Id);
+  /// \p Id is never to be dispatched here: whether another daemon did is not
+  /// known. What it was for does not matter.
+  void giveUp(const ClaimId &Id, WallMs Issued);
   /// Forgets keys whose window passed as of \p Now, which must be behind both
   /// the fold's clock and the wall's.
   void prune(WallMs Now);
@@ -50,7 +53,8 @@
 private:
   struct Row {
     OnceState State{};
-    std::uint64_t Fingerprint = 0;
+    /// Nothing where the request was not seen here.
+    std::optional<std::uint64_t> Fingerprint;
     WallMs Issued;
     std::optional<StoredAnswer> Answer;
   };
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -1395,6 +1395,7 @@
   std::string name{};
   uint64_t revision = 0;
   std::string body{};
+  uint64_t written_ms = 0;
 };
 
 struct SavedObject FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1405,7 +1406,8 @@
     VT_KIND = 4,
     VT_NAME = 6,
     VT_REVISION = 8,
-    VT_BODY = 10
+    VT_BODY = 10,
+    VT_WRITTEN_MS = 12
   };
   const flatbuffers::String *kind() const {
     return GetPointer<const flatbuffers::String *>(VT_KIND);
@@ -1419,6 +1421,9 @@
   const flatbuffers::String *body() const {
     return GetPointer<const flatbuffers::String *>(VT_BODY);
   }
+  uint64_t written_ms() const {
+    return GetField<uint64_t>(VT_WRITTEN_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KIND) &&
@@ -1428,6 +1433,7 @@
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyString(body()) &&
+           VerifyField<uint64_t>(verifier, VT_WRITTEN_MS, 8) &&
            verifier.EndTable();
   }
   SavedObjectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1451,6 +1457,9 @@
   void add_body(flatbuffers::Offset<flatbuffers::String> body) {
     fbb_.AddOffset(SavedObject::VT_BODY, body);
   }
+  void add_written_ms(uint64_t written_ms) {
+    fbb_.AddElement<uint64_t>(SavedObject::VT_WRITTEN_MS, written_ms, 0);
+  }
   explicit SavedObjectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1467,8 +1476,10 @@
     flatbuffers::Offset<flatbuffers::String> kind = 0,
     flatbuffers::Offset<flatbuffers::String> name = 0,
     uint64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::String> body = 0) {
+    flatbuffers::Offset<flatbuffers::String> body = 0,
+    uint64_t written_ms = 0) {
   SavedObjectBuilder builder_(_fbb);
+  builder_.add_written_ms(written_ms);
   builder_.add_revision(revision);
   builder_.add_body(body);
   builder_.add_name(name);
@@ -1486,7 +1497,8 @@
     const char *kind = nullptr,
     const char *name = nullptr,
     uint64_t revision = 0,
-    const char *body = nullptr) {
+    const char *body = nullptr,
+    uint64_t written_ms = 0) {
   auto kind__ = kind ? _fbb.CreateString(kind) : 0;
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto body__ = body ? _fbb.CreateString(body) : 0;
@@ -1495,7 +1507,8 @@
       kind__,
       name__,
       revision,
-      body__);
+      body__,
+      written_ms);
 }
 
 flatbuffers::Offset<SavedObject> CreateSavedObject(flatbuffers::FlatBufferBuilder &_fbb, const SavedObjectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1854,6 +1867,7 @@
   std::vector<std::unique_ptr<waycove::wire::SavedVmT>> vms{};
   std::vector<std::unique_ptr<waycove::wire::SavedGroupT>> groups{};
   std::vector<std::unique_ptr<waycove::wire::SavedClaimT>> claims{};
+  std::string last_record{};
   CheckpointT() = default;
   CheckpointT(const CheckpointT &o);
   CheckpointT(CheckpointT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1871,7 +1885,8 @@
     VT_OBJECTS = 10,
     VT_VMS = 12,
     VT_GROUPS = 14,
-    VT_CLAIMS = 16
+    VT_CLAIMS = 16,
+    VT_LAST_RECORD = 18
   };
   uint64_t next() const {
     return GetField<uint64_t>(VT_NEXT, 0);
@@ -1894,6 +1909,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::SavedClaim>> *claims() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::SavedClaim>> *>(VT_CLAIMS);
   }
+  const flatbuffers::String *last_record() const {
+    return GetPointer<const flatbuffers::String *>(VT_LAST_RECORD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NEXT, 8) &&
@@ -1911,6 +1929,8 @@
            VerifyOffset(verifier, VT_CLAIMS) &&
            verifier.VerifyVector(claims()) &&
            verifier.VerifyVectorOfTables(claims()) &&
+           VerifyOffset(verifier, VT_LAST_RECORD) &&
+           verifier.VerifyString(last_record()) &&
            verifier.EndTable();
   }
   CheckpointT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1943,6 +1963,9 @@
   void add_claims(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::SavedClaim>>> claims) {
     fbb_.AddOffset(Checkpoint::VT_CLAIMS, claims);
   }
+  void add_last_record(flatbuffers::Offset<flatbuffers::String> last_record) {
+    fbb_.AddOffset(Checkpoint::VT_LAST_RECORD, last_record);
+  }
   explicit CheckpointBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1962,11 +1985,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::SavedObject>>> objects = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::SavedVm>>> vms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::SavedGroup>>> groups = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::SavedClaim>>> claims = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::SavedClaim>>> claims = 0,
+    flatbuffers::Offset<flatbuffers::String> last_record = 0) {
   CheckpointBuilder builder_(_fbb);
   builder_.add_digest(digest);
   builder_.add_clock_ms(clock_ms);
   builder_.add_next(next);
+  builder_.add_last_record(last_record);
   builder_.add_claims(claims);
   builder_.add_groups(groups);
   builder_.add_vms(vms);
@@ -1987,11 +2012,13 @@
     const std::vector<flatbuffers::Offset<waycove::wire::SavedObject>> *objects = nullptr,
     const std::vector<flatbuffers::Offset<waycove::wire::SavedVm>> *vms = nullptr,
     const std::vector<flatbuffers::Offset<waycove::wire::SavedGroup>> *groups = nullptr,
-    const std::vector<flatbuffers::Offset<waycove::wire::SavedClaim>> *claims = nullptr) {
+    const std::vector<flatbuffers::Offset<waycove::wire::SavedClaim>> *claims = nullptr,
+    const char *last_record = nullptr) {
   auto objects__ = objects ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::SavedObject>>(*objects) : 0;
   auto vms__ = vms ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::SavedVm>>(*vms) : 0;
   auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::SavedGroup>>(*groups) : 0;
   auto claims__ = claims ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::SavedClaim>>(*claims) : 0;
+  auto last_record__ = last_record ? _fbb.CreateString(last_record) : 0;
   return waycove::wire::CreateCheckpoint(
       _fbb,
       next,
@@ -2000,7 +2027,8 @@
       objects__,
       vms__,
       groups__,
-      claims__);
+      claims__,
+      last_record__);
 }
 
 flatbuffers::Offset<Checkpoint> CreateCheckpoint(flatbuffers::FlatBufferBuilder &_fbb, const CheckpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4776,6 +4804,7 @@
   { auto _e = name(); if (_e) _o->name = _e->str(); }
   { auto _e = revision(); _o->revision = _e; }
   { auto _e = body(); if (_e) _o->body = _e->str(); }
+  { auto _e = written_ms(); _o->written_ms = _e; }
 }
 
 inline flatbuffers::Offset<SavedObject> SavedObject::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SavedObjectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4790,12 +4819,14 @@
   auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
   auto _revision = _o->revision;
   auto _body = _o->body.empty() ? 0 : _fbb.CreateString(_o->body);
+  auto _written_ms = _o->written_ms;
   return waycove::wire::CreateSavedObject(
       _fbb,
       _kind,
       _name,
       _revision,
-      _body);
+      _body,
+      _written_ms);
 }
 
 inline SavedVmT *SavedVm::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4909,7 +4940,8 @@
 inline CheckpointT::CheckpointT(const CheckpointT &o)
       : next(o.next),
         clock_ms(o.clock_ms),
-        digest(o.digest) {
+        digest(o.digest),
+        last_record(o.last_record) {
   objects.reserve(o.objects.size());
   for (const auto &objects_ : o.objects) { objects.emplace_back((objects_) ? new waycove::wire::SavedObjectT(*objects_) : nullptr); }
   vms.reserve(o.vms.size());
@@ -4928,6 +4960,7 @@
   std::swap(vms, o.vms);
   std::swap(groups, o.groups);
   std::swap(claims, o.claims);
+  std::swap(last_record, o.last_record);
   return *this;
 }
 
@@ -4947,6 +4980,7 @@
   { auto _e = vms(); if (_e) { _o->vms.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->vms[_i] = std::unique_ptr<waycove::wire::SavedVmT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = groups(); if (_e) { _o->groups.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->groups[_i] = std::unique_ptr<waycove::wire::SavedGroupT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = claims(); if (_e) { _o->claims.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claims[_i] = std::unique_ptr<waycove::wire::SavedClaimT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = last_record(); if (_e) _o->last_record = _e->str(); }
 }
 
 inline flatbuffers::Offset<Checkpoint> Checkpoint::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CheckpointT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4964,6 +4998,7 @@
   auto _vms = _o->vms.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::SavedVm>> (_o->vms.size(), [](size_t i, _VectorArgs *__va) { return CreateSavedVm(*__va->__fbb, __va->__o->vms[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _groups = _o->groups.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::SavedGroup>> (_o->groups.size(), [](size_t i, _VectorArgs *__va) { return CreateSavedGroup(*__va->__fbb, __va->__o->groups[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _claims = _o->claims.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::SavedClaim>> (_o->claims.size(), [](size_t i, _VectorArgs *__va) { return CreateSavedClaim(*__va->__fbb, __va->__o->claims[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _last_record = _o->last_record.empty() ? 0 : _fbb.CreateString(_o->last_record);
   return waycove::wire::CreateCheckpoint(
       _fbb,
       _next,
@@ -4972,7 +5007,8 @@
       _objects,
       _vms,
       _groups,
-      _claims);
+      _claims,
+      _last_record);
 }
 
 inline PeerRowT *PeerRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -9,6 +9,9 @@
 //                 stale", "list": "ok|refuse", "stale_next": N}
 //   POST /vms/state {"vm", "state"}   live, leaving or gone
 //   POST /log/records/trim?first=N    forgets records before N
+//   POST /store/copy, /store/restore   as in store.h; log and VM list go back
+//                                      with the rest, and each answer names the
+//                                      era
 #include "base/json.h"
 #include "standins/store.h"
 
@@ -51,16 +54,34 @@
   std::uint64_t Changed = 0;
 };
 
-struct Platform {
-  std::mutex Mutex;
-  std::condition_variable Appended;
+/// What a restore brings back.
+struct Content {
   std::map<std::string, Stream> Streams;
   std::map<std::string, ListedVm> Vms;
   std::uint64_t Version = 1;
+};
+
+struct Platform : Content {
+  std::mutex Mutex;
+  std::condition_variable Appended;
+  Content Copy;
+  std::uint64_t Era = 0;
   std::map<std::string, std::string> Faults;
   std::uint64_t Appends = 0;
   std::uint64_t Reads = 0;
 
+  void copy() {
+    std::lock_guard Lock(this->Mutex);
+    this->Copy = *this;
+  }
+  void restore() {
+    {
+      std::lock_guard Lock(this->Mutex);
+      static_cast<Content &>(*this) = this->Copy;
+      ++this->Era;
+    }
+    this->Appended.notify_all();
+  }
   std::string fault(const std::string &Name) {
     std::lock_guard Lock(this->Mutex);
     return this->Faults[Name];
@@ -98,12 +119,16 @@
     std::map<std::string, std::string> Query;
     for (const auto &[Key, Value] : Uri.getQueryParameters())
       Query[Key] = Value;
+    if (Path == "/store/copy")
+      State.copy();
+    if (Path == "/store/restore")
+      State.restore();
     if (Path.rfind("/api/", 0) == 0 && Entries.down() == "silent")
       std::this_thread::sleep_for(std::chrono::seconds(3));
     if (auto Answer = Entries.answer(Path, Query, Body)) {
       Response.setStatusAndReason(
           static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Answer->Status));
-      Response.set("Store-Era", std::to_string(Answer->Era));
+      setEra(Response, Answer->Era);
       reply(Response, Answer->Body);
     } else if (Path == "/faults")
       this->setFaults(Response, Body);
@@ -122,6 +147,9 @@
   }
 
 private:
+  static void setEra(HTTPServerResponse &Response, std::uint64_t Era) {
+    Response.set("Store-Era", std::to_string(Era));
+  }
   static void reply(HTTPServerResponse &Response, const std::string &Body) {
     Response.setContentType("application/json");
     Response.sendBuffer(Body.data(), Body.size());
@@ -143,6 +171,7 @@
       std::lock_guard Lock(State.Mutex);
       Stream &Row = State.Streams[Name];
       At = Row.next();
+      setEra(Response, State.Era);
       Row.Records.push_back(Body);
       ++State.Appends;
       if (Fault == "lose_ack_once")
@@ -165,13 +194,20 @@
     std::chrono::milliseconds Wait(std::stoull(Query["wait_ms"]));
     std::unique_lock Lock(State.Mutex);
     ++State.Reads;
+    std::uint64_t Era = State.Era;
+    setEra(Response, Era);
     Stream &Row = State.Streams[Name];
     if (Fault == "stale") {
       std::uint64_t Stale = std::stoull(State.Faults["stale_next"]);
       return reply(Response, "{\"first\":0,\"next\":" + std::to_string(Stale) +
                                  ",\"records\":[]}");
     }
-    State.Appended.wait_for(Lock, Wait, [&] { return Row.next() > From; });
+    State.Appended.wait_for(Lock, Wait, [&] {
+      return State.Era != Era || State.Streams[Name].next() > From;
+    });
+    // Whoever waits loses the connection when the store goes away.
+    if (State.Era != Era)
+      return drop(Request, Response);
     Poco::JSON::Array Rows;
     for (std::uint64_t At = std::max(From, Row.First);
          At < Row.next() && Rows.size() < Max; ++At) {
@@ -193,6 +229,7 @@
       return drop(Request, Response);
     std::uint64_t Since = std::stoull(Query["since"]);
     std::lock_guard Lock(State.Mutex);
+    setEra(Response, State.Era);
     Poco::JSON::Array Rows;
     for (const auto &[Id, Vm] : State.Vms)
       if (Vm.DataCentre == Query["data_centre"] && Vm.Changed > Since)
