Let a settled era count for proofs from then on alone

Cause: a node that had seen operators write after a restore told another one that the era is settled. That one took its last proof, from before they wrote, for one that counts, and used the keys of the older version that it showed.

When an era was settled is kept as a time: pages and marks say settled only where their proof is not older. What a node knows of versions, in the present era and before it, has a class of its own, EraVersions; the cache holds one. The test of the directory's note asks for a later proof, too.

--- a/src/board/feed_cache.cpp
+++ b/src/board/feed_cache.cpp
@@ -29,69 +29,40 @@
       return false;
     if (Restored || !this->isRefuted(Page))
       this->HoldUntil = std::max(this->HoldUntil, Page.HoldUntil);
+    // Whoever asks from an earlier era is told all: the same offsets stand for
+    // other records now, and which of them it has seen is not known.
     if (Restored)
-      this->beginEra(Page.Next.Era);
-    bool Written =
-        this->Known && !Restored && Page.Versions.Shown > this->Versions.Shown;
+      this->ForgottenBelow = {Page.Next.Era, Offset()};
     if (Ahead)
       this->advance(Page, Now);
-    if (Page.Next.Era == this->Next.Era)
-      this->Versions.Shown =
-          std::max(this->Versions.Shown, Page.Versions.Shown);
-    this->noteBefore({Page.Next.Era, Page.Versions});
-    // Nothing was lost before the first era, which nobody has to settle.
-    this->Versions.Settled |= Written || this->Next.Era == this->SettledEra;
+    bool Proven = Page.ProvenAt != TimePoint();
+    this->Versions.takePage({Page.Next.Era, Page.Versions},
+                            Proven ? Page.ProvenAt : Now);
     this->ProvenAt = std::max(this->ProvenAt, Page.ProvenAt);
   }
   this->Changed.notify_all();
   return true;
 }
 
-void FeedCache::beginEra(StoreEra Era) {
-  // Whoever asks from an earlier era is told all: the same offsets stand for
-  // other records now, and which of them it has seen is not known.
-  this->ForgottenBelow = {Era, Offset()};
-  this->Versions.Before = std::max(this->Versions.Before, this->Versions.Shown);
-  this->Versions.Shown = ValueVersion();
-  this->Versions.Settled = false;
-}
-
-/// What was shown in an earlier era was known before this one; what another
-/// node was shown in this one, this node has yet to read.
-void FeedCache::noteBefore(const EraMarks &Told) {
-  if (Told.Era > this->Next.Era)
-    return;
-  VersionMarks &Mine = this->Versions;
-  Mine.Before = std::max(Mine.Before, Told.Versions.Before);
-  if (Told.Era < this->Next.Era)
-    Mine.Before = std::max(Mine.Before, Told.Versions.Shown);
-  else
-    Mine.Settled |= Told.Versions.Settled;
-}
-
-void FeedCache::hear(const EraMarks &Told) {
+void FeedCache::hear(const EraMarks &Told, TimePoint Now) {
   std::lock_guard Lock(this->Mutex);
-  // A node that knows nothing takes no part of it for all.
-  if (this->Known)
-    this->noteBefore(Told);
+  this->Versions.hear(Told, Now);
 }
 
-void FeedCache::settle(StoreEra Era) {
+void FeedCache::settle(StoreEra Era, TimePoint At) {
   std::lock_guard Lock(this->Mutex);
-  this->SettledEra = std::max(this->SettledEra, Era);
-  this->Versions.Settled |= this->Known && this->Next.Era == this->SettledEra;
+  this->Versions.settle(Era, At);
 }
 
 std::optional<StoreEra> FeedCache::settledEra() const {
-  std::lock_guard Lock(this->Mutex);
-  bool Settled =
-      this->Known && this->Versions.Settled && !this->Versions.isLost();
-  return Settled ? std::optional(this->Next.Era) : std::nullopt;
+  EraMarks Seen = this->marks();
+  bool Settled = Seen.Versions.Settled && !Seen.Versions.isLost();
+  return Settled ? std::optional(Seen.Era) : std::nullopt;
 }
 
 EraMarks FeedCache::marks() const {
   std::lock_guard Lock(this->Mutex);
-  return {this->Next.Era, this->Versions};
+  return this->Versions.marks(this->ProvenAt);
 }
 
 void FeedCache::advance(const KeyedPage &Page, TimePoint Now) {
@@ -144,7 +115,7 @@
 KeyedPage FeedCache::pageFrom(StorePosition From, bool Whole) const {
   KeyedPage Page;
   Page.Next = this->Next;
-  Page.Versions = this->Versions;
+  Page.Versions = this->Versions.marks(this->ProvenAt).Versions;
   Page.Whole = Whole;
   Page.ProvenAt = this->ProvenAt;
   Page.HoldUntil = this->HoldUntil;
--- a/src/board/feed_cache.h
+++ b/src/board/feed_cache.h
@@ -4,7 +4,7 @@
 
 #pragma once
 
-#include "base/ids.h"
+#include "board/era_versions.h"
 
 #include <condition_variable>
 #include <cstddef>
@@ -28,26 +28,6 @@
   ValueVersion Version{};
 };
 
-/// The newest versions of a feed's values, as seen in one era of the store.
-struct VersionMarks {
-  /// That the store has shown since the era began.
-  ValueVersion Shown;
-  /// That was known before the era began, to this node or to any that told it.
-  ValueVersion Before;
-  /// What was lost before the era began is written again, as far as anybody can
-  /// tell: the writer has written since, or has had the time to.
-  bool Settled = false;
-  /// The store lost a version that was in force, and its writer has not written
-  /// it or a newer one again.
-  bool isLost() const { return this->Shown < this->Before; }
-};
-
-/// The same with the era in which it was seen, as nodes tell each other.
-struct EraMarks {
-  StoreEra Era;
-  VersionMarks Versions;
-};
-
 /// Part of a feed, and how current it is. Times are of this process's clock.
 struct KeyedPage {
   std::vector<KeyedRecord> Records;
@@ -99,12 +79,9 @@
   /// Takes what is newer in \p Page; false where it had nothing new and proves
   /// nothing newer.
   bool take(const KeyedPage &Page, TimePoint Now);
-  /// What another node has seen of versions: where the store lost what was in
-  /// force, a node that started since knows it from others alone.
-  void hear(const EraMarks &Told);
-  /// What was lost before \p Era began is written again: this node has waited
-  /// for it, or the directory says that another one has.
-  void settle(StoreEra Era);
+  /// As EraVersions, for what this node knows of the feed.
+  void hear(const EraMarks &Told, TimePoint Now);
+  void settle(StoreEra Era, TimePoint At);
   /// The present era, where it is settled and nothing is missed.
   std::optional<StoreEra> settledEra() const;
   EraMarks marks() const;
@@ -136,8 +113,6 @@
   };
   bool isRefuted(const KeyedPage &Page) const;
   void advance(const KeyedPage &Page, TimePoint Now);
-  void beginEra(StoreEra Era);
-  void noteBefore(const EraMarks &Told);
   void put(const KeyedRecord &Record, StorePosition Below, TimePoint Now);
   void addMissing(const KeyedPage &Page, TimePoint Now);
   void prune(TimePoint Now);
@@ -150,10 +125,7 @@
   std::map<std::string, Row> Rows;
   bool Known = false;
   StorePosition Next;
-  /// In the era of Next.
-  VersionMarks Versions;
-  /// The newest that is known to be settled.
-  StoreEra SettledEra;
+  EraVersions Versions;
   /// Of keys that were dropped before it, some are forgotten.
   StorePosition ForgottenBelow;
   TimePoint ProvenAt;
--- a/src/control/config_follow.h
+++ b/src/control/config_follow.h
@@ -45,7 +45,7 @@
         this->apply(*Row.Value);
     if (!this->isProof(Page) || this->inForce() == 0)
       return;
-    this->Board.feed(FeedKind::Config).settle(Page.Next.Era);
+    this->Board.feed(FeedKind::Config).settle(Page.Next.Era, Page.ProvenAt);
     this->Board.ConfigFresh.renew(
         Page.ProvenAt, this->Board.Config.Entry->RevokeBound - ProofMargin);
   }
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -462,7 +462,7 @@
   if (Feed >= Question.next.size())
     return std::make_unique<wire::FeedNewsT>();
   EraMarks Seen = marksOf(Question, Feed);
-  this->Board.Feeds[Feed].Cache.hear(Seen);
+  this->Board.Feeds[Feed].Cache.hear(Seen, Now);
   StorePosition From(Seen.Era, Offset(Question.next[Feed]));
   return this->newsOf(static_cast<FeedKind>(Feed), From, Now);
 }
--- a/src/control/node_follow.h
+++ b/src/control/node_follow.h
@@ -66,7 +66,7 @@
 
   void noteSettled(StoreEra Era) {
     this->SettledEra = std::max(this->SettledEra, Era);
-    this->Board.feed(FeedKind::Config).settle(Era);
+    this->Board.feed(FeedKind::Config).settle(Era, SystemClock{}.now());
   }
 
   Millis leave() {
--- a/tests/unit/config_follow_test.cpp
+++ b/tests/unit/config_follow_test.cpp
@@ -56,6 +56,9 @@
     this->cache().take(pageOf(Version, Next, Era), SystemClock{}.now());
     this->Follower.step();
   }
+  void hear(const EraMarks &Told) {
+    this->cache().hear(Told, SystemClock{}.now());
+  }
   FeedCache &cache() { return this->Board.feed(FeedKind::Config); }
   /// Zero where none is.
   std::uint64_t inForce() {
@@ -146,7 +149,7 @@
   Other.take(pageOf(18, 7, 1), SystemClock{}.now());
   Other.take(pageOf(19, 8, 1), SystemClock{}.now());
   Other.take(pageOf(19, 6, 2), SystemClock{}.now());
-  this->cache().hear(Other.marks());
+  this->cache().hear(Other.marks(), SystemClock{}.now());
   this->Follower.step();
   CHECK_FALSE(this->mayUseKeys());
 }
@@ -166,6 +169,21 @@
   CHECK(this->mayUseKeys());
 }
 
+// What the other node was shown, and this one was not, may take keys away.
+TEST_CASE_METHOD(ConfigFollowFixture,
+                 "config: another node has seen operators write again: a proof "
+                 "of before proves no keys, a later one does",
+                 "[unit]") {
+  this->show(19, 7, 0);
+  this->waitOutProof();
+  this->show(19, 6, 1);
+  this->hear({StoreEra(1), {ValueVersion(22), ValueVersion(19), true}});
+  this->Follower.step();
+  CHECK_FALSE(this->mayUseKeys());
+  this->show(22, 7, 1);
+  CHECK(this->mayUseKeys());
+}
+
 TEST_CASE_METHOD(ConfigFollowFixture,
                  "config: two restores before operators write again: what the "
                  "first one lost is still missed",
@@ -186,7 +204,7 @@
   this->show(6, 3, 1);
   REQUIRE(this->inForce() == 6);
   // Another node asks, which knew version 19 before the restore.
-  this->cache().hear({StoreEra(1), {ValueVersion(6), ValueVersion(19)}});
+  this->hear({StoreEra(1), {ValueVersion(6), ValueVersion(19)}});
   this->Follower.step();
   CHECK(this->inForce() == 0);
   CHECK_FALSE(this->mayUseKeys());
@@ -202,12 +220,12 @@
                  "it knows was in force before",
                  "[unit]") {
   this->show(6, 3, 1);
-  this->cache().hear({StoreEra(0), {ValueVersion(19), ValueVersion()}});
+  this->hear({StoreEra(0), {ValueVersion(19), ValueVersion()}});
   this->Follower.step();
   CHECK(this->inForce() == 0);
   // One that is ahead of this node says nothing of this node's era.
   this->show(22, 5, 1);
-  this->cache().hear({StoreEra(2), {ValueVersion(22), ValueVersion(90)}});
+  this->hear({StoreEra(2), {ValueVersion(22), ValueVersion(90)}});
   this->Follower.step();
   CHECK(this->inForce() == 22);
 }
@@ -217,7 +235,7 @@
                  "what is in force stays",
                  "[unit]") {
   this->show(19, 7, 0);
-  this->cache().hear({StoreEra(0), {ValueVersion(22), ValueVersion()}});
+  this->hear({StoreEra(0), {ValueVersion(22), ValueVersion()}});
   this->Follower.step();
   CHECK(this->inForce() == 19);
   CHECK(this->mayUseKeys());
--- a/tests/unit/node_follow_test.cpp
+++ b/tests/unit/node_follow_test.cpp
@@ -113,7 +113,8 @@
     Page.Whole = true;
     Page.Next = atOffset(Next, Era);
     Page.Versions.Shown = ValueVersion(Version);
-    this->Board.feed(FeedKind::Config).take(Page, at(0));
+    Page.ProvenAt = SystemClock{}.now();
+    this->Board.feed(FeedKind::Config).take(Page, Page.ProvenAt);
   }
 };
 
@@ -146,6 +147,9 @@
   CHECK_FALSE(Config.marks().Versions.Settled);
   this->Directory.Page.Records = {announcementOf("other", 2)};
   this->Follower.step();
+  // What was proven before it was noted is no better for it.
+  CHECK_FALSE(Config.marks().Versions.Settled);
+  this->showConfig(6, 3, 2);
   CHECK(Config.marks().Versions.Settled);
   // Nothing is left to be noted.
   CHECK(this->Directory.Announcements == 1);
--- a/tests/unit/rewrite_test.cpp
+++ b/tests/unit/rewrite_test.cpp
@@ -67,9 +67,8 @@
   static bool write(const std::vector<wire::RecordT> &Lost, FoldState &Into) {
     for (const wire::RecordT &Row : Lost)
       Into.fold(Into.next(), packRecord(Row));
-    return std::all_of(Lost.begin(), Lost.end(), [&](const auto &Row) {
-      return isSettled(Row, Into);
-    });
+    return std::all_of(Lost.begin(), Lost.end(),
+                       [&](const auto &Row) { return isSettled(Row, Into); });
   }
   static bool says(const FoldState &Of, const std::string &Name,
                    const std::string &Value) {
@@ -144,8 +143,7 @@
   std::vector<wire::RecordT> Lost = lostRecords(this->State, Copy);
   REQUIRE(Lost.size() == 1);
   CHECK(write(Lost, Copy));
-  const Claim *Held =
-      Copy.claim({WorkspaceId("w"), IdempotencyKey("k2")});
+  const Claim *Held = Copy.claim({WorkspaceId("w"), IdempotencyKey("k2")});
   REQUIRE(Held);
   CHECK(Held->Dispatcher == IncarnationId("d2"));
   CHECK(Copy.claimCount() == 3);
