Give the two servers a folder each, and what both use a third

HTTP calls, connections and framing are src/net. The concepts by which controllers reach VMs and the VM list are controllers' headers now, so src/control includes nothing of a server. make check holds which folder may include which; the table is in docs/DESIGN.md.

No functional change

--- /dev/null
+++ b/src/control/engine_control.h
@@ -0,0 +1,42 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "policy/route.h"
+
+#include <absl/status/statusor.h>
+#include <concepts>
+
+namespace waycove {
+
+/// One order to a VM to load a model as a member of a group.
+struct EngineOrder {
+  VmAddress Address;
+  Fence Group;
+  std::string Deployment;
+  std::string Model;
+  std::string Version;
+  std::uint64_t Rank = 0;
+  std::vector<std::string> Members;
+};
+
+/// What a VM says about itself.
+struct MemberReport {
+  Fence Group;
+  bool Loaded = false;
+  bool Leaving = false;
+  std::uint64_t Running = 0;
+  double Queue = 0;
+};
+
+/// A model engine, as the group controller uses it.
+template <typename T>
+concept EngineControl = requires(T &E, const EngineOrder &Order,
+                                 const VmAddress &At) {
+  { E.order(Order) } -> std::same_as<absl::Status>;
+  { E.report(At) } -> std::same_as<absl::StatusOr<MemberReport>>;
+};
+
+} // namespace waycove
--- a/src/control/members.h
+++ b/src/control/members.h
@@ -6,7 +6,7 @@
 
 #include "base/pool.h"
 #include "board/board.h"
-#include "edge/target.h"
+#include "control/engine_control.h"
 
 #include <set>
 
--- a/src/control/vmwatch.h
+++ b/src/control/vmwatch.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "board/board.h"
-#include "edge/platform.h"
+#include "control/vm_list.h"
 
 namespace waycove {
 
--- a/src/edge/daemon.cpp
+++ b/src/edge/daemon.cpp
@@ -11,6 +11,7 @@
 #include "control/vmwatch.h"
 #include "edge/callers.h"
 #include "edge/operators.h"
+#include "edge/platform.h"
 #include "edge/serve.h"
 
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
--- a/src/edge/platform.h
+++ b/src/edge/platform.h
@@ -4,9 +4,9 @@
 
 #pragma once
 
-#include "board/vms.h"
 #include "control/log.h"
-#include "edge/http.h"
+#include "control/vm_list.h"
+#include "net/http.h"
 
 namespace waycove {
 
@@ -29,22 +29,6 @@
   HttpCaller Writer;
 };
 
-/// Changes of the VM list since a version, which holds the era as offsets do.
-struct VmPage {
-  std::uint64_t Version = 0;
-  /// The answer holds all VMs, not only changes.
-  bool Whole = false;
-  std::vector<VmInfo> Rows;
-  std::vector<VmId> Gone;
-};
-
-/// The platform's lagging list of VMs.
-template <typename T>
-concept VmList = requires(T &L, const DataCentreId &Centre,
-                          std::uint64_t Since) {
-  { L.list(Centre, Since) } -> std::same_as<absl::StatusOr<VmPage>>;
-};
-
 /// The list over HTTP: GET /vms?data_centre=X&since=V, answer {"version",
 /// "whole", "vms": [{"id", "data_centre", "domain", "host", "port", "state":
 /// "live"|"leaving"|"gone", "labels"}]}.
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -4,7 +4,7 @@
 
 #pragma once
 
-#include "edge/http.h"
+#include "net/http.h"
 #include "policy/objects.h"
 #include "policy/once.h"
 #include "wire/wire_generated.h"
--- a/src/edge/target.h
+++ b/src/edge/target.h
@@ -4,7 +4,8 @@
 
 #pragma once
 
-#include "edge/http.h"
+#include "control/engine_control.h"
+#include "net/http.h"
 #include "policy/retry.h"
 #include "policy/route.h"
 
@@ -52,26 +53,6 @@
 
 using TokenHandler = std::function<TokenVerdict(const EngineToken &)>;
 
-/// One order to a VM to load a model as a member of a group.
-struct EngineOrder {
-  VmAddress Address;
-  Fence Group;
-  std::string Deployment;
-  std::string Model;
-  std::string Version;
-  std::uint64_t Rank = 0;
-  std::vector<std::string> Members;
-};
-
-/// What a VM says about itself.
-struct MemberReport {
-  Fence Group;
-  bool Loaded = false;
-  bool Leaving = false;
-  std::uint64_t Running = 0;
-  double Queue = 0;
-};
-
 /// A model engine, as the router uses it.
 template <typename T>
 concept EngineService = requires(T &E, const EngineCall &Call,
@@ -81,14 +62,6 @@
   E.cancel(At, Id);
 };
 
-/// A model engine, as the group controller uses it.
-template <typename T>
-concept EngineControl = requires(T &E, const EngineOrder &Order,
-                                 const VmAddress &At) {
-  { E.order(Order) } -> std::same_as<absl::Status>;
-  { E.report(At) } -> std::same_as<absl::StatusOr<MemberReport>>;
-};
-
 /// Engines over HTTP:
 ///   POST /v1/generate {"request", "group", "prompt", "max_tokens",
 ///        "resume_from", "prefix", "priority"}; answer: a line of JSON a token
--- a/src/edge/answer_pass.h
+++ b/src/entry/answer_pass.h
@@ -4,8 +4,8 @@
 
 #pragma once
 
-#include "edge/answer_wait.h"
-#include "edge/target_pool.h"
+#include "entry/answer_wait.h"
+#include "entry/target_pool.h"
 #include "policy/connections.h"
 
 namespace waycove {
--- a/src/edge/answer_wait.cpp
+++ b/src/entry/answer_wait.cpp
@@ -2,7 +2,7 @@
 // Copyright 2026 the waycove authors. Licensed under the Apache License,
 // Version 2.0; see LICENSE.
 
-#include "edge/answer_wait.h"
+#include "entry/answer_wait.h"
 
 namespace waycove {
 
--- a/src/edge/answer_wait.h
+++ b/src/entry/answer_wait.h
@@ -4,8 +4,8 @@
 
 #pragma once
 
-#include "edge/relay_choice.h"
-#include "edge/relay_notes.h"
+#include "entry/relay_choice.h"
+#include "entry/relay_notes.h"
 
 namespace waycove {
 
--- a/src/edge/caller_answer.cpp
+++ b/src/entry/caller_answer.cpp
@@ -2,7 +2,7 @@
 // Copyright 2026 the waycove authors. Licensed under the Apache License,
 // Version 2.0; see LICENSE.
 
-#include "edge/caller_answer.h"
+#include "entry/caller_answer.h"
 
 #include <array>
 #include <charconv>
--- a/src/edge/caller_answer.h
+++ b/src/entry/caller_answer.h
@@ -4,8 +4,8 @@
 
 #pragma once
 
-#include "edge/channel.h"
-#include "edge/framing.h"
+#include "net/channel.h"
+#include "net/framing.h"
 
 namespace waycove {
 
--- a/src/edge/caller_server.h
+++ b/src/entry/caller_server.h
@@ -4,7 +4,7 @@
 
 #pragma once
 
-#include "edge/relay.h"
+#include "entry/relay.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Runnable.h>
--- a/src/edge/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -11,8 +11,8 @@
 #include "control/node_follow.h"
 #include "control/registry_follow.h"
 #include "control/store_reader.h"
-#include "edge/caller_server.h"
-#include "edge/ready_server.h"
+#include "entry/caller_server.h"
+#include "entry/ready_server.h"
 
 namespace waycove {
 
--- a/src/edge/ready_server.cpp
+++ b/src/entry/ready_server.cpp
@@ -2,7 +2,7 @@
 // Copyright 2026 the waycove authors. Licensed under the Apache License,
 // Version 2.0; see LICENSE.
 
-#include "edge/ready_server.h"
+#include "entry/ready_server.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
--- a/src/edge/relay.h
+++ b/src/entry/relay.h
@@ -4,7 +4,7 @@
 
 #pragma once
 
-#include "edge/answer_pass.h"
+#include "entry/answer_pass.h"
 #include "policy/urgency.h"
 
 namespace waycove {
--- a/src/edge/relay_attempt.h
+++ b/src/entry/relay_attempt.h
@@ -4,8 +4,8 @@
 
 #pragma once
 
-#include "edge/caller_answer.h"
-#include "edge/relay_request.h"
+#include "entry/caller_answer.h"
+#include "entry/relay_request.h"
 #include "policy/retry.h"
 
 namespace waycove {
--- a/src/edge/relay_choice.h
+++ b/src/entry/relay_choice.h
@@ -4,7 +4,7 @@
 
 #pragma once
 
-#include "edge/relay_request.h"
+#include "entry/relay_request.h"
 
 namespace waycove {
 
--- a/src/edge/relay_notes.cpp
+++ b/src/entry/relay_notes.cpp
@@ -2,7 +2,7 @@
 // Copyright 2026 the waycove authors. Licensed under the Apache License,
 // Version 2.0; see LICENSE.
 
-#include "edge/relay_notes.h"
+#include "entry/relay_notes.h"
 
 namespace waycove {
 
--- a/src/edge/relay_notes.h
+++ b/src/entry/relay_notes.h
@@ -4,7 +4,7 @@
 
 #pragma once
 
-#include "edge/relay_attempt.h"
+#include "entry/relay_attempt.h"
 
 namespace waycove {
 
--- a/src/edge/relay_request.h
+++ b/src/entry/relay_request.h
@@ -6,7 +6,7 @@
 
 #include "base/errors.h"
 #include "board/entry_board.h"
-#include "edge/caller_protocol.h"
+#include "entry/caller_protocol.h"
 
 #include <Poco/Net/HTTPRequest.h>
 
--- a/src/edge/target_pool.h
+++ b/src/entry/target_pool.h
@@ -4,7 +4,7 @@
 
 #pragma once
 
-#include "edge/channel.h"
+#include "net/channel.h"
 #include "policy/fleet.h"
 
 #include <deque>
--- a/src/main/commands.h
+++ b/src/main/commands.h
@@ -4,7 +4,7 @@
 
 #pragma once
 
-#include "edge/http.h"
+#include "net/http.h"
 
 namespace waycove {
 
--- a/src/edge/framing.cpp
+++ b/src/net/framing.cpp
@@ -2,7 +2,7 @@
 // Copyright 2026 the waycove authors. Licensed under the Apache License,
 // Version 2.0; see LICENSE.
 
-#include "edge/framing.h"
+#include "net/framing.h"
 
 #include <Poco/Exception.h>
 #include <Poco/MemoryStream.h>
--- a/tests/failure/entry_test.cpp
+++ b/tests/failure/entry_test.cpp
@@ -4,7 +4,7 @@
 
 // An entry on the platform, as real processes: what callers get while targets
 // fail, keys are taken away and the store is gone.
-#include "edge/http.h"
+#include "net/http.h"
 #include "support/entry_fixture.h"
 
 #include <Poco/Exception.h>
--- a/tests/unit/framing_test.cpp
+++ b/tests/unit/framing_test.cpp
@@ -3,7 +3,7 @@
 // Version 2.0; see LICENSE.
 
 // Message framing: where a body ends, what is ambiguous, whole events.
-#include "edge/framing.h"
+#include "net/framing.h"
 
 #include <catch2/catch.hpp>
 
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -23,6 +23,31 @@
   grep -q "Licensed under the Apache License" "$file" || complain "$file: no licence note"
 done
 
+# Which folder may include which; itself is always meant.
+may_include() { # folder, folders...
+  local folder=$1
+  shift
+  local allowed="$folder $*"
+  local headers
+  headers=$(git ls-files "src/$folder/*.h" "src/$folder/*.cpp" "$folder/*.h" "$folder/*.cpp" | grep -v _generated)
+  for other in $(grep -hoE '^#include "[a-z]+/' $headers | cut -d'"' -f2 | tr -d / | sort -u); do
+    case " $allowed flatbuffers " in
+    *" $other "*) ;;
+    *) complain "$folder includes $other, which docs/DESIGN.md does not allow" ;;
+    esac
+  done
+}
+may_include base
+may_include policy base wire
+may_include board base policy wire
+may_include wire base policy board
+may_include net base policy
+may_include control base policy board wire
+may_include entry base policy board control net
+may_include edge base policy board wire control net
+may_include platform base policy board control net entry
+may_include bench base policy board wire control
+
 # The newest commit that names a signature has to name the present one.
 said=$(git log -100 --format=%B | grep -m1 -oE '^Bench: [0-9]+' | cut -d' ' -f2)
 is=$("$build/waycove" bench | grep -oE '^Bench: [0-9]+' | cut -d' ' -f2)
--- a/tools/without.py
+++ b/tools/without.py
@@ -25,11 +25,11 @@
         "Key.Epoch <= S.View.OwnedFloor", "false",
         "planner: lost, late"),
     "signed-success": (
-        "src/edge/answer_pass.h",
+        "src/entry/answer_pass.h",
         "!Facts.Signed || ", "",
         "entry: an unsigned"),
     "keys-proven": (
-        "src/edge/relay_request.cpp",
+        "src/entry/relay_request.cpp",
         "!Board.ConfigFresh.holds(Now)", "false",
         "entry: the store is away"),
     "version-order": (
@@ -134,7 +134,7 @@
         "this->askPeers(Nodes, SystemClock{}.now());", "",
         "leaving target: the reader loses"),
     "given-up-reset": (
-        "src/edge/relay.h",
+        "src/entry/relay.h",
         "if (End != AttemptEnd::Done && Try.Connection)", "if (false)",
         "leaving target: a send"),
     "stale-proves-nothing": (
@@ -163,7 +163,7 @@
         "(Late ? 1U : 0U)", "0U",
         "urgency: one is late"),
     "answer-id": (
-        "src/edge/answer_pass.h",
+        "src/entry/answer_pass.h",
         "Facts.Request == Ex.Request.Facts.Id", "true",
         "entry: another's answer"),
     "members-counted": (
@@ -203,7 +203,7 @@
         "this->socket().shutdown();", "this->end();",
         "answers: all engines die"),
     "sent-is-sent": (
-        "src/edge/http.cpp",
+        "src/net/http.cpp",
         "Sent = true;\n", "Sent = false;\n",
         "not run: said only|once: key sent again"),
     "service-answer-id": (
