--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -5,11 +5,9 @@
 #include "control/news.h"
 
 #include "control/feed_notes.h"
+#include "control/news_server.h"
 #include "wire/news_frames.h"
 
-#include <Poco/Net/TCPServerConnectionFactory.h>
-#include <limits>
-
 namespace waycove {
 
 namespace {
@@ -17,10 +15,6 @@
 /// How often a node asks for news: what a head does shows to all within about
 /// two rounds, and a round costs some 50 us on each side.
 constexpr Millis RoundTime(250);
-/// A neighbour answers at once; past this it is frozen, cut off or drowning,
-/// and there is time left to read the store before a change has to be in force.
-constexpr Millis AnswerTime(450);
-constexpr Millis DialTime(250);
 /// Between two reads of what a neighbour leaves out: a value of 390 KB takes
 /// a quarter of a link of 20 Mbit/s then, and bounds on changes are 2 s and
 /// more.
@@ -32,8 +26,6 @@
 constexpr Millis PartRound(20);
 /// While a node that has just started knows nothing.
 constexpr Millis FillRound(50);
-/// A connection that fails sooner was reset.
-constexpr Millis ResetTime(200);
 /// For another node to be found that reads for this one: three are tried in a
 /// round.
 constexpr Millis SearchTime(900);
@@ -47,71 +39,9 @@
 /// seconds without the store, 295 nodes that asked two others every 0.1 s held
 /// 100 connections each, and a thread for each.
 constexpr Millis PeersPause(2000);
-/// A node that was not asked for this long closes the connection.
-constexpr Millis QuietTime(5000);
-constexpr int MostConnections = 256;
-/// Small: one thread for each node that reads from this one.
-constexpr int StackBytes = 256 << 10;
-constexpr int IdleThreadSeconds = 5;
-
-/// In a question, where a node knows nothing of a feed.
-constexpr StorePosition
-    NothingKnown(StoreEra(), Offset(std::numeric_limits<std::uint64_t>::max()));
-
-/// What the node that asks has seen of a feed's versions; in the store's first
-/// era it has nothing to tell of them.
-EraMarks marksOf(const wire::NewsWantedT &Question, std::size_t Feed) {
-  return Feed < Question.restored.size() ? readMarks(Question.restored[Feed])
-                                         : EraMarks();
-}
-
-class NewsConnection : public Poco::Net::TCPServerConnection {
-public:
-  NewsConnection(const Poco::Net::StreamSocket &Socket, NewsExchange &Owner)
-      : TCPServerConnection(Socket), Owner(Owner) {}
-  void run() override { this->Owner.serve(this->socket()); }
-
-private:
-  NewsExchange &Owner;
-};
-
-class NewsConnections : public Poco::Net::TCPServerConnectionFactory {
-public:
-  explicit NewsConnections(NewsExchange &Owner) : Owner(Owner) {}
-  Poco::Net::TCPServerConnection *
-  createConnection(const Poco::Net::StreamSocket &Socket) override {
-    return new NewsConnection(Socket, this->Owner);
-  }
-
-private:
-  NewsExchange &Owner;
-};
 
 } // namespace
 
-NewsExchange::NewsExchange(EntryBoard &Board) : Board(Board) {}
-
-NewsExchange::~NewsExchange() {
-  if (this->Server)
-    this->Server->stop();
-}
-
-void NewsExchange::start() {
-  const Endpoint &Where = this->Board.Config.PeerListen;
-  Poco::Net::ServerSocket Socket;
-  Socket.bind(Poco::Net::SocketAddress(Where.Host, Where.Port), true, false);
-  Socket.listen(MostConnections);
-  auto Params =
-      Poco::AutoPtr<Poco::Net::TCPServerParams>(new Poco::Net::TCPServerParams);
-  Params->setMaxThreads(MostConnections);
-  Params->setMaxQueued(MostConnections);
-  static Poco::ThreadPool Pool("news", 1, MostConnections, IdleThreadSeconds,
-                               StackBytes);
-  this->Server = std::make_unique<Poco::Net::TCPServer>(
-      new NewsConnections(*this), Pool, Socket, Params);
-  this->Server->start();
-}
-
 Millis NewsExchange::step() {
   NodeTable Nodes =
       this->Board.Nodes.read([](const NodeTable &Rows) { return Rows; });
@@ -126,7 +56,7 @@
       this->readAlone("no node reads for this one");
     this->askPeers(Nodes, SystemClock{}.now());
   }
-  this->publishLoads(SystemClock{}.now());
+  this->Sight.publish(SystemClock{}.now());
   if (std::exchange(this->MoreWaits, false))
     return PartRound;
   return this->isBehind(SystemClock{}.now()) ? BehindRound : RoundTime;
@@ -251,7 +181,7 @@
   if (!News.ok())
     this->Route.failed(Peer.Node, SystemClock{}.now());
   if (!News.ok() || !this->isCurrent(*News)) {
-    this->Links.erase(Peer.Node);
+    this->Links.close(Peer.Node);
     return false;
   }
   this->takeNews(*News, Peer.Node, SentAt);
@@ -272,7 +202,7 @@
   }
   if (!this->isCurrent(*News)) {
     this->Route.stale(Asked.Node, SystemClock{}.now());
-    this->Links.erase(Asked.Node);
+    this->Links.close(Asked.Node);
     this->LostBy = "its own news are old";
     return false;
   }
@@ -335,55 +265,8 @@
   }
   if (!Restored)
     Question.restored.clear();
-  LoadRows Own = this->ownLoads(SentAt);
-  DemandTable Asks = this->ownDemand();
-  {
-    std::lock_guard Lock(this->Mutex);
-    Question.loads = packLoads(this->Book.upward(Own, SentAt));
-    Question.demand = packDemand(this->Demand.upward(Asks, SentAt));
-  }
-  if (Asked.DataCentre == this->Board.Config.DataCentre)
-    Question.renewals = this->renewals(SentAt);
-  return this->exchange(Asked, std::move(Question));
-}
-
-absl::StatusOr<wire::NewsT> NewsExchange::exchange(const NodeInfo &Asked,
-                                                   wire::NewsWantedT Question) {
-  std::uint64_t Clock = this->Board.Clock.tick(SystemClock{}.wall());
-  wire::FrameT Frame = frameOf(Clock, std::move(Question));
-  PeerLink &Link = this->Links[Asked.Node];
-  if (Link.Host != Asked.Host || Link.Port != Asked.Port)
-    Link = {Asked.Host, Asked.Port, nullptr};
-  if (Link.Socket) {
-    TimePoint SentAt = SystemClock{}.now();
-    absl::StatusOr<wire::NewsT> News = this->tryOn(Link, Frame);
-    // A process that has restarted resets the connection to its last life;
-    // silence is no such thing.
-    if (News.ok() || SystemClock{}.now() - SentAt >= ResetTime)
-      return News;
-  }
-  absl::StatusOr<Poco::Net::StreamSocket> Socket =
-      FrameSocket::dial(Asked.Host, Asked.Port, DialTime);
-  if (!Socket.ok())
-    return Socket.status();
-  Link.Socket = std::make_unique<FrameSocket>(*Socket, this->Board.Counters);
-  return this->tryOn(Link, Frame);
-}
-
-/// Sends the question on the open connection and waits for the answer; closes
-/// the connection where none comes.
-absl::StatusOr<wire::NewsT> NewsExchange::tryOn(PeerLink &Link,
-                                                const wire::FrameT &Question) {
-  absl::StatusOr<wire::FrameT> Frame =
-      makeError(ErrorKind::OutcomeUnknown, "the connection broke");
-  if (Link.Socket->send(Question))
-    Frame = Link.Socket->receive(AnswerTime);
-  if (Frame.ok() && Frame->message.type == wire::Message::News)
-    return std::move(*Frame->message.AsNews());
-  Link.Socket.reset();
-  if (!Frame.ok())
-    return Frame.status();
-  return makeError(ErrorKind::BadRequest, "the answer is no news");
+  this->Sight.addTo(Question, Asked.DataCentre, SentAt);
+  return this->Links.ask(Asked, std::move(Question));
 }
 
 /// Whether the answer is from a node that follows the store without a gap.
@@ -424,122 +307,7 @@
                                .add("feed", feedName(Kind))
                                .add("reason", messageOf(Page.status())));
   }
-  this->takeRenewals(News.renewals, SentAt);
-  std::lock_guard Lock(this->Mutex);
-  this->Book.tell(readLoads(News.loads), Now);
-  this->Demand.tell(readDemand(News.demand), Now);
-}
-
-/// Members of this data centre, which no other one needs to know.
-std::vector<wire::RenewalRow> NewsExchange::renewals(TimePoint Now) const {
-  return this->Board.Renewals.read(
-      [&](const ShareRenewals &Rows) { return packRenewals(Rows, Now); });
-}
-
-void NewsExchange::takeRenewals(const std::vector<wire::RenewalRow> &Rows,
-                                TimePoint From) {
-  this->Board.Renewals.write(
-      [&](ShareRenewals &Into) { waycove::takeRenewals(Rows, From, Into); });
-}
-
-/// What came after \p From, as far as others may rely on this node for it.
-std::unique_ptr<wire::FeedNewsT>
-NewsExchange::newsOf(FeedKind Kind, StorePosition From, TimePoint Now) {
-  const FeedCache &Cache = this->Board.feed(Kind);
-  if (!Cache.next() || !this->Board.mayTell(Kind, Now))
-    return std::make_unique<wire::FeedNewsT>();
-  bool Fills = From == NothingKnown;
-  KeyedPage Page = Fills ? Cache.whole() : Cache.since(From, MostPartBytes);
-  std::size_t Most = Page.Whole ? MostFilledBytes : MostPassedBytes;
-  std::lock_guard Lock(this->Mutex);
-  return this->Packers[static_cast<std::size_t>(Kind)].pack(Page, From, Now,
-                                                            Most);
-}
-
-std::unique_ptr<wire::FeedNewsT>
-NewsExchange::answerFor(std::size_t Feed, const wire::NewsWantedT &Question,
-                        TimePoint Now) {
-  if (Feed >= Question.next.size())
-    return std::make_unique<wire::FeedNewsT>();
-  EraMarks Seen = marksOf(Question, Feed);
-  this->Board.Feeds[Feed].Cache.hear(Seen, Now);
-  StorePosition From(Seen.Era, Offset(Question.next[Feed]));
-  return this->newsOf(static_cast<FeedKind>(Feed), From, Now);
-}
-
-wire::NewsT NewsExchange::answer(const wire::NewsWantedT &Question) {
-  TimePoint Now = SystemClock{}.now();
-  wire::NewsT News;
-  for (std::size_t I = 0; I < this->Board.Feeds.size(); ++I)
-    News.feeds.push_back(this->answerFor(I, Question, Now));
-  bool SameCentre = Question.data_centre == this->Board.Config.DataCentre.Text;
-  if (SameCentre) {
-    this->takeRenewals(Question.renewals, Now);
-    News.renewals = this->renewals(Now);
-  }
-  LoadRows Own = this->ownLoads(Now);
-  DemandTable Asks = this->ownDemand();
-  NodeId From(Question.node);
-  std::lock_guard Lock(this->Mutex);
-  if (SameCentre) {
-    this->Book.report(From, readLoads(Question.loads), Now);
-    this->Demand.report(From, readDemand(Question.demand), Now);
-  } else {
-    this->Book.reportCentre(From, readLoads(Question.loads), Now);
-    this->Demand.reportCentre(From, readDemand(Question.demand), Now);
-  }
-  News.loads = packLoads(this->Book.downward(Own, From, Now));
-  News.demand = packDemand(this->Demand.downward(Asks, From, Now));
-  return News;
-}
-
-void NewsExchange::serve(const Poco::Net::StreamSocket &Socket) {
-  FrameSocket Link(Socket, this->Board.Counters);
-  while (true) {
-    absl::StatusOr<wire::FrameT> Frame = Link.receive(QuietTime);
-    // The other end asks anew, or another node, when its connection ends.
-    if (!Frame.ok() || Frame->message.type != wire::Message::NewsWanted)
-      return;
-    const wire::NewsWantedT &Question = *Frame->message.AsNewsWanted();
-    this->Board.noteAsked(SystemClock{}.now());
-    if (!Link.send(frameOf(this->Board.Clock.tick(SystemClock{}.wall()),
-                           this->answer(Question))))
-      return;
-  }
-}
-
-LoadRows NewsExchange::ownLoads(TimePoint Now) const {
-  return this->Board.Vitals.read(
-      [&](const VitalsTable &Rows) { return Rows.loads(Now); });
-}
-
-DemandTable NewsExchange::ownDemand() const {
-  return this->Board.Demand.read([](const DemandTable &Rows) { return Rows; });
-}
-
-void NewsExchange::publishLoads(TimePoint Now) {
-  LoadRows Others;
-  DemandTable Asked;
-  {
-    std::lock_guard Lock(this->Mutex);
-    Others = this->Book.others(Now);
-    Asked = this->Demand.others(Now);
-  }
-  this->Board.DemandElsewhere.write(
-      [&](DemandTable &Rows) { Rows = std::move(Asked); });
-  ServingViewRef View =
-      this->Board.Serving.read([](const ServingViewRef &Row) { return Row; });
-  CentreLoads Loads = this->Board.Vitals.write([&](VitalsTable &Rows) {
-    Rows.takeNews(std::move(Others), Now);
-    return centreLoads(*View, Rows, this->Board.Config.DataCentre, Now);
-  });
-  auto Changes = this->Board.Balance.write(
-      [&](CentreBalance &Parts) { return Parts.update(Loads, Now); });
-  for (const CentreBalance::Change &Row : Changes)
-    this->Board.Log.emit(
-        Row.Busy ? EventCode::CentreBusy : EventCode::CentreEased,
-        Row.Pool.Service.Text,
-        LogFields().add("model", Row.Pool.Model).add("stay", Row.Stay));
+  this->Sight.take(News, SentAt, Now);
 }
 
 } // namespace waycove
--- /dev/null
+++ b/src/control/shared_sight.cpp
@@ -0,0 +1,98 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "control/shared_sight.h"
+
+#include "wire/news_frames.h"
+
+namespace waycove {
+
+void SharedSight::addTo(wire::NewsWantedT &Question,
+                        const DataCentreId &AskedCentre, TimePoint Now) const {
+  LoadRows Own = this->ownLoads(Now);
+  DemandTable Asks = this->ownDemand();
+  if (AskedCentre == this->Board.Config.DataCentre)
+    Question.renewals = this->renewals(Now);
+  std::lock_guard Lock(this->Mutex);
+  Question.loads = packLoads(this->Loads.upward(Own, Now));
+  Question.demand = packDemand(this->Demand.upward(Asks, Now));
+}
+
+void SharedSight::exchange(const wire::NewsWantedT &Question,
+                           wire::NewsT &Answer, TimePoint Now) {
+  bool SameCentre = Question.data_centre == this->Board.Config.DataCentre.Text;
+  if (SameCentre) {
+    this->takeRenewals(Question.renewals, Now);
+    Answer.renewals = this->renewals(Now);
+  }
+  LoadRows Own = this->ownLoads(Now);
+  DemandTable Asks = this->ownDemand();
+  NodeId From(Question.node);
+  std::lock_guard Lock(this->Mutex);
+  if (SameCentre) {
+    this->Loads.report(From, readLoads(Question.loads), Now);
+    this->Demand.report(From, readDemand(Question.demand), Now);
+  } else {
+    this->Loads.reportCentre(From, readLoads(Question.loads), Now);
+    this->Demand.reportCentre(From, readDemand(Question.demand), Now);
+  }
+  Answer.loads = packLoads(this->Loads.downward(Own, From, Now));
+  Answer.demand = packDemand(this->Demand.downward(Asks, From, Now));
+}
+
+void SharedSight::take(const wire::NewsT &Answer, TimePoint SentAt,
+                       TimePoint Now) {
+  this->takeRenewals(Answer.renewals, SentAt);
+  std::lock_guard Lock(this->Mutex);
+  this->Loads.tell(readLoads(Answer.loads), Now);
+  this->Demand.tell(readDemand(Answer.demand), Now);
+}
+
+LoadRows SharedSight::ownLoads(TimePoint Now) const {
+  return this->Board.Vitals.read(
+      [&](const VitalsTable &Rows) { return Rows.loads(Now); });
+}
+
+DemandTable SharedSight::ownDemand() const {
+  return this->Board.Demand.read([](const DemandTable &Rows) { return Rows; });
+}
+
+void SharedSight::publish(TimePoint Now) {
+  LoadRows Others;
+  DemandTable Asked;
+  {
+    std::lock_guard Lock(this->Mutex);
+    Others = this->Loads.others(Now);
+    Asked = this->Demand.others(Now);
+  }
+  this->Board.DemandElsewhere.write(
+      [&](DemandTable &Rows) { Rows = std::move(Asked); });
+  ServingViewRef View =
+      this->Board.Serving.read([](const ServingViewRef &Row) { return Row; });
+  CentreLoads Centres = this->Board.Vitals.write([&](VitalsTable &Rows) {
+    Rows.takeNews(std::move(Others), Now);
+    return centreLoads(*View, Rows, this->Board.Config.DataCentre, Now);
+  });
+  auto Changes = this->Board.Balance.write(
+      [&](CentreBalance &Parts) { return Parts.update(Centres, Now); });
+  for (const CentreBalance::Change &Row : Changes)
+    this->Board.Log.emit(
+        Row.Busy ? EventCode::CentreBusy : EventCode::CentreEased,
+        Row.Pool.Service.Text,
+        LogFields().add("model", Row.Pool.Model).add("stay", Row.Stay));
+}
+
+/// Members of this data centre, which no other one needs to know.
+std::vector<wire::RenewalRow> SharedSight::renewals(TimePoint Now) const {
+  return this->Board.Renewals.read(
+      [&](const ShareRenewals &Rows) { return packRenewals(Rows, Now); });
+}
+
+void SharedSight::takeRenewals(const std::vector<wire::RenewalRow> &Rows,
+                               TimePoint From) {
+  this->Board.Renewals.write(
+      [&](ShareRenewals &Into) { waycove::takeRenewals(Rows, From, Into); });
+}
+
+} // namespace waycove
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -8,6 +8,7 @@
 #include "control/config_follow.h"
 #include "control/domain_owner.h"
 #include "control/news.h"
+#include "control/news_server.h"
 #include "control/node_follow.h"
 #include "control/registry_follow.h"
 #include "control/store_reader.h"
@@ -46,7 +47,8 @@
         Directory(Platform::nodeFeed(this->Board)), Work(this->Board),
         Targets(this->Board), Routing(this->Board, this->ConfigFeed, {}),
         Registry(this->Board, this->RegistryFeed, {}),
-        Nodes(this->Board, this->NodeFeed, this->Directory), News(this->Board),
+        Nodes(this->Board, this->NodeFeed, this->Directory), Sight(this->Board),
+        News(this->Board, this->Sight), NewsAnswers(this->Board, this->Sight),
         Domains(this->Board, this->Work, this->Targets),
         Relayed(this->Board, this->Pool), Callers(this->Board, this->Relayed),
         Ready(
@@ -59,7 +61,7 @@
         SystemClock{}.now(),
         this->Board.Config.Entry->FirstStart ? FirstFillTime : FillTime);
     this->Ready.start(this->Board.Config.Entry->Ready);
-    this->News.start();
+    this->NewsAnswers.start();
     this->Callers.start();
     this->loop([this] { return this->ConfigReader.step(); });
     this->loop([this] { return this->ConfigReader.watch(); });
@@ -214,7 +216,9 @@
   ConfigFollower<CachedFeed, typename Platform::ConfigDecoder> Routing;
   RegistryFollower<CachedFeed, typename Platform::TargetDecoder> Registry;
   NodeFollower<CachedFeed, typename Platform::Feed> Nodes;
+  SharedSight Sight;
   NewsExchange News;
+  NewsServer NewsAnswers;
   DomainOwner<typename Platform::Shares, typename Platform::Control> Domains;
   Relay<typename Platform::Callers> Relayed;
   CallerServer<typename Platform::Callers> Callers;
