--- a/tools/without.py
+++ b/tools/without.py
@@ -18,7 +18,7 @@
         "planner: lost, late"),
     "members-leave": (
         "src/policy/domain_judge.cpp",
-        "if (this->MemberLeft.contains({Key, Vm->Id}))", "if (true)",
+        "if (this->MemberLeft.contains({Key, Vm->life()}))", "if (true)",
         "planner: lost, late"),
     "earlier-owner": (
         "src/policy/domain_judge.cpp",
@@ -147,11 +147,11 @@
         "store reader: the store answers from an older"),
     "absence-refuted": (
         "src/board/feed_cache.cpp",
-        "if (!this->isRefuted(Page))", "",
+        "if (Restored || !this->isRefuted(Page))", "",
         "feed cache: told that the store"),
     "large-left-out": (
         "src/wire/news_frames.cpp",
-        "this->Deflated.size() > Most", "false",
+        "News->left_out = Deflated.size() > Most;", "News->left_out = false;",
         "news: a record is large"),
     "same-member": (
         "platform/store.cpp",
@@ -281,7 +281,7 @@
         "neighbours: one restarts: another"),
     "whole-no-news": (
         "src/board/feed_cache.cpp",
-        "if (New || At->second.Value != Record.Value)", "",
+        "if (!Same)", "",
         "feed cache: a whole page repeats"),
     "unknown-usual": (
         "src/policy/choice.cpp",
