Name the position of a node that knows nothing with braces

The linter's compiler read the constant as the declaration of a function, with parentheses around two values that look like types, and failed; the one that builds did not. Ruled out: a difference in what is built, which is the same constant. Before: make check failed in two files. After: both pass the linter.

No functional change.

--- a/src/control/news_server.h
+++ b/src/control/news_server.h
@@ -10,13 +10,14 @@
 
 #include <Poco/Net/TCPServer.h>
 #include <array>
+#include <limits>
 #include <memory>
 
 namespace waycove {
 
 /// In a question, where a node knows nothing of a feed.
-constexpr StorePosition
-    NothingKnown(StoreEra(), Offset(std::numeric_limits<std::uint64_t>::max()));
+constexpr StorePosition NothingKnown{
+    StoreEra(), Offset(std::numeric_limits<std::uint64_t>::max())};
 
 /// Answers other nodes that ask this one for news: what changed in each feed
 /// since the position that they name, as far as they may rely on this node for
