End the refusal of keys after a restore where operators write nothing

Cause: a page that lacks the version in force proved nothing, whatever time operators had had. That was meant for nodes that know the older version only; one that lived through the restore has the newer one in force, and misses at most what was published in the last moment before the store went away.

Nodes that start are not told that the era is settled, so they still do not go by the older version.

--- a/src/control/config_follow.h
+++ b/src/control/config_follow.h
@@ -43,19 +43,16 @@
     for (const KeyedRecord &Row : Page.Records)
       if (Row.Key == Decoder::Key && Row.Value)
         this->apply(*Row.Value);
-    if (!this->isProof(Page) || this->inForce() == 0)
+    bool Proves = this->Wait.isOver(Page, SystemClock{}.now());
+    if (!Proves || this->inForce() == 0)
       return;
-    this->Board.feed(FeedKind::Config).settle(Page.Next.Era, Page.ProvenAt);
+    // Nodes that start and are shown the older version only must not go by it.
+    if (!Page.Versions.isLost())
+      this->Board.feed(FeedKind::Config).settle(Page.Next.Era, Page.ProvenAt);
     this->Board.ConfigFresh.renew(
         Page.ProvenAt, this->Board.Config.Entry->RevokeBound - ProofMargin);
   }
 
-  /// Whether no key of what \p Page shows was taken away, as of its proof.
-  bool isProof(const KeyedPage &Page) {
-    bool Waited = this->Wait.isOver(Page, SystemClock{}.now());
-    return Waited && !Page.Versions.isLost();
-  }
-
   /// Zero where no version is.
   std::uint64_t inForce() const {
     return this->Board.Routing.read(
--- a/src/control/restore_wait.h
+++ b/src/control/restore_wait.h
@@ -6,6 +6,7 @@
 
 #include "board/feed_cache.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace waycove {
@@ -17,7 +18,14 @@
 /// that no node had seen. Nobody can tell that from the copy, so it proves
 /// nothing until the operators have written again, or have had the time to, or
 /// another node says that they have. Where a node lived when the era began, its
-/// last proof of before covers most of that time. Used by one thread.
+/// last proof of before covers most of that time.
+///
+/// Where the copy lacks the version in force, operators have not written again,
+/// whatever time that takes them. Then a later one is unknown here only if it
+/// was published in the last moment before the store went away, some 0.1 s; for
+/// that they have as long as a key that was taken away may be in use anyway.
+/// Without that end all requests with keys were refused until operators had
+/// something new to publish, with the store sound. Used by one thread.
 class RestoreWait {
 public:
   explicit RestoreWait(Millis RevokeBound) : RevokeBound(RevokeBound) {}
@@ -26,6 +34,8 @@
     if (this->Era != Page.Next.Era)
       this->begin(Page.Next.Era, Now);
     // While the store cannot be read, nobody sees what operators write.
+    if (Page.Versions.isLost())
+      return Page.ProvenAt >= this->LostUntil;
     return Page.Versions.Settled || Page.ProvenAt >= this->Until;
   }
 
@@ -40,6 +50,7 @@
     // wait for as long as a key that was taken away may be in use anyway.
     Millis Wait = this->Era ? WriteTime : this->RevokeBound;
     this->Until = Now + Wait;
+    this->LostUntil = Now + std::max(WriteTime, this->RevokeBound);
     this->Era = Begun;
   }
 
@@ -47,6 +58,8 @@
   /// Nothing before the first page.
   std::optional<StoreEra> Era;
   TimePoint Until;
+  /// The same where the copy lacks the version in force.
+  TimePoint LostUntil;
 };
 
 } // namespace waycove
