--- a/tests/failure/groups_test.cpp
+++ b/tests/failure/groups_test.cpp
@@ -264,7 +264,9 @@
                  "and comes",
                  "[process]") {
   this->Run.platformFault(R"({"append":"refuse","read":"refuse"})");
-  CHECK(this->Run.generate("n1", 5).Status == 200);
+  Reply First = this->Run.generate("n1", 5);
+  INFO(First.Body);
+  CHECK(First.Status == 200);
   std::string Gone = this->anyMember(0);
   this->Run.killVm(Gone);
   REQUIRE(eventually([&] { return this->servesOnlyWithout(Gone); }));
