Revert: hosts that hold weights load others beside them

Cause: other owners do not see such loads, so their turns let more begin than the store serves at full speed, as before there was one queue.

--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -193,9 +193,9 @@
   static std::vector<const Announced *>
   donorsFor(const Step &S, const ModelSpec &Large, std::size_t Free);
   unsigned unseenLoads(const Step &S) const;
-  unsigned stagingsUnderWay(const Step &S) const;
-  bool takeLoad(Step &S);
-  void stage(Step &S, const TargetRef &Vm, const ModelSpec &Model);
+  int loadsUnderWay(const Step &S) const;
+  bool takeLoad(Step &S, int AtOnce);
+  void stage(Step &S, const TargetRef &Vm, const ModelSpec &Model, int AtOnce);
   /// Gives an order, unless the same was given a short while ago.
   void order(Step &S, OrderKind Kind, const TargetRef &To,
              const GroupKey &Group, const std::string &Reason,
--- a/src/policy/domain_stage.cpp
+++ b/src/policy/domain_stage.cpp
@@ -8,6 +8,7 @@
 #include "policy/domain_step.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace waycove {
 
@@ -15,9 +16,13 @@
 
 /// Staging is given again where it did not show after this.
 constexpr int StageTimeFactor = 3;
-/// Hosts of one domain that load weights beside their work at the same time:
-/// other owners do not see it, so turns do not count it.
-constexpr unsigned StagingsAtOnce = 1;
+/// Hosts of one domain that are staged beside their work at the same time: what
+/// they load does not show in the registry, so turns do not count it.
+constexpr int StagingsAtOnce = 1;
+/// Turns alone bound the loads of VMs that rest. One at a time in each domain
+/// was slower than two new VMs came in three seconds: eight of 162 rested
+/// empty.
+constexpr int MissingLoadsAtOnce = std::numeric_limits<int>::max();
 /// Groups of smaller models whose hosts hold the largest model besides, in a
 /// domain with at least so many free VMs, and in one without. Tried: two
 /// everywhere left the smaller model short where domains have free VMs, one
@@ -129,7 +134,7 @@
       bool Comes =
           std::find(Loading.begin(), Loading.end(), Row) != Loading.end();
       if (!Comes && !Row->hasLoaded(Plan.Model->Name))
-        this->stage(S, Row, *Plan.Model);
+        this->stage(S, Row, *Plan.Model, MissingLoadsAtOnce);
     }
   }
 }
@@ -161,67 +166,73 @@
                         : Reserves[Small.Name] < Reserves[Large.Name];
     const ModelSpec &Next = ForSmall ? Small : Large;
     ++Reserves[Next.Name];
-    this->stage(S, Row, Next);
+    this->stage(S, Row, Next, MissingLoadsAtOnce);
   }
   for (const Announced *Donor : Donors)
     for (const auto &[Rank, Vm] : Donor->Ranks)
-      this->stage(S, Vm, Large);
+      this->stage(S, Vm, Large, StagingsAtOnce);
 }
 
-/// Hosts of this domain that load weights beside those that they hold.
-unsigned DomainPlanner::stagingsUnderWay(const Step &S) const {
-  auto Runs = [&](const auto &Entry) {
-    const auto &[Host, Since] = Entry;
-    const ModelSpec *Model = S.Engine.model(Host.second);
-    return Model && Since != TimePoint() &&
-           S.View.Now - Since < Model->LoadTime;
+/// Loads from the shared store that were ordered and that the registry may not
+/// show yet, so that loadTurns() counts them once more.
+unsigned DomainPlanner::unseenLoads(const Step &S) const {
+  auto Unseen = [&](TimePoint Since) {
+    return Since != TimePoint() && S.View.Now - Since < ShowTime;
   };
-  return static_cast<unsigned>(
-      std::count_if(this->Staging.begin(), this->Staging.end(), Runs));
+  auto Alone = std::count_if(
+      this->WarmUps.begin(), this->WarmUps.end(), [&](const auto &Entry) {
+        return Entry.second.Cold && Unseen(Entry.second.Since) &&
+               !S.Groups.contains(Entry.first);
+      });
+  auto Staged =
+      std::count_if(this->Staging.begin(), this->Staging.end(),
+                    [&](const auto &Entry) { return Unseen(Entry.second); });
+  return static_cast<unsigned>(Alone + Staged);
 }
 
-/// Loads from the shared store that were ordered and that the registry does not
-/// show, or not yet, so that loadTurns() counts them once more.
-unsigned DomainPlanner::unseenLoads(const Step &S) const {
-  auto Unseen = [&](const auto &Entry) {
-    const auto &[Key, Row] = Entry;
-    return Row.Cold && S.View.Now - Row.Since < ShowTime &&
-           !S.Groups.contains(Key);
+/// Loads of this domain that run, for all that was ordered.
+int DomainPlanner::loadsUnderWay(const Step &S) const {
+  auto Runs = [&](const std::string &Name, TimePoint Since) {
+    const ModelSpec *Model = S.Engine.model(Name);
+    return Model && Since != TimePoint() &&
+           S.View.Now - Since < Model->LoadTime;
   };
-  auto Alone =
-      std::count_if(this->WarmUps.begin(), this->WarmUps.end(), Unseen);
-  return static_cast<unsigned>(Alone) + this->stagingsUnderWay(S);
+  auto Staged = std::count_if(this->Staging.begin(), this->Staging.end(),
+                              [&](const auto &Entry) {
+                                return Runs(Entry.first.second, Entry.second);
+                              });
+  auto Alone = std::count_if(
+      this->WarmUps.begin(), this->WarmUps.end(), [&](const auto &Entry) {
+        return Entry.second.Cold &&
+               Runs(modelOf(Entry.first.Name), Entry.second.Since);
+      });
+  return static_cast<int>(Staged + Alone);
 }
 
-/// Whether a load may begin, and counts it.
-bool DomainPlanner::takeLoad(Step &S) {
+/// Whether a load may begin, and counts it: in its turn, and so that \p AtOnce
+/// run in the domain.
+bool DomainPlanner::takeLoad(Step &S, int AtOnce) {
   if (S.View.LoadsAllowed >= FreeLoads)
     return true;
-  if (S.LoadsLeft == 0)
+  if (S.LoadsLeft == 0 || this->loadsUnderWay(S) >= AtOnce)
     return false;
   --S.LoadsLeft;
   return true;
 }
 
 /// Has the host load the weights unless that is done, under way, or may not
-/// begin yet. A VM without any joins a group of its own for that, which shows
-/// all owners that it loads. One that holds others is staged beside them: in a
-/// group of its own it was lost for the 12 s and more of its load to the groups
-/// that it could join at once. Where operators replace 20 of 48 VMs while
-/// others die, that took 0.029 of a day's worth (0.745 and 0.774, 16 seeds).
-void DomainPlanner::stage(Step &S, const TargetRef &Vm,
-                          const ModelSpec &Model) {
+/// begin yet. A VM that is in no group joins one of its own for that, which
+/// shows all owners that it loads; the host of a member is staged beside it.
+void DomainPlanner::stage(Step &S, const TargetRef &Vm, const ModelSpec &Model,
+                          int AtOnce) {
   if (!S.isUsable(*Vm) || Vm->hasStaged(Model.Name))
     return;
   TimePoint &At = this->Staging[{Vm->life(), Model.Name}];
   if (At != TimePoint() && S.View.Now - At < Model.LoadTime * StageTimeFactor)
     return;
-  bool Full = Vm->Group && S.View.LoadsAllowed < FreeLoads &&
-              this->stagingsUnderWay(S) >= StagingsAtOnce;
-  if (Full || !this->takeLoad(S))
+  if (!this->takeLoad(S, AtOnce))
     return;
-  bool Alone = !Vm->Group && Vm->Staged.empty() && Vm->Loaded.empty();
-  if (Alone) {
+  if (!Vm->Group) {
     this->joinAlone(S, Vm, Model, "it loads its weights");
     return;
   }
@@ -230,7 +241,7 @@
   Order.Kind = OrderKind::Stage;
   Order.To = Vm;
   Order.Model = Model.Name;
-  Order.Reason = Vm->Group ? "a reserve for repairs" : "its group lacks them";
+  Order.Reason = "a reserve for repairs";
   S.Orders.push_back(std::move(Order));
 }
 
