Log what a request asks for, so that one come again is seen as the same

An incident of requests that crash targets can't be traced by request ids: each attempt of a caller has a new one. Each line about a request now has a hash of path, caller and body.

No functional change

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -100,6 +100,10 @@
   auto operator<=>(const VmLife &) const = default;
 };
 
+/// Hash of what a caller asks for: path, caller and body. A request that comes
+/// again, as another attempt or at another node, has the same.
+using ContentHash = Number<struct ContentHashTag>;
+
 /// Hash of a node's name and incarnation, as heartbeats carry it.
 using NodeHash = Number<struct NodeHashTag>;
 
--- a/src/entry/relay_notes.cpp
+++ b/src/entry/relay_notes.cpp
@@ -20,7 +20,8 @@
     Fields.add("route", Ex.Request.Route->Name)
         .add("service", Ex.Request.Service.Text)
         .add("model", Ex.Request.Facts.Model)
-        .add("workspace", Ex.Request.Workspace.Text);
+        .add("workspace", Ex.Request.Workspace.Text)
+        .add("content", Ex.Request.Content.Value);
   if (Ex.Run.Basis)
     Fields.add("registry", Ex.Run.Basis->Registry.At.Value)
         .add("registry_age_ms", Ex.Run.Basis->Age);
--- a/src/entry/relay_request.cpp
+++ b/src/entry/relay_request.cpp
@@ -19,6 +19,15 @@
 
 } // namespace
 
+ContentHash contentOf(const RelayRequest &Request) {
+  const std::string &Uri = Request.Head.getURI();
+  const std::string &Caller = Request.Workspace.empty()
+                                  ? Request.Facts.ApiKey
+                                  : Request.Workspace.Text;
+  std::uint64_t Path = hashText(Uri.substr(0, Uri.find('?')));
+  return ContentHash(hashText(Request.Body, hashText(Caller, Path)));
+}
+
 absl::Status admitRequest(const EntryBoard &Board, RelayRequest &Request,
                           TimePoint Now) {
   RoutingConfigRef Config =
@@ -50,6 +59,7 @@
   Request.Route = Route;
   Request.Workspace = std::move(Workspace);
   Request.Service = pickBackend(*Route, Request.Random);
+  Request.Content = contentOf(Request);
   return absl::OkStatus();
 }
 
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -27,6 +27,8 @@
   /// To whom its key belongs; null on public routes. Config keeps it alive.
   const KeyOwner *Owner = nullptr;
   ServiceId Service;
+  /// The same for each attempt of its caller, at any node.
+  ContentHash Content;
   /// Chosen once, so that a new look at the configuration changes nothing
   /// that it need not.
   std::uint64_t Random = 0;
@@ -60,6 +62,10 @@
   std::string Reason;
 };
 
+/// What \p Request, which was admitted, asks for and who asks. A workspace's
+/// keys change; where none is known the key itself stands for the caller.
+ContentHash contentOf(const RelayRequest &Request);
+
 /// Looks the request up in the present configuration: route, key, deadline.
 /// What it finds holds for all sends of the request: what is taken away later
 /// concerns requests that come later. Errors: NotReady, NotFound,
