Count the time that a machine is suspended in all leases, proofs and deadlines

In the tests a key was served whose proof was 2.5 s old, with a bound of 1.5 s, and a caller got 200 after its deadline.

Cause: every moment in the daemons was one of the steady clock. A lease, a proof's age or a deadline outlives its time by as long as the machine was suspended; at a frame's both ends an age is understated by as much.

The compiler finds each place that mixes the two clocks. Besides, what a clock alone does not mend: - waits on conditions look at the clock each 0.2 s, since the system's own wait does not count that time; - a target that was chosen before the machine stood still is chosen anew; - a new owner of a domain plans on what was read since it got it: time that passed without any news proves nothing; - what an answer holds for a time is held from when it can have been on its way.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -20,7 +20,7 @@
 
 /// The machine's own clocks.
 struct SystemClock {
-  TimePoint now() const { return std::chrono::steady_clock::now(); }
+  TimePoint now() const { return BootClock::now(); }
   WallMs wall() const {
     auto Since = std::chrono::system_clock::now().time_since_epoch();
     return WallMs(static_cast<std::uint64_t>(
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -4,6 +4,8 @@
 
 #pragma once
 
+#include "base/boot_clock.h"
+
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -108,7 +110,8 @@
 using NodeHash = Number<struct NodeHashTag>;
 
 using Millis = std::chrono::milliseconds;
-using TimePoint = std::chrono::steady_clock::time_point;
+/// A moment by this machine's clock; compared with no other machine's.
+using TimePoint = BootClock::time_point;
 
 /// Deterministic 64-bit hash, the same on every node.
 std::uint64_t hashText(const std::string &Text, std::uint64_t Seed = 0);
--- a/src/board/board.h
+++ b/src/board/board.h
@@ -73,7 +73,8 @@
   ChangeMark markHere() { return {this->Changes.fetch_add(1) + 1, 0}; }
   /// Set where peers should hear of a change at once.
   Poco::Event Urgent;
-  /// Last time the group controller finished a round (steady milliseconds).
+  /// Last time the group controller finished a round (milliseconds of the boot
+  /// clock).
   std::atomic<std::int64_t> LastRound{0};
 
   /// Whether the group controller's knowledge of its members is fresh.
--- a/src/board/feed_cache.cpp
+++ b/src/board/feed_cache.cpp
@@ -175,7 +175,7 @@
 
 void FeedCache::wait(StorePosition From, TimePoint Proof, TimePoint Until) {
   std::unique_lock Lock(this->Mutex);
-  this->Changed.wait_until(Lock, Until, [&] {
+  waitUntil(this->Changed, Lock, Until, [&] {
     return this->Known && (this->Next > From || this->ProvenAt > Proof);
   });
 }
@@ -183,7 +183,7 @@
 void FeedCache::waitWake(TimePoint Until) {
   std::unique_lock Lock(this->Mutex);
   std::uint64_t Before = this->Wakes;
-  this->Woken.wait_until(Lock, Until, [&] { return this->Wakes != Before; });
+  waitUntil(this->Woken, Lock, Until, [&] { return this->Wakes != Before; });
 }
 
 void FeedCache::wake() {
--- a/src/control/claims.h
+++ b/src/control/claims.h
@@ -42,8 +42,8 @@
     std::unique_lock Lock(this->Mutex);
     this->Queue.push_back(Entry);
     this->Changed.notify_all();
-    this->Changed.wait_until(Lock, Until,
-                             [&] { return Entry->Result.has_value(); });
+    waitUntil(this->Changed, Lock, Until,
+              [&] { return Entry->Result.has_value(); });
     if (Entry->Result)
       return *Entry->Result;
     std::erase(this->Queue, Entry);
--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -177,7 +177,7 @@
       View.Demand = this->demandOf(Engine);
       this->Members.findLost(View);
       Owned &Row = this->Planners.try_emplace(Domain, Now).first->second;
-      if (Now - Row.Since < TakeoverWait)
+      if (Now - Row.Since < TakeoverWait || this->isUnread(Row.Since))
         continue;
       if (!Row.Floor)
         Row.Floor = firstFloor(View);
@@ -194,6 +194,12 @@
     return Orders;
   }
 
+  /// Whether nothing of the registry was read since: where this machine stood
+  /// still, time passed and no news came.
+  bool isUnread(TimePoint Since) const {
+    return this->Board.RegistryProven.get() < Since;
+  }
+
   /// What all nodes counted, or this one alone where no others tell.
   DemandTable demandOf(const EngineSpec &Engine) const {
     auto Copy = [](const DemandTable &Rows) { return Rows; };
--- a/src/control/folder.cpp
+++ b/src/control/folder.cpp
@@ -17,8 +17,8 @@
 
 std::optional<FoldOutcome> PendingRecord::wait(TimePoint Until) {
   std::unique_lock Lock(this->Mutex);
-  this->Changed.wait_until(Lock, Until,
-                           [&] { return this->Outcome.has_value(); });
+  waitUntil(this->Changed, Lock, Until,
+            [&] { return this->Outcome.has_value(); });
   return this->Outcome;
 }
 
--- a/src/edge/gate.cpp
+++ b/src/edge/gate.cpp
@@ -25,7 +25,7 @@
     return std::find(this->Granted.begin(), this->Granted.end(), *Ticket) !=
            this->Granted.end();
   };
-  bool Entered = this->Changed.wait_until(Lock, Offer.Deadline, IsGranted);
+  bool Entered = waitUntil(this->Changed, Lock, Offer.Deadline, IsGranted);
   if (!Entered) {
     this->Queue.withdraw(*Ticket);
     return makeError(
--- a/src/edge/target.cpp
+++ b/src/edge/target.cpp
@@ -85,7 +85,7 @@
       Done.Reason = "the answer is not of this group, whole and in order";
       return AttemptEnd::Broken;
     }
-    if (std::chrono::steady_clock::now() >= Call.Deadline)
+    if (BootClock::now() >= Call.Deadline)
       return AttemptEnd::Stalled;
   }
   return AttemptEnd::Broken;
@@ -98,8 +98,8 @@
   bool Sent = false;
   try {
     WholeBodySession Session(Call.Address.Host, Call.Address.Port);
-    auto Left = std::chrono::duration_cast<Millis>(
-        Call.Deadline - std::chrono::steady_clock::now());
+    auto Left =
+        std::chrono::duration_cast<Millis>(Call.Deadline - BootClock::now());
     Millis Stall = std::clamp(Left, Millis(1), Call.Stall);
     Session.setTimeout(timespanOf(this->Config.ConnectTimeout),
                        timespanOf(Stall), timespanOf(Stall));
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -51,6 +51,8 @@
   /// objective leaves little time for a host that is dark. An opening packet
   /// that was lost is sent again only after a second.
   static constexpr Millis DialTime{100};
+  /// A choice that is older is made again: connecting takes DialTime at most.
+  static constexpr Millis ChoiceTime{250};
   /// For a host to acknowledge what was sent: a lost packet is sent again
   /// after 200 ms.
   static constexpr Millis AcknowledgeTime{300};
@@ -73,7 +75,7 @@
       this->Board.Counters.observe(Timer::RegistryAge, Chosen->Basis.Age);
       if (Ex.Run.Sent > 0 && !this->Choice.spend(Ex.Request.Service, Now))
         return this->giveUp(Ex, "no second sends left in this window", false);
-      AttemptEnd End = this->attempt(Ex, Chosen->To);
+      AttemptEnd End = this->attempt(Ex, Chosen->To, Now);
       if (End == AttemptEnd::Done || End == AttemptEnd::CallerGone)
         return this->Notes.done(Ex, Chosen->To, End);
       if (End == AttemptEnd::Broken || End == AttemptEnd::Stalled)
@@ -84,7 +86,7 @@
     }
   }
 
-  AttemptEnd attempt(RelayExchange &Ex, const Serving &To) {
+  AttemptEnd attempt(RelayExchange &Ex, const Serving &To, TimePoint ChosenAt) {
     RelayAttempt Try{To, {}, {}, {}, false, true, ""};
     const VmLife Life = To.Target->life();
     Ex.Run.Tried.push_back(Life.Id);
@@ -93,8 +95,14 @@
                           Ex.Request.Facts.Id);
       return this->noteAttempt(Ex, Try, AttemptEnd::NotSent);
     }
-    auto Prompt = static_cast<double>(Ex.Request.Facts.PromptTokens);
     Try.SentAt = SystemClock{}.now();
+    if (Try.SentAt - ChosenAt > ChoiceTime) {
+      // The target may have left since; it is chosen anew, and may be again.
+      Ex.Run.Tried.pop_back();
+      Try.Reason = "this machine stood still";
+      return this->noteAttempt(Ex, Try, AttemptEnd::NotSent);
+    }
+    auto Prompt = static_cast<double>(Ex.Request.Facts.PromptTokens);
     Try.LastByte = Try.SentAt;
     this->Board.Vitals.write(
         [&](VitalsTable &Vitals) { Vitals.onStart(Life, Prompt, Try.SentAt); });
--- a/src/main/waycoved.cpp
+++ b/src/main/waycoved.cpp
@@ -121,9 +121,8 @@
   Process.beginStop();
   // Leaves the platform's own limit this margin.
   constexpr Millis StopMargin(400);
-  auto Until =
-      std::chrono::steady_clock::now() + Config.Entry->Grace - StopMargin;
-  while (!Process.isDrained() && std::chrono::steady_clock::now() < Until)
+  auto Until = BootClock::now() + Config.Entry->Grace - StopMargin;
+  while (!Process.isDrained() && BootClock::now() < Until)
     std::this_thread::sleep_for(Millis(50));
   Process.noteStopped();
   stopLogging();
@@ -140,8 +139,8 @@
   sigwait(&Signals, &Signal);
   Process.beginStop();
   // From here on a second signal is noticed between looks.
-  auto Until = std::chrono::steady_clock::now() + Config.DrainTime;
-  while (!Process.isDrained() && std::chrono::steady_clock::now() < Until) {
+  auto Until = BootClock::now() + Config.DrainTime;
+  while (!Process.isDrained() && BootClock::now() < Until) {
     timespec Pause{0, 20'000'000};
     if (sigtimedwait(&Signals, nullptr, &Pause) > 0)
       break;
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -21,8 +21,7 @@
 constexpr std::size_t ReadBytes = 16384;
 
 int millisLeft(TimePoint Until) {
-  auto Left =
-      std::chrono::ceil<Millis>(Until - std::chrono::steady_clock::now());
+  auto Left = std::chrono::ceil<Millis>(Until - BootClock::now());
   return static_cast<int>(std::clamp<std::int64_t>(Left.count(), 0, 3600000));
 }
 
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -24,7 +24,7 @@
 };
 
 /// A TCP connection with a buffer of what came and was not taken yet. All
-/// waits have an end on the steady clock. Used by one thread at a time.
+/// waits have an end on the boot clock. Used by one thread at a time.
 class Channel {
 public:
   explicit Channel(const Poco::Net::StreamSocket &Socket);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -82,7 +82,7 @@
 absl::StatusOr<HttpReply> HttpCaller::call(const HttpCall &Call,
                                            Millis Timeout) {
   std::lock_guard Lock(this->Mutex);
-  TimePoint Now = std::chrono::steady_clock::now();
+  TimePoint Now = BootClock::now();
   if (!this->Fresh && Now - this->LastUsed > KeepOpen)
     this->Session.reset();
   this->LastUsed = Now;
--- a/src/policy/lease.h
+++ b/src/policy/lease.h
@@ -10,7 +10,7 @@
 
 namespace waycove {
 
-/// The latest of the times that it was given, on this process's steady clock.
+/// The latest of the times that it was given, on this machine's boot clock.
 /// Thread-safe.
 class LatestTime {
 public:
@@ -29,7 +29,7 @@
   std::atomic<std::int64_t> At{0};
 };
 
-/// A time until which something holds, on this process's steady clock. It is
+/// A time until which something holds, on this machine's boot clock. It is
 /// counted from when the question was sent, never from when its answer came:
 /// whoever answered may have answered long ago. Thread-safe.
 class Lease {
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -25,6 +25,10 @@
 constexpr std::size_t MostInflatedBytes = 32 << 20;
 constexpr std::size_t InflateBlock = 16 << 10;
 
+/// Nobody waits longer for an answer. One that seems to have taken longer was
+/// read by a machine that stood still meanwhile.
+constexpr Millis MostAnswerTime{500};
+
 std::uint16_t shortOf(std::int64_t Value) {
   return static_cast<std::uint16_t>(std::clamp<std::int64_t>(
       Value, 0, std::numeric_limits<std::uint16_t>::max()));
@@ -262,7 +266,8 @@
   if (!News.partial)
     Page.ProvenAt = SentAt - Millis(News.proven_age_ms);
   if (News.hold_ms > 0)
-    Page.HoldUntil = Now + Millis(News.hold_ms);
+    Page.HoldUntil =
+        std::min(Now, SentAt + MostAnswerTime) + Millis(News.hold_ms);
   for (const auto &Row : News.rows)
     Page.Records.push_back(readRecord(*Row));
   if (!News.deflated.empty()) {
