--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -52,6 +52,8 @@
      "the target said that it did not take the request"},
     {TargetFailed, "target_failed", 502, Ran::Yes,
      "the target failed after it had the request"},
+    {CrashesTargets, "crashes_targets", 503, Ran::No,
+     "several targets ended while they ran this request"},
     {Conflict, "conflict", 409, Ran::No,
      "the object changed since the revision named"},
     {InvalidObject, "invalid_object", 422, Ran::No,
--- a/src/base/errors.h
+++ b/src/base/errors.h
@@ -34,6 +34,7 @@
   Stopping,
   TargetBusy,
   TargetFailed,
+  CrashesTargets,
   Conflict,
   InvalidObject,
   Internal,
--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -147,6 +147,11 @@
        "An idempotency key is bound to this daemon by the log."},
       {AttemptEnded, Info, "attempt_ended",
        "A send of a request to a target ended other than with its answer."},
+      {RequestBlamed, Warning, "request_blamed",
+       "Targets ended while they ran requests of this content; no more are "
+       "sent."},
+      {RequestCleared, Info, "request_cleared",
+       "Requests of this content are sent again."},
       {RequestCut, Warning, "request_cut",
        "An answer that had begun could not be completed."},
       {SettingsReloaded, Info, "settings_reloaded",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -73,6 +73,8 @@
   DomainOrderEnded = 312,
   DomainReleased = 313,
   TargetSuspected = 314,
+  RequestBlamed = 509,
+  RequestCleared = 510,
   ReaderChosen = 402,
   ReaderLost = 403,
   FeedReadAlone = 404,
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -11,6 +11,7 @@
 #include "board/table.h"
 #include "policy/centre_balance.h"
 #include "policy/choice.h"
+#include "policy/crash_blame.h"
 #include "policy/group_load.h"
 #include "policy/lease.h"
 #include "policy/news_route.h"
@@ -58,6 +59,8 @@
   Table<Fleet, LockRank::Vms> Targets;
   Table<ServingViewRef, LockRank::Views> Serving;
   Table<SpendTable, LockRank::Once> Spend;
+  /// Which requests end the targets that run them, as all nodes know it.
+  Table<CrashBlame, LockRank::Once> Crashes;
   /// What callers asked of each model at this node; older requests count for
   /// less.
   Table<DemandTable, LockRank::Tail> Demand;
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -265,7 +265,7 @@
   }
   if (!Restored)
     Question.restored.clear();
-  this->Sight.addTo(Question, Asked.DataCentre, SentAt);
+  this->Sight.addTo(Question, Asked, SentAt);
   return this->Links.ask(Asked, std::move(Question));
 }
 
@@ -307,7 +307,7 @@
                                .add("feed", feedName(Kind))
                                .add("reason", messageOf(Page.status())));
   }
-  this->Sight.take(News, SentAt, Now);
+  this->Sight.take(News, From, SentAt, Now);
 }
 
 } // namespace waycove
--- a/src/control/node_follow.h
+++ b/src/control/node_follow.h
@@ -8,6 +8,7 @@
 #include "control/keyed_feed.h"
 #include "wire/news_frames.h"
 
+#include <algorithm>
 #include <set>
 
 namespace waycove {
@@ -26,7 +27,7 @@
       return this->leave();
     // Where the whole system starts, nobody is listed yet.
     bool KnowsFirst = this->Read || this->Board.Config.Entry->FirstStart;
-    bool Due = !this->Listed || this->hasSettled();
+    bool Due = !this->Listed || this->hasSettled() || this->hasBlamed();
     if (KnowsFirst && Due && !this->announce())
       return this->Waits.next();
     this->Waits.reset();
@@ -43,6 +44,8 @@
   static constexpr Millis WaitTime{1000};
   /// While the process ends.
   static constexpr Millis IdleTime{1000};
+  /// Between two announcements of what is blamed.
+  static constexpr Millis BlamePause{2000};
 
   /// Whether this node, for all of its data centre, has to note in the
   /// directory that what was in force before the store's present era is written
@@ -53,14 +56,38 @@
     return this->Board.FirstOfCentre && Settled > this->SettledEra;
   }
 
+  /// Whether this node, for all of its data centre, has to note in the
+  /// directory what is blamed now for the end of targets: nodes that all
+  /// start at once could not tell each other.
+  bool hasBlamed() const {
+    if (!this->Board.FirstOfCentre ||
+        SystemClock{}.now() - this->AnnouncedAt < BlamePause)
+      return false;
+    CrashRows Blamed = this->blamed();
+    return !std::equal(
+        Blamed.begin(), Blamed.end(), this->AnnouncedBlamed.begin(),
+        this->AnnouncedBlamed.end(),
+        [](const auto &A, const auto &B) { return A.first == B.first; });
+  }
+
+  CrashRows blamed() const {
+    return this->Board.Crashes.read(
+        [](const CrashBlame &Rows) { return Rows.lasting(); });
+  }
+
   bool announce() {
     NodeInfo Me = this->Board.self();
+    CrashRows Blamed = this->blamed();
+    this->AnnouncedAt = SystemClock{}.now();
     this->Board.Counters.Calls.add(
         StoreUse::Announcement, this->Up ? CallCause::Start : CallCause::Retry);
-    absl::Status Put = this->Announced.put(Me.Node.Text, packNode(Me));
+    absl::Status Put =
+        this->Announced.put(Me.Node.Text, packNode({Me, Blamed}));
     this->noteUp(Put.ok(), messageOf(Put));
-    if (Put.ok())
+    if (Put.ok()) {
       this->noteSettled(Me.Settled);
+      this->AnnouncedBlamed = std::move(Blamed);
+    }
     return this->Listed = Put.ok();
   }
 
@@ -97,10 +124,11 @@
         Left.insert(Id);
         continue;
       }
-      absl::StatusOr<NodeInfo> Read = unpackNode(*Row.Value);
-      if (Read.ok() && Read->Node == Id)
-        Come.push_back(std::move(*Read));
-      else
+      absl::StatusOr<Announcement> Read = unpackNode(*Row.Value);
+      if (Read.ok() && Read->Node.Node == Id) {
+        Come.push_back(std::move(Read->Node));
+        this->takeBlamed(Read->Blamed);
+      } else
         this->Board.Log.emit(EventCode::RegistryRefused, Row.Key,
                              LogFields().add("reason", "no announcement of a "
                                                        "node of this name"));
@@ -111,6 +139,12 @@
     this->store(Come, Left);
   }
 
+  void takeBlamed(const CrashRows &Told) {
+    if (!Told.empty())
+      this->Board.Crashes.write(
+          [&](CrashBlame &Rows) { Rows.take(Told, SystemClock{}.now()); });
+  }
+
   std::set<NodeId> listed() const {
     return this->Board.Nodes.read([](const NodeTable &Rows) {
       std::set<NodeId> Ids;
@@ -166,6 +200,9 @@
   bool Up = true;
   /// The newest that some node has noted in the directory.
   StoreEra SettledEra;
+  TimePoint AnnouncedAt;
+  /// What this node's announcement blames.
+  CrashRows AnnouncedBlamed;
 };
 
 } // namespace waycove
--- a/src/control/shared_sight.cpp
+++ b/src/control/shared_sight.cpp
@@ -8,15 +8,19 @@
 
 namespace waycove {
 
-void SharedSight::addTo(wire::NewsWantedT &Question,
-                        const DataCentreId &AskedCentre, TimePoint Now) const {
+void SharedSight::addTo(wire::NewsWantedT &Question, const NodeInfo &Asked,
+                        TimePoint Now) const {
   LoadRows Own = this->ownLoads(Now);
   DemandTable Asks = this->ownDemand();
-  if (AskedCentre == this->Board.Config.DataCentre)
+  if (Asked.DataCentre == this->Board.Config.DataCentre)
     Question.renewals = this->renewals(Now);
   std::lock_guard Lock(this->Mutex);
   Question.loads = packLoads(this->Loads.upward(Own, Now));
   Question.demand = packDemand(this->Demand.upward(Asks, Now));
+  auto Heard = this->CrashesHeard.find(Asked.Node);
+  Question.all_crashes = Heard == this->CrashesHeard.end() ||
+                         Now - Heard->second >= CrashBlame::ShareTime;
+  Question.crashes = packCrashes(this->crashes(Question.all_crashes, Now));
 }
 
 void SharedSight::exchange(const wire::NewsWantedT &Question,
@@ -26,6 +30,8 @@
     this->takeRenewals(Question.renewals, Now);
     Answer.renewals = this->renewals(Now);
   }
+  this->takeCrashes(Question.crashes, Now);
+  Answer.crashes = packCrashes(this->crashes(Question.all_crashes, Now));
   LoadRows Own = this->ownLoads(Now);
   DemandTable Asks = this->ownDemand();
   NodeId From(Question.node);
@@ -41,10 +47,13 @@
   Answer.demand = packDemand(this->Demand.downward(Asks, From, Now));
 }
 
-void SharedSight::take(const wire::NewsT &Answer, TimePoint SentAt,
-                       TimePoint Now) {
+void SharedSight::take(const wire::NewsT &Answer, const NodeId &From,
+                       TimePoint SentAt, TimePoint Now) {
   this->takeRenewals(Answer.renewals, SentAt);
+  this->takeCrashes(Answer.crashes, Now);
   std::lock_guard Lock(this->Mutex);
+  // What changes there later than it answered is told in the next round.
+  this->CrashesHeard[From] = SentAt;
   this->Loads.tell(readLoads(Answer.loads), Now);
   this->Demand.tell(readDemand(Answer.demand), Now);
 }
@@ -59,6 +68,7 @@
 }
 
 void SharedSight::publish(TimePoint Now) {
+  this->settleCrashes(Now);
   LoadRows Others;
   DemandTable Asked;
   {
@@ -83,6 +93,37 @@
         LogFields().add("model", Row.Pool.Model).add("stay", Row.Stay));
 }
 
+CrashRows SharedSight::crashes(bool All, TimePoint Now) const {
+  return this->Board.Crashes.read([&](const CrashBlame &Rows) {
+    return All ? Rows.whole() : Rows.recent(Now);
+  });
+}
+
+void SharedSight::takeCrashes(
+    const std::vector<std::unique_ptr<wire::CrashRowT>> &Rows, TimePoint Now) {
+  if (Rows.empty())
+    return;
+  CrashRows Told = readCrashes(Rows);
+  this->Board.Crashes.write([&](CrashBlame &Into) { Into.take(Told, Now); });
+}
+
+void SharedSight::settleCrashes(TimePoint Now) {
+  CrashBlame::Changes Found =
+      this->Board.Vitals.read([&](const VitalsTable &Seen) {
+        auto LastProgress = [&](const VmLife &Target) {
+          return Seen.of(Target).LastProgress;
+        };
+        return this->Board.Crashes.write(
+            [&](CrashBlame &Rows) { return Rows.settle(LastProgress, Now); });
+      });
+  for (ContentHash Content : Found.Blamed)
+    this->Board.Log.emit(EventCode::RequestBlamed,
+                         std::to_string(Content.Value));
+  for (ContentHash Content : Found.Cleared)
+    this->Board.Log.emit(EventCode::RequestCleared,
+                         std::to_string(Content.Value));
+}
+
 /// Members of this data centre, which no other one needs to know.
 std::vector<wire::RenewalRow> SharedSight::renewals(TimePoint Now) const {
   return this->Board.Renewals.read(
--- a/src/entry/answer_pass.h
+++ b/src/entry/answer_pass.h
@@ -88,6 +88,7 @@
       Vitals.onAnswerHead(Try.To.Target->life(), !Head.getKeepAlive());
     });
     bool Success = Status >= 200 && Status < 300;
+    Try.Succeeds = Success;
     if (Success && (!Facts.Signed || Head.has("Content-Encoding"))) {
       Try.Reason = "a success that is not the target's own answer";
       return AttemptEnd::Broken;
--- a/src/entry/answer_wait.cpp
+++ b/src/entry/answer_wait.cpp
@@ -38,6 +38,7 @@
     Try.LastByte = Now;
     return std::nullopt;
   }
+  Try.Lost = true;
   Try.Reason = End == IoEnd::Closed ? ClosedReason : "the connection broke";
   return AttemptEnd::Broken;
 }
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -58,6 +58,8 @@
   static constexpr Millis AcknowledgeTime{300};
   /// Another node takes the request at once.
   static constexpr Millis ComeBackElsewhere{20};
+  /// What is blamed stays so, but where its trial clears it.
+  static constexpr Millis BlamedTime{5000};
   /// A target that cannot be reached is left for this time: about as long as
   /// the registry needs to take it off the list.
   static constexpr Millis UnreachableTime{3000};
@@ -67,6 +69,8 @@
       TimePoint Now = SystemClock{}.now();
       if (Now >= Ex.Request.Deadline)
         return this->giveUp(Ex, "the deadline passed", true);
+      if (!this->Choice.maySend(Ex.Request, Now))
+        return this->giveUpBlamed(Ex);
       std::optional<ChosenTarget> Chosen =
           this->Choice.choose(Ex.Request, Ex.Run, Now);
       if (!Chosen)
@@ -87,7 +91,8 @@
   }
 
   AttemptEnd attempt(RelayExchange &Ex, const Serving &To, TimePoint ChosenAt) {
-    RelayAttempt Try{To, {}, {}, {}, false, true, ""};
+    RelayAttempt Try;
+    Try.To = To;
     const VmLife Life = To.Target->life();
     Ex.Run.Tried.push_back(Life.Id);
     if (!this->connect(Ex, Try)) {
@@ -107,6 +112,7 @@
     this->Board.Vitals.write(
         [&](VitalsTable &Vitals) { Vitals.onStart(Life, Prompt, Try.SentAt); });
     AttemptEnd End = this->exchange(Ex, Try);
+    this->Choice.noteEnd(Ex.Request, Try, End, SystemClock{}.now());
     this->Board.Vitals.write([&](VitalsTable &Vitals) {
       Vitals.onEnd(Life, Try.SentAt, Try.FirstByteSeen, Prompt);
       if (End != AttemptEnd::CallerGone)
@@ -145,6 +151,7 @@
     ++Ex.Run.Sent;
     this->Board.Counters.add(Counter::Attempts);
     if (Try.Connection->send(Bytes, Ex.Request.Deadline) != IoEnd::Ok) {
+      Try.Lost = true;
       Try.Reason = "the connection broke while sending";
       return AttemptEnd::Broken;
     }
@@ -204,6 +211,14 @@
                                comeBackAfter(Ex.Request)));
   }
 
+  /// Ends a request under which targets ended: nothing known will serve it.
+  void giveUpBlamed(RelayExchange Ex) {
+    const std::string Reason = "targets ended under it";
+    if (Ex.Run.MayHaveRun > 0)
+      return this->giveUp(Ex, Reason, false);
+    this->refuse(Ex, makeError(ErrorKind::CrashesTargets, Reason, BlamedTime));
+  }
+
   void refuse(RelayExchange Ex, const absl::Status &Why) {
     const ErrorAnswer &Row = answerFor(kindOf(Why));
     Poco::Net::HTTPResponse Out(
--- a/src/entry/relay_attempt.h
+++ b/src/entry/relay_attempt.h
@@ -35,6 +35,10 @@
   TimePoint LastByte;
   bool FirstByteSeen = false;
   bool WatchCaller = true;
+  /// The connection ended before its answer did: the target may have.
+  bool Lost = false;
+  /// The target's answer is a success.
+  bool Succeeds = false;
   std::string Reason;
 };
 
--- a/src/entry/relay_choice.cpp
+++ b/src/entry/relay_choice.cpp
@@ -4,6 +4,8 @@
 
 #include "entry/relay_choice.h"
 
+#include <algorithm>
+
 namespace waycove {
 
 namespace {
@@ -35,6 +37,45 @@
   });
 }
 
+bool RelayChoice::maySend(const RelayRequest &Request, TimePoint Now) {
+  using Verdict = CrashBlame::Verdict;
+  Verdict Found = this->Board.Crashes.read(
+      [&](const CrashBlame &Rows) { return Rows.judge(Request.Content, Now); });
+  if (Found != Verdict::Try)
+    return Found == Verdict::Serve;
+  return this->isTrialNode(Request.Content) &&
+         this->Board.Crashes.write([&](CrashBlame &Rows) {
+           bool Still = Rows.judge(Request.Content, Now) == Verdict::Try;
+           if (Still)
+             Rows.noteTrial(Request.Content, Now);
+           return Still;
+         });
+}
+
+/// One node alone, the same in the view of all.
+bool RelayChoice::isTrialNode(ContentHash Content) const {
+  auto RankOf = [&](const NodeId &Node) {
+    return mixHash(Content.Value, hashText(Node.Text));
+  };
+  std::uint64_t Mine = RankOf(this->Board.Config.Node);
+  return this->Board.Nodes.read([&](const NodeTable &Nodes) {
+    return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &Row) {
+      return RankOf(Row.first) >= Mine;
+    });
+  });
+}
+
+void RelayChoice::noteEnd(const RelayRequest &Request, const RelayAttempt &Try,
+                          AttemptEnd End, TimePoint Now) {
+  if (End == AttemptEnd::Broken && Try.Lost)
+    this->Board.Crashes.write([&](CrashBlame &Rows) {
+      Rows.noteLost(Request.Content, Try.To.Target->life(), Now);
+    });
+  else if (End == AttemptEnd::Done && Try.Succeeds)
+    this->Board.Crashes.write(
+        [&](CrashBlame &Rows) { Rows.noteServed(Request.Content, Now); });
+}
+
 std::optional<ChosenTarget> RelayChoice::choose(const RelayRequest &Request,
                                                 const RelayRun &Run,
                                                 TimePoint Now) {
--- a/src/entry/relay_choice.h
+++ b/src/entry/relay_choice.h
@@ -4,7 +4,7 @@
 
 #pragma once
 
-#include "entry/relay_request.h"
+#include "entry/relay_attempt.h"
 
 namespace waycove {
 
@@ -23,6 +23,12 @@
 
   /// Counts a request that was admitted, for demand and second sends.
   void noteRequest(const RelayRequest &Request);
+  /// Whether the request may be sent, for what is known of requests that end
+  /// their targets. Where it may once, that is used up.
+  bool maySend(const RelayRequest &Request, TimePoint Now);
+  /// Learns from how a send ended whether its target ended with it.
+  void noteEnd(const RelayRequest &Request, const RelayAttempt &Try,
+               AttemptEnd End, TimePoint Now);
   /// The best target that the request was not sent to yet.
   std::optional<ChosenTarget> choose(const RelayRequest &Request,
                                      const RelayRun &Run, TimePoint Now);
@@ -41,6 +47,7 @@
   bool mayGoAnywhere(const RelayRequest &Request,
                      const std::string &Model) const;
   bool maySpend(const ServiceId &Service, TimePoint Now);
+  bool isTrialNode(ContentHash Content) const;
 
   EntryBoard &Board;
 };
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -61,35 +61,33 @@
 
 } // namespace
 
-std::string packNode(const NodeInfo &Node) {
+std::string packNode(const Announcement &Given) {
   wire::PeerRowT Row;
-  Row.node = Node.Node.Text;
-  Row.incarnation = Node.Incarnation.Text;
-  Row.data_centre = Node.DataCentre.Text;
-  Row.host = Node.Host;
-  Row.peer_port = Node.Port;
-  Row.link_mbps = Node.LinkMbps;
-  Row.settled_era = Node.Settled.Value;
+  Row.node = Given.Node.Node.Text;
+  Row.incarnation = Given.Node.Incarnation.Text;
+  Row.data_centre = Given.Node.DataCentre.Text;
+  Row.host = Given.Node.Host;
+  Row.peer_port = Given.Node.Port;
+  Row.link_mbps = Given.Node.LinkMbps;
+  Row.settled_era = Given.Node.Settled.Value;
+  Row.blamed = packCrashes(Given.Blamed);
   flatbuffers::FlatBufferBuilder Builder;
   Builder.Finish(wire::PeerRow::Pack(Builder, &Row));
   return {reinterpret_cast<const char *>(Builder.GetBufferPointer()),
           Builder.GetSize()};
 }
 
-absl::StatusOr<NodeInfo> unpackNode(const std::string &Bytes) {
+absl::StatusOr<Announcement> unpackNode(const std::string &Bytes) {
   const auto *Data = reinterpret_cast<const std::uint8_t *>(Bytes.data());
   flatbuffers::Verifier Verifier(Data, Bytes.size());
   if (Bytes.size() < 8 || !Verifier.VerifyBuffer<wire::PeerRow>(nullptr))
     return makeError(ErrorKind::BadRequest, "damaged announcement");
   wire::PeerRowT Row;
   flatbuffers::GetRoot<wire::PeerRow>(Data)->UnPackTo(&Row);
-  return NodeInfo{NodeId(Row.node),
-                  IncarnationId(Row.incarnation),
-                  DataCentreId(Row.data_centre),
-                  Row.host,
-                  Row.peer_port,
-                  Row.link_mbps,
-                  StoreEra(Row.settled_era)};
+  return Announcement{{NodeId(Row.node), IncarnationId(Row.incarnation),
+                       DataCentreId(Row.data_centre), Row.host, Row.peer_port,
+                       Row.link_mbps, StoreEra(Row.settled_era)},
+                      readCrashes(Row.blamed)};
 }
 
 std::vector<wire::LoadRow> packLoads(const LoadRows &Loads) {
@@ -141,6 +139,33 @@
   return Demand;
 }
 
+std::vector<std::unique_ptr<wire::CrashRowT>>
+packCrashes(const CrashRows &Crashes) {
+  std::vector<std::unique_ptr<wire::CrashRowT>> Rows;
+  for (const auto &[Content, Known] : Crashes) {
+    Rows.push_back(std::make_unique<wire::CrashRowT>());
+    Rows.back()->content = Content.Value;
+    Rows.back()->served = Known.Served;
+    Rows.back()->tried = Known.Tried;
+    for (TargetHash End : Known.Ends)
+      Rows.back()->ends.push_back(End.Value);
+  }
+  return Rows;
+}
+
+CrashRows
+readCrashes(const std::vector<std::unique_ptr<wire::CrashRowT>> &Rows) {
+  CrashRows Crashes;
+  for (const auto &Row : Rows) {
+    CrashRow &Known = Crashes[ContentHash(Row->content)];
+    Known.Served = Row->served;
+    Known.Tried = Row->tried;
+    for (std::uint64_t End : Row->ends)
+      Known.Ends.insert(TargetHash(End));
+  }
+  return Crashes;
+}
+
 std::vector<wire::RenewalRow> packRenewals(const ShareRenewals &Renewals,
                                            TimePoint Now) {
   std::vector<wire::RenewalRow> Rows;
--- a/src/wire/news_frames.h
+++ b/src/wire/news_frames.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "board/feed_cache.h"
+#include "policy/crash_blame.h"
 #include "policy/group_load.h"
 #include "policy/load_news.h"
 #include "policy/share_members.h"
@@ -15,10 +16,17 @@
 
 namespace waycove {
 
-/// A node's announcement, as it lies in the directory.
-std::string packNode(const NodeInfo &Node);
+/// What lies in the directory under a node's name.
+struct Announcement {
+  NodeInfo Node;
+  /// Contents that are blamed for the end of targets, so that this outlives a
+  /// restart of all nodes.
+  CrashRows Blamed;
+};
+
+std::string packNode(const Announcement &Given);
 /// Errors: BadRequest where the bytes are no announcement.
-absl::StatusOr<NodeInfo> unpackNode(const std::string &Bytes);
+absl::StatusOr<Announcement> unpackNode(const std::string &Bytes);
 
 std::vector<wire::LoadRow> packLoads(const LoadRows &Loads);
 LoadRows readLoads(const std::vector<wire::LoadRow> &Rows);
@@ -28,6 +36,11 @@
 DemandTable
 readDemand(const std::vector<std::unique_ptr<wire::DemandRowT>> &Rows);
 
+std::vector<std::unique_ptr<wire::CrashRowT>>
+packCrashes(const CrashRows &Crashes);
+CrashRows
+readCrashes(const std::vector<std::unique_ptr<wire::CrashRowT>> &Rows);
+
 std::vector<wire::RenewalRow> packRenewals(const ShareRenewals &Renewals,
                                            TimePoint Now);
 /// Ages count from \p From.
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -62,6 +62,10 @@
 
 struct Heartbeat;
 
+struct CrashRow;
+struct CrashRowBuilder;
+struct CrashRowT;
+
 struct PeerRow;
 struct PeerRowBuilder;
 struct PeerRowT;
@@ -2033,6 +2037,113 @@
 
 flatbuffers::Offset<Checkpoint> CreateCheckpoint(flatbuffers::FlatBufferBuilder &_fbb, const CheckpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct CrashRowT : public flatbuffers::NativeTable {
+  typedef CrashRow TableType;
+  uint64_t content = 0;
+  uint32_t served = 0;
+  bool tried = false;
+  std::vector<uint64_t> ends{};
+};
+
+struct CrashRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashRowT NativeTableType;
+  typedef CrashRowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CONTENT = 4,
+    VT_SERVED = 6,
+    VT_TRIED = 8,
+    VT_ENDS = 10
+  };
+  uint64_t content() const {
+    return GetField<uint64_t>(VT_CONTENT, 0);
+  }
+  uint32_t served() const {
+    return GetField<uint32_t>(VT_SERVED, 0);
+  }
+  bool tried() const {
+    return GetField<uint8_t>(VT_TRIED, 0) != 0;
+  }
+  const flatbuffers::Vector<uint64_t> *ends() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ENDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CONTENT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SERVED, 4) &&
+           VerifyField<uint8_t>(verifier, VT_TRIED, 1) &&
+           VerifyOffset(verifier, VT_ENDS) &&
+           verifier.VerifyVector(ends()) &&
+           verifier.EndTable();
+  }
+  CrashRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CrashRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CrashRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CrashRowBuilder {
+  typedef CrashRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_content(uint64_t content) {
+    fbb_.AddElement<uint64_t>(CrashRow::VT_CONTENT, content, 0);
+  }
+  void add_served(uint32_t served) {
+    fbb_.AddElement<uint32_t>(CrashRow::VT_SERVED, served, 0);
+  }
+  void add_tried(bool tried) {
+    fbb_.AddElement<uint8_t>(CrashRow::VT_TRIED, static_cast<uint8_t>(tried), 0);
+  }
+  void add_ends(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ends) {
+    fbb_.AddOffset(CrashRow::VT_ENDS, ends);
+  }
+  explicit CrashRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashRow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashRow> CreateCrashRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t content = 0,
+    uint32_t served = 0,
+    bool tried = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ends = 0) {
+  CrashRowBuilder builder_(_fbb);
+  builder_.add_content(content);
+  builder_.add_ends(ends);
+  builder_.add_served(served);
+  builder_.add_tried(tried);
+  return builder_.Finish();
+}
+
+struct CrashRow::Traits {
+  using type = CrashRow;
+  static auto constexpr Create = CreateCrashRow;
+};
+
+inline flatbuffers::Offset<CrashRow> CreateCrashRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t content = 0,
+    uint32_t served = 0,
+    bool tried = false,
+    const std::vector<uint64_t> *ends = nullptr) {
+  auto ends__ = ends ? _fbb.CreateVector<uint64_t>(*ends) : 0;
+  return waycove::wire::CreateCrashRow(
+      _fbb,
+      content,
+      served,
+      tried,
+      ends__);
+}
+
+flatbuffers::Offset<CrashRow> CreateCrashRow(flatbuffers::FlatBufferBuilder &_fbb, const CrashRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct PeerRowT : public flatbuffers::NativeTable {
   typedef PeerRow TableType;
   std::string node{};
@@ -2045,6 +2156,11 @@
   bool relay = false;
   uint32_t link_mbps = 0;
   uint64_t settled_era = 0;
+  std::vector<std::unique_ptr<waycove::wire::CrashRowT>> blamed{};
+  PeerRowT() = default;
+  PeerRowT(const PeerRowT &o);
+  PeerRowT(PeerRowT&&) FLATBUFFERS_NOEXCEPT = default;
+  PeerRowT &operator=(PeerRowT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct PeerRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2061,7 +2177,8 @@
     VT_SEQUENCE = 16,
     VT_RELAY = 18,
     VT_LINK_MBPS = 20,
-    VT_SETTLED_ERA = 22
+    VT_SETTLED_ERA = 22,
+    VT_BLAMED = 24
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -2093,6 +2210,9 @@
   uint64_t settled_era() const {
     return GetField<uint64_t>(VT_SETTLED_ERA, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *blamed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *>(VT_BLAMED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -2109,6 +2229,9 @@
            VerifyField<uint8_t>(verifier, VT_RELAY, 1) &&
            VerifyField<uint32_t>(verifier, VT_LINK_MBPS, 4) &&
            VerifyField<uint64_t>(verifier, VT_SETTLED_ERA, 8) &&
+           VerifyOffset(verifier, VT_BLAMED) &&
+           verifier.VerifyVector(blamed()) &&
+           verifier.VerifyVectorOfTables(blamed()) &&
            verifier.EndTable();
   }
   PeerRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2150,6 +2273,9 @@
   void add_settled_era(uint64_t settled_era) {
     fbb_.AddElement<uint64_t>(PeerRow::VT_SETTLED_ERA, settled_era, 0);
   }
+  void add_blamed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> blamed) {
+    fbb_.AddOffset(PeerRow::VT_BLAMED, blamed);
+  }
   explicit PeerRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2172,10 +2298,12 @@
     uint64_t sequence = 0,
     bool relay = false,
     uint32_t link_mbps = 0,
-    uint64_t settled_era = 0) {
+    uint64_t settled_era = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> blamed = 0) {
   PeerRowBuilder builder_(_fbb);
   builder_.add_settled_era(settled_era);
   builder_.add_sequence(sequence);
+  builder_.add_blamed(blamed);
   builder_.add_link_mbps(link_mbps);
   builder_.add_host(host);
   builder_.add_data_centre(data_centre);
@@ -2203,11 +2331,13 @@
     uint64_t sequence = 0,
     bool relay = false,
     uint32_t link_mbps = 0,
-    uint64_t settled_era = 0) {
+    uint64_t settled_era = 0,
+    const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *blamed = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto blamed__ = blamed ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*blamed) : 0;
   return waycove::wire::CreatePeerRow(
       _fbb,
       node__,
@@ -2219,7 +2349,8 @@
       sequence,
       relay,
       link_mbps,
-      settled_era);
+      settled_era,
+      blamed__);
 }
 
 flatbuffers::Offset<PeerRow> CreatePeerRow(flatbuffers::FlatBufferBuilder &_fbb, const PeerRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4135,6 +4266,8 @@
   std::vector<waycove::wire::RenewalRow> renewals{};
   std::vector<std::unique_ptr<waycove::wire::DemandRowT>> demand{};
   std::vector<waycove::wire::FeedMark> restored{};
+  std::vector<std::unique_ptr<waycove::wire::CrashRowT>> crashes{};
+  bool all_crashes = false;
   NewsWantedT() = default;
   NewsWantedT(const NewsWantedT &o);
   NewsWantedT(NewsWantedT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4152,7 +4285,9 @@
     VT_LOADS = 10,
     VT_RENEWALS = 12,
     VT_DEMAND = 14,
-    VT_RESTORED = 16
+    VT_RESTORED = 16,
+    VT_CRASHES = 18,
+    VT_ALL_CRASHES = 20
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -4175,6 +4310,12 @@
   const flatbuffers::Vector<const waycove::wire::FeedMark *> *restored() const {
     return GetPointer<const flatbuffers::Vector<const waycove::wire::FeedMark *> *>(VT_RESTORED);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *>(VT_CRASHES);
+  }
+  bool all_crashes() const {
+    return GetField<uint8_t>(VT_ALL_CRASHES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -4192,6 +4333,10 @@
            verifier.VerifyVectorOfTables(demand()) &&
            VerifyOffset(verifier, VT_RESTORED) &&
            verifier.VerifyVector(restored()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyField<uint8_t>(verifier, VT_ALL_CRASHES, 1) &&
            verifier.EndTable();
   }
   NewsWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4224,6 +4369,12 @@
   void add_restored(flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::FeedMark *>> restored) {
     fbb_.AddOffset(NewsWanted::VT_RESTORED, restored);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crashes) {
+    fbb_.AddOffset(NewsWanted::VT_CRASHES, crashes);
+  }
+  void add_all_crashes(bool all_crashes) {
+    fbb_.AddElement<uint8_t>(NewsWanted::VT_ALL_CRASHES, static_cast<uint8_t>(all_crashes), 0);
+  }
   explicit NewsWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4243,8 +4394,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::FeedMark *>> restored = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::FeedMark *>> restored = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crashes = 0,
+    bool all_crashes = false) {
   NewsWantedBuilder builder_(_fbb);
+  builder_.add_crashes(crashes);
   builder_.add_restored(restored);
   builder_.add_demand(demand);
   builder_.add_renewals(renewals);
@@ -4252,6 +4406,7 @@
   builder_.add_next(next);
   builder_.add_data_centre(data_centre);
   builder_.add_node(node);
+  builder_.add_all_crashes(all_crashes);
   return builder_.Finish();
 }
 
@@ -4268,7 +4423,9 @@
     const std::vector<waycove::wire::LoadRow> *loads = nullptr,
     const std::vector<waycove::wire::RenewalRow> *renewals = nullptr,
     const std::vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand = nullptr,
-    const std::vector<waycove::wire::FeedMark> *restored = nullptr) {
+    const std::vector<waycove::wire::FeedMark> *restored = nullptr,
+    const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crashes = nullptr,
+    bool all_crashes = false) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto next__ = next ? _fbb.CreateVector<uint64_t>(*next) : 0;
@@ -4276,6 +4433,7 @@
   auto renewals__ = renewals ? _fbb.CreateVectorOfStructs<waycove::wire::RenewalRow>(*renewals) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>>(*demand) : 0;
   auto restored__ = restored ? _fbb.CreateVectorOfStructs<waycove::wire::FeedMark>(*restored) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*crashes) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       node__,
@@ -4284,7 +4442,9 @@
       loads__,
       renewals__,
       demand__,
-      restored__);
+      restored__,
+      crashes__,
+      all_crashes);
 }
 
 flatbuffers::Offset<NewsWanted> CreateNewsWanted(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4295,6 +4455,7 @@
   std::vector<waycove::wire::LoadRow> loads{};
   std::vector<waycove::wire::RenewalRow> renewals{};
   std::vector<std::unique_ptr<waycove::wire::DemandRowT>> demand{};
+  std::vector<std::unique_ptr<waycove::wire::CrashRowT>> crashes{};
   NewsT() = default;
   NewsT(const NewsT &o);
   NewsT(NewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4309,7 +4470,8 @@
     VT_FEEDS = 4,
     VT_LOADS = 6,
     VT_RENEWALS = 8,
-    VT_DEMAND = 10
+    VT_DEMAND = 10,
+    VT_CRASHES = 12
   };
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>> *feeds() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>> *>(VT_FEEDS);
@@ -4323,6 +4485,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>> *>(VT_DEMAND);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *>(VT_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FEEDS) &&
@@ -4335,6 +4500,9 @@
            VerifyOffset(verifier, VT_DEMAND) &&
            verifier.VerifyVector(demand()) &&
            verifier.VerifyVectorOfTables(demand()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
            verifier.EndTable();
   }
   NewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4358,6 +4526,9 @@
   void add_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand) {
     fbb_.AddOffset(News::VT_DEMAND, demand);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crashes) {
+    fbb_.AddOffset(News::VT_CRASHES, crashes);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4374,8 +4545,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>>> feeds = 0,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crashes = 0) {
   NewsBuilder builder_(_fbb);
+  builder_.add_crashes(crashes);
   builder_.add_demand(demand);
   builder_.add_renewals(renewals);
   builder_.add_loads(loads);
@@ -4393,17 +4566,20 @@
     const std::vector<flatbuffers::Offset<waycove::wire::FeedNews>> *feeds = nullptr,
     const std::vector<waycove::wire::LoadRow> *loads = nullptr,
     const std::vector<waycove::wire::RenewalRow> *renewals = nullptr,
-    const std::vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand = nullptr) {
+    const std::vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand = nullptr,
+    const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crashes = nullptr) {
   auto feeds__ = feeds ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedNews>>(*feeds) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<waycove::wire::LoadRow>(*loads) : 0;
   auto renewals__ = renewals ? _fbb.CreateVectorOfStructs<waycove::wire::RenewalRow>(*renewals) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>>(*demand) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*crashes) : 0;
   return waycove::wire::CreateNews(
       _fbb,
       feeds__,
       loads__,
       renewals__,
-      demand__);
+      demand__,
+      crashes__);
 }
 
 flatbuffers::Offset<News> CreateNews(flatbuffers::FlatBufferBuilder &_fbb, const NewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5011,6 +5187,71 @@
       _last_record);
 }
 
+inline CrashRowT *CrashRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CrashRowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashRow::UnPackTo(CrashRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = content(); _o->content = _e; }
+  { auto _e = served(); _o->served = _e; }
+  { auto _e = tried(); _o->tried = _e; }
+  { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<CrashRow> CrashRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashRow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashRow> CreateCrashRow(flatbuffers::FlatBufferBuilder &_fbb, const CrashRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _content = _o->content;
+  auto _served = _o->served;
+  auto _tried = _o->tried;
+  auto _ends = _o->ends.size() ? _fbb.CreateVector(_o->ends) : 0;
+  return waycove::wire::CreateCrashRow(
+      _fbb,
+      _content,
+      _served,
+      _tried,
+      _ends);
+}
+
+inline PeerRowT::PeerRowT(const PeerRowT &o)
+      : node(o.node),
+        incarnation(o.incarnation),
+        data_centre(o.data_centre),
+        host(o.host),
+        peer_port(o.peer_port),
+        http_port(o.http_port),
+        sequence(o.sequence),
+        relay(o.relay),
+        link_mbps(o.link_mbps),
+        settled_era(o.settled_era) {
+  blamed.reserve(o.blamed.size());
+  for (const auto &blamed_ : o.blamed) { blamed.emplace_back((blamed_) ? new waycove::wire::CrashRowT(*blamed_) : nullptr); }
+}
+
+inline PeerRowT &PeerRowT::operator=(PeerRowT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(incarnation, o.incarnation);
+  std::swap(data_centre, o.data_centre);
+  std::swap(host, o.host);
+  std::swap(peer_port, o.peer_port);
+  std::swap(http_port, o.http_port);
+  std::swap(sequence, o.sequence);
+  std::swap(relay, o.relay);
+  std::swap(link_mbps, o.link_mbps);
+  std::swap(settled_era, o.settled_era);
+  std::swap(blamed, o.blamed);
+  return *this;
+}
+
 inline PeerRowT *PeerRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<PeerRowT>();
   UnPackTo(_o.get(), _resolver);
@@ -5030,6 +5271,7 @@
   { auto _e = relay(); _o->relay = _e; }
   { auto _e = link_mbps(); _o->link_mbps = _e; }
   { auto _e = settled_era(); _o->settled_era = _e; }
+  { auto _e = blamed(); if (_e) { _o->blamed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->blamed[_i] = std::unique_ptr<waycove::wire::CrashRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<PeerRow> PeerRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PeerRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5050,6 +5292,7 @@
   auto _relay = _o->relay;
   auto _link_mbps = _o->link_mbps;
   auto _settled_era = _o->settled_era;
+  auto _blamed = _o->blamed.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>> (_o->blamed.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRow(*__va->__fbb, __va->__o->blamed[i].get(), __va->__rehasher); }, &_va ) : 0;
   return waycove::wire::CreatePeerRow(
       _fbb,
       _node,
@@ -5061,7 +5304,8 @@
       _sequence,
       _relay,
       _link_mbps,
-      _settled_era);
+      _settled_era,
+      _blamed);
 }
 
 inline HealthRowT *HealthRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5769,9 +6013,12 @@
         next(o.next),
         loads(o.loads),
         renewals(o.renewals),
-        restored(o.restored) {
+        restored(o.restored),
+        all_crashes(o.all_crashes) {
   demand.reserve(o.demand.size());
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new waycove::wire::DemandRowT(*demand_) : nullptr); }
+  crashes.reserve(o.crashes.size());
+  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new waycove::wire::CrashRowT(*crashes_) : nullptr); }
 }
 
 inline NewsWantedT &NewsWantedT::operator=(NewsWantedT o) FLATBUFFERS_NOEXCEPT {
@@ -5782,6 +6029,8 @@
   std::swap(renewals, o.renewals);
   std::swap(demand, o.demand);
   std::swap(restored, o.restored);
+  std::swap(crashes, o.crashes);
+  std::swap(all_crashes, o.all_crashes);
   return *this;
 }
 
@@ -5801,6 +6050,8 @@
   { auto _e = renewals(); if (_e) { _o->renewals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewals[_i] = *_e->Get(_i); } } }
   { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<waycove::wire::DemandRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = restored(); if (_e) { _o->restored.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->restored[_i] = *_e->Get(_i); } } }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<waycove::wire::CrashRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = all_crashes(); _o->all_crashes = _e; }
 }
 
 inline flatbuffers::Offset<NewsWanted> NewsWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5818,6 +6069,8 @@
   auto _renewals = _o->renewals.size() ? _fbb.CreateVectorOfStructs(_o->renewals) : 0;
   auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateDemandRow(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _restored = _o->restored.size() ? _fbb.CreateVectorOfStructs(_o->restored) : 0;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRow(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _all_crashes = _o->all_crashes;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       _node,
@@ -5826,7 +6079,9 @@
       _loads,
       _renewals,
       _demand,
-      _restored);
+      _restored,
+      _crashes,
+      _all_crashes);
 }
 
 inline NewsT::NewsT(const NewsT &o)
@@ -5836,6 +6091,8 @@
   for (const auto &feeds_ : o.feeds) { feeds.emplace_back((feeds_) ? new waycove::wire::FeedNewsT(*feeds_) : nullptr); }
   demand.reserve(o.demand.size());
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new waycove::wire::DemandRowT(*demand_) : nullptr); }
+  crashes.reserve(o.crashes.size());
+  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new waycove::wire::CrashRowT(*crashes_) : nullptr); }
 }
 
 inline NewsT &NewsT::operator=(NewsT o) FLATBUFFERS_NOEXCEPT {
@@ -5843,6 +6100,7 @@
   std::swap(loads, o.loads);
   std::swap(renewals, o.renewals);
   std::swap(demand, o.demand);
+  std::swap(crashes, o.crashes);
   return *this;
 }
 
@@ -5859,6 +6117,7 @@
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
   { auto _e = renewals(); if (_e) { _o->renewals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewals[_i] = *_e->Get(_i); } } }
   { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<waycove::wire::DemandRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<waycove::wire::CrashRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<News> News::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5873,12 +6132,14 @@
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
   auto _renewals = _o->renewals.size() ? _fbb.CreateVectorOfStructs(_o->renewals) : 0;
   auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateDemandRow(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRow(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   return waycove::wire::CreateNews(
       _fbb,
       _feeds,
       _loads,
       _renewals,
-      _demand);
+      _demand,
+      _crashes);
 }
 
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/failure/crash_test.cpp
+++ b/tests/failure/crash_test.cpp
@@ -102,6 +102,33 @@
   CHECK(this->ends() - Before <= SendsAllowed);
 }
 
+// Nodes that all started at once knew nothing.
+TEST_CASE_METHOD(CrashFixture,
+                 "crashing request: all nodes start again at once: they learn "
+                 "of it",
+                 "[failure]") {
+  this->crashAtAll();
+  REQUIRE(eventually([&] {
+    return this->Run.logOf(this->reader()).find("request_blamed") !=
+           std::string::npos;
+  }));
+  // The first node of the data centre puts it down for all.
+  std::this_thread::sleep_for(KnownEverywhere + milliseconds(2000));
+  int Before = this->ends();
+  for (const std::string &Node : Entries)
+    this->Run.killNode(Node);
+  for (const std::string &Node : Entries)
+    this->restart(Node);
+  REQUIRE(eventually([&] { return this->allTake(Entries, "key-1"); }));
+  for (const std::string &Node : Entries) {
+    this->call(Node, "key-1", Crash);
+    this->startEnded();
+    this->call(Node, "key-1", Crash);
+    this->startEnded();
+  }
+  CHECK(this->ends() - Before <= 1);
+}
+
 // An innocent request that many send must not be taken for the one that
 // crashes targets because it was always under way as well.
 TEST_CASE_METHOD(CrashFixture,
--- a/tests/failure/suspended_test.cpp
+++ b/tests/failure/suspended_test.cpp
@@ -55,15 +55,14 @@
     std::this_thread::sleep_for(milliseconds(300));
     this->suspendFor(SuspendedTime);
   });
-  Reply Answer =
-      this->Run.ask("n1", {"POST",
-                           "/once/x",
-                           "body",
-                           {{"Host", "a.example"},
-                            {"Authorization", "Bearer key-1"},
-                            {"X-Request-Id", "r1"},
-                            {"X-Deadline-Ms", "2700"}},
-                           milliseconds(20000)});
+  Reply Answer = this->Run.ask("n1", {"POST",
+                                      "/once/x",
+                                      "body",
+                                      {{"Host", "a.example"},
+                                       {"Authorization", "Bearer key-1"},
+                                       {"X-Request-Id", "r1"},
+                                       {"X-Deadline-Ms", "2700"}},
+                                      milliseconds(20000)});
   Suspended.join();
   CHECK(Answer.Status == 504);
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -18,8 +18,17 @@
 //   good, whatever the store has lost;
 // - what is written last is in force at all entries.
 //
-//   soak --seed=N --seconds=S [--seeds=K] [--restores]   K runs, with following
-//   seeds
+// With --crashes a request comes again and again, at any entry, that ends each
+// target that begins to run it; an innocent one comes more often:
+// - once three targets have ended under it and all entries had the time to
+//   learn so, no more than three further ones end;
+// - the innocent one is served when the faults have ended.
+//
+// With --suspends entries' machines are suspended: their steady clocks do not
+// count the time. All promises hold, those of keys with --restores too.
+//
+//   soak --seed=N --seconds=S [--seeds=K] [--restores] [--crashes] [--suspends]
+//   K runs, with following seeds
 //
 // Exit status 0 where all promises held. A failed run names its seed and keeps
 // its logs.
@@ -35,6 +44,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <sstream>
@@ -44,6 +54,8 @@
 DEFINE_uint64(seeds, 1, "number of runs, with following seeds");
 DEFINE_int32(seconds, 15, "time with faults in one run");
 DEFINE_bool(restores, false, "the store comes back from older copies");
+DEFINE_bool(crashes, false, "a request ends the targets that run it");
+DEFINE_bool(suspends, false, "entries' machines are suspended");
 
 namespace waycove::test {
 
@@ -64,6 +76,14 @@
 constexpr int WriteAgainMs = 1000;
 /// Apart from the seeds of the other faults.
 constexpr std::uint64_t RestoreSeeds = 1'000'000;
+constexpr std::uint64_t CrashSeeds = 2'000'000;
+constexpr std::uint64_t SuspendSeeds = 3'000'000;
+/// Ends of targets after which a request is known, the time to learn of them,
+/// and ends allowed then.
+constexpr int EndsNeeded = 3;
+constexpr milliseconds LearnTime(3000);
+constexpr int EndsAllowed = 3;
+const std::string CrashBody = "crash 20";
 
 std::string turnKey(int Version) { return "turn-" + std::to_string(Version); }
 
@@ -98,6 +118,7 @@
 class Soak {
 public:
   explicit Soak(std::uint64_t Seed) : Seed(Seed), Random(Seed) {
+    this->Run.Suspendable = FLAGS_suspends;
     this->startAll();
   }
 
@@ -115,6 +136,10 @@
       if (FLAGS_restores)
         this->restoreAgainAndAgain(Stop);
     });
+    std::thread Crashers([&] {
+      if (FLAGS_crashes)
+        this->crashAgainAndAgain(Stop);
+    });
     std::thread Thieves([&] {
       while (FLAGS_restores && !Stop)
         this->tryOldKey();
@@ -123,6 +148,7 @@
     this->endFaults();
     this->FaultsOver = true;
     Operators.join();
+    this->startEnded();
     bool Back = eventually([&] { return this->isServing(); }, RecoverTime);
     if (FLAGS_restores && !this->isLastInForce())
       this->fail("the last configuration is not in force everywhere");
@@ -130,6 +156,7 @@
     for (std::thread &Row : Callers)
       Row.join();
     Thieves.join();
+    Crashers.join();
     if (!Back)
       this->fail("not served " + std::to_string(RecoverTime.count()) +
                  " ms after the last fault");
@@ -197,10 +224,11 @@
   }
 
   Reply call(const std::string &Node, const std::string &Path,
-             const std::string &Id, const std::string &Key = "key-1") {
+             const std::string &Id, const std::string &Key = "key-1",
+             const std::string &Body = "body") {
     return this->Run.ask(Node, {"POST",
                                 Path,
-                                "body",
+                                Body,
                                 {{"Host", "a.example"},
                                  {"Authorization", "Bearer " + Key},
                                  {"X-Request-Id", Id},
@@ -261,8 +289,14 @@
   /// Faults come in series and overlap, each for a while of its own.
   void makeFaults() {
     auto End = Clock::now() + std::chrono::seconds(FLAGS_seconds);
+    // Its own random numbers, as for restores.
+    std::mt19937_64 Suspends(this->Seed + SuspendSeeds);
     while (Clock::now() < End) {
       this->endDue(Clock::now());
+      this->startEnded();
+      if (FLAGS_suspends && Suspends() % 6 == 0)
+        this->beginSuspension(Suspends() % 2 ? "n1" : "n2",
+                              Clock::now() + milliseconds(Suspends() % 4000));
       if (this->Due.size() < MostFaults)
         this->beginFault(Clock::now() + milliseconds(300 + this->roll(2500)));
       std::this_thread::sleep_for(milliseconds(100 + this->roll(700)));
@@ -297,6 +331,57 @@
     }
   }
 
+  void beginSuspension(const std::string &Node, Clock::time_point Until) {
+    if (this->Due.contains(Node))
+      return;
+    this->Run.suspend(Node);
+    this->Due[Node] = {Until, [this, Node] { this->Run.resume(Node); }};
+  }
+
+  /// Targets that a request ended are back a little later.
+  void startEnded() {
+    if (!FLAGS_crashes)
+      return;
+    for (const std::string &Vm : this->Vms)
+      if (!this->Due.contains(Vm) &&
+          this->Run.vm(Vm).wait(milliseconds(0)) != -1) {
+        this->Run.atPlatform(
+            {"POST", "/store/put?topic=keyed.servers&key=" + Vm, "", {}});
+        this->startVm(Vm);
+      }
+  }
+
+  /// How many targets ended under the request.
+  int crashEnds() {
+    int Count = 0;
+    for (const std::string &Vm : this->Vms) {
+      std::istringstream Lines(this->Run.logOf(Vm));
+      for (std::string Line; std::getline(Lines, Line);)
+        Count += Line == "crashed " + CrashBody ? 1 : 0;
+    }
+    return Count;
+  }
+
+  void crashAgainAndAgain(const std::atomic<bool> &Stop) {
+    std::mt19937_64 Own(this->Seed + CrashSeeds);
+    std::optional<Clock::time_point> Third;
+    std::optional<int> Before;
+    for (int Number = 0; !Stop; ++Number) {
+      std::this_thread::sleep_for(milliseconds(50 + Own() % 400));
+      int Ends = this->crashEnds();
+      if (!Third && Ends >= EndsNeeded)
+        Third = Clock::now();
+      if (!Before && Third && Clock::now() - *Third >= LearnTime)
+        Before = Ends;
+      this->call(Own() % 2 ? "n1" : "n2",
+                 this->Seed % 2 ? "/chat/x" : "/once/x",
+                 "crash-" + std::to_string(Number), "key-1", CrashBody);
+    }
+    if (int Ends = this->crashEnds(); Before && Ends - *Before > EndsAllowed)
+      this->fail(std::to_string(Ends - *Before) +
+                 " targets ended under a request that had ended three");
+  }
+
   void kill(const std::string &Who, bool OnNode, bool Gently,
             Clock::time_point Until) {
     if (!OnNode) {
--- a/tests/standins/suspended_clock.cpp
+++ b/tests/standins/suspended_clock.cpp
@@ -60,8 +60,8 @@
 extern "C" int pthread_cond_clockwait(pthread_cond_t *Condition,
                                       pthread_mutex_t *Mutex, clockid_t Clock,
                                       const timespec *Until) {
-  using Wait = int (*)(pthread_cond_t *, pthread_mutex_t *, clockid_t,
-                       const timespec *);
+  using Wait =
+      int (*)(pthread_cond_t *, pthread_mutex_t *, clockid_t, const timespec *);
   static const auto Next =
       reinterpret_cast<Wait>(dlsym(RTLD_NEXT, "pthread_cond_clockwait"));
   timespec Shifted = *Until;
--- a/tests/unit/domain_owner_test.cpp
+++ b/tests/unit/domain_owner_test.cpp
@@ -100,11 +100,13 @@
     this->Owner.renew();
   }
   /// Renews the lease and plans for \p Time, or until targets took an order;
-  /// whether they did.
-  bool plan(Millis Time) {
+  /// whether they did. Meanwhile the registry is read, or \p NothingRead.
+  bool plan(Millis Time, bool NothingRead = false) {
     int Before = this->Targets.Taken;
     for (TimePoint End = SystemClock{}.now() + Time;
          SystemClock{}.now() < End && this->Targets.Taken == Before;) {
+      if (!NothingRead)
+        this->Board.RegistryProven.raise(SystemClock{}.now());
       this->Owner.renew();
       this->Owner.step();
       std::this_thread::sleep_for(Millis(50));
@@ -176,4 +178,17 @@
   CHECK(this->plan(Millis(3000)));
 }
 
+// After a suspension time has passed, and no news of the last owner's orders
+// came.
+TEST_CASE_METHOD(OwnerFixture,
+                 "domain owner: nothing was read since it got the domain: "
+                 "nothing is ordered until then",
+                 "[unit]") {
+  this->list(0);
+  this->Board.RegistryProven.raise(SystemClock{}.now());
+  this->deal(0, 12);
+  CHECK_FALSE(this->plan(Millis(3000), true));
+  CHECK(this->plan(Millis(5000)));
+}
+
 } // namespace waycove::test
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -310,8 +310,11 @@
 TEST_CASE("news: an announcement: read back, damage refused", "[unit]") {
   NodeInfo Node{NodeId("n"), IncarnationId("i"), DataCentreId("a"), "10.0.0.1",
                 7000};
-  std::string Bytes = packNode(Node);
-  CHECK(unpackNode(Bytes)->Port == 7000);
+  CrashRows Blamed;
+  Blamed[ContentHash(7)].Ends = {TargetHash(1), TargetHash(2), TargetHash(3)};
+  std::string Bytes = packNode({Node, Blamed});
+  CHECK(unpackNode(Bytes)->Node.Port == 7000);
+  CHECK(unpackNode(Bytes)->Blamed == Blamed);
   CHECK_FALSE(unpackNode(Bytes.substr(0, Bytes.size() / 2)).ok());
   CHECK_FALSE(unpackNode("").ok());
 }
--- a/tests/unit/node_follow_test.cpp
+++ b/tests/unit/node_follow_test.cpp
@@ -4,6 +4,7 @@
 
 // How a node follows the directory of nodes, and stays listed there.
 #include "control/node_follow.h"
+#include "support/cluster.h"
 #include "support/times.h"
 
 #include <catch2/catch.hpp>
@@ -38,7 +39,7 @@
   Info.Node = NodeId(Node);
   Info.Incarnation = IncarnationId("i");
   Info.Settled = StoreEra(Settled);
-  return {Node, packNode(Info)};
+  return {Node, packNode({Info, {}})};
 }
 
 } // namespace
@@ -160,8 +161,9 @@
   EntryBoard Board(settingsOf("me"), IncarnationId("second"));
   FakeDirectory Directory;
   Directory.Page.Records = {
-      {"me", packNode({NodeId("me"), IncarnationId("first"), DataCentreId("a"),
-                       "", 0})}};
+      {"me", packNode({{NodeId("me"), IncarnationId("first"), DataCentreId("a"),
+                        "", 0},
+                       {}})}};
   Directory.Page.Whole = true;
   NodeFollower<FakeDirectory, FakeDirectory> Follower{Board, Directory,
                                                       Directory};
@@ -198,4 +200,50 @@
   CHECK(this->Directory.Drops == 1);
 }
 
+// Nodes that all start at once sent what had been blamed for the end of
+// targets on to three further ones.
+TEST_CASE("directory: an announcement blames a content: it is refused here",
+          "[unit]") {
+  const ContentHash Content(7);
+  EntryBoard Board(settingsOf("me"), IncarnationId("i"));
+  FakeDirectory Directory;
+  NodeInfo Other;
+  Other.Node = NodeId("other");
+  CrashRows Blamed;
+  Blamed[Content].Ends = {TargetHash(1), TargetHash(2), TargetHash(3)};
+  Directory.Page.Records = {{"other", packNode({Other, Blamed})}};
+  Directory.Page.Whole = true;
+  NodeFollower<FakeDirectory, FakeDirectory> Follower{Board, Directory,
+                                                      Directory};
+  Follower.step();
+  CHECK(Board.Crashes.read([&](const CrashBlame &Rows) {
+    return Rows.judge(Content, SystemClock{}.now());
+  }) == CrashBlame::Verdict::Refuse);
+}
+
+// What was learned while the directory was followed was lost with all nodes.
+TEST_CASE("directory: a content is newly blamed: the first node announces it",
+          "[unit]") {
+  EntryBoard Board(settingsOf("me"), IncarnationId("i"));
+  FakeDirectory Directory;
+  Directory.Page.Whole = true;
+  NodeFollower<FakeDirectory, FakeDirectory> Follower{Board, Directory,
+                                                      Directory};
+  Follower.step();
+  Directory.Page.Records = {announcementOf("me")};
+  Directory.Page.Whole = false;
+  Follower.step();
+  int Before = Directory.Announcements;
+  CrashRows Blamed;
+  Blamed[ContentHash(7)].Ends = {TargetHash(1), TargetHash(2), TargetHash(3)};
+  Board.Crashes.write(
+      [&](CrashBlame &Rows) { Rows.take(Blamed, SystemClock{}.now()); });
+  CHECK(eventually([&] {
+    Follower.step();
+    return Directory.Announcements == Before + 1;
+  }));
+  Follower.step();
+  CHECK(Directory.Announcements == Before + 1);
+}
+
 } // namespace waycove::test
