--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -152,6 +152,9 @@
        "sent."},
       {RequestCleared, Info, "request_cleared",
        "Requests of this content are sent again."},
+      {RequestTried, Info, "request_tried",
+       "A request of a blamed content is sent once more, to learn whether its "
+       "target ends."},
       {RequestCut, Warning, "request_cut",
        "An answer that had begun could not be completed."},
       {SettingsReloaded, Info, "settings_reloaded",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -75,6 +75,7 @@
   TargetSuspected = 314,
   RequestBlamed = 509,
   RequestCleared = 510,
+  RequestTried = 511,
   ReaderChosen = 402,
   ReaderLost = 403,
   FeedReadAlone = 404,
--- a/src/control/shared_sight.cpp
+++ b/src/control/shared_sight.cpp
@@ -116,9 +116,13 @@
         return this->Board.Crashes.write(
             [&](CrashBlame &Rows) { return Rows.settle(LastProgress, Now); });
       });
-  for (ContentHash Content : Found.Blamed)
+  for (const auto &[Content, Row] : Found.Blamed)
     this->Board.Log.emit(EventCode::RequestBlamed,
-                         std::to_string(Content.Value));
+                         std::to_string(Content.Value),
+                         LogFields()
+                             .add("ends", Row.Ends.size())
+                             .add("served", Row.Served)
+                             .add("tried", Row.Tried));
   for (ContentHash Content : Found.Cleared)
     this->Board.Log.emit(EventCode::RequestCleared,
                          std::to_string(Content.Value));
--- a/src/entry/relay_choice.cpp
+++ b/src/entry/relay_choice.cpp
@@ -43,13 +43,18 @@
       [&](const CrashBlame &Rows) { return Rows.judge(Request.Content, Now); });
   if (Found != Verdict::Try)
     return Found == Verdict::Serve;
-  return this->isTrialNode(Request.Content) &&
-         this->Board.Crashes.write([&](CrashBlame &Rows) {
-           bool Still = Rows.judge(Request.Content, Now) == Verdict::Try;
-           if (Still)
-             Rows.noteTrial(Request.Content, Now);
-           return Still;
-         });
+  if (!this->isTrialNode(Request.Content))
+    return false;
+  bool Mine = this->Board.Crashes.write([&](CrashBlame &Rows) {
+    bool Still = Rows.judge(Request.Content, Now) == Verdict::Try;
+    if (Still)
+      Rows.noteTrial(Request.Content, Now);
+    return Still;
+  });
+  if (Mine)
+    this->Board.Log.emit(EventCode::RequestTried, Request.Facts.Id.Text,
+                         LogFields().add("content", Request.Content.Value));
+  return Mine;
 }
 
 /// One node alone, the same in the view of all.
--- a/src/policy/crash_blame.cpp
+++ b/src/policy/crash_blame.cpp
@@ -18,9 +18,8 @@
 std::size_t countWithout(const std::set<TargetHash> &Ends,
                          const std::set<TargetHash> &Explained) {
   return static_cast<std::size_t>(
-      std::count_if(Ends.begin(), Ends.end(), [&](TargetHash End) {
-        return !Explained.contains(End);
-      }));
+      std::count_if(Ends.begin(), Ends.end(),
+                    [&](TargetHash End) { return !Explained.contains(End); }));
 }
 
 /// The contents with the most ends that nothing explains yet, where these are
@@ -106,9 +105,8 @@
 
 void CrashBlame::noteServed(ContentHash Content, TimePoint Now) {
   this->Served.add(Content);
-  std::size_t Lost = std::erase_if(this->Losses, [&](const Loss &Row) {
-    return Row.Content == Content;
-  });
+  std::size_t Lost = std::erase_if(
+      this->Losses, [&](const Loss &Row) { return Row.Content == Content; });
   auto At = this->Rows.find(Content);
   bool Suspected = At != this->Rows.end() && !At->second.Row.Ends.empty();
   if (Suspected)
@@ -235,11 +233,12 @@
 }
 
 CrashBlame::Changes CrashBlame::takeChanges() {
-  std::set<ContentHash> Before =
-      std::exchange(this->ToldBlamed, this->Blamed);
+  std::set<ContentHash> Before = std::exchange(this->ToldBlamed, this->Blamed);
   Changes Found;
-  std::set_difference(this->Blamed.begin(), this->Blamed.end(), Before.begin(),
-                      Before.end(), std::back_inserter(Found.Blamed));
+  for (ContentHash Content : this->Blamed)
+    if (auto At = this->Rows.find(Content);
+        At != this->Rows.end() && !Before.contains(Content))
+      Found.Blamed[Content] = At->second.Row;
   std::set_difference(Before.begin(), Before.end(), this->Blamed.begin(),
                       this->Blamed.end(), std::back_inserter(Found.Cleared));
   return Found;
--- a/src/policy/crash_blame.h
+++ b/src/policy/crash_blame.h
@@ -54,9 +54,10 @@
 class CrashBlame {
 public:
   enum class Verdict { Serve, Try, Refuse };
-  /// Contents that are blamed anew, and those that are no longer.
+  /// Contents that are blamed anew, with what is known of them, and those that
+  /// are no longer.
   struct Changes {
-    std::vector<ContentHash> Blamed;
+    CrashRows Blamed;
     std::vector<ContentHash> Cleared;
   };
 
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -238,7 +238,9 @@
   this->Vms.clear();
   this->Platform.reset();
   this->checkLogs();
-  if (!this->KeepLogs && !std::getenv("WAYCOVE_KEEP_LOGS"))
+  if (TestFailed)
+    std::cerr << "logs: " << this->Folder << "\n";
+  else if (!this->KeepLogs && !std::getenv("WAYCOVE_KEEP_LOGS"))
     std::filesystem::remove_all(this->Folder);
 }
 
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -6,6 +6,7 @@
 
 #include "base/json.h"
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -95,6 +96,8 @@
   std::string ExtraSettings;
   /// Where daemons reach the platform; 0: at its own port.
   std::uint16_t PlatformVia = 0;
+  /// The running test has failed: clusters leave their folders behind.
+  static inline std::atomic<bool> TestFailed{false};
   /// Leaves its folder, which folder() names, behind.
   bool KeepLogs = false;
   /// Daemons run with clocks that know of suspend().
--- a/tests/support/main.cpp
+++ b/tests/support/main.cpp
@@ -3,4 +3,27 @@
 // Version 2.0; see LICENSE.
 
 #define CATCH_CONFIG_MAIN
+#include "support/cluster.h"
+
 #include <catch2/catch.hpp>
+
+namespace waycove::test {
+
+/// Has the clusters of a test that failed leave their logs behind: a failure
+/// that shows once can be traced then.
+struct FailureListener : Catch::TestEventListenerBase {
+  using TestEventListenerBase::TestEventListenerBase;
+
+  void testCaseStarting(const Catch::TestCaseInfo &) override {
+    Cluster::TestFailed = false;
+  }
+  bool assertionEnded(const Catch::AssertionStats &Stats) override {
+    if (!Stats.assertionResult.isOk())
+      Cluster::TestFailed = true;
+    return false;
+  }
+};
+
+CATCH_REGISTER_LISTENER(FailureListener)
+
+} // namespace waycove::test
--- a/tools/without.py
+++ b/tools/without.py
@@ -40,6 +40,26 @@
         "src/wire/news_frames.cpp",
         "SentAt - Millis(News.proven_age_ms)", "Now",
         "neighbours: the store is away|news: a page sent on"),
+    "boot-clock": (
+        "src/base/boot_clock.cpp",
+        "CLOCK_BOOTTIME", "CLOCK_MONOTONIC",
+        "suspended machine"),
+    "blame": (
+        "src/entry/relay_choice.cpp",
+        "return Found == Verdict::Serve;", "return true;",
+        "crashing request"),
+    "blame-explains": (
+        "src/policy/crash_blame.cpp",
+        "Explained.insert(Ends.begin(), Ends.end());", "",
+        "crash blame: others ran beside"),
+    "blame-served": (
+        "src/policy/crash_blame.cpp",
+        "WasServed || this->Served.contains(Content)", "false",
+        "crash blame: answered before"),
+    "blame-lasts": (
+        "src/control/node_follow.h",
+        "this->takeBlamed(Read->Blamed);", "",
+        "directory: an announcement blames"),
     "shared-sight": (
         "src/policy/vitals.cpp",
         "if (!There || There->Answering == 0)", "if (true)",
