--- a/src/control/shared_sight.cpp
+++ b/src/control/shared_sight.cpp
@@ -54,6 +54,9 @@
   std::lock_guard Lock(this->Mutex);
   // What changes there later than it answered is told in the next round.
   this->CrashesHeard[From] = SentAt;
+  std::erase_if(this->CrashesHeard, [&](const auto &Row) {
+    return Now - Row.second >= CrashBlame::ShareTime;
+  });
   this->Loads.tell(readLoads(Answer.loads), Now);
   this->Demand.tell(readDemand(Answer.demand), Now);
 }
--- a/src/control/shared_sight.h
+++ b/src/control/shared_sight.h
@@ -12,8 +12,9 @@
 namespace waycove {
 
 /// What nodes tell each other besides the feeds: what each sees of the targets,
-/// what callers asked for, and, within a data centre, who renewed its share of
-/// the common work. It goes along with questions and answers for news.
+/// what callers asked for, which requests end targets, and, within a data
+/// centre, who renewed its share of the common work. It goes along with
+/// questions and answers for news.
 /// Thread-safe.
 class SharedSight {
 public:
--- a/src/policy/crash_blame.cpp
+++ b/src/policy/crash_blame.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 using Evidence = std::map<ContentHash, std::set<TargetHash>>;
+/// A row's ends, its last change and its content: what says more comes later.
+using Place = std::tuple<std::size_t, TimePoint, ContentHash>;
 
 std::size_t countWithout(const std::set<TargetHash> &Ends,
                          const std::set<TargetHash> &Explained) {
@@ -151,37 +153,40 @@
   this->blame();
 }
 
-CrashRows CrashBlame::recent(TimePoint Now) const {
-  CrashRows Told;
+template <typename F>
+CrashRows CrashBlame::pick(F IsWanted, std::size_t Most) const {
+  std::vector<Place> Order;
   for (const auto &[Content, Row] : this->Rows)
-    if (Now - Row.ChangedAt < ShareTime && Told.size() < MostTold)
-      Told[Content] = Row.Row;
-  return Told;
+    if (IsWanted(Content, Row))
+      Order.emplace_back(Row.Row.Ends.size(), Row.ChangedAt, Content);
+  std::sort(Order.rbegin(), Order.rend());
+  Order.resize(std::min(Order.size(), Most));
+  CrashRows Picked;
+  for (const Place &Row : Order) {
+    auto Content = std::get<ContentHash>(Row);
+    Picked[Content] = this->Rows.at(Content).Row;
+  }
+  return Picked;
+}
+
+CrashRows CrashBlame::recent(TimePoint Now) const {
+  return this->pick(
+      [&](ContentHash, const Kept &Row) {
+        return Now - Row.ChangedAt < ShareTime;
+      },
+      MostTold);
 }
 
 CrashRows CrashBlame::whole() const {
-  CrashRows Told;
-  // What is blamed matters most.
-  for (ContentHash Content : this->Blamed)
-    if (auto At = this->Rows.find(Content); At != this->Rows.end())
-      Told[Content] = At->second.Row;
-  for (const auto &[Content, Row] : this->Rows)
-    if (Told.size() < MostTold)
-      Told[Content] = Row.Row;
-  return Told;
+  return this->pick([](ContentHash, const Kept &) { return true; }, MostTold);
 }
 
 CrashRows CrashBlame::lasting() const {
-  std::vector<std::pair<TimePoint, ContentHash>> Order;
-  for (ContentHash Content : this->Blamed)
-    if (auto At = this->Rows.find(Content); At != this->Rows.end())
-      Order.emplace_back(At->second.ChangedAt, Content);
-  std::sort(Order.rbegin(), Order.rend());
-  Order.resize(std::min(Order.size(), MostLasting));
-  CrashRows Told;
-  for (const auto &[ChangedAt, Content] : Order)
-    Told[Content] = this->Rows.at(Content).Row;
-  return Told;
+  return this->pick(
+      [this](ContentHash Content, const Kept &) {
+        return this->Blamed.contains(Content);
+      },
+      MostLasting);
 }
 
 Evidence CrashBlame::evidence() const {
@@ -223,7 +228,6 @@
 void CrashBlame::forget() {
   if (this->Rows.size() <= MostRows)
     return;
-  using Place = std::tuple<std::size_t, TimePoint, ContentHash>;
   std::vector<Place> Order;
   for (const auto &[Content, Row] : this->Rows)
     Order.emplace_back(Row.Row.Ends.size(), Row.ChangedAt, Content);
--- a/src/policy/crash_blame.h
+++ b/src/policy/crash_blame.h
@@ -91,9 +91,9 @@
   void take(const CrashRows &Told, TimePoint Now);
   /// What changed lately, for nodes that hear of this one all the time.
   CrashRows recent(TimePoint Now) const;
-  /// What is blamed, the last that were learned of first.
+  /// What is blamed, to be put down where it lasts.
   CrashRows lasting() const;
-  /// All that is kept, for a node that knows nothing, or heard nothing lately.
+  /// For a node that knows nothing, or heard nothing lately.
   CrashRows whole() const;
 
   /// Changes are told on for this long: some rounds of news.
@@ -146,6 +146,9 @@
     std::unordered_set<ContentHash> Older;
   };
 
+  /// Of the rows that \p IsWanted names, \p Most at the most: those with the
+  /// most ends, and of these the newest.
+  template <typename F> CrashRows pick(F IsWanted, std::size_t Most) const;
   bool mayTry(ContentHash Content, TimePoint Now) const;
   std::size_t endsNeeded(ContentHash Content) const;
   void confirm(const std::vector<Loss> &Ended, TimePoint Now);
--- a/tests/unit/crash_blame_test.cpp
+++ b/tests/unit/crash_blame_test.cpp
@@ -190,6 +190,23 @@
   CHECK(this->judge(Poison, 7000) != Verdict::Serve);
 }
 
+// Where more rows change than a frame holds, those with the smallest hashes
+// were told for as long as it went on, and the others never.
+TEST_CASE_METHOD(BlameFixture,
+                 "crash blame: more changes than a frame holds: the newest and "
+                 "what has the most ends are told",
+                 "[unit]") {
+  const ContentHash Twice(~std::uint64_t(0));
+  const ContentHash Newest(~std::uint64_t(1));
+  this->end(1, {Twice}, 0);
+  this->end(2, {Twice}, 10);
+  for (std::uint64_t I = 0; I < 2 * CrashBlame::MostTold; ++I)
+    this->end(3, {ContentHash(Once + I)}, 20);
+  this->end(4, {Newest}, 30);
+  CHECK(this->Book.recent(at(400)).contains(Twice));
+  CHECK(this->Book.recent(at(400)).contains(Newest));
+}
+
 // Nodes that heard the same in another order would disagree.
 TEST_CASE("crash blame: rows are told in any order: all nodes know the same",
           "[unit]") {
