--- a/src/base/boot_clock.h
+++ b/src/base/boot_clock.h
@@ -18,6 +18,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
+  // The language names what a clock has. NOLINTNEXTLINE
   static constexpr bool is_steady = true;
 
   static time_point now() noexcept;
--- a/tests/failure/crash_test.cpp
+++ b/tests/failure/crash_test.cpp
@@ -136,6 +136,7 @@
                  "[failure]") {
   std::atomic<bool> Stop{false};
   std::vector<std::thread> Callers;
+  Callers.reserve(Entries.size());
   for (const std::string &Node : Entries)
     Callers.emplace_back([&, Node] {
       while (!Stop) {
