--- a/tools/check.sh
+++ b/tools/check.sh
@@ -23,6 +23,10 @@
   grep -q "Licensed under the Apache License" "$file" || complain "$file: no licence note"
 done
 
+# The steady clock does not count the time that a machine is suspended.
+git grep -nE 'steady_clock|CLOCK_MONOTONIC' -- src platform ':!src/bench' &&
+  complain "a moment of the steady clock; BootClock counts suspended time"
+
 # Which folder may include which; itself is always meant.
 may_include() { # folder, folders...
   local folder=$1
