Have the soak start targets again that end after its last fault

Cause, from its kept logs: both plain targets ended under the crashing request 1.3 and 1.7 s after the last fault, and the soak started ended targets only while it made faults; on the platform they are back after some seconds. Ruled out: the entries, which blamed the request 0.1 s later and sent to the two dead targets, the only ones. The promises are checked as before.

No functional change

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -148,8 +148,12 @@
     this->endFaults();
     this->FaultsOver = true;
     Operators.join();
-    this->startEnded();
-    bool Back = eventually([&] { return this->isServing(); }, RecoverTime);
+    bool Back = eventually(
+        [&] {
+          this->startEnded();
+          return this->isServing();
+        },
+        RecoverTime);
     if (FLAGS_restores && !this->isLastInForce())
       this->fail("the last configuration is not in force everywhere");
     Stop = true;
@@ -496,6 +500,7 @@
     std::string Key = turnKey(this->Version);
     return eventually(
         [&] {
+          this->startEnded();
           std::string Id = "last-" + std::to_string(++this->Tries);
           return this->call("n1", "/once/x", Id, Key).Status == 200 &&
                  this->call("n2", "/once/x", Id + "b", Key).Status == 200;
