Send nothing to evacuated data centres, cold targets or regions not allowed

- ConfigFollower follows evacuations in the operators' feed, which reaches all nodes within the bound on configurations.
One that a restored store lacks stays in force until operators could write again.
The serving view leaves the targets out; owners load nothing there and count its groups for nobody.
- Cold targets: as many nodes as the target takes requests a second, chosen by rendezvous over the directory, may send there, a second apart.
Targets of a data centre whose evacuation has ended count as cold for the stated time, which the registry shows only later.
- Allowed regions of route and workspace both bind.
- While a caller does not read, its stream counts neither as stalled nor as silent, and a target that cuts it has not failed.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -210,6 +210,12 @@
        "This node's data about targets is older than the drain bound: targets "
        "that close their connections are used only if no other target serves."},
       {RegistryProven, Info, "registry_proven",
+      {EvacuationBegun, Info, "evacuation_begun",
+       "Operators evacuate a data centre: its targets receive no requests. "
+       "The field `known` tells whether the settings name the data centre."},
+      {EvacuationEnded, Info, "evacuation_ended",
+       "An evacuation of a data centre has ended; its targets count as cold at "
+       "first."},
        "This node's data about targets is within the drain bound again."},
       {CentreBusy, Info, "centre_busy",
        "Targets of this data centre are busier than others, or fewer than "
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -68,6 +68,8 @@
   ServingChanged = 222,
   TargetReborn = 228,
   EntryHeld = 229,
+  EvacuationBegun = 230,
+  EvacuationEnded = 231,
   DomainsOwned = 310,
   DomainOrder = 311,
   DomainOrderEnded = 312,
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -39,6 +39,7 @@
 
 using VmId = Name<struct VmTag>;
 using DataCentreId = Name<struct DataCentreTag>;
+using RegionId = Name<struct RegionTag>;
 using DomainId = Name<struct DomainTag>;
 using WorkspaceId = Name<struct WorkspaceTag>;
 using DeploymentId = Name<struct DeploymentTag>;
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -73,6 +73,26 @@
   Result.GracePeriod =
       readMillisOrSeconds(Map, "grace", Result.GracePeriod, 100, 3600000);
   Result.RetryRatio = Map.real("retry_ratio", Result.RetryRatio, 0, 1);
+std::map<DataCentreId, RegionId> readRegions(YamlMap &Map,
+                                             ValidationErrors &Errors) {
+  constexpr std::size_t MaxNameLength = 64;
+  std::map<DataCentreId, RegionId> Result;
+  YAML::Node Child = Map.child("regions", false);
+  if (!Child.IsDefined() || Child.IsNull())
+    return Result;
+  if (!Child.IsMap()) {
+    Errors.add(Child, Map.pathOf("regions"), "a region for each data centre");
+    return Result;
+  }
+  YamlMap Regions(Child, Map.pathOf("regions"), Errors);
+  for (const auto &Entry : Child) {
+    auto Centre = Entry.first.as<std::string>();
+    Result[DataCentreId(Centre)] =
+        RegionId(Regions.text(Centre, true, "", MaxNameLength));
+  }
+  return Result;
+}
+
   Result.RetrySlack = Map.real("retry_slack", Result.RetrySlack, 0, 1e6);
   Result.RetryWindow = readMillisOrSeconds(Map, "retry_window",
                                            Result.RetryWindow, 100, 3600000);
@@ -84,6 +104,7 @@
   Result.LinkMbps = Map.real("link_mbps", Result.LinkMbps, 0, 1e6);
   Result.PartitionCount =
       Map.number("work_parts", false, Result.PartitionCount, 1, 100000);
+  Result.Regions = readRegions(Map, Errors);
   Map.finish();
   return Result;
 }
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -7,6 +7,7 @@
 #include "base/events.h"
 #include "base/yaml.h"
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -57,6 +58,8 @@
   double LinkMbps = 0;
   /// Number of partitions that the platform assigns to nodes.
   std::uint64_t PartitionCount = 12;
+  /// The region of each data centre.
+  std::map<DataCentreId, RegionId> Regions;
 };
 
 /// Settings of a daemon, read from its settings file.
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -11,6 +11,7 @@
 #include "board/table.h"
 #include "policy/centre_balance.h"
 #include "policy/choice.h"
+#include "policy/cold_rate.h"
 #include "policy/crash_blame.h"
 #include "policy/group_load.h"
 #include "policy/lease.h"
@@ -55,11 +56,14 @@
   /// The routing configuration in force; null if there is none.
   Table<RoutingConfigRef, LockRank::State> Routing;
   Table<TargetStatsTable, LockRank::Load> TargetStats;
+  /// The data centres that operators have evacuated.
+  Table<Evacuations, LockRank::State> Evacuated;
   Table<CentreBalance, LockRank::Load> Balance;
   Table<Fleet, LockRank::Vms> Targets;
   Table<ServingViewRef, LockRank::Views> Serving;
   Table<RetryLimiterTable, LockRank::Idempotency> RetryLimiters;
   /// Requests that crash their targets, as known to all nodes.
+  Table<ColdRateLimiter, LockRank::Views> ColdRates;
   Table<CrashBlame, LockRank::Idempotency> Crashes;
   /// Demand for each model at this node, weighted towards recent requests.
   Table<DemandTable, LockRank::Tail> Demand;
--- a/src/control/config_follower.h
+++ b/src/control/config_follower.h
@@ -8,6 +8,9 @@
 #include "control/restore_wait.h"
 #include "control/serving_view.h"
 
+#include <algorithm>
+#include <set>
+
 namespace waycove {
 
 /// Follows the operators' routing configuration and applies each newer version,
@@ -41,10 +44,11 @@
 
   void applyPage(const KeyedPage &Page) {
     this->updateLost(Page.Versions);
+    bool Proves = this->Restore.isOver(Page, SystemClock{}.now());
+    this->updateEvacuations(Page, Proves);
     for (const KeyedRecord &Row : Page.Records)
       if (Row.Key == Decoder::Key && Row.Value)
         this->applyConfig(*Row.Value);
-    bool Proves = this->Restore.isOver(Page, SystemClock{}.now());
     if (!Proves || this->inForce() == 0)
       return;
     // Nodes that start and see only the older version must not use it.
@@ -54,6 +58,53 @@
         Page.ProvenAt, this->Board.Config.Entry->RevokeBound - ProofMargin);
   }
 
+  /// Follows which data centres are evacuated. An evacuation that a restored
+  /// store does not show stays in force until operators had time to write it
+  /// again.
+  void updateEvacuations(const KeyedPage &Page, bool Proves) {
+    std::set<DataCentreId> Begun;
+    if (Page.IsSnapshot)
+      this->Vanished = this->Board.Evacuated.read(
+          [](const Evacuations &Row) { return Row.current(); });
+    for (const KeyedRecord &Row : Page.Records) {
+      std::optional<DataCentreId> Centre = Decoder::evacuatedCentre(Row.Key);
+      if (!Centre)
+        continue;
+      if (Row.Value) {
+        Begun.insert(*Centre);
+        this->Vanished.erase(*Centre);
+      } else {
+        this->Vanished.insert(*Centre);
+      }
+    }
+    std::set<DataCentreId> Ended =
+        Proves ? std::exchange(this->Vanished, {}) : std::set<DataCentreId>();
+    this->applyEvacuations(Begun, Ended);
+  }
+
+  void applyEvacuations(const std::set<DataCentreId> &Begun,
+                        const std::set<DataCentreId> &Ended) {
+    bool Changed = false;
+    for (const DataCentreId &Centre : Begun)
+      if (this->Board.Evacuated.write(
+              [&](Evacuations &Row) { return Row.begin(Centre); })) {
+        Changed = true;
+        this->Board.Log.emit(
+            EventCode::EvacuationBegun, Centre.Text,
+            LogFields().add(
+                "known", this->Board.Config.Entry->Regions.contains(Centre)));
+      }
+    for (const DataCentreId &Centre : Ended)
+      if (this->Board.Evacuated.write([&](Evacuations &Row) {
+            return Row.end(Centre, SystemClock{}.now());
+          })) {
+        Changed = true;
+        this->Board.Log.emit(EventCode::EvacuationEnded, Centre.Text);
+      }
+    if (Changed)
+      rebuildServingView(this->Board);
+  }
+
   /// Version in force; zero if there is none.
   std::uint64_t inForce() const {
     return this->Board.Routing.read(
@@ -116,14 +167,28 @@
                              .add("before", Before)
                              .add("routes", Config->routeCount())
                              .add("services", Config->Services.size())
-                             .add("keys", Config->Keys.size()));
+                             .add("keys", Config->Keys.size())
+                             .add("routes_without_region",
+                                  this->countRoutesWithoutRegion(*Config)));
     rebuildServingView(this->Board);
   }
 
+  /// Number of routes that no known data centre may serve.
+  std::size_t countRoutesWithoutRegion(const RoutingConfig &Config) const {
+    const auto &Regions = this->Board.Config.Entry->Regions;
+    return Config.countRoutes([&](const HttpRoute &Route) {
+      return std::none_of(Regions.begin(), Regions.end(), [&](const auto &Row) {
+        return mayRunIn(Route, nullptr, Row.second);
+      });
+    });
+  }
+
   EntryBoard &Board;
   FeedCursor<Feed> Source;
   Decoder Decode;
   RestoreWait Restore;
+  /// Evacuations that the store no longer shows, but are still in force.
+  std::set<DataCentreId> Vanished;
   bool WasProven = false;
   bool WasLost = false;
   /// Versions below this one, which the store lost, are not applied.
--- a/src/control/domain_views.cpp
+++ b/src/control/domain_views.cpp
@@ -80,9 +80,14 @@
     View.Now = Now;
     return View;
   };
+  Evacuations Evacuated =
+      Board.Evacuated.read([](const Evacuations &Row) { return Row; });
   Board.Targets.read([&](const Fleet &Rows) {
     for (const auto &[Id, Target] : Rows.Targets) {
-      All[Target->Service].push_back(Target);
+      // Groups in an evacuated data centre serve nobody, and none is loaded
+      // there; those that exist are kept for its return.
+      if (!Evacuated.contains(Target->DataCentre))
+        All[Target->Service].push_back(Target);
       if (IsOwned(*Target))
         ViewOf(*Target).Targets.push_back(Target);
     }
@@ -107,7 +112,8 @@
     const std::map<DomainId, unsigned> &ByDomain = At->second.ByDomain;
     auto Turn = ByDomain.find(Domain);
     View.LoadsAllowed = Turn == ByDomain.end() ? 0 : Turn->second;
-    View.SpareLoads = At->second.SpareLoads;
+    bool MayLoad = Outlooks[View.Service].contains(Domain);
+    View.SpareLoads = MayLoad ? At->second.SpareLoads : 0;
     countElsewhere(Outlooks[View.Service], View);
   }
   return Views;
--- a/src/control/registry_follower.h
+++ b/src/control/registry_follower.h
@@ -266,11 +266,16 @@
           Regrouped.push_back(Target->incarnation());
         Last = Target;
         Rows.Removed.erase(Target->Id);
+        if (Target->ColdRemaining > Millis(0))
+          Rows.ColdUntil[Target->Id] = Now + Target->ColdRemaining;
+        else
+          Rows.ColdUntil.erase(Target->Id);
       }
       for (const VmId &Id : Dropped)
         if (auto At = Rows.Targets.find(Id); At != Rows.Targets.end()) {
           Rows.Removed[Id] = {At->second, Now};
           Rows.Targets.erase(At);
+          Rows.ColdUntil.erase(Id);
           RemovedIds.push_back(Id);
         }
     });
--- a/src/entry/caller_response.cpp
+++ b/src/entry/caller_response.cpp
@@ -39,7 +39,8 @@
   return this->sendHead(Head, "", Until);
 }
 
-IoStatus CallerResponse::sendChunk(std::string_view Bytes, TimePoint Until) {
+IoStatus CallerResponse::sendChunk(std::string_view Bytes, TimePoint Until,
+                                   const std::function<void()> &OnHeldUp) {
   if (Bytes.empty())
     return IoStatus::Ok;
   std::array<char, 20> Size{};
@@ -47,7 +48,7 @@
       std::to_chars(Size.data(), Size.data() + Size.size(), Bytes.size(), 16);
   std::string Chunk(Size.data(), End);
   Chunk.append("\r\n").append(Bytes).append("\r\n");
-  return this->recordStatus(this->Caller.send(Chunk, Until));
+  return this->recordStatus(this->Caller.send(Chunk, Until, OnHeldUp));
 }
 
 IoStatus CallerResponse::endStream(TimePoint Until) {
--- a/src/entry/caller_response.h
+++ b/src/entry/caller_response.h
@@ -21,7 +21,9 @@
                      TimePoint Until);
   /// Starts a response of unknown length.
   IoStatus beginStream(Poco::Net::HTTPResponse Head, TimePoint Until);
-  IoStatus sendChunk(std::string_view Bytes, TimePoint Until);
+  /// Calls \p OnHeldUp once if the caller does not read fast enough.
+  IoStatus sendChunk(std::string_view Bytes, TimePoint Until,
+                     const std::function<void()> &OnHeldUp);
   IoStatus endStream(TimePoint Until);
   /// Gives the response up. The connection has to be closed; what was sent
   /// still reaches the caller, who sees that the end is missing.
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -176,6 +176,8 @@
         });
     auto IsListed = [&](const VmIncarnation &Target) {
       return Listed.contains(Target);
+    this->Board.ColdRates.write(
+        [&](ColdRateLimiter &Limits) { Limits.forget(IsListed); });
     };
     this->Pool.sweep(IsListed, SystemClock{}.now());
     this->Board.TargetStats.write(
--- a/src/entry/relay_attempt.h
+++ b/src/entry/relay_attempt.h
@@ -38,6 +38,9 @@
   bool WatchCaller = true;
   /// The connection ended before the response did; the target may have crashed.
   bool ConnectionLost = false;
+  /// How long the caller has held up the response by not reading it. Targets
+  /// end responses that stay unread.
+  Millis HeldUpFor{0};
   /// The target responded with a success status.
   bool Succeeded = false;
   std::string Reason;
--- a/src/entry/relay_policy.cpp
+++ b/src/entry/relay_policy.cpp
@@ -90,6 +90,61 @@
 std::optional<SelectedTarget> RelayPolicy::choose(const RelayRequest &Request,
                                                   const RelayProgress &Progress,
                                                   TimePoint Now) {
+  const ServiceSpec *Spec = Request.Config->service(Request.Service);
+  while (true) {
+    std::optional<SelectedTarget> Selected =
+        this->select(Request, Progress, Now);
+    if (!Selected || !Spec || Now >= Selected->To.ColdUntil)
+      return Selected;
+    // Another request may have used up the limit of this target since.
+    bool Taken = this->Board.ColdRates.write([&](ColdRateLimiter &Limits) {
+      return Limits.take(Selected->To.Target->incarnation(),
+                         this->coldIntervalOf(*Spec), Now);
+    });
+    if (Taken)
+      return Selected;
+  }
+}
+
+RegionId RelayPolicy::regionOf(const DataCentreId &Centre) const {
+  const auto &Regions = this->Board.Config.Entry->Regions;
+  auto At = Regions.find(Centre);
+  return At == Regions.end() ? RegionId() : At->second;
+}
+
+ColdRateLimiter::IntervalOf
+RelayPolicy::coldIntervalOf(const ServiceSpec &Spec) const {
+  return [this, &Spec](const VmIncarnation &Target) {
+    NodeTable Nodes =
+        this->Board.Nodes.read([](const NodeTable &Rows) { return Rows; });
+    return coldSendInterval(Nodes, this->Board.Config.Node, Target,
+                            Spec.ColdRate);
+  };
+}
+
+void RelayPolicy::avoidForbidden(const RelayRequest &Request,
+                                 const ServiceSpec &Spec,
+                                 const std::vector<ServingTarget> &Targets,
+                                 TimePoint Now, std::vector<VmId> &Avoid) {
+  bool IsBound = isRegional(*Request.Route, Request.Owner);
+  for (const ServingTarget &Candidate : Targets) {
+    bool MayRun =
+        !IsBound || mayRunIn(*Request.Route, Request.Owner,
+                             this->regionOf(Candidate.Target->DataCentre));
+    bool TakesRequest =
+        Now >= Candidate.ColdUntil ||
+        this->Board.ColdRates.write([&](ColdRateLimiter &Limits) {
+          return Limits.allows(Candidate.Target->incarnation(),
+                               this->coldIntervalOf(Spec), Now);
+        });
+    if (!MayRun || !TakesRequest)
+      Avoid.push_back(Candidate.Target->Id);
+  }
+}
+
+std::optional<SelectedTarget> RelayPolicy::select(const RelayRequest &Request,
+                                                  const RelayProgress &Progress,
+                                                  TimePoint Now) {
   // Read before the view, so that the age is never understated.
   TimePoint ProvenAt = this->Board.RegistryProvenAt.get();
   ServingViewRef View =
@@ -105,6 +160,8 @@
   Query.Here = this->Board.Config.DataCentre;
   Query.AnyDataCentre = this->mayLeaveDataCentre(Request, Query.Model);
   Query.Avoid = Progress.Tried;
+  if (Spec)
+    this->avoidForbidden(Request, *Spec, Targets->second, Now, Query.Avoid);
   Query.Now = Now;
   Query.RegistryStale = RegistryStale;
   Query.Random = mixHash(Request.Random, Progress.Tried.size());
@@ -144,7 +201,7 @@
   ++After.MayHaveRun;
   if (!Request.Route->mayRepeat() || !mayRetry(Request, After))
     return false;
-  std::optional<SelectedTarget> Other = this->choose(Request, After, Now);
+  std::optional<SelectedTarget> Other = this->select(Request, After, Now);
   return Other && this->hasRetryLeft(Request.Service, Now) &&
          this->Board.TargetStats.read([&](const TargetStatsTable &Stats) {
            return !Stats.isSuspect(Other->To.Target->incarnation(), Now);
--- a/src/entry/relay_policy.h
+++ b/src/entry/relay_policy.h
@@ -30,7 +30,8 @@
   /// are recognized.
   void recordOutcome(const RelayRequest &Request, const RelayAttempt &Attempt,
                      AttemptOutcome End, TimePoint Now);
-  /// The best target that the request has not been sent to yet.
+  /// The best target that the request has not been sent to yet. If it is cold,
+  /// counts the request against its limit.
   std::optional<SelectedTarget> choose(const RelayRequest &Request,
                                        const RelayProgress &Progress,
                                        TimePoint Now);
@@ -46,6 +47,18 @@
   bool takeRetry(const ServiceId &Service, TimePoint Now);
 
 private:
+  /// As choose(), without counting the request.
+  std::optional<SelectedTarget> select(const RelayRequest &Request,
+                                       const RelayProgress &Progress,
+                                       TimePoint Now);
+  /// Adds to \p Avoid the targets that the request must not be sent to now:
+  /// those in a region that it must not leave for, and cold ones that take no
+  /// request of this node.
+  void avoidForbidden(const RelayRequest &Request, const ServiceSpec &Spec,
+                      const std::vector<ServingTarget> &Targets, TimePoint Now,
+                      std::vector<VmId> &Avoid);
+  RegionId regionOf(const DataCentreId &Centre) const;
+  ColdRateLimiter::IntervalOf coldIntervalOf(const ServiceSpec &Spec) const;
   /// Whether this request may go to another data centre because the local
   /// targets are busier. It depends on the request's random bits.
   bool mayLeaveDataCentre(const RelayRequest &Request,
--- a/src/entry/response_forwarder.h
+++ b/src/entry/response_forwarder.h
@@ -67,6 +67,8 @@
   /// its registry entry ends this early (RegistryFollower).
   static constexpr Millis WrongTargetDuration{3600};
   static constexpr std::size_t MaxHeadBytes = 64 << 10;
+  /// Targets end a response that stays unread for some seconds.
+  static constexpr Millis UnreadDuration{1000};
   /// Late responses to earlier requests that are skipped on a connection.
   static constexpr unsigned MaxSkipped = 3;
 
@@ -147,7 +149,7 @@
         });
       // LastEvent already includes these events, so they are sent even if the
       // next one is out of order.
-      if (!forwardEvents(Ex, Head, Ready))
+      if (!this->forwardEvents(Ex, Attempt, Head, Ready))
         return AttemptOutcome::CallerGone;
       if (!InOrder) {
         Attempt.Reason = "an event is out of order";
@@ -161,10 +163,24 @@
       }
       if (std::optional<AttemptOutcome> End =
               this->Waiter.waitForBody(Ex, Attempt, Body))
-        return *End;
+        return endUnread(Ex, Attempt, *End);
     }
   }
 
+  /// Returns how an attempt ends whose stream ended with \p End. If the caller
+  /// held it up for long, the target ended it for that reason, and another
+  /// attempt would not fare better.
+  static AttemptOutcome endUnread(const RelayExchange &Ex,
+                                  RelayAttempt &Attempt, AttemptOutcome End) {
+    if (!Attempt.ConnectionLost || Attempt.HeldUpFor < UnreadDuration)
+      return End;
+    Attempt.ConnectionLost = false;
+    Attempt.Reason = "the caller did not read for " +
+                     std::to_string(Attempt.HeldUpFor.count()) + " ms";
+    Ex.Response.abort();
+    return AttemptOutcome::CallerGone;
+  }
+
   /// Moves the whole events of \p Payload to \p Ready. Returns false if one is
   /// out of order.
   static bool extractEvents(RelayExchange &Ex, std::string &Payload,
@@ -190,10 +206,11 @@
   }
 
   /// Sends events to the caller, after the head if they are the first. Returns
-  /// false if the caller has left.
-  static bool forwardEvents(RelayExchange &Ex,
-                            const Poco::Net::HTTPResponse &Head,
-                            const std::string &Ready) {
+  /// false if the caller has left. While the caller does not read, nothing is
+  /// read from the target either, which is no sign of a stalled target.
+  bool forwardEvents(RelayExchange &Ex, RelayAttempt &Attempt,
+                     const Poco::Net::HTTPResponse &Head,
+                     const std::string &Ready) {
     if (Ready.empty())
       return true;
     if (!Ex.Response.hasStarted()) {
@@ -202,7 +219,22 @@
       if (Ex.Response.beginStream(Out, Ex.writeUntil()) != IoStatus::Ok)
         return false;
     }
-    return Ex.Response.sendChunk(Ready, Ex.writeUntil()) == IoStatus::Ok;
+    const VmIncarnation Target = Attempt.To.Target->incarnation();
+    std::optional<TimePoint> HeldUpSince;
+    IoStatus Status = Ex.Response.sendChunk(Ready, Ex.writeUntil(), [&] {
+      HeldUpSince = SystemClock{}.now();
+      this->Board.TargetStats.write(
+          [&](TargetStatsTable &Stats) { Stats.onHeldUp(Target); });
+    });
+    if (HeldUpSince) {
+      TimePoint Now = SystemClock{}.now();
+      Attempt.HeldUpFor +=
+          std::chrono::duration_cast<Millis>(Now - *HeldUpSince);
+      Attempt.LastByte = Now;
+      this->Board.TargetStats.write(
+          [&](TargetStatsTable &Stats) { Stats.onReleased(Target, Now); });
+    }
+    return Status == IoStatus::Ok;
   }
 
   /// Ends the response after the last event. \p Remainder holds the bytes that
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace waycove {
 
@@ -103,7 +104,9 @@
   }
 }
 
-IoStatus Channel::send(std::string_view Bytes, TimePoint Until) {
+IoStatus Channel::send(std::string_view Bytes, TimePoint Until,
+                       const std::function<void()> &OnFull) {
+  bool Waited = false;
   while (!Bytes.empty()) {
     ssize_t Sent = ::send(this->descriptor(), Bytes.data(), Bytes.size(),
                           MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -115,6 +118,8 @@
       continue;
     if (errno != EAGAIN && errno != EWOULDBLOCK)
       return IoStatus::Broken;
+    if (!std::exchange(Waited, true) && OnFull)
+      OnFull();
     pollfd Descriptor{this->descriptor(), POLLOUT, 0};
     if (pollUntil(&Descriptor, 1, Until) == 0)
       return IoStatus::Timeout;
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -7,6 +7,7 @@
 #include "policy/route.h"
 
 #include <Poco/Net/StreamSocket.h>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -48,8 +49,10 @@
   IoStatus fill(TimePoint Until);
   /// The same without waiting. Timeout if there are no bytes.
   IoStatus fillNow();
-  /// Sends all of \p Bytes.
-  IoStatus send(std::string_view Bytes, TimePoint Until);
+  /// Sends all of \p Bytes. Calls \p OnFull once if it has to wait for the peer
+  /// to read.
+  IoStatus send(std::string_view Bytes, TimePoint Until,
+                const std::function<void()> &OnFull = {});
   /// Whether the peer has closed or reset the connection. Does not wait and
   /// reads nothing.
   bool isClosedByPeer();
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -55,6 +55,20 @@
   return Found != Ranks.end() && Found->second.size() == Model->GroupSize;
 }
 
+/// Until when the target counts as cold. It may have turned cold shortly before
+/// an evacuation of its data centre ended, which it has not announced yet.
+TimePoint coldUntil(const TargetInfo &Target, const ServiceSpec &Spec,
+                    const Fleet &Current, const Evacuations &Evacuated) {
+  if (Spec.ColdRate <= 0)
+    return TimePoint();
+  auto Announced = Current.ColdUntil.find(Target.Id);
+  TimePoint Until =
+      Announced == Current.ColdUntil.end() ? TimePoint() : Announced->second;
+  if (std::optional<TimePoint> Ended = Evacuated.endedAt(Target.DataCentre))
+    Until = std::max(Until, *Ended + Spec.ColdDuration);
+  return Until;
+}
+
 } // namespace
 
 bool TargetInfo::hasStaged(const std::string &Model) const {
@@ -86,21 +100,24 @@
 }
 
 ServingViewRef makeServingView(const RoutingConfig &Config,
-                               const Fleet &Current) {
+                               const Fleet &Current,
+                               const Evacuations &Evacuated) {
   auto View = std::make_shared<ServingView>();
   View->FleetVersion = Current.Version;
   View->Registry = Current.Registry;
   RanksByGroup Ranks = announcedRanks(Current);
   for (const auto &[Id, Target] : Current.Targets) {
     const ServiceSpec *Spec = Config.service(Target->Service);
-    if (!Spec || Target->Draining)
+    if (!Spec || Target->Draining || Evacuated.contains(Target->DataCentre))
       continue;
     bool IsRetained = Current.Retained.contains(Id);
+    TimePoint Cold = coldUntil(*Target, *Spec, Current, Evacuated);
     if (!Spec->hasGroups())
-      View->ByService[Target->Service].push_back({Target, "", IsRetained});
+      View->ByService[Target->Service].push_back(
+          {Target, "", IsRetained, Cold});
     else if (isServingHead(*Target, *Spec->Engine, Ranks))
       View->ByService[Target->Service].push_back(
-          {Target, modelOf(Target->Group->Group.Name), IsRetained});
+          {Target, modelOf(Target->Group->Group.Name), IsRetained, Cold});
   }
   return View;
 }
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "policy/evacuations.h"
 #include "policy/route.h"
 #include "policy/routing.h"
 
@@ -46,6 +47,8 @@
   /// Incremented with each write of this incarnation; the entry with the larger
   /// number is the later one.
   std::uint64_t Sequence = 0;
+  /// How much longer it stayed cold when it wrote this.
+  Millis ColdRemaining{0};
   /// Models whose weights are staged on its host.
   std::vector<std::string> Staged;
   /// Models whose weights the VM has loaded.
@@ -76,6 +79,8 @@
   /// Recently removed targets. A group whose head is among them may still
   /// serve.
   std::map<VmId, RemovedTarget> Removed;
+  /// Until when targets are cold, as they last announced.
+  std::map<VmId, TimePoint> ColdUntil;
   /// Incremented with each change.
   std::uint64_t Version = 0;
   /// Position of the last registry record applied; comparable across nodes.
@@ -103,6 +108,8 @@
   std::string Model;
   /// Its entry is retained; used only where no other target serves.
   bool Retained = false;
+  /// Takes few requests until then.
+  TimePoint ColdUntil{};
 };
 
 /// Targets that requests are routed to, by service. Immutable; rebuilt after
@@ -118,8 +125,10 @@
 
 /// Builds the view. A group serves only if its head is listed as open and every
 /// rank was last announced with the same name and epoch, so a member that moved
-/// to another group takes effect at once.
+/// to another group takes effect at once. Targets in evacuated data centres do
+/// not serve; after an evacuation they count as cold.
 ServingViewRef makeServingView(const RoutingConfig &Config,
-                               const Fleet &Current);
+                               const Fleet &Current,
+                               const Evacuations &Evacuated);
 
 } // namespace waycove
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -57,6 +57,15 @@
   return At == this->Services.end() ? nullptr : &At->second;
 }
 
+bool mayRunIn(const HttpRoute &Route, const KeyOwner *Owner,
+              const RegionId &Region) {
+  auto Allows = [&](const Homes &Regions) {
+    return !Regions || Regions->contains(Region);
+  };
+  return Allows(Route.AllowedRegions) &&
+         (!Owner || Allows(Owner->AllowedRegions));
+}
+
 std::size_t RoutingConfig::routeCount() const {
   std::size_t Count = 0;
   for (const auto &[Host, Routes] : this->ByHost)
@@ -64,6 +73,15 @@
   return Count;
 }
 
+std::size_t RoutingConfig::countRoutes(
+    const std::function<bool(const HttpRoute &)> &Matches) const {
+  std::size_t Count = 0;
+  for (const auto &[Host, Routes] : this->ByHost)
+    Count += static_cast<std::size_t>(
+        std::count_if(Routes.begin(), Routes.end(), Matches));
+  return Count;
+}
+
 const ServiceId &pickBackend(const HttpRoute &Route, std::uint64_t Random) {
   std::uint64_t Sum = 0;
   for (const RouteBackend &Backend : Route.Backends)
--- a/src/policy/routing.h
+++ b/src/policy/routing.h
@@ -6,9 +6,11 @@
 
 #include "base/ids.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -26,6 +28,9 @@
   Stream,
 };
 
+/// Regions in which requests may be processed; unset for all regions.
+using Homes = std::optional<std::set<RegionId>>;
+
 /// One of the services that a route splits its requests between.
 struct RouteBackend {
   ServiceId Service;
@@ -53,6 +58,7 @@
   /// Needs no API key.
   bool Public = false;
   bool Resumable = false;
+  Homes AllowedRegions;
   std::vector<RouteBackend> Backends;
 
   bool mayRepeat() const {
@@ -100,6 +106,11 @@
   ServiceId Id;
   /// Connections that one target accepts from all nodes together.
   unsigned MaxConnections = 1;
+  /// How long a target stays cold after a start during traffic.
+  Millis ColdDuration{0};
+  /// Requests that a cold target takes per second from all nodes together; 0
+  /// for no limit.
+  double ColdRate = 0;
   /// Set if the targets run models.
   std::optional<EngineSpec> Engine;
 
@@ -123,8 +134,18 @@
   WorkspaceId Workspace;
   /// Overrides the priority of the route if set.
   std::optional<unsigned> Priority;
+  Homes AllowedRegions{};
 };
 
+/// Whether a request on \p Route of \p Owner, null for none, may be processed
+/// in \p Region. Both the route's and the owner's regions bind.
+bool mayRunIn(const HttpRoute &Route, const KeyOwner *Owner,
+              const RegionId &Region);
+/// Whether the route or the owner allows only some regions.
+inline bool isRegional(const HttpRoute &Route, const KeyOwner *Owner) {
+  return Route.AllowedRegions || (Owner && Owner->AllowedRegions);
+}
+
 /// One version of the routing configuration, compiled for lookups. Immutable
 /// once built and shared by requests.
 class RoutingConfig {
@@ -143,6 +164,9 @@
   const HttpRoute *find(std::string_view Host, std::string_view Path) const;
   const ServiceSpec *service(const ServiceId &Id) const;
   std::size_t routeCount() const;
+  /// Returns the number of routes for which \p Matches returns true.
+  std::size_t
+  countRoutes(const std::function<bool(const HttpRoute &)> &Matches) const;
 
 private:
   /// By host, longest prefix first.
--- a/src/policy/target_stats.cpp
+++ b/src/policy/target_stats.cpp
@@ -83,6 +83,18 @@
   this->Targets[Target].LastProgress = Now;
 }
 
+void TargetStatsTable::onHeldUp(const VmIncarnation &Target) {
+  TargetStats &Stats = this->Targets[Target];
+  if (Stats.Responding > 0)
+    --Stats.Responding;
+}
+
+void TargetStatsTable::onReleased(const VmIncarnation &Target, TimePoint Now) {
+  TargetStats &Stats = this->Targets[Target];
+  ++Stats.Responding;
+  Stats.LastProgress = Now;
+}
+
 void TargetStatsTable::onEnd(const VmIncarnation &Target, TimePoint SentAt,
                              bool FirstByteSeen, double PromptTokens) {
   TargetStats &Stats = this->Targets[Target];
--- a/src/policy/target_stats.h
+++ b/src/policy/target_stats.h
@@ -58,6 +58,10 @@
   void onFirstByte(const VmIncarnation &Target, TimePoint SentAt,
                    double PromptTokens, TimePoint Now);
   void onProgress(const VmIncarnation &Target, TimePoint Now);
+  /// The caller of a response of the target stopped reading, so that its
+  /// progress says nothing about the target until onReleased().
+  void onHeldUp(const VmIncarnation &Target);
+  void onReleased(const VmIncarnation &Target, TimePoint Now);
   /// Records the end of the request sent at \p SentAt, before its first byte or
   /// after.
   void onEnd(const VmIncarnation &Target, TimePoint SentAt, bool FirstByteSeen,
--- a/tests/unit/config_follower_test.cpp
+++ b/tests/unit/config_follower_test.cpp
@@ -31,6 +31,9 @@
 /// Parses a value that is a version number.
 struct VersionDecoder {
   static constexpr const char *Key = "config";
+  static std::optional<DataCentreId> evacuatedCentre(const std::string &) {
+    return std::nullopt;
+  }
   absl::StatusOr<RoutingConfig> operator()(const std::string &Value) const {
     RoutingConfig Config;
     Config.Version = std::stoull(Value);
--- a/tests/unit/entry_policy_test.cpp
+++ b/tests/unit/entry_policy_test.cpp
@@ -188,7 +188,7 @@
     this->Targets.Targets[Row->Id] = Row;
   }
   std::size_t serving() {
-    ServingViewRef View = makeServingView(this->Config, this->Targets);
+    ServingViewRef View = makeServingView(this->Config, this->Targets, {});
     auto At = View->ByService.find(ServiceId("llm"));
     return At == View->ByService.end() ? 0 : At->second.size();
   }
--- a/tests/unit/store_reader_test.cpp
+++ b/tests/unit/store_reader_test.cpp
@@ -389,6 +389,9 @@
   }
   struct OneVersion {
     static constexpr const char *Key = "a";
+    static std::optional<DataCentreId> evacuatedCentre(const std::string &) {
+      return std::nullopt;
+    }
     absl::StatusOr<RoutingConfig> operator()(const std::string &) const {
       RoutingConfig Config;
       Config.Version = 1;
