Wake up less often at rest

A node at rest made some 150 system calls a second (strace, three local entries): accept loops that poll four times a second, three threads of the readiness server, a plan every 100 ms where nothing is owned, followers woken for each proof, two reads and a socket option for each frame between nodes.

- ConnectionServer accepts without polling, for callers and nodes.
- ReadyServer answers on one thread.
- Nodes that own no domain plan twice a second; a new owner waits a second before it plans, so nothing comes later.
- Followers wake for a proof that is 300 ms newer, or for records.
- A frame comes with one read; the timeout is set when it changes.

--- a/src/board/feed_cache.cpp
+++ b/src/board/feed_cache.cpp
@@ -17,6 +17,7 @@
 }
 
 bool FeedCache::merge(const KeyedPage &Page, TimePoint Now) {
+  bool Notifies = false;
   {
     std::lock_guard Lock(this->Mutex);
     // A page that ends before this node's position proves nothing.
@@ -40,8 +41,12 @@
     this->Versions.mergePage({Page.Next.Era, Page.Versions},
                              Proven ? Page.ProvenAt : Now);
     this->ProvenAt = std::max(this->ProvenAt, Page.ProvenAt);
+    Notifies = Ahead || this->ProvenAt - this->NotifiedProof >= ProofStep;
+    if (Notifies)
+      this->NotifiedProof = this->ProvenAt;
   }
-  this->Changed.notify_all();
+  if (Notifies)
+    this->Changed.notify_all();
   return true;
 }
 
--- a/src/board/feed_cache.h
+++ b/src/board/feed_cache.h
@@ -104,6 +104,9 @@
   void wake();
 
 private:
+  /// Followers are woken for a proof alone if it is this much newer than the
+  /// last one that they were woken for.
+  static constexpr Millis ProofStep{300};
   /// How long tombstones of removed keys are stored.
   static constexpr Millis TombstoneRetention{60000};
 
@@ -131,6 +134,8 @@
   /// Tombstones before this position may have been pruned.
   StorePosition HistoryStart;
   TimePoint ProvenAt;
+  /// The proof that followers were last woken for.
+  TimePoint NotifiedProof;
   TimePoint RetainUntil;
   std::uint64_t WakeCount = 0;
 };
--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -64,8 +64,20 @@
     return this->Board.PartitionShare > 0 ? RenewInterval : IdleRenewInterval;
   }
 
-  /// Plans all owned domains once and sends the resulting orders.
-  void step() {
+  /// Plans all owned domains once and sends the resulting orders; returns the
+  /// pause before the next call.
+  Millis step() {
+    this->plan();
+    return this->Board.PartitionShare > 0 ? PlanInterval : IdlePlanInterval;
+  }
+
+private:
+  static constexpr Millis PlanInterval{100};
+  /// The same for a node that owns no domain. Shorter than the time after which
+  /// a new owner begins to plan.
+  static constexpr Millis IdlePlanInterval{500};
+
+  void plan() {
     TimePoint Now = SystemClock{}.now();
     PartitionAssignment Assignment =
         this->Assigned.read([](const PartitionAssignment &Row) { return Row; });
@@ -92,7 +104,6 @@
     }
   }
 
-private:
   /// Low bits of an epoch that hold the counter below the fence.
   static constexpr unsigned EpochCounterBits = 20;
   /// Upper bound on the epochs that an earlier incarnation of this process used
@@ -109,7 +120,7 @@
   /// announcements, within this time.
   static constexpr Millis StartSpread{700};
   /// Poll interval until the directory lists this node.
-  static constexpr Millis UnlistedPollInterval{50};
+  static constexpr Millis UnlistedPollInterval{200};
   /// A leaving VM serves until the drain bound ends. This part of it is
   /// reserved for learning that the VM leaves and for closing its group.
   static constexpr Millis DrainMargin{700};
--- a/src/control/news_server.cpp
+++ b/src/control/news_server.cpp
@@ -4,8 +4,6 @@
 
 #include "control/news_server.h"
 
-#include <Poco/Net/TCPServerConnectionFactory.h>
-
 namespace waycove {
 
 namespace {
@@ -13,11 +11,6 @@
 /// A connection without a request for this long is closed.
 constexpr Millis IdleTimeout(5000);
 constexpr int MaxConnections = 256;
-/// Connections that wait to be accepted: all nodes may start at once.
-constexpr int Backlog = 1024;
-/// Small, since each connected node needs a thread.
-constexpr int StackBytes = 256 << 10;
-constexpr int IdleThreadSeconds = 5;
 
 /// What the requesting node knows of a feed's versions; empty in the store's
 /// first era.
@@ -26,34 +19,19 @@
                                         : EraMarks();
 }
 
-class NewsConnection : public Poco::Net::TCPServerConnection {
-public:
-  NewsConnection(const Poco::Net::StreamSocket &Socket, NewsServer &Owner)
-      : TCPServerConnection(Socket), Owner(Owner) {}
-  void run() override { this->Owner.serve(this->socket()); }
-
-private:
-  NewsServer &Owner;
-};
-
-class NewsConnections : public Poco::Net::TCPServerConnectionFactory {
-public:
-  explicit NewsConnections(NewsServer &Owner) : Owner(Owner) {}
-  Poco::Net::TCPServerConnection *
-  createConnection(const Poco::Net::StreamSocket &Socket) override {
-    return new NewsConnection(Socket, this->Owner);
-  }
-
-private:
-  NewsServer &Owner;
-};
-
 } // namespace
 
-NewsServer::~NewsServer() {
-  if (this->Server)
-    this->Server->stop();
-}
+NewsServer::NewsServer(EntryBoard &Board, SharedObservations &Observations)
+    : Board(Board), Observations(Observations), Seed(Board),
+      Connections(
+          "nodes", MaxConnections,
+          [this](const Poco::Net::StreamSocket &Socket) {
+            this->serve(Socket);
+          },
+          [this](const std::string &Reason) {
+            this->Board.Log.emit(EventCode::NewsRefused, "connection",
+                                 LogFields().add("reason", Reason));
+          }) {}
 
 /// Changes after \p From, as far as others may rely on this node for them.
 std::unique_ptr<wire::FeedNewsT>
@@ -117,19 +95,7 @@
 }
 
 void NewsServer::start() {
-  const Endpoint &Listen = this->Board.Config.PeerListen;
-  Poco::Net::ServerSocket Socket;
-  Socket.bind(Poco::Net::SocketAddress(Listen.Host, Listen.Port), true, false);
-  Socket.listen(Backlog);
-  auto Params =
-      Poco::AutoPtr<Poco::Net::TCPServerParams>(new Poco::Net::TCPServerParams);
-  Params->setMaxThreads(MaxConnections);
-  Params->setMaxQueued(Backlog);
-  static Poco::ThreadPool Pool("news", 1, MaxConnections, IdleThreadSeconds,
-                               StackBytes);
-  this->Server = std::make_unique<Poco::Net::TCPServer>(
-      new NewsConnections(*this), Pool, Socket, Params);
-  this->Server->start();
+  this->Connections.start(this->Board.Config.PeerListen);
 }
 
 } // namespace waycove
--- a/src/control/news_server.h
+++ b/src/control/news_server.h
@@ -4,12 +4,12 @@
 
 #pragma once
 
+#include "base/connection_server.h"
 #include "control/shared_observations.h"
 #include "control/start_guide.h"
 #include "wire/frame.h"
 #include "wire/news_frames.h"
 
-#include <Poco/Net/TCPServer.h>
 #include <array>
 #include <limits>
 #include <memory>
@@ -25,9 +25,7 @@
 /// (EntryBoard::canServeFeed).
 class NewsServer {
 public:
-  NewsServer(EntryBoard &Board, SharedObservations &Observations)
-      : Board(Board), Observations(Observations), Seed(Board) {}
-  ~NewsServer();
+  NewsServer(EntryBoard &Board, SharedObservations &Observations);
   NewsServer(const NewsServer &) = delete;
   NewsServer &operator=(const NewsServer &) = delete;
 
@@ -52,7 +50,7 @@
   std::mutex Mutex;
   /// By FeedKind; guarded by Mutex.
   std::array<FeedPacker, static_cast<std::size_t>(FeedKind::Count)> Packers;
-  std::unique_ptr<Poco::Net::TCPServer> Server;
+  ConnectionServer Connections;
 };
 
 } // namespace waycove
--- a/src/entry/caller_server.h
+++ b/src/entry/caller_server.h
@@ -4,15 +4,11 @@
 
 #pragma once
 
+#include "base/connection_server.h"
 #include "entry/relay.h"
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Runnable.h>
-#include <Poco/ThreadPool.h>
-#include <memory>
 #include <mutex>
 #include <set>
-#include <thread>
 
 namespace waycove {
 
@@ -23,18 +19,18 @@
 public:
   CallerServer(EntryBoard &Board, Relay<Protocol> &RequestRelay)
       : Board(Board), RequestRelay(RequestRelay),
-        Threads("callers", 1, static_cast<int>(Board.Config.MaxStreams),
-                IdleThreadSeconds, StackBytes) {}
+        Connections(
+            "callers", static_cast<int>(Board.Config.MaxStreams),
+            [this](const Poco::Net::StreamSocket &Socket) {
+              this->serveAll(Channel(Socket));
+            },
+            [this](const std::string &Reason) {
+              this->Board.Log.emit(EventCode::RequestCut, "connection",
+                                   LogFields().add("reason", Reason));
+            }) {}
 
   /// Starts listening. Throws Poco::Exception if the address is in use.
-  void start() {
-    const Endpoint &Address = this->Board.Config.Http;
-    this->Listener.bind(Poco::Net::SocketAddress(Address.Host, Address.Port),
-                        true, false);
-    this->Listener.listen(Backlog);
-    this->Acceptor = std::jthread(
-        [this](const std::stop_token &Stop) { this->acceptAll(Stop); });
-  }
+  void start() { this->Connections.start(this->Board.Config.Http); }
 
   /// Closes connections without a request in progress, so that callers open
   /// their next one at another node. Skips those with unread bytes.
@@ -46,61 +42,9 @@
   }
 
 private:
-  /// After this time a thread without a connection ends.
-  static constexpr int IdleThreadSeconds = 5;
-  /// Small, since each open connection holds a thread.
-  static constexpr int StackBytes = 256 << 10;
-  /// Connections waiting to be accepted.
-  static constexpr int Backlog = 1024;
-  /// Pause after a failed accept.
-  static constexpr Millis AcceptRetryDelay{500};
   /// Timeout for writing an error response to an unreadable request.
   static constexpr Millis ErrorWriteTimeout{1000};
 
-  /// Serves one connection on its thread and deletes itself when done.
-  class Connection : public Poco::Runnable {
-  public:
-    Connection(CallerServer &Owner, const Poco::Net::StreamSocket &Socket)
-        : Owner(Owner), Socket(Socket) {}
-    void run() override {
-      std::unique_ptr<Connection> Self(this);
-      try {
-        this->Owner.serveAll(Channel(this->Socket));
-      } catch (const std::exception &Error) {
-        this->Owner.Board.Log.emit(EventCode::RequestCut, "connection",
-                                   LogFields().add("reason", Error.what()));
-      }
-    }
-
-  private:
-    CallerServer &Owner;
-    Poco::Net::StreamSocket Socket;
-  };
-
-  void acceptAll(const std::stop_token &Stop) {
-    while (!Stop.stop_requested()) {
-      try {
-        this->acceptOne(this->Listener.acceptConnection());
-      } catch (const Poco::Exception &Error) {
-        this->Board.Log.emit(EventCode::RequestCut, "accept",
-                             LogFields().add("reason", Error.displayText()));
-        std::this_thread::sleep_for(AcceptRetryDelay);
-      }
-    }
-  }
-
-  void acceptOne(const Poco::Net::StreamSocket &Socket) {
-    auto Accepted = std::make_unique<Connection>(*this, Socket);
-    try {
-      this->Threads.start(*Accepted);
-      // The connection deletes itself at the end of run().
-      static_cast<void>(Accepted.release());
-    } catch (const Poco::NoThreadAvailableException &) {
-      this->Board.Log.emit(EventCode::RequestCut, "accept",
-                           LogFields().add("reason", "all threads are in use"));
-    }
-  }
-
   void serveAll(Channel Caller) {
     while (this->serveOne(Caller))
       ;
@@ -204,13 +148,11 @@
 
   EntryBoard &Board;
   Relay<Protocol> &RequestRelay;
-  Poco::ThreadPool Threads;
-  Poco::Net::ServerSocket Listener;
   /// Connections that wait for their next request.
   std::mutex IdleMutex;
   std::set<Channel *> Idle;
   const std::uint64_t Seed = hashText(randomId());
-  std::jthread Acceptor;
+  ConnectionServer Connections;
 };
 
 } // namespace waycove
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -85,10 +85,7 @@
     this->loop([this] { return this->Nodes.step(); });
     this->loop([this] { return this->News.step(); });
     this->loop([this] { return this->Domains.renewLease(); });
-    this->loop([this] {
-      this->Domains.step();
-      return PlanInterval;
-    });
+    this->loop([this] { return this->Domains.step(); });
     this->loop([this] {
       this->sweep();
       return SweepInterval;
@@ -130,7 +127,6 @@
   std::uint32_t inFlight() const { return this->Board.InFlight; }
 
 private:
-  static constexpr Millis PlanInterval{100};
   static constexpr Millis SweepInterval{1000};
   /// Store calls are logged once in this many sweeps.
   static constexpr unsigned SweepsPerCallLog = 5;
--- a/src/entry/ready_server.cpp
+++ b/src/entry/ready_server.cpp
@@ -4,63 +4,69 @@
 
 #include "entry/ready_server.h"
 
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
+#include "net/framing.h"
 
-namespace waycove {
+#include <sstream>
 
-class ReadyServer::Handler : public Poco::Net::HTTPRequestHandler {
-public:
-  explicit Handler(ReadyServer &Owner) : Owner(Owner) {}
-  void handleRequest(Poco::Net::HTTPServerRequest &Request,
-                     Poco::Net::HTTPServerResponse &Response) override {
-    if (Request.getURI() == this->Owner.Path) {
-      if (!this->Owner.IsReady())
-        Response.setStatusAndReason(
-            Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
-      Response.setContentLength(0);
-      Response.send();
-    } else if (Request.getURI() == "/metrics") {
-      std::string Text = this->Owner.Counters.text();
-      Response.setContentType("text/plain; version=0.0.4");
-      Response.sendBuffer(Text.data(), Text.size());
-    } else {
-      Response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_NOT_FOUND);
-      Response.setContentLength(0);
-      Response.send();
-    }
-  }
+namespace waycove {
 
-private:
-  ReadyServer &Owner;
-};
+void ReadyServer::start(const Endpoint &Address) {
+  this->Listener.bind(Poco::Net::SocketAddress(Address.Host, Address.Port),
+                      true, false);
+  this->Listener.listen(Backlog);
+  this->Server = std::jthread(
+      [this](const std::stop_token &Stop) { this->serveAll(Stop); });
+}
 
-class ReadyServer::HandlerFactory
-    : public Poco::Net::HTTPRequestHandlerFactory {
-public:
-  explicit HandlerFactory(ReadyServer &Owner) : Owner(Owner) {}
-  Poco::Net::HTTPRequestHandler *
-  createRequestHandler(const Poco::Net::HTTPServerRequest &) override {
-    return new Handler(this->Owner);
+void ReadyServer::serveAll(const std::stop_token &Stop) {
+  while (!Stop.stop_requested()) {
+    try {
+      this->serveOne(Channel(this->Listener.acceptConnection()));
+    } catch (const Poco::Exception &) {
+      // No descriptor is free, or the connection was reset at once. The load
+      // balancer sees that no answer comes.
+      std::this_thread::sleep_for(AcceptRetryDelay);
+    }
   }
+}
 
-private:
-  ReadyServer &Owner;
-};
+void ReadyServer::serveOne(Channel Caller) {
+  TimePoint Until = BootClock::now() + ConnectionTimeout;
+  std::string &Buffer = Caller.buffer();
+  std::optional<std::size_t> Length;
+  while (!(Length = headLength(Buffer)))
+    if (Buffer.size() > MaxHeadBytes || Caller.fill(Until) != IoStatus::Ok)
+      return;
+  auto Head = parseRequestHead(std::string_view(Buffer).substr(0, *Length));
+  if (!Head)
+    return this->respond(Caller, Poco::Net::HTTPResponse::HTTP_BAD_REQUEST, "",
+                         "", Until);
+  if (Head->getURI() == this->Path)
+    return this->respond(
+        Caller,
+        this->IsReady() ? Poco::Net::HTTPResponse::HTTP_OK
+                        : Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+        "", "", Until);
+  if (Head->getURI() == "/metrics")
+    return this->respond(Caller, Poco::Net::HTTPResponse::HTTP_OK,
+                         this->Counters.text(), "text/plain; version=0.0.4",
+                         Until);
+  this->respond(Caller, Poco::Net::HTTPResponse::HTTP_NOT_FOUND, "", "", Until);
+}
 
-void ReadyServer::start(const Endpoint &Address) {
-  Poco::Net::ServerSocket Socket;
-  Socket.bind(Poco::Net::SocketAddress(Address.Host, Address.Port), true,
-              false);
-  Socket.listen(Backlog);
-  auto Params = Poco::AutoPtr<Poco::Net::HTTPServerParams>(
-      new Poco::Net::HTTPServerParams);
-  Params->setMaxThreads(MaxThreads);
-  this->Server = std::make_unique<Poco::Net::HTTPServer>(
-      new HandlerFactory(*this), this->Threads, Socket, Params);
-  this->Server->start();
+void ReadyServer::respond(Channel &Caller, int Status, const std::string &Body,
+                          const std::string &ContentType, TimePoint Until) {
+  Poco::Net::HTTPResponse Head(
+      static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
+  Head.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+  Head.setContentLength64(static_cast<Poco::Int64>(Body.size()));
+  if (!ContentType.empty())
+    Head.setContentType(ContentType);
+  Head.set("Connection", "close");
+  std::ostringstream Out;
+  Head.write(Out);
+  // A caller that has left needs no answer.
+  static_cast<void>(Caller.send(Out.str() + Body, Until));
 }
 
 } // namespace waycove
--- a/src/main/waycoved.cpp
+++ b/src/main/waycoved.cpp
@@ -112,8 +112,11 @@
 /// Runs an entry on the platform until a planned stop ends.
 int runEntry(const Settings &Config, const sigset_t &Signals) {
   EntryDaemon<platform::Platform> Process(Config);
-  if (!startDaemon(Process))
-    return ExitBadInput;
+  // Servers that have started do not end before the process.
+  if (!startDaemon(Process)) {
+    stopLogging();
+    std::_Exit(ExitBadInput);
+  }
   int Signal = 0;
   while (sigwait(&Signals, &Signal) == 0 && Signal == SIGHUP)
     reloadSettings(Process.log());
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -8,13 +8,17 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
-#include <array>
+#include <algorithm>
+#include <utility>
 
 namespace waycove {
 
 namespace {
 
 constexpr std::size_t LengthBytes = 4;
+/// Bytes that a read asks for; a usual frame and its length come with one.
+constexpr std::size_t ReadBytes = 4096;
+constexpr std::size_t MaxKeptBytes = 64 << 10;
 constexpr Millis SendTimeout(3000);
 
 Poco::Timespan spanOf(Millis Duration) { return {Duration.count() * 1000}; }
@@ -83,34 +87,40 @@
   }
 }
 
-bool FrameSocket::readAll(char *Out, std::size_t Count) {
-  std::size_t Got = 0;
-  while (Got < Count) {
-    int Read =
-        this->Socket.receiveBytes(Out + Got, static_cast<int>(Count - Got));
+bool FrameSocket::fill(std::size_t Count) {
+  while (this->Buffer.size() < Count) {
+    std::size_t Had = this->Buffer.size();
+    this->Buffer.resize(std::max(Count, Had + ReadBytes));
+    int Read = this->Socket.receiveBytes(
+        this->Buffer.data() + Had, static_cast<int>(this->Buffer.size() - Had));
+    this->Buffer.resize(Had + static_cast<std::size_t>(std::max(Read, 0)));
     if (Read <= 0)
       return false;
-    Got += static_cast<std::size_t>(Read);
+    this->Counters.add(Counter::PeerBytesIn, static_cast<std::size_t>(Read));
   }
-  this->Counters.add(Counter::PeerBytesIn, Count);
   return true;
 }
 
 absl::StatusOr<wire::FrameT> FrameSocket::receive(Millis Timeout) {
   try {
-    this->Socket.setReceiveTimeout(spanOf(Timeout));
-    std::array<char, LengthBytes> Head{};
-    if (!this->readAll(Head.data(), Head.size()))
+    if (std::exchange(this->ReceiveTimeout, Timeout) != Timeout)
+      this->Socket.setReceiveTimeout(spanOf(Timeout));
+    if (!this->fill(LengthBytes))
       return makeError(ErrorKind::OutcomeUnknown, "the peer closed");
     std::uint32_t Size = 0;
     for (std::size_t I = 0; I < LengthBytes; ++I)
-      Size |= static_cast<std::uint32_t>(static_cast<unsigned char>(Head[I]))
+      Size |= static_cast<std::uint32_t>(
+                  static_cast<unsigned char>(this->Buffer[I]))
               << (8 * I);
     if (Size > MaxFrameBytes)
       return makeError(ErrorKind::BadRequest, "frame too large");
-    std::string Bytes(Size, '\0');
-    if (!this->readAll(Bytes.data(), Size))
+    if (!this->fill(LengthBytes + Size))
       return makeError(ErrorKind::OutcomeUnknown, "the peer closed");
+    std::string Bytes = this->Buffer.substr(LengthBytes, Size);
+    this->Buffer.erase(0, LengthBytes + Size);
+    // Large frames are rare, and each connection has a buffer.
+    if (this->Buffer.empty() && this->Buffer.capacity() > MaxKeptBytes)
+      this->Buffer = std::string();
     return unpackFrame(Bytes);
   } catch (const Poco::Exception &Error) {
     return makeError(ErrorKind::OutcomeUnknown, Error.displayText());
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -42,9 +42,14 @@
   void shutdown();
 
 private:
-  bool readAll(char *Out, std::size_t Count);
+  /// Reads until the buffer holds \p Count bytes; false if the peer closed.
+  bool fill(std::size_t Count);
 
   Poco::Net::StreamSocket Socket;
+  /// Bytes received after the last frame.
+  std::string Buffer;
+  /// Timeout that the socket has.
+  Millis ReceiveTimeout{-1};
   Metrics &Counters;
   std::mutex SendMutex;
 };
