--- a/src/base/connection_server.cpp
+++ b/src/base/connection_server.cpp
@@ -37,8 +37,7 @@
   this->Listener.bind(Poco::Net::SocketAddress(Address.Host, Address.Port),
                       true, false);
   this->Listener.listen(Backlog);
-  this->Acceptor = std::thread([this] { this->acceptAll(); });
-  this->Acceptor.detach();
+  std::thread([this] { this->acceptAll(); }).detach();
 }
 
 void ConnectionServer::acceptAll() {
--- a/src/base/connection_server.h
+++ b/src/base/connection_server.h
@@ -49,7 +49,6 @@
   const ErrorHandler OnError;
   Poco::ThreadPool Threads;
   Poco::Net::ServerSocket Listener;
-  std::thread Acceptor;
 };
 
 } // namespace waycove
--- a/src/entry/ready_server.cpp
+++ b/src/entry/ready_server.cpp
@@ -14,12 +14,11 @@
   this->Listener.bind(Poco::Net::SocketAddress(Address.Host, Address.Port),
                       true, false);
   this->Listener.listen(Backlog);
-  this->Server = std::jthread(
-      [this](const std::stop_token &Stop) { this->serveAll(Stop); });
+  std::thread([this] { this->serveAll(); }).detach();
 }
 
-void ReadyServer::serveAll(const std::stop_token &Stop) {
-  while (!Stop.stop_requested()) {
+void ReadyServer::serveAll() {
+  while (true) {
     try {
       this->serveOne(Channel(this->Listener.acceptConnection()));
     } catch (const Poco::Exception &) {
--- a/src/entry/ready_server.h
+++ b/src/entry/ready_server.h
@@ -21,6 +21,7 @@
 /// the load balancer. One thread answers one connection after the other, each
 /// of which may take a short time only. POCO's server is not used: it needs
 /// three threads and wakes up four times a second.
+/// Runs until the process ends.
 class ReadyServer {
 public:
   /// \p IsReady is called on the server's own thread.
@@ -41,7 +42,7 @@
   static constexpr Millis AcceptRetryDelay{500};
   static constexpr std::size_t MaxHeadBytes = 16 << 10;
 
-  void serveAll(const std::stop_token &Stop);
+  void serveAll();
   void serveOne(Channel Caller);
   void respond(Channel &Caller, int Status, const std::string &Body,
                const std::string &ContentType, TimePoint Until);
@@ -50,7 +51,6 @@
   const std::function<bool()> IsReady;
   const Metrics &Counters;
   Poco::Net::ServerSocket Listener;
-  std::jthread Server;
 };
 
 } // namespace waycove
--- a/tests/unit/entry_policy_test.cpp
+++ b/tests/unit/entry_policy_test.cpp
@@ -219,6 +219,24 @@
   CHECK(this->serving() == 0);
 }
 
+// Guards against a target that is avoided by all because a caller does not read
+// its stream.
+TEST_CASE("target stats: a caller holds up its stream: the target counts as "
+          "stalled only once the caller reads again",
+          "[unit]") {
+  TargetStatsTable Stats;
+  VmIncarnation Target{VmId("t"), {}};
+  Stats.onStart(Target, 0, at(0));
+  Stats.onFirstByte(Target, at(0), 0, at(10));
+  Stats.onHeldUp(Target);
+  CHECK_FALSE(Stats.isSuspect(Target, at(5000)));
+  Stats.onReleased(Target, at(5000));
+  CHECK_FALSE(Stats.isSuspect(Target, at(5100)));
+  CHECK(Stats.isSuspect(Target, at(6000)));
+  Stats.onEnd(Target, at(0), true, 0);
+  CHECK_FALSE(Stats.isSuspect(Target, at(7000)));
+}
+
 TEST_CASE("choice: an entry is missing, the target kept: only where none is "
           "listed",
           "[unit]") {
