Go on asking the node that told everything at the start

A node that has been told all feeds has not applied the directory yet, so it knows no node before it and reads the store itself (reader_lost right after the start). Ruled out: seeds that name too few, since each node got its feeds from one. Now it goes on asking the node that told it, for 6 s; proofs never grow younger, so two nodes cannot confirm each other's old state.

Also: the seed's side of a start has a file of its own.

--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -24,6 +24,8 @@
 /// Interval while a node that has just started knows nothing.
 constexpr Millis BootstrapRoundInterval(50);
 constexpr Millis MaxBootstrapInterval(400);
+/// By then all nodes that started at once know the feeds.
+constexpr Millis StartSourceDuration(6000);
 /// How long a new upstream node is looked for before the store is read.
 constexpr Millis UpstreamSearchTimeout(900);
 /// Part of a feed's bound after which a node whose reads fail queries peers;
@@ -46,7 +48,7 @@
     return this->bootstrap(Nodes, Now);
   std::vector<NodeInfo> Before =
       this->Route.nextCandidates(Nodes, this->Board.nodeInfo(), Now);
-  if (!this->queryUntilCurrent(Before)) {
+  if (!this->queryUntilCurrent(Before) && !this->queryStartSource(Now)) {
     if (Before.empty() || !this->awaitsNewUpstream(SystemClock{}.now()))
       this->readStoreDirectly("no upstream node has current data");
     this->queryPeers(Nodes, SystemClock{}.now());
@@ -120,10 +122,21 @@
     return false;
   this->applyNews(*News, Source.Node, SentAt);
   this->LastUpdateAt = SystemClock{}.now();
+  this->StartSource = Source;
+  this->StartedAt = this->LastUpdateAt;
   this->Board.HasUpstream = true;
   return true;
 }
 
+/// Queries the node that sent all feeds at the start. When all nodes start at
+/// once, those before this one in order may get them later than it does. The
+/// source may come after this node in order, but proofs never grow younger on
+/// their way, so two nodes cannot confirm each other's old state for long.
+bool NewsExchange::queryStartSource(TimePoint Now) {
+  return this->StartSource && Now - this->StartedAt < StartSourceDuration &&
+         this->queryUpstream(*this->StartSource);
+}
+
 /// Queries \p Candidates one after the other until one has current data.
 bool NewsExchange::queryUntilCurrent(const std::vector<NodeInfo> &Candidates) {
   return std::any_of(
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -42,6 +42,7 @@
   Millis bootstrap(const NodeTable &Nodes, TimePoint Now);
   std::vector<NodeInfo> bootstrapSources(const NodeTable &Nodes, TimePoint Now);
   bool bootstrapFrom(const NodeInfo &Source);
+  bool queryStartSource(TimePoint Now);
   bool queryUntilCurrent(const std::vector<NodeInfo> &Candidates);
   bool awaitsNewUpstream(TimePoint Now) const;
   bool queryUpstream(const NodeInfo &Source);
@@ -65,6 +66,9 @@
   TimePoint LastUpdateAt;
   /// How the last query of an upstream node failed.
   std::string LastFailure;
+  /// The node that sent all feeds at the start, and when.
+  std::optional<NodeInfo> StartSource;
+  TimePoint StartedAt;
   /// The upstream node; empty if there is none.
   NodeId Upstream;
   /// Index of the next peer to query out of order.
--- a/src/control/news_server.h
+++ b/src/control/news_server.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "base/connection_server.h"
+#include "control/seed_service.h"
 #include "control/shared_observations.h"
-#include "control/start_guide.h"
 #include "wire/frame.h"
 #include "wire/news_frames.h"
 
--- a/src/control/start_guide.h
+++ b/src/control/start_guide.h
@@ -4,37 +4,15 @@
 
 #pragma once
 
-#include "board/entry_board.h"
 #include "control/keyed_feed.h"
 #include "control/news_links.h"
+#include "control/seed_service.h"
 
 #include <functional>
 #include <set>
 
 namespace waycove {
 
-/// Answers nodes that start, as one of the seeds.
-class SeedService {
-public:
-  explicit SeedService(EntryBoard &Board) : Board(Board) {}
-
-  /// Records that the node joins and tells it where to get the feeds.
-  wire::JoinAnswerT respond(const wire::JoinT &Request);
-  JoinAnswer answer(const NodeInfo &Who, const std::string &Announcement,
-                    const std::vector<NodeId> &Failed, TimePoint Now);
-
-private:
-  /// All nodes of a system that starts for the first time have asked a seed
-  /// after this time.
-  static constexpr Millis StartSpread{500};
-  /// A seed that cannot read the directory answers by the nodes that joined.
-  static constexpr Millis DirectoryTimeout{2000};
-
-  bool isComplete(TimePoint Now) const;
-
-  EntryBoard &Board;
-};
-
 /// Guides a node from its start until it knows all feeds:
 ///
 /// 1. It asks a seed, which announces it to the directory together with other
--- a/tests/failure/seeds_test.cpp
+++ b/tests/failure/seeds_test.cpp
@@ -82,6 +82,14 @@
   CHECK(this->count("wholes", "keyed.servers") <= 4);
   CHECK(this->count("wholes", "keyed.waycove.nodes") <= 6);
   CHECK(this->count("appends", "keyed.waycove.nodes") <= 6);
+  // A node that has just been told everything must not read the store itself
+  // because it has not applied the directory yet.
+  int Alone = 0;
+  for (int I = 1; I <= Entries; ++I)
+    if (this->Run.logOf(nodeName(I)).find("\"reader_lost\"") !=
+        std::string::npos)
+      ++Alone;
+  CHECK(Alone <= 2);
 }
 
 // Guards against nodes that wait for seeds that are gone.
--- a/tests/unit/start_test.cpp
+++ b/tests/unit/start_test.cpp
@@ -4,7 +4,7 @@
 
 // The start of all nodes of a system at once, in virtual time: what it costs
 // the store, and when the last node knows the feeds.
-#include "control/start_guide.h"
+#include "control/seed_service.h"
 #include "policy/upstream_selector.h"
 #include "support/times.h"
 #include "wire/news_frames.h"
