Pass a server's name by reference

Seen: the checks failed on a parameter that is copied for each server and only read; nothing else differed. After: the checks are clean.

No functional change

--- a/src/base/connection_server.cpp
+++ b/src/base/connection_server.cpp
@@ -28,7 +28,7 @@
   Poco::Net::StreamSocket Socket;
 };
 
-ConnectionServer::ConnectionServer(std::string Name, int MaxConnections,
+ConnectionServer::ConnectionServer(const std::string &Name, int MaxConnections,
                                    Handler Serve, ErrorHandler OnError)
     : Serve(std::move(Serve)), OnError(std::move(OnError)),
       Threads(Name, 1, MaxConnections, IdleThreadSeconds, StackBytes) {}
--- a/src/base/connection_server.h
+++ b/src/base/connection_server.h
@@ -25,7 +25,7 @@
 
   /// \p Serve handles a connection until it ends. \p OnError gets the reason if
   /// a connection is refused or ends with an exception.
-  ConnectionServer(std::string Name, int MaxConnections, Handler Serve,
+  ConnectionServer(const std::string &Name, int MaxConnections, Handler Serve,
                    ErrorHandler OnError);
 
   /// Starts listening. Throws Poco::Exception if the address is in use.
