--- a/src/base/connection_server.h
+++ b/src/base/connection_server.h
@@ -5,50 +5,195 @@
 #pragma once
 
 #include "base/settings.h"
+#include "base/socket_poller.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
+#include <Poco/Runnable.h>
 #include <Poco/ThreadPool.h>
+#include <atomic>
+#include <concepts>
 #include <functional>
+#include <memory>
+#include <set>
 #include <string>
-#include <thread>
 
 namespace waycove {
 
-/// Accepts connections and serves each on a thread of a bounded pool. POCO's
-/// own TCP server is not used: it wakes up four times a second to check whether
-/// it was stopped. Runs until the process ends.
-class ConnectionServer {
+/// A connection of which a server serves one request after the other.
+template <typename C>
+concept ServedConnection = requires(C &Connection) {
+  /// Reads and serves the next request. Returns false if the connection ends.
+  { Connection.serve() } -> std::same_as<bool>;
+  /// Whether bytes of the next request have already been read.
+  { Connection.hasInput() } -> std::same_as<bool>;
+  /// How long to wait for the next request.
+  { Connection.idleTimeout() } -> std::same_as<Millis>;
+};
+
+/// What servers share.
+struct ConnectionResources {
+  SocketPoller &Poller;
+  Poco::ThreadPool &Threads;
+};
+
+/// Accepts connections and serves their requests on threads of a bounded pool.
+/// A connection without a request needs no thread: a SocketPoller waits for
+/// all of them. POCO's own TCP server is not used, since it holds a thread for
+/// each connection. Runs until the process ends. Thread-safe.
+template <ServedConnection Connection> class ConnectionServer {
 public:
-  using Handler = std::function<void(const Poco::Net::StreamSocket &)>;
+  using Opener = std::function<std::unique_ptr<Connection>(
+      const Poco::Net::StreamSocket &)>;
   using ErrorHandler = std::function<void(const std::string &Reason)>;
 
-  /// \p Serve handles a connection until it ends. \p OnError gets the reason if
-  /// a connection is refused or ends with an exception.
-  ConnectionServer(const std::string &Name, int MaxConnections, Handler Serve,
-                   ErrorHandler OnError);
+  /// \p Open makes the connection of a socket. \p OnError gets the reason if
+  /// one is refused or ends with an exception.
+  ConnectionServer(ConnectionResources Shared, std::size_t MaxConnections,
+                   Opener Open, ErrorHandler OnError)
+      : Poller(Shared.Poller), Threads(Shared.Threads),
+        MaxConnections(MaxConnections), Open(std::move(Open)),
+        OnError(std::move(OnError)) {}
 
   /// Starts listening. Throws Poco::Exception if the address is in use.
-  void start(const Endpoint &Address);
+  void start(const Endpoint &Address) {
+    this->Listener.bind(Poco::Net::SocketAddress(Address.Host, Address.Port),
+                        true, false);
+    this->Listener.listen(Backlog);
+    this->awaitConnection();
+  }
+
+  /// Closes connections without a request in progress. Skips those with unread
+  /// bytes.
+  void closeIdle() {
+    std::lock_guard Lock(this->Mutex);
+    std::erase_if(this->Idle, [this](const SessionRef &Candidate) {
+      return this->Poller.cancel(Candidate->Socket);
+    });
+  }
 
 private:
   /// Connections waiting to be accepted; all nodes may start at once.
   static constexpr int Backlog = 1024;
-  /// After this time a thread without a connection ends.
-  static constexpr int IdleThreadSeconds = 5;
-  /// Small, since each open connection holds a thread.
-  static constexpr int StackBytes = 256 << 10;
-  /// Pause after a failed accept.
+  /// Pause after a failed accept, e.g. while no descriptor is free.
   static constexpr Millis AcceptRetryDelay{500};
 
-  class Connection;
-  void acceptAll();
-  void acceptOne(const Poco::Net::StreamSocket &Socket);
+  /// An open connection.
+  struct Session {
+    Session(const Poco::Net::StreamSocket &Socket,
+            std::unique_ptr<Connection> Served, std::atomic<std::size_t> &Count)
+        : Socket(Socket), Served(std::move(Served)), Count(Count) {
+      ++this->Count;
+    }
+    ~Session() { --this->Count; }
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
+
+    Poco::Net::StreamSocket Socket;
+    std::unique_ptr<Connection> Served;
+    std::atomic<std::size_t> &Count;
+  };
+  using SessionRef = std::shared_ptr<Session>;
+
+  /// Serves a session on a thread of the pool and deletes itself when done.
+  class Call : public Poco::Runnable {
+  public:
+    Call(ConnectionServer &Owner, SessionRef Called)
+        : Owner(Owner), Called(std::move(Called)) {}
+    void run() override {
+      std::unique_ptr<Call> Self(this);
+      this->Owner.serve(this->Called);
+    }
+
+  private:
+    ConnectionServer &Owner;
+    SessionRef Called;
+  };
+
+  void awaitConnection() {
+    this->Poller.await(
+        this->Listener, TimePoint::max(),
+        {.OnReadable = [this] { this->accept(); }, .OnExpired = {}});
+  }
+
+  void accept() {
+    try {
+      this->open(this->Listener.acceptConnection());
+      this->awaitConnection();
+    } catch (const Poco::Exception &Error) {
+      this->OnError(Error.displayText());
+      this->Poller.callLater(BootClock::now() + AcceptRetryDelay,
+                             [this] { this->awaitConnection(); });
+    }
+  }
+
+  void open(const Poco::Net::StreamSocket &Socket) {
+    if (this->OpenCount >= this->MaxConnections)
+      return this->OnError("too many connections are open");
+    try {
+      this->rest(std::make_shared<Session>(Socket, this->Open(Socket),
+                                           this->OpenCount));
+    } catch (const Poco::Exception &Error) {
+      // E.g. the peer has reset the connection.
+      this->OnError(Error.displayText());
+    }
+  }
+
+  /// Waits for the next request of a session.
+  void rest(const SessionRef &Resting) {
+    std::lock_guard Lock(this->Mutex);
+    this->Poller.await(
+        Resting->Socket, BootClock::now() + Resting->Served->idleTimeout(),
+        {.OnReadable =
+             [this, Resting] {
+               if (this->endRest(Resting))
+                 this->startServing(Resting);
+             },
+         .OnExpired = [this, Resting] { this->endRest(Resting); }});
+    this->Idle.insert(Resting);
+  }
+
+  /// Returns false if the session was closed meanwhile.
+  bool endRest(const SessionRef &Resting) {
+    std::lock_guard Lock(this->Mutex);
+    return this->Idle.erase(Resting) > 0;
+  }
+
+  void startServing(const SessionRef &Ready) {
+    auto Job = std::make_unique<Call>(*this, Ready);
+    try {
+      this->Threads.start(*Job);
+      // The call deletes itself at the end of run().
+      static_cast<void>(Job.release());
+    } catch (const Poco::Exception &Error) {
+      this->OnError(Error.displayText());
+    }
+  }
+
+  void serve(const SessionRef &Active) {
+    try {
+      do
+        if (!Active->Served->serve())
+          return;
+      while (Active->Served->hasInput());
+      this->rest(Active);
+    } catch (const std::exception &Error) {
+      this->OnError(Error.what());
+    }
+  }
 
-  const Handler Serve;
+  SocketPoller &Poller;
+  Poco::ThreadPool &Threads;
+  const std::size_t MaxConnections;
+  const Opener Open;
   const ErrorHandler OnError;
-  Poco::ThreadPool Threads;
   Poco::Net::ServerSocket Listener;
+  std::atomic<std::size_t> OpenCount{0};
+  /// Guards Idle. Locked before the poller's own mutex.
+  std::mutex Mutex;
+  /// Sessions that wait for their next request.
+  std::set<SessionRef> Idle;
 };
 
 } // namespace waycove
--- /dev/null
+++ b/src/base/socket_poller.cpp
@@ -0,0 +1,94 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "base/socket_poller.h"
+
+#include <thread>
+
+namespace waycove {
+
+void SocketPoller::start() {
+  std::thread([this] { this->run(); }).detach();
+}
+
+void SocketPoller::await(const Poco::Net::Socket &Socket, TimePoint Until,
+                         Callbacks On) {
+  std::lock_guard Lock(this->Mutex);
+  this->Sockets.add(Socket, Poco::Net::PollSet::POLL_READ);
+  this->Waits[Socket] = {Until, std::move(On)};
+}
+
+void SocketPoller::callLater(TimePoint Due, Callback Function) {
+  std::lock_guard Lock(this->Mutex);
+  this->DelayedCalls.push_back({Due, std::move(Function)});
+}
+
+bool SocketPoller::cancel(const Poco::Net::Socket &Socket) {
+  std::lock_guard Lock(this->Mutex);
+  if (!this->Waits.contains(Socket) ||
+      Socket.poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ))
+    return false;
+  this->Sockets.remove(Socket);
+  this->Waits.erase(Socket);
+  return true;
+}
+
+void SocketPoller::run() {
+  const Poco::Timespan Longest(SweepInterval.count() *
+                               Poco::Timespan::MILLISECONDS);
+  TimePoint SweepDue;
+  while (true) {
+    // Returns at once for an empty set.
+    if (this->Sockets.empty())
+      std::this_thread::sleep_for(SweepInterval);
+    for (const auto &[Socket, Mode] : this->Sockets.poll(Longest))
+      this->onReadable(Socket);
+    if (TimePoint Now = BootClock::now(); Now >= SweepDue) {
+      this->sweep(Now);
+      SweepDue = Now + SweepInterval;
+    }
+  }
+}
+
+void SocketPoller::onReadable(const Poco::Net::Socket &Socket) {
+  Callback Function;
+  {
+    std::lock_guard Lock(this->Mutex);
+    auto At = this->Waits.find(Socket);
+    if (At == this->Waits.end())
+      return;
+    Function = std::move(At->second.On.OnReadable);
+    this->Sockets.remove(Socket);
+    this->Waits.erase(At);
+  }
+  Function();
+}
+
+void SocketPoller::sweep(TimePoint Now) {
+  for (const Callback &Function : this->takeDue(Now))
+    Function();
+}
+
+std::vector<SocketPoller::Callback> SocketPoller::takeDue(TimePoint Now) {
+  std::lock_guard Lock(this->Mutex);
+  std::vector<Callback> Due;
+  for (auto At = this->Waits.begin(); At != this->Waits.end();) {
+    if (At->second.Until > Now) {
+      ++At;
+      continue;
+    }
+    Due.push_back(std::move(At->second.On.OnExpired));
+    this->Sockets.remove(At->first);
+    At = this->Waits.erase(At);
+  }
+  std::erase_if(this->DelayedCalls, [&](DelayedCall &Call) {
+    if (Call.Due > Now)
+      return false;
+    Due.push_back(std::move(Call.Function));
+    return true;
+  });
+  return Due;
+}
+
+} // namespace waycove
--- a/src/board/feed_cache.cpp
+++ b/src/board/feed_cache.cpp
@@ -45,8 +45,11 @@
     if (Notifies)
       this->NotifiedProof = this->ProvenAt;
   }
-  if (Notifies)
-    this->Changed.notify_all();
+  if (!Notifies)
+    return true;
+  this->Changed.notify_all();
+  if (this->Listeners.OnChange)
+    this->Listeners.OnChange();
   return true;
 }
 
@@ -186,19 +189,9 @@
   });
 }
 
-void FeedCache::waitForWake(TimePoint Until) {
-  std::unique_lock Lock(this->Mutex);
-  std::uint64_t Previous = this->WakeCount;
-  waitUntil(this->Woken, Lock, Until,
-            [&] { return this->WakeCount != Previous; });
-}
-
-void FeedCache::wake() {
-  {
-    std::lock_guard Lock(this->Mutex);
-    ++this->WakeCount;
-  }
-  this->Woken.notify_all();
+void FeedCache::wake() const {
+  if (this->Listeners.OnWake)
+    this->Listeners.OnWake();
 }
 
 } // namespace waycove
--- a/src/board/feed_cache.h
+++ b/src/board/feed_cache.h
@@ -8,6 +8,7 @@
 
 #include <condition_variable>
 #include <cstddef>
+#include <functional>
 #include <limits>
 #include <map>
 #include <mutex>
@@ -98,10 +99,15 @@
   /// Waits until there are records after \p From, a proof newer than \p Proof,
   /// or \p Until has passed.
   void wait(StorePosition From, TimePoint Proof, TimePoint Until);
-  /// Waits for wake(), at most until \p Until.
-  void waitForWake(TimePoint Until);
+  /// Functions called without a lock: OnChange where wait() would end, OnWake
+  /// by wake(). To be set before the cache is shared.
+  struct Observers {
+    std::function<void()> OnChange;
+    std::function<void()> OnWake;
+  };
+  void observe(Observers Functions) { this->Listeners = std::move(Functions); }
   /// Signals that the source of the feed has changed.
-  void wake();
+  void wake() const;
 
 private:
   /// Followers are woken for a proof alone if it is this much newer than the
@@ -126,7 +132,7 @@
 
   mutable std::mutex Mutex;
   std::condition_variable Changed;
-  std::condition_variable Woken;
+  Observers Listeners;
   std::map<std::string, Entry> Entries;
   bool Known = false;
   StorePosition Next;
@@ -137,7 +143,6 @@
   /// The proof that followers were last woken for.
   TimePoint NotifiedProof;
   TimePoint RetainUntil;
-  std::uint64_t WakeCount = 0;
 };
 
 } // namespace waycove
--- a/src/control/cached_feed.h
+++ b/src/control/cached_feed.h
@@ -15,11 +15,8 @@
 public:
   explicit CachedFeed(FeedCache &Cache) : Cache(Cache) {}
 
-  /// Waits for a first page for up to InitialTimeout. Error NotFound: nothing
-  /// is known yet.
+  /// Does not wait. Error NotFound: nothing is known yet.
   absl::StatusOr<KeyedPage> newest() {
-    this->Cache.wait(StorePosition(), TimePoint(),
-                     SystemClock{}.now() + InitialTimeout);
     if (!this->Cache.next())
       return makeError(ErrorKind::NotFound, "nothing is known yet");
     KeyedPage Page = this->Cache.snapshot();
@@ -36,8 +33,6 @@
   }
 
 private:
-  static constexpr Millis InitialTimeout{1000};
-
   FeedCache &Cache;
   /// Time of the proof that came with the last page.
   TimePoint LastProof;
--- a/src/control/config_follower.h
+++ b/src/control/config_follower.h
@@ -22,24 +22,26 @@
       : Board(Board), Source(Source), Decode(std::move(Decode)),
         Restore(Board.Config.Entry->RevokeBound) {}
 
-  /// Applies what is new; waits for it for up to pollTimeout().
-  void step() {
-    absl::StatusOr<KeyedPage> Page = this->Source.read(this->pollTimeout());
+  /// Applies what is new without waiting; returns the pause before the next
+  /// step, which a change of the feed ends.
+  Millis step() {
+    absl::StatusOr<KeyedPage> Page = this->Source.read(Millis(0));
     if (Page.ok())
       this->applyPage(*Page);
     this->updateProof();
+    return this->checkInterval();
   }
 
 private:
-  /// Poll interval, as a part of the revocation bound, at which the proof is
-  /// checked for expiry.
-  static constexpr double PollPart = 0.1;
+  /// Interval, as a part of the revocation bound, at which the proof is checked
+  /// for expiry.
+  static constexpr double CheckPart = 0.1;
   /// Covers the time from the last check until the target reads the request.
   static constexpr Millis ProofMargin{150};
 
-  Millis pollTimeout() const {
+  Millis checkInterval() const {
     return EntryBoard::fractionOf(this->Board.Config.Entry->RevokeBound,
-                                  PollPart);
+                                  CheckPart);
   }
 
   void applyPage(const KeyedPage &Page) {
--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -26,20 +26,27 @@
       : Board(Board), Partitioner(Partitioner), Prober(Board, Targets),
         Sender(Board, Targets), Budget(Board) {}
 
+  /// Returns the pause while this node neither is needed nor holds a lease, or
+  /// nothing if renewLease() is due.
+  std::optional<Millis> pollLease() {
+    this->Participates =
+        !this->Board.Stopping && this->shouldParticipate(SystemClock{}.now());
+    if (this->Participates || this->Joined)
+      return std::nullopt;
+    return this->Listed ? RenewInterval : UnlistedPollInterval;
+  }
+
   /// Renews the lease, or releases the domains if this node stops or is not
-  /// needed; returns the pause before the next call.
+  /// needed; returns the pause before the next poll.
   Millis renewLease() {
-    if (this->Board.Stopping) {
+    if (!this->Participates) {
       if (this->Joined.exchange(false))
-        this->releaseAll("stopping");
+        this->releaseAll(this->Board.Stopping
+                             ? "stopping"
+                             : "enough other nodes participate");
       return RenewInterval;
     }
     TimePoint SentAt = SystemClock{}.now();
-    if (!this->shouldParticipate(SentAt)) {
-      if (this->Joined.exchange(false))
-        this->releaseAll("enough other nodes participate");
-      return this->Listed ? RenewInterval : UnlistedPollInterval;
-    }
     Millis Duration =
         std::max(LeaseDuration, this->Board.Config.Entry->MinLease);
     this->Board.Counters.Calls.add(StoreUse::Shares, this->joinCause());
@@ -64,11 +71,20 @@
     return this->Board.PartitionShare > 0 ? RenewInterval : IdleRenewInterval;
   }
 
+  /// Returns the pause while this node owns no domain, or nothing if plan() is
+  /// due.
+  std::optional<Millis> pollPlan() {
+    if (this->Board.PartitionShare > 0)
+      return std::nullopt;
+    this->planOwned();
+    return IdlePlanInterval;
+  }
+
   /// Plans all owned domains once and sends the resulting orders; returns the
-  /// pause before the next call.
-  Millis step() {
-    this->plan();
-    return this->Board.PartitionShare > 0 ? PlanInterval : IdlePlanInterval;
+  /// pause before the next poll.
+  Millis plan() {
+    this->planOwned();
+    return PlanInterval;
   }
 
 private:
@@ -77,7 +93,7 @@
   /// a new owner begins to plan.
   static constexpr Millis IdlePlanInterval{500};
 
-  void plan() {
+  void planOwned() {
     TimePoint Now = SystemClock{}.now();
     PartitionAssignment Assignment =
         this->Assigned.read([](const PartitionAssignment &Row) { return Row; });
@@ -324,6 +340,8 @@
   const TimePoint StartTime = SystemClock{}.now();
   PartitionMembership Membership;
   bool Listed = false;
+  /// This node is one of the members, as of the last poll.
+  bool Participates = false;
   Lease OwnLease;
   Table<PartitionAssignment, LockRank::Peers> Assigned;
   std::atomic<bool> Joined{false};
--- a/src/control/news_server.cpp
+++ b/src/control/news_server.cpp
@@ -8,9 +8,7 @@
 
 namespace {
 
-/// A connection without a request for this long is closed.
-constexpr Millis IdleTimeout(5000);
-constexpr int MaxConnections = 256;
+constexpr std::size_t MaxConnections = 256;
 
 /// What the requesting node knows of a feed's versions; empty in the store's
 /// first era.
@@ -21,12 +19,13 @@
 
 } // namespace
 
-NewsServer::NewsServer(EntryBoard &Board, SharedObservations &Observations)
+NewsServer::NewsServer(EntryBoard &Board, SharedObservations &Observations,
+                       ConnectionResources Shared)
     : Board(Board), Observations(Observations), Seed(Board),
       Connections(
-          "nodes", MaxConnections,
+          Shared, MaxConnections,
           [this](const Poco::Net::StreamSocket &Socket) {
-            this->serve(Socket);
+            return std::make_unique<Connection>(*this, Socket);
           },
           [this](const std::string &Reason) {
             this->Board.Log.emit(EventCode::NewsRefused, "connection",
@@ -68,17 +67,12 @@
   return News;
 }
 
-void NewsServer::serve(const Poco::Net::StreamSocket &Socket) {
-  FrameSocket Link(Socket, this->Board.Counters);
-  while (true) {
-    absl::StatusOr<wire::FrameT> Frame = Link.receive(IdleTimeout);
-    // The other node connects again, or to another one.
-    if (!Frame.ok())
-      return;
-    std::optional<wire::FrameT> Response = this->responseTo(*Frame);
-    if (!Response || !Link.send(*Response))
-      return;
-  }
+bool NewsServer::Connection::serve() {
+  absl::StatusOr<wire::FrameT> Frame = this->Link.receive(RequestTimeout);
+  if (!Frame.ok())
+    return false;
+  std::optional<wire::FrameT> Response = this->Owner.responseTo(*Frame);
+  return Response && this->Link.send(*Response);
 }
 
 std::optional<wire::FrameT> NewsServer::responseTo(const wire::FrameT &Frame) {
--- a/src/control/news_server.h
+++ b/src/control/news_server.h
@@ -25,16 +25,35 @@
 /// (EntryBoard::canServeFeed).
 class NewsServer {
 public:
-  NewsServer(EntryBoard &Board, SharedObservations &Observations);
+  NewsServer(EntryBoard &Board, SharedObservations &Observations,
+             ConnectionResources Shared);
   NewsServer(const NewsServer &) = delete;
   NewsServer &operator=(const NewsServer &) = delete;
 
   /// Listens for other nodes; throws Poco::Exception if the port is in use.
   void start();
-  /// Handles the requests of a connection until it ends.
-  void serve(const Poco::Net::StreamSocket &Socket);
 
 private:
+  /// A node's connection; see ServedConnection.
+  class Connection {
+  public:
+    Connection(NewsServer &Owner, const Poco::Net::StreamSocket &Socket)
+        : Owner(Owner), Link(Socket, Owner.Board.Counters) {}
+    /// The other node connects again, or to another one, if this one ends.
+    bool serve();
+    bool hasInput() const { return this->Link.hasInput(); }
+    Millis idleTimeout() const { return IdleTimeout; }
+
+  private:
+    /// A connection without a request for this long is closed.
+    static constexpr Millis IdleTimeout{5000};
+    /// How long the rest of a request may take.
+    static constexpr Millis RequestTimeout{3000};
+
+    NewsServer &Owner;
+    FrameSocket Link;
+  };
+
   /// The frame that responds to a request; nothing for other frames.
   std::optional<wire::FrameT> responseTo(const wire::FrameT &Frame);
   wire::NewsT respond(const wire::NewsWantedT &Request);
@@ -50,7 +69,7 @@
   std::mutex Mutex;
   /// By FeedKind; guarded by Mutex.
   std::array<FeedPacker, static_cast<std::size_t>(FeedKind::Count)> Packers;
-  ConnectionServer Connections;
+  ConnectionServer<Connection> Connections;
 };
 
 } // namespace waycove
--- a/src/control/node_follower.h
+++ b/src/control/node_follower.h
@@ -42,34 +42,38 @@
   NodeFollower(EntryBoard &Board, Feed &Source, Directory &Announcements)
       : Board(Board), Source(Source), Announcements(Announcements) {}
 
-  /// Reads once; returns the pause before the next step.
+  /// Whether the next step calls the store, which may block.
+  bool callsStore() const {
+    if (this->Board.Stopping)
+      return this->Listed;
+    return this->mustAnnounce() || this->mustAnnounceJoined();
+  }
+
+  /// Announces what is due and applies what is new; returns the pause before
+  /// the next step, which a change of the feed ends.
   Millis step() {
     if (this->Board.Stopping)
       return this->leave();
-    // When the whole system starts, no node is listed yet.
-    bool KnowsFirst = this->Read || this->Board.Config.Entry->FirstStart;
-    bool Unlisted = !this->Listed && !this->isAnnouncedBySeed();
-    bool Due = Unlisted || this->hasNewSettledEra() || this->hasNewBlame();
-    if (KnowsFirst && Due && !this->announce())
+    if (this->mustAnnounce() && !this->announce())
       return this->RetryBackoff.next();
-    if (!this->announceJoined())
+    if (this->mustAnnounceJoined() && !this->announceJoined())
       return this->RetryBackoff.next();
     this->RetryBackoff.reset();
-    if (absl::StatusOr<KeyedPage> Page = this->Source.read(this->pollTimeout());
+    if (absl::StatusOr<KeyedPage> Page = this->Source.read(Millis(0));
         Page.ok()) {
       this->apply(*Page);
       this->Read = true;
     }
-    return Millis(0);
+    return this->checkInterval();
   }
 
 private:
   /// Short enough that a planned stop is noticed, which removes the
   /// announcement.
-  static constexpr Millis PollTimeout{1000};
+  static constexpr Millis CheckInterval{1000};
   /// The same at a seed, which announces the nodes that join in this interval
   /// together.
-  static constexpr Millis SeedPollTimeout{200};
+  static constexpr Millis SeedCheckInterval{200};
   /// At the first start of the system, all nodes join within this time.
   static constexpr Millis FirstJoinSpread{500};
   /// Interval of steps while the process stops.
@@ -109,18 +113,29 @@
         [](const JoinTable &Joins) { return Joins.empty(); });
   }
 
-  Millis pollTimeout() const {
-    return this->hasJoined() ? SeedPollTimeout : PollTimeout;
+  Millis checkInterval() const {
+    return this->hasJoined() ? SeedCheckInterval : CheckInterval;
+  }
+
+  bool mustAnnounce() const {
+    // When the whole system starts, no node is listed yet.
+    bool KnowsFirst = this->Read || this->Board.Config.Entry->FirstStart;
+    bool Unlisted = !this->Listed && !this->isAnnouncedBySeed();
+    return KnowsFirst &&
+           (Unlisted || this->hasNewSettledEra() || this->hasNewBlame());
+  }
+
+  bool mustAnnounceJoined() const {
+    bool Collects =
+        this->Board.Config.Entry->FirstStart &&
+        SystemClock{}.now() - this->Board.StartedAt < FirstJoinSpread;
+    return !Collects && this->hasJoined();
   }
 
   /// As a seed, announces the nodes that asked to join, all in one call.
   /// Returns false if that failed.
   bool announceJoined() {
     TimePoint Now = SystemClock{}.now();
-    bool Collects = this->Board.Config.Entry->FirstStart &&
-                    Now - this->Board.StartedAt < FirstJoinSpread;
-    if (Collects || !this->hasJoined())
-      return true;
     NodeTable Known =
         this->Board.Nodes.read([](const NodeTable &Rows) { return Rows; });
     JoinTable::Announcements Rows =
--- a/src/control/registry_follower.h
+++ b/src/control/registry_follower.h
@@ -31,30 +31,35 @@
       : Board(Board), Source(Source), Decode(std::move(Decode)),
         Restored(Board.Config.Entry->TargetHeartbeatInterval) {}
 
-  /// Applies what is new; waits for it for up to PollTimeout.
-  void step() {
-    absl::StatusOr<KeyedPage> Page = this->Source.read(PollTimeout);
-    if (!Page.ok())
-      return;
-    TimePoint Now = SystemClock{}.now();
-    this->updateEra(Page->Next.Era, Now);
-    if (Now >= this->SettledAt)
-      this->Board.RegistryLease.renew(Page->ProvenAt, FreshDuration);
-    this->apply(*Page, Now);
-    this->Board.RegistryProvenAt.raise(Page->ProvenAt);
-    this->updateAge(SystemClock{}.now() - Page->ProvenAt);
+  /// Applies what is new without waiting; returns the pause before the next
+  /// step, which a change of the feed ends.
+  Millis step() {
+    absl::StatusOr<KeyedPage> Page = this->Source.read(Millis(0));
+    if (Page.ok())
+      this->applyPage(*Page);
+    return CheckInterval;
   }
 
 private:
   /// Interval at which retained entries and the age of the registry are checked
   /// when there are no changes.
-  static constexpr Millis PollTimeout{300};
+  static constexpr Millis CheckInterval{300};
   /// Groups are planned only while the last proof is younger than this.
   static constexpr Millis FreshDuration{3000};
   /// How long a removed target is remembered, so that the owner of its group
   /// can query it.
   static constexpr Millis RemovedRetention{30000};
 
+  void applyPage(const KeyedPage &Page) {
+    TimePoint Now = SystemClock{}.now();
+    this->updateEra(Page.Next.Era, Now);
+    if (Now >= this->SettledAt)
+      this->Board.RegistryLease.renew(Page.ProvenAt, FreshDuration);
+    this->apply(Page, Now);
+    this->Board.RegistryProvenAt.raise(Page.ProvenAt);
+    this->updateAge(SystemClock{}.now() - Page.ProvenAt);
+  }
+
   /// Entries of a page by how they are handled.
   struct ParsedPage {
     std::vector<TargetRef> Updated;
--- a/src/control/store_reader.h
+++ b/src/control/store_reader.h
@@ -29,10 +29,11 @@
 /// proof of the configuration; the drain bound limits that of the registry. The
 /// directory has no bound.
 ///
-/// One thread reads regularly (step). A second one (watch) checks the age of
-/// what is known: when it exceeds EntryBoard::maxAge while the call of the
-/// first one hangs, it reads over a new connection instead of waiting until the
-/// old one times out.
+/// One step reads regularly (pollMain, readMain). A second one (pollBackup,
+/// readBackup) checks the age of what is known: when it exceeds
+/// EntryBoard::maxAge while the call of the first one hangs, it reads over a
+/// new connection instead of waiting until the old one times out. The poll
+/// functions do not block, and the read functions do; see StepRunner.
 template <StoreFeed Feed> class StoreReader {
 public:
   /// \p Open opens a connection to the feed at the store.
@@ -40,32 +41,38 @@
       : Board(Board), Cache(Board.feed(Kind)), Kind(Kind), Main(Board, Open),
         Backup(Board, Open) {}
 
-  /// Reads once, or waits while an upstream node reads; returns the pause
-  /// before the next step.
-  Millis step() {
+  /// Returns the pause while an upstream node reads for this one, which
+  /// FeedCache::wake() ends, or nothing if readMain() is due.
+  std::optional<Millis> pollMain() {
     TimePoint Now = SystemClock{}.now();
-    if (!this->Cache.next() && this->awaitsFill(Now))
+    bool AwaitsFill = !this->Cache.next() && this->awaitsFill(Now);
+    if (AwaitsFill || this->awaitsFullPage(Now))
       return FillPollInterval;
-    if (this->awaitsFullPage(Now))
-      return FillPollInterval;
-    std::atomic<bool> &RecordsOmitted =
-        this->Board.feedState(this->Kind).RecordsOmitted;
-    bool Waited = !RecordsOmitted && this->waitForUpstream(Now);
-    bool Whole = RecordsOmitted.exchange(false);
-    if (Waited && !Whole && !this->mustRead(SystemClock{}.now()))
-      return Millis(0);
-    if (Waited)
+    if (this->Board.feedState(this->Kind).RecordsOmitted || this->mustRead(Now))
+      return std::nullopt;
+    this->HadUpstream = true;
+    std::optional<Millis> MaxAge = this->Board.maxAge(this->Kind);
+    return MaxAge ? std::chrono::ceil<Millis>(this->Cache.provenAt() + *MaxAge -
+                                              Now)
+                  : UnboundedWait;
+  }
+
+  /// Reads once; returns the pause before the next poll.
+  Millis readMain() {
+    bool Whole =
+        this->Board.feedState(this->Kind).RecordsOmitted.exchange(false);
+    if (std::exchange(this->HadUpstream, false))
       this->Main.Store.renew();
-    Now = SystemClock{}.now();
+    TimePoint Now = SystemClock{}.now();
     this->HangsSince.store((Now + HangTimeout).time_since_epoch().count());
     Millis Pause = this->read(this->Main, this->pollTimeout(Now), Whole);
     this->HangsSince.store(NoCall);
     return Pause;
   }
 
-  /// Reads over a new connection if the call of step() hangs and what is known
-  /// is too old; returns the pause before the next check.
-  Millis watch() {
+  /// Returns the pause before the age of what is known has to be checked again,
+  /// or nothing if readBackup() is due.
+  std::optional<Millis> pollBackup() {
     std::optional<Millis> MaxAge = this->Board.maxAge(this->Kind);
     if (!MaxAge || !this->Cache.next())
       return IdlePollInterval;
@@ -75,6 +82,11 @@
     if (Now.time_since_epoch().count() < this->HangsSince.load() ||
         this->awaitsFullPage(Now))
       return OverduePollInterval;
+    return std::nullopt;
+  }
+
+  /// Reads over a new connection; returns the pause before the next poll.
+  Millis readBackup() {
     this->Backup.Store.renew();
     Millis Pause = this->read(this->Backup, Millis(0), false);
     return std::max(Pause, OverduePollInterval);
@@ -161,17 +173,6 @@
            this->isOverdue(Now);
   }
 
-  /// Waits while an upstream node reads the feed for this one; returns whether
-  /// it does.
-  bool waitForUpstream(TimePoint Now) {
-    if (this->mustRead(Now))
-      return false;
-    std::optional<Millis> MaxAge = this->Board.maxAge(this->Kind);
-    this->Cache.waitForWake(MaxAge ? this->Cache.provenAt() + *MaxAge
-                                   : Now + UnboundedWait);
-    return true;
-  }
-
   /// How long the store may wait for a change, so that the next proof comes in
   /// time. A response with records proves only the time at which the request
   /// was sent. Zero while others may not rely on this node: one that takes over
@@ -335,7 +336,9 @@
   const FeedKind Kind;
   Connection Main;
   Connection Backup;
-  /// Time from which the call of step() counts as hanging, as a count of
+  /// An upstream node has read for this one since the last call over Main.
+  bool HadUpstream = false;
+  /// Time from which the call of readMain() counts as hanging, as a count of
   /// TimePoint; NoCall if none is in progress.
   std::atomic<std::int64_t> HangsSince{NoCall};
   /// Newest era of the store that one of the connections has seen.
--- a/src/entry/caller_server.h
+++ b/src/entry/caller_server.h
@@ -7,22 +7,18 @@
 #include "base/connection_server.h"
 #include "entry/relay.h"
 
-#include <mutex>
-#include <set>
-
 namespace waycove {
 
-/// Accepts callers' connections and reads their requests one after the other,
-/// with one thread of a pool per connection. POCO's own server is not used: it
-/// hides whether a body was read to its end and when a caller leaves.
+/// Reads requests of callers' connections and has them served.
 template <CallerProtocol Protocol> class CallerServer {
 public:
-  CallerServer(EntryBoard &Board, Relay<Protocol> &RequestRelay)
+  CallerServer(EntryBoard &Board, Relay<Protocol> &RequestRelay,
+               ConnectionResources Shared)
       : Board(Board), RequestRelay(RequestRelay),
         Connections(
-            "callers", static_cast<int>(Board.Config.MaxStreams),
+            Shared, Board.Config.MaxStreams,
             [this](const Poco::Net::StreamSocket &Socket) {
-              this->serveAll(Channel(Socket));
+              return std::make_unique<Connection>(*this, Socket);
             },
             [this](const std::string &Reason) {
               this->Board.Log.emit(EventCode::RequestCut, "connection",
@@ -34,21 +30,25 @@
 
   /// Closes connections without a request in progress, so that callers open
   /// their next one at another node. Skips those with unread bytes.
-  void closeIdle() {
-    std::lock_guard Lock(this->IdleMutex);
-    for (Channel *Connection : this->Idle)
-      if (!Connection->isReadable())
-        Connection->shutdown();
-  }
+  void closeIdle() { this->Connections.closeIdle(); }
 
 private:
   /// Timeout for writing an error response to an unreadable request.
   static constexpr Millis ErrorWriteTimeout{1000};
 
-  void serveAll(Channel Caller) {
-    while (this->serveOne(Caller))
-      ;
-  }
+  /// A caller's connection; see ServedConnection.
+  class Connection {
+  public:
+    Connection(CallerServer &Owner, const Poco::Net::StreamSocket &Socket)
+        : Owner(Owner), Caller(Socket) {}
+    bool serve() { return this->Owner.serveOne(this->Caller); }
+    bool hasInput() { return !this->Caller.buffer().empty(); }
+    Millis idleTimeout() const { return this->Owner.limits().IdleTimeout; }
+
+  private:
+    CallerServer &Owner;
+    Channel Caller;
+  };
 
   CallerLimits limits() const {
     RoutingConfigRef Config = this->Board.Routing.read(
@@ -56,12 +56,10 @@
     return Config ? Config->Limits : CallerLimits();
   }
 
-  /// Reads and serves one request. Returns false if the connection ends.
+  /// Reads and serves one request, of which bytes have arrived. Returns false
+  /// if the connection ends.
   bool serveOne(Channel &Caller) {
     CallerLimits Limits = this->limits();
-    if (Caller.buffer().empty() &&
-        !this->waitForRequest(Caller, Limits.IdleTimeout))
-      return false;
     RelayRequest Request;
     Request.ArrivedAt = SystemClock{}.now();
     TimePoint Until = Request.ArrivedAt + Limits.HeaderTimeout;
@@ -102,21 +100,6 @@
     return true;
   }
 
-  /// Waits for the next request's first bytes. Returns false if none arrive.
-  bool waitForRequest(Channel &Caller, Millis IdleTimeout) {
-    {
-      std::lock_guard Lock(this->IdleMutex);
-      this->Idle.insert(&Caller);
-    }
-    TimePoint Until = SystemClock{}.now() + IdleTimeout;
-    IoStatus Status = Caller.waitReadable(Until);
-    {
-      std::lock_guard Lock(this->IdleMutex);
-      this->Idle.erase(&Caller);
-    }
-    return Status == IoStatus::Ok && Caller.fill(Until) == IoStatus::Ok;
-  }
-
   bool readBody(Channel &Caller, BodyDecoder &Body, const CallerLimits &Limits,
                 std::string &Payload) {
     while (true) {
@@ -148,11 +131,8 @@
 
   EntryBoard &Board;
   Relay<Protocol> &RequestRelay;
-  /// Connections that wait for their next request.
-  std::mutex IdleMutex;
-  std::set<Channel *> Idle;
   const std::uint64_t Seed = hashText(randomId());
-  ConnectionServer Connections;
+  ConnectionServer<Connection> Connections;
 };
 
 } // namespace waycove
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "base/step_runner.h"
 #include "control/cached_feed.h"
 #include "control/config_follower.h"
 #include "control/domain_owner.h"
@@ -55,13 +56,28 @@
         Observations(this->Board),
         News(this->Board, this->Observations,
              [this] { return readAnnouncements(this->SomeNodes); }),
-        NewsService(this->Board, this->Observations),
+        CallerThreads("callers", 1, static_cast<int>(Config.MaxStreams),
+                      IdleThreadSeconds, CallerStackBytes),
+        ControlThreads("control", 1, MaxControlThreads, IdleThreadSeconds,
+                       ControlStackBytes),
+        Steps(this->ControlThreads,
+              [this](const std::string &Reason) {
+                this->Board.Log.emit(EventCode::ThreadNotStarted, "step",
+                                     LogFields().add("reason", Reason));
+              }),
+        NewsService(this->Board, this->Observations,
+                    {this->Poller, this->ControlThreads}),
         Domains(this->Board, this->Partitions, this->Control),
         RequestRelay(this->Board, this->Pool),
-        Callers(this->Board, this->RequestRelay),
+        Callers(this->Board, this->RequestRelay,
+                {this->Poller, this->CallerThreads}),
         Ready(
             Platform::ReadyPath, [this] { return this->isReady(); },
-            this->Board.Counters) {}
+            this->Board.Counters, {this->Poller, this->ControlThreads},
+            [this](const std::string &Reason) {
+              this->Board.Log.emit(EventCode::RequestCut, "readiness check",
+                                   LogFields().add("reason", Reason));
+            }) {}
 
   /// Throws Poco::Exception if an address is in use.
   void start() {
@@ -69,26 +85,13 @@
     this->Ready.start(this->Board.Config.Entry->Ready);
     this->NewsService.start();
     this->Callers.start();
-    this->loop([this] { return this->ConfigReader.step(); });
-    this->loop([this] { return this->ConfigReader.watch(); });
-    this->loop([this] { return this->RegistryReader.step(); });
-    this->loop([this] { return this->RegistryReader.watch(); });
-    this->loop([this] { return this->NodeReader.step(); });
-    this->loop([this] {
-      this->Routing.step();
-      return Millis(0);
-    });
-    this->loop([this] {
-      this->Registry.step();
-      return Millis(0);
-    });
-    this->loop([this] { return this->Nodes.step(); });
-    this->loop([this] { return this->News.step(); });
-    this->loop([this] { return this->Domains.renewLease(); });
-    this->loop([this] { return this->Domains.step(); });
-    this->loop([this] {
-      this->sweep();
-      return SweepInterval;
+    this->Poller.start();
+    this->addSteps();
+    this->Steps.start();
+    // In a thread of its own, since it waits for other nodes all the time.
+    this->NewsThread = std::jthread([this](const std::stop_token &Stop) {
+      while (!Stop.stop_requested())
+        std::this_thread::sleep_for(this->News.step());
     });
     this->Board.Log.emit(
         EventCode::DaemonStarted, this->Board.Config.Node.Text,
@@ -132,6 +135,13 @@
   static constexpr unsigned SweepsPerCallLog = 5;
   /// The load balancer checks every second and acts on the second failure.
   static constexpr Millis BalancerDelay{2600};
+  /// After this time a thread without work ends.
+  static constexpr int IdleThreadSeconds = 5;
+  static constexpr int CallerStackBytes = 256 << 10;
+  /// Larger, since plans of domains are made there.
+  static constexpr int ControlStackBytes = 1 << 20;
+  /// Twice as many as nodes may ask this one at a time.
+  static constexpr int MaxControlThreads = 512;
 
   /// Whether API keys may be used: they are proven current, or the operators
   /// allow unproven keys, so that callers are served while the store is away.
@@ -193,18 +203,46 @@
                            this->Board.Counters.Calls.fields());
   }
 
-  template <typename F> void loop(F Step) {
-    this->Loops.emplace_back(
-        [Step = std::move(Step)](const std::stop_token &Stop) {
-          while (!Stop.stop_requested())
-            if (Millis Pause = Step(); Pause.count() > 0)
-              std::this_thread::sleep_for(Pause);
-        });
+  using Reader = StoreReader<typename Platform::Feed>;
+
+  void addSteps() {
+    StepId Routing = this->Steps.add([this] { return this->Routing.step(); });
+    StepId Registry = this->Steps.add([this] { return this->Registry.step(); });
+    StepId Nodes =
+        this->Steps.add({.Poll = [this]() -> std::optional<Millis> {
+                           if (this->Nodes.callsStore())
+                             return std::nullopt;
+                           return this->Nodes.step();
+                         },
+                         .Run = [this] { return this->Nodes.step(); }});
+    this->addReader(this->ConfigReader, FeedKind::Config, Routing);
+    this->addReader(this->RegistryReader, FeedKind::Registry, Registry);
+    this->addReader(this->NodeReader, FeedKind::Nodes, Nodes);
+    this->Steps.add({.Poll = [this] { return this->Domains.pollLease(); },
+                     .Run = [this] { return this->Domains.renewLease(); }});
+    this->Steps.add({.Poll = [this] { return this->Domains.pollPlan(); },
+                     .Run = [this] { return this->Domains.plan(); }});
+    this->Steps.add([this] {
+      this->sweep();
+      return SweepInterval;
+    });
+  }
+
+  /// Adds the steps of a feed's reader. \p Follower is the step that applies
+  /// the feed's changes.
+  void addReader(Reader &Source, FeedKind Kind, StepId Follower) {
+    StepId Main =
+        this->Steps.add({.Poll = [&Source] { return Source.pollMain(); },
+                         .Run = [&Source] { return Source.readMain(); }});
+    this->Steps.add({.Poll = [&Source] { return Source.pollBackup(); },
+                     .Run = [&Source] { return Source.readBackup(); }});
+    this->Board.feed(Kind).observe(
+        {.OnChange = [this, Follower] { this->Steps.wake(Follower); },
+         .OnWake = [this, Main] { this->Steps.wake(Main); }});
   }
 
   EntryBoard Board;
   TargetConnectionPool Pool;
-  using Reader = StoreReader<typename Platform::Feed>;
   Reader ConfigReader;
   Reader RegistryReader;
   Reader NodeReader;
@@ -222,6 +260,13 @@
   NodeFollower<CachedFeed, typename Platform::Feed> Nodes;
   SharedObservations Observations;
   NewsExchange News;
+  SocketPoller Poller;
+  /// Serve callers' requests.
+  Poco::ThreadPool CallerThreads;
+  /// Serve other nodes and readiness checks, and run steps that may block, so
+  /// that callers cannot delay them.
+  Poco::ThreadPool ControlThreads;
+  StepRunner Steps;
   NewsServer NewsService;
   DomainOwner<typename Platform::Partitions, typename Platform::Control>
       Domains;
@@ -232,7 +277,7 @@
   std::uint64_t LoggedCalls = 0;
   TimePoint StopBegan;
   ReadyServer Ready;
-  std::vector<std::jthread> Loops;
+  std::jthread NewsThread;
 };
 
 } // namespace waycove
--- a/src/entry/ready_server.cpp
+++ b/src/entry/ready_server.cpp
@@ -10,27 +10,24 @@
 
 namespace waycove {
 
-void ReadyServer::start(const Endpoint &Address) {
-  this->Listener.bind(Poco::Net::SocketAddress(Address.Host, Address.Port),
-                      true, false);
-  this->Listener.listen(Backlog);
-  std::thread([this] { this->serveAll(); }).detach();
-}
+ReadyServer::ReadyServer(std::string Path, std::function<bool()> IsReady,
+                         const Metrics &Counters, ConnectionResources Shared,
+                         std::function<void(const std::string &)> OnError)
+    : Path(std::move(Path)), IsReady(std::move(IsReady)), Counters(Counters),
+      Connections(
+          Shared, MaxConnections,
+          [this](const Poco::Net::StreamSocket &Socket) {
+            return std::make_unique<Connection>(*this, Socket);
+          },
+          std::move(OnError)) {}
 
-void ReadyServer::serveAll() {
-  while (true) {
-    try {
-      this->serveOne(Channel(this->Listener.acceptConnection()));
-    } catch (const Poco::Exception &) {
-      // No descriptor is free, or the connection was reset at once. The load
-      // balancer sees that no answer comes.
-      std::this_thread::sleep_for(AcceptRetryDelay);
-    }
-  }
+bool ReadyServer::Connection::serve() {
+  this->Owner.serveRequest(this->Caller);
+  return false;
 }
 
-void ReadyServer::serveOne(Channel Caller) {
-  TimePoint Until = BootClock::now() + ConnectionTimeout;
+void ReadyServer::serveRequest(Channel &Caller) {
+  TimePoint Until = BootClock::now() + RequestTimeout;
   std::string &Buffer = Caller.buffer();
   std::optional<std::size_t> Length;
   while (!(Length = headLength(Buffer)))
--- a/src/entry/ready_server.h
+++ b/src/entry/ready_server.h
@@ -4,53 +4,59 @@
 
 #pragma once
 
+#include "base/connection_server.h"
 #include "base/metrics.h"
-#include "base/settings.h"
 #include "net/channel.h"
 
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/ServerSocket.h>
 #include <functional>
 #include <string>
-#include <thread>
 
 namespace waycove {
 
-/// Serves the readiness check of the platform's load balancer, and the metrics.
-/// It has its own address and thread, so that load from callers cannot delay
-/// the load balancer. One thread answers one connection after the other, each
-/// of which may take a short time only. POCO's server is not used: it needs
-/// three threads and wakes up four times a second.
-/// Runs until the process ends.
+/// Serves the readiness check of the platform's load balancer, and the metrics,
+/// at an address of its own. A connection carries one request.
 class ReadyServer {
 public:
-  /// \p IsReady is called on the server's own thread.
+  /// \p IsReady is called on several threads. \p OnError gets the reason if a
+  /// connection is refused.
   ReadyServer(std::string Path, std::function<bool()> IsReady,
-              const Metrics &Counters)
-      : Path(std::move(Path)), IsReady(std::move(IsReady)), Counters(Counters) {
-  }
+              const Metrics &Counters, ConnectionResources Shared,
+              std::function<void(const std::string &Reason)> OnError);
 
   /// Starts listening. Throws Poco::Exception if the address is in use.
-  void start(const Endpoint &Address);
+  void start(const Endpoint &Address) { this->Connections.start(Address); }
 
 private:
-  /// Connections waiting to be accepted.
-  static constexpr int Backlog = 64;
+  /// A connection that is silent for longer is closed.
+  static constexpr Millis IdleTimeout{1000};
   /// Time for reading a request and writing its response.
-  static constexpr Millis ConnectionTimeout{300};
-  /// Pause after a failed accept.
-  static constexpr Millis AcceptRetryDelay{500};
+  static constexpr Millis RequestTimeout{300};
   static constexpr std::size_t MaxHeadBytes = 16 << 10;
-
-  void serveAll();
-  void serveOne(Channel Caller);
+  static constexpr std::size_t MaxConnections = 64;
+
+  /// See ServedConnection.
+  class Connection {
+  public:
+    Connection(ReadyServer &Owner, const Poco::Net::StreamSocket &Socket)
+        : Owner(Owner), Caller(Socket) {}
+    bool serve();
+    bool hasInput() const { return false; }
+    Millis idleTimeout() const { return IdleTimeout; }
+
+  private:
+    ReadyServer &Owner;
+    Channel Caller;
+  };
+
+  void serveRequest(Channel &Caller);
   void respond(Channel &Caller, int Status, const std::string &Body,
                const std::string &ContentType, TimePoint Until);
 
   const std::string Path;
   const std::function<bool()> IsReady;
   const Metrics &Counters;
-  Poco::Net::ServerSocket Listener;
+  ConnectionServer<Connection> Connections;
 };
 
 } // namespace waycove
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -38,6 +38,8 @@
   /// Receives the next frame. Errors: OutcomeUnknown if the connection ended or
   /// nothing arrived within \p Timeout; BadRequest for a damaged frame.
   absl::StatusOr<wire::FrameT> receive(Millis Timeout);
+  /// Whether bytes of the next frame have already been received.
+  bool hasInput() const { return !this->Buffer.empty(); }
   /// Shuts the connection down, which unblocks receive() in another thread.
   void shutdown();
 
--- a/tests/failure/seeds_test.cpp
+++ b/tests/failure/seeds_test.cpp
@@ -6,8 +6,10 @@
 #include "support/cluster.h"
 #include "support/entry_fixture.h"
 
+#include <Poco/Net/StreamSocket.h>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <fstream>
 
 namespace waycove::test {
 
@@ -60,6 +62,15 @@
         return false;
     return true;
   }
+  int threadsOf(int I) {
+    std::ifstream Status("/proc/" +
+                         std::to_string(this->Run.node(nodeName(I)).id()) +
+                         "/status");
+    for (std::string Line; std::getline(Status, Line);)
+      if (Line.starts_with("Threads:"))
+        return std::stoi(Line.substr(Line.find('\t')));
+    return 0;
+  }
   /// Reads of all keys of \p Topic, or appends to it.
   std::uint64_t count(const std::string &What, const std::string &Topic) {
     return this->Run.atPlatform({.Path = "/store/" + What + "?topic=" + Topic})
@@ -123,6 +134,34 @@
   CHECK(this->count("wholes", "keyed.servers") - Before <= 4);
 }
 
+// Guards against threads that wait for nothing but the next request or pause.
+TEST_CASE_METHOD(
+    SeedsFixture,
+    "seeds: an entry rests with 200 open connections: it has eight "
+    "threads at most, where others read for it",
+    "[failure]") {
+  for (int I = 1; I <= Entries; ++I)
+    this->start(I, true);
+  REQUIRE(eventually([&] { return this->areReady(); },
+                     std::chrono::milliseconds(8000)));
+  constexpr int Count = 200;
+  std::vector<Poco::Net::StreamSocket> Open;
+  Open.reserve(Count);
+  for (int I = 0; I < Count; ++I)
+    Open.emplace_back(Poco::Net::SocketAddress(
+        "127.0.0.1", this->Run.httpPort(nodeName(Entries))));
+  // Most of the twelve neither read the store nor own a domain.
+  CHECK(eventually([&] {
+    int AtRest = 0;
+    for (int I = 1; I <= Entries; ++I)
+      if (this->threadsOf(I) <= 8)
+        ++AtRest;
+    return AtRest >= Entries / 2 && this->threadsOf(Entries) <= 8;
+  }));
+  for (Poco::Net::StreamSocket &Socket : Open)
+    CHECK(!Socket.poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ));
+}
+
 // Guards against requests to an evacuated data centre in the whole program.
 TEST_CASE_METHOD(EntryFixture,
                  "evacuation: the only data centre: refused as not run, and "
--- a/tests/unit/connection_server_test.cpp
+++ b/tests/unit/connection_server_test.cpp
@@ -2,8 +2,8 @@
 // Copyright 2026 the waycove authors. Licensed under the Apache License,
 // Version 2.0; see LICENSE.
 
-// Servers that accept connections: one that is silent or fails must not end or
-// delay the others.
+// Servers that accept connections: one that is silent, at rest or fails must
+// not end or delay the others, nor hold a thread.
 #include "base/connection_server.h"
 #include "entry/ready_server.h"
 #include "support/cluster.h"
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <thread>
 
 namespace waycove::test {
 
@@ -24,15 +25,80 @@
   return Socket.address().port();
 }
 
-/// Makes a server that runs until the process ends.
-template <typename Server, typename... Args> Server &keep(Args &&...Arguments) {
-  return *std::make_unique<Server>(std::forward<Args>(Arguments)...).release();
+/// Makes an object that lives until the process ends.
+template <typename T, typename... Args> T &keep(Args &&...Arguments) {
+  return *std::make_unique<T>(std::forward<Args>(Arguments)...).release();
 }
 
 Poco::Net::StreamSocket connectTo(std::uint16_t Port) {
   return Poco::Net::StreamSocket(Poco::Net::SocketAddress("127.0.0.1", Port));
 }
 
+/// Sends \p Byte and returns the response, or nothing if the connection ended.
+std::optional<char> exchange(Poco::Net::StreamSocket &Socket, char Byte) {
+  Socket.setReceiveTimeout(Poco::Timespan(5, 0));
+  Socket.sendBytes(&Byte, 1);
+  char Response = 0;
+  if (Socket.receiveBytes(&Response, 1) != 1)
+    return std::nullopt;
+  return Response;
+}
+
+/// Waits until the peer closes \p Socket; false if it does not.
+bool isClosed(Poco::Net::StreamSocket &Socket) {
+  Socket.setReceiveTimeout(Poco::Timespan(5, 0));
+  char Byte = 0;
+  try {
+    return Socket.receiveBytes(&Byte, 1) == 0;
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+/// Echoes bytes. Of special ones: 'e' ends the connection, 't' throws, 's' is
+/// served slowly.
+struct EchoConnection {
+  EchoConnection(const Poco::Net::StreamSocket &Socket, Millis IdleTime)
+      : Socket(Socket), IdleTime(IdleTime) {}
+  bool serve() {
+    char Byte = 0;
+    if (this->Socket.receiveBytes(&Byte, 1) != 1 || Byte == 'e')
+      return false;
+    if (Byte == 't')
+      throw Poco::IOException("broken");
+    if (Byte == 's')
+      std::this_thread::sleep_for(Millis(400));
+    this->Socket.sendBytes(&Byte, 1);
+    return true;
+  }
+  bool hasInput() const { return false; }
+  Millis idleTimeout() const { return this->IdleTime; }
+
+  Poco::Net::StreamSocket Socket;
+  Millis IdleTime;
+};
+
+/// An echo server with its own poller and threads.
+struct EchoServer {
+  explicit EchoServer(std::size_t MaxConnections = 1000,
+                      Millis IdleTime = Millis(60000))
+      : Server(
+            {this->Poller, this->Threads}, MaxConnections,
+            [IdleTime](const Poco::Net::StreamSocket &Socket) {
+              return std::make_unique<EchoConnection>(Socket, IdleTime);
+            },
+            [this](const std::string &) { ++this->Failed; }) {
+    this->Server.start({"127.0.0.1", this->Port});
+    this->Poller.start();
+  }
+
+  const std::uint16_t Port = freePort();
+  std::atomic<int> Failed{0};
+  SocketPoller Poller;
+  Poco::ThreadPool Threads{"echo", 1, 4};
+  ConnectionServer<EchoConnection> Server;
+};
+
 } // namespace
 
 // Guards against a connection whose exception ends the process.
@@ -40,22 +106,95 @@
     "connection server: a handler throws: the reason is told and the next "
     "connection served",
     "[unit]") {
-  static std::atomic<int> Served{0};
-  static std::atomic<int> Failed{0};
-  static ConnectionServer &Server = keep<ConnectionServer>(
-      "test", 2,
-      [](const Poco::Net::StreamSocket &) {
-        if (Served++ == 0)
-          throw Poco::IOException("broken");
-      },
-      [](const std::string &) { ++Failed; });
-  std::uint16_t Port = freePort();
-  Server.start({"127.0.0.1", Port});
-  for (int Wanted = 1; Wanted <= 2; ++Wanted) {
-    Poco::Net::StreamSocket Socket = connectTo(Port);
-    REQUIRE(eventually([&] { return Served == Wanted; }));
-  }
-  CHECK(Failed == 1);
+  auto &Echo = keep<EchoServer>();
+  Poco::Net::StreamSocket Broken = connectTo(Echo.Port);
+  CHECK(!exchange(Broken, 't'));
+  Poco::Net::StreamSocket Next = connectTo(Echo.Port);
+  CHECK(exchange(Next, 'a') == 'a');
+  CHECK(Echo.Failed == 1);
+}
+
+// Guards against a thread for each open connection.
+TEST_CASE(
+    "connection server: 200 connections rest: they hold no threads and each "
+    "is served again",
+    "[unit]") {
+  auto &Echo = keep<EchoServer>();
+  constexpr int Count = 200;
+  std::vector<Poco::Net::StreamSocket> Open;
+  Open.reserve(Count);
+  for (int I = 0; I < Count; ++I)
+    Open.push_back(connectTo(Echo.Port));
+  for (int Round = 0; Round < 2; ++Round)
+    for (Poco::Net::StreamSocket &Socket : Open)
+      REQUIRE(exchange(Socket, 'a') == 'a');
+  CHECK(eventually([&] { return Echo.Threads.used() == 0; }));
+  CHECK(Echo.Threads.allocated() <= 4);
+  CHECK(Echo.Failed == 0);
+}
+
+// Guards against a slow request that delays other connections.
+TEST_CASE("connection server: one request is slow: others are served meanwhile",
+          "[unit]") {
+  auto &Echo = keep<EchoServer>();
+  Poco::Net::StreamSocket Slow = connectTo(Echo.Port);
+  Poco::Net::StreamSocket Quick = connectTo(Echo.Port);
+  char Byte = 's';
+  Slow.sendBytes(&Byte, 1);
+  TimePoint Start = BootClock::now();
+  CHECK(exchange(Quick, 'a') == 'a');
+  CHECK(BootClock::now() - Start < Millis(300));
+  CHECK(Slow.receiveBytes(&Byte, 1) == 1);
+}
+
+// Guards against connections that are kept for good by silent peers.
+TEST_CASE("connection server: a connection is silent: it is closed after its "
+          "idle time",
+          "[unit]") {
+  auto &Echo = keep<EchoServer>(10, Millis(300));
+  Poco::Net::StreamSocket Silent = connectTo(Echo.Port);
+  TimePoint Start = BootClock::now();
+  CHECK(isClosed(Silent));
+  CHECK(BootClock::now() - Start >= Millis(300));
+}
+
+// Guards against a planned stop that cuts requests, or leaves callers on the
+// connections of a node that ends.
+TEST_CASE("connection server: idle connections are closed: one with a request "
+          "in progress gets its response",
+          "[unit]") {
+  auto &Echo = keep<EchoServer>();
+  Poco::Net::StreamSocket Idle = connectTo(Echo.Port);
+  Poco::Net::StreamSocket Busy = connectTo(Echo.Port);
+  REQUIRE(exchange(Idle, 'a') == 'a');
+  REQUIRE(exchange(Busy, 'a') == 'a');
+  char Byte = 's';
+  Busy.sendBytes(&Byte, 1);
+  REQUIRE(eventually([&] { return Echo.Threads.used() == 1; }));
+  Echo.Server.closeIdle();
+  CHECK(isClosed(Idle));
+  CHECK(Busy.receiveBytes(&Byte, 1) == 1);
+}
+
+// Guards against connections without bound, which use up the descriptors.
+TEST_CASE("connection server: more connections than allowed: the rest is "
+          "refused until one ends",
+          "[unit]") {
+  auto &Echo = keep<EchoServer>(1);
+  Poco::Net::StreamSocket First = connectTo(Echo.Port);
+  REQUIRE(exchange(First, 'a') == 'a');
+  Poco::Net::StreamSocket Refused = connectTo(Echo.Port);
+  CHECK(isClosed(Refused));
+  CHECK(Echo.Failed == 1);
+  CHECK(!exchange(First, 'e'));
+  REQUIRE(eventually([&] {
+    Poco::Net::StreamSocket Next = connectTo(Echo.Port);
+    try {
+      return exchange(Next, 'b') == 'b';
+    } catch (const Poco::Exception &) {
+      return false;
+    }
+  }));
 }
 
 // Guards against a load balancer that takes the node for dead because something
@@ -64,10 +203,14 @@
           "[unit]") {
   static Metrics Counters;
   static std::atomic<bool> IsReady{true};
-  static ReadyServer &Server = keep<ReadyServer>(
-      "/ready", [] { return IsReady.load(); }, Counters);
+  auto &Poller = keep<SocketPoller>();
+  auto &Threads = keep<Poco::ThreadPool>("ready", 1, 4);
+  auto &Server = keep<ReadyServer>(
+      "/ready", [] { return IsReady.load(); }, Counters,
+      ConnectionResources{Poller, Threads}, [](const std::string &) {});
   std::uint16_t Port = freePort();
   Server.start({"127.0.0.1", Port});
+  Poller.start();
   Poco::Net::StreamSocket Silent = connectTo(Port);
   CHECK(http(Port, {.Path = "/ready"}).Status == 200);
   IsReady = false;
--- a/tests/unit/domain_owner_test.cpp
+++ b/tests/unit/domain_owner_test.cpp
@@ -96,7 +96,11 @@
   void deal(std::uint64_t Era, std::uint64_t Generation) {
     this->Partitioner.Assigned.Era = StoreEra(Era);
     this->Partitioner.Assigned.Generation = Generation;
-    this->Owner.renewLease();
+    this->renewLease();
+  }
+  void renewLease() {
+    if (!this->Owner.pollLease())
+      this->Owner.renewLease();
   }
   /// Renews the lease and plans for \p Time or until targets accept an order;
   /// returns whether they did. The registry is read meanwhile unless \p Unread.
@@ -106,8 +110,9 @@
          SystemClock{}.now() < End && this->Targets.Accepted == Before;) {
       if (!Unread)
         this->Board.RegistryProvenAt.raise(SystemClock{}.now());
-      this->Owner.renewLease();
-      this->Owner.step();
+      this->renewLease();
+      if (!this->Owner.pollPlan())
+        this->Owner.plan();
       std::this_thread::sleep_for(Millis(50));
     }
     return this->Targets.Accepted > Before;
--- a/tests/unit/store_reader_test.cpp
+++ b/tests/unit/store_reader_test.cpp
@@ -86,6 +86,12 @@
   }
 };
 
+/// Polls the regular reads once and reads if that is due.
+Millis stepMain(StoreReader<FakeStore> &Reader) {
+  std::optional<Millis> Pause = Reader.pollMain();
+  return Pause ? *Pause : Reader.readMain();
+}
+
 constexpr Millis DrainBound(400);
 
 Settings entrySettings() {
@@ -117,6 +123,11 @@
     this->cache().merge(Page, Page.ProvenAt);
   }
   FeedCache &cache() { return this->Board.feed(FeedKind::Registry); }
+  Millis step() { return stepMain(*this->Reader); }
+  Millis watch() {
+    std::optional<Millis> Pause = this->Reader->pollBackup();
+    return Pause ? *Pause : this->Reader->readBackup();
+  }
   /// Runs step() and watch() in their own threads for \p Time.
   void run(Millis Time) {
     TimePoint End = SystemClock{}.now() + Time;
@@ -126,8 +137,8 @@
           std::this_thread::sleep_for(std::min(Step(), Millis(20)));
       });
     };
-    std::thread MainThread = Loop([this] { return this->Reader->step(); });
-    std::thread WatchThread = Loop([this] { return this->Reader->watch(); });
+    std::thread MainThread = Loop([this] { return this->step(); });
+    std::thread WatchThread = Loop([this] { return this->watch(); });
     MainThread.join();
     WatchThread.join();
   }
@@ -171,7 +182,7 @@
   TimePoint Start = SystemClock{}.now();
   while (this->cache().next() == atOffset(7) &&
          SystemClock{}.now() - Start < Millis(2000))
-    this->Reader->step();
+    std::this_thread::sleep_for(std::min(this->step(), Millis(20)));
   CHECK(SystemClock{}.now() - Start < DrainBound);
   CHECK(FakeStore::Follows == 1);
 }
@@ -183,7 +194,7 @@
     "[unit]") {
   FakeStore::End = 8;
   this->Board.feedState(FeedKind::Registry).RecordsOmitted = true;
-  this->Reader->step();
+  this->step();
   CHECK(this->cache().next() == atOffset(8));
   CHECK(FakeStore::Newest == 1);
   CHECK(FakeStore::Follows == 0);
@@ -197,7 +208,7 @@
   FakeStore::HangTime = Millis(1000);
   this->Board.HasUpstream = false;
   CachedFeed Follower(this->cache());
-  std::thread MainThread([&] { this->Reader->step(); });
+  std::thread MainThread([&] { this->step(); });
   std::this_thread::sleep_for(Millis(50));
   this->receive(8);
   TimePoint ReceivedAt = SystemClock{}.now();
@@ -235,14 +246,14 @@
   TimePoint Proven = this->cache().provenAt();
   FakeStore::End = 8;
   this->Board.HasUpstream = false;
-  this->Reader->step();
+  this->step();
   CHECK(this->cache().next() == atOffset(9));
   CHECK(this->cache().provenAt() == Proven);
   // If the history after 9 is truncated, there has to be something newer.
   FakeStore::End = 9;
   FakeStore::HistoryGone = true;
-  this->Reader->step();
-  this->Reader->step();
+  this->step();
+  this->step();
   CHECK(FakeStore::Newest == 1);
   CHECK(this->cache().next() == atOffset(9));
   CHECK(this->cache().provenAt() == Proven);
@@ -257,8 +268,8 @@
     FakeStore::End = End;
     ++FakeStore::Era;
     FakeStore::Newest = 0;
-    this->Reader->step();
-    this->Reader->step();
+    this->step();
+    this->step();
     CHECK(FakeStore::Newest == 1);
     CHECK(this->cache().next() == atOffset(End, FakeStore::Era));
   }
@@ -266,8 +277,8 @@
   FakeStore::HistoryGone = true;
   FakeStore::End = 2;
   ++FakeStore::Era;
-  this->Reader->step();
-  this->Reader->step();
+  this->step();
+  this->step();
   CHECK(this->cache().next() == atOffset(2, FakeStore::Era));
 }
 
@@ -277,8 +288,8 @@
                  "[unit]") {
   this->Board.HasUpstream = false;
   ++FakeStore::Era;
-  this->Reader->step();
-  this->Reader->step();
+  this->step();
+  this->step();
   REQUIRE(this->cache().next()->Era == StoreEra(1));
   Millis Remaining = std::chrono::ceil<Millis>(
       this->cache().snapshot().RetainUntil - SystemClock{}.now());
@@ -337,13 +348,13 @@
   this->Board.HasUpstream = false;
   FakeStore::Era = 2;
   FakeStore::End = 3;
-  this->Reader->step();
-  this->Reader->step();
+  this->step();
+  this->step();
   REQUIRE(this->cache().next() == atOffset(3, 2));
   TimePoint Proven = this->cache().provenAt();
   FakeStore::Era = 1;
   FakeStore::End = 90;
-  this->Reader->step();
+  this->step();
   CHECK(this->cache().next() == atOffset(3, 2));
   CHECK(this->cache().provenAt() == Proven);
 }
@@ -355,8 +366,8 @@
   this->Board.HasUpstream = false;
   FakeStore::ResponseDelay = Millis(60);
   FakeStore::End = 8;
-  this->Reader->step();
-  Millis Pause = this->Reader->step();
+  this->step();
+  Millis Pause = this->step();
   // The proof is as old as its request, so the next wait is 60 ms shorter.
   Millis Interval = *this->Board.maxAge(FeedKind::Registry) - Millis(100);
   CHECK(FakeStore::LastWait <= Interval - Millis(60));
@@ -372,11 +383,11 @@
   REQUIRE_FALSE(
       this->Board.canServeFeed(FeedKind::Registry, SystemClock{}.now()));
   TimePoint Start = SystemClock{}.now();
-  this->Reader->step();
+  this->step();
   CHECK(SystemClock{}.now() - Start < Millis(50));
   CHECK(this->Board.canServeFeed(FeedKind::Registry, SystemClock{}.now()));
   // From then on it waits for changes.
-  this->Reader->step();
+  this->step();
   CHECK(FakeStore::LastWait > Millis(50));
 }
 
@@ -408,11 +419,11 @@
                  "[unit]") {
   CachedFeed Feed(this->Board.feed(FeedKind::Config));
   ConfigFollower<CachedFeed, OneVersion> Follower(this->Board, Feed, {});
-  this->Reader->step();
+  stepMain(*this->Reader);
   Follower.step();
   REQUIRE(this->Board.ConfigLease.holds(SystemClock{}.now()));
   for (int Reads = 0; Reads < 3; ++Reads) {
-    this->Reader->step();
+    stepMain(*this->Reader);
     CHECK(this->Board.ConfigLease.holds(SystemClock{}.now()));
     Follower.step();
   }
