Rank the nodes once for each change of the directory

Seen by reading: each round of news copied the directory and sorted a data centre, four times a second at each node, and a seed did so for each node that joins, so a start of N nodes cost the seeds N times N log N. Both grow with the square of the fleet over all nodes.

Now NodeRanking holds the nodes and their orders, shared and immutable; the directory's follower makes one for each change, and a seed at most ten a second while nodes join. The unit tests of the orders go on, over the new class.

--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -72,8 +72,9 @@
   /// Demand at all other nodes as reported by them; empty if none has reported.
   /// A single node's demand is too small a sample for planning groups.
   Table<DemandTable, LockRank::Tail> RemoteDemand;
-  /// The announced entries, including this one.
-  Table<NodeTable, LockRank::Health> Nodes;
+  /// The announced entries, including this one. Never null.
+  Table<NodeRankingRef, LockRank::Health> Nodes{
+      std::make_shared<const NodeRanking>()};
   /// Nodes that asked this one, as a seed, to join.
   Table<JoinTable, LockRank::Peers> Joins;
   /// Renewals of the partition memberships in this data centre.
@@ -163,6 +164,9 @@
       return UnknownCountBackoff;
     return probeBackoff(this->KnownNodeCount, this->FirstInCentre);
   }
+  NodeRankingRef nodes() const {
+    return this->Nodes.read([](const NodeRankingRef &Row) { return Row; });
+  }
   /// Returns this node's own directory entry.
   NodeInfo nodeInfo() const {
     return {this->Config.Node,
@@ -179,8 +183,7 @@
   /// announced nodes. Before the directory is known, the partition share is
   /// used instead, because the platform assigns partitions evenly.
   double perNodeShare() const {
-    std::size_t Count =
-        this->Nodes.read([](const NodeTable &Rows) { return Rows.size(); });
+    std::size_t Count = this->nodes()->nodes().size();
     return Count > 0 ? 1.0 / static_cast<double>(Count)
                      : this->PartitionShare.load();
   }
--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -150,12 +150,11 @@
         Now - this->StartTime < StartSpread)
       return false;
     const Settings &Config = this->Board.Config;
-    NodeTable Nodes =
-        this->Board.Nodes.read([](const NodeTable &Rows) { return Rows; });
-    this->Listed = Nodes.contains(Config.Node);
-    std::vector<NodeInfo> Order = readerOrder(Nodes, Config.DataCentre);
-    std::size_t MembersNeeded = requiredMembers(Config.Entry->PartitionCount,
-                                                dataCentreOrder(Nodes).size());
+    NodeRankingRef Nodes = this->Board.nodes();
+    this->Listed = Nodes->nodes().contains(Config.Node);
+    const std::vector<NodeInfo> &Order = Nodes->readers(Config.DataCentre);
+    std::size_t MembersNeeded =
+        requiredMembers(Config.Entry->PartitionCount, Nodes->centres().size());
     bool Holds = this->Assigned.read(
         [](const PartitionAssignment &Row) { return !Row.Partitions.empty(); });
     MembershipRenewals Known = this->Board.Renewals.read(
--- a/src/control/news.cpp
+++ b/src/control/news.cpp
@@ -40,18 +40,17 @@
 } // namespace
 
 Millis NewsExchange::step() {
-  NodeTable Nodes =
-      this->Board.Nodes.read([](const NodeTable &Rows) { return Rows; });
+  NodeRankingRef Nodes = this->Board.nodes();
   TimePoint Now = SystemClock{}.now();
-  this->updateReadOrder(Nodes);
+  this->updateReadOrder(*Nodes);
   if (!this->hasAllFeeds())
-    return this->bootstrap(Nodes, Now);
+    return this->bootstrap(*Nodes, Now);
   std::vector<NodeInfo> Before =
-      this->Route.nextCandidates(Nodes, this->Board.nodeInfo(), Now);
+      this->Route.nextCandidates(*Nodes, this->Board.nodeInfo(), Now);
   if (!this->queryUntilCurrent(Before) && !this->queryStartSource(Now)) {
     if (Before.empty() || !this->awaitsNewUpstream(SystemClock{}.now()))
       this->readStoreDirectly("no upstream node has current data");
-    this->queryPeers(Nodes, SystemClock{}.now());
+    this->queryPeers(*Nodes, SystemClock{}.now());
   }
   this->Observations.publish(SystemClock{}.now());
   if (std::exchange(this->MoreAvailable, false))
@@ -60,10 +59,11 @@
                                                : RoundInterval;
 }
 
-void NewsExchange::updateReadOrder(const NodeTable &Nodes) {
-  std::vector<NodeInfo> Order =
-      readerOrder(Nodes, this->Board.Config.DataCentre);
-  std::size_t Count = std::max(Nodes.size(), this->Board.SeedNodeCount.load());
+void NewsExchange::updateReadOrder(const NodeRanking &Nodes) {
+  const std::vector<NodeInfo> &Order =
+      Nodes.readers(this->Board.Config.DataCentre);
+  std::size_t Count =
+      std::max(Nodes.nodes().size(), this->Board.SeedNodeCount.load());
   bool First = Order.empty() ? Count <= 1
                              : Order.front().Node == this->Board.Config.Node;
   this->Board.KnownNodeCount = Count;
@@ -80,8 +80,8 @@
 /// Gets all feeds from another node after the start, so that nodes that restart
 /// together do not each read everything from the store. The first node of each
 /// data centre queries two others once, and then reads the store.
-Millis NewsExchange::bootstrap(const NodeTable &Nodes, TimePoint Now) {
-  if (Nodes.empty())
+Millis NewsExchange::bootstrap(const NodeRanking &Nodes, TimePoint Now) {
+  if (Nodes.nodes().empty())
     this->Guide.step(Now);
   if (!this->Board.InitialFillLease.holds(Now))
     return RoundInterval;
@@ -92,7 +92,7 @@
       this->Board.DirectoryFillLease.drop();
       return Millis(0);
     }
-  if (!Nodes.empty() && this->Board.FirstInCentre)
+  if (!Nodes.nodes().empty() && this->Board.FirstInCentre)
     this->Board.InitialFillLease.drop();
   return this->BootstrapBackoff.next(BootstrapRoundInterval,
                                      MaxBootstrapInterval);
@@ -100,9 +100,9 @@
 
 /// The nodes to get the feeds from: those before this one in order, as far as
 /// the directory is known, else those that a seed names.
-std::vector<NodeInfo> NewsExchange::bootstrapSources(const NodeTable &Nodes,
+std::vector<NodeInfo> NewsExchange::bootstrapSources(const NodeRanking &Nodes,
                                                      TimePoint Now) {
-  if (Nodes.empty())
+  if (Nodes.nodes().empty())
     return this->Guide.upstream();
   NodeInfo Me = this->Board.nodeInfo();
   if (!this->Board.FirstInCentre)
@@ -176,7 +176,7 @@
 /// the store nor an upstream node with current data. What it learns from them
 /// is not passed on (EntryBoard::canServeFeed): two nodes could confirm each
 /// other's old state.
-void NewsExchange::queryPeers(const NodeTable &Nodes, TimePoint Now) {
+void NewsExchange::queryPeers(const NodeRanking &Nodes, TimePoint Now) {
   this->UsesPeers = this->UsesPeers && this->readsFail();
   if (!this->UsesPeers && !this->isOutdated(Now)) {
     this->PeerBackoff.reset();
--- a/src/control/news.h
+++ b/src/control/news.h
@@ -37,16 +37,17 @@
   Millis step();
 
 private:
-  void updateReadOrder(const NodeTable &Nodes);
+  void updateReadOrder(const NodeRanking &Nodes);
   bool hasAllFeeds() const;
-  Millis bootstrap(const NodeTable &Nodes, TimePoint Now);
-  std::vector<NodeInfo> bootstrapSources(const NodeTable &Nodes, TimePoint Now);
+  Millis bootstrap(const NodeRanking &Nodes, TimePoint Now);
+  std::vector<NodeInfo> bootstrapSources(const NodeRanking &Nodes,
+                                         TimePoint Now);
   bool bootstrapFrom(const NodeInfo &Source);
   bool queryStartSource(TimePoint Now);
   bool queryUntilCurrent(const std::vector<NodeInfo> &Candidates);
   bool awaitsNewUpstream(TimePoint Now) const;
   bool queryUpstream(const NodeInfo &Source);
-  void queryPeers(const NodeTable &Nodes, TimePoint Now);
+  void queryPeers(const NodeRanking &Nodes, TimePoint Now);
   bool queryPeer(const NodeInfo &Peer);
   bool isOutdated(TimePoint Now) const;
   bool readsFail() const;
--- a/src/control/node_follower.h
+++ b/src/control/node_follower.h
@@ -136,12 +136,11 @@
   /// Returns false if that failed.
   bool announceJoined() {
     TimePoint Now = SystemClock{}.now();
-    NodeTable Known =
-        this->Board.Nodes.read([](const NodeTable &Rows) { return Rows; });
+    NodeRankingRef Known = this->Board.nodes();
     JoinTable::Announcements Rows =
         this->Board.Joins.write([&](JoinTable &Joins) {
-          Joins.prune(Known, Now);
-          return Joins.takeUnwritten(Known, Now);
+          Joins.prune(Known->nodes(), Now);
+          return Joins.takeUnwritten(Known->nodes(), Now);
         });
     if (Rows.empty())
       return true;
@@ -236,12 +235,10 @@
   }
 
   std::set<NodeId> listed() const {
-    return this->Board.Nodes.read([](const NodeTable &Rows) {
-      std::set<NodeId> Ids;
-      for (const auto &[Id, Row] : Rows)
-        Ids.insert(Id);
-      return Ids;
-    });
+    std::set<NodeId> Ids;
+    for (const auto &[Id, Row] : this->Board.nodes()->nodes())
+      Ids.insert(Id);
+    return Ids;
   }
 
   void updateListed(const KeyedPage &Page, const std::vector<NodeInfo> &Present,
@@ -260,17 +257,20 @@
              const std::set<NodeId> &Removed) {
     std::vector<NodeInfo> Joined;
     std::vector<NodeId> Lost;
-    this->Board.Nodes.write([&](NodeTable &Rows) {
-      for (const NodeId &Id : Removed)
-        if (Rows.erase(Id) > 0)
-          Lost.push_back(Id);
-      for (const NodeInfo &Row : Present) {
-        NodeInfo &Old = Rows[Row.Node];
-        if (Old.Incarnation != Row.Incarnation)
-          Joined.push_back(Row);
-        Old = Row;
-      }
-    });
+    if (Present.empty() && Removed.empty())
+      return;
+    NodeTable Rows = this->Board.nodes()->nodes();
+    for (const NodeId &Id : Removed)
+      if (Rows.erase(Id) > 0)
+        Lost.push_back(Id);
+    for (const NodeInfo &Row : Present) {
+      NodeInfo &Old = Rows[Row.Node];
+      if (Old.Incarnation != Row.Incarnation)
+        Joined.push_back(Row);
+      Old = Row;
+    }
+    auto Ranked = std::make_shared<const NodeRanking>(std::move(Rows));
+    this->Board.Nodes.write([&](NodeRankingRef &Row) { Row = Ranked; });
     for (const NodeId &Id : Lost)
       this->Board.Log.emit(EventCode::PeerLost, Id.Text,
                            LogFields().add("reason", "it left the directory"));
--- a/src/control/seed_service.cpp
+++ b/src/control/seed_service.cpp
@@ -21,13 +21,30 @@
                                const std::string &Announcement,
                                const std::vector<NodeId> &Failed,
                                TimePoint Now) {
-  NodeTable Listed =
-      this->Board.Nodes.read([](const NodeTable &Rows) { return Rows; });
-  NodeTable Known = this->Board.Joins.write([&](JoinTable &Joins) {
-    Joins.add(Who, Announcement, Now);
-    return Joins.withJoined(Listed);
-  });
-  return answerJoin(Known, Who, Failed, this->isComplete(Now), Now);
+  bool IsNew = this->Board.Joins.write(
+      [&](JoinTable &Joins) { return Joins.add(Who, Announcement, Now); });
+  return answerJoin(*this->rank(IsNew, Now), Who, Failed, this->isComplete(Now),
+                    Now);
+}
+
+/// The nodes that are listed or have joined. Made anew a bounded number of
+/// times a second, since each of them takes its time and all nodes may join at
+/// once.
+NodeRankingRef SeedService::rank(bool HasNew, TimePoint Now) {
+  NodeRankingRef Listed = this->Board.nodes();
+  std::lock_guard Lock(this->Mutex);
+  this->HasChanged |= HasNew || Listed != this->RankedListed;
+  if (this->Ranked &&
+      (!this->HasChanged || Now - this->RankedAt < RankInterval))
+    return this->Ranked;
+  this->Ranked = std::make_shared<const NodeRanking>(
+      this->Board.Joins.read([&](const JoinTable &Joins) {
+        return Joins.withJoined(Listed->nodes());
+      }));
+  this->RankedListed = std::move(Listed);
+  this->RankedAt = Now;
+  this->HasChanged = false;
+  return this->Ranked;
 }
 
 wire::JoinAnswerT SeedService::respond(const wire::JoinT &Request) {
--- a/src/control/seed_service.h
+++ b/src/control/seed_service.h
@@ -26,9 +26,22 @@
   /// A seed that cannot read the directory answers by the nodes that joined.
   static constexpr Millis DirectoryTimeout{2000};
 
+  /// Min interval between two rankings of the nodes. Shorter than that at which
+  /// a node asks again.
+  static constexpr Millis RankInterval{100};
+
   bool isComplete(TimePoint Now) const;
+  NodeRankingRef rank(bool HasNew, TimePoint Now);
 
   EntryBoard &Board;
+  /// Guards the members below.
+  std::mutex Mutex;
+  NodeRankingRef Ranked;
+  /// The directory that Ranked was made of.
+  NodeRankingRef RankedListed;
+  TimePoint RankedAt;
+  /// Nodes have joined or left since.
+  bool HasChanged = false;
 };
 
 } // namespace waycove
--- a/src/entry/relay_policy.cpp
+++ b/src/entry/relay_policy.cpp
@@ -66,11 +66,10 @@
     return mixHash(Content.Value, hashText(Node.Text));
   };
   std::uint64_t OwnRank = RankOf(this->Board.Config.Node);
-  return this->Board.Nodes.read([&](const NodeTable &Nodes) {
-    return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &Node) {
-      return RankOf(Node.first) >= OwnRank;
-    });
-  });
+  NodeRankingRef Known = this->Board.nodes();
+  return std::all_of(
+      Known->nodes().begin(), Known->nodes().end(),
+      [&](const auto &Node) { return RankOf(Node.first) >= OwnRank; });
 }
 
 void RelayPolicy::recordOutcome(const RelayRequest &Request,
@@ -115,10 +114,8 @@
 ColdRateLimiter::IntervalOf
 RelayPolicy::coldIntervalOf(const ServiceSpec &Spec) const {
   return [this, &Spec](const VmIncarnation &Target) {
-    NodeTable Nodes =
-        this->Board.Nodes.read([](const NodeTable &Rows) { return Rows; });
-    return coldSendInterval(Nodes, this->Board.Config.Node, Target,
-                            Spec.ColdRate);
+    return coldSendInterval(this->Board.nodes()->nodes(),
+                            this->Board.Config.Node, Target, Spec.ColdRate);
   };
 }
 
--- a/src/policy/join_table.cpp
+++ b/src/policy/join_table.cpp
@@ -39,13 +39,15 @@
   return At != Listed.end() && At->second.sameAddress(Node);
 }
 
-void JoinTable::add(const NodeInfo &Node, std::string Bytes, TimePoint Now) {
+bool JoinTable::add(const NodeInfo &Node, std::string Bytes, TimePoint Now) {
   Entry &Row = this->Joined[Node.Node];
-  if (!Row.Node.sameAddress(Node))
+  bool IsNew = !Row.Node.sameAddress(Node);
+  if (IsNew)
     Row.WrittenAt.reset();
   Row.Node = Node;
   Row.Bytes = std::move(Bytes);
   Row.JoinedAt = Now;
+  return IsNew;
 }
 
 NodeTable JoinTable::withJoined(const NodeTable &Listed) const {
@@ -81,12 +83,12 @@
   });
 }
 
-JoinAnswer answerJoin(const NodeTable &Known, const NodeInfo &Who,
+JoinAnswer answerJoin(const NodeRanking &Known, const NodeInfo &Who,
                       const std::vector<NodeId> &Failed, bool Complete,
                       TimePoint Now) {
   JoinAnswer Answer;
-  Answer.NodeCount = Known.size();
-  Answer.RetryAfter = retryAfter(Known.size());
+  Answer.NodeCount = Known.nodes().size();
+  Answer.RetryAfter = retryAfter(Answer.NodeCount);
   if (!Complete) {
     Answer.RetryAfter = std::max(Answer.RetryAfter, IncompleteRetryAfter);
     return Answer;
--- a/src/policy/join_table.h
+++ b/src/policy/join_table.h
@@ -32,8 +32,9 @@
 public:
   using Announcements = std::vector<std::pair<NodeId, std::string>>;
 
-  /// Records that \p Node asked to join with the announcement \p Bytes.
-  void add(const NodeInfo &Node, std::string Bytes, TimePoint Now);
+  /// Records that \p Node asked to join with the announcement \p Bytes. Returns
+  /// whether its address was unknown.
+  bool add(const NodeInfo &Node, std::string Bytes, TimePoint Now);
   /// Returns the nodes of \p Listed and those that joined.
   NodeTable withJoined(const NodeTable &Listed) const;
   /// Returns the announcements that have to be written to the store, and counts
@@ -65,7 +66,7 @@
 /// Returns the answer to \p Who, given the nodes that the seed knows. \p Failed
 /// are those that \p Who could not reach. \p Complete tells whether the seed
 /// knows the nodes that started before.
-JoinAnswer answerJoin(const NodeTable &Known, const NodeInfo &Who,
+JoinAnswer answerJoin(const NodeRanking &Known, const NodeInfo &Who,
                       const std::vector<NodeId> &Failed, bool Complete,
                       TimePoint Now);
 
--- a/src/policy/node_rank.cpp
+++ b/src/policy/node_rank.cpp
@@ -21,27 +21,58 @@
   return Node.LinkMbps >= FastMbps ? FastLinkReaders : ReadersPerNode;
 }
 
+/// Compares two nodes of a data centre by their places in its order.
+class ReadsBefore {
+public:
+  explicit ReadsBefore(const DataCentreId &Centre)
+      : Salt(hashText(Centre.Text)) {}
+  bool operator()(const NodeInfo &Left, const NodeInfo &Right) const {
+    if (Left.LinkMbps != Right.LinkMbps)
+      return Left.LinkMbps > Right.LinkMbps;
+    std::uint64_t LeftRank = hashText(Left.Node.Text, this->Salt);
+    std::uint64_t RightRank = hashText(Right.Node.Text, this->Salt);
+    return LeftRank != RightRank ? LeftRank < RightRank
+                                 : Left.Node < Right.Node;
+  }
+
+private:
+  std::uint64_t Salt;
+};
+
 } // namespace
 
-std::vector<NodeInfo> readerOrder(const NodeTable &Nodes,
-                                  const DataCentreId &Centre) {
-  std::vector<std::pair<std::uint64_t, const NodeInfo *>> Order;
-  for (const auto &[Id, Info] : Nodes)
-    if (Info.DataCentre == Centre)
-      Order.emplace_back(hashText(Id.Text, hashText(Centre.Text)), &Info);
-  std::sort(Order.begin(), Order.end(),
-            [](const auto &Left, const auto &Right) {
-              if (Left.second->LinkMbps != Right.second->LinkMbps)
-                return Left.second->LinkMbps > Right.second->LinkMbps;
-              return Left.first != Right.first
-                         ? Left.first < Right.first
-                         : Left.second->Node < Right.second->Node;
-            });
-  std::vector<NodeInfo> Result;
-  Result.reserve(Order.size());
-  for (const auto &[Hash, Info] : Order)
-    Result.push_back(*Info);
-  return Result;
+NodeRanking::NodeRanking(NodeTable Known) : Nodes(std::move(Known)) {
+  for (const auto &[Id, Info] : this->Nodes)
+    this->Readers[Info.DataCentre].push_back(Info);
+  for (auto &[Centre, Order] : this->Readers) {
+    std::sort(Order.begin(), Order.end(), ReadsBefore(Centre));
+    this->Centres.push_back(Centre);
+  }
+  std::sort(this->Centres.begin(), this->Centres.end(), readsBefore);
+}
+
+const std::vector<NodeInfo> &
+NodeRanking::readers(const DataCentreId &Centre) const {
+  static const std::vector<NodeInfo> None;
+  auto At = this->Readers.find(Centre);
+  return At == this->Readers.end() ? None : At->second;
+}
+
+std::size_t NodeRanking::placeOf(const NodeInfo &Node) const {
+  auto Listed = this->Nodes.find(Node.Node);
+  bool IsListed = Listed != this->Nodes.end() &&
+                  Listed->second.DataCentre == Node.DataCentre;
+  const std::vector<NodeInfo> &Order = this->readers(Node.DataCentre);
+  auto At = std::lower_bound(Order.begin(), Order.end(),
+                             IsListed ? Listed->second : Node,
+                             ReadsBefore(Node.DataCentre));
+  return static_cast<std::size_t>(At - Order.begin());
+}
+
+bool readsBefore(const DataCentreId &Left, const DataCentreId &Right) {
+  std::uint64_t LeftRank = hashText(Left.Text);
+  std::uint64_t RightRank = hashText(Right.Text);
+  return LeftRank != RightRank ? LeftRank < RightRank : Left < Right;
 }
 
 std::optional<std::size_t> upstreamPlace(const std::vector<NodeInfo> &Order,
@@ -54,17 +85,6 @@
   return Upstream;
 }
 
-std::vector<DataCentreId> dataCentreOrder(const NodeTable &Nodes) {
-  std::map<std::pair<std::uint64_t, DataCentreId>, DataCentreId> Order;
-  for (const auto &[Id, Info] : Nodes)
-    Order[{hashText(Info.DataCentre.Text), Info.DataCentre}] = Info.DataCentre;
-  std::vector<DataCentreId> Result;
-  Result.reserve(Order.size());
-  for (const auto &[Place, Centre] : Order)
-    Result.push_back(Centre);
-  return Result;
-}
-
 void NodeBackoff::onFailure(const NodeId &Node, TimePoint Now) {
   Entry &Failed = this->Entries[Node];
   Failed.Delay = Failed.Delay.count() == 0
--- a/src/policy/node_rank.h
+++ b/src/policy/node_rank.h
@@ -7,6 +7,7 @@
 #include "base/ids.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -37,21 +38,43 @@
 
 using NodeTable = std::map<NodeId, NodeInfo>;
 
-/// Returns the nodes of \p Centre in the order in which they read updates for
-/// the others: fastest links first, then by hash. All nodes that know the same
-/// nodes agree on it, and it differs between data centres.
-std::vector<NodeInfo> readerOrder(const NodeTable &Nodes,
-                                  const DataCentreId &Centre);
+/// Nodes and the orders that follow from them. Immutable, and made once for
+/// each change of the nodes, since the orders of a large system are needed many
+/// times a second. All nodes that know the same nodes agree on the orders.
+class NodeRanking {
+public:
+  NodeRanking() = default;
+  explicit NodeRanking(NodeTable Known);
+
+  const NodeTable &nodes() const { return this->Nodes; }
+  /// Returns the nodes of \p Centre in the order in which they read updates for
+  /// the others: fastest links first, then by hash. It differs between data
+  /// centres.
+  const std::vector<NodeInfo> &readers(const DataCentreId &Centre) const;
+  /// Returns all data centres in the order in which their first nodes read
+  /// updates for those of the others.
+  const std::vector<DataCentreId> &centres() const { return this->Centres; }
+  /// Returns the place of \p Node in the order of its data centre; if it is not
+  /// listed, the one that it will have.
+  std::size_t placeOf(const NodeInfo &Node) const;
+
+private:
+  NodeTable Nodes;
+  std::map<DataCentreId, std::vector<NodeInfo>> Readers;
+  std::vector<DataCentreId> Centres;
+};
+
+using NodeRankingRef = std::shared_ptr<const NodeRanking>;
+
+/// Returns whether the first nodes of data centre \p Left read updates for
+/// those of \p Right.
+bool readsBefore(const DataCentreId &Left, const DataCentreId &Right);
 /// Returns the index in \p Order of the upstream node of the one at \p Place,
 /// or nothing for the first. Each node serves a bounded number of others, more
 /// if its link is fast. So the first node of a large data centre is not
 /// overloaded, and nodes that restart at the same time receive the feeds soon.
 std::optional<std::size_t> upstreamPlace(const std::vector<NodeInfo> &Order,
                                          std::size_t Place);
-/// Returns all data centres in the order in which their first nodes read
-/// updates for those of the others.
-std::vector<DataCentreId> dataCentreOrder(const NodeTable &Nodes);
-
 /// Tracks nodes that failed or had no current updates. The backoff grows with
 /// each failure. Not thread-safe.
 class NodeBackoff {
--- a/src/policy/upstream_selector.cpp
+++ b/src/policy/upstream_selector.cpp
@@ -22,16 +22,9 @@
 /// as most failures are short.
 constexpr Millis MinInterval{100};
 
-std::size_t placeOf(const std::vector<NodeInfo> &Order, const NodeId &Node) {
-  auto At = std::find_if(Order.begin(), Order.end(), [&](const NodeInfo &Info) {
-    return Info.Node == Node;
-  });
-  return static_cast<std::size_t>(At - Order.begin());
-}
-
 } // namespace
 
-std::vector<NodeInfo> UpstreamSelector::nextCandidates(const NodeTable &Nodes,
+std::vector<NodeInfo> UpstreamSelector::nextCandidates(const NodeRanking &Known,
                                                        const NodeInfo &Me,
                                                        TimePoint Now) const {
   std::vector<NodeInfo> Candidates;
@@ -40,24 +33,19 @@
       Candidates.push_back(Info);
   };
   // A node that is not listed yet gets the place that it will have.
-  NodeTable Own;
-  if (!Nodes.contains(Me.Node)) {
-    Own = Nodes;
-    Own[Me.Node] = Me;
-  }
-  const NodeTable &All = Own.empty() ? Nodes : Own;
-  std::vector<NodeInfo> Order = readerOrder(All, Me.DataCentre);
-  std::size_t Place = placeOf(Order, Me.Node);
+  std::size_t Place = Known.placeOf(Me);
+  const std::vector<NodeInfo> &Order = Known.readers(Me.DataCentre);
   std::optional<std::size_t> Assigned = upstreamPlace(Order, Place);
   if (Assigned)
     Add(Order[*Assigned]);
-  for (std::size_t I = 0; I < Place; ++I)
+  for (std::size_t I = 0; I < Place && Candidates.size() < MaxCandidates; ++I)
     if (I != Assigned)
       Add(Order[I]);
-  for (const DataCentreId &Centre : dataCentreOrder(All)) {
-    if (Centre == Me.DataCentre || Candidates.size() == MaxCandidates)
+  for (const DataCentreId &Centre : Known.centres()) {
+    if (!readsBefore(Centre, Me.DataCentre) ||
+        Candidates.size() == MaxCandidates)
       break;
-    std::vector<NodeInfo> Others = readerOrder(Nodes, Centre);
+    const std::vector<NodeInfo> &Others = Known.readers(Centre);
     for (std::size_t I = 0; I < std::min(Others.size(), CandidatesPerCentre);
          ++I)
       Add(Others[I]);
@@ -66,17 +54,17 @@
 }
 
 std::vector<NodeInfo>
-UpstreamSelector::fallbackCandidates(const NodeTable &Nodes, const NodeInfo &Me,
-                                     TimePoint Now) const {
-  std::vector<NodeInfo> Others = readerOrder(Nodes, Me.DataCentre);
-  std::size_t Place = placeOf(Others, Me.Node);
-  if (Place < Others.size()) {
+UpstreamSelector::fallbackCandidates(const NodeRanking &Known,
+                                     const NodeInfo &Me, TimePoint Now) const {
+  std::vector<NodeInfo> Others = Known.readers(Me.DataCentre);
+  std::size_t Place = Known.placeOf(Me);
+  if (Place < Others.size() && Others[Place].Node == Me.Node) {
     std::rotate(Others.begin(),
                 Others.begin() + static_cast<std::ptrdiff_t>(Place),
                 Others.end());
     Others.erase(Others.begin());
   }
-  for (const auto &[Id, Info] : Nodes)
+  for (const auto &[Id, Info] : Known.nodes())
     if (Info.DataCentre != Me.DataCentre)
       Others.push_back(Info);
   std::erase_if(Others, [&](const NodeInfo &Info) {
--- a/src/policy/upstream_selector.h
+++ b/src/policy/upstream_selector.h
@@ -19,11 +19,11 @@
   /// Returns the nodes to try in this round, in order, until one has current
   /// updates. Empty for the first node of all, and if all candidates are backed
   /// off.
-  std::vector<NodeInfo> nextCandidates(const NodeTable &Nodes,
+  std::vector<NodeInfo> nextCandidates(const NodeRanking &Known,
                                        const NodeInfo &Me, TimePoint Now) const;
   /// Returns all other nodes, for a node that has lost the store and every node
   /// before it: those of its data centre first, starting after its own place.
-  std::vector<NodeInfo> fallbackCandidates(const NodeTable &Nodes,
+  std::vector<NodeInfo> fallbackCandidates(const NodeRanking &Known,
                                            const NodeInfo &Me,
                                            TimePoint Now) const;
   /// The node did not respond.
--- a/tests/unit/domain_owner_test.cpp
+++ b/tests/unit/domain_owner_test.cpp
@@ -71,8 +71,9 @@
     Spec.Engine->Models.push_back(Model);
     Config->Services[Spec.Id] = Spec;
     this->Board.Routing.write([&](RoutingConfigRef &Row) { Row = Config; });
-    this->Board.Nodes.write([&](NodeTable &Rows) {
-      Rows[this->Board.Config.Node] = this->Board.nodeInfo();
+    this->Board.Nodes.write([&](NodeRankingRef &Row) {
+      Row = std::make_shared<const NodeRanking>(
+          NodeTable{{this->Board.Config.Node, this->Board.nodeInfo()}});
     });
     for (std::uint64_t Partition = 0; Partition < AllPartitions; ++Partition)
       this->Partitioner.Assigned.Partitions.push_back(Partition);
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -433,16 +433,19 @@
                                    DataCentreId(Name[1] < '4' ? "a" : "b"), "",
                                    1};
   }
+  std::vector<NodeInfo> readersOfA() const {
+    return NodeRanking(this->Nodes).readers(DataCentreId("a"));
+  }
   NodeTable Nodes;
 };
 
 TEST_CASE_METHOD(RankFixture,
                  "readers: a node goes: the order of the others stays",
                  "[unit]") {
-  std::vector<NodeInfo> All = readerOrder(this->Nodes, DataCentreId("a"));
+  std::vector<NodeInfo> All = this->readersOfA();
   REQUIRE(All.size() == 3);
   this->Nodes.erase(All[0].Node);
-  std::vector<NodeInfo> Remaining = readerOrder(this->Nodes, DataCentreId("a"));
+  std::vector<NodeInfo> Remaining = this->readersOfA();
   REQUIRE(Remaining.size() == 2);
   CHECK(Remaining[0].Node == All[1].Node);
   CHECK(Remaining[1].Node == All[2].Node);
@@ -451,11 +454,11 @@
 TEST_CASE_METHOD(RankFixture,
                  "readers: data centres: one order, the same for all",
                  "[unit]") {
-  std::vector<DataCentreId> All = dataCentreOrder(this->Nodes);
+  std::vector<DataCentreId> All = NodeRanking(this->Nodes).centres();
   REQUIRE(All.size() == 2);
   CHECK(All[0] != All[1]);
   this->Nodes.erase(NodeId("n1"));
-  CHECK(dataCentreOrder(this->Nodes) == All);
+  CHECK(NodeRanking(this->Nodes).centres() == All);
 }
 
 TEST_CASE("readers: one keeps failing: asked ever more rarely", "[unit]") {
--- a/tests/unit/node_follower_test.cpp
+++ b/tests/unit/node_follower_test.cpp
@@ -66,10 +66,7 @@
     this->Directory.Page.IsSnapshot = false;
     this->Follower.step();
   }
-  std::size_t known() {
-    return this->Board.Nodes.read(
-        [](const NodeTable &Rows) { return Rows.size(); });
-  }
+  std::size_t known() { return this->Board.nodes()->nodes().size(); }
   EntryBoard Board;
   FakeDirectory Directory;
   NodeFollower<FakeDirectory, FakeDirectory> Follower{
--- a/tests/unit/partition_membership_test.cpp
+++ b/tests/unit/partition_membership_test.cpp
@@ -22,7 +22,7 @@
       Row.DataCentre = DataCentreId("a");
       Nodes[Row.Node] = Row;
     }
-    this->Order = readerOrder(Nodes, DataCentreId("a"));
+    this->Order = NodeRanking(Nodes).readers(DataCentreId("a"));
     for (const NodeInfo &Row : this->Order)
       this->Rows[Row.Node];
   }
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -121,7 +121,9 @@
     Config->Services[Spec.Id] = Spec;
     this->Config = Config;
     this->Board.Routing.write([&](RoutingConfigRef &Row) { Row = Config; });
-    this->Board.Nodes.write([](NodeTable &Rows) { Rows = nodesOf(1); });
+    this->Board.Nodes.write([](NodeRankingRef &Row) {
+      Row = std::make_shared<const NodeRanking>(nodesOf(1));
+    });
     for (const char *Centre : {"a", "b"}) {
       auto Row = std::make_shared<TargetInfo>();
       Row->Id = VmId(std::string("in-") + Centre);
--- a/tests/unit/start_test.cpp
+++ b/tests/unit/start_test.cpp
@@ -80,8 +80,8 @@
     bool Complete = this->Now >= at(500);
     JoinTable &Joins = this->Joined[Seed];
     Joins.add(Row.Info, std::string(AnnouncementBytes, 'x'), this->Now);
-    JoinAnswer Answer = answerJoin(Joins.withJoined(this->Directory), Row.Info,
-                                   {}, Complete, this->Now);
+    NodeRanking Known(Joins.withJoined(this->Directory));
+    JoinAnswer Answer = answerJoin(Known, Row.Info, {}, Complete, this->Now);
     ++this->SeedRequests[Seed];
     Row.Upstream = Answer.Upstream;
     Row.Reads = Answer.ReadsStore;
@@ -228,14 +228,15 @@
 // Guards against a seed that answers with nodes that the asking one could not
 // reach.
 TEST_CASE("start: an upstream node is down: the seed names others", "[unit]") {
-  NodeTable Known;
+  NodeTable Nodes;
   for (int I = 0; I < 30; ++I) {
     NodeInfo Info;
     Info.Node = NodeId("n" + std::to_string(I));
     Info.DataCentre = DataCentreId("c");
-    Known[Info.Node] = Info;
+    Nodes[Info.Node] = Info;
   }
-  std::vector<NodeInfo> Order = readerOrder(Known, DataCentreId("c"));
+  NodeRanking Known(Nodes);
+  const std::vector<NodeInfo> &Order = Known.readers(DataCentreId("c"));
   JoinAnswer First = answerJoin(Known, Order[20], {}, true, at(0));
   REQUIRE_FALSE(First.Upstream.empty());
   JoinAnswer Second =
--- a/tests/unit/upstream_selector_test.cpp
+++ b/tests/unit/upstream_selector_test.cpp
@@ -43,9 +43,10 @@
       this->Rows[Row.Node].ProvenAt = at(0);
       this->Rows[Row.Node].HeardAt = at(0);
     }
+    this->Known = NodeRanking(this->Nodes);
     for (auto &[Id, Row] : this->Rows) {
-      std::vector<NodeInfo> Order =
-          readerOrder(this->Nodes, this->Nodes[Id].DataCentre);
+      const std::vector<NodeInfo> &Order =
+          this->Known.readers(this->Nodes[Id].DataCentre);
       Row.Pace = probeBackoff(this->Nodes.size(), Order.front().Node == Id);
       Row.RoundMs = static_cast<int>(hashText(Id.Text) % 250) / StepMs * StepMs;
     }
@@ -61,9 +62,7 @@
   }
   /// The first node in the order of all.
   NodeId first() const {
-    return readerOrder(this->Nodes, dataCentreOrder(this->Nodes).front())
-        .front()
-        .Node;
+    return this->Known.readers(this->Known.centres().front()).front().Node;
   }
   Millis oldest() const {
     Millis Age{0};
@@ -92,6 +91,7 @@
     bool Dead = false;
   };
   NodeTable Nodes;
+  NodeRanking Known;
   std::map<NodeId, Row> Rows;
   /// Which nodes the store responds to, and which reach each other.
   std::function<bool(const NodeId &)> StoreAnswers = [](const NodeId &) {
@@ -130,7 +130,7 @@
 
   void round(const NodeId &Id, Row &Me, TimePoint Now) {
     std::vector<NodeInfo> Before =
-        Me.Route.nextCandidates(this->Nodes, this->Nodes[Id], Now);
+        Me.Route.nextCandidates(this->Known, this->Nodes[Id], Now);
     for (const NodeInfo &Peer : Before) {
       if (this->Rows[Peer.Node].Dead || !this->Reaches(Id, Peer.Node)) {
         Me.Route.onFailure(Peer.Node, Now);
@@ -151,7 +151,7 @@
       return;
     int Asked = 0;
     for (const NodeInfo &Peer :
-         Me.Route.fallbackCandidates(this->Nodes, this->Nodes[Id], Now))
+         Me.Route.fallbackCandidates(this->Known, this->Nodes[Id], Now))
       if (++Asked <= 2 && this->Reaches(Id, Peer.Node) &&
           !this->Rows[Peer.Node].Dead && this->isCurrent(Peer.Node))
         Me.ProvenAt = std::max(Me.ProvenAt, this->Rows[Peer.Node].ProvenAt);
@@ -243,18 +243,19 @@
                  "nobody by all",
                  "[unit]") {
   this->build(100, 1);
-  std::vector<NodeInfo> Order = readerOrder(this->Nodes, DataCentreId("c0"));
+  const std::vector<NodeInfo> &Order = this->Known.readers(DataCentreId("c0"));
   UpstreamSelector Route;
-  CHECK(Route.nextCandidates(this->Nodes, Order[0], at(0)).empty());
+  CHECK(Route.nextCandidates(this->Known, Order[0], at(0)).empty());
   // A node that the directory does not list yet asks the nodes that it will ask
   // once it is listed.
   NodeInfo Unlisted = Order[1];
   Unlisted.Node = NodeId("unlisted");
   std::vector<NodeInfo> Before =
-      Route.nextCandidates(this->Nodes, Unlisted, at(0));
+      Route.nextCandidates(this->Known, Unlisted, at(0));
   NodeTable WithIt = this->Nodes;
   WithIt[Unlisted.Node] = Unlisted;
-  std::vector<NodeInfo> Listed = Route.nextCandidates(WithIt, Unlisted, at(0));
+  std::vector<NodeInfo> Listed =
+      Route.nextCandidates(NodeRanking(WithIt), Unlisted, at(0));
   REQUIRE_FALSE(Before.empty());
   CHECK(std::equal(Before.begin(), Before.end(), Listed.begin(), Listed.end(),
                    [](const NodeInfo &Left, const NodeInfo &Right) {
@@ -263,7 +264,7 @@
   std::map<NodeId, int> Askers;
   for (std::size_t I = 1; I < Order.size(); ++I) {
     std::vector<NodeInfo> Asked =
-        Route.nextCandidates(this->Nodes, Order[I], at(0));
+        Route.nextCandidates(this->Known, Order[I], at(0));
     REQUIRE_FALSE(Asked.empty());
     ++Askers[Asked.front().Node];
     // The first node is requested if the assigned one fails.
@@ -279,21 +280,21 @@
                  "before this node is asked",
                  "[unit]") {
   this->build(100, 1);
-  std::vector<NodeInfo> Order = readerOrder(this->Nodes, DataCentreId("c0"));
+  const std::vector<NodeInfo> &Order = this->Known.readers(DataCentreId("c0"));
   UpstreamSelector Route;
   NodeId Given =
-      Route.nextCandidates(this->Nodes, Order[30], at(0)).front().Node;
+      Route.nextCandidates(this->Known, Order[30], at(0)).front().Node;
   Route.onFailure(Given, at(0));
-  CHECK(Route.nextCandidates(this->Nodes, Order[30], at(100)).front().Node ==
+  CHECK(Route.nextCandidates(this->Known, Order[30], at(100)).front().Node ==
         Order[0].Node);
   Route.onStale(Order[0].Node, at(100));
-  CHECK(Route.nextCandidates(this->Nodes, Order[30], at(200)).front().Node ==
+  CHECK(Route.nextCandidates(this->Known, Order[30], at(200)).front().Node ==
         Order[1].Node);
   // A node with stale updates is retried sooner than one that is dead.
-  CHECK(Route.nextCandidates(this->Nodes, Order[30], at(600)).front().Node ==
+  CHECK(Route.nextCandidates(this->Known, Order[30], at(600)).front().Node ==
         Order[0].Node);
   Route.onSuccess(Given);
-  CHECK(Route.nextCandidates(this->Nodes, Order[30], at(600)).front().Node ==
+  CHECK(Route.nextCandidates(this->Known, Order[30], at(600)).front().Node ==
         Given);
 }
 
@@ -312,7 +313,7 @@
       Row.LinkMbps = I < Fast ? 200 : 20;
       this->Nodes[Row.Node] = Row;
     }
-    this->Order = readerOrder(this->Nodes, DataCentreId("c0"));
+    this->Order = NodeRanking(this->Nodes).readers(DataCentreId("c0"));
   }
   /// When the last node has the state, in seconds after the first.
   double lastFilled() const {
