Bound the bytes kept for callers and targets that are slow

Seen by reading: bodies of requests (4 MB each by the operators' limit) and whole responses (16 MB) of up to 2,000 connections could use up the memory of a node of 160 MB, which ends the process; an event without end, too.

BufferBudget bounds them together: a quarter of the process's memory (max_buffer_mb). Requests may use half of it, so that responses of what has run find room. A new request without room is read to its end and refused as not run, with Retry-After for another node. An event is at most 1 MB.

Ruled out: cutting the largest or the oldest, whose work would be lost.

buffer_budget_test, and a real daemon with an unfinished body that fills its buffers; before, it took any number of them.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -93,6 +93,18 @@
   return Result;
 }
 
+/// Reads the buffers' bound, or works it out from the memory of the process.
+std::size_t readBufferBytes(YamlMap &Map, std::size_t Default) {
+  constexpr double Megabyte = 1 << 20;
+  constexpr double MaxMegabytes = 1 << 20;
+  constexpr double MemoryDivisor = 4;
+  double Memory = Map.real("memory_mb", 0, 0, MaxMegabytes);
+  double Derived = Memory > 0 ? Memory / MemoryDivisor
+                              : static_cast<double>(Default) / Megabyte;
+  return static_cast<std::size_t>(
+      Map.real("max_buffer_mb", Derived, 0, MaxMegabytes) * Megabyte);
+}
+
 EntrySettings readEntry(const YAML::Node &Node, ValidationErrors &Errors) {
   YamlMap Map(Node, "entry", Errors);
   EntrySettings Result;
@@ -116,6 +128,7 @@
   Result.TargetHeartbeatInterval = readMillis(
       Map, "target_heartbeat_ms", Result.TargetHeartbeatInterval, 10, 600000);
   Result.FirstStart = Map.flag("first_start", Result.FirstStart);
+  Result.MaxBufferBytes = readBufferBytes(Map, Result.MaxBufferBytes);
   Result.LinkMbps = Map.real("link_mbps", Result.LinkMbps, 0, 1e6);
   Result.PartitionCount =
       Map.number("work_parts", false, Result.PartitionCount, 1, 100000);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -54,6 +54,8 @@
   /// The system starts for the first time: model weights may be loaded without
   /// a rate limit until the first request.
   bool FirstStart = false;
+  /// Bytes of bodies that the node buffers for callers and targets together.
+  std::size_t MaxBufferBytes = 64 << 20;
   /// Bandwidth of this node's network link in Mbit/s; 0 if unknown.
   double LinkMbps = 0;
   /// Number of partitions that the platform assigns to nodes.
--- a/src/entry/caller_server.h
+++ b/src/entry/caller_server.h
@@ -13,8 +13,8 @@
 template <CallerProtocol Protocol> class CallerServer {
 public:
   CallerServer(EntryBoard &Board, Relay<Protocol> &RequestRelay,
-               ConnectionResources Shared)
-      : Board(Board), RequestRelay(RequestRelay),
+               BufferBudget &Buffers, ConnectionResources Shared)
+      : Board(Board), RequestRelay(RequestRelay), Buffers(Buffers),
         Connections(
             Shared, Board.Config.MaxStreams,
             [this](const Poco::Net::StreamSocket &Socket) {
@@ -73,7 +73,8 @@
     if (Request.Head.getExpectContinue() &&
         Caller.send("HTTP/1.1 100 Continue\r\n\r\n", Until) != IoStatus::Ok)
       return false;
-    if (!this->readBody(Caller, *Body, Limits, Request.Body))
+    Request.Body.Share = {this->Buffers, BufferBudget::Use::Request};
+    if (!this->readBody(Caller, *Body, Limits, Request))
       return false;
     return this->RequestRelay.serve(Caller, std::move(Request));
   }
@@ -101,11 +102,20 @@
   }
 
   bool readBody(Channel &Caller, BodyDecoder &Body, const CallerLimits &Limits,
-                std::string &Payload) {
+                RelayRequest &Request) {
+    std::string &Payload = Request.Body.Bytes;
+    std::size_t DroppedBytes = 0;
     while (true) {
       Body.feed(Caller.buffer(), Payload);
-      if (Payload.size() > Limits.BodyBytes)
+      if (DroppedBytes + Payload.size() > Limits.BodyBytes)
         return this->refuse(Caller, 413, "the body is too large");
+      // A body without room is read to its end, so that its caller can read the
+      // refusal.
+      Request.HasNoRoom |= !Request.Body.Share.growTo(Payload.size());
+      if (Request.HasNoRoom) {
+        DroppedBytes += Payload.size();
+        Payload.clear();
+      }
       if (Body.isMalformed())
         return this->refuse(Caller, 400, "the body's chunks are malformed");
       if (Body.isDone())
@@ -131,6 +141,7 @@
 
   EntryBoard &Board;
   Relay<Protocol> &RequestRelay;
+  BufferBudget &Buffers;
   const std::uint64_t Seed = hashText(randomId());
   ConnectionServer<Connection> Connections;
 };
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -68,8 +68,9 @@
         NewsService(this->Board, this->Observations,
                     {this->Poller, this->ControlThreads}),
         Domains(this->Board, this->Partitions, this->Control),
-        RequestRelay(this->Board, this->Pool),
-        Callers(this->Board, this->RequestRelay,
+        Buffers(Config.Entry->MaxBufferBytes),
+        RequestRelay(this->Board, this->Pool, this->Buffers),
+        Callers(this->Board, this->RequestRelay, this->Buffers,
                 {this->Poller, this->CallerThreads}),
         Ready(
             Platform::ReadyPath, [this] { return this->isReady(); },
@@ -270,6 +271,7 @@
   NewsServer NewsService;
   DomainOwner<typename Platform::Partitions, typename Platform::Control>
       Domains;
+  BufferBudget Buffers;
   Relay<typename Platform::Callers> RequestRelay;
   CallerServer<typename Platform::Callers> Callers;
   std::atomic<bool> WasReady{false};
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -18,9 +18,9 @@
 /// target was declined by that target.
 template <CallerProtocol Protocol> class Relay {
 public:
-  Relay(EntryBoard &Board, TargetConnectionPool &Pool)
+  Relay(EntryBoard &Board, TargetConnectionPool &Pool, BufferBudget &Buffers)
       : Board(Board), Pool(Pool), Log(Board), Policy(Board),
-        Waiter(Board, this->Policy, this->Log),
+        Waiter(Board, this->Policy, this->Log, Buffers),
         Forwarder(Board, Pool, this->Waiter, this->Log) {}
 
   /// Serves \p Request and writes the response to \p Caller. Returns whether
@@ -33,10 +33,7 @@
                             Request.Head.getMethod() != "HEAD");
     RelayProgress Progress;
     Progress.LastEvent = Request.Info.LastEvent;
-    absl::Status Admitted =
-        this->Board.Refusing
-            ? makeError(ErrorKind::Stopping, "stopping", StoppingRetryAfter)
-            : admitRequest(this->Board, Request, SystemClock{}.now());
+    absl::Status Admitted = this->admit(Request);
     if (Admitted.ok()) {
       this->Policy.recordRequest(Request);
       this->runAttempts({Caller, Request, Progress, Response});
@@ -56,14 +53,24 @@
   static constexpr Millis MaxSelectionAge{250};
   /// Longer than the 200 ms after which a lost packet is retransmitted.
   static constexpr Millis AckTimeout{300};
-  /// Retry-After of a stopping node: another node accepts the request at once.
-  static constexpr Millis StoppingRetryAfter{20};
+  /// Retry-After of a node that stops or has no room: another node accepts the
+  /// request at once.
+  static constexpr Millis OtherNodeRetryAfter{20};
   /// Retry-After of a request that is refused because targets crash under it.
   static constexpr Millis BlamedRetryAfter{5000};
   /// An unreachable target is avoided for about as long as the registry needs
   /// to remove it.
   static constexpr Millis UnreachableDuration{3000};
 
+  absl::Status admit(RelayRequest &Request) const {
+    if (this->Board.Refusing)
+      return makeError(ErrorKind::Stopping, "stopping", OtherNodeRetryAfter);
+    if (Request.HasNoRoom)
+      return makeError(ErrorKind::NoCapacity, "the buffers for bodies are full",
+                       OtherNodeRetryAfter);
+    return admitRequest(this->Board, Request, SystemClock{}.now());
+  }
+
   void runAttempts(RelayExchange Ex) {
     while (true) {
       TimePoint Now = SystemClock{}.now();
@@ -177,12 +184,13 @@
         Ex.Progress.LastEvent};
     Poco::Net::HTTPRequest Head =
         Protocol::makeTargetRequest(Request.Head, Params);
-    if (!Request.Body.empty() || Request.Head.hasContentLength() ||
+    if (!Request.Body.Bytes.empty() || Request.Head.hasContentLength() ||
         Request.Head.getChunkedTransferEncoding())
-      Head.setContentLength64(static_cast<Poco::Int64>(Request.Body.size()));
+      Head.setContentLength64(
+          static_cast<Poco::Int64>(Request.Body.Bytes.size()));
     std::ostringstream Out;
     Head.write(Out);
-    return Out.str() + Request.Body;
+    return Out.str() + Request.Body.Bytes;
   }
 
   AttemptOutcome endAttempt(const RelayExchange &Ex,
@@ -212,7 +220,7 @@
       return this->Log.requestCut(Ex, Reason);
     }
     if (Ex.Progress.Failure) {
-      Ex.deliver(*Ex.Progress.Failure, Ex.Progress.FailureBody);
+      Ex.deliver(*Ex.Progress.Failure, Ex.Progress.FailureBody->Bytes);
       return this->Log.requestFailed(Ex, Reason);
     }
     this->refuse(Ex, makeError(errorKindFor(Ex.Progress, DeadlinePassed),
--- a/src/entry/relay_request.cpp
+++ b/src/entry/relay_request.cpp
@@ -23,7 +23,7 @@
   const std::string &Caller =
       Request.Workspace.empty() ? Request.Info.ApiKey : Request.Workspace.Text;
   std::uint64_t Path = hashText(Uri.substr(0, Uri.find('?')));
-  return ContentHash(hashText(Request.Body, hashText(Caller, Path)));
+  return ContentHash(hashText(Request.Body.Bytes, hashText(Caller, Path)));
 }
 
 absl::Status admitRequest(const EntryBoard &Board, RelayRequest &Request,
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -6,16 +6,20 @@
 
 #include "base/errors.h"
 #include "board/entry_board.h"
+#include "entry/buffer_budget.h"
 #include "entry/caller_protocol.h"
 
 #include <Poco/Net/HTTPRequest.h>
+#include <memory>
 
 namespace waycove {
 
 /// A caller's request and what admission found out about it.
 struct RelayRequest {
   Poco::Net::HTTPRequest Head;
-  std::string Body;
+  BufferedBody Body;
+  /// The body was dropped because the node's buffers were full.
+  bool HasNoRoom = false;
   CallerRequestInfo Info;
   TimePoint ArrivedAt;
   TimePoint Deadline;
@@ -58,7 +62,7 @@
   /// A target's error response, which the caller gets if no other target
   /// succeeds.
   std::optional<Poco::Net::HTTPResponse> Failure;
-  std::string FailureBody;
+  std::shared_ptr<const BufferedBody> FailureBody;
   std::string Reason;
 };
 
--- a/src/entry/response_forwarder.h
+++ b/src/entry/response_forwarder.h
@@ -48,7 +48,7 @@
         return this->forwardResponse(Ex, Attempt, *Head, Info, *Body);
       // A late response to an earlier request: discard it, ours follows.
       ++Skipped;
-      std::string Discarded;
+      BufferedBody Discarded;
       if (AttemptOutcome End =
               this->Waiter.readBody(Ex, Attempt, *Body, Discarded);
           End != AttemptOutcome::Done)
@@ -67,6 +67,7 @@
   /// its registry entry ends this early (RegistryFollower).
   static constexpr Millis WrongTargetDuration{3600};
   static constexpr std::size_t MaxHeadBytes = 64 << 10;
+  static constexpr std::size_t MaxEventBytes = 1 << 20;
   /// Targets end a response that stays unread for some seconds.
   static constexpr Millis UnreadDuration{1000};
   /// Late responses to earlier requests that are skipped on a connection.
@@ -78,7 +79,7 @@
                                  BodyDecoder &Body) {
     int Status = Head.getStatus();
     if (Info.NotRun) {
-      std::string Unused;
+      BufferedBody Unused;
       if (this->Waiter.readBody(Ex, Attempt, Body, Unused) ==
           AttemptOutcome::Done)
         this->returnConnection(Ex, Attempt, Head, Info, Body);
@@ -110,8 +111,8 @@
                               const Poco::Net::HTTPResponse &Head,
                               const TargetResponseInfo &Info,
                               BodyDecoder &Body) {
-    std::string Bytes;
-    if (AttemptOutcome End = this->Waiter.readBody(Ex, Attempt, Body, Bytes);
+    auto Whole = std::make_shared<BufferedBody>();
+    if (AttemptOutcome End = this->Waiter.readBody(Ex, Attempt, Body, *Whole);
         End != AttemptOutcome::Done)
       return End;
     this->returnConnection(Ex, Attempt, Head, Info, Body);
@@ -124,11 +125,11 @@
       Attempt.Reason =
           "the target failed, status " + std::to_string(Head.getStatus());
       Ex.Progress.Failure = Head;
-      Ex.Progress.FailureBody = std::move(Bytes);
+      Ex.Progress.FailureBody = std::move(Whole);
       return AttemptOutcome::Broken;
     }
-    return Ex.deliver(Head, Bytes) ? AttemptOutcome::Done
-                                   : AttemptOutcome::CallerGone;
+    return Ex.deliver(Head, Whole->Bytes) ? AttemptOutcome::Done
+                                          : AttemptOutcome::CallerGone;
   }
 
   /// Forwards whole events as they arrive, starting after the last event that
@@ -157,7 +158,7 @@
       }
       if (Body.isDone())
         return this->endStream(Ex, Attempt, Head, Info, Body, Payload);
-      if (Body.isMalformed()) {
+      if (Body.isMalformed() || Payload.size() > MaxEventBytes) {
         Attempt.Reason = "the stream's framing is damaged";
         return AttemptOutcome::Broken;
       }
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -93,12 +93,18 @@
 }
 
 AttemptOutcome ResponseWait::readBody(RelayExchange &Ex, RelayAttempt &Attempt,
-                                      BodyDecoder &Body, std::string &Payload) {
+                                      BodyDecoder &Body,
+                                      BufferedBody &Payload) {
+  Payload.Share = {this->Buffers, BufferBudget::Use::Response};
   while (true) {
-    Body.feed(Attempt.Connection->buffer(), Payload);
+    Body.feed(Attempt.Connection->buffer(), Payload.Bytes);
+    if (!Payload.Share.growTo(Payload.Bytes.size())) {
+      Attempt.Reason = "the buffers for bodies are full";
+      return AttemptOutcome::Broken;
+    }
     if (Body.isDone())
       return AttemptOutcome::Done;
-    if (Body.isMalformed() || Payload.size() > MaxBodyBytes) {
+    if (Body.isMalformed() || Payload.Bytes.size() > MaxBodyBytes) {
       Attempt.Reason = "the answer's framing is damaged";
       return AttemptOutcome::Broken;
     }
--- a/src/entry/response_wait.h
+++ b/src/entry/response_wait.h
@@ -13,8 +13,9 @@
 /// distinguishes an unresponsive target from a busy one. Thread-safe.
 class ResponseWait {
 public:
-  ResponseWait(EntryBoard &Board, RelayPolicy &Policy, RelayLog &Log)
-      : Board(Board), Policy(Policy), Log(Log) {}
+  ResponseWait(EntryBoard &Board, RelayPolicy &Policy, RelayLog &Log,
+               BufferBudget &Buffers)
+      : Board(Board), Policy(Policy), Log(Log), Buffers(Buffers) {}
 
   /// Waits for bytes from the target. Returns how the attempt ends, or nothing
   /// if bytes were received.
@@ -25,7 +26,7 @@
   waitForBody(RelayExchange &Ex, RelayAttempt &Attempt, BodyDecoder &Body);
   /// Reads a whole body. Returns Done if it is complete.
   AttemptOutcome readBody(RelayExchange &Ex, RelayAttempt &Attempt,
-                          BodyDecoder &Body, std::string &Payload);
+                          BodyDecoder &Body, BufferedBody &Payload);
 
 private:
   bool isUnresponsive(const RelayExchange &Ex, RelayAttempt &Attempt,
@@ -34,6 +35,7 @@
   EntryBoard &Board;
   RelayPolicy &Policy;
   RelayLog &Log;
+  BufferBudget &Buffers;
 };
 
 } // namespace waycove
--- a/tests/contract/settings_contract.cpp
+++ b/tests/contract/settings_contract.cpp
@@ -169,6 +169,14 @@
             [](const EntrySettings &S) { return Of(S.MinLease); }},
            {"limits.link_mbps", "200.0", 200,
             [](const EntrySettings &S) { return S.LinkMbps; }},
+           {"limits.memory_mb", "160", 40 << 20,
+            [](const EntrySettings &S) {
+              return static_cast<double>(S.MaxBufferBytes);
+            }},
+           {"limits.memory_mb", "160.0", 40 << 20,
+            [](const EntrySettings &S) {
+              return static_cast<double>(S.MaxBufferBytes);
+            }},
            {"platform.parts", "31", 31, [](const EntrySettings &S) {
               return static_cast<double>(S.PartitionCount);
             }}}) {
--- a/tests/failure/entry_test.cpp
+++ b/tests/failure/entry_test.cpp
@@ -357,4 +357,45 @@
   CHECK(this->plainRuns() == 0);
 }
 
+struct SmallBufferFixture : EntryFixture {
+  SmallBufferFixture() : EntryFixture(", max_buffer_mb: 1") {}
+};
+
+// Guards against callers that send slowly and use up the memory of the node.
+TEST_CASE_METHOD(SmallBufferFixture,
+                 "entry: the buffers are full of an unfinished body: another "
+                 "request is refused as not run, and served when there is room",
+                 "[failure]") {
+  const std::string Large(300 << 10, 'x');
+  Poco::Net::StreamSocket Slow(
+      Poco::Net::SocketAddress("127.0.0.1", this->Run.httpPort("n1")));
+  std::string Head = "POST /once/x HTTP/1.1\r\nHost: a.example\r\n"
+                     "Authorization: Bearer key-1\r\nX-Request-Id: slow\r\n"
+                     "Content-Length: " +
+                     std::to_string(2 * Large.size()) + "\r\n\r\n";
+  Slow.sendBytes(Head.data(), static_cast<int>(Head.size()));
+  Slow.sendBytes(Large.data(), static_cast<int>(Large.size()));
+  auto Post = [&](const std::string &Id) {
+    return this->Run
+        .ask("n1", {"POST",
+                    "/once/x",
+                    Large,
+                    {{"Host", "a.example"},
+                     {"Authorization", "Bearer key-1"},
+                     {"X-Request-Id", Id}}})
+        .Status;
+  };
+  int Attempt = 0;
+  CHECK(
+      eventually([&] { return Post("r" + std::to_string(++Attempt)) == 503; }));
+  std::uint64_t Runs = this->plainRuns();
+  CHECK(Post("refused") == 503);
+  CHECK(this->plainRuns() == Runs);
+  // Requests with small bodies still find room.
+  CHECK(this->call("/once/x", "small").Status == 200);
+  Slow.close();
+  CHECK(
+      eventually([&] { return Post("s" + std::to_string(++Attempt)) == 200; }));
+}
+
 } // namespace waycove::test
