Read the targets' state from the lines of all nodes

Seen: the tool took the lines of the one node that wrote the most, which since the registry's changes are written by few nodes was none that wrote all of them: it showed groups without heads that had long formed anew. Now the lines of all nodes are merged by the registry's positions.

No functional change

--- a/src/entry/buffer_budget.cpp
+++ b/src/entry/buffer_budget.cpp
@@ -7,8 +7,8 @@
 namespace waycove {
 
 bool BufferBudget::take(std::size_t Bytes, Use Kind) {
-  std::size_t Limit = Kind == Use::Request ? this->MaxBytes / RequestDivisor
-                                           : this->MaxBytes;
+  std::size_t Limit =
+      Kind == Use::Request ? this->MaxBytes / RequestDivisor : this->MaxBytes;
   std::size_t Before = this->Used;
   do
     if (Bytes > Limit || Before > Limit - Bytes)
--- a/src/entry/buffer_budget.h
+++ b/src/entry/buffer_budget.h
@@ -42,8 +42,8 @@
       return *this;
     }
 
-    /// Extends the share to \p Wanted bytes in all. Returns false, and leaves it
-    /// as it is, if the budget does not allow that.
+    /// Extends the share to \p Wanted bytes in all. Returns false, and leaves
+    /// it as it is, if the budget does not allow that.
     bool growTo(std::size_t Wanted);
 
   private:
--- a/tools/losses.py
+++ b/tools/losses.py
@@ -7,8 +7,9 @@
 seconds and a node's name before it. By moment:
 
 - requests: answered, and refused and failed by reason;
-- VMs, as the node that told of the most tells it: in groups that serve, by
-  model, and why the others serve nobody; with --domains by domain, too;
+- VMs, as all nodes together tell it, by the registry's positions, since only
+  some nodes tell each change: in groups that serve, by model, and why the
+  others serve nobody; with --domains by domain, too;
 - with --centres: first events later than --late milliseconds, of all, by the
   data centre of the node that the caller came to.
 
@@ -44,12 +45,17 @@
 
 
 class Vms:
-    """What one node knew of the targets that form groups."""
+    """What the nodes knew of the targets that form groups."""
 
     def __init__(self):
         self.rows = {}
+        self.newest = {}
 
     def take(self, row):
+        at = row["registry"]
+        if at < self.newest.get(row["subject"], at):
+            return
+        self.newest[row["subject"]] = at
         if row["name"] == "target_gone":
             self.rows.pop(row["subject"], None)
         elif row.get("domain"):
@@ -163,14 +169,10 @@
 def main():
     opt = parse_args()
     rows = list(read(opt.log))
-    told = collections.Counter(
-        node for _, node, row in rows if row["name"] == "target_changed")
-    if not told:
+    if not any(row["name"] == "target_changed" for _, _, row in rows):
         sys.exit("no target_changed lines in " + opt.log)
-    best = told.most_common(1)[0][0]
     centres = {node: row["data_centre"] for _, node, row in rows
                if row["name"] == "daemon_started" and "data_centre" in row}
-    print(f"# VMs as {best} saw them; requests of all nodes")
     vms, requests = Vms(), Requests(opt.late)
     end = opt.begin + opt.step
     totals = collections.Counter()
@@ -186,8 +188,7 @@
             requests = Requests(opt.late)
             end += opt.step
         if row["name"] in ("target_changed", "target_gone"):
-            if node == best:
-                vms.take(row)
+            vms.take(row)
         elif at >= opt.begin and row["name"].startswith("request_"):
             requests.take(row, centres.get(node, ""))
     close()
