--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -36,7 +36,13 @@
     absl::Status Admitted = this->admit(Request);
     if (Admitted.ok()) {
       this->Policy.recordRequest(Request);
-      this->runAttempts({Caller, Request, Progress, Response});
+      if (this->Policy.mustShed(Request))
+        this->refuse({Caller, Request, Progress, Response},
+                     makeError(ErrorKind::Overloaded,
+                               "the targets are overloaded",
+                               suggestRetryAfter(Request)));
+      else
+        this->runAttempts({Caller, Request, Progress, Response});
     } else {
       this->refuse({Caller, Request, Progress, Response}, Admitted);
     }
