--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -219,12 +219,6 @@
       {EvacuationEnded, Info, "evacuation_ended",
        "An evacuation of a data centre has ended; its targets count as cold at "
        "first."},
-      {PoolOverloaded, Warning, "pool_overloaded",
-       "More requests arrive than the targets of a model can run: a fraction "
-       "is "
-       "refused, so that the others are in time."},
-      {PoolRelieved, Info, "pool_relieved",
-       "The targets of a model can run all requests again."},
       {TargetReborn, Info, "target_reborn",
        "A target restarted under the same id and lost its earlier state."},
       {TargetKept, Info, "target_kept",
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -16,7 +16,6 @@
 #include "policy/group_load.h"
 #include "policy/join_table.h"
 #include "policy/lease.h"
-#include "policy/load_shedder.h"
 #include "policy/partition_membership.h"
 #include "policy/retry_limiter.h"
 #include "policy/upstream_selector.h"
@@ -62,7 +61,6 @@
   Table<Evacuations, LockRank::State> Evacuated;
   Table<TargetStatsTable, LockRank::Load> TargetStats;
   Table<CentreBalance, LockRank::Load> Balance;
-  Table<LoadShedder, LockRank::Load> Shedder;
   Table<Fleet, LockRank::Vms> Targets;
   Table<ServingViewRef, LockRank::Views> Serving;
   Table<RetryLimiterTable, LockRank::Idempotency> RetryLimiters;
--- a/src/control/shared_observations.cpp
+++ b/src/control/shared_observations.cpp
@@ -83,26 +83,11 @@
       [&](DemandTable &Rows) { Rows = std::move(OthersDemand); });
   ServingViewRef View =
       this->Board.Serving.read([](const ServingViewRef &Row) { return Row; });
-  RoutingConfigRef Config =
-      this->Board.Routing.read([](const RoutingConfigRef &Row) { return Row; });
-  PoolUses Uses;
   CentreLoads Centres =
       this->Board.TargetStats.write([&](TargetStatsTable &Rows) {
         Rows.setReports(std::move(Others), Now);
-        if (Config)
-          Uses = poolUses(*View, *Config, Rows, this->Board.KnownNodeCount <= 1,
-                          Now);
         return centreLoads(*View, Rows, this->Board.Config.DataCentre, Now);
       });
-  auto Overloads = this->Board.Shedder.write(
-      [&](LoadShedder &Shedder) { return Shedder.update(Uses, Now); });
-  for (const LoadShedder::Change &Row : Overloads)
-    this->Board.Log.emit(Row.IsOverloaded ? EventCode::PoolOverloaded
-                                          : EventCode::PoolRelieved,
-                         Row.Pool.Service.Text,
-                         LogFields()
-                             .add("model", Row.Pool.Model)
-                             .add("utilization", Row.Utilization));
   auto Changes = this->Board.Balance.write(
       [&](CentreBalance &Parts) { return Parts.update(Centres, Now); });
   for (const CentreBalance::Change &Row : Changes)
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -36,13 +36,7 @@
     absl::Status Admitted = this->admit(Request);
     if (Admitted.ok()) {
       this->Policy.recordRequest(Request);
-      if (this->Policy.mustShed(Request))
-        this->refuse({Caller, Request, Progress, Response},
-                     makeError(ErrorKind::Overloaded,
-                               "the targets are overloaded",
-                               suggestRetryAfter(Request)));
-      else
-        this->runAttempts({Caller, Request, Progress, Response});
+      this->runAttempts({Caller, Request, Progress, Response});
     } else {
       this->refuse({Caller, Request, Progress, Response}, Admitted);
     }
--- a/src/entry/relay_policy.cpp
+++ b/src/entry/relay_policy.cpp
@@ -14,17 +14,8 @@
 constexpr unsigned AttemptLimit = 5;
 /// Salt of the random decision whether a request stays in its data centre.
 constexpr std::uint64_t StaySalt = 0x57a4;
-/// Salt of the random decision whether a request is refused in overload.
-constexpr std::uint64_t ShedSalt = 0x5bed;
-/// Resolution of these decisions.
-constexpr std::uint64_t RandomScale = 10000;
-
-/// Returns true for \p Fraction of all requests.
-bool isChosen(const RelayRequest &Request, std::uint64_t Salt,
-              double Fraction) {
-  return static_cast<double>(mixHash(Request.Random, Salt) % RandomScale) <
-         Fraction * static_cast<double>(RandomScale);
-}
+/// Resolution of that decision.
+constexpr std::uint64_t StayScale = 10000;
 
 } // namespace
 
@@ -47,13 +38,6 @@
   });
 }
 
-bool RelayPolicy::mustShed(const RelayRequest &Request) const {
-  double Fraction = this->Board.Shedder.read([&](const LoadShedder &Shedder) {
-    return Shedder.refusedFraction({Request.Service, Request.Info.Model});
-  });
-  return isChosen(Request, ShedSalt, Fraction);
-}
-
 bool RelayPolicy::maySend(const RelayRequest &Request, TimePoint Now) {
   using Verdict = CrashBlame::Verdict;
   Verdict Current = this->Board.Crashes.read([&](const CrashBlame &Crashes) {
@@ -194,7 +178,9 @@
       this->Board.Balance.read([&](const CentreBalance &Balance) {
         return Balance.localFraction({Request.Service, Model});
       });
-  return !isChosen(Request, StaySalt, LocalFraction);
+  std::uint64_t Random = mixHash(Request.Random, StaySalt) % StayScale;
+  return static_cast<double>(Random) >=
+         LocalFraction * static_cast<double>(StayScale);
 }
 
 bool RelayPolicy::mayRetry(const RelayRequest &Request,
--- a/src/entry/relay_policy.h
+++ b/src/entry/relay_policy.h
@@ -23,8 +23,6 @@
 
   /// Counts an admitted request in the demand and for the retry limit.
   void recordRequest(const RelayRequest &Request);
-  /// Whether to refuse the request because the targets are overloaded.
-  bool mustShed(const RelayRequest &Request) const;
   /// Whether the request may be sent, given which requests are blamed for
   /// crashes of targets. If a single trial is allowed, this call uses it up.
   bool maySend(const RelayRequest &Request, TimePoint Now);
--- a/src/policy/centre_balance.h
+++ b/src/policy/centre_balance.h
@@ -34,10 +34,6 @@
 
 using CentreLoads = std::map<PoolKey, CentreLoad>;
 
-/// Requests in flight at a target, from this node and the reports of others.
-double requestsInFlight(const VmIncarnation &Target,
-                        const TargetStatsTable &Stats, TimePoint Now);
-
 /// Returns the average load of targets in \p Here and overall, from this node
 /// and the reports of others. Suspect targets do not count, since their
 /// requests may never end. Empty for pools without a target in \p Here.
