--- /dev/null
+++ b/tests/failure/limited_test.cpp
@@ -0,0 +1,105 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// Guards against entries that together send a target more requests per second
+// than it states in its responses.
+#include "support/neighbours.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+namespace waycove::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// From its first statement until all entries have to know it.
+constexpr milliseconds LearnTime(3000);
+constexpr milliseconds ObservationTime(8000);
+/// In four seconds, a target may get one and a half times its limit and this.
+constexpr double Slack = 5;
+constexpr double WindowSeconds = 4;
+/// Refusing needs no target.
+constexpr milliseconds RefusedAtOnce(500);
+
+double allowedInWindow(double PerSecond) {
+  return 1.5 * PerSecond * WindowSeconds + Slack;
+}
+
+} // namespace
+
+/// Three entries with \p Targets targets of a plain service.
+struct LimitedFixture : Neighbours {
+  explicit LimitedFixture(int Targets = 3)
+      : Neighbours("revoke_bound_ms: 20000, drain_bound_ms: 1500, "
+                   "config_bound_ms: 2000",
+                   Targets) {}
+
+  void limit(const std::string &PerSecond) {
+    this->Run.vmFault("p-1", R"({"limit":")" + PerSecond + "\"}");
+  }
+  void callFor(milliseconds Duration) {
+    this->callUntil(Entries, std::chrono::steady_clock::now() + Duration);
+  }
+  double atTarget(const std::string &Field) {
+    return static_cast<double>(
+        this->Run.atVm("p-1", {.Path = "/runs"}).number(Field));
+  }
+  /// One request, with the whole response.
+  Reply ask(const std::string &Node, const std::string &Id) {
+    return this->Run.ask(Node, {"POST",
+                                "/safe/x",
+                                "body",
+                                {{"Host", "a.example"},
+                                 {"Authorization", "Bearer key-1"},
+                                 {"X-Request-Id", Id},
+                                 {"X-Deadline-Ms", "3000"}}});
+  }
+};
+
+/// The same with a single target.
+struct LimitedAloneFixture : LimitedFixture {
+  LimitedAloneFixture() : LimitedFixture(1) {}
+};
+
+// Guards against entries that go on as before, or that each use the whole
+// limit, and against a limit that keeps all requests away.
+TEST_CASE_METHOD(LimitedFixture,
+                 "limited target: three entries under traffic: together they "
+                 "keep to its limit and use it",
+                 "[failure]") {
+  constexpr double PerSecond = 1.5;
+  this->limit("1.5");
+  this->callFor(LearnTime + ObservationTime);
+  CHECK(this->atTarget("limited_peak") <= allowedInWindow(PerSecond));
+  CHECK(this->atTarget("limited") >= 6);
+}
+
+// Guards against a limit that is broken where no other target is left, and
+// against callers that wait for their turn instead of hearing of it.
+TEST_CASE_METHOD(LimitedAloneFixture,
+                 "limited target: no other one is left: requests are refused "
+                 "at once, with the time until one is taken",
+                 "[failure]") {
+  constexpr double PerSecond = 0.5;
+  this->limit("0.5");
+  this->callFor(LearnTime + ObservationTime);
+  CHECK(this->atTarget("limited_peak") <= allowedInWindow(PerSecond));
+  CHECK(this->atTarget("limited") >= 2);
+  int Refused = 0;
+  for (int I = 0; I < 10; ++I) {
+    auto Begin = std::chrono::steady_clock::now();
+    Reply Response = this->ask(Entries[1], "again-" + std::to_string(I));
+    if (Response.Status == 200)
+      continue;
+    ++Refused;
+    CHECK(Response.Status == 503);
+    CHECK(std::stod("0" + Response.RetryAfter) > 0.05);
+    CHECK(std::chrono::steady_clock::now() - Begin < RefusedAtOnce);
+  }
+  CHECK(Refused >= 8);
+}
+
+} // namespace waycove::test
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -19,6 +19,9 @@
 //   failed      500
 //   closing     responds with "Connection: close"
 //
+// Set as "limit" at /faults: the requests per second that the target states in
+// its responses; empty for none.
+//
 // A request body that starts with "crash" ends the process when it starts to
 // run; "crash N" does so after N milliseconds.
 //
@@ -32,12 +35,15 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
 #include <cstring>
+#include <deque>
 #include <iostream>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace waycove::standin {
@@ -54,6 +60,48 @@
   int LoadMs = 50;
 };
 
+/// The faults that are set, by their names in this file's first comment.
+struct ReplicaFaults {
+  std::string Call;
+  std::string Limit;
+};
+
+/// Counts requests to a target that states a limit, from LearnTime after it
+/// first did, when all entries know of it.
+class LimitedArrivals {
+public:
+  using Clock = std::chrono::steady_clock;
+  static constexpr std::chrono::seconds LearnTime{3};
+  static constexpr std::chrono::seconds Window{4};
+
+  void onRequest(bool IsLimited) {
+    Clock::time_point Now = Clock::now();
+    if (!IsLimited) {
+      this->Since.reset();
+      this->Recent.clear();
+      return;
+    }
+    if (!this->Since)
+      this->Since = Now;
+    if (Now - *this->Since < LearnTime)
+      return;
+    this->Recent.push_back(Now);
+    while (Now - this->Recent.front() >= Window)
+      this->Recent.pop_front();
+    ++this->Count;
+    this->Peak = std::max(this->Peak, this->Recent.size());
+  }
+  std::size_t count() const { return this->Count; }
+  /// The most requests within one Window.
+  std::size_t peak() const { return this->Peak; }
+
+private:
+  std::optional<Clock::time_point> Since;
+  std::deque<Clock::time_point> Recent;
+  std::size_t Count = 0;
+  std::size_t Peak = 0;
+};
+
 class Replica {
 public:
   explicit Replica(ReplicaSetup Setup) : Setup(std::move(Setup)) {}
@@ -61,7 +109,7 @@
   /// Handles requests of the users' platform; returns false for all others.
   bool handle(Poco::Net::HTTPServerRequest &Request,
               Poco::Net::HTTPServerResponse &Response, const std::string &Body,
-              const std::string &Fault) {
+              const ReplicaFaults &Faults) {
     const std::string &Path = Request.getURI();
     // The request is for another process.
     if (Request.get("X-Expect-Replica", this->Setup.Id) != this->Setup.Id) {
@@ -79,7 +127,7 @@
     else if (Path.rfind("/restart", 0) == 0)
       this->restart(Response, Path.ends_with("unseen=1"));
     else if (Request.has("X-Expect-Replica"))
-      this->call(Request, Response, Body, Fault);
+      this->call(Request, Response, Body, Faults);
     else
       return false;
     return true;
@@ -247,19 +295,26 @@
     Poco::JSON::Object Out;
     Out.set("runs", this->Runs.load());
     Out.set("left", this->AbortedStreams.load());
+    std::lock_guard Lock(this->Mutex);
+    Out.set("limited", this->Limited.count());
+    Out.set("limited_peak", this->Limited.peak());
     reply(Response, 200, dumpJson(Out));
   }
 
   void call(Poco::Net::HTTPServerRequest &Request,
             Poco::Net::HTTPServerResponse &Response, const std::string &Body,
-            const std::string &Fault) {
+            const ReplicaFaults &Faults) {
+    const std::string &Fault = Faults.Call;
     bool Head = true;
     {
       std::lock_guard Lock(this->Mutex);
+      this->Limited.onRequest(!Faults.Limit.empty());
       Head = this->Setup.Role != "engine" ||
              (this->State == "open" && this->Rank == 0 && !this->Group.empty());
     }
     Response.set("X-Request-Id", Request.get("X-Request-Id", ""));
+    if (!Faults.Limit.empty())
+      Response.set("Server-Limit", Faults.Limit);
     // Only heads run requests; other members respond with their ID.
     if (!Head) {
       Response.set("X-Replica-Id", this->Setup.Id);
@@ -350,6 +405,7 @@
   std::uint64_t Epoch = 0;
   std::size_t Rank = 0;
   std::string State;
+  LimitedArrivals Limited;
   std::atomic<int> Runs{0};
   /// Streams whose reader disconnected before their end.
   std::atomic<int> AbortedStreams{0};
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -85,8 +85,9 @@
     std::string Body;
     Poco::StreamCopier::copyToString(Request.stream(), Body);
     if (this->Self.Target &&
-        this->Self.Target->handle(Request, Response, Body,
-                                  this->Self.fault("call")))
+        this->Self.Target->handle(
+            Request, Response, Body,
+            {this->Self.fault("call"), this->Self.fault("limit")}))
       return;
     if (this->Self.fault("leaving") == "yes")
       Response.set("X-Waycove-Leaving", "yes");
