--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -245,6 +245,11 @@
        "A group is released; the fields give the reason."},
       {TargetSuspected, Warning, "target_suspected",
        "A target gets no new work for a while; the fields give the reason."},
+      {TargetLimited, Info, "target_limited",
+       "A target states, in a response to this node or to the one named, how "
+       "many requests per second it takes from all nodes together."},
+      {TargetUnlimited, Info, "target_unlimited",
+       "A target states no limit any more."},
   };
   return Catalogue;
 }
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -76,6 +76,8 @@
   DomainOrderEnded = 312,
   DomainReleased = 313,
   TargetSuspected = 314,
+  TargetLimited = 315,
+  TargetUnlimited = 316,
   RequestBlamed = 509,
   RequestCleared = 510,
   RequestTried = 511,
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -11,13 +11,13 @@
 #include "board/table.h"
 #include "policy/centre_balance.h"
 #include "policy/choice.h"
-#include "policy/cold_rate.h"
 #include "policy/crash_blame.h"
 #include "policy/group_load.h"
 #include "policy/join_table.h"
 #include "policy/lease.h"
 #include "policy/partition_membership.h"
 #include "policy/retry_limiter.h"
+#include "policy/target_rate.h"
 #include "policy/upstream_selector.h"
 
 #include <array>
@@ -64,7 +64,9 @@
   Table<Fleet, LockRank::Vms> Targets;
   Table<ServingViewRef, LockRank::Views> Serving;
   Table<RetryLimiterTable, LockRank::Idempotency> RetryLimiters;
-  Table<ColdRateLimiter, LockRank::Views> ColdRates;
+  /// Limits that targets state, as known to all nodes.
+  Table<StatedLimits, LockRank::Load> TargetLimits;
+  Table<TargetRateLimiter, LockRank::Views> TargetRates;
   /// Requests that crash their targets, as known to all nodes.
   Table<CrashBlame, LockRank::Idempotency> Crashes;
   /// Demand for each model at this node, weighted towards recent requests.
--- a/src/control/shared_observations.cpp
+++ b/src/control/shared_observations.cpp
@@ -21,6 +21,7 @@
   Request.all_crashes = Received == this->CrashesReceivedAt.end() ||
                         Now - Received->second >= CrashBlame::ReportDuration;
   Request.crashes = packCrashes(this->crashes(Request.all_crashes, Now));
+  Request.limits = packLimits(this->limits(Request.all_crashes, Now), Now);
 }
 
 void SharedObservations::exchange(const wire::NewsWantedT &Request,
@@ -30,11 +31,13 @@
     this->applyRenewals(Request.renewals, Now);
     Response.renewals = this->renewals(Now);
   }
+  NodeId From(Request.node);
   this->applyCrashes(Request.crashes, Now);
   Response.crashes = packCrashes(this->crashes(Request.all_crashes, Now));
+  this->applyLimits(Request.limits, From, Now, Now);
+  Response.limits = packLimits(this->limits(Request.all_crashes, Now), Now);
   TargetLoads Own = this->ownLoads(Now);
   DemandTable OwnDemand = this->ownDemand();
-  NodeId From(Request.node);
   std::lock_guard Lock(this->Mutex);
   if (SameCentre) {
     this->Loads.addReport(From, unpackLoads(Request.loads), Now);
@@ -51,6 +54,7 @@
                                TimePoint SentAt, TimePoint Now) {
   this->applyRenewals(Response.renewals, SentAt);
   this->applyCrashes(Response.crashes, Now);
+  this->applyLimits(Response.limits, From, SentAt, Now);
   std::lock_guard Lock(this->Mutex);
   // Changes after the response was made come with the next one.
   this->CrashesReceivedAt[From] = SentAt;
@@ -114,6 +118,41 @@
       [&](CrashBlame &Into) { Into.merge(Crashes, Now); });
 }
 
+LimitReports SharedObservations::limits(bool All, TimePoint Now) const {
+  return this->Board.TargetLimits.read(
+      [&](const StatedLimits &Limits) { return Limits.reports(All, Now); });
+}
+
+void SharedObservations::applyLimits(const std::vector<wire::LimitRow> &Rows,
+                                     const NodeId &From, TimePoint SentAt,
+                                     TimePoint Now) {
+  if (Rows.empty())
+    return;
+  LimitReports Reports;
+  if (absl::Status Read = unpackLimits(Rows, SentAt, Reports); !Read.ok())
+    this->Board.Log.emit(EventCode::NewsRefused, From.Text,
+                         LogFields().add("reason", messageOf(Read)));
+  std::vector<TargetHash> Changed = this->Board.TargetLimits.write(
+      [&](StatedLimits &Limits) { return Limits.merge(Reports, Now); });
+  for (TargetHash Target : Changed) {
+    LogFields Fields;
+    if (const auto &Rate = Reports[Target].Rate)
+      Fields.add("per_second", Rate->PerSecond);
+    this->Board.Log.emit(Reports[Target].Rate ? EventCode::TargetLimited
+                                              : EventCode::TargetUnlimited,
+                         this->nameOf(Target), Fields.add("from", From.Text));
+  }
+}
+
+std::string SharedObservations::nameOf(TargetHash Target) const {
+  return this->Board.Targets.read([&](const Fleet &Known) {
+    for (const auto &[Id, Listed] : Known.Targets)
+      if (hashOf(Listed->incarnation()) == Target)
+        return Id.Text;
+    return std::to_string(Target.Value);
+  });
+}
+
 void SharedObservations::updateBlame(TimePoint Now) {
   CrashBlame::Changes Found =
       this->Board.TargetStats.read([&](const TargetStatsTable &Seen) {
--- a/src/control/shared_observations.h
+++ b/src/control/shared_observations.h
@@ -12,9 +12,9 @@
 namespace waycove {
 
 /// Observations that nodes exchange in their requests and responses besides the
-/// feeds: load and health of targets, demand of callers, requests that crash
-/// targets, and, within a data centre, which members renewed their leases of
-/// partitions. Thread-safe.
+/// feeds: load and health of targets, the limits that these state, demand of
+/// callers, requests that crash targets, and, within a data centre, which
+/// members renewed their leases of partitions. Thread-safe.
 class SharedObservations {
 public:
   explicit SharedObservations(EntryBoard &Board) : Board(Board) {}
@@ -42,6 +42,11 @@
   void applyCrashes(const std::vector<std::unique_ptr<wire::CrashRowT>> &Rows,
                     TimePoint Now);
   void updateBlame(TimePoint Now);
+  LimitReports limits(bool All, TimePoint Now) const;
+  void applyLimits(const std::vector<wire::LimitRow> &Rows, const NodeId &From,
+                   TimePoint SentAt, TimePoint Now);
+  /// Name of the target, or its hash if it is not listed.
+  std::string nameOf(TargetHash Target) const;
   void applyRenewals(const std::vector<wire::RenewalRow> &Rows, TimePoint From);
 
   EntryBoard &Board;
--- a/src/entry/caller_protocol.h
+++ b/src/entry/caller_protocol.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "policy/target_statement.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -54,6 +55,7 @@
   bool Signed = false;
   /// How long the target keeps an idle connection open.
   std::optional<Millis> KeepAlive;
+  TargetStatement Statement;
 };
 
 /// The HTTP conventions of a platform's callers and targets.
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -185,8 +185,16 @@
     this->Pool.sweep(IsListed, SystemClock{}.now());
     this->Board.TargetStats.write(
         [&](TargetStatsTable &Stats) { Stats.forget(IsListed); });
-    this->Board.ColdRates.write(
-        [&](ColdRateLimiter &Limits) { Limits.forget(IsListed); });
+    this->Board.TargetRates.write(
+        [&](TargetRateLimiter &Limits) { Limits.forget(IsListed); });
+    std::set<TargetHash> ListedHashes;
+    for (const VmIncarnation &Target : Listed)
+      ListedHashes.insert(hashOf(Target));
+    this->Board.TargetLimits.write([&](StatedLimits &Limits) {
+      Limits.forget(
+          [&](TargetHash Target) { return ListedHashes.contains(Target); },
+          SystemClock{}.now());
+    });
     this->Board.Demand.write([](DemandTable &Table) {
       for (auto &[Model, Demand] : Table)
         Demand = Demand.scaled(DemandDecay);
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -81,13 +81,13 @@
       std::optional<SelectedTarget> Selected =
           this->Policy.choose(Ex.Request, Ex.Progress, Now);
       if (!Selected)
-        return this->fail(Ex, "no target serves", false);
+        return this->failUnplaced(Ex, Now);
       Ex.Progress.Snapshot = Selected->Snapshot;
       this->Board.Counters.observe(Timer::RegistryAge, Selected->Snapshot.Age);
       if (Ex.Progress.SentCount > 0 &&
           !this->Policy.takeRetry(Ex.Request.Service, Now))
         return this->fail(Ex, "no second sends left in this window", false);
-      AttemptOutcome End = this->attempt(Ex, Selected->To, Now);
+      AttemptOutcome End = this->attempt(Ex, *Selected, Now);
       if (End == AttemptOutcome::Done || End == AttemptOutcome::CallerGone)
         return this->Log.requestDone(Ex, Selected->To, End);
       if (End == AttemptOutcome::Broken || End == AttemptOutcome::Stalled)
@@ -98,11 +98,11 @@
     }
   }
 
-  AttemptOutcome attempt(RelayExchange &Ex, const ServingTarget &To,
+  AttemptOutcome attempt(RelayExchange &Ex, SelectedTarget &Selected,
                          TimePoint SelectedAt) {
     RelayAttempt Attempt;
-    Attempt.To = To;
-    const VmIncarnation Target = To.Target->incarnation();
+    Attempt.To = Selected.To;
+    const VmIncarnation Target = Selected.To.Target->incarnation();
     Ex.Progress.Tried.push_back(Target.Id);
     if (!this->connect(Ex, Attempt)) {
       this->Log.suspectTarget(Target, UnreachableDuration, Attempt.Reason,
@@ -110,10 +110,14 @@
       return this->endAttempt(Ex, Attempt, AttemptOutcome::NotSent);
     }
     Attempt.SentAt = SystemClock{}.now();
-    if (Attempt.SentAt - SelectedAt > MaxSelectionAge) {
-      // The target may have left since: select again. It stays eligible.
-      Ex.Progress.Tried.pop_back();
+    // The target may have left, or stated a limit, since: select again. It
+    // stays eligible.
+    if (Attempt.SentAt - SelectedAt > MaxSelectionAge)
       Attempt.Reason = "this machine stood still";
+    else if (!this->Policy.confirm(Ex.Request, Selected, Attempt.SentAt))
+      Attempt.Reason = "the target has stated a limit since";
+    if (!Attempt.Reason.empty()) {
+      Ex.Progress.Tried.pop_back();
       return this->endAttempt(Ex, Attempt, AttemptOutcome::NotSent);
     }
     auto Prompt = static_cast<double>(Ex.Request.Info.PromptTokens);
@@ -213,8 +217,20 @@
     return Progress.SentCount ? ErrorKind::TargetBusy : ErrorKind::NoCapacity;
   }
 
-  /// Ends a request for which no further attempt is allowed or possible.
-  void fail(RelayExchange Ex, const std::string &Reason, bool DeadlinePassed) {
+  /// Ends a request for which there is no target.
+  void failUnplaced(RelayExchange Ex, TimePoint Now) {
+    std::optional<Millis> Opening =
+        this->Policy.nextOpening(Ex.Request, Ex.Progress, Now);
+    this->fail(Ex,
+               Opening ? "all targets take no more requests now"
+                       : "no target serves",
+               false, Opening);
+  }
+
+  /// Ends a request for which no further attempt is allowed or possible. \p
+  /// RetryAfter is told to the caller, or else an estimate.
+  void fail(RelayExchange Ex, const std::string &Reason, bool DeadlinePassed,
+            std::optional<Millis> RetryAfter = std::nullopt) {
     if (Ex.Response.hasStarted()) {
       Ex.Response.abort();
       return this->Log.requestCut(Ex, Reason);
@@ -223,8 +239,9 @@
       Ex.deliver(*Ex.Progress.Failure, Ex.Progress.FailureBody->Bytes);
       return this->Log.requestFailed(Ex, Reason);
     }
-    this->refuse(Ex, makeError(errorKindFor(Ex.Progress, DeadlinePassed),
-                               Reason, suggestRetryAfter(Ex.Request)));
+    this->refuse(Ex,
+                 makeError(errorKindFor(Ex.Progress, DeadlinePassed), Reason,
+                           RetryAfter.value_or(suggestRetryAfter(Ex.Request))));
   }
 
   /// Ends a request that is blamed for crashes of targets.
--- a/src/entry/relay_log.cpp
+++ b/src/entry/relay_log.cpp
@@ -51,6 +51,33 @@
                            .add("for_ms", Duration));
 }
 
+void RelayLog::recordStatement(const RelayExchange &Ex,
+                               const RelayAttempt &Attempt,
+                               const TargetStatement &Statement) {
+  using Change = StatedLimits::Change;
+  const VmIncarnation Target = Attempt.To.Target->incarnation();
+  TimePoint Now = SystemClock{}.now();
+  bool HasNoEffect = !Statement.Limit && !Statement.HasUnreadableLimit &&
+                     !this->Board.TargetLimits.read(
+                         [](const StatedLimits &Known) { return Known.any(); });
+  if (HasNoEffect)
+    return;
+  Change Found = this->Board.TargetLimits.write([&](StatedLimits &Known) {
+    return Known.onResponse(Target, Statement, Attempt.SentAt, Now);
+  });
+  if (Found == Change::None && !Statement.HasUnreadableLimit)
+    return;
+  LogFields Fields;
+  Fields.add("request", Ex.Request.Info.Id.Text);
+  if (Statement.Limit)
+    Fields.add("per_second", Statement.Limit->PerSecond);
+  if (Statement.HasUnreadableLimit)
+    Fields.add("reason", "the limit cannot be read");
+  this->Board.Log.emit(Found == Change::Ended ? EventCode::TargetUnlimited
+                                              : EventCode::TargetLimited,
+                       Target.Id.Text, Fields);
+}
+
 void RelayLog::attemptEnded(const RelayExchange &Ex,
                             const RelayAttempt &Attempt) {
   this->Board.Log.emit(EventCode::AttemptEnded, Ex.Request.Info.Id.Text,
--- a/src/entry/relay_log.h
+++ b/src/entry/relay_log.h
@@ -18,6 +18,10 @@
   /// suspected before. \p Cause is the request that showed the fault.
   void suspectTarget(const VmIncarnation &Target, Millis Duration,
                      const std::string &Reason, const RequestId &Cause);
+  /// Applies what the target states in the response to the attempt, and logs
+  /// what has changed by it.
+  void recordStatement(const RelayExchange &Ex, const RelayAttempt &Attempt,
+                       const TargetStatement &Statement);
   /// An attempt ended without a whole response.
   void attemptEnded(const RelayExchange &Ex, const RelayAttempt &Attempt);
   /// The request ended with the response of \p To, or because the caller left.
--- a/src/entry/relay_policy.cpp
+++ b/src/entry/relay_policy.cpp
@@ -89,20 +89,60 @@
 std::optional<SelectedTarget> RelayPolicy::choose(const RelayRequest &Request,
                                                   const RelayProgress &Progress,
                                                   TimePoint Now) {
-  const ServiceSpec *Spec = Request.Config->service(Request.Service);
   while (true) {
     std::optional<SelectedTarget> Selected =
         this->select(Request, Progress, Now);
-    if (!Selected || !Spec || Now >= Selected->To.ColdUntil)
+    // Another request may have used up the rate of this target since.
+    if (!Selected || this->takeFromRate(Request, *Selected, Now))
       return Selected;
-    // Another request may have used up the limit of this target since.
-    bool Taken = this->Board.ColdRates.write([&](ColdRateLimiter &Limits) {
-      return Limits.take(Selected->To.Target->incarnation(),
-                         this->coldIntervalOf(*Spec), Now);
+  }
+}
+
+bool RelayPolicy::confirm(const RelayRequest &Request, SelectedTarget &Selected,
+                          TimePoint Now) {
+  return Selected.IsCounted || this->takeFromRate(Request, Selected, Now);
+}
+
+bool RelayPolicy::takeFromRate(const RelayRequest &Request,
+                               SelectedTarget &Selected, TimePoint Now) {
+  std::vector<BoundedTarget> Bounded =
+      this->boundedTargets(Request, {Selected.To}, Now);
+  if (Bounded.empty())
+    return true;
+  Selected.IsCounted =
+      this->Board.TargetRates.write([&](TargetRateLimiter &Limits) {
+        return Limits.take(Bounded.front(), Now);
+      });
+  return Selected.IsCounted;
+}
+
+std::optional<Millis> RelayPolicy::nextOpening(const RelayRequest &Request,
+                                               const RelayProgress &Progress,
+                                               TimePoint Now) {
+  ServingViewRef View =
+      this->Board.Serving.read([](const ServingViewRef &Row) { return Row; });
+  auto Targets = View->ByService.find(Request.Service);
+  if (Targets == View->ByService.end())
+    return std::nullopt;
+  const ServiceSpec *Spec = Request.Config->service(Request.Service);
+  std::vector<ServingTarget> Candidates;
+  for (const ServingTarget &To : Targets->second) {
+    bool IsTried = std::find(Progress.Tried.begin(), Progress.Tried.end(),
+                             To.Target->Id) != Progress.Tried.end();
+    bool IsOfModel =
+        !Spec || !Spec->hasGroups() || To.Model == Request.Info.Model;
+    if (!IsTried && IsOfModel && this->mayRunAt(Request, To))
+      Candidates.push_back(To);
+  }
+  std::optional<Millis> Least;
+  for (const BoundedTarget &To :
+       this->boundedTargets(Request, Candidates, Now)) {
+    Millis Wait = this->Board.TargetRates.write([&](TargetRateLimiter &Limits) {
+      return Limits.expectedWait(To, Now);
     });
-    if (Taken)
-      return Selected;
+    Least = std::min(Least.value_or(Wait), Wait);
   }
+  return Least;
 }
 
 RegionId RelayPolicy::regionOf(const DataCentreId &Centre) const {
@@ -111,32 +151,54 @@
   return At == Regions.end() ? RegionId() : At->second;
 }
 
-ColdRateLimiter::IntervalOf
-RelayPolicy::coldIntervalOf(const ServiceSpec &Spec) const {
-  return [this, &Spec](const VmIncarnation &Target) {
-    return coldSendInterval(this->Board.nodes()->nodes(),
-                            this->Board.Config.Node, Target, Spec.ColdRate);
-  };
+bool RelayPolicy::mayRunAt(const RelayRequest &Request,
+                           const ServingTarget &To) const {
+  return !isRegional(*Request.Route, Request.Owner) ||
+         mayRunIn(*Request.Route, Request.Owner,
+                  this->regionOf(To.Target->DataCentre));
+}
+
+std::vector<BoundedTarget>
+RelayPolicy::boundedTargets(const RelayRequest &Request,
+                            const std::vector<ServingTarget> &Targets,
+                            TimePoint Now) const {
+  const ServiceSpec *Spec = Request.Config->service(Request.Service);
+  std::vector<BoundedTarget> Bounded;
+  this->Board.TargetLimits.read([&](const StatedLimits &Known) {
+    for (const ServingTarget &To : Targets) {
+      RateBounds Bounds;
+      if (Spec && Now < To.ColdUntil)
+        Bounds.Cold = RequestRate{Spec->ColdRate};
+      if (Known.any())
+        Bounds.Stated = Known.of(hashOf(To.Target->incarnation()));
+      if (Bounds.any())
+        Bounded.push_back({To.Target->incarnation(), Bounds, nullptr,
+                           this->Board.Config.Node});
+    }
+  });
+  if (Bounded.empty())
+    return Bounded;
+  NodeRankingRef Nodes = this->Board.nodes();
+  for (BoundedTarget &To : Bounded)
+    To.Nodes = Nodes;
+  return Bounded;
 }
 
 void RelayPolicy::avoidForbidden(const RelayRequest &Request,
-                                 const ServiceSpec &Spec,
                                  const std::vector<ServingTarget> &Targets,
                                  TimePoint Now, std::vector<VmId> &Avoid) {
-  bool IsBound = isRegional(*Request.Route, Request.Owner);
-  for (const ServingTarget &Candidate : Targets) {
-    bool MayRun =
-        !IsBound || mayRunIn(*Request.Route, Request.Owner,
-                             this->regionOf(Candidate.Target->DataCentre));
-    bool TakesRequest =
-        Now >= Candidate.ColdUntil ||
-        this->Board.ColdRates.write([&](ColdRateLimiter &Limits) {
-          return Limits.allows(Candidate.Target->incarnation(),
-                               this->coldIntervalOf(Spec), Now);
-        });
-    if (!MayRun || !TakesRequest)
-      Avoid.push_back(Candidate.Target->Id);
-  }
+  for (const ServingTarget &To : Targets)
+    if (!this->mayRunAt(Request, To))
+      Avoid.push_back(To.Target->Id);
+  std::vector<BoundedTarget> Bounded =
+      this->boundedTargets(Request, Targets, Now);
+  if (Bounded.empty())
+    return;
+  this->Board.TargetRates.write([&](TargetRateLimiter &Limits) {
+    for (const BoundedTarget &To : Bounded)
+      if (!Limits.allows(To, Now))
+        Avoid.push_back(To.Target.Id);
+  });
 }
 
 std::optional<SelectedTarget> RelayPolicy::select(const RelayRequest &Request,
@@ -157,8 +219,7 @@
   Query.Here = this->Board.Config.DataCentre;
   Query.AnyDataCentre = this->mayLeaveDataCentre(Request, Query.Model);
   Query.Avoid = Progress.Tried;
-  if (Spec)
-    this->avoidForbidden(Request, *Spec, Targets->second, Now, Query.Avoid);
+  this->avoidForbidden(Request, Targets->second, Now, Query.Avoid);
   Query.Now = Now;
   Query.RegistryStale = RegistryStale;
   Query.Random = mixHash(Request.Random, Progress.Tried.size());
--- a/src/entry/relay_policy.h
+++ b/src/entry/relay_policy.h
@@ -12,6 +12,8 @@
 struct SelectedTarget {
   ServingTarget To;
   RegistrySnapshot Snapshot;
+  /// The request was counted against the rate of the target.
+  bool IsCounted = false;
 };
 
 /// Decides to which target a request is sent and whether it is retried, by the
@@ -30,11 +32,20 @@
   /// are recognized.
   void recordOutcome(const RelayRequest &Request, const RelayAttempt &Attempt,
                      AttemptOutcome End, TimePoint Now);
-  /// The best target that the request has not been sent to yet. If it is cold,
-  /// counts the request against its limit.
+  /// The best target that the request has not been sent to yet. If its rate is
+  /// bounded, counts the request.
   std::optional<SelectedTarget> choose(const RelayRequest &Request,
                                        const RelayProgress &Progress,
                                        TimePoint Now);
+  /// Whether the request may still be sent to \p Selected: the target may have
+  /// stated a limit since it was selected. If so, counts the request.
+  bool confirm(const RelayRequest &Request, SelectedTarget &Selected,
+               TimePoint Now);
+  /// If there are targets that only take no request now because of their rates:
+  /// about how long until one of them does, at any node.
+  std::optional<Millis> nextOpening(const RelayRequest &Request,
+                                    const RelayProgress &Progress,
+                                    TimePoint Now);
   /// Whether another attempt is allowed after a failed one.
   static bool mayRetry(const RelayRequest &Request,
                        const RelayProgress &Progress);
@@ -52,13 +63,23 @@
                                        const RelayProgress &Progress,
                                        TimePoint Now);
   /// Adds to \p Avoid the targets that the request must not be sent to now:
-  /// those in a region that it must not leave for, and cold ones that take no
-  /// request of this node.
-  void avoidForbidden(const RelayRequest &Request, const ServiceSpec &Spec,
+  /// those in a region that it must not leave for, and those whose rates leave
+  /// no request for this node.
+  void avoidForbidden(const RelayRequest &Request,
                       const std::vector<ServingTarget> &Targets, TimePoint Now,
                       std::vector<VmId> &Avoid);
+  /// Whether route and workspace allow the target's region.
+  bool mayRunAt(const RelayRequest &Request, const ServingTarget &To) const;
+  /// Those of \p Targets whose rates are bounded now.
+  std::vector<BoundedTarget>
+  boundedTargets(const RelayRequest &Request,
+                 const std::vector<ServingTarget> &Targets,
+                 TimePoint Now) const;
+  /// Counts the request against the rate of the target, if that is bounded.
+  /// Returns false if the rate leaves no request for this node.
+  bool takeFromRate(const RelayRequest &Request, SelectedTarget &Selected,
+                    TimePoint Now);
   RegionId regionOf(const DataCentreId &Centre) const;
-  ColdRateLimiter::IntervalOf coldIntervalOf(const ServiceSpec &Spec) const;
   /// Whether this request may go to another data centre because the local
   /// targets are busier. It depends on the request's random bits.
   bool mayLeaveDataCentre(const RelayRequest &Request,
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -10,6 +10,7 @@
 #include <Poco/InflatingStream.h>
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 #include <sstream>
 
@@ -178,6 +179,35 @@
   return Crashes;
 }
 
+std::vector<wire::LimitRow> packLimits(const LimitReports &Limits,
+                                       TimePoint Now) {
+  std::vector<wire::LimitRow> Rows;
+  for (const auto &[Target, Limit] : Limits)
+    Rows.emplace_back(Target.Value,
+                      Limit.Rate.value_or(RequestRate()).PerSecond,
+                      ageOf(Limit.At, Now), Limit.Rate.has_value());
+  return Rows;
+}
+
+absl::Status unpackLimits(const std::vector<wire::LimitRow> &Rows,
+                          TimePoint From, LimitReports &Out) {
+  std::size_t Refused = 0;
+  for (const wire::LimitRow &Row : Rows) {
+    if (!std::isfinite(Row.rate()) || Row.rate() < 0) {
+      ++Refused;
+      continue;
+    }
+    LimitReport &Limit = Out[TargetHash(Row.target())];
+    Limit.At = From - Millis(Row.age_ms());
+    if (Row.limited())
+      Limit.Rate = RequestRate{Row.rate()};
+  }
+  if (Refused > 0)
+    return makeError(ErrorKind::BadRequest,
+                     std::to_string(Refused) + " limits that are no rates");
+  return absl::OkStatus();
+}
+
 std::vector<wire::RenewalRow> packRenewals(const MembershipRenewals &Renewals,
                                            TimePoint Now) {
   std::vector<wire::RenewalRow> Rows;
--- a/src/wire/news_frames.h
+++ b/src/wire/news_frames.h
@@ -9,6 +9,7 @@
 #include "policy/group_load.h"
 #include "policy/load_reports.h"
 #include "policy/partition_membership.h"
+#include "policy/stated_limits.h"
 #include "wire/wire_generated.h"
 
 #include <absl/status/statusor.h>
@@ -44,6 +45,13 @@
 CrashEvidenceMap
 unpackCrashes(const std::vector<std::unique_ptr<wire::CrashRowT>> &Rows);
 
+std::vector<wire::LimitRow> packLimits(const LimitReports &Limits,
+                                       TimePoint Now);
+/// Unpacks limits whose ages are relative to \p From. Errors: BadRequest if a
+/// rate is negative or no number; the other rows are in \p Out all the same.
+absl::Status unpackLimits(const std::vector<wire::LimitRow> &Rows,
+                          TimePoint From, LimitReports &Out);
+
 std::vector<wire::RenewalRow> packRenewals(const MembershipRenewals &Renewals,
                                            TimePoint Now);
 /// Merges \p Rows, whose ages are relative to \p From, into \p Out.
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -140,6 +140,8 @@
 struct DemandRowBuilder;
 struct DemandRowT;
 
+struct LimitRow;
+
 struct NewsWanted;
 struct NewsWantedBuilder;
 struct NewsWantedT;
@@ -762,6 +764,55 @@
   using type = RenewalRow;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LimitRow FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t target_;
+  double rate_;
+  uint32_t age_ms_;
+  uint8_t limited_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  struct Traits;
+  LimitRow()
+      : target_(0),
+        rate_(0),
+        age_ms_(0),
+        limited_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  LimitRow(uint64_t _target, double _rate, uint32_t _age_ms, bool _limited)
+      : target_(flatbuffers::EndianScalar(_target)),
+        rate_(flatbuffers::EndianScalar(_rate)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        limited_(flatbuffers::EndianScalar(static_cast<uint8_t>(_limited))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  double rate() const {
+    return flatbuffers::EndianScalar(rate_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  bool limited() const {
+    return flatbuffers::EndianScalar(limited_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(LimitRow, 24);
+
+struct LimitRow::Traits {
+  using type = LimitRow;
+};
+
 struct ConfigChangeT : public flatbuffers::NativeTable {
   typedef ConfigChange TableType;
   std::string kind{};
@@ -4314,6 +4365,7 @@
   std::vector<waycove::wire::FeedMark> restored{};
   std::vector<std::unique_ptr<waycove::wire::CrashRowT>> crashes{};
   bool all_crashes = false;
+  std::vector<waycove::wire::LimitRow> limits{};
   NewsWantedT() = default;
   NewsWantedT(const NewsWantedT &o);
   NewsWantedT(NewsWantedT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4333,7 +4385,8 @@
     VT_DEMAND = 14,
     VT_RESTORED = 16,
     VT_CRASHES = 18,
-    VT_ALL_CRASHES = 20
+    VT_ALL_CRASHES = 20,
+    VT_LIMITS = 22
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -4362,6 +4415,9 @@
   bool all_crashes() const {
     return GetField<uint8_t>(VT_ALL_CRASHES, 0) != 0;
   }
+  const flatbuffers::Vector<const waycove::wire::LimitRow *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const waycove::wire::LimitRow *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -4383,6 +4439,8 @@
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
            VerifyField<uint8_t>(verifier, VT_ALL_CRASHES, 1) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
   NewsWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4421,6 +4479,9 @@
   void add_all_crashes(bool all_crashes) {
     fbb_.AddElement<uint8_t>(NewsWanted::VT_ALL_CRASHES, static_cast<uint8_t>(all_crashes), 0);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LimitRow *>> limits) {
+    fbb_.AddOffset(NewsWanted::VT_LIMITS, limits);
+  }
   explicit NewsWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4442,8 +4503,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand = 0,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::FeedMark *>> restored = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crashes = 0,
-    bool all_crashes = false) {
+    bool all_crashes = false,
+    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LimitRow *>> limits = 0) {
   NewsWantedBuilder builder_(_fbb);
+  builder_.add_limits(limits);
   builder_.add_crashes(crashes);
   builder_.add_restored(restored);
   builder_.add_demand(demand);
@@ -4471,7 +4534,8 @@
     const std::vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand = nullptr,
     const std::vector<waycove::wire::FeedMark> *restored = nullptr,
     const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crashes = nullptr,
-    bool all_crashes = false) {
+    bool all_crashes = false,
+    const std::vector<waycove::wire::LimitRow> *limits = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto next__ = next ? _fbb.CreateVector<uint64_t>(*next) : 0;
@@ -4480,6 +4544,7 @@
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>>(*demand) : 0;
   auto restored__ = restored ? _fbb.CreateVectorOfStructs<waycove::wire::FeedMark>(*restored) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*crashes) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<waycove::wire::LimitRow>(*limits) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       node__,
@@ -4490,7 +4555,8 @@
       demand__,
       restored__,
       crashes__,
-      all_crashes);
+      all_crashes,
+      limits__);
 }
 
 flatbuffers::Offset<NewsWanted> CreateNewsWanted(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4502,6 +4568,7 @@
   std::vector<waycove::wire::RenewalRow> renewals{};
   std::vector<std::unique_ptr<waycove::wire::DemandRowT>> demand{};
   std::vector<std::unique_ptr<waycove::wire::CrashRowT>> crashes{};
+  std::vector<waycove::wire::LimitRow> limits{};
   NewsT() = default;
   NewsT(const NewsT &o);
   NewsT(NewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4517,7 +4584,8 @@
     VT_LOADS = 6,
     VT_RENEWALS = 8,
     VT_DEMAND = 10,
-    VT_CRASHES = 12
+    VT_CRASHES = 12,
+    VT_LIMITS = 14
   };
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>> *feeds() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>> *>(VT_FEEDS);
@@ -4534,6 +4602,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crashes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *>(VT_CRASHES);
   }
+  const flatbuffers::Vector<const waycove::wire::LimitRow *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const waycove::wire::LimitRow *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FEEDS) &&
@@ -4549,6 +4620,8 @@
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
   NewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4575,6 +4648,9 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crashes) {
     fbb_.AddOffset(News::VT_CRASHES, crashes);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LimitRow *>> limits) {
+    fbb_.AddOffset(News::VT_LIMITS, limits);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4592,8 +4668,10 @@
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LoadRow *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LimitRow *>> limits = 0) {
   NewsBuilder builder_(_fbb);
+  builder_.add_limits(limits);
   builder_.add_crashes(crashes);
   builder_.add_demand(demand);
   builder_.add_renewals(renewals);
@@ -4613,19 +4691,22 @@
     const std::vector<waycove::wire::LoadRow> *loads = nullptr,
     const std::vector<waycove::wire::RenewalRow> *renewals = nullptr,
     const std::vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand = nullptr,
-    const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crashes = nullptr) {
+    const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crashes = nullptr,
+    const std::vector<waycove::wire::LimitRow> *limits = nullptr) {
   auto feeds__ = feeds ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedNews>>(*feeds) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<waycove::wire::LoadRow>(*loads) : 0;
   auto renewals__ = renewals ? _fbb.CreateVectorOfStructs<waycove::wire::RenewalRow>(*renewals) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>>(*demand) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*crashes) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<waycove::wire::LimitRow>(*limits) : 0;
   return waycove::wire::CreateNews(
       _fbb,
       feeds__,
       loads__,
       renewals__,
       demand__,
-      crashes__);
+      crashes__,
+      limits__);
 }
 
 flatbuffers::Offset<News> CreateNews(flatbuffers::FlatBufferBuilder &_fbb, const NewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6270,7 +6351,8 @@
         loads(o.loads),
         renewals(o.renewals),
         restored(o.restored),
-        all_crashes(o.all_crashes) {
+        all_crashes(o.all_crashes),
+        limits(o.limits) {
   demand.reserve(o.demand.size());
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new waycove::wire::DemandRowT(*demand_) : nullptr); }
   crashes.reserve(o.crashes.size());
@@ -6287,6 +6369,7 @@
   std::swap(restored, o.restored);
   std::swap(crashes, o.crashes);
   std::swap(all_crashes, o.all_crashes);
+  std::swap(limits, o.limits);
   return *this;
 }
 
@@ -6308,6 +6391,7 @@
   { auto _e = restored(); if (_e) { _o->restored.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->restored[_i] = *_e->Get(_i); } } }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<waycove::wire::CrashRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = all_crashes(); _o->all_crashes = _e; }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<NewsWanted> NewsWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6327,6 +6411,7 @@
   auto _restored = _o->restored.size() ? _fbb.CreateVectorOfStructs(_o->restored) : 0;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRow(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _all_crashes = _o->all_crashes;
+  auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       _node,
@@ -6337,12 +6422,14 @@
       _demand,
       _restored,
       _crashes,
-      _all_crashes);
+      _all_crashes,
+      _limits);
 }
 
 inline NewsT::NewsT(const NewsT &o)
       : loads(o.loads),
-        renewals(o.renewals) {
+        renewals(o.renewals),
+        limits(o.limits) {
   feeds.reserve(o.feeds.size());
   for (const auto &feeds_ : o.feeds) { feeds.emplace_back((feeds_) ? new waycove::wire::FeedNewsT(*feeds_) : nullptr); }
   demand.reserve(o.demand.size());
@@ -6357,6 +6444,7 @@
   std::swap(renewals, o.renewals);
   std::swap(demand, o.demand);
   std::swap(crashes, o.crashes);
+  std::swap(limits, o.limits);
   return *this;
 }
 
@@ -6374,6 +6462,7 @@
   { auto _e = renewals(); if (_e) { _o->renewals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->renewals[_i] = *_e->Get(_i); } } }
   { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<waycove::wire::DemandRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<waycove::wire::CrashRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<News> News::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6389,13 +6478,15 @@
   auto _renewals = _o->renewals.size() ? _fbb.CreateVectorOfStructs(_o->renewals) : 0;
   auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateDemandRow(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRow(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   return waycove::wire::CreateNews(
       _fbb,
       _feeds,
       _loads,
       _renewals,
       _demand,
-      _crashes);
+      _crashes,
+      _limits);
 }
 
 inline JoinT *Join::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/failure/limited_test.cpp
+++ b/tests/failure/limited_test.cpp
@@ -6,8 +6,8 @@
 // than it states in its responses.
 #include "support/neighbours.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
-#include <thread>
 
 namespace waycove::test {
 
@@ -102,4 +102,53 @@
   CHECK(Refused >= 8);
 }
 
+// Guards against a limit that outlasts its end at entries that were told of it
+// by others, and against one that holds for the next process.
+TEST_CASE_METHOD(LimitedFixture,
+                 "limited target: the limit ends, or the target starts again: "
+                 "all entries use it as before",
+                 "[failure]") {
+  auto IsUsedByAll = [&] {
+    return std::all_of(
+        Entries.begin(), Entries.end(), [&](const std::string &Node) {
+          double Before = this->atTarget("runs");
+          this->callUntil({Node},
+                          std::chrono::steady_clock::now() + milliseconds(500));
+          return this->atTarget("runs") - Before >= 5;
+        });
+  };
+  this->limit("0.2");
+  REQUIRE(eventually([&] { return !IsUsedByAll(); }));
+  this->callFor(LearnTime);
+  CHECK_FALSE(IsUsedByAll());
+  this->limit("");
+  CHECK(eventually(IsUsedByAll));
+
+  this->limit("0.2");
+  REQUIRE(eventually([&] { return !IsUsedByAll(); }));
+  // The restarted process states none.
+  this->limit("");
+  this->Run.atVm("p-1", {"POST", "/restart", "", {}});
+  CHECK(eventually(IsUsedByAll, milliseconds(5000)));
+}
+
+// Guards against an entry that starts again and sends what it likes, although
+// others know the limit.
+TEST_CASE_METHOD(LimitedFixture,
+                 "limited target: an entry starts again: the others tell it "
+                 "the limit",
+                 "[failure]") {
+  this->limit("0.5");
+  this->callFor(LearnTime);
+  this->restart(Entries[2]);
+  auto IsTold = [&] {
+    std::string Log = this->Run.logOf(Entries[2]);
+    std::size_t First = Log.find("\"daemon_started\"");
+    std::size_t Second = Log.find("\"daemon_started\"", First + 1);
+    return Second != std::string::npos &&
+           Log.find("\"target_limited\"", Second) != std::string::npos;
+  };
+  CHECK(eventually(IsTold));
+}
+
 } // namespace waycove::test
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -23,11 +23,15 @@
 //   three more targets crash;
 // - ordinary requests are served after the faults have ended.
 //
+// --statements also lets targets state limits on their requests per second:
+// - from some seconds after the first statement, a target gets at most what its
+//   limit allows, with some tolerance, from all entries together.
+//
 // --suspends also suspends entries' machines: their steady clocks exclude the
 // suspended time. All checks apply, including those of --restores.
 //
 //   soak --seed=N --seconds=S [--seeds=K] [--restores] [--crashes] [--suspends]
-//   runs K consecutive seeds
+//   [--statements] runs K consecutive seeds
 //
 // Exits with 0 if all checks pass. A failed run prints its seed and keeps its
 // logs.
@@ -35,6 +39,7 @@
 #include "support/proxy.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -55,6 +60,7 @@
 DEFINE_bool(restores, false, "restore the store from older copies");
 DEFINE_bool(crashes, false,
             "send a request that crashes the targets that run it");
+DEFINE_bool(statements, false, "let targets state limits in their responses");
 DEFINE_bool(suspends, false, "suspend the machines of entries");
 
 namespace waycove::test {
@@ -78,6 +84,15 @@
 constexpr std::uint64_t RestoreSeedOffset = 1'000'000;
 constexpr std::uint64_t CrashSeedOffset = 2'000'000;
 constexpr std::uint64_t SuspendSeedOffset = 3'000'000;
+constexpr std::uint64_t StatementSeedOffset = 4'000'000;
+/// Requests per second that targets state, what they may get in a window of
+/// four seconds on top of one and a half times that, and for how long they
+/// state it.
+constexpr std::array StatedRates{"0.5", "1.7", "4"};
+constexpr double RateTolerance = 1.5;
+constexpr double RequestTolerance = 5;
+constexpr double RateWindowSeconds = 4;
+constexpr milliseconds StatementTime(9000);
 /// Crashes after which a request must be blocked, the time for entries to learn
 /// of them, and the maximum number of crashes after that.
 constexpr int CrashesToBlock = 3;
@@ -146,10 +161,15 @@
       while (FLAGS_restores && !Stop)
         this->callWithRevokedKey();
     });
+    std::thread Statements([&] {
+      while (FLAGS_statements && !this->FaultsOver)
+        this->stateLimit();
+    });
     this->injectFaults();
     this->endFaults();
     this->FaultsOver = true;
     Operator.join();
+    Statements.join();
     bool Recovered = eventually(
         [&] {
           this->restartCrashed();
@@ -393,6 +413,38 @@
                  " targets ended under a request that had ended three");
   }
 
+  /// Lets a target state a limit for some seconds and checks that it holds.
+  void stateLimit() {
+    const std::string &Vm =
+        this->Vms[this->StatementRandom() % this->Vms.size()];
+    const std::string Rate =
+        StatedRates[this->StatementRandom() % StatedRates.size()];
+    this->setLimit(Vm, Rate);
+    auto End = Clock::now() + StatementTime;
+    double Peak = 0;
+    while (Clock::now() < End && !this->FaultsOver) {
+      std::this_thread::sleep_for(milliseconds(200));
+      Reply Seen =
+          this->Run.atVm(Vm, {.Path = "/runs", .Timeout = milliseconds(500)});
+      if (Seen.Status == 200)
+        Peak = std::max(Peak, static_cast<double>(Seen.number("limited_peak")));
+    }
+    this->setLimit(Vm, "");
+    if (Peak >
+        RateTolerance * RateWindowSeconds * std::stod(Rate) + RequestTolerance)
+      this->fail(Vm + ": " + std::to_string(Peak) +
+                 " requests in 4 s at a limit of " + Rate + " a second");
+  }
+
+  /// The target may be stopped or gone.
+  void setLimit(const std::string &Vm, const std::string &Rate) {
+    this->Run.atVm(Vm, {"POST",
+                        "/faults",
+                        R"({"limit":")" + Rate + "\"}",
+                        {},
+                        milliseconds(500)});
+  }
+
   void kill(const std::string &Target, bool OnNode, bool Graceful,
             Clock::time_point Until) {
     if (!OnNode) {
@@ -543,6 +595,8 @@
 
   const std::uint64_t Seed;
   std::mt19937_64 Random;
+  /// Used by one thread.
+  std::mt19937_64 StatementRandom{Seed + StatementSeedOffset};
   Cluster Run;
   std::vector<std::string> Vms;
   std::map<std::string, std::unique_ptr<LoopbackProxy>> Links;
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -81,8 +81,11 @@
       this->Recent.clear();
       return;
     }
-    if (!this->Since)
+    if (!this->Since) {
       this->Since = Now;
+      this->Count = 0;
+      this->Peak = 0;
+    }
     if (Now - *this->Since < LearnTime)
       return;
     this->Recent.push_back(Now);
@@ -92,7 +95,7 @@
     this->Peak = std::max(this->Peak, this->Recent.size());
   }
   std::size_t count() const { return this->Count; }
-  /// The most requests within one Window.
+  /// The most requests within one Window of the latest limit.
   std::size_t peak() const { return this->Peak; }
 
 private:
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -3,7 +3,7 @@
 // Version 2.0; see LICENSE.
 
 // Which targets a request may be sent to: evacuated data centres, allowed
-// regions, and the rate of cold targets.
+// regions, cold targets, and targets that state a limit.
 #include "control/cached_feed.h"
 #include "control/config_follower.h"
 #include "entry/relay_policy.h"
@@ -11,8 +11,6 @@
 #include "support/times.h"
 
 #include <catch2/catch.hpp>
-#include <deque>
-#include <random>
 
 namespace waycove::test {
 
@@ -28,87 +26,8 @@
   return Nodes;
 }
 
-/// Most requests within one second at a cold target, and all of them.
-struct ColdLoad {
-  std::size_t Peak = 0;
-  std::size_t Sum = 0;
-};
-
-/// How a node limits its requests to a cold target.
-enum class ColdWay {
-  /// A few nodes may send, each at a fixed interval.
-  Rendezvous,
-  /// Each node sends its part of the rate.
-  EqualParts
-};
-
-/// \p NodeCount nodes get \p PerSecond requests together, each of which goes to
-/// the cold target if its node may send it there, for ten seconds.
-ColdLoad playCold(std::size_t NodeCount, double PerSecond, double ColdRate,
-                  ColdWay Way) {
-  constexpr Millis Duration{10000};
-  constexpr Millis Second{1000};
-  VmIncarnation Target{VmId("t"), {}};
-  NodeTable Nodes = nodesOf(NodeCount);
-  std::vector<ColdRateLimiter> Limiters(NodeCount);
-  std::mt19937_64 Random(7);
-  std::deque<TimePoint> Recent;
-  ColdLoad Load;
-  auto Gap = Millis(1000) / PerSecond;
-  for (auto Time = Millis(0) / 1.0; Time < Duration; Time += Gap) {
-    TimePoint Now = at(0) + std::chrono::duration_cast<Millis>(Time);
-    std::size_t Node = Random() % NodeCount;
-    auto Interval = [&](const VmIncarnation &Cold) -> std::optional<Millis> {
-      if (Way == ColdWay::EqualParts)
-        return std::chrono::duration_cast<Millis>(
-            Second * static_cast<double>(NodeCount) / ColdRate);
-      return coldSendInterval(Nodes, NodeId("n" + std::to_string(Node)), Cold,
-                              ColdRate);
-    };
-    if (!Limiters[Node].take(Target, Interval, Now))
-      continue;
-    ++Load.Sum;
-    Recent.push_back(Now);
-    while (Now - Recent.front() >= Second)
-      Recent.pop_front();
-    Load.Peak = std::max(Load.Peak, Recent.size());
-  }
-  return Load;
-}
-
 } // namespace
 
-// Guards against a fleet whose nodes each send one request to a target that has
-// just turned cold, which overloads it.
-TEST_CASE("cold target: 9, 86 and 984 nodes with traffic: the sum of their "
-          "requests stays within its rate",
-          "[unit]") {
-  constexpr double ColdRate = 26;
-  // What the operators' bound adds to the rate is not used on purpose.
-  constexpr std::size_t MostPerSecond = 26 + 9;
-  for (std::size_t Nodes : {9, 86, 984}) {
-    ColdLoad Load = playCold(Nodes, 2000, ColdRate, ColdWay::Rendezvous);
-    CHECK(Load.Peak <= MostPerSecond);
-    // Little of the target's rate stays unused.
-    CHECK(static_cast<double>(Load.Sum) >= 10 * ColdRate * 0.6);
-  }
-  CHECK(playCold(984, 2000, ColdRate, ColdWay::EqualParts).Peak >
-        MostPerSecond);
-}
-
-TEST_CASE("cold target: half of the nodes are cut off and know only each "
-          "other: the permitted ones keep their interval",
-          "[unit]") {
-  NodeTable Nodes = nodesOf(86);
-  VmIncarnation Target{VmId("t"), {}};
-  std::size_t Permitted = 0;
-  for (const auto &[Id, Info] : Nodes)
-    Permitted += coldSendInterval(Nodes, Id, Target, 26) ? 1 : 0;
-  CHECK(Permitted == 26);
-  // A node that the directory does not list may send nothing.
-  CHECK_FALSE(coldSendInterval(Nodes, NodeId("other"), Target, 26));
-}
-
 /// Two targets of a plain service, one in each data centre, and the policy that
 /// chooses between them at a node in the data centre "a".
 struct PlacementFixture {
@@ -152,6 +71,14 @@
         this->Policy.choose(this->Request, this->Progress, Now);
     return To ? To->To.Target->Id.Text : "";
   }
+  /// The target states that it takes \p PerSecond requests a second.
+  void limit(const char *Target, double PerSecond, TimePoint Now) {
+    TargetStatement Statement;
+    Statement.Limit = RequestRate{PerSecond};
+    this->Board.TargetLimits.write([&](StatedLimits &Known) {
+      Known.onResponse({VmId(Target), {}}, Statement, Now, Now);
+    });
+  }
   /// The operators' feed shows all of \p Keys, or changes if \p IsSnapshot is
   /// false.
   void show(const std::vector<KeyedRecord> &Records, bool IsSnapshot = true,
@@ -260,4 +187,50 @@
   CHECK(this->chosenAt(Now).empty());
 }
 
+// Guards against a limit that only counts while another target is better, and
+// against a Retry-After that says nothing about the limit.
+TEST_CASE_METHOD(PlacementFixture,
+                 "placement: a target states a limit: it gets its share, and "
+                 "where no other is left the wait for it is known",
+                 "[unit]") {
+  TimePoint Now = SystemClock{}.now();
+  this->limit("in-a", 0.5, Now);
+  CHECK(this->chosenAt(Now) == "in-b");
+  CHECK_FALSE(this->Policy.nextOpening(this->Request, {}, Now) == Millis(0));
+  this->Progress.Tried = {VmId("in-b")};
+  CHECK(this->chosenAt(Now).empty());
+  // One node of one uses nearly all of half a request a second.
+  std::optional<Millis> Wait =
+      this->Policy.nextOpening(this->Request, this->Progress, Now);
+  REQUIRE(Wait);
+  CHECK(*Wait > Millis(2000));
+  CHECK(*Wait < Millis(2500));
+  CHECK(this->chosenAt(Now + *Wait) == "in-a");
+  CHECK(this->chosenAt(Now + *Wait + Millis(10)).empty());
+  // The target was tried, too: its limit is not what the request waits for.
+  this->Progress.Tried = {VmId("in-a"), VmId("in-b")};
+  CHECK_FALSE(this->Policy.nextOpening(this->Request, this->Progress, Now));
+}
+
+// Guards against requests that were under way to a target when it stated its
+// limit and are sent all the same.
+TEST_CASE_METHOD(PlacementFixture,
+                 "placement: a limit is stated after the selection: the "
+                 "request counts against it, or is not sent",
+                 "[unit]") {
+  TimePoint Now = SystemClock{}.now();
+  std::optional<SelectedTarget> Selected =
+      this->Policy.choose(this->Request, this->Progress, Now);
+  REQUIRE(Selected);
+  SelectedTarget Again = *Selected;
+  CHECK(this->Policy.confirm(this->Request, *Selected, Now));
+  this->limit(Selected->To.Target->Id.Text.c_str(), 2, Now);
+  CHECK_FALSE(this->Policy.confirm(this->Request, *Selected, Now));
+  TimePoint Later = Now + Millis(1000);
+  CHECK(this->Policy.confirm(this->Request, *Selected, Later));
+  CHECK_FALSE(this->Policy.confirm(this->Request, Again, Later));
+  // What was counted once is not counted again.
+  CHECK(this->Policy.confirm(this->Request, *Selected, Later));
+}
+
 } // namespace waycove::test
