--- a/src/policy/stated_limits.cpp
+++ b/src/policy/stated_limits.cpp
@@ -35,10 +35,9 @@
   return WasLimited ? Change::Adjusted : Change::Begun;
 }
 
-StatedLimits::Change
-StatedLimits::onResponse(const VmIncarnation &Target,
-                         const TargetStatement &Statement, TimePoint SentAt,
-                         TimePoint Now) {
+StatedLimits::Change StatedLimits::onResponse(const VmIncarnation &Target,
+                                              const TargetStatement &Statement,
+                                              TimePoint SentAt, TimePoint Now) {
   if (Statement.HasUnreadableLimit)
     return Change::None;
   if (!Statement.Limit) {
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -22,6 +22,12 @@
 // Set as "limit" at /faults: the requests per second that the target states in
 // its responses; empty for none.
 //
+// Set as "rest": the seconds of rest that a target with "busy" asks for. Set as
+// "leaving" to "yes": it states that it leaves.
+//
+// Each request is logged as "got ID MS STATED", with the time in Unix
+// milliseconds and what the response states: "leaving", "rest=SECONDS" or "-".
+//
 // A request body that starts with "crash" ends the process when it starts to
 // run; "crash N" does so after N milliseconds.
 //
@@ -64,6 +70,16 @@
 struct ReplicaFaults {
   std::string Call;
   std::string Limit;
+  std::string Rest;
+  bool Leaving = false;
+
+  /// What a response states, as it is logged.
+  std::string stated() const {
+    if (this->Leaving)
+      return "leaving";
+    return this->Call == "busy" && !this->Rest.empty() ? "rest=" + this->Rest
+                                                       : "-";
+  }
 };
 
 /// Counts requests to a target that states a limit, from LearnTime after it
@@ -318,6 +334,11 @@
     Response.set("X-Request-Id", Request.get("X-Request-Id", ""));
     if (!Faults.Limit.empty())
       Response.set("Server-Limit", Faults.Limit);
+    if (Faults.Leaving)
+      Response.set("Server-Leaving", "1");
+    std::cout << "got " + Request.get("X-Request-Id", "") + " " +
+                     std::to_string(nowMs()) + " " + Faults.stated() + "\n"
+              << std::flush;
     // Only heads run requests; other members respond with their ID.
     if (!Head) {
       Response.set("X-Replica-Id", this->Setup.Id);
@@ -325,6 +346,8 @@
     }
     if (Fault == "busy") {
       Response.set("X-Not-Executed", "1");
+      if (!Faults.Rest.empty())
+        Response.set("Retry-After", Faults.Rest);
       return reply(Response, 503, "");
     }
     ++this->Runs;
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -87,7 +87,8 @@
     if (this->Self.Target &&
         this->Self.Target->handle(
             Request, Response, Body,
-            {this->Self.fault("call"), this->Self.fault("limit")}))
+            {this->Self.fault("call"), this->Self.fault("limit"),
+             this->Self.fault("rest"), this->Self.fault("leaving") == "yes"}))
       return;
     if (this->Self.fault("leaving") == "yes")
       Response.set("X-Waycove-Leaving", "yes");
--- a/tests/unit/target_rate_test.cpp
+++ b/tests/unit/target_rate_test.cpp
@@ -67,8 +67,8 @@
   Load Found;
   double Rate = Day.Bounds.Stated ? Day.Bounds.Stated->Rate.PerSecond
                                   : Day.Bounds.Cold->PerSecond;
-  auto Equal = Millis(static_cast<std::int64_t>(
-      1000 * static_cast<double>(Day.Nodes) / Rate));
+  auto Equal = Millis(
+      static_cast<std::int64_t>(1000 * static_cast<double>(Day.Nodes) / Rate));
   auto Gap = Millis(1000) / Day.Traffic;
   for (auto Time = Millis(0) / 1.0; Time < Day.Duration; Time += Gap) {
     TimePoint Now = at(0) + std::chrono::duration_cast<Millis>(Time);
