--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -250,6 +250,9 @@
        "many requests per second it takes from all nodes together."},
       {TargetUnlimited, Info, "target_unlimited",
        "A target states no limit any more."},
+      {TargetRests, Info, "target_rests",
+       "A target turned a request away and asked this node for rest: it gets "
+       "none until then."},
   };
   return Catalogue;
 }
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -78,6 +78,7 @@
   TargetSuspected = 314,
   TargetLimited = 315,
   TargetUnlimited = 316,
+  TargetRests = 317,
   RequestBlamed = 509,
   RequestCleared = 510,
   RequestTried = 511,
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -17,6 +17,7 @@
 #include "policy/lease.h"
 #include "policy/partition_membership.h"
 #include "policy/retry_limiter.h"
+#include "policy/stated_pauses.h"
 #include "policy/target_rate.h"
 #include "policy/upstream_selector.h"
 
@@ -66,6 +67,8 @@
   Table<RetryLimiterTable, LockRank::Idempotency> RetryLimiters;
   /// Limits that targets state, as known to all nodes.
   Table<StatedLimits, LockRank::Load> TargetLimits;
+  /// Targets that want no requests of this node.
+  Table<StatedPauses, LockRank::Load> TargetPauses;
   Table<TargetRateLimiter, LockRank::Views> TargetRates;
   /// Requests that crash their targets, as known to all nodes.
   Table<CrashBlame, LockRank::Idempotency> Crashes;
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -187,13 +187,16 @@
         [&](TargetStatsTable &Stats) { Stats.forget(IsListed); });
     this->Board.TargetRates.write(
         [&](TargetRateLimiter &Limits) { Limits.forget(IsListed); });
+    TimePoint Now = SystemClock{}.now();
+    this->Board.TargetPauses.write(
+        [&](StatedPauses &Pauses) { Pauses.forget(Now); });
     std::set<TargetHash> ListedHashes;
     for (const VmIncarnation &Target : Listed)
       ListedHashes.insert(hashOf(Target));
     this->Board.TargetLimits.write([&](StatedLimits &Limits) {
       Limits.forget(
           [&](TargetHash Target) { return ListedHashes.contains(Target); },
-          SystemClock{}.now());
+          Now);
     });
     this->Board.Demand.write([](DemandTable &Table) {
       for (auto &[Model, Demand] : Table)
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -110,12 +110,12 @@
       return this->endAttempt(Ex, Attempt, AttemptOutcome::NotSent);
     }
     Attempt.SentAt = SystemClock{}.now();
-    // The target may have left, or stated a limit, since: select again. It
-    // stays eligible.
+    // The target may have left, or asked for fewer requests, since: select
+    // again. It stays eligible.
     if (Attempt.SentAt - SelectedAt > MaxSelectionAge)
       Attempt.Reason = "this machine stood still";
     else if (!this->Policy.confirm(Ex.Request, Selected, Attempt.SentAt))
-      Attempt.Reason = "the target has stated a limit since";
+      Attempt.Reason = "the target takes none by now";
     if (!Attempt.Reason.empty()) {
       Ex.Progress.Tried.pop_back();
       return this->endAttempt(Ex, Attempt, AttemptOutcome::NotSent);
--- a/src/entry/relay_log.cpp
+++ b/src/entry/relay_log.cpp
@@ -54,14 +54,20 @@
 void RelayLog::recordStatement(const RelayExchange &Ex,
                                const RelayAttempt &Attempt,
                                const TargetStatement &Statement) {
+  this->recordLimit(Ex, Attempt, Statement);
+  this->recordRest(Ex, Attempt, Statement);
+}
+
+void RelayLog::recordLimit(const RelayExchange &Ex, const RelayAttempt &Attempt,
+                           const TargetStatement &Statement) {
   using Change = StatedLimits::Change;
   const VmIncarnation Target = Attempt.To.Target->incarnation();
-  TimePoint Now = SystemClock{}.now();
   bool HasNoEffect = !Statement.Limit && !Statement.HasUnreadableLimit &&
                      !this->Board.TargetLimits.read(
                          [](const StatedLimits &Known) { return Known.any(); });
   if (HasNoEffect)
     return;
+  TimePoint Now = SystemClock{}.now();
   Change Found = this->Board.TargetLimits.write([&](StatedLimits &Known) {
     return Known.onResponse(Target, Statement, Attempt.SentAt, Now);
   });
@@ -78,6 +84,26 @@
                        Target.Id.Text, Fields);
 }
 
+void RelayLog::recordRest(const RelayExchange &Ex, const RelayAttempt &Attempt,
+                          const TargetStatement &Statement) {
+  if (!Statement.Rest && !Statement.HasUnreadableRest)
+    return;
+  const VmIncarnation Target = Attempt.To.Target->incarnation();
+  TimePoint Now = SystemClock{}.now();
+  bool IsLonger = this->Board.TargetPauses.write([&](StatedPauses &Known) {
+    return Known.onResponse(Target, Statement, Now);
+  });
+  if (!IsLonger && !Statement.HasUnreadableRest)
+    return;
+  LogFields Fields;
+  Fields.add("request", Ex.Request.Info.Id.Text);
+  if (Statement.Rest)
+    Fields.add("for_ms", *Statement.Rest);
+  else
+    Fields.add("reason", "the time cannot be read");
+  this->Board.Log.emit(EventCode::TargetRests, Target.Id.Text, Fields);
+}
+
 void RelayLog::attemptEnded(const RelayExchange &Ex,
                             const RelayAttempt &Attempt) {
   this->Board.Log.emit(EventCode::AttemptEnded, Ex.Request.Info.Id.Text,
--- a/src/entry/relay_log.h
+++ b/src/entry/relay_log.h
@@ -34,6 +34,11 @@
   void requestRefused(const RelayExchange &Ex, const absl::Status &Error);
 
 private:
+  void recordLimit(const RelayExchange &Ex, const RelayAttempt &Attempt,
+                   const TargetStatement &Statement);
+  void recordRest(const RelayExchange &Ex, const RelayAttempt &Attempt,
+                  const TargetStatement &Statement);
+
   EntryBoard &Board;
 };
 
--- a/src/entry/relay_policy.cpp
+++ b/src/entry/relay_policy.cpp
@@ -100,6 +100,8 @@
 
 bool RelayPolicy::confirm(const RelayRequest &Request, SelectedTarget &Selected,
                           TimePoint Now) {
+  if (this->restLeft(Selected.To, Now) > Millis(0))
+    return false;
   return Selected.IsCounted || this->takeFromRate(Request, Selected, Now);
 }
 
@@ -135,16 +137,26 @@
       Candidates.push_back(To);
   }
   std::optional<Millis> Least;
-  for (const BoundedTarget &To :
-       this->boundedTargets(Request, Candidates, Now)) {
-    Millis Wait = this->Board.TargetRates.write([&](TargetRateLimiter &Limits) {
-      return Limits.expectedWait(To, Now);
-    });
-    Least = std::min(Least.value_or(Wait), Wait);
+  for (const ServingTarget &To : Candidates) {
+    Millis Wait = this->restLeft(To, Now);
+    for (const BoundedTarget &Bounded :
+         this->boundedTargets(Request, {To}, Now))
+      Wait = std::max(
+          Wait, this->Board.TargetRates.write([&](TargetRateLimiter &Limits) {
+            return Limits.expectedWait(Bounded, Now);
+          }));
+    if (Wait > Millis(0))
+      Least = std::min(Least.value_or(Wait), Wait);
   }
   return Least;
 }
 
+Millis RelayPolicy::restLeft(const ServingTarget &To, TimePoint Now) const {
+  return this->Board.TargetPauses.read([&](const StatedPauses &Pauses) {
+    return Pauses.restLeft(To.Target->incarnation(), Now);
+  });
+}
+
 RegionId RelayPolicy::regionOf(const DataCentreId &Centre) const {
   const auto &Regions = this->Board.Config.Entry->Regions;
   auto At = Regions.find(Centre);
@@ -190,6 +202,13 @@
   for (const ServingTarget &To : Targets)
     if (!this->mayRunAt(Request, To))
       Avoid.push_back(To.Target->Id);
+  this->Board.TargetPauses.read([&](const StatedPauses &Pauses) {
+    if (!Pauses.any())
+      return;
+    for (const ServingTarget &To : Targets)
+      if (!Pauses.allows(To.Target->incarnation(), Now))
+        Avoid.push_back(To.Target->Id);
+  });
   std::vector<BoundedTarget> Bounded =
       this->boundedTargets(Request, Targets, Now);
   if (Bounded.empty())
--- a/src/entry/relay_policy.h
+++ b/src/entry/relay_policy.h
@@ -38,11 +38,12 @@
                                        const RelayProgress &Progress,
                                        TimePoint Now);
   /// Whether the request may still be sent to \p Selected: the target may have
-  /// stated a limit since it was selected. If so, counts the request.
+  /// asked for rest, or stated a limit, since it was selected. Counts the
+  /// request against the limit.
   bool confirm(const RelayRequest &Request, SelectedTarget &Selected,
                TimePoint Now);
-  /// If there are targets that only take no request now because of their rates:
-  /// about how long until one of them does, at any node.
+  /// If there are targets that only take no request now because they rest or
+  /// because of their rates: about how long until one of them does.
   std::optional<Millis> nextOpening(const RelayRequest &Request,
                                     const RelayProgress &Progress,
                                     TimePoint Now);
@@ -63,13 +64,15 @@
                                        const RelayProgress &Progress,
                                        TimePoint Now);
   /// Adds to \p Avoid the targets that the request must not be sent to now:
-  /// those in a region that it must not leave for, and those whose rates leave
-  /// no request for this node.
+  /// those in a region that it must not leave for, those that want none, and
+  /// those whose rates leave none for this node.
   void avoidForbidden(const RelayRequest &Request,
                       const std::vector<ServingTarget> &Targets, TimePoint Now,
                       std::vector<VmId> &Avoid);
   /// Whether route and workspace allow the target's region.
   bool mayRunAt(const RelayRequest &Request, const ServingTarget &To) const;
+  /// How long the target rests.
+  Millis restLeft(const ServingTarget &To, TimePoint Now) const;
   /// Those of \p Targets whose rates are bounded now.
   std::vector<BoundedTarget>
   boundedTargets(const RelayRequest &Request,
--- a/src/policy/target_statement.h
+++ b/src/policy/target_statement.h
@@ -4,6 +4,8 @@
 
 #pragma once
 
+#include "base/ids.h"
+
 #include <compare>
 #include <optional>
 
@@ -26,6 +28,10 @@
   std::optional<RequestRate> Limit;
   /// It states a limit that cannot be read, so an earlier one stays in force.
   bool HasUnreadableLimit = false;
+  /// It has turned the request away and wants none from this node for so long.
+  std::optional<Millis> Rest;
+  /// It asks for a rest whose length cannot be read, which has no effect.
+  bool HasUnreadableRest = false;
 };
 
 } // namespace waycove
--- a/tests/contract/statement_contract.cpp
+++ b/tests/contract/statement_contract.cpp
@@ -54,4 +54,30 @@
   CHECK_FALSE(statementIn("Server-Limit", "2", 421).Limit);
 }
 
+// Guards against a rest that is too short, or that is read where none was asked
+// for.
+TEST_CASE("statement: each form of a rest: read as a time, or known to be "
+          "unreadable",
+          "[contract]") {
+  struct RestCase {
+    const char *Value;
+    std::optional<Millis> Rest;
+  };
+  for (const RestCase &Case :
+       {RestCase{"3", Millis(3000)}, RestCase{"0.25", Millis(250)},
+        RestCase{"0.0001", Millis(1)}, RestCase{"0", Millis(0)},
+        RestCase{"-2", std::nullopt}, RestCase{"nan", std::nullopt},
+        RestCase{"soon", std::nullopt},
+        RestCase{"Wed, 21 Oct 2026 07:28:00 GMT", std::nullopt}}) {
+    CAPTURE(Case.Value);
+    TargetStatement Found = statementIn("Retry-After", Case.Value, 503);
+    CHECK(Found.Rest == Case.Rest);
+    CHECK(Found.HasUnreadableRest == !Case.Rest);
+  }
+  CHECK(statementIn("Retry-After", "1e300", 503).Rest > Millis(1'000'000));
+  // Only a request that was turned away asks for rest.
+  for (int Status : {200, 429, 500, 421})
+    CHECK_FALSE(statementIn("Retry-After", "3", Status).Rest);
+}
+
 } // namespace waycove::test
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -79,6 +79,13 @@
       Known.onResponse({VmId(Target), {}}, Statement, Now, Now);
     });
   }
+  void rest(const char *Target, Millis Duration, TimePoint Now) {
+    TargetStatement Statement;
+    Statement.Rest = Duration;
+    this->Board.TargetPauses.write([&](StatedPauses &Known) {
+      Known.onResponse({VmId(Target), {}}, Statement, Now);
+    });
+  }
   /// The operators' feed shows all of \p Keys, or changes if \p IsSnapshot is
   /// false.
   void show(const std::vector<KeyedRecord> &Records, bool IsSnapshot = true,
@@ -212,6 +219,36 @@
   CHECK_FALSE(this->Policy.nextOpening(this->Request, this->Progress, Now));
 }
 
+// Guards against a rest that ends early, or that only counts while another
+// target is left.
+TEST_CASE_METHOD(PlacementFixture,
+                 "placement: a target asks for rest: it gets no request until "
+                 "the end, also one that had selected it",
+                 "[unit]") {
+  TimePoint Now = SystemClock{}.now();
+  std::optional<SelectedTarget> Selected =
+      this->Policy.choose(this->Request, this->Progress, Now);
+  REQUIRE(Selected);
+  this->rest("in-a", Millis(3000), Now);
+  CHECK_FALSE(this->Policy.confirm(this->Request, *Selected, Now));
+  CHECK(this->chosenAt(Now) == "in-b");
+  // A shorter rest that it asks for later takes nothing back.
+  this->rest("in-a", Millis(100), Now + Millis(10));
+  this->rest("in-b", Millis(5000), Now);
+  CHECK(this->chosenAt(Now + Millis(2999)).empty());
+  CHECK(this->Policy.nextOpening(this->Request, {}, Now) == Millis(3000));
+  CHECK(this->chosenAt(Now + Millis(3000)) == "in-a");
+  // An absurd rest ends some day, and a new process has none.
+  StatedPauses Pauses;
+  TargetStatement Endless;
+  Endless.Rest = Millis(1'000'000'000'000);
+  Pauses.onResponse({VmId("t"), {}}, Endless, Now);
+  CHECK(Pauses.restLeft({VmId("t"), {}}, Now) == StatedPauses::MaxRest);
+  CHECK(Pauses.allows({VmId("t"), WallMs(1)}, Now));
+  Pauses.forget(Now + StatedPauses::MaxRest);
+  CHECK_FALSE(Pauses.any());
+}
+
 // Guards against requests that were under way to a target when it stated its
 // limit and are sent all the same.
 TEST_CASE_METHOD(PlacementFixture,
