Send nothing to targets that state that they leave

What callers saw: nothing yet; requests at a target that ends are cut.

A target that leaves says so in its answers, and a node waited for the registry to show it. Where no other target was left, it would have been used.

Now it is part of what a target states: such a target gets no request of this node any more, whether another one is left or not, and nobody waits for it. The soak lets targets state all three, and compares what they said with what reached them afterwards, where no fault was active at either end.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -253,6 +253,9 @@
       {TargetRests, Info, "target_rests",
        "A target turned a request away and asked this node for rest: it gets "
        "none until then."},
+      {TargetLeaves, Info, "target_leaves",
+       "A target states in a response to this node that it leaves: it gets no "
+       "more requests."},
   };
   return Catalogue;
 }
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -79,6 +79,7 @@
   TargetLimited = 315,
   TargetUnlimited = 316,
   TargetRests = 317,
+  TargetLeaves = 318,
   RequestBlamed = 509,
   RequestCleared = 510,
   RequestTried = 511,
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -189,7 +189,7 @@
         [&](TargetRateLimiter &Limits) { Limits.forget(IsListed); });
     TimePoint Now = SystemClock{}.now();
     this->Board.TargetPauses.write(
-        [&](StatedPauses &Pauses) { Pauses.forget(Now); });
+        [&](StatedPauses &Pauses) { Pauses.forget(IsListed, Now); });
     std::set<TargetHash> ListedHashes;
     for (const VmIncarnation &Target : Listed)
       ListedHashes.insert(hashOf(Target));
--- a/src/entry/relay_log.cpp
+++ b/src/entry/relay_log.cpp
@@ -55,7 +55,7 @@
                                const RelayAttempt &Attempt,
                                const TargetStatement &Statement) {
   this->recordLimit(Ex, Attempt, Statement);
-  this->recordRest(Ex, Attempt, Statement);
+  this->recordPause(Ex, Attempt, Statement);
 }
 
 void RelayLog::recordLimit(const RelayExchange &Ex, const RelayAttempt &Attempt,
@@ -74,34 +74,35 @@
   if (Found == Change::None && !Statement.HasUnreadableLimit)
     return;
   LogFields Fields;
-  Fields.add("request", Ex.Request.Info.Id.Text);
+  Fields.add("request", Ex.Request.Info.Id.Text)
+      .add("readable", !Statement.HasUnreadableLimit);
   if (Statement.Limit)
     Fields.add("per_second", Statement.Limit->PerSecond);
-  if (Statement.HasUnreadableLimit)
-    Fields.add("reason", "the limit cannot be read");
   this->Board.Log.emit(Found == Change::Ended ? EventCode::TargetUnlimited
                                               : EventCode::TargetLimited,
                        Target.Id.Text, Fields);
 }
 
-void RelayLog::recordRest(const RelayExchange &Ex, const RelayAttempt &Attempt,
-                          const TargetStatement &Statement) {
-  if (!Statement.Rest && !Statement.HasUnreadableRest)
-    return;
+void RelayLog::recordPause(const RelayExchange &Ex, const RelayAttempt &Attempt,
+                           const TargetStatement &Statement) {
   const VmIncarnation Target = Attempt.To.Target->incarnation();
-  TimePoint Now = SystemClock{}.now();
-  bool IsLonger = this->Board.TargetPauses.write([&](StatedPauses &Known) {
-    return Known.onResponse(Target, Statement, Now);
-  });
-  if (!IsLonger && !Statement.HasUnreadableRest)
-    return;
+  StatedPauses::Changes Found;
+  if (Statement.Leaving || Statement.Rest)
+    Found = this->Board.TargetPauses.write([&](StatedPauses &Known) {
+      return Known.onResponse(Target, Statement, SystemClock{}.now());
+    });
   LogFields Fields;
   Fields.add("request", Ex.Request.Info.Id.Text);
-  if (Statement.Rest)
-    Fields.add("for_ms", *Statement.Rest);
-  else
-    Fields.add("reason", "the time cannot be read");
-  this->Board.Log.emit(EventCode::TargetRests, Target.Id.Text, Fields);
+  if (Found.Leaves || Statement.HasUnreadableLeaving)
+    this->Board.Log.emit(
+        EventCode::TargetLeaves, Target.Id.Text,
+        LogFields(Fields).add("readable", !Statement.HasUnreadableLeaving));
+  if (Found.Rests || Statement.HasUnreadableRest)
+    this->Board.Log.emit(
+        EventCode::TargetRests, Target.Id.Text,
+        LogFields(Fields)
+            .add("readable", !Statement.HasUnreadableRest)
+            .add("for_ms", Statement.Rest.value_or(Millis(0))));
 }
 
 void RelayLog::attemptEnded(const RelayExchange &Ex,
--- a/src/entry/relay_log.h
+++ b/src/entry/relay_log.h
@@ -36,8 +36,8 @@
 private:
   void recordLimit(const RelayExchange &Ex, const RelayAttempt &Attempt,
                    const TargetStatement &Statement);
-  void recordRest(const RelayExchange &Ex, const RelayAttempt &Attempt,
-                  const TargetStatement &Statement);
+  void recordPause(const RelayExchange &Ex, const RelayAttempt &Attempt,
+                   const TargetStatement &Statement);
 
   EntryBoard &Board;
 };
--- a/src/entry/relay_policy.cpp
+++ b/src/entry/relay_policy.cpp
@@ -100,9 +100,8 @@
 
 bool RelayPolicy::confirm(const RelayRequest &Request, SelectedTarget &Selected,
                           TimePoint Now) {
-  if (this->restLeft(Selected.To, Now) > Millis(0))
-    return false;
-  return Selected.IsCounted || this->takeFromRate(Request, Selected, Now);
+  return this->pauseOf(Selected.To, &StatedPauses::allows, Now) &&
+         (Selected.IsCounted || this->takeFromRate(Request, Selected, Now));
 }
 
 bool RelayPolicy::takeFromRate(const RelayRequest &Request,
@@ -133,12 +132,13 @@
                              To.Target->Id) != Progress.Tried.end();
     bool IsOfModel =
         !Spec || !Spec->hasGroups() || To.Model == Request.Info.Model;
-    if (!IsTried && IsOfModel && this->mayRunAt(Request, To))
+    if (!IsTried && IsOfModel && this->mayRunAt(Request, To) &&
+        !this->pauseOf(To, &StatedPauses::isLeaving))
       Candidates.push_back(To);
   }
   std::optional<Millis> Least;
   for (const ServingTarget &To : Candidates) {
-    Millis Wait = this->restLeft(To, Now);
+    Millis Wait = this->pauseOf(To, &StatedPauses::restLeft, Now);
     for (const BoundedTarget &Bounded :
          this->boundedTargets(Request, {To}, Now))
       Wait = std::max(
@@ -151,12 +151,6 @@
   return Least;
 }
 
-Millis RelayPolicy::restLeft(const ServingTarget &To, TimePoint Now) const {
-  return this->Board.TargetPauses.read([&](const StatedPauses &Pauses) {
-    return Pauses.restLeft(To.Target->incarnation(), Now);
-  });
-}
-
 RegionId RelayPolicy::regionOf(const DataCentreId &Centre) const {
   const auto &Regions = this->Board.Config.Entry->Regions;
   auto At = Regions.find(Centre);
--- a/src/entry/relay_policy.h
+++ b/src/entry/relay_policy.h
@@ -38,8 +38,8 @@
                                        const RelayProgress &Progress,
                                        TimePoint Now);
   /// Whether the request may still be sent to \p Selected: the target may have
-  /// asked for rest, or stated a limit, since it was selected. Counts the
-  /// request against the limit.
+  /// stated since it was selected that it leaves, rests or takes only some.
+  /// Counts the request against a limit.
   bool confirm(const RelayRequest &Request, SelectedTarget &Selected,
                TimePoint Now);
   /// If there are targets that only take no request now because they rest or
@@ -71,8 +71,13 @@
                       std::vector<VmId> &Avoid);
   /// Whether route and workspace allow the target's region.
   bool mayRunAt(const RelayRequest &Request, const ServingTarget &To) const;
-  /// How long the target rests.
-  Millis restLeft(const ServingTarget &To, TimePoint Now) const;
+  /// What \p Query, a member of StatedPauses, returns for the target.
+  template <typename F, typename... Args>
+  auto pauseOf(const ServingTarget &To, F Query, Args... More) const {
+    return this->Board.TargetPauses.read([&](const StatedPauses &Pauses) {
+      return (Pauses.*Query)(To.Target->incarnation(), More...);
+    });
+  }
   /// Those of \p Targets whose rates are bounded now.
   std::vector<BoundedTarget>
   boundedTargets(const RelayRequest &Request,
--- a/src/policy/stated_pauses.cpp
+++ b/src/policy/stated_pauses.cpp
@@ -8,20 +8,28 @@
 
 namespace waycove {
 
-bool StatedPauses::onResponse(const VmIncarnation &Target,
-                              const TargetStatement &Statement, TimePoint Now) {
-  if (!Statement.Rest || *Statement.Rest <= Millis(0))
-    return false;
-  TimePoint Until = Now + std::min(*Statement.Rest, MaxRest);
-  auto [At, IsNew] = this->RestUntil.try_emplace(Target, Until);
-  if (!IsNew && Until <= At->second)
-    return false;
-  At->second = Until;
-  return true;
+StatedPauses::Changes StatedPauses::onResponse(const VmIncarnation &Target,
+                                               const TargetStatement &Statement,
+                                               TimePoint Now) {
+  Changes Found;
+  if (Statement.Leaving)
+    Found.Leaves = this->Left.try_emplace(Target, Now).second;
+  if (Statement.Rest.value_or(Millis(0)) > Millis(0)) {
+    TimePoint Until = Now + std::min(*Statement.Rest, MaxRest);
+    TimePoint &Known =
+        this->RestUntil.try_emplace(Target, TimePoint::min()).first->second;
+    Found.Rests = Until > Known;
+    Known = std::max(Known, Until);
+  }
+  return Found;
 }
 
 bool StatedPauses::allows(const VmIncarnation &Target, TimePoint Now) const {
-  return this->restLeft(Target, Now) == Millis(0);
+  return !this->isLeaving(Target) && this->restLeft(Target, Now) == Millis(0);
+}
+
+bool StatedPauses::isLeaving(const VmIncarnation &Target) const {
+  return this->Left.contains(Target);
 }
 
 Millis StatedPauses::restLeft(const VmIncarnation &Target,
@@ -32,9 +40,16 @@
   return std::chrono::ceil<Millis>(At->second - Now);
 }
 
-void StatedPauses::forget(TimePoint Now) {
+void StatedPauses::forget(
+    const std::function<bool(const VmIncarnation &)> &IsListed, TimePoint Now) {
   std::erase_if(this->RestUntil,
                 [&](const auto &Item) { return Item.second <= Now; });
+  for (auto &[Target, SeenAt] : this->Left)
+    if (IsListed(Target))
+      SeenAt = Now;
+  std::erase_if(this->Left, [&](const auto &Item) {
+    return Now - Item.second >= UnlistedRetention;
+  });
 }
 
 } // namespace waycove
--- a/src/policy/stated_pauses.h
+++ b/src/policy/stated_pauses.h
@@ -7,36 +7,52 @@
 #include "base/ids.h"
 #include "policy/target_statement.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 
 namespace waycove {
 
 /// Targets that want no requests of this node, as they state in their
-/// responses: a target that turns a request away may ask for rest. That holds
-/// for this node alone and for the process that stated it, so it is neither
-/// told to other nodes nor outlasts a restart of the target. Not thread-safe.
+/// responses: those that leave, for good, and those that turned a request away
+/// and asked for rest, until its end. Both hold for the process that stated it,
+/// and a rest holds for this node alone, so nothing is told to other nodes, and
+/// nothing outlasts a restart of the target. Not thread-safe.
 class StatedPauses {
 public:
-  /// Applies a response of \p Target. Returns whether it is left alone for
-  /// longer than before.
-  bool onResponse(const VmIncarnation &Target, const TargetStatement &Statement,
-                  TimePoint Now);
+  /// What a response has changed.
+  struct Changes {
+    bool Leaves = false;
+    /// It rests, or longer than before.
+    bool Rests = false;
+  };
+
+  /// Applies a response of \p Target.
+  Changes onResponse(const VmIncarnation &Target,
+                     const TargetStatement &Statement, TimePoint Now);
   /// Whether the target may be sent requests.
   bool allows(const VmIncarnation &Target, TimePoint Now) const;
+  bool isLeaving(const VmIncarnation &Target) const;
   /// Returns how much longer the target rests; zero if it does not.
   Millis restLeft(const VmIncarnation &Target, TimePoint Now) const;
   /// Whether any target may have to be left alone.
-  bool any() const { return !this->RestUntil.empty(); }
-  /// Drops targets that have rested.
-  void forget(TimePoint Now);
+  bool any() const { return !this->RestUntil.empty() || !this->Left.empty(); }
+  /// Drops targets that have rested, and those that left if \p IsListed returns
+  /// false.
+  void forget(const std::function<bool(const VmIncarnation &)> &IsListed,
+              TimePoint Now);
 
   /// A longer rest counts as this one. A target that wants none for good
-  /// leaves the registry.
+  /// leaves.
   static constexpr Millis MaxRest{3'600'000};
 
 private:
+  /// The registry may drop a target's entry and list it again within this time.
+  static constexpr Millis UnlistedRetention{600'000};
+
   std::map<VmIncarnation, TimePoint> RestUntil;
+  /// Targets that leave, and when they were last seen to be listed.
+  std::map<VmIncarnation, TimePoint> Left;
 };
 
 } // namespace waycove
--- a/src/policy/target_statement.h
+++ b/src/policy/target_statement.h
@@ -28,6 +28,10 @@
   std::optional<RequestRate> Limit;
   /// It states a limit that cannot be read, so an earlier one stays in force.
   bool HasUnreadableLimit = false;
+  /// It leaves: it will end and wants no more requests.
+  bool Leaving = false;
+  /// What it states about leaving cannot be read, which has no effect.
+  bool HasUnreadableLeaving = false;
   /// It has turned the request away and wants none from this node for so long.
   std::optional<Millis> Rest;
   /// It asks for a rest whose length cannot be read, which has no effect.
--- a/tests/contract/statement_contract.cpp
+++ b/tests/contract/statement_contract.cpp
@@ -54,6 +54,23 @@
   CHECK_FALSE(statementIn("Server-Limit", "2", 421).Limit);
 }
 
+// Guards against a target that is left alone for good by mistake.
+TEST_CASE("statement: each form of leaving: only one means it", "[contract]") {
+  CHECK(statementIn("Server-Leaving", "1").Leaving);
+  CHECK(statementIn("Server-Leaving", " 1 ", 503).Leaving);
+  CHECK(statementIn("Server-Leaving", "1", 500).Leaving);
+  for (const char *Value : {"0", "", "yes", "-1", "1.0", "true"}) {
+    CAPTURE(Value);
+    TargetStatement Found = statementIn("Server-Leaving", Value);
+    CHECK_FALSE(Found.Leaving);
+    CHECK(Found.HasUnreadableLeaving == (std::string(Value) != "0"));
+  }
+  CHECK_FALSE(statementIn("X-Other", "1").Leaving);
+  CHECK_FALSE(statementIn("X-Other", "1").HasUnreadableLeaving);
+  // Another process than the one that was meant.
+  CHECK_FALSE(statementIn("Server-Leaving", "1", 421).Leaving);
+}
+
 // Guards against a rest that is too short, or that is read where none was asked
 // for.
 TEST_CASE("statement: each form of a rest: read as a time, or known to be "
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -23,9 +23,11 @@
 //   three more targets crash;
 // - ordinary requests are served after the faults have ended.
 //
-// --statements also lets targets state limits on their requests per second:
+// --statements also lets targets state limits on their requests per second, ask
+// for rest, and state that they leave:
 // - from some seconds after the first statement, a target gets at most what its
-//   limit allows, with some tolerance, from all entries together.
+//   limit allows, with some tolerance, from all entries together;
+// - an entry sends nothing to a target that it knows to rest or to leave.
 //
 // --suspends also suspends entries' machines: their steady clocks exclude the
 // suspended time. All checks apply, including those of --restores.
@@ -45,6 +47,7 @@
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -60,7 +63,8 @@
 DEFINE_bool(restores, false, "restore the store from older copies");
 DEFINE_bool(crashes, false,
             "send a request that crashes the targets that run it");
-DEFINE_bool(statements, false, "let targets state limits in their responses");
+DEFINE_bool(statements, false,
+            "let targets state limits, rests and that they leave");
 DEFINE_bool(suspends, false, "suspend the machines of entries");
 
 namespace waycove::test {
@@ -92,7 +96,14 @@
 constexpr double RateTolerance = 1.5;
 constexpr double RequestTolerance = 5;
 constexpr double RateWindowSeconds = 4;
-constexpr milliseconds StatementTime(9000);
+constexpr milliseconds LimitTime(9000);
+constexpr milliseconds RestPeriod(3000);
+constexpr milliseconds LeavingTime(4000);
+constexpr std::uint64_t RestMs = 2000;
+/// Requests that are under way as a target states something arrive in this
+/// time, and this many may come in a rest after it.
+constexpr std::uint64_t UnderWayMs = 500;
+constexpr int MaxWhileResting = 2;
 /// Crashes after which a request must be blocked, the time for entries to learn
 /// of them, and the maximum number of crashes after that.
 constexpr int CrashesToBlock = 3;
@@ -163,7 +174,7 @@
     });
     std::thread Statements([&] {
       while (FLAGS_statements && !this->FaultsOver)
-        this->stateLimit();
+        this->stateSomething();
     });
     this->injectFaults();
     this->endFaults();
@@ -187,6 +198,7 @@
       this->fail("not served " + std::to_string(RecoveryTime.count()) +
                  " ms after the last fault");
     this->checkRuns();
+    this->checkStatements();
     this->Run.KeepLogs = !this->Failures.empty();
     return this->Failures;
   }
@@ -312,6 +324,13 @@
     }
   }
 
+  /// In Unix milliseconds; the end is 0 while it lasts.
+  struct Period {
+    std::string Name;
+    std::uint64_t Begin = 0;
+    std::uint64_t End = 0;
+  };
+
   /// Injects overlapping faults of random duration.
   void injectFaults() {
     auto End = Clock::now() + std::chrono::seconds(FLAGS_seconds);
@@ -339,6 +358,8 @@
     if (this->ActiveFaults.contains(Target))
       return;
     int Kind = this->randomBelow(8);
+    if (Kind != 7)
+      this->beginDisturbance(Target);
     if (Kind >= 3 && Kind < 7) {
       this->Links[Target]->set(static_cast<LinkFault>(Kind - 2));
       this->ActiveFaults[Target] = {
@@ -359,9 +380,21 @@
     }
   }
 
+  void beginDisturbance(const std::string &Name) {
+    std::lock_guard Lock(this->Mutex);
+    this->Disturbances.push_back({Name, wallMs(), 0});
+  }
+  void endDisturbance(const std::string &Name) {
+    std::lock_guard Lock(this->Mutex);
+    for (Period &Row : this->Disturbances)
+      if (Row.Name == Name && Row.End == 0)
+        Row.End = wallMs();
+  }
+
   void beginSuspension(const std::string &Node, Clock::time_point Until) {
     if (this->ActiveFaults.contains(Node))
       return;
+    this->beginDisturbance(Node);
     this->Run.suspend(Node);
     this->ActiveFaults[Node] = {Until,
                                 [this, Node] { this->Run.resume(Node); }};
@@ -413,14 +446,41 @@
                  " targets ended under a request that had ended three");
   }
 
-  /// Lets a target state a limit for some seconds and checks that it holds.
-  void stateLimit() {
+  /// Lets a target state one thing for some seconds.
+  void stateSomething() {
     const std::string &Vm =
         this->Vms[this->StatementRandom() % this->Vms.size()];
+    switch (this->StatementRandom() % 3) {
+    case 0:
+      return this->stateLimit(Vm);
+    case 1:
+      this->setFaults(Vm, R"({"call":"busy","rest":"2"})");
+      this->waitForPeriod(Vm, RestPeriod);
+      return this->setFaults(Vm, R"({"call":"","rest":""})");
+    default:
+      this->setFaults(Vm, R"({"leaving":"yes"})");
+      this->waitForPeriod(Vm, LeavingTime);
+      this->setFaults(Vm, R"({"leaving":""})");
+      // Another process takes its place.
+      this->Run.atVm(Vm, {"POST", "/restart", "", {}, milliseconds(500)});
+    }
+  }
+
+  void waitForPeriod(const std::string &Vm, milliseconds Duration) {
+    std::uint64_t Begin = wallMs();
+    auto End = Clock::now() + Duration;
+    while (Clock::now() < End && !this->FaultsOver)
+      std::this_thread::sleep_for(milliseconds(50));
+    std::lock_guard Lock(this->Mutex);
+    this->Periods.push_back({Vm, Begin, wallMs()});
+  }
+
+  /// Also checks that the limit holds.
+  void stateLimit(const std::string &Vm) {
     const std::string Rate =
         StatedRates[this->StatementRandom() % StatedRates.size()];
-    this->setLimit(Vm, Rate);
-    auto End = Clock::now() + StatementTime;
+    this->setFaults(Vm, R"({"limit":")" + Rate + "\"}");
+    auto End = Clock::now() + LimitTime;
     double Peak = 0;
     while (Clock::now() < End && !this->FaultsOver) {
       std::this_thread::sleep_for(milliseconds(200));
@@ -429,7 +489,7 @@
       if (Seen.Status == 200)
         Peak = std::max(Peak, static_cast<double>(Seen.number("limited_peak")));
     }
-    this->setLimit(Vm, "");
+    this->setFaults(Vm, R"({"limit":""})");
     if (Peak >
         RateTolerance * RateWindowSeconds * std::stod(Rate) + RequestTolerance)
       this->fail(Vm + ": " + std::to_string(Peak) +
@@ -437,12 +497,84 @@
   }
 
   /// The target may be stopped or gone.
-  void setLimit(const std::string &Vm, const std::string &Rate) {
-    this->Run.atVm(Vm, {"POST",
-                        "/faults",
-                        R"({"limit":")" + Rate + "\"}",
-                        {},
-                        milliseconds(500)});
+  void setFaults(const std::string &Vm, const std::string &Json) {
+    this->Run.atVm(Vm, {"POST", "/faults", Json, {}, milliseconds(500)});
+  }
+
+  static std::uint64_t wallMs() {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+  }
+
+  /// The entry that callOnce() sends a request to; empty for other requests.
+  static std::string entryOf(const std::string &Id) {
+    std::size_t Dash = Id.find('-');
+    bool IsCall = Dash != std::string::npos &&
+                  Id.find_first_not_of("0123456789-") == std::string::npos;
+    if (!IsCall)
+      return "";
+    return std::stoi(Id.substr(Dash + 1)) % 2 ? "n1" : "n2";
+  }
+
+  /// Whether a fault was active at an entry, a target or its link.
+  bool wasDisturbed(const std::string &Name, std::uint64_t From,
+                    std::uint64_t Until) {
+    std::lock_guard Lock(this->Mutex);
+    return std::any_of(this->Disturbances.begin(), this->Disturbances.end(),
+                       [&](const Period &Row) {
+                         return Row.Name == Name && Row.Begin <= Until &&
+                                (Row.End == 0 || Row.End + UnderWayMs >= From);
+                       });
+  }
+
+  /// A request of callOnce() as its target logged it.
+  struct Arrival {
+    std::string Entry;
+    std::uint64_t At = 0;
+    std::string Stated;
+  };
+
+  std::vector<Arrival> arrivalsIn(const Period &Within) {
+    std::vector<Arrival> Rows;
+    std::istringstream Lines(this->Run.logOf(Within.Name));
+    Arrival Row;
+    for (std::string Word, Id; Lines >> Word;)
+      if (Word == "got" && Lines >> Id >> Row.At >> Row.Stated) {
+        Row.Entry = entryOf(Id);
+        if (Row.At >= Within.Begin && Row.At < Within.End && !Row.Entry.empty())
+          Rows.push_back(Row);
+      }
+    return Rows;
+  }
+
+  /// Compares what targets stated with the requests that came afterwards.
+  void checkStatements() {
+    for (const Period &Stated : this->Periods) {
+      if (this->wasDisturbed(Stated.Name, Stated.Begin, Stated.End))
+        continue;
+      std::vector<Arrival> Rows = this->arrivalsIn(Stated);
+      for (const Arrival &Told : Rows)
+        if (Told.Stated != "-")
+          this->checkAfter(Told, Rows, Stated.Name);
+    }
+  }
+
+  void checkAfter(const Arrival &Told, const std::vector<Arrival> &Rows,
+                  const std::string &Vm) {
+    bool Leaves = Told.Stated == "leaving";
+    std::uint64_t Until =
+        Leaves ? std::numeric_limits<std::uint64_t>::max() : Told.At + RestMs;
+    int Count = 0;
+    for (const Arrival &Row : Rows)
+      if (Row.Entry == Told.Entry && Row.At > Told.At + UnderWayMs &&
+          Row.At < Until && !this->wasDisturbed(Told.Entry, Told.At, Row.At))
+        ++Count;
+    if (Count > (Leaves ? 0 : MaxWhileResting))
+      this->fail(Vm + ": " + std::to_string(Count) + " requests from " +
+                 Told.Entry + " after it had stated \"" + Told.Stated +
+                 "\" at " + std::to_string(Told.At));
   }
 
   void kill(const std::string &Target, bool OnNode, bool Graceful,
@@ -472,6 +604,7 @@
         continue;
       }
       At->second.End();
+      this->endDisturbance(At->first);
       At = this->ActiveFaults.erase(At);
     }
   }
@@ -604,6 +737,10 @@
   std::mutex Mutex;
   std::string Failures;
   std::set<std::string> NotRun;
+  /// Faults at entries and targets.
+  std::vector<Period> Disturbances;
+  /// When targets rested or left.
+  std::vector<Period> Periods;
   /// A revoked key and the time at which the store acknowledged its revocation.
   struct RevokedKey {
     std::string Key;
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -332,6 +332,11 @@
              (this->State == "open" && this->Rank == 0 && !this->Group.empty());
     }
     Response.set("X-Request-Id", Request.get("X-Request-Id", ""));
+    // Only heads run requests; other members respond with their ID.
+    if (!Head) {
+      Response.set("X-Replica-Id", this->Setup.Id);
+      return reply(Response, 421, "");
+    }
     if (!Faults.Limit.empty())
       Response.set("Server-Limit", Faults.Limit);
     if (Faults.Leaving)
@@ -339,11 +344,6 @@
     std::cout << "got " + Request.get("X-Request-Id", "") + " " +
                      std::to_string(nowMs()) + " " + Faults.stated() + "\n"
               << std::flush;
-    // Only heads run requests; other members respond with their ID.
-    if (!Head) {
-      Response.set("X-Replica-Id", this->Setup.Id);
-      return reply(Response, 421, "");
-    }
     if (Fault == "busy") {
       Response.set("X-Not-Executed", "1");
       if (!Faults.Rest.empty())
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -245,10 +245,45 @@
   Pauses.onResponse({VmId("t"), {}}, Endless, Now);
   CHECK(Pauses.restLeft({VmId("t"), {}}, Now) == StatedPauses::MaxRest);
   CHECK(Pauses.allows({VmId("t"), WallMs(1)}, Now));
-  Pauses.forget(Now + StatedPauses::MaxRest);
+  auto IsListed = [](const VmIncarnation &) { return true; };
+  Pauses.forget(IsListed, Now + StatedPauses::MaxRest);
   CHECK_FALSE(Pauses.any());
 }
 
+// Guards against requests to a target that has stated that it leaves, as soon
+// as no other one is left or its entry was away for a moment.
+TEST_CASE_METHOD(PlacementFixture,
+                 "placement: a target states that it leaves: it gets no "
+                 "request any more, and nobody waits for it",
+                 "[unit]") {
+  TimePoint Now = SystemClock{}.now();
+  std::optional<SelectedTarget> Selected =
+      this->Policy.choose(this->Request, this->Progress, Now);
+  REQUIRE(Selected);
+  TargetStatement Leaving;
+  Leaving.Leaving = true;
+  auto State = [&](const char *Target) {
+    this->Board.TargetPauses.write([&](StatedPauses &Known) {
+      Known.onResponse({VmId(Target), {}}, Leaving, Now);
+    });
+  };
+  State("in-a");
+  CHECK_FALSE(this->Policy.confirm(this->Request, *Selected, Now));
+  CHECK(this->chosenAt(Now) == "in-b");
+  State("in-b");
+  CHECK(this->chosenAt(Now + Millis(3'600'000)).empty());
+  CHECK_FALSE(this->Policy.nextOpening(this->Request, {}, Now));
+  this->Board.TargetPauses.write([&](StatedPauses &Known) {
+    VmIncarnation Target{VmId("in-a"), {}};
+    CHECK(Known.allows({Target.Id, WallMs(1)}, Now));
+    auto IsListed = [](const VmIncarnation &) { return false; };
+    Known.forget(IsListed, Now + Millis(60'000));
+    CHECK_FALSE(Known.allows(Target, Now));
+    Known.forget(IsListed, Now + Millis(3'600'000));
+    CHECK(Known.allows(Target, Now));
+  });
+}
+
 // Guards against requests that were under way to a target when it stated its
 // limit and are sent all the same.
 TEST_CASE_METHOD(PlacementFixture,
