Take no statement from a response that the target may not have sent

What callers saw: nothing; found by reading. A response that says "wrong target" counted as one that states no limit, and so ended the limit of the target that was meant, although a restarted process, or a member that is no head, had sent it.

Now a response whose sender is not certain (status 421, or a success without signature) states nothing. Why a target wants no requests is one record.

Before: a 421 ended the limit. After: the contract test's table holds.

--- a/src/entry/caller_protocol.h
+++ b/src/entry/caller_protocol.h
@@ -55,7 +55,8 @@
   bool Signed = false;
   /// How long the target keeps an idle connection open.
   std::optional<Millis> KeepAlive;
-  TargetStatement Statement;
+  /// Unset if another process than the target may have responded.
+  std::optional<TargetStatement> Statement;
 };
 
 /// The HTTP conventions of a platform's callers and targets.
--- a/src/entry/relay_policy.cpp
+++ b/src/entry/relay_policy.cpp
@@ -100,8 +100,9 @@
 
 bool RelayPolicy::confirm(const RelayRequest &Request, SelectedTarget &Selected,
                           TimePoint Now) {
-  return this->pauseOf(Selected.To, &StatedPauses::allows, Now) &&
-         (Selected.IsCounted || this->takeFromRate(Request, Selected, Now));
+  if (this->pauseOf(Selected.To, Now).any())
+    return false;
+  return Selected.IsCounted || this->takeFromRate(Request, Selected, Now);
 }
 
 bool RelayPolicy::takeFromRate(const RelayRequest &Request,
@@ -133,12 +134,12 @@
     bool IsOfModel =
         !Spec || !Spec->hasGroups() || To.Model == Request.Info.Model;
     if (!IsTried && IsOfModel && this->mayRunAt(Request, To) &&
-        !this->pauseOf(To, &StatedPauses::isLeaving))
+        !this->pauseOf(To, Now).Leaves)
       Candidates.push_back(To);
   }
   std::optional<Millis> Least;
   for (const ServingTarget &To : Candidates) {
-    Millis Wait = this->pauseOf(To, &StatedPauses::restLeft, Now);
+    Millis Wait = this->pauseOf(To, Now).RestLeft;
     for (const BoundedTarget &Bounded :
          this->boundedTargets(Request, {To}, Now))
       Wait = std::max(
@@ -151,6 +152,12 @@
   return Least;
 }
 
+StatedPause RelayPolicy::pauseOf(const ServingTarget &To, TimePoint Now) const {
+  return this->Board.TargetPauses.read([&](const StatedPauses &Pauses) {
+    return Pauses.of(To.Target->incarnation(), Now);
+  });
+}
+
 RegionId RelayPolicy::regionOf(const DataCentreId &Centre) const {
   const auto &Regions = this->Board.Config.Entry->Regions;
   auto At = Regions.find(Centre);
@@ -200,7 +207,7 @@
     if (!Pauses.any())
       return;
     for (const ServingTarget &To : Targets)
-      if (!Pauses.allows(To.Target->incarnation(), Now))
+      if (Pauses.of(To.Target->incarnation(), Now).any())
         Avoid.push_back(To.Target->Id);
   });
   std::vector<BoundedTarget> Bounded =
--- a/src/entry/relay_policy.h
+++ b/src/entry/relay_policy.h
@@ -71,13 +71,7 @@
                       std::vector<VmId> &Avoid);
   /// Whether route and workspace allow the target's region.
   bool mayRunAt(const RelayRequest &Request, const ServingTarget &To) const;
-  /// What \p Query, a member of StatedPauses, returns for the target.
-  template <typename F, typename... Args>
-  auto pauseOf(const ServingTarget &To, F Query, Args... More) const {
-    return this->Board.TargetPauses.read([&](const StatedPauses &Pauses) {
-      return (Pauses.*Query)(To.Target->incarnation(), More...);
-    });
-  }
+  StatedPause pauseOf(const ServingTarget &To, TimePoint Now) const;
   /// Those of \p Targets whose rates are bounded now.
   std::vector<BoundedTarget>
   boundedTargets(const RelayRequest &Request,
--- a/src/entry/response_forwarder.h
+++ b/src/entry/response_forwarder.h
@@ -45,7 +45,8 @@
         break;
       TargetResponseInfo Info = Protocol::readResponseInfo(*Head);
       if (Info.Id == Ex.Request.Info.Id) {
-        this->Log.recordStatement(Ex, Attempt, Info.Statement);
+        if (Info.Statement)
+          this->Log.recordStatement(Ex, Attempt, *Info.Statement);
         return this->forwardResponse(Ex, Attempt, *Head, Info, *Body);
       }
       // A late response to an earlier request: discard it, ours follows.
--- a/src/policy/stated_pauses.cpp
+++ b/src/policy/stated_pauses.cpp
@@ -24,20 +24,13 @@
   return Found;
 }
 
-bool StatedPauses::allows(const VmIncarnation &Target, TimePoint Now) const {
-  return !this->isLeaving(Target) && this->restLeft(Target, Now) == Millis(0);
-}
-
-bool StatedPauses::isLeaving(const VmIncarnation &Target) const {
-  return this->Left.contains(Target);
-}
-
-Millis StatedPauses::restLeft(const VmIncarnation &Target,
-                              TimePoint Now) const {
+StatedPause StatedPauses::of(const VmIncarnation &Target, TimePoint Now) const {
+  StatedPause Pause;
+  Pause.Leaves = this->Left.contains(Target);
   auto At = this->RestUntil.find(Target);
-  if (At == this->RestUntil.end() || At->second <= Now)
-    return Millis(0);
-  return std::chrono::ceil<Millis>(At->second - Now);
+  if (At != this->RestUntil.end() && At->second > Now)
+    Pause.RestLeft = std::chrono::ceil<Millis>(At->second - Now);
+  return Pause;
 }
 
 void StatedPauses::forget(
--- a/src/policy/stated_pauses.h
+++ b/src/policy/stated_pauses.h
@@ -13,6 +13,15 @@
 
 namespace waycove {
 
+/// Why a target wants no requests now.
+struct StatedPause {
+  bool Leaves = false;
+  /// How much longer it rests; zero if it does not.
+  Millis RestLeft{0};
+
+  bool any() const { return this->Leaves || this->RestLeft > Millis(0); }
+};
+
 /// Targets that want no requests of this node, as they state in their
 /// responses: those that leave, for good, and those that turned a request away
 /// and asked for rest, until its end. Both hold for the process that stated it,
@@ -30,11 +39,7 @@
   /// Applies a response of \p Target.
   Changes onResponse(const VmIncarnation &Target,
                      const TargetStatement &Statement, TimePoint Now);
-  /// Whether the target may be sent requests.
-  bool allows(const VmIncarnation &Target, TimePoint Now) const;
-  bool isLeaving(const VmIncarnation &Target) const;
-  /// Returns how much longer the target rests; zero if it does not.
-  Millis restLeft(const VmIncarnation &Target, TimePoint Now) const;
+  StatedPause of(const VmIncarnation &Target, TimePoint Now) const;
   /// Whether any target may have to be left alone.
   bool any() const { return !this->RestUntil.empty() || !this->Left.empty(); }
   /// Drops targets that have rested, and those that left if \p IsListed returns
--- a/tests/contract/statement_contract.cpp
+++ b/tests/contract/statement_contract.cpp
@@ -11,12 +11,16 @@
 
 namespace {
 
+/// The statement in a target's signed response.
 TargetStatement statementIn(const std::string &Header, const std::string &Value,
                             int Status = 200) {
   Poco::Net::HTTPResponse Response(
       static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
   Response.set(Header, Value);
-  return platform::Callers::readResponseInfo(Response).Statement;
+  Response.set("X-Replica-Seal", "seal");
+  auto Found = platform::Callers::readResponseInfo(Response).Statement;
+  REQUIRE(Found);
+  return *Found;
 }
 
 struct LimitCase {
@@ -48,10 +52,29 @@
   TargetStatement None = statementIn("X-Other", "1");
   CHECK_FALSE(None.Limit);
   CHECK_FALSE(None.HasUnreadableLimit);
-  // Errors and refusals state it, too, but not another process.
+  // Errors and refusals state it, too.
   CHECK(statementIn("Server-Limit", "2", 503).Limit);
   CHECK(statementIn("Server-Limit", "2", 500).Limit);
-  CHECK_FALSE(statementIn("Server-Limit", "2", 421).Limit);
+}
+
+// Guards against a limit or a leaving that begins or ends by a response which
+// the target did not send.
+TEST_CASE("statement: another process may have responded: nothing is stated",
+          "[contract]") {
+  auto IsStated = [](int Status, bool Signed) {
+    Poco::Net::HTTPResponse Response(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
+    Response.set("Server-Limit", "2");
+    if (Signed)
+      Response.set("X-Replica-Seal", "seal");
+    return platform::Callers::readResponseInfo(Response).Statement.has_value();
+  };
+  CHECK(IsStated(200, true));
+  CHECK(IsStated(500, false));
+  CHECK(IsStated(503, false));
+  CHECK_FALSE(IsStated(200, false));
+  CHECK_FALSE(IsStated(421, false));
+  CHECK_FALSE(IsStated(421, true));
 }
 
 // Guards against a target that is left alone for good by mistake.
@@ -67,8 +90,6 @@
   }
   CHECK_FALSE(statementIn("X-Other", "1").Leaving);
   CHECK_FALSE(statementIn("X-Other", "1").HasUnreadableLeaving);
-  // Another process than the one that was meant.
-  CHECK_FALSE(statementIn("Server-Leaving", "1", 421).Leaving);
 }
 
 // Guards against a rest that is too short, or that is read where none was asked
@@ -93,7 +114,7 @@
   }
   CHECK(statementIn("Retry-After", "1e300", 503).Rest > Millis(1'000'000));
   // Only a request that was turned away asks for rest.
-  for (int Status : {200, 429, 500, 421})
+  for (int Status : {200, 429, 500})
     CHECK_FALSE(statementIn("Retry-After", "3", Status).Rest);
 }
 
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -243,8 +243,8 @@
   TargetStatement Endless;
   Endless.Rest = Millis(1'000'000'000'000);
   Pauses.onResponse({VmId("t"), {}}, Endless, Now);
-  CHECK(Pauses.restLeft({VmId("t"), {}}, Now) == StatedPauses::MaxRest);
-  CHECK(Pauses.allows({VmId("t"), WallMs(1)}, Now));
+  CHECK(Pauses.of({VmId("t"), {}}, Now).RestLeft == StatedPauses::MaxRest);
+  CHECK_FALSE(Pauses.of({VmId("t"), WallMs(1)}, Now).any());
   auto IsListed = [](const VmIncarnation &) { return true; };
   Pauses.forget(IsListed, Now + StatedPauses::MaxRest);
   CHECK_FALSE(Pauses.any());
@@ -275,12 +275,12 @@
   CHECK_FALSE(this->Policy.nextOpening(this->Request, {}, Now));
   this->Board.TargetPauses.write([&](StatedPauses &Known) {
     VmIncarnation Target{VmId("in-a"), {}};
-    CHECK(Known.allows({Target.Id, WallMs(1)}, Now));
+    CHECK_FALSE(Known.of({Target.Id, WallMs(1)}, Now).any());
     auto IsListed = [](const VmIncarnation &) { return false; };
     Known.forget(IsListed, Now + Millis(60'000));
-    CHECK_FALSE(Known.allows(Target, Now));
+    CHECK(Known.of(Target, Now).Leaves);
     Known.forget(IsListed, Now + Millis(3'600'000));
-    CHECK(Known.allows(Target, Now));
+    CHECK_FALSE(Known.of(Target, Now).any());
   });
 }
 
