Log statements that cannot be read rarely, and split the search for an opening

What callers saw: nothing. A target that states something unreadable in each response gave a log line for each. Now one event says so, every ten seconds at most. Hashes of all targets were made each second whether any states a limit or not; now only where one does. The wait that a refused caller is told is a function of its own, and which model a request needs stands once.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -256,6 +256,9 @@
       {TargetLeaves, Info, "target_leaves",
        "A target states in a response to this node that it leaves: it gets no "
        "more requests."},
+      {StatementUnreadable, Warning, "statement_unreadable",
+       "A target states something about itself that cannot be read and has no "
+       "effect. Logged rarely, however often it happens."},
   };
   return Catalogue;
 }
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -80,6 +80,7 @@
   TargetUnlimited = 316,
   TargetRests = 317,
   TargetLeaves = 318,
+  StatementUnreadable = 319,
   RequestBlamed = 509,
   RequestCleared = 510,
   RequestTried = 511,
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -190,14 +190,7 @@
     TimePoint Now = SystemClock{}.now();
     this->Board.TargetPauses.write(
         [&](StatedPauses &Pauses) { Pauses.forget(IsListed, Now); });
-    std::set<TargetHash> ListedHashes;
-    for (const VmIncarnation &Target : Listed)
-      ListedHashes.insert(hashOf(Target));
-    this->Board.TargetLimits.write([&](StatedLimits &Limits) {
-      Limits.forget(
-          [&](TargetHash Target) { return ListedHashes.contains(Target); },
-          Now);
-    });
+    this->sweepLimits(Listed, Now);
     this->Board.Demand.write([](DemandTable &Table) {
       for (auto &[Model, Demand] : Table)
         Demand = Demand.scaled(DemandDecay);
@@ -206,6 +199,19 @@
       this->logStoreCalls();
   }
 
+  void sweepLimits(const std::set<VmIncarnation> &Listed, TimePoint Now) {
+    if (this->Board.TargetLimits.read(
+            [](const StatedLimits &Limits) { return Limits.empty(); }))
+      return;
+    std::set<TargetHash> Hashes;
+    for (const VmIncarnation &Target : Listed)
+      Hashes.insert(hashOf(Target));
+    this->Board.TargetLimits.write([&](StatedLimits &Limits) {
+      Limits.forget([&](TargetHash Target) { return Hashes.contains(Target); },
+                    Now);
+    });
+  }
+
   /// Logs how many calls to the store were made, and why, if any were.
   void logStoreCalls() {
     std::uint64_t Calls = this->Board.Counters.Calls.total();
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -115,7 +115,7 @@
     if (Attempt.SentAt - SelectedAt > MaxSelectionAge)
       Attempt.Reason = "this machine stood still";
     else if (!this->Policy.confirm(Ex.Request, Selected, Attempt.SentAt))
-      Attempt.Reason = "the target takes none by now";
+      Attempt.Reason = "the target takes no request by now";
     if (!Attempt.Reason.empty()) {
       Ex.Progress.Tried.pop_back();
       return this->endAttempt(Ex, Attempt, AttemptOutcome::NotSent);
--- a/src/entry/relay_log.cpp
+++ b/src/entry/relay_log.cpp
@@ -56,26 +56,26 @@
                                const TargetStatement &Statement) {
   this->recordLimit(Ex, Attempt, Statement);
   this->recordPause(Ex, Attempt, Statement);
+  this->recordUnreadable(Ex, Attempt, Statement);
 }
 
 void RelayLog::recordLimit(const RelayExchange &Ex, const RelayAttempt &Attempt,
                            const TargetStatement &Statement) {
   using Change = StatedLimits::Change;
   const VmIncarnation Target = Attempt.To.Target->incarnation();
-  bool HasNoEffect = !Statement.Limit && !Statement.HasUnreadableLimit &&
+  bool HasNoEffect = !Statement.Limit &&
                      !this->Board.TargetLimits.read(
                          [](const StatedLimits &Known) { return Known.any(); });
   if (HasNoEffect)
     return;
-  TimePoint Now = SystemClock{}.now();
   Change Found = this->Board.TargetLimits.write([&](StatedLimits &Known) {
-    return Known.onResponse(Target, Statement, Attempt.SentAt, Now);
+    return Known.onResponse(Target, Statement, Attempt.SentAt,
+                            SystemClock{}.now());
   });
-  if (Found == Change::None && !Statement.HasUnreadableLimit)
+  if (Found == Change::None)
     return;
   LogFields Fields;
-  Fields.add("request", Ex.Request.Info.Id.Text)
-      .add("readable", !Statement.HasUnreadableLimit);
+  Fields.add("request", Ex.Request.Info.Id.Text);
   if (Statement.Limit)
     Fields.add("per_second", Statement.Limit->PerSecond);
   this->Board.Log.emit(Found == Change::Ended ? EventCode::TargetUnlimited
@@ -85,24 +85,42 @@
 
 void RelayLog::recordPause(const RelayExchange &Ex, const RelayAttempt &Attempt,
                            const TargetStatement &Statement) {
+  if (!Statement.Leaving && !Statement.Rest)
+    return;
   const VmIncarnation Target = Attempt.To.Target->incarnation();
-  StatedPauses::Changes Found;
-  if (Statement.Leaving || Statement.Rest)
-    Found = this->Board.TargetPauses.write([&](StatedPauses &Known) {
-      return Known.onResponse(Target, Statement, SystemClock{}.now());
-    });
+  StatedPauses::Changes Found =
+      this->Board.TargetPauses.write([&](StatedPauses &Known) {
+        return Known.onResponse(Target, Statement, SystemClock{}.now());
+      });
   LogFields Fields;
   Fields.add("request", Ex.Request.Info.Id.Text);
-  if (Found.Leaves || Statement.HasUnreadableLeaving)
-    this->Board.Log.emit(
-        EventCode::TargetLeaves, Target.Id.Text,
-        LogFields(Fields).add("readable", !Statement.HasUnreadableLeaving));
-  if (Found.Rests || Statement.HasUnreadableRest)
-    this->Board.Log.emit(
-        EventCode::TargetRests, Target.Id.Text,
-        LogFields(Fields)
-            .add("readable", !Statement.HasUnreadableRest)
-            .add("for_ms", Statement.Rest.value_or(Millis(0))));
+  if (Found.Leaves)
+    this->Board.Log.emit(EventCode::TargetLeaves, Target.Id.Text, Fields);
+  if (Found.Rests)
+    this->Board.Log.emit(EventCode::TargetRests, Target.Id.Text,
+                         Fields.add("for_ms", *Statement.Rest));
+}
+
+void RelayLog::recordUnreadable(const RelayExchange &Ex,
+                                const RelayAttempt &Attempt,
+                                const TargetStatement &Statement) {
+  bool IsReadable = !Statement.HasUnreadableLimit &&
+                    !Statement.HasUnreadableLeaving &&
+                    !Statement.HasUnreadableRest;
+  if (IsReadable)
+    return;
+  std::int64_t Now = SystemClock{}.now().time_since_epoch() / Millis(1);
+  std::int64_t Last = this->UnreadableLoggedMs;
+  if (Now - Last < UnreadableLogInterval.count() ||
+      !this->UnreadableLoggedMs.compare_exchange_strong(Last, Now))
+    return;
+  this->Board.Log.emit(EventCode::StatementUnreadable,
+                       Attempt.To.Target->Id.Text,
+                       LogFields()
+                           .add("request", Ex.Request.Info.Id.Text)
+                           .add("limit", Statement.HasUnreadableLimit)
+                           .add("leaving", Statement.HasUnreadableLeaving)
+                           .add("rest", Statement.HasUnreadableRest));
 }
 
 void RelayLog::attemptEnded(const RelayExchange &Ex,
--- a/src/entry/relay_log.h
+++ b/src/entry/relay_log.h
@@ -6,6 +6,8 @@
 
 #include "entry/relay_attempt.h"
 
+#include <atomic>
+
 namespace waycove {
 
 /// Writes the outcomes of requests and attempts to the log and the counters,
@@ -38,8 +40,13 @@
                    const TargetStatement &Statement);
   void recordPause(const RelayExchange &Ex, const RelayAttempt &Attempt,
                    const TargetStatement &Statement);
+  void recordUnreadable(const RelayExchange &Ex, const RelayAttempt &Attempt,
+                        const TargetStatement &Statement);
+  static constexpr Millis UnreadableLogInterval{10000};
 
   EntryBoard &Board;
+  /// On the boot clock.
+  std::atomic<std::int64_t> UnreadableLoggedMs{-UnreadableLogInterval.count()};
 };
 
 } // namespace waycove
--- a/src/entry/relay_policy.cpp
+++ b/src/entry/relay_policy.cpp
@@ -17,6 +17,12 @@
 /// Resolution of that decision.
 constexpr std::uint64_t StayScale = 10000;
 
+/// The model that the request needs; empty for plain services.
+std::string requestedModel(const RelayRequest &Request) {
+  const ServiceSpec *Spec = Request.Config->service(Request.Service);
+  return Spec && Spec->hasGroups() ? Request.Info.Model : "";
+}
+
 } // namespace
 
 void RelayPolicy::recordRequest(const RelayRequest &Request) {
@@ -126,32 +132,39 @@
   auto Targets = View->ByService.find(Request.Service);
   if (Targets == View->ByService.end())
     return std::nullopt;
-  const ServiceSpec *Spec = Request.Config->service(Request.Service);
-  std::vector<ServingTarget> Candidates;
-  for (const ServingTarget &To : Targets->second) {
-    bool IsTried = std::find(Progress.Tried.begin(), Progress.Tried.end(),
-                             To.Target->Id) != Progress.Tried.end();
-    bool IsOfModel =
-        !Spec || !Spec->hasGroups() || To.Model == Request.Info.Model;
-    if (!IsTried && IsOfModel && this->mayRunAt(Request, To) &&
-        !this->pauseOf(To, Now).Leaves)
-      Candidates.push_back(To);
-  }
   std::optional<Millis> Least;
-  for (const ServingTarget &To : Candidates) {
-    Millis Wait = this->pauseOf(To, Now).RestLeft;
-    for (const BoundedTarget &Bounded :
-         this->boundedTargets(Request, {To}, Now))
-      Wait = std::max(
-          Wait, this->Board.TargetRates.write([&](TargetRateLimiter &Limits) {
-            return Limits.expectedWait(Bounded, Now);
-          }));
+  for (const ServingTarget &To : Targets->second) {
+    Millis Wait = this->isCandidate(Request, Progress, To)
+                      ? this->waitFor(Request, To, Now)
+                      : Millis(0);
     if (Wait > Millis(0))
       Least = std::min(Least.value_or(Wait), Wait);
   }
   return Least;
 }
 
+bool RelayPolicy::isCandidate(const RelayRequest &Request,
+                              const RelayProgress &Progress,
+                              const ServingTarget &To) const {
+  const std::vector<VmId> &Tried = Progress.Tried;
+  return std::find(Tried.begin(), Tried.end(), To.Target->Id) == Tried.end() &&
+         To.Model == requestedModel(Request) && this->mayRunAt(Request, To);
+}
+
+Millis RelayPolicy::waitFor(const RelayRequest &Request,
+                            const ServingTarget &To, TimePoint Now) {
+  StatedPause Pause = this->pauseOf(To, Now);
+  if (Pause.Leaves)
+    return Millis(0);
+  Millis Wait = Pause.RestLeft;
+  for (const BoundedTarget &Bounded : this->boundedTargets(Request, {To}, Now))
+    Wait = std::max(
+        Wait, this->Board.TargetRates.write([&](TargetRateLimiter &Limits) {
+          return Limits.expectedWait(Bounded, Now);
+        }));
+  return Wait;
+}
+
 StatedPause RelayPolicy::pauseOf(const ServingTarget &To, TimePoint Now) const {
   return this->Board.TargetPauses.read([&](const StatedPauses &Pauses) {
     return Pauses.of(To.Target->incarnation(), Now);
@@ -233,9 +246,7 @@
     return std::nullopt;
   bool RegistryStale = Now - ProvenAt > this->Board.Config.Entry->DrainBound;
   ChoiceQuery Query;
-  const ServiceSpec *Spec = Request.Config->service(Request.Service);
-  if (Spec && Spec->hasGroups())
-    Query.Model = Request.Info.Model;
+  Query.Model = requestedModel(Request);
   Query.Here = this->Board.Config.DataCentre;
   Query.AnyDataCentre = this->mayLeaveDataCentre(Request, Query.Model);
   Query.Avoid = Progress.Tried;
--- a/src/entry/relay_policy.h
+++ b/src/entry/relay_policy.h
@@ -71,7 +71,14 @@
                       std::vector<VmId> &Avoid);
   /// Whether route and workspace allow the target's region.
   bool mayRunAt(const RelayRequest &Request, const ServingTarget &To) const;
+  /// Whether the request could be sent to the target, whatever that states.
+  bool isCandidate(const RelayRequest &Request, const RelayProgress &Progress,
+                   const ServingTarget &To) const;
   StatedPause pauseOf(const ServingTarget &To, TimePoint Now) const;
+  /// About how long until the target takes a request; zero if it does now or if
+  /// it leaves.
+  Millis waitFor(const RelayRequest &Request, const ServingTarget &To,
+                 TimePoint Now);
   /// Those of \p Targets whose rates are bounded now.
   std::vector<BoundedTarget>
   boundedTargets(const RelayRequest &Request,
--- a/src/policy/stated_limits.h
+++ b/src/policy/stated_limits.h
@@ -53,6 +53,8 @@
   std::optional<StatedLimit> of(TargetHash Target) const;
   /// Whether any limit is in force.
   bool any() const { return this->LimitCount > 0; }
+  /// Whether there is nothing to forget.
+  bool empty() const { return this->Entries.empty(); }
   /// Limits that changed within ReportDuration or, for a node that starts or
   /// was disconnected, all; at most MaxReported, the newest first.
   LimitReports reports(bool All, TimePoint Now) const;
