--- a/src/policy/target_rate.cpp
+++ b/src/policy/target_rate.cpp
@@ -28,16 +28,6 @@
   return mixHash(hashText(Node.Text), hashText(Target.Id.Text));
 }
 
-/// Returns the place of node \p Me in the order of the nodes for \p Target.
-std::size_t placeOf(const NodeTable &Nodes, const NodeId &Me,
-                    const VmIncarnation &Target) {
-  std::uint64_t OwnRank = rankOf(Me, Target);
-  return static_cast<std::size_t>(
-      std::count_if(Nodes.begin(), Nodes.end(), [&](const auto &Node) {
-        return rankOf(Node.first, Target) < OwnRank;
-      }));
-}
-
 std::size_t senderCount(std::size_t Nodes, RequestRate Rate) {
   double Wanted = std::max(MinSenders, std::floor(Rate.PerSecond));
   return Wanted < static_cast<double>(Nodes) ? static_cast<std::size_t>(Wanted)
@@ -56,30 +46,51 @@
   return {TimeOf(Place + 1), TimeOf(Count)};
 }
 
+/// The order in which nodes send to a target.
+struct SendOrder {
+  /// Of one node, from 0.
+  std::size_t Place = 0;
+  std::size_t Senders = 0;
+  std::size_t Others = 0;
+
+  bool isSender() const { return this->Place < this->Senders; }
+};
+
+std::optional<SendOrder> sendOrder(const NodeTable &Nodes, const NodeId &Me,
+                                   const VmIncarnation &Target,
+                                   RequestRate Rate) {
+  if (!Nodes.contains(Me))
+    return std::nullopt;
+  std::uint64_t OwnRank = rankOf(Me, Target);
+  auto Before = static_cast<std::size_t>(
+      std::count_if(Nodes.begin(), Nodes.end(), [&](const auto &Node) {
+        return rankOf(Node.first, Target) < OwnRank;
+      }));
+  std::size_t Senders = senderCount(Nodes.size(), Rate);
+  return SendOrder{Before, Senders, Nodes.size() - Senders};
+}
+
 } // namespace
 
 std::optional<RateShare> senderShare(const NodeTable &Nodes, const NodeId &Me,
                                      const VmIncarnation &Target,
                                      RequestRate Rate) {
-  if (!Nodes.contains(Me))
-    return std::nullopt;
-  std::size_t Senders = senderCount(Nodes.size(), Rate);
-  std::size_t Place = placeOf(Nodes, Me, Target);
-  if (Place >= Senders)
+  auto Order = sendOrder(Nodes, Me, Target, Rate);
+  if (!Order || !Order->isSender())
     return std::nullopt;
-  return shareInTurn(Place, Senders, SenderPart, Rate);
+  return shareInTurn(Order->Place, Order->Senders, SenderPart, Rate);
 }
 
 std::optional<RateShare> rateShare(const NodeTable &Nodes, const NodeId &Me,
                                    const VmIncarnation &Target,
                                    RequestRate Rate) {
-  if (!Nodes.contains(Me))
+  auto Order = sendOrder(Nodes, Me, Target, Rate);
+  if (!Order)
     return std::nullopt;
-  std::size_t Senders = senderCount(Nodes.size(), Rate);
-  std::size_t Place = placeOf(Nodes, Me, Target);
-  if (Place < Senders)
-    return shareInTurn(Place, Senders, SenderPart, Rate);
-  return shareInTurn(Place - Senders, Nodes.size() - Senders, OthersPart, Rate);
+  if (Order->isSender())
+    return shareInTurn(Order->Place, Order->Senders, SenderPart, Rate);
+  return shareInTurn(Order->Place - Order->Senders, Order->Others, OthersPart,
+                     Rate);
 }
 
 std::optional<RateShare> TargetRateLimiter::shareOf(const BoundedTarget &To) {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -8,26 +8,13 @@
 #include "control/config_follower.h"
 #include "entry/relay_policy.h"
 #include "platform/decode.h"
+#include "support/nodes.h"
 #include "support/times.h"
 
 #include <catch2/catch.hpp>
 
 namespace waycove::test {
 
-namespace {
-
-NodeTable nodesOf(std::size_t Count) {
-  NodeTable Nodes;
-  for (std::size_t I = 0; I < Count; ++I) {
-    NodeInfo Info;
-    Info.Node = NodeId("n" + std::to_string(I));
-    Nodes[Info.Node] = Info;
-  }
-  return Nodes;
-}
-
-} // namespace
-
 /// Two targets of a plain service, one in each data centre, and the policy that
 /// chooses between them at a node in the data centre "a".
 struct PlacementFixture {
--- a/tests/unit/target_rate_test.cpp
+++ b/tests/unit/target_rate_test.cpp
@@ -5,6 +5,7 @@
 // How nodes share the rate of a target that is cold or states a limit, in
 // virtual time.
 #include "policy/target_rate.h"
+#include "support/nodes.h"
 #include "support/times.h"
 #include "wire/news_frames.h"
 
@@ -21,16 +22,6 @@
 constexpr double TrafficPerSecond = 2000;
 const VmIncarnation Target{VmId("t"), {}};
 
-NodeTable nodesOf(std::size_t Count) {
-  NodeTable Nodes;
-  for (std::size_t I = 0; I < Count; ++I) {
-    NodeInfo Info;
-    Info.Node = NodeId("n" + std::to_string(I));
-    Nodes[Info.Node] = Info;
-  }
-  return Nodes;
-}
-
 /// How nodes share the rate.
 enum class Way {
   /// A few nodes send most of it (rateShare, senderShare).
--- a/tools/without.py
+++ b/tools/without.py
@@ -64,6 +64,34 @@
         "src/policy/target_stats.cpp",
         "if (!There || There->Responding == 0)", "if (true)",
         "vitals: a target stands still elsewhere"),
+    "limit-shared": (
+        "src/policy/target_rate.cpp",
+        "if (Order->isSender())", "if (true)",
+        "stated limit: 1|stated limit: it is zero"),
+    "limit-told": (
+        "src/control/shared_observations.cpp",
+        "Response.limits = packLimits(this->limits(Request.all_crashes, Now), Now);", "",
+        "limited target: an entry starts again"),
+    "limit-ends-later": (
+        "src/policy/stated_limits.cpp",
+        "SentAt > At->second.At", "true",
+        "stated limit: responses with and without"),
+    "rest-binds": (
+        "src/policy/stated_pauses.cpp",
+        "Statement.Rest.value_or(Millis(0)) > Millis(0)", "false",
+        "resting target|placement: a target asks for rest"),
+    "leaving-binds": (
+        "src/policy/stated_pauses.cpp",
+        "if (Statement.Leaving)", "if (false)",
+        "leaving target: it says|placement: a target states that it leaves"),
+    "statement-confirmed": (
+        "src/entry/relay_policy.cpp",
+        "if (this->pauseOf(Selected.To, Now).any())", "if (false)",
+        "placement: a target asks for rest"),
+    "statement-sender": (
+        "platform/callers.cpp",
+        "if (Status == WrongTargetStatus || IsUnsigned)", "if (false && IsUnsigned)",
+        "statement: another process"),
     "resting-part": (
         "src/policy/connections.cpp",
         "IdleFraction * TotalLimit * EvenShare", "1.0 * TotalLimit",
