--- a/tests/failure/limited_test.cpp
+++ b/tests/failure/limited_test.cpp
@@ -4,10 +4,12 @@
 
 // Guards against entries that together send a target more requests per second
 // than it states in its responses.
+#include "support/entry_fixture.h"
 #include "support/neighbours.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <thread>
 
 namespace waycove::test {
 
@@ -151,4 +153,45 @@
   CHECK(eventually(IsTold));
 }
 
+/// One entry with two groups of engines whose streams break after some events.
+struct LimitedStreamFixture : EntryFixture {
+  static constexpr int Callers = 12;
+
+  /// Asks for streams from many callers at a time until \p Until.
+  void streamUntil(std::chrono::steady_clock::time_point Until) {
+    std::vector<std::thread> Threads;
+    for (int Caller = 0; Caller < Callers; ++Caller)
+      Threads.emplace_back([this, Caller, Until] {
+        for (int I = 0; std::chrono::steady_clock::now() < Until; ++I)
+          this->call("/chat/x",
+                     "s-" + std::to_string(Caller) + "-" + std::to_string(I));
+      });
+    for (std::thread &Row : Threads)
+      Row.join();
+  }
+  double atTarget(const std::string &Vm, const std::string &Field) {
+    return static_cast<double>(
+        this->Run.atVm(Vm, {.Path = "/runs"}).number(Field));
+  }
+};
+
+// Guards against streams that are resumed at a target without regard to its
+// limit.
+TEST_CASE_METHOD(LimitedStreamFixture,
+                 "limited target: streams break and are resumed: what is "
+                 "resumed counts against the limit",
+                 "[failure]") {
+  constexpr double PerSecond = 1;
+  for (const char *Vm : {"e-1", "e-2", "e-3", "e-4"})
+    this->Run.vmFault(Vm, R"({"call":"die_after","limit":"1"})");
+  this->streamUntil(std::chrono::steady_clock::now() + LearnTime +
+                    ObservationTime);
+  double Sum = 0;
+  for (const char *Vm : {"e-1", "e-2", "e-3", "e-4"}) {
+    CHECK(this->atTarget(Vm, "limited_peak") <= allowedInWindow(PerSecond));
+    Sum += this->atTarget(Vm, "limited");
+  }
+  CHECK(Sum >= 6);
+}
+
 } // namespace waycove::test
--- a/tests/unit/target_rate_test.cpp
+++ b/tests/unit/target_rate_test.cpp
@@ -34,6 +34,8 @@
   std::size_t Nodes = 9;
   /// Nodes without requests, e.g. because no caller reaches them.
   std::size_t Idle = 0;
+  /// Groups of nodes that each know only their own members.
+  std::size_t Parts = 1;
   RateBounds Bounds;
   Millis Duration{60000};
   Millis Window{4000};
@@ -47,10 +49,24 @@
   std::size_t Sum = 0;
 };
 
+/// What the members of each part know of the nodes.
+std::vector<NodeRankingRef> partsOf(const Scenario &Day) {
+  std::vector<NodeTable> Known(Day.Parts);
+  for (std::size_t I = 0; I < Day.Nodes; ++I) {
+    NodeInfo Info;
+    Info.Node = NodeId("n" + std::to_string(I));
+    Known[I % Day.Parts][Info.Node] = Info;
+  }
+  std::vector<NodeRankingRef> Parts;
+  for (const NodeTable &Nodes : Known)
+    Parts.push_back(std::make_shared<NodeRanking>(Nodes));
+  return Parts;
+}
+
 /// All nodes learn of the bounds at once. They get requests together, each of
 /// which goes to the target if its node may send it there.
 Load play(const Scenario &Day) {
-  NodeRankingRef Nodes = std::make_shared<NodeRanking>(nodesOf(Day.Nodes));
+  std::vector<NodeRankingRef> Parts = partsOf(Day);
   std::vector<TargetRateLimiter> Limiters(Day.Nodes);
   std::vector<std::optional<TimePoint>> SentAt(Day.Nodes);
   std::mt19937_64 Random(7);
@@ -66,8 +82,9 @@
     std::size_t Node = Random() % (Day.Nodes - Day.Idle);
     bool Taken = false;
     if (Day.Sharing == Way::FewSenders) {
-      Taken = Limiters[Node].take(
-          {Target, Day.Bounds, Nodes, NodeId("n" + std::to_string(Node))}, Now);
+      Taken = Limiters[Node].take({Target, Day.Bounds, Parts[Node % Day.Parts],
+                                   NodeId("n" + std::to_string(Node))},
+                                  Now);
     } else {
       Taken = !SentAt[Node] || Now - *SentAt[Node] >= Equal;
       if (Taken)
@@ -179,6 +196,24 @@
   }
 }
 
+// Guards against parts of the fleet that each use the whole limit because none
+// of them knows that the others exist.
+TEST_CASE("stated limit: the nodes of two and three parts know only their own "
+          "part: together they keep to it",
+          "[unit]") {
+  for (double PerSecond : {1.7, 6.0, 20.0, 40.0})
+    for (std::size_t Parts : {2, 3})
+      for (std::size_t Nodes : {9, 86, 984}) {
+        CAPTURE(PerSecond, Parts, Nodes);
+        Scenario Day;
+        Day.Nodes = Nodes;
+        Day.Parts = Parts;
+        Day.Bounds = stated(PerSecond);
+        CHECK(static_cast<double>(play(Day).Peak) <=
+              allowedIn(Day.Window, PerSecond));
+      }
+}
+
 // Guards against requests that are all turned away, after which nobody learns
 // that the limit has ended.
 TEST_CASE("stated limit: it is zero, or all senders are idle: a few requests "
