--- a/src/entry/relay_policy.cpp
+++ b/src/entry/relay_policy.cpp
@@ -171,6 +171,10 @@
   });
 }
 
+bool RelayPolicy::isStale(TimePoint ProvenAt, TimePoint Now) const {
+  return Now - ProvenAt > this->Board.Config.Entry->DrainBound;
+}
+
 RegionId RelayPolicy::regionOf(const DataCentreId &Centre) const {
   const auto &Regions = this->Board.Config.Entry->Regions;
   auto At = Regions.find(Centre);
@@ -189,6 +193,8 @@
                             const std::vector<ServingTarget> &Targets,
                             TimePoint Now) const {
   const ServiceSpec *Spec = Request.Config->service(Request.Service);
+  bool HasCurrentNodes =
+      !this->isStale(this->Board.RegistryProvenAt.get(), Now);
   std::vector<BoundedTarget> Bounded;
   this->Board.TargetLimits.read([&](const StatedLimits &Known) {
     for (const ServingTarget &To : Targets) {
@@ -199,7 +205,7 @@
         Bounds.Stated = Known.of(hashOf(To.Target->incarnation()));
       if (Bounds.any())
         Bounded.push_back({To.Target->incarnation(), Bounds, nullptr,
-                           this->Board.Config.Node});
+                           this->Board.Config.Node, HasCurrentNodes});
     }
   });
   if (Bounded.empty())
@@ -244,7 +250,6 @@
   auto Targets = View->ByService.find(Request.Service);
   if (Targets == View->ByService.end())
     return std::nullopt;
-  bool RegistryStale = Now - ProvenAt > this->Board.Config.Entry->DrainBound;
   ChoiceQuery Query;
   Query.Model = requestedModel(Request);
   Query.Here = this->Board.Config.DataCentre;
@@ -252,7 +257,7 @@
   Query.Avoid = Progress.Tried;
   this->avoidForbidden(Request, Targets->second, Now, Query.Avoid);
   Query.Now = Now;
-  Query.RegistryStale = RegistryStale;
+  Query.RegistryStale = this->isStale(ProvenAt, Now);
   Query.Random = mixHash(Request.Random, Progress.Tried.size());
   return this->Board.TargetStats.read(
       [&](const TargetStatsTable &Stats) -> std::optional<SelectedTarget> {
--- a/src/entry/relay_policy.h
+++ b/src/entry/relay_policy.h
@@ -88,6 +88,10 @@
   /// Returns false if the rate leaves no request for this node.
   bool takeFromRate(const RelayRequest &Request, SelectedTarget &Selected,
                     TimePoint Now);
+  /// Whether this node has not been in touch with the store, itself or through
+  /// other nodes, for the drain bound. New nodes are then unknown here, too.
+  /// \p ProvenAt is when the registry was last confirmed.
+  bool isStale(TimePoint ProvenAt, TimePoint Now) const;
   RegionId regionOf(const DataCentreId &Centre) const;
   /// Whether this request may go to another data centre because the local
   /// targets are busier. It depends on the request's random bits.
--- a/src/policy/target_rate.cpp
+++ b/src/policy/target_rate.cpp
@@ -109,6 +109,10 @@
     Share.FirstDelay = Stated->FirstDelay;
     Share.Interval = std::max(Share.Interval, Stated->Interval);
   }
+  if (!To.HasCurrentNodes) {
+    Share.FirstDelay *= IsolatedFactor;
+    Share.Interval *= IsolatedFactor;
+  }
   return Share;
 }
 
@@ -116,8 +120,10 @@
                                                    TimePoint Now) {
   Entry &Limit = this->Entries[To.Target];
   if (!Limit.CheckedAt || Now - *Limit.CheckedAt >= RecheckInterval ||
-      Limit.Bounds != To.Bounds) {
+      Limit.Bounds != To.Bounds ||
+      Limit.HasCurrentNodes != To.HasCurrentNodes) {
     Limit.Bounds = To.Bounds;
+    Limit.HasCurrentNodes = To.HasCurrentNodes;
     Limit.Share = shareOf(To);
     Limit.CheckedAt = Now;
   }
--- a/src/policy/target_rate.h
+++ b/src/policy/target_rate.h
@@ -54,6 +54,9 @@
   RateBounds Bounds;
   NodeRankingRef Nodes;
   NodeId Me;
+  /// Whether Nodes was confirmed recently. If not, there may be nodes that it
+  /// lacks, and that choose senders without this one.
+  bool HasCurrentNodes = false;
 };
 
 /// Limits the requests of this node to targets that are cold or state a limit.
@@ -74,8 +77,13 @@
 private:
   /// Directory changes take effect after this time.
   static constexpr Millis RecheckInterval{1000};
+  /// A node whose directory is not current sends at intervals that are longer
+  /// by this factor, so that a part of the fleet which knows only itself uses
+  /// little of the rate beside those that the directory lists.
+  static constexpr int IsolatedFactor = 4;
   struct Entry {
     RateBounds Bounds;
+    bool HasCurrentNodes = false;
     std::optional<RateShare> Share;
     std::optional<TimePoint> CheckedAt;
     std::optional<TimePoint> SentAt;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -39,6 +39,8 @@
           [&](Fleet &Rows) { Rows.Targets[Row->Id] = Row; });
     }
     rebuildServingView(this->Board);
+    // In touch with the store for as long as a test takes.
+    this->Board.RegistryProvenAt.raise(SystemClock{}.now() + Millis(60000));
     this->Request.Config = this->Config;
     this->Request.Service = Spec.Id;
     this->Request.Route = &this->Route;
@@ -206,6 +208,21 @@
   CHECK_FALSE(this->Policy.nextOpening(this->Request, this->Progress, Now));
 }
 
+// Guards against a node that uses its whole share although it may have missed
+// that there are other nodes.
+TEST_CASE_METHOD(PlacementFixture,
+                 "placement: a target states a limit, and this node is out of "
+                 "touch with the store: it sends a fourth of its share",
+                 "[unit]") {
+  TimePoint Now = SystemClock{}.now() + Millis(120000);
+  this->Progress.Tried = {VmId("in-b")};
+  this->limit("in-a", 2, Now);
+  CHECK(this->chosenAt(Now + Millis(600)).empty());
+  CHECK(this->chosenAt(Now + Millis(2100)).empty());
+  CHECK(this->chosenAt(Now + Millis(2300)) == "in-a");
+  CHECK(this->chosenAt(Now + Millis(3000)).empty());
+}
+
 // Guards against a rest that ends early, or that only counts while another
 // target is left.
 TEST_CASE_METHOD(PlacementFixture,
--- a/tests/unit/target_rate_test.cpp
+++ b/tests/unit/target_rate_test.cpp
@@ -36,6 +36,8 @@
   std::size_t Idle = 0;
   /// Groups of nodes that each know only their own members.
   std::size_t Parts = 1;
+  /// Whether the first part is in touch with the store; others never are.
+  bool FirstIsInTouch = true;
   RateBounds Bounds;
   Millis Duration{60000};
   Millis Window{4000};
@@ -83,7 +85,8 @@
     bool Taken = false;
     if (Day.Sharing == Way::FewSenders) {
       Taken = Limiters[Node].take({Target, Day.Bounds, Parts[Node % Day.Parts],
-                                   NodeId("n" + std::to_string(Node))},
+                                   NodeId("n" + std::to_string(Node)),
+                                   Day.FirstIsInTouch && Node % Day.Parts == 0},
                                   Now);
     } else {
       Taken = !SentAt[Node] || Now - *SentAt[Node] >= Equal;
@@ -209,8 +212,14 @@
         Day.Nodes = Nodes;
         Day.Parts = Parts;
         Day.Bounds = stated(PerSecond);
-        CHECK(static_cast<double>(play(Day).Peak) <=
-              allowedIn(Day.Window, PerSecond));
+        for (bool FirstIsInTouch : {true, false}) {
+          Day.FirstIsInTouch = FirstIsInTouch;
+          Load Found = play(Day);
+          CHECK(static_cast<double>(Found.Peak) <=
+                allowedIn(Day.Window, PerSecond));
+          // A part that is alone still sends some.
+          CHECK(Found.Sum >= 4);
+        }
       }
 }
 
