--- a/tests/support/neighbours.cpp
+++ b/tests/support/neighbours.cpp
@@ -4,7 +4,13 @@
 
 #include "support/neighbours.h"
 
+#include "support/entry_config.h"
+
 #include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iomanip>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -27,21 +33,40 @@
          Key + R"("]}]})";
 }
 
+/// Inode of the socket that has the local port; empty if there is none.
+std::string socketInode(std::uint16_t Port) {
+  constexpr int InodeColumn = 9;
+  std::ostringstream Address;
+  Address << ":" << std::uppercase << std::hex << std::setw(4)
+          << std::setfill('0') << Port;
+  std::ifstream Table("/proc/net/tcp");
+  for (std::string Line; std::getline(Table, Line);) {
+    std::istringstream Words(Line);
+    std::vector<std::string> Columns{std::istream_iterator<std::string>(Words),
+                                     {}};
+    if (Columns.size() > InodeColumn && Columns[1].ends_with(Address.str()))
+      return Columns[InodeColumn];
+  }
+  return "";
+}
+
 } // namespace
 
 const std::vector<std::string> Neighbours::Entries = {"n1", "n2", "n3"};
 
-Neighbours::Neighbours(const std::string &Bounds, int Targets)
-    : Bounds(Bounds) {
-  this->Run.addVms("p", Targets, "a", "", "plain");
-  for (const std::string &Node : Entries)
+Neighbours::Neighbours(const std::string &Bounds,
+                       const NeighbourTargets &Targets)
+    : Bounds(Bounds), HasEngines(Targets.Engines > 0) {
+  this->Run.addVms("p", Targets.Plain, "a", "", "plain");
+  this->Run.addVms("e", Targets.Engines, "a", "d");
+  for (const std::string &Node : Entries) {
     this->Run.addNode(Node, "a");
-  this->Run.TargetFlags = {"--registry=127.0.0.1:" +
-                           std::to_string(this->Run.platformPort())};
+    this->Pids[Node] = 0;
+  }
   this->Run.startPlatform();
   this->publish(1, "key-1");
-  for (int I = 1; I <= Targets; ++I)
-    this->Run.startVm("p-" + std::to_string(I));
+  this->startTargets("p", Targets.Plain, Targets.HasProxies);
+  this->startTargets("e", Targets.Engines, Targets.HasProxies);
   for (const std::string &Node : Entries) {
     this->Links[Node] =
         std::make_unique<LoopbackProxy>(this->Run.platformPort());
@@ -51,6 +76,43 @@
     throw std::runtime_error("no node reads for the others");
 }
 
+void Neighbours::startTargets(const std::string &Prefix, int Count,
+                              bool HasProxies) {
+  for (int I = 1; I <= Count; ++I) {
+    std::string Vm = Prefix + "-" + std::to_string(I);
+    this->Run.TargetFlags = {"--token_ms=10", "--load_ms=50",
+                             "--registry=127.0.0.1:" +
+                                 std::to_string(this->Run.platformPort())};
+    if (HasProxies) {
+      this->TargetLinks[Vm] = std::make_unique<LoopbackProxy>(
+          this->Run.vmPort(Vm),
+          [this](std::uint16_t Port) { return this->entryAt(Port); });
+      this->Run.TargetFlags.push_back(
+          "--advertise=127.0.0.1:" +
+          std::to_string(this->TargetLinks[Vm]->port()));
+    }
+    this->Run.startVm(Vm);
+  }
+}
+
+void Neighbours::cutOff(const std::string &Node, LinkFault Fault) {
+  for (const auto &[Vm, Link] : this->TargetLinks)
+    Link->setFor(Node, Fault);
+}
+
+std::string Neighbours::entryAt(std::uint16_t Port) {
+  std::string Socket = "socket:[" + socketInode(Port) + "]";
+  for (const std::string &Node : Entries) {
+    std::error_code Gone;
+    std::string Folder =
+        "/proc/" + std::to_string(this->Pids[Node].load()) + "/fd";
+    for (const auto &Row : std::filesystem::directory_iterator(Folder, Gone))
+      if (std::filesystem::read_symlink(Row.path(), Gone) == Socket)
+        return Node;
+  }
+  return "";
+}
+
 void Neighbours::start(const std::string &Node, bool First) {
   this->LogStart[Node] = this->Run.logOf(Node).size();
   this->Run.PlatformProxyPort = this->Links[Node]->port();
@@ -60,6 +122,7 @@
       this->Bounds + ", grace_ms: 4000" +
       (First ? ", first_start: true}" : "}");
   this->Run.startNode(Node);
+  this->Pids.at(Node) = this->Run.node(Node).id();
 }
 
 void Neighbours::restart(const std::string &Node) {
@@ -82,10 +145,11 @@
 }
 
 void Neighbours::publish(int Version, const std::string &Key) {
-  this->Run.atPlatform({"POST",
-                        "/store/put?topic=keyed.op&key=config",
-                        configOf(Version, Key),
-                        {}});
+  this->Run.atPlatform(
+      {"POST",
+       "/store/put?topic=keyed.op&key=config",
+       this->HasEngines ? entryConfig(Version, Key) : configOf(Version, Key),
+       {}});
 }
 
 int Neighbours::call(const std::string &Node, const std::string &Key,
--- a/tests/support/neighbours.h
+++ b/tests/support/neighbours.h
@@ -7,18 +7,32 @@
 #include "support/cluster.h"
 #include "support/proxy.h"
 
+#include <atomic>
 #include <memory>
 
 namespace waycove::test {
 
-/// Three entries in one data centre with plain targets p-1, p-2 and so on. Each
-/// entry reaches the store through a separate proxy that can inject faults.
+/// What stands behind the entries.
+struct NeighbourTargets {
+  /// Plain targets.
+  int Plain = 2;
+  /// Engines, of which two form a group.
+  int Engines = 0;
+  /// Entries reach targets through proxies that can cut them off.
+  bool HasProxies = false;
+};
+
+/// Three entries in one data centre with plain targets p-1, p-2 and so on, and
+/// engines e-1, e-2 and so on. Each entry reaches the store through a separate
+/// proxy that can inject faults.
 class Neighbours {
 public:
   using Time = std::chrono::steady_clock::time_point;
 
   /// \p Bounds holds the operators' bounds as entry settings.
-  Neighbours(const std::string &Bounds, int Targets);
+  Neighbours(const std::string &Bounds, const NeighbourTargets &Targets);
+  Neighbours(const std::string &Bounds, int Plain)
+      : Neighbours(Bounds, NeighbourTargets{Plain}) {}
 
   static const std::vector<std::string> Entries;
 
@@ -43,6 +57,8 @@
   /// Returns the number of store reads over all entries.
   std::uint64_t reads();
 
+  /// Injects a fault into all links between the entry and targets.
+  void cutOff(const std::string &Node, LinkFault Fault);
   /// Removes the target from the registry; the target keeps serving.
   void dropTarget(const std::string &Vm);
   /// Returns the start time of the last call that \p Vm ran.
@@ -56,13 +72,22 @@
   /// Whether every entry knows all others.
   bool allKnown();
   void start(const std::string &Node, bool First);
+  void startTargets(const std::string &Prefix, int Count, bool HasProxies);
+  /// The entry that has a connection from the local port; empty if none has.
+  std::string entryAt(std::uint16_t Port);
 
-  std::string Bounds;
+  const std::string Bounds;
+  const bool HasEngines;
+  /// Process IDs of the entries; read by the threads of proxies.
+  std::map<std::string, std::atomic<pid_t>> Pids;
   /// Log offset of the last start of each entry.
   std::map<std::string, std::size_t> LogStart;
 
   /// Start times of calls by request ID.
   std::map<std::string, Time> Calls;
+  /// Proxies before the targets, which all entries share. Their threads read
+  /// the members above.
+  std::map<std::string, std::unique_ptr<LoopbackProxy>> TargetLinks;
 };
 
 } // namespace waycove::test
--- a/tests/support/proxy.cpp
+++ b/tests/support/proxy.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-LoopbackProxy::LoopbackProxy(std::uint16_t To)
-    : To(To), Listener(Poco::Net::SocketAddress("127.0.0.1", 0)) {
+LoopbackProxy::LoopbackProxy(std::uint16_t To, ClientNames NameOf)
+    : To(To), NameOf(std::move(NameOf)),
+      Listener(Poco::Net::SocketAddress("127.0.0.1", 0)) {
   this->Acceptor = std::thread([this] { this->acceptAll(); });
 }
 
@@ -36,14 +37,20 @@
       continue;
     try {
       Poco::Net::StreamSocket Client = this->Listener.acceptConnection();
+      Origin Of{this->NameOf ? this->NameOf(Client.peerAddress().port()) : "",
+                this->Silenced};
+      LinkFault Now = this->faultOf(Of.Client);
+      if (Now == LinkFault::RefuseNew || Now == LinkFault::SilentRefuseNew) {
+        Client.setLinger(true, 0);
+        continue;
+      }
       Poco::Net::StreamSocket Server;
       Server.connect(Poco::Net::SocketAddress("127.0.0.1", this->To));
-      unsigned SilencedBefore = this->Silenced;
       std::lock_guard Lock(this->Mutex);
       this->Pumps.emplace_back(
-          [=, this] { this->pump(Client, Server, false, SilencedBefore); });
+          [=, this] { this->pump(Client, Server, false, Of); });
       this->Pumps.emplace_back(
-          [=, this] { this->pump(Server, Client, true, SilencedBefore); });
+          [=, this] { this->pump(Server, Client, true, Of); });
     } catch (const Poco::Exception &) {
       // The server is down: the client's connection closes.
       continue;
@@ -51,19 +58,33 @@
   }
 }
 
-bool LoopbackProxy::isWithheld(bool Responses, unsigned SilencedBefore) const {
-  LinkFault Now = this->Fault;
-  return Now == LinkFault::Silent || SilencedBefore < this->Silenced ||
+void LoopbackProxy::setFor(const std::string &Client, LinkFault Next) {
+  std::lock_guard Lock(this->Mutex);
+  this->ClientFaults[Client] = Next;
+}
+
+LinkFault LoopbackProxy::faultOf(const std::string &Client) const {
+  std::lock_guard Lock(this->Mutex);
+  auto At = this->ClientFaults.find(Client);
+  return At == this->ClientFaults.end() || At->second == LinkFault::None
+             ? this->Fault.load()
+             : At->second;
+}
+
+bool LoopbackProxy::isWithheld(bool Responses, const Origin &Of) const {
+  LinkFault Now = this->faultOf(Of.Client);
+  return Now == LinkFault::Silent || Now == LinkFault::SilentRefuseNew ||
+         Of.SilencedBefore < this->Silenced ||
          (Now == LinkFault::OneWay && Responses);
 }
 
 void LoopbackProxy::pump(Poco::Net::StreamSocket From,
                          Poco::Net::StreamSocket Into, bool Responses,
-                         unsigned SilencedBefore) {
+                         const Origin &Of) {
   std::array<char, 8192> Buffer{};
   try {
     while (!this->Ended) {
-      LinkFault Now = this->Fault;
+      LinkFault Now = this->faultOf(Of.Client);
       if (Now == LinkFault::Reset) {
         From.setLinger(true, 0);
         Into.setLinger(true, 0);
@@ -72,7 +93,7 @@
       if (!From.poll(Poco::Timespan(PollInterval),
                      Poco::Net::Socket::SELECT_READ))
         continue;
-      if (this->isWithheld(Responses, SilencedBefore)) {
+      if (this->isWithheld(Responses, Of)) {
         std::this_thread::sleep_for(std::chrono::microseconds(PollInterval));
         continue;
       }
--- a/tests/support/proxy.h
+++ b/tests/support/proxy.h
@@ -8,8 +8,11 @@
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <list>
+#include <map>
 #include <mutex>
+#include <string>
 #include <thread>
 
 namespace waycove::test {
@@ -25,36 +28,55 @@
   OneWay,
   /// Existing and new connections are reset.
   Reset,
+  /// Existing connections work, new ones are reset.
+  RefuseNew,
+  /// Bytes of existing connections are withheld, new ones are reset.
+  SilentRefuseNew,
 };
 
 /// Forwards TCP connections to a local port and injects faults. The destructor
 /// joins all threads.
 class LoopbackProxy {
 public:
-  explicit LoopbackProxy(std::uint16_t To);
+  /// Returns the name of the client that connects from a local port.
+  using ClientNames = std::function<std::string(std::uint16_t Port)>;
+
+  /// \p NameOf is needed for faults of single clients.
+  explicit LoopbackProxy(std::uint16_t To, ClientNames NameOf = {});
   ~LoopbackProxy();
   LoopbackProxy(const LoopbackProxy &) = delete;
   LoopbackProxy &operator=(const LoopbackProxy &) = delete;
 
   std::uint16_t port() const { return this->Listener.address().port(); }
   void set(LinkFault Next) { this->Fault = Next; }
+  /// Injects a fault into the connections of one client.
+  void setFor(const std::string &Client, LinkFault Next);
   /// Withholds all bytes on currently open connections; new ones work.
   void silenceOpen() { ++this->Silenced; }
 
 private:
+  /// A proxied connection as it was when it was opened.
+  struct Origin {
+    std::string Client;
+    /// The value of Silenced.
+    unsigned SilencedBefore = 0;
+  };
   void acceptAll();
+  LinkFault faultOf(const std::string &Client) const;
   /// Whether bytes of a connection are withheld.
-  bool isWithheld(bool Responses, unsigned SilencedBefore) const;
-  /// \p SilencedBefore is the value of Silenced when the connection was opened.
+  bool isWithheld(bool Responses, const Origin &Of) const;
   void pump(Poco::Net::StreamSocket From, Poco::Net::StreamSocket Into,
-            bool Responses, unsigned SilencedBefore);
+            bool Responses, const Origin &Of);
 
   const std::uint16_t To;
+  const ClientNames NameOf;
   std::atomic<LinkFault> Fault{LinkFault::None};
+  std::map<std::string, LinkFault> ClientFaults;
   std::atomic<unsigned> Silenced{0};
   std::atomic<bool> Ended{false};
   Poco::Net::ServerSocket Listener;
-  std::mutex Mutex;
+  /// Guards ClientFaults and Pumps.
+  mutable std::mutex Mutex;
   std::list<std::thread> Pumps;
   std::thread Acceptor;
 };
