--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -259,6 +259,17 @@
       {StatementUnreadable, Warning, "statement_unreadable",
        "A target states something about itself that cannot be read and has no "
        "effect. Logged rarely, however often it happens."},
+      {TargetsUnreachable, Warning, "targets_unreachable",
+       "This node has lost its links to all targets. Its callers' requests go "
+       "through other nodes, or are refused if none of them offers a way."},
+      {TargetsReachable, Info, "targets_reachable",
+       "This node reaches targets itself again."},
+      {NeighbourUnusable, Info, "neighbour_unusable",
+       "Another node offers no way to targets, and is not asked for a while; "
+       "the fields give the reason."},
+      {RequestCarried, Info, "request_carried",
+       "This node carried a request to a target for another node, which has "
+       "lost its own links to targets."},
   };
   return Catalogue;
 }
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -19,7 +19,9 @@
 #include "policy/retry_limiter.h"
 #include "policy/stated_pauses.h"
 #include "policy/target_rate.h"
+#include "policy/target_reach.h"
 #include "policy/upstream_selector.h"
+#include "policy/way_selector.h"
 
 #include <array>
 
@@ -62,6 +64,10 @@
   Table<Evacuations, LockRank::State> Evacuated;
   Table<TargetStatsTable, LockRank::Load> TargetStats;
   Table<CentreBalance, LockRank::Load> Balance;
+  /// Whether this node reaches targets itself.
+  Table<TargetReach, LockRank::Load> Reach;
+  /// Other nodes that offer a way to targets.
+  Table<WaySelector, LockRank::Load> Ways;
   Table<Fleet, LockRank::Vms> Targets;
   Table<ServingViewRef, LockRank::Views> Serving;
   Table<RetryLimiterTable, LockRank::Idempotency> RetryLimiters;
@@ -111,6 +117,15 @@
   Lease RegistryLease;
   /// All changes of the registry up to this time are in Targets.
   LatestTime RegistryProvenAt;
+  /// State of Reach, and whether it has failures that a success would clear;
+  /// read without a lock for each request.
+  std::atomic<TargetReach::State> ReachState{TargetReach::State::Sound};
+  std::atomic<bool> ReachHasFailures{false};
+  /// Called when ReachState becomes InDoubt; set before requests are served.
+  std::function<void()> OnReachDoubt;
+  /// Holds while this node has lost its links to targets and no other node
+  /// offers a way.
+  Lease NoWayLease;
   /// Fraction of the partitions that is assigned to this node.
   std::atomic<double> PartitionShare{0};
   std::atomic<bool> Stopping{false};
@@ -121,6 +136,20 @@
   std::atomic<bool> RequestSeen{false};
   std::atomic<std::uint32_t> InFlight{0};
 
+  /// Changes what this node knows of its links to targets by calling \p Apply
+  /// with Reach.
+  template <typename F> auto updateReach(F &&Apply) {
+    return this->Reach.write([&](TargetReach &Known) {
+      auto Result = Apply(Known);
+      this->ReachState = Known.state();
+      this->ReachHasFailures = Known.hasFailures();
+      return Result;
+    });
+  }
+  /// Whether this node has lost its links to all targets.
+  bool isCutOff() const {
+    return this->ReachState == TargetReach::State::CutOff;
+  }
   FeedState &feedState(FeedKind Kind) {
     return this->Feeds[static_cast<std::size_t>(Kind)];
   }
--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -41,8 +41,9 @@
   Millis renewLease() {
     if (!this->Participates) {
       if (this->Joined.exchange(false))
-        this->releaseAll(this->Board.Stopping
-                             ? "stopping"
+        this->releaseAll(this->Board.Stopping ? "stopping"
+                         : this->Board.isCutOff()
+                             ? "this node reaches no target"
                              : "enough other nodes participate");
       return RenewInterval;
     }
@@ -133,6 +134,8 @@
   /// The same for a node to which nothing is assigned; bounds how late it
   /// learns of an assignment.
   static constexpr Millis IdleRenewInterval{900};
+  /// A shorter cut costs less than another owner that takes over.
+  static constexpr Millis CutOffDelay{1000};
   /// Nodes of a system that starts announce themselves, and see each other's
   /// announcements, within this time.
   static constexpr Millis StartSpread{700};
@@ -147,6 +150,8 @@
 
   /// Whether this node is one of the members that partitions are assigned to.
   bool shouldParticipate(TimePoint Now) {
+    if (this->isCutOff(Now))
+      return false;
     // The directory is incomplete while all nodes start at once.
     if (this->Board.Config.Entry->FirstStart &&
         Now - this->StartTime < StartSpread)
@@ -165,6 +170,15 @@
         {Order, Config.Node, Known, MembersNeeded, Holds, Now});
   }
 
+  /// Whether this node has had no link to any target for a while: its orders
+  /// would not arrive.
+  bool isCutOff(TimePoint Now) const {
+    return this->Board.isCutOff() &&
+           this->Board.Reach.read([&](const TargetReach &Known) {
+             return Now - Known.cutOffSince() >= CutOffDelay;
+           });
+  }
+
   /// The generation to report to the store; zero if it is of an earlier era.
   /// With it this node confirms to the store that it has released the
   /// partitions that were assigned to other nodes in this or an earlier
--- a/src/control/news_server.cpp
+++ b/src/control/news_server.cpp
@@ -20,8 +20,9 @@
 } // namespace
 
 NewsServer::NewsServer(EntryBoard &Board, SharedObservations &Observations,
-                       ConnectionResources Shared)
-    : Board(Board), Observations(Observations), Seed(Board),
+                       ConnectionResources Shared, WayHandler OnWayWanted)
+    : Board(Board), Observations(Observations),
+      OnWayWanted(std::move(OnWayWanted)), Seed(Board),
       Connections(
           Shared, MaxConnections,
           [this](const Poco::Net::StreamSocket &Socket) {
@@ -71,6 +72,11 @@
   absl::StatusOr<wire::FrameT> Frame = this->Link.receive(RequestTimeout);
   if (!Frame.ok())
     return false;
+  if (const auto *Wanted = Frame->message.AsForward();
+      Wanted && this->Owner.OnWayWanted) {
+    this->Owner.OnWayWanted(this->Link, *Wanted);
+    return false;
+  }
   std::optional<wire::FrameT> Response = this->Owner.responseTo(*Frame);
   return Response && this->Link.send(*Response);
 }
--- a/src/control/news_server.h
+++ b/src/control/news_server.h
@@ -25,8 +25,12 @@
 /// (EntryBoard::canServeFeed).
 class NewsServer {
 public:
+  /// Serves a request for a way to a target over the connection, which ends
+  /// then.
+  using WayHandler = std::function<void(FrameSocket &, const wire::ForwardT &)>;
+
   NewsServer(EntryBoard &Board, SharedObservations &Observations,
-             ConnectionResources Shared);
+             ConnectionResources Shared, WayHandler OnWayWanted = {});
   NewsServer(const NewsServer &) = delete;
   NewsServer &operator=(const NewsServer &) = delete;
 
@@ -65,6 +69,7 @@
 
   EntryBoard &Board;
   SharedObservations &Observations;
+  const WayHandler OnWayWanted;
   SeedService Seed;
   std::mutex Mutex;
   /// By FeedKind; guarded by Mutex.
--- a/src/control/shared_observations.cpp
+++ b/src/control/shared_observations.cpp
@@ -154,6 +154,9 @@
 }
 
 void SharedObservations::updateBlame(TimePoint Now) {
+  // Connections may have been lost because this node is cut off.
+  if (this->Board.ReachState != TargetReach::State::Sound)
+    return;
   CrashBlame::Changes Found =
       this->Board.TargetStats.read([&](const TargetStatsTable &Seen) {
         auto LastProgress = [&](const VmIncarnation &Target) {
--- /dev/null
+++ b/src/control/way_link.cpp
@@ -0,0 +1,42 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "control/way_link.h"
+
+namespace waycove {
+
+namespace {
+
+constexpr Millis ConnectTimeout{100};
+/// The other node may need its own timeout for connecting to the target.
+constexpr Millis ResponseTimeout{250};
+/// Longer than the 200 ms after which a lost packet is retransmitted.
+constexpr Millis AckTimeout{300};
+
+} // namespace
+
+std::optional<WayResponse> askForWay(EntryBoard &Board, const NodeInfo &Node,
+                                     const WayRequest &Wanted) {
+  auto Socket = FrameSocket::dial(Node.Host, Node.Port, ConnectTimeout);
+  if (!Socket.ok())
+    return std::nullopt;
+  auto Link = std::make_unique<FrameSocket>(*Socket, Board.Counters);
+  Link->setAckTimeout(AckTimeout);
+  wire::ForwardT Request;
+  Request.request = Wanted.Request.Text;
+  Request.target = Wanted.Target.Id.Text;
+  Request.target_started_ms = Wanted.Target.StartedAt.Value;
+  Request.deadline_ms = static_cast<std::uint64_t>(Wanted.Remaining.count());
+  Request.repeatable = Wanted.MayRepeat;
+  std::uint64_t Clock = Board.Clock.tick(SystemClock{}.wall());
+  if (!Link->send(makeFrame(Clock, std::move(Request))))
+    return std::nullopt;
+  absl::StatusOr<wire::FrameT> Frame = Link->receive(ResponseTimeout);
+  const auto *Head = Frame.ok() ? Frame->message.AsForwardHead() : nullptr;
+  if (!Head)
+    return std::nullopt;
+  return WayResponse{static_cast<WayStatus>(Head->status), std::move(Link)};
+}
+
+} // namespace waycove
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -11,9 +11,11 @@
 #include "control/news.h"
 #include "control/news_server.h"
 #include "control/node_follower.h"
+#include "control/reach_prober.h"
 #include "control/registry_follower.h"
 #include "control/store_reader.h"
 #include "entry/caller_server.h"
+#include "entry/carrier.h"
 #include "entry/ready_server.h"
 
 #include <thread>
@@ -65,9 +67,14 @@
                 this->Board.Log.emit(EventCode::ThreadNotStarted, "step",
                                      LogFields().add("reason", Reason));
               }),
+        Carriers(this->Board),
         NewsService(this->Board, this->Observations,
-                    {this->Poller, this->ControlThreads}),
+                    {this->Poller, this->ControlThreads},
+                    [this](FrameSocket &Peer, const wire::ForwardT &Wanted) {
+                      this->Carriers.serve(Peer, Wanted);
+                    }),
         Domains(this->Board, this->Partitions, this->Control),
+        Reach(this->Board, this->Control),
         Buffers(Config.Entry->MaxBufferBytes),
         RequestRelay(this->Board, this->Pool, this->Buffers),
         Callers(this->Board, this->RequestRelay, this->Buffers,
@@ -86,8 +93,8 @@
     this->Ready.start(this->Board.Config.Entry->Ready);
     this->NewsService.start();
     this->Callers.start();
-    this->Poller.start();
     this->addSteps();
+    this->Poller.start();
     this->Steps.start();
     // In a thread of its own, since it waits for other nodes all the time.
     this->NewsThread = std::jthread([this](const std::stop_token &Stop) {
@@ -151,13 +158,15 @@
            this->Board.ConfigLease.holds(SystemClock{}.now());
   }
 
-  /// Whether the node can serve: it may use its keys and has serving targets,
-  /// which also requires a configuration.
+  /// Whether the node can serve: it may use its keys, has serving targets,
+  /// which also requires a configuration, and a way to them.
   bool isReady() {
     bool Serves = !this->Board.Serving
                        .read([](const ServingViewRef &View) { return View; })
                        ->ByService.empty();
-    bool IsReady = !this->Board.Stopping && Serves && this->mayUseKeys();
+    bool HasWay = !this->Board.NoWayLease.holds(SystemClock{}.now());
+    bool IsReady =
+        !this->Board.Stopping && Serves && HasWay && this->mayUseKeys();
     if (IsReady != this->WasReady.exchange(IsReady))
       this->Board.Log.emit(IsReady ? EventCode::DaemonReady
                                    : EventCode::DaemonNotReady,
@@ -165,6 +174,7 @@
                            LogFields()
                                .add("ready", IsReady)
                                .add("serves", Serves)
+                               .add("has_way", HasWay)
                                .add("stopping", this->Board.Stopping.load()));
     return IsReady;
   }
@@ -240,6 +250,10 @@
                      .Run = [this] { return this->Domains.renewLease(); }});
     this->Steps.add({.Poll = [this] { return this->Domains.pollPlan(); },
                      .Run = [this] { return this->Domains.plan(); }});
+    StepId Reach =
+        this->Steps.add({.Poll = [this] { return this->Reach.poll(); },
+                         .Run = [this] { return this->Reach.probe(); }});
+    this->Board.OnReachDoubt = [this, Reach] { this->Steps.wake(Reach); };
     this->Steps.add([this] {
       this->sweep();
       return SweepInterval;
@@ -285,9 +299,11 @@
   /// that callers cannot delay them.
   Poco::ThreadPool ControlThreads;
   StepRunner Steps;
+  Carrier<typename Platform::Callers> Carriers;
   NewsServer NewsService;
   DomainOwner<typename Platform::Partitions, typename Platform::Control>
       Domains;
+  ReachProber<typename Platform::Control> Reach;
   BufferBudget Buffers;
   Relay<typename Platform::Callers> RequestRelay;
   CallerServer<typename Platform::Callers> Callers;
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "entry/response_forwarder.h"
+#include "entry/target_connector.h"
 #include "policy/urgency.h"
 
 namespace waycove {
@@ -19,7 +20,8 @@
 template <CallerProtocol Protocol> class Relay {
 public:
   Relay(EntryBoard &Board, TargetConnectionPool &Pool, BufferBudget &Buffers)
-      : Board(Board), Pool(Pool), Log(Board), Policy(Board),
+      : Board(Board), Log(Board), Policy(Board),
+        Connector(Board, Pool, this->Policy), Monitor(Board),
         Waiter(Board, this->Policy, this->Log, Buffers),
         Forwarder(Board, Pool, this->Waiter, this->Log) {}
 
@@ -45,14 +47,9 @@
   }
 
 private:
-  /// Short, so that a host that is down costs little of the deadline. A lost
-  /// SYN is only retransmitted after a second.
-  static constexpr Millis ConnectTimeout{100};
   /// A target selection that is older is made again before the request is
   /// sent.
   static constexpr Millis MaxSelectionAge{250};
-  /// Longer than the 200 ms after which a lost packet is retransmitted.
-  static constexpr Millis AckTimeout{300};
   /// Retry-After of a node that stops or has no room: another node accepts the
   /// request at once.
   static constexpr Millis OtherNodeRetryAfter{20};
@@ -92,6 +89,8 @@
         return this->Log.requestDone(Ex, Selected->To, End);
       if (End == AttemptOutcome::Broken || End == AttemptOutcome::Stalled)
         ++Ex.Progress.MayHaveRun;
+      if (Ex.Progress.HasNoWay)
+        return this->fail(Ex, Ex.Progress.Reason, false);
       if (!RelayPolicy::mayRetry(Ex.Request, Ex.Progress))
         return this->fail(Ex, Ex.Progress.Reason,
                           SystemClock{}.now() >= Ex.Request.Deadline);
@@ -104,11 +103,13 @@
     Attempt.To = Selected.To;
     const VmIncarnation Target = Selected.To.Target->incarnation();
     Ex.Progress.Tried.push_back(Target.Id);
-    if (!this->connect(Ex, Attempt)) {
+    ConnectOutcome Connection = this->Connector.connect(Ex, Attempt);
+    Ex.Progress.HasNoWay = Connection == ConnectOutcome::NoWay;
+    if (Connection == ConnectOutcome::NoTarget)
       this->Log.suspectTarget(Target, UnreachableDuration, Attempt.Reason,
                               Ex.Request.Info.Id);
+    if (Connection != ConnectOutcome::Connected)
       return this->endAttempt(Ex, Attempt, AttemptOutcome::NotSent);
-    }
     Attempt.SentAt = SystemClock{}.now();
     // The target may have left, or asked for fewer requests, since: select
     // again. It stays eligible.
@@ -126,6 +127,7 @@
       Stats.onStart(Target, Prompt, Attempt.SentAt);
     });
     AttemptOutcome End = this->exchange(Ex, Attempt);
+    this->recordReach(Attempt);
     this->Policy.recordOutcome(Ex.Request, Attempt, End, SystemClock{}.now());
     this->Board.TargetStats.write([&](TargetStatsTable &Stats) {
       Stats.onEnd(Target, Attempt.SentAt, Attempt.FirstByteSeen, Prompt);
@@ -140,25 +142,13 @@
     return this->endAttempt(Ex, Attempt, End);
   }
 
-  bool connect(const RelayExchange &Ex, RelayAttempt &Attempt) {
-    TimePoint Now = SystemClock{}.now();
-    // The target may be closing an idle connection at this moment. A request
-    // that must not be repeated therefore gets a new connection.
-    if (Ex.Request.Route->mayRepeat())
-      Attempt.Connection =
-          this->Pool.take(Attempt.To.Target->incarnation(), Now);
-    if (Attempt.Connection)
-      return true;
-    IoStatus Status =
-        Channel::connect(Attempt.To.Target->Address,
-                         std::min(Ex.Request.Deadline, Now + ConnectTimeout),
-                         Attempt.Connection);
-    if (Status == IoStatus::Ok && Ex.Request.Route->mayRepeat())
-      Attempt.Connection->setAckTimeout(AckTimeout);
-    if (Status != IoStatus::Ok)
-      Attempt.Reason = Status == IoStatus::Timeout ? "no connection in time"
-                                                   : "connection refused";
-    return Status == IoStatus::Ok;
+  /// Records an attempt that ended without any byte of the target. What a
+  /// connection through another node shows is no evidence on this node's links.
+  void recordReach(const RelayAttempt &Attempt) {
+    bool IsDirect = Attempt.Connection && Attempt.Connection->isDirect();
+    if (IsDirect && Attempt.ConnectionLost &&
+        Attempt.LastByte == Attempt.SentAt)
+      this->Monitor.onNoBytes(Attempt.To.Target->incarnation());
   }
 
   /// Sends the request over the open connection and forwards the response.
@@ -267,9 +257,10 @@
   }
 
   EntryBoard &Board;
-  TargetConnectionPool &Pool;
   RelayLog Log;
   RelayPolicy Policy;
+  TargetConnector Connector;
+  ReachMonitor Monitor;
   ResponseWait Waiter;
   ResponseForwarder<Protocol> Forwarder;
 };
--- a/src/entry/relay_attempt.h
+++ b/src/entry/relay_attempt.h
@@ -6,6 +6,7 @@
 
 #include "entry/caller_response.h"
 #include "entry/relay_request.h"
+#include "entry/target_connection.h"
 #include "policy/retry.h"
 
 namespace waycove {
@@ -31,7 +32,7 @@
 /// One attempt: the target, the connection, and the state of the response.
 struct RelayAttempt {
   ServingTarget To;
-  std::optional<Channel> Connection;
+  std::optional<TargetConnection> Connection;
   TimePoint SentAt;
   TimePoint LastByte;
   bool FirstByteSeen = false;
@@ -44,6 +45,12 @@
   /// The target responded with a success status.
   bool Succeeded = false;
   std::string Reason;
+
+  /// The node through which the request goes; empty if it goes directly.
+  NodeId carrier() const {
+    bool IsCarried = this->Connection && this->Connection->through();
+    return IsCarried ? this->Connection->through()->node() : NodeId();
+  }
 };
 
 } // namespace waycove
--- a/src/entry/relay_log.cpp
+++ b/src/entry/relay_log.cpp
@@ -51,58 +51,54 @@
                            .add("for_ms", Duration));
 }
 
-void RelayLog::recordStatement(const RelayExchange &Ex,
-                               const RelayAttempt &Attempt,
+void RelayLog::recordStatement(const StatementSource &From,
                                const TargetStatement &Statement) {
-  this->recordLimit(Ex, Attempt, Statement);
-  this->recordPause(Ex, Attempt, Statement);
-  this->recordUnreadable(Ex, Attempt, Statement);
+  this->recordLimit(From, Statement);
+  this->recordPause(From, Statement);
+  this->recordUnreadable(From, Statement);
 }
 
-void RelayLog::recordLimit(const RelayExchange &Ex, const RelayAttempt &Attempt,
+void RelayLog::recordLimit(const StatementSource &From,
                            const TargetStatement &Statement) {
   using Change = StatedLimits::Change;
-  const VmIncarnation Target = Attempt.To.Target->incarnation();
   bool HasNoEffect = !Statement.Limit &&
                      !this->Board.TargetLimits.read(
                          [](const StatedLimits &Known) { return Known.any(); });
   if (HasNoEffect)
     return;
   Change Found = this->Board.TargetLimits.write([&](StatedLimits &Known) {
-    return Known.onResponse(Target, Statement, Attempt.SentAt,
+    return Known.onResponse(From.Target, Statement, From.SentAt,
                             SystemClock{}.now());
   });
   if (Found == Change::None)
     return;
   LogFields Fields;
-  Fields.add("request", Ex.Request.Info.Id.Text);
+  Fields.add("request", From.Request.Text);
   if (Statement.Limit)
     Fields.add("per_second", Statement.Limit->PerSecond);
   this->Board.Log.emit(Found == Change::Ended ? EventCode::TargetUnlimited
                                               : EventCode::TargetLimited,
-                       Target.Id.Text, Fields);
+                       From.Target.Id.Text, Fields);
 }
 
-void RelayLog::recordPause(const RelayExchange &Ex, const RelayAttempt &Attempt,
+void RelayLog::recordPause(const StatementSource &From,
                            const TargetStatement &Statement) {
   if (!Statement.Leaving && !Statement.Rest)
     return;
-  const VmIncarnation Target = Attempt.To.Target->incarnation();
   StatedPauses::Changes Found =
       this->Board.TargetPauses.write([&](StatedPauses &Known) {
-        return Known.onResponse(Target, Statement, SystemClock{}.now());
+        return Known.onResponse(From.Target, Statement, SystemClock{}.now());
       });
   LogFields Fields;
-  Fields.add("request", Ex.Request.Info.Id.Text);
+  Fields.add("request", From.Request.Text);
   if (Found.Leaves)
-    this->Board.Log.emit(EventCode::TargetLeaves, Target.Id.Text, Fields);
+    this->Board.Log.emit(EventCode::TargetLeaves, From.Target.Id.Text, Fields);
   if (Found.Rests)
-    this->Board.Log.emit(EventCode::TargetRests, Target.Id.Text,
+    this->Board.Log.emit(EventCode::TargetRests, From.Target.Id.Text,
                          Fields.add("for_ms", *Statement.Rest));
 }
 
-void RelayLog::recordUnreadable(const RelayExchange &Ex,
-                                const RelayAttempt &Attempt,
+void RelayLog::recordUnreadable(const StatementSource &From,
                                 const TargetStatement &Statement) {
   bool IsReadable = !Statement.HasUnreadableLimit &&
                     !Statement.HasUnreadableLeaving &&
@@ -114,10 +110,9 @@
   if (Now - Last < UnreadableLogInterval.count() ||
       !this->UnreadableLoggedMs.compare_exchange_strong(Last, Now))
     return;
-  this->Board.Log.emit(EventCode::StatementUnreadable,
-                       Attempt.To.Target->Id.Text,
+  this->Board.Log.emit(EventCode::StatementUnreadable, From.Target.Id.Text,
                        LogFields()
-                           .add("request", Ex.Request.Info.Id.Text)
+                           .add("request", From.Request.Text)
                            .add("limit", Statement.HasUnreadableLimit)
                            .add("leaving", Statement.HasUnreadableLeaving)
                            .add("rest", Statement.HasUnreadableRest));
@@ -130,6 +125,7 @@
                            .add("target", Attempt.To.Target->Id.Text)
                            .add("address", Attempt.To.Target->Address.text())
                            .add("first_byte", Attempt.FirstByteSeen)
+                           .add("carrier", Attempt.carrier().Text)
                            .add("last_event", Ex.Progress.LastEvent.value_or(0))
                            .add("reason", Attempt.Reason));
 }
--- a/src/entry/relay_log.h
+++ b/src/entry/relay_log.h
@@ -10,6 +10,14 @@
 
 namespace waycove {
 
+/// The response in which a target states something about itself.
+struct StatementSource {
+  VmIncarnation Target;
+  /// When the request to which it responds was sent.
+  TimePoint SentAt;
+  RequestId Request;
+};
+
 /// Writes the outcomes of requests and attempts to the log and the counters,
 /// with the same fields on every line. Thread-safe.
 class RelayLog {
@@ -20,9 +28,9 @@
   /// suspected before. \p Cause is the request that showed the fault.
   void suspectTarget(const VmIncarnation &Target, Millis Duration,
                      const std::string &Reason, const RequestId &Cause);
-  /// Applies what the target states in the response to the attempt, and logs
-  /// what has changed by it.
-  void recordStatement(const RelayExchange &Ex, const RelayAttempt &Attempt,
+  /// Applies what a target states in a response, and logs what has changed by
+  /// it.
+  void recordStatement(const StatementSource &From,
                        const TargetStatement &Statement);
   /// An attempt ended without a whole response.
   void attemptEnded(const RelayExchange &Ex, const RelayAttempt &Attempt);
@@ -36,11 +44,11 @@
   void requestRefused(const RelayExchange &Ex, const absl::Status &Error);
 
 private:
-  void recordLimit(const RelayExchange &Ex, const RelayAttempt &Attempt,
+  void recordLimit(const StatementSource &From,
                    const TargetStatement &Statement);
-  void recordPause(const RelayExchange &Ex, const RelayAttempt &Attempt,
+  void recordPause(const StatementSource &From,
                    const TargetStatement &Statement);
-  void recordUnreadable(const RelayExchange &Ex, const RelayAttempt &Attempt,
+  void recordUnreadable(const StatementSource &From,
                         const TargetStatement &Statement);
   static constexpr Millis UnreadableLogInterval{10000};
 
--- a/src/entry/relay_policy.cpp
+++ b/src/entry/relay_policy.cpp
@@ -181,11 +181,25 @@
   return At == Regions.end() ? RegionId() : At->second;
 }
 
-bool RelayPolicy::mayRunAt(const RelayRequest &Request,
-                           const ServingTarget &To) const {
+bool RelayPolicy::mayGoTo(const RelayRequest &Request,
+                          const DataCentreId &Centre) const {
   return !isRegional(*Request.Route, Request.Owner) ||
-         mayRunIn(*Request.Route, Request.Owner,
-                  this->regionOf(To.Target->DataCentre));
+         mayRunIn(*Request.Route, Request.Owner, this->regionOf(Centre));
+}
+
+std::vector<NodeInfo> RelayPolicy::carriers(const RelayRequest &Request,
+                                            TimePoint Now) const {
+  Evacuations Evacuated =
+      this->Board.Evacuated.read([](const Evacuations &Rows) { return Rows; });
+  auto MayCarry = [&](const NodeInfo &Node) {
+    return !Evacuated.contains(Node.DataCentre) &&
+           this->mayGoTo(Request, Node.DataCentre);
+  };
+  NodeRankingRef Known = this->Board.nodes();
+  return this->Board.Ways.read([&](const WaySelector &Ways) {
+    return Ways.candidates(*Known, this->Board.nodeInfo(), MayCarry,
+                           Request.Random, Now);
+  });
 }
 
 std::vector<BoundedTarget>
--- a/src/entry/relay_policy.h
+++ b/src/entry/relay_policy.h
@@ -47,6 +47,11 @@
   std::optional<Millis> nextOpening(const RelayRequest &Request,
                                     const RelayProgress &Progress,
                                     TimePoint Now);
+  /// The other nodes that may carry the request to a target, in the order in
+  /// which they are asked. None is in a region that the request must not leave
+  /// for, or in a data centre that operators have evacuated.
+  std::vector<NodeInfo> carriers(const RelayRequest &Request,
+                                 TimePoint Now) const;
   /// Whether another attempt is allowed after a failed one.
   static bool mayRetry(const RelayRequest &Request,
                        const RelayProgress &Progress);
@@ -69,8 +74,11 @@
   void avoidForbidden(const RelayRequest &Request,
                       const std::vector<ServingTarget> &Targets, TimePoint Now,
                       std::vector<VmId> &Avoid);
-  /// Whether route and workspace allow the target's region.
-  bool mayRunAt(const RelayRequest &Request, const ServingTarget &To) const;
+  /// Whether route and workspace allow the region of the data centre.
+  bool mayGoTo(const RelayRequest &Request, const DataCentreId &Centre) const;
+  bool mayRunAt(const RelayRequest &Request, const ServingTarget &To) const {
+    return this->mayGoTo(Request, To.Target->DataCentre);
+  }
   /// Whether the request could be sent to the target, whatever that states.
   bool isCandidate(const RelayRequest &Request, const RelayProgress &Progress,
                    const ServingTarget &To) const;
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -53,6 +53,8 @@
   unsigned SentCount = 0;
   /// Of these, how many may have started to run there.
   unsigned MayHaveRun = 0;
+  /// This node has lost its links to targets, and no other node offers a way.
+  bool HasNoWay = false;
   /// Of the latest target selection.
   std::optional<RegistrySnapshot> Snapshot;
   /// Last event that was sent to the caller.
--- a/src/entry/response_forwarder.h
+++ b/src/entry/response_forwarder.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "control/reach_monitor.h"
 #include "entry/response_wait.h"
 #include "entry/target_connection_pool.h"
 #include "policy/connections.h"
@@ -17,7 +18,7 @@
 public:
   ResponseForwarder(EntryBoard &Board, TargetConnectionPool &Pool,
                     ResponseWait &Waiter, RelayLog &Log)
-      : Board(Board), Pool(Pool), Waiter(Waiter), Log(Log) {}
+      : Board(Board), Pool(Pool), Waiter(Waiter), Log(Log), Monitor(Board) {}
 
   /// Reads the response to an attempt and forwards it to the caller. Returns
   /// how the attempt ends.
@@ -44,9 +45,13 @@
       if (!Body)
         break;
       TargetResponseInfo Info = Protocol::readResponseInfo(*Head);
+      if (Attempt.Connection->isDirect())
+        this->Monitor.onContact();
       if (Info.Id == Ex.Request.Info.Id) {
         if (Info.Statement)
-          this->Log.recordStatement(Ex, Attempt, *Info.Statement);
+          this->Log.recordStatement({Attempt.To.Target->incarnation(),
+                                     Attempt.SentAt, Ex.Request.Info.Id},
+                                    *Info.Statement);
         return this->forwardResponse(Ex, Attempt, *Head, Info, *Body);
       }
       // A late response to an earlier request: discard it, ours follows.
@@ -273,7 +278,10 @@
     unsigned Max = idleConnectionLimit(Spec ? Spec->MaxConnections : 1,
                                        this->Board.perNodeShare(),
                                        this->Board.Config.Node, Target.Id);
-    this->Pool.put(Target, std::move(*Attempt.Connection),
+    Channel *Direct = Attempt.Connection->direct();
+    if (!Direct)
+      return;
+    this->Pool.put(Target, std::move(*Direct),
                    Info.KeepAlive.value_or(Millis(0)), Max,
                    SystemClock{}.now());
     Attempt.Connection.reset();
@@ -296,6 +304,7 @@
   TargetConnectionPool &Pool;
   ResponseWait &Waiter;
   RelayLog &Log;
+  ReachMonitor Monitor;
 };
 
 } // namespace waycove
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -35,9 +35,14 @@
 std::optional<AttemptOutcome> receiveBytes(RelayAttempt &Attempt,
                                            TimePoint Now) {
   IoStatus Status = Attempt.Connection->fillNow();
-  if (Status == IoStatus::Ok || Status == IoStatus::Timeout) {
+  if (Status == IoStatus::Ok)
     Attempt.LastByte = Now;
+  if (Status == IoStatus::Ok || Status == IoStatus::Timeout)
     return std::nullopt;
+  const NeighbourChannel *Through = Attempt.Connection->through();
+  if (Through && !Through->hasTargetEnded()) {
+    Attempt.Reason = "the connection through another node broke";
+    return AttemptOutcome::Broken;
   }
   Attempt.ConnectionLost = true;
   Attempt.Reason =
@@ -52,8 +57,9 @@
   TimePoint Until =
       std::min(Ex.Request.Deadline, Attempt.LastByte + FirstCheckDelay);
   while (true) {
-    Side Readable = waitEither(
-        *Attempt.Connection, Attempt.WatchCaller ? &Ex.Caller : nullptr, Until);
+    Side Readable =
+        waitEither(Attempt.Connection->descriptor(),
+                   Attempt.WatchCaller ? Ex.Caller.descriptor() : -1, Until);
     TimePoint Now = SystemClock{}.now();
     if (Readable == Side::Target)
       return receiveBytes(Attempt, Now);
@@ -69,6 +75,9 @@
       Attempt.Reason = "the deadline passed";
       return AttemptOutcome::Stalled;
     }
+    if (this->hasLostWay(Attempt, Now) &&
+        this->Policy.mayAbandon(Ex.Request, Ex.Progress, Now))
+      return AttemptOutcome::Stalled;
     if (this->isUnresponsive(Ex, Attempt, Now) &&
         this->Policy.mayAbandon(Ex.Request, Ex.Progress, Now)) {
       this->Log.suspectTarget(Attempt.To.Target->incarnation(),
@@ -114,6 +123,36 @@
   }
 }
 
+/// Whether the link to the target, rather than the target itself, is lost: this
+/// node's own, or the one through another node.
+bool ResponseWait::hasLostWay(RelayAttempt &Attempt, TimePoint Now) {
+  if (const NeighbourChannel *Through = Attempt.Connection->through()) {
+    if (!Through->isSilent(Now))
+      return false;
+    Attempt.Reason = "the other node on the way is silent";
+    return true;
+  }
+  if (Now - Attempt.LastByte < MinPatience)
+    return false;
+  if (this->Board.ReachState == TargetReach::State::Sound)
+    this->doubtIfAllSilent(Now);
+  if (!this->Board.isCutOff())
+    return false;
+  Attempt.Reason = "this node reaches no target";
+  return true;
+}
+
+/// Several targets that are all silent towards this node raise the doubt
+/// whether it reaches any.
+void ResponseWait::doubtIfAllSilent(TimePoint Now) {
+  std::vector<VmIncarnation> Silent =
+      this->Board.TargetStats.read([&](const TargetStatsTable &Stats) {
+        return Stats.allSilentHere(MinPatience, Now);
+      });
+  for (const VmIncarnation &Target : Silent)
+    this->Monitor.onNoBytes(Target);
+}
+
 /// Whether the target counts as unresponsive. One slow response is not enough:
 /// a busy target still makes progress with other requests.
 bool ResponseWait::isUnresponsive(const RelayExchange &Ex,
--- a/src/entry/response_wait.h
+++ b/src/entry/response_wait.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "control/reach_monitor.h"
 #include "entry/relay_log.h"
 #include "entry/relay_policy.h"
 
@@ -15,7 +16,8 @@
 public:
   ResponseWait(EntryBoard &Board, RelayPolicy &Policy, RelayLog &Log,
                BufferBudget &Buffers)
-      : Board(Board), Policy(Policy), Log(Log), Buffers(Buffers) {}
+      : Board(Board), Policy(Policy), Log(Log), Buffers(Buffers),
+        Monitor(Board) {}
 
   /// Waits for bytes from the target. Returns how the attempt ends, or nothing
   /// if bytes were received.
@@ -29,6 +31,8 @@
                           BodyDecoder &Body, BufferedBody &Payload);
 
 private:
+  bool hasLostWay(RelayAttempt &Attempt, TimePoint Now);
+  void doubtIfAllSilent(TimePoint Now);
   bool isUnresponsive(const RelayExchange &Ex, RelayAttempt &Attempt,
                       TimePoint Now);
 
@@ -36,6 +40,7 @@
   RelayPolicy &Policy;
   RelayLog &Log;
   BufferBudget &Buffers;
+  ReachMonitor Monitor;
 };
 
 } // namespace waycove
--- /dev/null
+++ b/src/entry/target_connector.cpp
@@ -0,0 +1,122 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "entry/target_connector.h"
+
+namespace waycove {
+
+ConnectOutcome TargetConnector::connect(const RelayExchange &Ex,
+                                        RelayAttempt &Attempt) {
+  bool HasSearched = this->Board.ReachState != TargetReach::State::Sound;
+  if (HasSearched) {
+    ConnectOutcome Found = this->connectThroughNode(Ex, Attempt);
+    bool MayStillRespond = this->Board.Reach.read([](const TargetReach &Known) {
+      return Known.mayStillRespond(SystemClock{}.now());
+    });
+    if (Found != ConnectOutcome::NoWay || !MayStillRespond)
+      return Found;
+  }
+  if (this->connectDirectly(Ex, Attempt))
+    return ConnectOutcome::Connected;
+  if (HasSearched || this->Board.ReachState == TargetReach::State::Sound)
+    return ConnectOutcome::NoTarget;
+  return this->connectThroughNode(Ex, Attempt);
+}
+
+bool TargetConnector::connectDirectly(const RelayExchange &Ex,
+                                      RelayAttempt &Attempt) {
+  TimePoint Now = SystemClock{}.now();
+  Attempt.Reason.clear();
+  const VmIncarnation Target = Attempt.To.Target->incarnation();
+  bool MayRepeat = Ex.Request.Route->mayRepeat();
+  // The target may be closing an idle connection at this moment. A request
+  // that must not be repeated therefore gets a new connection.
+  if (MayRepeat)
+    if (auto Idle = this->Pool.take(Target, Now)) {
+      Attempt.Connection.emplace(std::move(*Idle));
+      return true;
+    }
+  std::optional<Channel> Opened;
+  IoStatus Status = Channel::connect(
+      Attempt.To.Target->Address,
+      std::min(Ex.Request.Deadline, Now + ConnectTimeout), Opened);
+  if (Status != IoStatus::Ok) {
+    Attempt.Reason = Status == IoStatus::Timeout ? "no connection in time"
+                                                 : "connection refused";
+    this->Monitor.onNoConnection(Target);
+    return false;
+  }
+  this->Monitor.onConnected();
+  if (MayRepeat)
+    Opened->setAckTimeout(AckTimeout);
+  Attempt.Connection.emplace(std::move(*Opened));
+  return true;
+}
+
+/// Asks other nodes in turn until one has a connection to the target or says
+/// that the target cannot be reached.
+ConnectOutcome TargetConnector::connectThroughNode(const RelayExchange &Ex,
+                                                   RelayAttempt &Attempt) {
+  TimePoint Begin = SystemClock{}.now();
+  TimePoint Until = std::min(Ex.Request.Deadline, Begin + SearchTimeout);
+  for (const NodeInfo &Node : this->Policy.carriers(Ex.Request, Begin)) {
+    TimePoint Now = SystemClock{}.now();
+    if (Now >= Until)
+      break;
+    WayRequest Wanted{
+        Attempt.To.Target->incarnation(), Ex.Request.Info.Id,
+        std::chrono::duration_cast<Millis>(Ex.Request.Deadline - Now),
+        Ex.Request.Route->mayRepeat()};
+    std::optional<WayStatus> Status = this->ask(Node, Wanted, Attempt);
+    this->recordWay(Node, Status, Ex.Request.Info.Id);
+    if (Status == WayStatus::Open)
+      return ConnectOutcome::Connected;
+    if (Status == WayStatus::NoTarget) {
+      Attempt.Reason = "no connection through " + Node.Node.Text;
+      return ConnectOutcome::NoTarget;
+    }
+  }
+  Attempt.Reason = "this node reaches no target, and no other node has a way";
+  if (this->Board.isCutOff())
+    this->Board.NoWayLease.renew(SystemClock{}.now(), NoWayDuration);
+  return ConnectOutcome::NoWay;
+}
+
+std::optional<WayStatus> TargetConnector::ask(const NodeInfo &Node,
+                                              const WayRequest &Wanted,
+                                              RelayAttempt &Attempt) {
+  std::optional<WayResponse> Response = askForWay(this->Board, Node, Wanted);
+  if (!Response)
+    return std::nullopt;
+  if (Response->Status == WayStatus::Open) {
+    Attempt.Connection.emplace(
+        NeighbourChannel(this->Board, Node.Node, std::move(Response->Link)));
+    this->Monitor.onWay();
+  }
+  return Response->Status;
+}
+
+void TargetConnector::recordWay(const NodeInfo &Node,
+                                std::optional<WayStatus> Status,
+                                const RequestId &Cause) {
+  TimePoint Now = SystemClock{}.now();
+  bool HasWay = Status && *Status != WayStatus::NoWay;
+  this->Board.Ways.write([&](WaySelector &Known) {
+    if (HasWay)
+      Known.onWay(Node.Node);
+    else if (Status)
+      Known.onNoWay(Node.Node, Now);
+    else
+      Known.onUnreachable(Node.Node, Now);
+  });
+  if (HasWay)
+    return this->Board.NoWayLease.drop();
+  this->Board.Log.emit(
+      EventCode::NeighbourUnusable, Node.Node.Text,
+      LogFields()
+          .add("request", Cause.Text)
+          .add("reason", Status ? "it offers no way" : "it does not respond"));
+}
+
+} // namespace waycove
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -144,12 +144,10 @@
   this->Socket.close();
 }
 
-Side waitEither(const Channel &Target, const Channel *Caller, TimePoint Until) {
-  std::array<pollfd, 2> Descriptors{
-      {{Target.descriptor(), POLLIN, 0}, {-1, 0, 0}}};
-  if (Caller)
-    Descriptors[1] = {Caller->descriptor(), POLLIN, 0};
-  if (pollUntil(Descriptors.data(), Caller ? 2 : 1, Until) <= 0)
+Side waitEither(int Target, int Caller, TimePoint Until) {
+  // poll() ignores negative descriptors.
+  std::array<pollfd, 2> Descriptors{{{Target, POLLIN, 0}, {Caller, POLLIN, 0}}};
+  if (pollUntil(Descriptors.data(), Descriptors.size(), Until) <= 0)
     return Side::Neither;
   return Descriptors[0].revents ? Side::Target : Side::Caller;
 }
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -70,7 +70,7 @@
 /// Which of two connections can be read.
 enum class Side { Target, Caller, Neither };
 
-/// Waits until \p Target or, if not null, \p Caller can be read.
-Side waitEither(const Channel &Target, const Channel *Caller, TimePoint Until);
+/// Waits until the socket \p Target or, if not negative, \p Caller can be read.
+Side waitEither(int Target, int Caller, TimePoint Until);
 
 } // namespace waycove
--- a/src/policy/crash_blame.cpp
+++ b/src/policy/crash_blame.cpp
@@ -112,6 +112,11 @@
     this->blame();
 }
 
+void CrashBlame::dropLosses() {
+  this->Losses.clear();
+  this->blame();
+}
+
 void CrashBlame::recordServed(ContentHash Content, TimePoint Now) {
   this->Served.add(Content);
   std::size_t Dropped = std::erase_if(
--- a/src/policy/crash_blame.h
+++ b/src/policy/crash_blame.h
@@ -68,6 +68,9 @@
   /// Records that the connection to \p Target ended during a request.
   void recordLost(ContentHash Content, const VmIncarnation &Target,
                   TimePoint Now);
+  /// Drops the losses that are not resolved yet: this node has lost its links,
+  /// and the targets have not crashed.
+  void dropLosses();
   /// Records that a request was answered completely.
   void recordServed(ContentHash Content, TimePoint Now);
   void recordTrial(ContentHash Content, TimePoint Now);
--- a/src/policy/target_stats.cpp
+++ b/src/policy/target_stats.cpp
@@ -209,6 +209,26 @@
   return std::min(Here.silence(Now), There->SilentFor);
 }
 
+void TargetStatsTable::clearSuspicion() {
+  for (auto &[Target, Stats] : this->Targets)
+    Stats.SuspectUntil = TimePoint();
+}
+
+std::vector<VmIncarnation>
+TargetStatsTable::allSilentHere(Millis Silence, TimePoint Now) const {
+  std::vector<VmIncarnation> Silent;
+  for (const auto &[Target, Stats] : this->Targets) {
+    if (Stats.InFlight == 0)
+      continue;
+    if (Stats.silence(Now) < Silence)
+      return {};
+    Silent.push_back(Target);
+  }
+  if (Silent.size() < 2)
+    Silent.clear();
+  return Silent;
+}
+
 const TargetStats &TargetStatsTable::of(const VmIncarnation &Target) const {
   static const TargetStats Unknown;
   auto At = this->Targets.find(Target);
--- a/src/policy/target_stats.h
+++ b/src/policy/target_stats.h
@@ -74,6 +74,11 @@
   void suspect(const VmIncarnation &Target, TimePoint Now, Millis Duration);
   /// Clears suspicion of a target that changed its group.
   void onRegrouped(const VmIncarnation &Target);
+  /// Clears suspicion of all targets: this node has lost its own links.
+  void clearSuspicion();
+  /// Returns the targets that this node waits for, if there are several and
+  /// none of them sends it any byte for \p Silence.
+  std::vector<VmIncarnation> allSilentHere(Millis Silence, TimePoint Now) const;
   const TargetStats &of(const VmIncarnation &Target) const;
 
   /// The load that this node reports to others.
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -9,6 +9,8 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <utility>
 
 namespace waycove {
@@ -127,6 +129,20 @@
   }
 }
 
+void FrameSocket::setAckTimeout(Millis Timeout) {
+  this->Socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
+                         static_cast<int>(Timeout.count()));
+}
+
+void FrameSocket::abort() {
+  try {
+    this->Socket.setLinger(true, 0);
+  } catch (const Poco::Exception &) {
+    // Already reset by the peer.
+  }
+  this->Socket.close();
+}
+
 void FrameSocket::shutdown() {
   try {
     this->Socket.shutdown();
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -40,6 +40,12 @@
   absl::StatusOr<wire::FrameT> receive(Millis Timeout);
   /// Whether bytes of the next frame have already been received.
   bool hasInput() const { return !this->Buffer.empty(); }
+  /// Breaks the connection if sent bytes are not acknowledged for \p Timeout,
+  /// which detects a host that lost power.
+  void setAckTimeout(Millis Timeout);
+  /// Closes with a reset.
+  void abort();
+  int descriptor() const { return this->Socket.impl()->sockfd(); }
   /// Shuts the connection down, which unblocks receive() in another thread.
   void shutdown();
 
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -3286,6 +3286,8 @@
   uint32_t max_tokens = 0;
   std::string prompt{};
   bool bound = false;
+  std::string target{};
+  uint64_t target_started_ms = 0;
 };
 
 struct Forward FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3310,7 +3312,9 @@
     VT_DEADLINE_MS = 32,
     VT_MAX_TOKENS = 34,
     VT_PROMPT = 36,
-    VT_BOUND = 38
+    VT_BOUND = 38,
+    VT_TARGET = 40,
+    VT_TARGET_STARTED_MS = 42
   };
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
@@ -3366,6 +3370,12 @@
   bool bound() const {
     return GetField<uint8_t>(VT_BOUND, 0) != 0;
   }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  uint64_t target_started_ms() const {
+    return GetField<uint64_t>(VT_TARGET_STARTED_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
@@ -3397,6 +3407,9 @@
            VerifyOffset(verifier, VT_PROMPT) &&
            verifier.VerifyString(prompt()) &&
            VerifyField<uint8_t>(verifier, VT_BOUND, 1) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<uint64_t>(verifier, VT_TARGET_STARTED_MS, 8) &&
            verifier.EndTable();
   }
   ForwardT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3462,6 +3475,12 @@
   void add_bound(bool bound) {
     fbb_.AddElement<uint8_t>(Forward::VT_BOUND, static_cast<uint8_t>(bound), 0);
   }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(Forward::VT_TARGET, target);
+  }
+  void add_target_started_ms(uint64_t target_started_ms) {
+    fbb_.AddElement<uint64_t>(Forward::VT_TARGET_STARTED_MS, target_started_ms, 0);
+  }
   explicit ForwardBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3492,9 +3511,13 @@
     uint64_t deadline_ms = 0,
     uint32_t max_tokens = 0,
     flatbuffers::Offset<flatbuffers::String> prompt = 0,
-    bool bound = false) {
+    bool bound = false,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    uint64_t target_started_ms = 0) {
   ForwardBuilder builder_(_fbb);
+  builder_.add_target_started_ms(target_started_ms);
   builder_.add_deadline_ms(deadline_ms);
+  builder_.add_target(target);
   builder_.add_prompt(prompt);
   builder_.add_max_tokens(max_tokens);
   builder_.add_session(session);
@@ -3539,7 +3562,9 @@
     uint64_t deadline_ms = 0,
     uint32_t max_tokens = 0,
     const char *prompt = nullptr,
-    bool bound = false) {
+    bool bound = false,
+    const char *target = nullptr,
+    uint64_t target_started_ms = 0) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto name__ = name ? _fbb.CreateString(name) : 0;
@@ -3551,6 +3576,7 @@
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto session__ = session ? _fbb.CreateString(session) : 0;
   auto prompt__ = prompt ? _fbb.CreateString(prompt) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
   return waycove::wire::CreateForward(
       _fbb,
       request__,
@@ -3570,7 +3596,9 @@
       deadline_ms,
       max_tokens,
       prompt__,
-      bound);
+      bound,
+      target__,
+      target_started_ms);
 }
 
 flatbuffers::Offset<Forward> CreateForward(flatbuffers::FlatBufferBuilder &_fbb, const ForwardT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5999,6 +6027,8 @@
   { auto _e = max_tokens(); _o->max_tokens = _e; }
   { auto _e = prompt(); if (_e) _o->prompt = _e->str(); }
   { auto _e = bound(); _o->bound = _e; }
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = target_started_ms(); _o->target_started_ms = _e; }
 }
 
 inline flatbuffers::Offset<Forward> Forward::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6027,6 +6057,8 @@
   auto _max_tokens = _o->max_tokens;
   auto _prompt = _o->prompt.empty() ? 0 : _fbb.CreateString(_o->prompt);
   auto _bound = _o->bound;
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _target_started_ms = _o->target_started_ms;
   return waycove::wire::CreateForward(
       _fbb,
       _request,
@@ -6046,7 +6078,9 @@
       _deadline_ms,
       _max_tokens,
       _prompt,
-      _bound);
+      _bound,
+      _target,
+      _target_started_ms);
 }
 
 inline ForwardHeadT *ForwardHead::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/support/neighbours.cpp
+++ b/tests/support/neighbours.cpp
@@ -44,7 +44,9 @@
     std::istringstream Words(Line);
     std::vector<std::string> Columns{std::istream_iterator<std::string>(Words),
                                      {}};
-    if (Columns.size() > InodeColumn && Columns[1].ends_with(Address.str()))
+    // Closed sockets that linger have the inode 0.
+    if (Columns.size() > InodeColumn && Columns[1].ends_with(Address.str()) &&
+        Columns[InodeColumn] != "0")
       return Columns[InodeColumn];
   }
   return "";
@@ -101,7 +103,17 @@
 }
 
 std::string Neighbours::entryAt(std::uint16_t Port) {
-  std::string Socket = "socket:[" + socketInode(Port) + "]";
+  // A read of the socket table misses rows while others come and go.
+  constexpr int MaxReads = 10;
+  for (int I = 0; I < MaxReads; ++I)
+    if (std::string Inode = socketInode(Port); !Inode.empty())
+      if (std::string Node = this->ownerOf("socket:[" + Inode + "]");
+          !Node.empty())
+        return Node;
+  return "";
+}
+
+std::string Neighbours::ownerOf(const std::string &Socket) {
   for (const std::string &Node : Entries) {
     std::error_code Gone;
     std::string Folder =
--- a/tests/support/neighbours.h
+++ b/tests/support/neighbours.h
@@ -75,6 +75,8 @@
   void startTargets(const std::string &Prefix, int Count, bool HasProxies);
   /// The entry that has a connection from the local port; empty if none has.
   std::string entryAt(std::uint16_t Port);
+  /// The entry that has the socket, as /proc names it, open.
+  std::string ownerOf(const std::string &Socket);
 
   const std::string Bounds;
   const bool HasEngines;
--- a/tests/support/proxy.cpp
+++ b/tests/support/proxy.cpp
@@ -39,8 +39,11 @@
       Poco::Net::StreamSocket Client = this->Listener.acceptConnection();
       Origin Of{this->NameOf ? this->NameOf(Client.peerAddress().port()) : "",
                 this->Silenced};
+      // The client has left already.
+      bool IsUnknown = this->NameOf && Of.Client.empty();
       LinkFault Now = this->faultOf(Of.Client);
-      if (Now == LinkFault::RefuseNew || Now == LinkFault::SilentRefuseNew) {
+      if (IsUnknown || Now == LinkFault::RefuseNew ||
+          Now == LinkFault::SilentRefuseNew) {
         Client.setLinger(true, 0);
         continue;
       }
