--- a/src/control/reach_monitor.cpp
+++ b/src/control/reach_monitor.cpp
@@ -6,60 +6,68 @@
 
 namespace waycove {
 
-template <typename F> void ReachMonitor::recordFailure(F &&Apply) {
-  bool HasBegun = this->Board.updateReach([&](TargetReach &Known) {
-    bool WasSound = Known.state() == TargetReach::State::Sound;
+template <typename F> void ReachMonitor::change(F &&Apply) {
+  using State = TargetReach::State;
+  auto [Before, After] = this->Board.updateReach([&](TargetReach &Known) {
+    TargetReach Old = Known;
     Apply(Known);
-    return WasSound && Known.state() == TargetReach::State::InDoubt;
+    return std::pair(std::move(Old), Known);
   });
-  if (HasBegun && this->Board.OnReachDoubt)
+  if (After.isConfirmed() && !Before.isConfirmed())
+    this->onConfirmed();
+  if (After.state() == Before.state())
+    return;
+  if (After.state() == State::InDoubt && this->Board.OnReachDoubt)
     this->Board.OnReachDoubt();
+  if (After.state() == State::Sound)
+    this->onSound(
+        Before.isConfirmed() ||
+        (Before.state() == State::CutOff &&
+         SystemClock{}.now() - Before.cutOffSince() >= CertainCutDuration));
+}
+
+/// The targets are up, so what this node's own faults have made it believe of
+/// them is wrong.
+void ReachMonitor::onConfirmed() {
+  this->Board.TargetStats.write(
+      [](TargetStatsTable &Stats) { Stats.clearSuspicion(); });
+  this->Board.Crashes.write([](CrashBlame &Rows) { Rows.dropLosses(); });
+}
+
+void ReachMonitor::onSound(bool WasCertainlyCutOff) {
+  this->Board.Crashes.write([&](CrashBlame &Rows) {
+    if (WasCertainlyCutOff)
+      Rows.dropLosses();
+    else
+      Rows.releaseHeldLosses();
+  });
 }
 
 void ReachMonitor::onNoConnection(const VmIncarnation &Target) {
-  this->recordFailure([&](TargetReach &Known) {
+  this->change([&](TargetReach &Known) {
     Known.onNoConnection(Target, SystemClock{}.now());
   });
 }
 
 void ReachMonitor::onNoBytes(const VmIncarnation &Target) {
-  this->recordFailure([&](TargetReach &Known) {
+  this->change([&](TargetReach &Known) {
     Known.onNoBytes(Target, SystemClock{}.now());
   });
 }
 
 void ReachMonitor::onConnected() {
   if (this->Board.ReachHasFailures)
-    this->Board.updateReach([](TargetReach &Known) {
-      Known.onConnected();
-      return true;
-    });
+    this->change([](TargetReach &Known) { Known.onConnected(); });
 }
 
 void ReachMonitor::onContact() {
   if (this->Board.ReachHasFailures)
-    this->Board.updateReach([](TargetReach &Known) {
-      Known.onBytes();
-      return true;
-    });
-}
-
-template <typename F> void ReachMonitor::apply(F &&Apply) {
-  bool HasBeenConfirmed = this->Board.updateReach([&](TargetReach &Known) {
-    bool WasConfirmed = Known.isConfirmed();
-    Apply(Known);
-    return !WasConfirmed && Known.isConfirmed();
-  });
-  if (!HasBeenConfirmed)
-    return;
-  this->Board.TargetStats.write(
-      [](TargetStatsTable &Stats) { Stats.clearSuspicion(); });
-  this->Board.Crashes.write([](CrashBlame &Rows) { Rows.dropLosses(); });
+    this->change([](TargetReach &Known) { Known.onBytes(); });
 }
 
 void ReachMonitor::onWay() {
   if (this->Board.isCutOff())
-    this->apply([](TargetReach &Known) { Known.onWay(); });
+    this->change([](TargetReach &Known) { Known.onWay(); });
 }
 
 void ReachMonitor::onProbeAnswered(const VmIncarnation &Target) {
@@ -67,7 +75,7 @@
   TimePoint Now = SystemClock{}.now();
   TimePoint Since = this->Board.Reach.read(
       [](const TargetReach &Known) { return Known.cutOffSince(); });
-  this->apply([&](TargetReach &Known) { Known.onProbeAnswered(Now); });
+  this->change([&](TargetReach &Known) { Known.onProbeAnswered(Now); });
   if (!WasCutOff)
     return;
   this->Board.Ways.write([](WaySelector &Known) { Known.reset(); });
@@ -84,7 +92,7 @@
                                  TargetReach::OthersView View) {
   if (this->Board.isCutOff())
     return;
-  this->apply([&](TargetReach &Known) {
+  this->change([&](TargetReach &Known) {
     Known.onProbeFailed(Failed, View, SystemClock{}.now());
   });
   if (this->Board.isCutOff())
--- a/src/control/reach_monitor.h
+++ b/src/control/reach_monitor.h
@@ -32,10 +32,14 @@
                      TargetReach::OthersView View);
 
 private:
-  template <typename F> void recordFailure(F &&Apply);
-  /// Changes Reach by \p Apply, and clears what this node's own faults have
-  /// made it believe of targets once it is confirmed that it is cut off.
-  template <typename F> void apply(F &&Apply);
+  /// A shorter cut that no other node has confirmed may have been a number of
+  /// targets that crashed.
+  static constexpr Millis CertainCutDuration{1000};
+
+  /// Changes Reach by \p Apply, and applies the consequences.
+  template <typename F> void change(F &&Apply);
+  void onConfirmed();
+  void onSound(bool WasCertainlyCutOff);
 
   EntryBoard &Board;
 };
--- a/src/entry/relay_policy.cpp
+++ b/src/entry/relay_policy.cpp
@@ -81,10 +81,15 @@
 void RelayPolicy::recordOutcome(const RelayRequest &Request,
                                 const RelayAttempt &Attempt, AttemptOutcome End,
                                 TimePoint Now) {
+  bool IsDoubtful = Attempt.carrier().empty() &&
+                    this->Board.ReachState != TargetReach::State::Sound;
   if (End == AttemptOutcome::Broken && Attempt.ConnectionLost)
     this->Board.Crashes.write([&](CrashBlame &Crashes) {
-      Crashes.recordLost(Request.Content, Attempt.To.Target->incarnation(),
-                         Now);
+      const VmIncarnation Target = Attempt.To.Target->incarnation();
+      if (IsDoubtful)
+        Crashes.holdLost(Request.Content, Target, Now);
+      else
+        Crashes.recordLost(Request.Content, Target, Now);
     });
   else if (End == AttemptOutcome::Done && Attempt.Succeeded)
     this->Board.Crashes.write([&](CrashBlame &Crashes) {
--- a/src/entry/target_connector.cpp
+++ b/src/entry/target_connector.cpp
@@ -104,9 +104,9 @@
   bool HasWay = Status && *Status != WayStatus::NoWay;
   this->Board.Ways.write([&](WaySelector &Known) {
     if (HasWay)
-      Known.onWay(Node.Node);
+      Known.onWay(Node);
     else if (Status)
-      Known.onNoWay(Node.Node, Now);
+      Known.onNoWay(Node, Now);
     else
       Known.onUnreachable(Node.Node, Now);
   });
--- a/src/policy/crash_blame.cpp
+++ b/src/policy/crash_blame.cpp
@@ -112,15 +112,23 @@
     this->blame();
 }
 
+void CrashBlame::releaseHeldLosses() {
+  this->Losses.insert(this->Losses.end(), this->Held.begin(), this->Held.end());
+  this->Held.clear();
+  this->blame();
+}
+
 void CrashBlame::dropLosses() {
   this->Losses.clear();
+  this->Held.clear();
   this->blame();
 }
 
 void CrashBlame::recordServed(ContentHash Content, TimePoint Now) {
   this->Served.add(Content);
-  std::size_t Dropped = std::erase_if(
-      this->Losses, [&](const Loss &Lost) { return Lost.Content == Content; });
+  auto IsOfContent = [&](const Loss &Lost) { return Lost.Content == Content; };
+  std::size_t Dropped = std::erase_if(this->Losses, IsOfContent);
+  std::erase_if(this->Held, IsOfContent);
   auto At = this->Rows.find(Content);
   bool Suspected =
       At != this->Rows.end() && !At->second.Evidence.CrashedTargets.empty();
--- a/src/policy/crash_blame.h
+++ b/src/policy/crash_blame.h
@@ -68,8 +68,16 @@
   /// Records that the connection to \p Target ended during a request.
   void recordLost(ContentHash Content, const VmIncarnation &Target,
                   TimePoint Now);
-  /// Drops the losses that are not resolved yet: this node has lost its links,
-  /// and the targets have not crashed.
+  /// Records the same while it is in doubt whether this node reaches any
+  /// target. It counts only after releaseHeldLosses().
+  void holdLost(ContentHash Content, const VmIncarnation &Target,
+                TimePoint Now) {
+    this->Held.push_back({Content, Target, Now});
+  }
+  /// This node reaches targets: what was held counts.
+  void releaseHeldLosses();
+  /// This node had lost its links: drops what was held, and losses that are not
+  /// resolved yet.
   void dropLosses();
   /// Records that a request was answered completely.
   void recordServed(ContentHash Content, TimePoint Now);
@@ -169,6 +177,7 @@
 
   std::map<ContentHash, Entry> Rows;
   std::vector<Loss> Losses;
+  std::vector<Loss> Held;
   ServedMemory Served;
   std::set<ContentHash> Blamed;
   /// The blamed contents at the last call of takeChanges.
--- a/src/policy/way_selector.cpp
+++ b/src/policy/way_selector.cpp
@@ -5,33 +5,49 @@
 #include "policy/way_selector.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace waycove {
 
+bool WaySelector::Candidate::operator<(const Candidate &Other) const {
+  return std::tuple(this->IsDenied, this->IsElsewhere, this->Rank) <
+         std::tuple(Other.IsDenied, Other.IsElsewhere, Other.Rank);
+}
+
+bool WaySelector::isDenied(const DataCentreId &Centre, TimePoint Now) const {
+  auto At = this->DeniedAt.find(Centre);
+  return At != this->DeniedAt.end() && Now - At->second < CentreDelay;
+}
+
+void WaySelector::onNoWay(const NodeInfo &Node, TimePoint Now) {
+  this->Backoff.backOffUntil(Node.Node, Now + NoWayDelay);
+  this->DeniedAt[Node.DataCentre] = Now;
+}
+
+void WaySelector::onWay(const NodeInfo &Node) {
+  this->Backoff.onSuccess(Node.Node);
+  this->DeniedAt.erase(Node.DataCentre);
+}
+
 std::vector<NodeInfo>
 WaySelector::candidates(const NodeRanking &Known, const NodeInfo &Me,
                         const std::function<bool(const NodeInfo &)> &MayCarry,
                         std::uint64_t Random, TimePoint Now) const {
-  struct Candidate {
-    bool IsElsewhere;
-    std::uint64_t Rank;
-    const NodeInfo *Node;
-  };
   std::vector<Candidate> Found;
   for (const auto &[Id, Node] : Known.nodes())
     if (Id != Me.Node && !this->Backoff.isBackedOff(Id, Now) && MayCarry(Node))
-      Found.push_back({Node.DataCentre != Me.DataCentre,
+      Found.push_back({this->isDenied(Node.DataCentre, Now),
+                       Node.DataCentre != Me.DataCentre,
                        mixHash(Random, hashText(Id.Text)), &Node});
-  std::size_t Count = std::min(Found.size(), MaxCandidates);
-  std::partial_sort(
-      Found.begin(), Found.begin() + static_cast<std::ptrdiff_t>(Count),
-      Found.end(), [](const Candidate &Left, const Candidate &Right) {
-        return std::pair(Left.IsElsewhere, Left.Rank) <
-               std::pair(Right.IsElsewhere, Right.Rank);
-      });
+  std::sort(Found.begin(), Found.end());
   std::vector<NodeInfo> Chosen;
-  for (std::size_t I = 0; I < Count; ++I)
-    Chosen.push_back(*Found[I].Node);
+  std::size_t Local = 0;
+  for (const Candidate &Next : Found) {
+    if (Chosen.size() == MaxCandidates)
+      break;
+    if (Next.IsElsewhere || ++Local <= MaxLocal)
+      Chosen.push_back(*Next.Node);
+  }
   return Chosen;
 }
 
--- a/tests/failure/cut_off_test.cpp
+++ b/tests/failure/cut_off_test.cpp
@@ -4,10 +4,12 @@
 
 // Guards against entries that refuse or keep their callers waiting while they
 // have no link to any target, although their neighbours have.
+#include "support/entry_config.h"
 #include "support/neighbours.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <future>
 #include <thread>
 
@@ -36,10 +38,10 @@
 /// Three entries before three plain targets, with a cut between entries and
 /// targets.
 struct CutOffFixture : Neighbours {
-  CutOffFixture()
+  explicit CutOffFixture(int Engines = 0)
       : Neighbours("revoke_bound_ms: 20000, drain_bound_ms: 1500, "
                    "config_bound_ms: 2000",
-                   NeighbourTargets{3, 0, true}) {}
+                   NeighbourTargets{3, Engines, true}) {}
 
   /// Each entry gets requests at a steady rate for \p Duration, whatever the
   /// others respond.
@@ -54,15 +56,13 @@
       Found[Node] = Calls.get();
     return Found;
   }
-  Reply ask(const std::string &Node, const std::string &Path) {
-    return this->Run.ask(
-        Node, {"POST",
-               Path,
-               "body",
-               {{"Host", "a.example"},
-                {"Authorization", "Bearer key-1"},
-                {"X-Request-Id", "c" + std::to_string(++this->RequestCount)},
-                {"X-Deadline-Ms", "3000"}}});
+  Reply ask(const std::string &Node, const std::string &Path,
+            std::map<std::string, std::string> Headers = {}) {
+    Headers["Host"] = "a.example";
+    Headers["Authorization"] = "Bearer key-1";
+    Headers["X-Request-Id"] = "c" + std::to_string(++this->RequestCount);
+    Headers["X-Deadline-Ms"] = "3000";
+    return this->Run.ask(Node, {"POST", Path, "body", Headers});
   }
   bool isCutOff(const std::string &Node) {
     std::string Log = this->Run.logOf(Node);
@@ -98,7 +98,6 @@
       CHECK(Calls.Served == Calls.Sent);
   }
 
-private:
   Seen callSteadily(const std::string &Node, milliseconds Duration) {
     std::vector<std::future<std::pair<int, milliseconds>>> Calls;
     auto End = steady_clock::now() + Duration;
@@ -124,6 +123,7 @@
     return Found;
   }
 
+private:
   std::atomic<int> RequestCount{0};
 };
 
@@ -155,6 +155,174 @@
   this->checkServedDuring({"n3"}, LinkFault::SilentRefuseNew);
 }
 
+// Guards against callers that wait although no entry reaches any target, and
+// against a node that still takes new connections then.
+TEST_CASE_METHOD(CutOffFixture,
+                 "cut off: all entries are: requests are refused at once and "
+                 "served again when it ends",
+                 "[failure]") {
+  for (const std::string &Node : Entries)
+    this->cutOff(Node, LinkFault::RefuseNew);
+  for (const std::string &Node : Entries)
+    this->cutOff(Node, LinkFault::Reset);
+  this->callAll(NoticeTime);
+  for (const auto &[Node, Calls] : this->callAll(milliseconds(1000))) {
+    CAPTURE(Node, Calls.OtherStatuses);
+    CHECK(Calls.Served == 0);
+    CHECK(Calls.Slowest < milliseconds(500));
+    CHECK(std::count(Calls.OtherStatuses.begin(), Calls.OtherStatuses.end(),
+                     503) == Calls.Sent);
+  }
+  for (const std::string &Node : Entries) {
+    CHECK_FALSE(this->isReady(Node));
+    CHECK(std::stod("0" + this->ask(Node, "/safe/x").RetryAfter) > 0.05);
+  }
+  for (const std::string &Node : Entries)
+    this->cutOff(Node, LinkFault::None);
+  CHECK(eventually(
+      [&] {
+        return std::all_of(Entries.begin(), Entries.end(),
+                           [&](const std::string &Node) {
+                             return this->isReady(Node) &&
+                                    this->ask(Node, "/safe/x").Status == 200;
+                           });
+      },
+      milliseconds(3000)));
+}
+
+// Guards against requests that wait for a neighbour that does not respond.
+TEST_CASE_METHOD(CutOffFixture,
+                 "cut off: a neighbour is frozen, then killed: the other one "
+                 "carries the requests",
+                 "[failure]") {
+  this->cutOff("n1", LinkFault::Silent);
+  this->callAll(NoticeTime);
+  REQUIRE(this->isCutOff("n1"));
+  auto CheckServed = [&] {
+    Seen Calls = this->callSteadily("n1", milliseconds(2000));
+    CAPTURE(Calls.OtherStatuses, Calls.Slowest.count());
+    CHECK(Calls.Served == Calls.Sent);
+    CHECK(Calls.Slowest < milliseconds(1500));
+  };
+  this->Run.node("n2").signal(SIGSTOP);
+  CheckServed();
+  this->Run.node("n2").signal(SIGCONT);
+  this->Run.killNode("n2");
+  CheckServed();
+}
+
+/// The same with two groups of engines.
+struct CutOffStreamsFixture : CutOffFixture {
+  CutOffStreamsFixture() : CutOffFixture(4) {
+    REQUIRE(eventually([&] { return this->stream("n1").Status == 200; }));
+    this->cutOff("n1", LinkFault::Silent);
+    REQUIRE(eventually(
+        [&] {
+          this->callAll(milliseconds(500));
+          return this->isCutOff("n1");
+        },
+        milliseconds(6000)));
+  }
+  Reply stream(const std::string &Node) {
+    std::map<std::string, std::string> Headers = {{"X-Model", "model"},
+                                                  {"X-Token-Count", "100,50"}};
+    return this->ask(Node, "/chat/x", Headers);
+  }
+  std::uint64_t sum(const std::string &Prefix, int Count,
+                    const std::string &Field) {
+    std::uint64_t Sum = 0;
+    for (int I = 1; I <= Count; ++I)
+      Sum += this->Run.atVm(Prefix + "-" + std::to_string(I), {.Path = "/runs"})
+                 .number(Field);
+    return Sum;
+  }
+};
+
+// Guards against a call that runs twice because it goes through two entries, or
+// that is reported as not run although it may have.
+TEST_CASE_METHOD(CutOffStreamsFixture,
+                 "cut off: calls that must not be repeated: each runs once, "
+                 "and is never said not to have run if it may have",
+                 "[failure]") {
+  std::uint64_t Before = this->sum("p", 3, "runs");
+  for (int I = 0; I < 20; ++I)
+    CHECK(this->ask("n1", "/once/x").Status == 200);
+  CHECK(this->sum("p", 3, "runs") - Before == 20);
+
+  for (const char *Vm : {"p-1", "p-2", "p-3"})
+    this->Run.vmFault(Vm, R"({"call":"hang"})");
+  auto Call = std::async(std::launch::async,
+                         [this] { return this->ask("n1", "/once/x"); });
+  REQUIRE(eventually([&] { return this->sum("p", 3, "runs") - Before == 21; }));
+  this->Run.killNode("n2");
+  this->Run.killNode("n3");
+  Reply Response = Call.get();
+  CAPTURE(Response.Status);
+  CHECK(Response.Status != 503);
+  CHECK(Response.Status != 429);
+  CHECK(this->sum("p", 3, "runs") - Before == 21);
+}
+
+// Guards against streams that are damaged on their way through another entry,
+// that are not resumed when it goes, and that run on after their caller left.
+TEST_CASE_METHOD(CutOffStreamsFixture,
+                 "cut off: streams: they are whole, also if the neighbour is "
+                 "killed, and a caller's leave reaches the target",
+                 "[failure]") {
+  for (int I = 0; I < 5; ++I)
+    CHECK(this->stream("n1").Body == wholeStream());
+  std::uint64_t Before = this->sum("e", 4, "left");
+  Reply Left = this->Run.ask("n1", {"POST",
+                                    "/chat/x",
+                                    "body",
+                                    {{"Host", "a.example"},
+                                     {"Authorization", "Bearer key-1"},
+                                     {"X-Request-Id", "leaves"},
+                                     {"X-Model", "model"},
+                                     {"X-Token-Count", "100,50"},
+                                     {"X-Deadline-Ms", "3000"}},
+                                    milliseconds(150)});
+  CHECK(Left.Cut);
+  CHECK(eventually([&] { return this->sum("e", 4, "left") > Before; },
+                   milliseconds(500)));
+
+  std::vector<std::future<Reply>> Streams;
+  for (int I = 0; I < 8; ++I)
+    Streams.push_back(
+        std::async(std::launch::async, [this] { return this->stream("n1"); }));
+  std::this_thread::sleep_for(milliseconds(150));
+  this->Run.killNode("n2");
+  for (auto &Stream : Streams)
+    CHECK(Stream.get().Body == wholeStream());
+}
+
+// Guards against a neighbour that goes on sending to a target which told it, in
+// a response to a request that it carried, that it leaves.
+TEST_CASE_METHOD(CutOffFixture,
+                 "cut off: a target states that it leaves in a response that a "
+                 "neighbour carried: the neighbour sends it nothing more",
+                 "[failure]") {
+  this->cutOff("n1", LinkFault::Silent);
+  this->callAll(NoticeTime);
+  REQUIRE(this->isCutOff("n1"));
+  this->Run.killNode("n3");
+  this->Run.vmFault("p-1", R"({"leaving":"yes"})");
+  REQUIRE(eventually([&] {
+    this->ask("n1", "/safe/x");
+    return this->Run.logOf("n2").find("\"target_leaves\"") != std::string::npos;
+  }));
+  auto Runs = [&] {
+    return this->Run.atVm("p-1", {.Path = "/runs"}).number("runs");
+  };
+  std::this_thread::sleep_for(milliseconds(300));
+  std::uint64_t Before = Runs();
+  for (int I = 0; I < 30; ++I) {
+    CHECK(this->ask("n1", "/safe/x").Status == 200);
+    CHECK(this->ask("n2", "/safe/x").Status == 200);
+  }
+  CHECK(Runs() == Before);
+}
+
 // Guards against a node that takes a short silence of sound targets for a cut,
 // and refuses or loses what they would have answered.
 TEST_CASE_METHOD(CutOffFixture,
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -32,13 +32,17 @@
 // --suspends also suspends entries' machines: their steady clocks exclude the
 // suspended time. All checks apply, including those of --restores.
 //
+// --cuts also cuts one entry at a time off from all targets, while callers, the
+// store and the other entry still reach it. All checks apply.
+//
 //   soak --seed=N --seconds=S [--seeds=K] [--restores] [--crashes] [--suspends]
-//   [--statements] runs K consecutive seeds
+//   [--statements] [--cuts] runs K consecutive seeds
 //
 // Exits with 0 if all checks pass. A failed run prints its seed and keeps its
 // logs.
 #include "support/cluster.h"
 #include "support/proxy.h"
+#include "support/socket_owners.h"
 
 #include <algorithm>
 #include <array>
@@ -66,6 +70,7 @@
 DEFINE_bool(statements, false,
             "let targets state limits, rests and that they leave");
 DEFINE_bool(suspends, false, "suspend the machines of entries");
+DEFINE_bool(cuts, false, "cut entries off from all targets");
 
 namespace waycove::test {
 
@@ -89,6 +94,11 @@
 constexpr std::uint64_t CrashSeedOffset = 2'000'000;
 constexpr std::uint64_t SuspendSeedOffset = 3'000'000;
 constexpr std::uint64_t StatementSeedOffset = 4'000'000;
+constexpr std::uint64_t CutSeedOffset = 5'000'000;
+/// How an entry's connections to targets behave in a cut.
+constexpr std::array CutFaults{LinkFault::Silent, LinkFault::Reset,
+                               LinkFault::RefuseNew,
+                               LinkFault::SilentRefuseNew};
 /// Requests per second that targets state, what they may get in a window of
 /// four seconds on top of one and a half times that, and for how long they
 /// state it.
@@ -176,11 +186,16 @@
       while (FLAGS_statements && !this->FaultsOver)
         this->stateSomething();
     });
+    std::thread Cuts([&] {
+      if (FLAGS_cuts)
+        this->cutRepeatedly();
+    });
     this->injectFaults();
     this->endFaults();
     this->FaultsOver = true;
     Operator.join();
     Statements.join();
+    Cuts.join();
     bool Recovered = eventually(
         [&] {
           this->restartCrashed();
@@ -236,7 +251,11 @@
 
   void addVm(const std::string &Id) {
     this->Vms.push_back(Id);
-    this->Links[Id] = std::make_unique<LoopbackProxy>(this->Run.vmPort(Id));
+    LoopbackProxy::ClientNames NameOf;
+    if (FLAGS_cuts)
+      NameOf = [this](std::uint16_t Port) { return this->Owners.nameOf(Port); };
+    this->Links[Id] =
+        std::make_unique<LoopbackProxy>(this->Run.vmPort(Id), NameOf);
     this->startVm(Id);
   }
 
@@ -259,6 +278,22 @@
         "', revoke_bound_ms: " + std::to_string(RevokeBound.count()) +
         ", grace_ms: 3000, lease_least_ms: 500, target_heartbeat_ms: 400}";
     this->Run.startNode(Node);
+    this->Owners.set(Node, this->Run.node(Node).id());
+  }
+
+  /// Cuts entries off from all targets, one after the other.
+  void cutRepeatedly() {
+    std::mt19937_64 Cuts(this->Seed + CutSeedOffset);
+    while (!this->FaultsOver) {
+      std::string Node = Cuts() % 2 ? "n1" : "n2";
+      LinkFault Fault = CutFaults[Cuts() % CutFaults.size()];
+      for (const std::string &Vm : this->Vms)
+        this->Links.at(Vm)->setFor(Node, Fault);
+      std::this_thread::sleep_for(milliseconds(500 + Cuts() % 4000));
+      for (const std::string &Vm : this->Vms)
+        this->Links.at(Vm)->setFor(Node, LinkFault::None);
+      std::this_thread::sleep_for(milliseconds(200 + Cuts() % 2000));
+    }
   }
 
   Reply call(const std::string &Node, const std::string &Path,
@@ -730,6 +765,8 @@
   std::mt19937_64 Random;
   /// Used by one thread.
   std::mt19937_64 StatementRandom{Seed + StatementSeedOffset};
+  /// Read by the threads of proxies.
+  SocketOwners Owners;
   Cluster Run;
   std::vector<std::string> Vms;
   std::map<std::string, std::unique_ptr<LoopbackProxy>> Links;
--- a/tests/support/entry_config.h
+++ b/tests/support/entry_config.h
@@ -33,4 +33,13 @@
          Key + R"("]}]})";
 }
 
+/// The body of a stream that no fault has cut.
+inline std::string wholeStream() {
+  std::string Text;
+  for (int I = 1; I <= StreamEvents; ++I)
+    Text += "id: " + std::to_string(I) + "\ndata: piece " + std::to_string(I) +
+            "\n\n";
+  return Text;
+}
+
 } // namespace waycove::test
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -72,13 +72,6 @@
     return this->Run.atVm(Vm, {.Path = "/runs"}).number("runs");
   }
   std::uint64_t plainRuns() { return this->runs("p-1") + this->runs("p-2"); }
-  static std::string wholeStream() {
-    std::string Text;
-    for (int I = 1; I <= StreamEvents; ++I)
-      Text += "id: " + std::to_string(I) + "\ndata: piece " +
-              std::to_string(I) + "\n\n";
-    return Text;
-  }
 
   Cluster Run;
 };
--- a/tests/support/neighbours.cpp
+++ b/tests/support/neighbours.cpp
@@ -7,10 +7,6 @@
 #include "support/entry_config.h"
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
-#include <iomanip>
-#include <iterator>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -33,25 +29,6 @@
          Key + R"("]}]})";
 }
 
-/// Inode of the socket that has the local port; empty if there is none.
-std::string socketInode(std::uint16_t Port) {
-  constexpr int InodeColumn = 9;
-  std::ostringstream Address;
-  Address << ":" << std::uppercase << std::hex << std::setw(4)
-          << std::setfill('0') << Port;
-  std::ifstream Table("/proc/net/tcp");
-  for (std::string Line; std::getline(Table, Line);) {
-    std::istringstream Words(Line);
-    std::vector<std::string> Columns{std::istream_iterator<std::string>(Words),
-                                     {}};
-    // Closed sockets that linger have the inode 0.
-    if (Columns.size() > InodeColumn && Columns[1].ends_with(Address.str()) &&
-        Columns[InodeColumn] != "0")
-      return Columns[InodeColumn];
-  }
-  return "";
-}
-
 } // namespace
 
 const std::vector<std::string> Neighbours::Entries = {"n1", "n2", "n3"};
@@ -61,10 +38,8 @@
     : Bounds(Bounds), HasEngines(Targets.Engines > 0) {
   this->Run.addVms("p", Targets.Plain, "a", "", "plain");
   this->Run.addVms("e", Targets.Engines, "a", "d");
-  for (const std::string &Node : Entries) {
+  for (const std::string &Node : Entries)
     this->Run.addNode(Node, "a");
-    this->Pids[Node] = 0;
-  }
   this->Run.startPlatform();
   this->publish(1, "key-1");
   this->startTargets("p", Targets.Plain, Targets.HasProxies);
@@ -88,7 +63,7 @@
     if (HasProxies) {
       this->TargetLinks[Vm] = std::make_unique<LoopbackProxy>(
           this->Run.vmPort(Vm),
-          [this](std::uint16_t Port) { return this->entryAt(Port); });
+          [this](std::uint16_t Port) { return this->Owners.nameOf(Port); });
       this->Run.TargetFlags.push_back(
           "--advertise=127.0.0.1:" +
           std::to_string(this->TargetLinks[Vm]->port()));
@@ -97,34 +72,17 @@
   }
 }
 
+bool Neighbours::isReady(const std::string &Node) {
+  return http(static_cast<std::uint16_t>(this->Run.peerPort(Node) + ReadyPorts),
+              {.Path = "/api/ready"})
+             .Status == 200;
+}
+
 void Neighbours::cutOff(const std::string &Node, LinkFault Fault) {
   for (const auto &[Vm, Link] : this->TargetLinks)
     Link->setFor(Node, Fault);
 }
 
-std::string Neighbours::entryAt(std::uint16_t Port) {
-  // A read of the socket table misses rows while others come and go.
-  constexpr int MaxReads = 10;
-  for (int I = 0; I < MaxReads; ++I)
-    if (std::string Inode = socketInode(Port); !Inode.empty())
-      if (std::string Node = this->ownerOf("socket:[" + Inode + "]");
-          !Node.empty())
-        return Node;
-  return "";
-}
-
-std::string Neighbours::ownerOf(const std::string &Socket) {
-  for (const std::string &Node : Entries) {
-    std::error_code Gone;
-    std::string Folder =
-        "/proc/" + std::to_string(this->Pids[Node].load()) + "/fd";
-    for (const auto &Row : std::filesystem::directory_iterator(Folder, Gone))
-      if (std::filesystem::read_symlink(Row.path(), Gone) == Socket)
-        return Node;
-  }
-  return "";
-}
-
 void Neighbours::start(const std::string &Node, bool First) {
   this->LogStart[Node] = this->Run.logOf(Node).size();
   this->Run.PlatformProxyPort = this->Links[Node]->port();
@@ -134,7 +92,7 @@
       this->Bounds + ", grace_ms: 4000" +
       (First ? ", first_start: true}" : "}");
   this->Run.startNode(Node);
-  this->Pids.at(Node) = this->Run.node(Node).id();
+  this->Owners.set(Node, this->Run.node(Node).id());
 }
 
 void Neighbours::restart(const std::string &Node) {
--- a/tests/support/neighbours.h
+++ b/tests/support/neighbours.h
@@ -6,8 +6,8 @@
 
 #include "support/cluster.h"
 #include "support/proxy.h"
+#include "support/socket_owners.h"
 
-#include <atomic>
 #include <memory>
 
 namespace waycove::test {
@@ -57,6 +57,8 @@
   /// Returns the number of store reads over all entries.
   std::uint64_t reads();
 
+  /// Whether the readiness check of the entry succeeds.
+  bool isReady(const std::string &Node);
   /// Injects a fault into all links between the entry and targets.
   void cutOff(const std::string &Node, LinkFault Fault);
   /// Removes the target from the registry; the target keeps serving.
@@ -73,15 +75,11 @@
   bool allKnown();
   void start(const std::string &Node, bool First);
   void startTargets(const std::string &Prefix, int Count, bool HasProxies);
-  /// The entry that has a connection from the local port; empty if none has.
-  std::string entryAt(std::uint16_t Port);
-  /// The entry that has the socket, as /proc names it, open.
-  std::string ownerOf(const std::string &Socket);
 
   const std::string Bounds;
   const bool HasEngines;
-  /// Process IDs of the entries; read by the threads of proxies.
-  std::map<std::string, std::atomic<pid_t>> Pids;
+  /// Read by the threads of proxies.
+  SocketOwners Owners;
   /// Log offset of the last start of each entry.
   std::map<std::string, std::size_t> LogStart;
 
--- a/tests/unit/crash_blame_test.cpp
+++ b/tests/unit/crash_blame_test.cpp
@@ -44,6 +44,25 @@
   CrashBlame Blame;
 };
 
+// Guards against a content that is blamed because this node lost its links to
+// all targets, and against evidence that is forgotten when it had not.
+TEST_CASE_METHOD(BlameFixture,
+                 "crash blame: connections lost in doubt: they count only if "
+                 "this node reaches targets",
+                 "[unit]") {
+  this->Blame.recordLost(Poison, target(1), at(0));
+  for (int Number : {2, 3, 4})
+    this->Blame.holdLost(Poison, target(Number), at(10 * Number));
+  CHECK(this->judge(Poison, 100) == Verdict::Allow);
+  this->Blame.dropLosses();
+  this->Blame.resolveLosses(neverSince, at(500));
+  CHECK(this->judge(Poison, 500) == Verdict::Allow);
+  for (int Number : {2, 3, 4})
+    this->Blame.holdLost(Poison, target(Number), at(600));
+  this->Blame.releaseHeldLosses();
+  CHECK(this->judge(Poison, 610) == Verdict::Refuse);
+}
+
 // A request was still sent after three targets had crashed under it.
 TEST_CASE_METHOD(BlameFixture,
                  "crash blame: three targets ended under it: refused",
