--- a/src/entry/carrier.h
+++ b/src/entry/carrier.h
@@ -9,6 +9,7 @@
 #include "entry/relay_log.h"
 #include "net/framing.h"
 
+#include <algorithm>
 #include <atomic>
 
 namespace waycove {
@@ -29,7 +30,9 @@
     Way Found;
     Found.Request = RequestId(Request.request);
     Found.MayRepeat = Request.repeatable;
-    Found.Until = SystemClock{}.now() + Millis(Request.deadline_ms) + EndGrace;
+    Found.Until = SystemClock{}.now() +
+                  Millis(std::min(Request.deadline_ms, MaxRemainingMs)) +
+                  EndGrace;
     WayStatus Status = this->open(Request, Found);
     if (this->sendHead(Peer, Status) && Status == WayStatus::Open)
       this->carry(Peer, Found);
@@ -43,6 +46,8 @@
   static constexpr Millis AckTimeout{300};
   /// The other node sends the request at once after the way is open.
   static constexpr Millis RequestTimeout{1000};
+  /// Upper bound on what the other node tells.
+  static constexpr std::uint64_t MaxRemainingMs = 600'000;
   /// The other node ends the request at its deadline.
   static constexpr Millis EndGrace{500};
   /// Silence of a target after which the way to it counts as lost, while this
