--- a/tests/failure/cut_off_test.cpp
+++ b/tests/failure/cut_off_test.cpp
@@ -286,8 +286,10 @@
   CHECK(eventually([&] { return this->sum("e", 4, "left") > Before; },
                    milliseconds(500)));
 
+  constexpr int Together = 8;
   std::vector<std::future<Reply>> Streams;
-  for (int I = 0; I < 8; ++I)
+  Streams.reserve(Together);
+  for (int I = 0; I < Together; ++I)
     Streams.push_back(
         std::async(std::launch::async, [this] { return this->stream("n1"); }));
   std::this_thread::sleep_for(milliseconds(150));
--- a/tests/failure/limited_test.cpp
+++ b/tests/failure/limited_test.cpp
@@ -160,6 +160,7 @@
   /// Asks for streams from many callers at a time until \p Until.
   void streamUntil(std::chrono::steady_clock::time_point Until) {
     std::vector<std::thread> Threads;
+    Threads.reserve(Callers);
     for (int Caller = 0; Caller < Callers; ++Caller)
       Threads.emplace_back([this, Caller, Until] {
         for (int I = 0; std::chrono::steady_clock::now() < Until; ++I)
--- a/tests/unit/target_rate_test.cpp
+++ b/tests/unit/target_rate_test.cpp
@@ -60,6 +60,7 @@
     Known[I % Day.Parts][Info.Node] = Info;
   }
   std::vector<NodeRankingRef> Parts;
+  Parts.reserve(Known.size());
   for (const NodeTable &Nodes : Known)
     Parts.push_back(std::make_shared<NodeRanking>(Nodes));
   return Parts;
