--- a/src/entry/target_connector.cpp
+++ b/src/entry/target_connector.cpp
@@ -21,7 +21,11 @@
     return ConnectOutcome::Connected;
   if (HasSearched || this->Board.ReachState == TargetReach::State::Sound)
     return ConnectOutcome::NoTarget;
-  return this->connectThroughNode(Ex, Attempt);
+  ConnectOutcome Found = this->connectThroughNode(Ex, Attempt);
+  // Before it is certain that this node is cut off, another target may do.
+  return Found == ConnectOutcome::NoWay && !this->Board.isCutOff()
+             ? ConnectOutcome::NoTarget
+             : Found;
 }
 
 bool TargetConnector::connectDirectly(const RelayExchange &Ex,
@@ -60,6 +64,7 @@
                                                    RelayAttempt &Attempt) {
   TimePoint Begin = SystemClock{}.now();
   TimePoint Until = std::min(Ex.Request.Deadline, Begin + SearchTimeout);
+  bool WasDeclined = false;
   for (const NodeInfo &Node : this->Policy.carriers(Ex.Request, Begin)) {
     TimePoint Now = SystemClock{}.now();
     if (Now >= Until)
@@ -76,6 +81,11 @@
       Attempt.Reason = "no connection through " + Node.Node.Text;
       return ConnectOutcome::NoTarget;
     }
+    WasDeclined |= Status == WayStatus::Declined;
+  }
+  if (WasDeclined) {
+    Attempt.Reason = "the target takes no request through other nodes";
+    return ConnectOutcome::Declined;
   }
   Attempt.Reason = "this node reaches no target, and no other node has a way";
   if (this->Board.isCutOff())
--- a/src/entry/target_connector.h
+++ b/src/entry/target_connector.h
@@ -15,6 +15,8 @@
   Connected,
   /// The target cannot be reached.
   NoTarget,
+  /// Other nodes offer a way, but the target wants nothing from them.
+  Declined,
   /// This node has lost its links to targets, and no other node offers a way
   /// to this one. That says nothing about the target.
   NoWay,
