Interfaces of admission by pools, and the design of what overload asks for

Cause: targets' queues stay full after a burst, since requests wait where no node can reorder, withdraw or refuse them. Design and headers only; nothing uses them yet.

No functional change

--- a/src/policy/centre_balance.h
+++ b/src/policy/centre_balance.h
@@ -5,23 +5,14 @@
 #pragma once
 
 #include "policy/fleet.h"
+#include "policy/pool_key.h"
 #include "policy/target_stats.h"
 
-#include <compare>
 #include <map>
 #include <vector>
 
 namespace waycove {
 
-/// Identifies targets that serve the same requests.
-struct PoolKey {
-  ServiceId Service;
-  /// Empty for plain services.
-  std::string Model;
-  // Defaulted by the compiler. NOLINTNEXTLINE
-  auto operator<=>(const PoolKey &) const = default;
-};
-
 /// Average requests in flight per target.
 struct CentreLoad {
   /// Average over the targets of this node's data centre.
