Say in a refusal why no group serves

"no target is serving" did not tell a group that is not ready from a controller that is not live or has no fresh state, so failures of two tests could not be traced. The message, which is also in the line of the refused request, now gives the reason for up to four groups. It names no node.

The text of that 503 gets longer; its status and kind stay.

--- a/src/board/board.cpp
+++ b/src/board/board.cpp
@@ -41,16 +41,27 @@
 }
 
 bool Board::isGroupServing(Fence Group, TimePoint Now) const {
+  return this->reasonNotServing(Group, Now).empty();
+}
+
+std::string Board::reasonNotServing(Fence Group, TimePoint Now) const {
   std::optional<GroupHealth> Reported = this->Health.read(
       [&](const HealthTable &Groups) { return Groups.find(Group); });
-  if (!Reported || !Reported->Ready)
-    return false;
+  if (!Reported)
+    return "its controller has not reported it yet";
+  if (!Reported->Ready)
+    return "its controller reported it as not ready";
   if (Reported->Owner == this->Self.Hash)
-    return this->hasFreshMemberState(Now);
-  return this->Peers.read([&](const PeerTable &Peers) {
+    return this->hasFreshMemberState(Now)
+               ? ""
+               : "this node has no fresh state of its members";
+  return this->Peers.read([&](const PeerTable &Peers) -> std::string {
     const Peer *Owner = Peers.find(Reported->Owner);
-    return Owner && Peers.isLive(Reported->Owner, Now) &&
-           Owner->has(MembersFresh);
+    if (!Owner || !Peers.isLive(Reported->Owner, Now))
+      return "its controller is not live";
+    return Owner->has(MembersFresh)
+               ? ""
+               : "its controller has no fresh state of its members";
   });
 }
 
--- a/src/board/board.h
+++ b/src/board/board.h
@@ -83,6 +83,8 @@
   /// Returns whether \p Group may be sent work: its controller is live, has
   /// fresh state of all members, and reports the group as ready.
   bool isGroupServing(Fence Group, TimePoint Now) const;
+  /// Why isGroupServing() is false; empty if it is true.
+  std::string reasonNotServing(Fence Group, TimePoint Now) const;
   /// Returns whether the controller of \p Group reported it as not ready.
   /// Unlike isGroupServing(), this does not require a live controller, so that
   /// requests in flight continue when only the controller is lost.
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -64,11 +64,29 @@
       Plan.View->Targets.begin(), Plan.View->Targets.end(),
       [&](const RouteTarget &Target) { return Target.allows(Plan.Wanted); });
   if (AnyAllowed || Plan.View->Targets.empty())
-    return makeError(ErrorKind::NoCapacity, "no target is serving",
+    return makeError(ErrorKind::NoCapacity,
+                     "no target is serving" + this->reasonsNotServing(Plan),
                      DefaultRetryAfter);
   return makeError(ErrorKind::NotAllowed, "the labels allow no target");
 }
 
+std::string Placement::reasonsNotServing(const RoutePlan &Plan) const {
+  constexpr std::size_t MaxGroups = 4;
+  std::string Text;
+  std::size_t Count = 0;
+  for (const RouteTarget &Target : Plan.View->Targets) {
+    if (Target.Group == Fence() || !Target.allows(Plan.Wanted))
+      continue;
+    if (++Count > MaxGroups)
+      break;
+    std::string Reason =
+        this->Tables.reasonNotServing(Target.Group, SystemClock{}.now());
+    Text += "; group " + std::to_string(Target.Group.Value) + ": " +
+            (Reason.empty() ? "a member leaves" : Reason);
+  }
+  return Text.empty() ? "; none is routed to" : Text;
+}
+
 std::vector<DataCentreId>
 Placement::otherDataCentres(const CallerRequest &Request,
                             const RoutePlan &Plan) const {
--- a/src/edge/placement.h
+++ b/src/edge/placement.h
@@ -44,6 +44,8 @@
                                      std::uint64_t Random) const;
 
 private:
+  /// Why the groups of the plan do not serve, for the message of an error.
+  std::string reasonsNotServing(const RoutePlan &Plan) const;
   std::vector<DataCentreId>
   candidateDataCentres(const CallerRequest &Request) const;
 
