Send a heartbeat on each new link between daemons at once

A daemon knows a peer by its first row on a new link, but counts it as live only after a heartbeat. That was sent at the next interval (500 ms), or when the flags of the sender changed, while the health of its groups was sent at once. So after a link that opened late, groups that its controller took over or reported did not serve at the other end until then. Seen in "stop: a second signal" beside load: 88 ms after n3 had joined, n2 refused a request, "group 5: its controller is not live; group 6: its controller is not live".

--- a/src/control/peers.cpp
+++ b/src/control/peers.cpp
@@ -195,14 +195,23 @@
   // Peers interpret this daemon's rows by its flags, so a change of flags is
   // sent along with the rows.
   WithHeartbeat |= this->ownFlags() != this->SentFlags;
+  // So is a heartbeat on a new link: to a peer that has none, this daemon is
+  // not live, and the groups that it reports as ready do not serve. The next
+  // regular one may be a whole interval away.
+  std::vector<LinkRef> Open = this->openLinks();
+  WithHeartbeat |= std::any_of(Open.begin(), Open.end(), [](const LinkRef &To) {
+    return !To->HasHeartbeat;
+  });
   std::optional<wire::Heartbeat> Own;
   if (WithHeartbeat)
     Own = this->ownHeartbeat();
-  for (const LinkRef &PeerLink : this->openLinks()) {
+  for (const LinkRef &PeerLink : Open) {
     std::uint64_t UpTo = this->Tables.Changes.load();
     wire::GossipT News = this->gossipFor(*PeerLink, Now);
-    if (Own)
+    if (Own) {
       News.heartbeats.push_back(*Own);
+      PeerLink->HasHeartbeat = true;
+    }
     if (PeerLink->Centre == this->Tables.Self.DataCentre)
       this->Tables.Vms.read([&](const VmTable &Vms) {
         for (const auto &[Vm, Entry] : Vms.leavingNotices())
--- a/src/control/peers.h
+++ b/src/control/peers.h
@@ -56,6 +56,8 @@
     std::atomic<bool> Open{true};
     /// Count of the newest change that was sent.
     std::uint64_t SentUpTo = 0;
+    /// A heartbeat of this daemon was sent on it.
+    bool HasHeartbeat = false;
     /// When records were last requested.
     TimePoint RequestedAt;
     /// Guards KnownSequences.
