--- a/tests/failure/groups_test.cpp
+++ b/tests/failure/groups_test.cpp
@@ -280,4 +280,37 @@
   checkGroups(this->Run, "n2");
 }
 
+/// Two daemons whose regular heartbeats are rarer than the test is long.
+struct RareHeartbeatsCluster {
+  RareHeartbeatsCluster() {
+    this->Run.ExtraSettings = "heartbeat_ms: 10000";
+    this->Run.addVms("d1", 2, "a", "d1");
+    this->Run.addNode("n1", "a");
+    this->Run.addNode("n2", "a");
+    this->Run.start();
+  }
+  /// Whether \p Node knows \p Other and counts it as live.
+  bool isLiveAt(const std::string &Node, const std::string &Other) {
+    auto Rows = this->Run.status(Node)->getArray("peers");
+    for (unsigned I = 0; !Rows.isNull() && I < Rows->size(); ++I)
+      if (JsonObject Row = Rows->getObject(I); textAt(Row, "node") == Other)
+        return flagAt(Row, "live", false);
+    return false;
+  }
+
+  Cluster Run;
+};
+
+// Guards against groups that do not serve at a daemon after a new link, because
+// their controller is known there but its next heartbeat is yet to come.
+TEST_CASE_METHOD(RareHeartbeatsCluster,
+                 "groups: a daemon starts again: its peer is live there before "
+                 "the next regular heartbeat",
+                 "[process]") {
+  this->Run.killNode("n1");
+  this->Run.startNode("n1");
+  CHECK(eventually([&] { return this->isLiveAt("n1", "n2"); },
+                   std::chrono::milliseconds(4000)));
+}
+
 } // namespace waycove::test
