Write the last line of a stop after the log

The line that says how many requests were cut was written in pieces while the thread of the log still wrote, so that a line of the log could stand inside it: {"name":"daemon_stopped","cut":{"clock":... Readers of the log did not find the number. The log is now ended first.

The order of two log outputs changes.

--- a/src/main/waycoved.cpp
+++ b/src/main/waycoved.cpp
@@ -151,8 +151,10 @@
   std::uint32_t Interrupted = Process.inFlight();
   if (Interrupted == 0)
     return 0;
-  std::cerr << "{\"name\":\"daemon_stopped\",\"cut\":" << Interrupted << "}\n";
+  // After the log's own thread has written all lines, which would mix with this
+  // one.
   stopLogging();
+  std::cerr << "{\"name\":\"daemon_stopped\",\"cut\":" << Interrupted << "}\n";
   std::_Exit(ExitInterrupted);
 }
 
