Keep a group ready against an older report of another controller

While links between daemons are new, two of them may control a slot. One publishes a group as ready; the other, which asked a member before that, publishes by this report that the group is not ready ("reports group 0", "loading"), 4 to 14 ms later, and the group stops serving until the next poll. A report now contradicts another daemon only if it was asked for after that one published; the clock of the daemons, by which health rows are ordered, says so.

--- a/src/control/engine_control.h
+++ b/src/control/engine_control.h
@@ -30,6 +30,8 @@
   std::uint64_t Running = 0;
   /// Number of requests that wait at the VM.
   double Queue = 0;
+  /// The clock of the daemons when the VM was asked. Set by the asker.
+  std::uint64_t AskedAt = 0;
 };
 
 /// Interface of the group controller to the model engines on VMs, in the daemon
--- a/src/control/group_controller.h
+++ b/src/control/group_controller.h
@@ -145,7 +145,10 @@
       if (!Address || !this->Reports.beginPoll(Vm, Now))
         continue;
       this->Polls.post([this, Vm, At = *Address] {
+        std::uint64_t AskedAt = this->Tables.Clock.tick(SystemClock{}.wall());
         absl::StatusOr<MemberReport> Report = this->Targets.report(At);
+        if (Report.ok())
+          Report->AskedAt = AskedAt;
         this->Reports.endPoll(Vm, Report, SystemClock{}.now());
         if (Report.ok()) {
           this->Tables.Load.write([&](LoadTable &Load) {
@@ -192,6 +195,12 @@
     // members have reported to it.
     if (!IsPublisher && !Readiness.Ready && Readiness.Reason == "no report yet")
       return;
+    // Nor does it contradict another daemon by a report that it asked for
+    // before that one published: while a group loads, two daemons may both
+    // control it, and the earlier report would stop a group that serves.
+    if (!IsPublisher && Old && Old->Ready && Readiness.AskedAt &&
+        *Readiness.AskedAt < Old->Version)
+      return;
     GroupHealth Row{this->Tables.Clock.tick(SystemClock{}.wall()),
                     this->Tables.Self.Hash, Readiness.Ready, ChangeMark()};
     this->Tables.Health.write([&](HealthTable &Rows) {
--- a/src/control/member_reports.cpp
+++ b/src/control/member_reports.cpp
@@ -72,9 +72,10 @@
       return {false, Vm, "silent"};
     if (Row->Report.Group != Formed.Id)
       return {false, Vm,
-              "reports group " + std::to_string(Row->Report.Group.Value)};
+              "reports group " + std::to_string(Row->Report.Group.Value),
+              Row->Report.AskedAt};
     if (!Row->Report.Loaded)
-      return {false, Vm, "loading"};
+      return {false, Vm, "loading", Row->Report.AskedAt};
   }
   return {true, VmId(), ""};
 }
--- a/src/control/member_reports.h
+++ b/src/control/member_reports.h
@@ -8,6 +8,7 @@
 #include "board/board.h"
 #include "control/engine_control.h"
 
+#include <optional>
 #include <set>
 
 namespace waycove {
@@ -29,6 +30,8 @@
   bool Ready = false;
   VmId Member;
   std::string Reason;
+  /// MemberReport::AskedAt of the report that says so; unset if none does.
+  std::optional<std::uint64_t> AskedAt{};
 };
 
 /// Keeps the reports of group members that the caller polls. Does no I/O
