--- a/tools/variants.py
+++ b/tools/variants.py
@@ -52,18 +52,49 @@
             for seed in seeds_of(options.seeds)}
 
 
+def complete(keys, runs):
+    """Those runs for which all variants have a result."""
+    return [key for key in keys
+            if all(rows[key][0] is not None for rows in runs.values())]
+
+
+def mean_worth(keys, rows):
+    return statistics.mean(rows[key][0] for key in keys) if keys else 0.0
+
+
+def difference(keys, first, other):
+    """The mean difference of another variant from the first one on the same
+    runs, and its standard error; None if there are too few runs for it."""
+    gaps = [other[key][0] - first[key][0] for key in keys]
+    error = (statistics.stdev(gaps) / math.sqrt(len(gaps))
+             if len(gaps) > 1 else None)
+    return statistics.mean(gaps) if gaps else 0.0, error
+
+
+def report_failures(runs):
+    """Prints broken rules and runs without a result; returns whether any."""
+    bad = False
+    for name, rows in runs.items():
+        for key, (worth, _, broken) in rows.items():
+            *which, seed = key
+            title = f"{name} {' '.join(which)} seed {seed}"
+            for line in broken:
+                print(f"{title}: {line}")
+            if worth is None:
+                print(f"{title}: no result")
+            bad = bad or bool(broken) or worth is None
+    return bad
+
+
 def row_of(title, keys, runs, first):
     """One line of the table, over the runs that all variants have."""
-    keys = [key for key in keys
-            if all(rows[key][0] is not None for rows in runs.values())]
+    keys = complete(keys, runs)
     cells = [f"{title:12}"]
     for name, rows in runs.items():
-        mean = statistics.mean(rows[key][0] for key in keys) if keys else 0.0
-        cell = f"{mean:.3f}"
-        if name != first and len(keys) > 1:
-            gaps = [rows[key][0] - runs[first][key][0] for key in keys]
-            error = statistics.stdev(gaps) / math.sqrt(len(gaps))
-            cell += f" ({statistics.mean(gaps):+.3f} +- {error:.3f})"
+        cell = f"{mean_worth(keys, rows):.3f}"
+        mean, error = difference(keys, runs[first], rows)
+        if name != first and error is not None:
+            cell += f" ({mean:+.3f} +- {error:.3f})"
         cells.append(f"{cell:26}")
     return " ".join(cells).rstrip()
 
@@ -121,14 +152,7 @@
     for day in options.days.split(","):
         print(row_of(day, [key for key in keys if key[0] == day], runs, first))
     print(row_of("all", keys, runs, first))
-    bad = False
-    for name, rows in runs.items():
-        for (day, seed), (worth, _, broken) in rows.items():
-            for line in broken:
-                print(f"{name} {day} seed {seed}: {line}")
-            if worth is None:
-                print(f"{name} {day} seed {seed}: no result")
-            bad = bad or broken or worth is None
+    bad = report_failures(runs)
     if options.plot:
         draw(options.plot, runs)
     sys.exit(1 if bad else 0)
