--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -234,6 +234,12 @@
        "before: some requests are sent to other data centres."},
       {CentreEased, Info, "centre_eased",
        "Nearly all requests stay in this data centre again."},
+      {PoolOverloaded, Warning, "pool_overloaded",
+       "More requests arrive than the targets of a pool can run at once: they "
+       "wait at the nodes, and those that cannot be served in time are "
+       "refused."},
+      {PoolRelieved, Info, "pool_relieved",
+       "The targets of a pool can run all requests again."},
       {ServingChanged, Info, "serving_changed",
        "The set of targets that serve requests has changed."},
       {DomainsOwned, Info, "domains_owned",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -71,6 +71,8 @@
   EntryHeld = 229,
   EvacuationBegun = 230,
   EvacuationEnded = 231,
+  PoolOverloaded = 232,
+  PoolRelieved = 233,
   DomainsOwned = 310,
   DomainOrder = 311,
   DomainOrderEnded = 312,
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -16,24 +16,32 @@
 constexpr double MaxSeconds = 100;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Counter::Count)>
-    CounterNames{"requests_done",      "requests_refused", "requests_cut",
-                 "attempts",           "retries",          "resumes",
-                 "tokens_out",         "forwards",         "claims_bound",
-                 "appends_sent",       "records_folded",   "records_refused",
-                 "peer_bytes_in",      "peer_bytes_out",   "platform_bytes_in",
-                 "platform_bytes_out", "health_bytes_in",  "health_bytes_out",
-                 "target_bytes_in",    "target_bytes_out", "groups_formed",
-                 "affinity_hits",      "affinity_misses",  "configs_applied",
-                 "orders_sent",        "orders_failed",    "targets_suspected"};
+    CounterNames{
+        "requests_done",      "requests_refused", "requests_cut",
+        "attempts",           "retries",          "resumes",
+        "tokens_out",         "forwards",         "claims_bound",
+        "appends_sent",       "records_folded",   "records_refused",
+        "peer_bytes_in",      "peer_bytes_out",   "platform_bytes_in",
+        "platform_bytes_out", "health_bytes_in",  "health_bytes_out",
+        "target_bytes_in",    "target_bytes_out", "groups_formed",
+        "affinity_hits",      "affinity_misses",  "configs_applied",
+        "orders_sent",        "orders_failed",    "targets_suspected",
+        "requests_queued",    "first_attempts",   "first_attempts_rejected"};
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Count)>
+    GaugeNames{"requests_waiting", "places", "report_age_ms"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Timer::Count)>
-    TimerNames{"first_token_seconds",  "between_tokens_seconds",
-               "whole_answer_seconds", "queue_wait_seconds",
-               "route_seconds",        "registry_age_seconds"};
+    TimerNames{"first_token_seconds",    "between_tokens_seconds",
+               "whole_answer_seconds",   "queue_wait_seconds",
+               "predicted_wait_seconds", "route_seconds",
+               "registry_age_seconds"};
 
 } // namespace
 
 Metrics::Metrics() {
+  for (auto &Value : this->Gauges)
+    Value = UnsetGauge;
   for (std::size_t I = 0; I < TimerNames.size(); ++I)
     this->Timers.push_back({boost::histogram::make_histogram(
                                 Axis(Buckets, MinSeconds, MaxSeconds)),
@@ -54,7 +62,11 @@
   for (std::size_t I = 0; I < CounterNames.size(); ++I)
     Out << "# TYPE waycove_" << CounterNames[I] << "_total counter\nwaycove_"
         << CounterNames[I] << "_total " << this->Counters[I].load() << "\n";
-  Out << this->Calls.text();
+  for (std::size_t I = 0; I < GaugeNames.size(); ++I)
+    if (std::int64_t Value = this->Gauges[I].load(); Value != UnsetGauge)
+      Out << "# TYPE waycove_" << GaugeNames[I] << " gauge\nwaycove_"
+          << GaugeNames[I] << " " << Value << "\n";
+  Out << this->Calls.text() << this->Refusals.text();
   std::lock_guard Lock(this->Mutex);
   for (std::size_t I = 0; I < TimerNames.size(); ++I) {
     const Series &Data = this->Timers[I];
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -9,6 +9,7 @@
 #include "base/settings.h"
 #include "board/feed_cache.h"
 #include "board/table.h"
+#include "policy/caller_timeouts.h"
 #include "policy/centre_balance.h"
 #include "policy/choice.h"
 #include "policy/crash_blame.h"
@@ -16,6 +17,7 @@
 #include "policy/join_table.h"
 #include "policy/lease.h"
 #include "policy/partition_membership.h"
+#include "policy/pool_admission.h"
 #include "policy/retry_limiter.h"
 #include "policy/stated_pauses.h"
 #include "policy/target_rate.h"
@@ -76,6 +78,10 @@
   /// Targets that want no requests of this node.
   Table<StatedPauses, LockRank::Load> TargetPauses;
   Table<TargetRateLimiter, LockRank::Views> TargetRates;
+  /// How long callers say that they wait.
+  Table<CallerTimeouts, LockRank::Idempotency> Timeouts;
+  /// Requests of this node that need a place at a target, by pool.
+  Table<PoolAdmission, LockRank::Load> Admission;
   /// Requests that crash their targets, as known to all nodes.
   Table<CrashBlame, LockRank::Idempotency> Crashes;
   /// Demand for each model at this node, weighted towards recent requests.
@@ -123,6 +129,9 @@
   std::atomic<bool> ReachHasFailures{false};
   /// Called when ReachState becomes InDoubt; set before requests are served.
   std::function<void()> OnReachDoubt;
+  /// Called when the limits of Admission may have changed; set before requests
+  /// are served.
+  std::function<void()> OnPlacesChanged;
   /// Holds while this node has lost its links to targets and no other node
   /// offers a way.
   Lease NoWayLease;
--- a/src/control/shared_observations.cpp
+++ b/src/control/shared_observations.cpp
@@ -12,11 +12,13 @@
                                const NodeInfo &Receiver, TimePoint Now) const {
   TargetLoads Own = this->ownLoads(Now);
   DemandTable OwnDemand = this->ownDemand();
+  PoolReports OwnPools = this->ownPools(Now);
   if (Receiver.DataCentre == this->Board.Config.DataCentre)
     Request.renewals = this->renewals(Now);
   std::lock_guard Lock(this->Mutex);
   Request.loads = packLoads(this->Loads.sumForUpstream(Own, Now));
   Request.demand = packDemand(this->Demand.sumForUpstream(OwnDemand, Now));
+  Request.pools = packPools(this->Pools.sumForUpstream(OwnPools, Now));
   auto Received = this->CrashesReceivedAt.find(Receiver.Node);
   Request.all_crashes = Received == this->CrashesReceivedAt.end() ||
                         Now - Received->second >= CrashBlame::ReportDuration;
@@ -38,16 +40,24 @@
   Response.limits = packLimits(this->limits(Request.all_crashes, Now), Now);
   TargetLoads Own = this->ownLoads(Now);
   DemandTable OwnDemand = this->ownDemand();
+  PoolReports OwnPools = this->ownPools(Now);
+  PoolReports Pools = this->readPools(Request.pools, From);
   std::lock_guard Lock(this->Mutex);
+  this->LoadsReceivedAt = Now;
+  if (!Pools.empty())
+    this->PoolsReceivedAt = Now;
   if (SameCentre) {
     this->Loads.addReport(From, unpackLoads(Request.loads), Now);
     this->Demand.addReport(From, unpackDemand(Request.demand), Now);
+    this->Pools.addReport(From, std::move(Pools), Now);
   } else {
     this->Loads.addCentreReport(From, unpackLoads(Request.loads), Now);
     this->Demand.addCentreReport(From, unpackDemand(Request.demand), Now);
+    this->Pools.addCentreReport(From, std::move(Pools), Now);
   }
   Response.loads = packLoads(this->Loads.sumForReader(Own, From, Now));
   Response.demand = packDemand(this->Demand.sumForReader(OwnDemand, From, Now));
+  Response.pools = packPools(this->Pools.sumForReader(OwnPools, From, Now));
 }
 
 void SharedObservations::apply(const wire::NewsT &Response, const NodeId &From,
@@ -55,7 +65,11 @@
   this->applyRenewals(Response.renewals, SentAt);
   this->applyCrashes(Response.crashes, Now);
   this->applyLimits(Response.limits, From, SentAt, Now);
+  PoolReports Pools = this->readPools(Response.pools, From);
   std::lock_guard Lock(this->Mutex);
+  this->LoadsReceivedAt = Now;
+  if (!Pools.empty())
+    this->PoolsReceivedAt = Now;
   // Changes after the response was made come with the next one.
   this->CrashesReceivedAt[From] = SentAt;
   std::erase_if(this->CrashesReceivedAt, [&](const auto &Row) {
@@ -63,6 +77,7 @@
   });
   this->Loads.setUpstreamReport(unpackLoads(Response.loads), Now);
   this->Demand.setUpstreamReport(unpackDemand(Response.demand), Now);
+  this->Pools.setUpstreamReport(std::move(Pools), Now);
 }
 
 TargetLoads SharedObservations::ownLoads(TimePoint Now) const {
@@ -78,10 +93,17 @@
   this->updateBlame(Now);
   TargetLoads Others;
   DemandTable OthersDemand;
+  PoolReports OthersPools;
+  std::optional<TimePoint> OthersPoolsAt;
   {
     std::lock_guard Lock(this->Mutex);
     Others = this->Loads.sumOfOthers(Now);
     OthersDemand = this->Demand.sumOfOthers(Now);
+    OthersPools = this->Pools.sumOfOthers(Now);
+    OthersPoolsAt = this->PoolsReceivedAt;
+    if (this->LoadsReceivedAt)
+      this->Board.Counters.set(Gauge::ReportAgeMs,
+                               (Now - *this->LoadsReceivedAt) / Millis(1));
   }
   this->Board.RemoteDemand.write(
       [&](DemandTable &Rows) { Rows = std::move(OthersDemand); });
@@ -101,6 +123,92 @@
                          LogFields()
                              .add("model", Row.Pool.Model)
                              .add("stay", Row.LocalFraction));
+  this->updateAdmission(OthersPools, OthersPoolsAt, Now);
+}
+
+PoolReports SharedObservations::ownPools(TimePoint Now) const {
+  return this->Board.Admission.read(
+      [&](const PoolAdmission &Rows) { return Rows.reports(Now); });
+}
+
+PoolReports SharedObservations::readPools(
+    const std::vector<std::unique_ptr<wire::PoolRowT>> &Rows,
+    const NodeId &From) const {
+  PoolReports Pools;
+  if (absl::Status Read = unpackPools(Rows, Pools); !Read.ok())
+    this->Board.Log.emit(EventCode::NewsRefused, From.Text,
+                         LogFields().add("reason", messageOf(Read)));
+  return Pools;
+}
+
+/// Sets how many requests of this node may hold a place in each pool.
+void SharedObservations::updateAdmission(const PoolReports &Others,
+                                         std::optional<TimePoint> OthersAt,
+                                         TimePoint Now) {
+  // Requests that hang on this node's lost links must not keep those that other
+  // nodes would carry from being sent.
+  if (this->Board.ReachState != TargetReach::State::Sound)
+    return this->applyPoolLoads({});
+  ServingViewRef View =
+      this->Board.Serving.read([](const ServingViewRef &Row) { return Row; });
+  PoolReports Own = this->ownPools(Now);
+  std::set<VmId> Limited = this->limitedTargets(*View);
+  NodeRankingRef Nodes = this->Board.nodes();
+  PoolLoads Loads =
+      this->Board.TargetStats.read([&](const TargetStatsTable &Stats) {
+        return foldPoolLoads({*View, Stats, Own, Others, OthersAt,
+                              Nodes->nodes().size(),
+                              Nodes->indexOf(this->Board.Config.Node),
+                              [&](const ServingTarget &To) {
+                                return Limited.contains(To.Target->Id);
+                              }},
+                             Now);
+      });
+  this->applyPoolLoads(std::move(Loads));
+}
+
+void SharedObservations::applyPoolLoads(PoolLoads Loads) {
+  auto Changes = this->Board.Admission.write([&](PoolAdmission &Rows) {
+    auto Found = Rows.update(std::move(Loads));
+    this->Board.Counters.set(Gauge::Places,
+                             static_cast<std::int64_t>(Rows.places()));
+    return Found;
+  });
+  for (const OverloadMonitor::Change &Row : Changes)
+    this->logOverload(Row);
+  if (this->Board.OnPlacesChanged)
+    this->Board.OnPlacesChanged();
+}
+
+std::set<VmId>
+SharedObservations::limitedTargets(const ServingView &View) const {
+  return this->Board.TargetLimits.read([&](const StatedLimits &Known) {
+    std::set<VmId> Limited;
+    if (!Known.any())
+      return Limited;
+    for (const auto &[Service, Targets] : View.ByService)
+      for (const ServingTarget &To : Targets)
+        if (Known.of(hashOf(To.Target->incarnation())))
+          Limited.insert(To.Target->Id);
+    return Limited;
+  });
+}
+
+void SharedObservations::logOverload(
+    const OverloadMonitor::Change &Change) const {
+  const PoolLoad &Load = Change.Load;
+  LogFields Fields;
+  Fields.add("model", Change.Pool.Model)
+      .add("places", Load.Places)
+      .add("in_flight", Load.Own.InFlight + Load.Others.InFlight)
+      .add("waiting", Load.Own.Waiting + Load.Others.Waiting)
+      .add("share", arrivalShare(Load))
+      .add("first_byte_ms", Load.FirstByteMs);
+  if (Load.ReportAge)
+    Fields.add("report_age_ms", *Load.ReportAge);
+  this->Board.Log.emit(Change.IsOverloaded ? EventCode::PoolOverloaded
+                                           : EventCode::PoolRelieved,
+                       Change.Pool.Service.Text, Fields);
 }
 
 CrashEvidenceMap SharedObservations::crashes(bool All, TimePoint Now) const {
--- a/src/control/shared_observations.h
+++ b/src/control/shared_observations.h
@@ -42,6 +42,17 @@
   void applyCrashes(const std::vector<std::unique_ptr<wire::CrashRowT>> &Rows,
                     TimePoint Now);
   void updateBlame(TimePoint Now);
+  PoolReports ownPools(TimePoint Now) const;
+  PoolReports
+  readPools(const std::vector<std::unique_ptr<wire::PoolRowT>> &Rows,
+            const NodeId &From) const;
+  void updateAdmission(const PoolReports &Others,
+                       std::optional<TimePoint> OthersAt, TimePoint Now);
+  /// Sets the limits by \p Loads and logs which pools became overloaded or were
+  /// relieved.
+  void applyPoolLoads(PoolLoads Loads);
+  std::set<VmId> limitedTargets(const ServingView &View) const;
+  void logOverload(const OverloadMonitor::Change &Change) const;
   LimitReports limits(bool All, TimePoint Now) const;
   void applyLimits(const std::vector<wire::LimitRow> &Rows, const NodeId &From,
                    TimePoint SentAt, TimePoint Now);
@@ -53,6 +64,11 @@
   mutable std::mutex Mutex;
   TargetLoadReports Loads;
   ReportAggregator<DemandTable> Demand;
+  ReportAggregator<PoolReports> Pools;
+  /// When the newest report about targets' loads was received.
+  std::optional<TimePoint> LoadsReceivedAt;
+  /// When the newest report about pools was received.
+  std::optional<TimePoint> PoolsReceivedAt;
   /// When the last request was sent to each upstream node that responded with
   /// its crashes.
   std::map<NodeId, TimePoint> CrashesReceivedAt;
--- /dev/null
+++ b/src/entry/attempt_runner.h
@@ -0,0 +1,167 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "entry/crash_guard.h"
+#include "entry/response_forwarder.h"
+#include "entry/target_connector.h"
+#include "entry/target_selector.h"
+#include "policy/urgency.h"
+
+namespace waycove {
+
+/// Makes single attempts of requests at selected targets: connects, sends the
+/// request, has the response forwarded, and records what the attempt shows of
+/// the target. Thread-safe.
+template <CallerProtocol Protocol> class AttemptRunner {
+public:
+  AttemptRunner(EntryBoard &Board, RelayLog &Log, TargetSelector &Selector,
+                CrashGuard &Crashes, TargetConnector &Connector,
+                ResponseForwarder<Protocol> &Forwarder)
+      : Board(Board), Log(Log), Selector(Selector), Crashes(Crashes),
+        Connector(Connector), Forwarder(Forwarder), Monitor(Board) {}
+
+  /// Sends the request to \p Selected, which was selected at \p SelectedAt, and
+  /// forwards the response. Returns how the attempt ends.
+  AttemptOutcome run(RelayExchange &Ex, SelectedTarget &Selected,
+                     TimePoint SelectedAt) {
+    RelayAttempt Attempt;
+    Attempt.To = Selected.To;
+    Ex.Progress.Tried.push_back(Selected.To.Target->Id);
+    if (!this->connect(Ex, Attempt) ||
+        !this->confirm(Ex, Attempt, Selected, SelectedAt))
+      return this->endAttempt(Ex, Attempt, AttemptOutcome::NotSent);
+    this->recordStart(Ex, Attempt);
+    AttemptOutcome End = this->exchange(Ex, Attempt);
+    this->recordEnd(Ex, Attempt, End);
+    // Bytes that were not delivered must not reach the target later, when it
+    // may have left the registry. Only a reset discards them.
+    if (End != AttemptOutcome::Done && Attempt.Connection)
+      Attempt.Connection->abort();
+    return this->endAttempt(Ex, Attempt, End);
+  }
+
+private:
+  /// A target selection that is older is made again before the request is
+  /// sent.
+  static constexpr Millis MaxSelectionAge{250};
+  /// An unreachable target is avoided for about as long as the registry needs
+  /// to remove it.
+  static constexpr Millis UnreachableDuration{3000};
+
+  /// Opens a connection to the target. Returns false if there is none.
+  bool connect(RelayExchange &Ex, RelayAttempt &Attempt) {
+    ConnectOutcome Connection = this->Connector.connect(Ex, Attempt);
+    Ex.Progress.HasNoWay = Connection == ConnectOutcome::NoWay;
+    if (Connection == ConnectOutcome::NoTarget)
+      this->Log.suspectTarget(Attempt.To.Target->incarnation(),
+                              UnreachableDuration, Attempt.Reason,
+                              Ex.Request.Info.Id);
+    return Connection == ConnectOutcome::Connected;
+  }
+
+  /// Returns whether the request may still be sent. The target may have left,
+  /// or asked for fewer requests, since it was selected; it stays eligible.
+  bool confirm(RelayExchange &Ex, RelayAttempt &Attempt,
+               SelectedTarget &Selected, TimePoint SelectedAt) {
+    Attempt.SentAt = SystemClock{}.now();
+    if (Attempt.SentAt - SelectedAt > MaxSelectionAge)
+      Attempt.Reason = "this machine stood still";
+    else if (!this->Selector.confirm(Ex.Request, Selected, Attempt.SentAt))
+      Attempt.Reason = "the target takes no request by now";
+    if (Attempt.Reason.empty())
+      return true;
+    Ex.Progress.Tried.pop_back();
+    return false;
+  }
+
+  void recordStart(const RelayExchange &Ex, RelayAttempt &Attempt) {
+    Attempt.LastByte = Attempt.SentAt;
+    this->Board.TargetStats.write([&](TargetStatsTable &Stats) {
+      Stats.onStart(Attempt.To.Target->incarnation(),
+                    static_cast<double>(Ex.Request.Info.PromptTokens),
+                    Attempt.SentAt);
+    });
+  }
+
+  /// Records what the attempt has shown of the target and of the request.
+  void recordEnd(const RelayExchange &Ex, const RelayAttempt &Attempt,
+                 AttemptOutcome End) {
+    const VmIncarnation Target = Attempt.To.Target->incarnation();
+    this->recordReach(Attempt);
+    this->Crashes.recordOutcome(Ex.Request, Attempt, End, SystemClock{}.now());
+    this->Board.TargetStats.write([&](TargetStatsTable &Stats) {
+      Stats.onEnd(Target, Attempt.SentAt, Attempt.FirstByteSeen,
+                  static_cast<double>(Ex.Request.Info.PromptTokens));
+      if (End != AttemptOutcome::CallerGone)
+        Stats.onOutcome(Target, End == AttemptOutcome::Broken,
+                        SystemClock{}.now());
+    });
+  }
+
+  /// Records an attempt that ended without any byte of the target. What a
+  /// connection through another node shows is no evidence on this node's links.
+  void recordReach(const RelayAttempt &Attempt) {
+    bool IsDirect = Attempt.Connection && Attempt.Connection->isDirect();
+    if (IsDirect && Attempt.ConnectionLost &&
+        Attempt.LastByte == Attempt.SentAt)
+      this->Monitor.onNoBytes(Attempt.To.Target->incarnation());
+  }
+
+  /// Sends the request over the open connection and forwards the response.
+  AttemptOutcome exchange(RelayExchange &Ex, RelayAttempt &Attempt) {
+    std::string Bytes = serializeRequest(Ex, Attempt);
+    ++Ex.Progress.SentCount;
+    this->Board.Counters.add(Counter::Attempts);
+    if (Ex.Progress.SentCount == 1)
+      this->Board.Counters.add(Counter::FirstAttempts);
+    if (Attempt.Connection->send(Bytes, Ex.Request.Deadline) != IoStatus::Ok) {
+      Attempt.ConnectionLost = true;
+      Attempt.Reason = "the connection broke while sending";
+      return AttemptOutcome::Broken;
+    }
+    return this->Forwarder.forward(Ex, Attempt);
+  }
+
+  /// The bytes of the request as this attempt sends it to its target.
+  static std::string serializeRequest(const RelayExchange &Ex,
+                                      const RelayAttempt &Attempt) {
+    const RelayRequest &Request = Ex.Request;
+    Millis Waited = Request.PriorWait + std::chrono::duration_cast<Millis>(
+                                            Attempt.SentAt - Request.ArrivedAt);
+    AttemptParams Params{
+        Attempt.To.Target->Id, Request.Workspace,
+        std::chrono::duration_cast<Millis>(Request.Deadline - Attempt.SentAt),
+        urgencyOf(*Request.Route, Request.Owner, Waited),
+        Ex.Progress.LastEvent};
+    Poco::Net::HTTPRequest Head =
+        Protocol::makeTargetRequest(Request.Head, Params);
+    if (!Request.Body.Bytes.empty() || Request.Head.hasContentLength() ||
+        Request.Head.getChunkedTransferEncoding())
+      Head.setContentLength64(
+          static_cast<Poco::Int64>(Request.Body.Bytes.size()));
+    std::ostringstream Out;
+    Head.write(Out);
+    return Out.str() + Request.Body.Bytes;
+  }
+
+  AttemptOutcome endAttempt(const RelayExchange &Ex,
+                            const RelayAttempt &Attempt, AttemptOutcome End) {
+    Ex.Progress.Reason = Attempt.Reason;
+    if (End != AttemptOutcome::Done)
+      this->Log.attemptEnded(Ex, Attempt);
+    return End;
+  }
+
+  EntryBoard &Board;
+  RelayLog &Log;
+  TargetSelector &Selector;
+  CrashGuard &Crashes;
+  TargetConnector &Connector;
+  ResponseForwarder<Protocol> &Forwarder;
+  ReachMonitor Monitor;
+};
+
+} // namespace waycove
--- /dev/null
+++ b/src/entry/crash_guard.h
@@ -0,0 +1,29 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#pragma once
+
+#include "entry/relay_attempt.h"
+
+namespace waycove {
+
+/// Holds back requests that are blamed for crashes of targets, and records the
+/// outcomes of attempts by which they are recognized. Thread-safe.
+class CrashGuard {
+public:
+  explicit CrashGuard(EntryBoard &Board) : Board(Board) {}
+
+  /// Whether the request may be sent, given which requests are blamed for
+  /// crashes of targets. If a single trial is allowed, this call uses it up.
+  bool maySend(const RelayRequest &Request, TimePoint Now);
+  /// Records the outcome of an attempt, so that requests that crash targets
+  /// are recognized.
+  void recordOutcome(const RelayRequest &Request, const RelayAttempt &Attempt,
+                     AttemptOutcome End, TimePoint Now);
+
+private:
+  EntryBoard &Board;
+};
+
+} // namespace waycove
--- a/src/entry/relay_log.cpp
+++ b/src/entry/relay_log.cpp
@@ -4,6 +4,8 @@
 
 #include "entry/relay_log.h"
 
+#include "policy/urgency.h"
+
 namespace waycove {
 
 namespace {
@@ -25,10 +27,25 @@
   if (Ex.Progress.Snapshot)
     Fields.add("registry", Ex.Progress.Snapshot->Position.At.Value)
         .add("registry_age_ms", Ex.Progress.Snapshot->Age);
-  return Fields.add("sends", Ex.Progress.SentCount)
+  return Fields.add("queued_ms", Ex.Progress.Queued)
+      .add("sends", Ex.Progress.SentCount)
       .add("may_have_run", Ex.Progress.MayHaveRun);
 }
 
+/// The fields that explain why a request got no place in its pool.
+void addAdmission(LogFields &Fields, const AdmissionRefusal &Refusal,
+                  const RelayRequest &Request) {
+  Fields.add("predicted_wait_ms", Refusal.Forecast.Wait)
+      .add("ahead", Refusal.Forecast.Ahead)
+      .add("late", Refusal.Forecast.IsLate)
+      .add("priority", priorityOf(*Request.Route, Request.Owner))
+      .add("place_limit", Refusal.Limit)
+      .add("in_flight", Refusal.InFlight)
+      .add("waiting", Refusal.Waiting);
+  if (Refusal.ReportAge)
+    Fields.add("report_age_ms", *Refusal.ReportAge);
+}
+
 } // namespace
 
 void RelayLog::suspectTarget(const VmIncarnation &Target, Millis Duration,
@@ -163,12 +180,16 @@
                               const absl::Status &Error) {
   const ErrorResponse &Template = responseFor(kindOf(Error));
   this->Board.Counters.add(Counter::RequestsRefused);
+  this->Board.Counters.Refusals.add(Template.Name, Ex.Request.Workspace.Text);
+  LogFields Fields = requestFields(Ex);
+  Fields.add("kind", Template.Name)
+      .add("status", Template.HttpStatus)
+      .add("retry_after_ms", retryAfterOf(Error))
+      .add("reason", messageOf(Error));
+  if (Ex.Progress.Refusal)
+    addAdmission(Fields, *Ex.Progress.Refusal, Ex.Request);
   this->Board.Log.emit(EventCode::RequestRefused, Ex.Request.Info.Id.Text,
-                       requestFields(Ex)
-                           .add("kind", Template.Name)
-                           .add("status", Template.HttpStatus)
-                           .add("retry_after_ms", retryAfterOf(Error))
-                           .add("reason", messageOf(Error)));
+                       Fields);
 }
 
 } // namespace waycove
--- a/src/entry/relay_log.h
+++ b/src/entry/relay_log.h
@@ -41,6 +41,7 @@
   void requestFailed(const RelayExchange &Ex, const std::string &Reason);
   /// The response had been started and was aborted.
   void requestCut(const RelayExchange &Ex, const std::string &Reason);
+  /// The request was answered with \p Error of this node.
   void requestRefused(const RelayExchange &Ex, const absl::Status &Error);
 
 private:
--- a/src/entry/relay_request.cpp
+++ b/src/entry/relay_request.cpp
@@ -13,12 +13,15 @@
 /// Time in which capacity is usually restored after a failure: a group forms
 /// anew on staged VMs in 1.6 s, after about as long to notice.
 constexpr Millis TypicalRepairTime(1500);
-/// Retry-After is at most the caller's timeout divided by this.
-constexpr int RetryAfterDivisor = 3;
 constexpr Millis DefaultTimeout(10000);
 
 } // namespace
 
+PoolKey poolOf(const RelayRequest &Request) {
+  const ServiceSpec *Spec = Request.Config->service(Request.Service);
+  return {Request.Service, Spec && Spec->hasGroups() ? Request.Info.Model : ""};
+}
+
 ContentHash contentHashOf(const RelayRequest &Request) {
   const std::string &Uri = Request.Head.getURI();
   const std::string &Caller =
@@ -63,11 +66,20 @@
   return absl::OkStatus();
 }
 
+void recordDemand(EntryBoard &Board, const CallerRequestInfo &Info) {
+  if (Info.Model.empty())
+    return;
+  Board.Demand.write([&](DemandTable &Table) {
+    ModelDemand &Demand = Table[Info.Model];
+    ++Demand.Requests;
+    Demand.PromptTokens += static_cast<double>(Info.PromptTokens);
+    Demand.OutputTokens += static_cast<double>(Info.MaxOutputTokens);
+  });
+}
+
 Millis suggestRetryAfter(const RelayRequest &Request) {
-  Millis Max =
-      std::chrono::duration_cast<Millis>(Request.Deadline - Request.ArrivedAt) /
-      RetryAfterDivisor;
-  return std::min(TypicalRepairTime, Max);
+  return std::min(TypicalRepairTime,
+                  maxRetryAfter(Request.Deadline, Request.ArrivedAt));
 }
 
 } // namespace waycove
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -8,6 +8,7 @@
 #include "board/entry_board.h"
 #include "entry/buffer_budget.h"
 #include "entry/caller_protocol.h"
+#include "policy/attempt_rules.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <memory>
@@ -33,6 +34,8 @@
   ServiceId Service;
   /// The same whenever the caller sends the request again, at any node.
   ContentHash Content;
+  /// How long the caller had waited when the request arrived.
+  Millis PriorWait{0};
   /// Random bits of this request, for all random decisions about it.
   std::uint64_t Random = 0;
 };
@@ -66,8 +69,21 @@
   std::optional<Poco::Net::HTTPResponse> Failure;
   std::shared_ptr<const BufferedBody> FailureBody;
   std::string Reason;
+  /// Set if the request got no place in its pool.
+  std::optional<AdmissionRefusal> Refusal;
+  /// Time that it waited at this node for places.
+  Millis Queued{0};
+  /// How often it was queued again after a target rejected it.
+  unsigned RequeueCount = 0;
+
+  AttemptCounts counts() const {
+    return {this->Tried.size(), this->SentCount, this->MayHaveRun};
+  }
 };
 
+/// The pool of targets that may serve an admitted request.
+PoolKey poolOf(const RelayRequest &Request);
+
 /// Hash of the content of an admitted request and of its caller. The caller is
 /// the workspace, whose keys may change, or else the API key.
 ContentHash contentHashOf(const RelayRequest &Request);
@@ -79,6 +95,9 @@
 absl::Status admitRequest(const EntryBoard &Board, RelayRequest &Request,
                           TimePoint Now);
 
+/// Counts an admitted request in the demand for its model, if it has one.
+void recordDemand(EntryBoard &Board, const CallerRequestInfo &Info);
+
 /// After how long a refused caller should try again.
 Millis suggestRetryAfter(const RelayRequest &Request);
 
--- a/src/entry/response_forwarder.h
+++ b/src/entry/response_forwarder.h
@@ -67,12 +67,10 @@
   }
 
 private:
-  /// For how long a target that declined a request is avoided.
-  static constexpr Millis DeclinedDuration{300};
-  /// The same for a target that is not what the registry says. A VM that
-  /// restarted while cut off from the registry stays listed for up to three
-  /// heartbeats, and retries at it would use up the retry limit. A change of
-  /// its registry entry ends this early (RegistryFollower).
+  /// For how long a target is avoided that is not what the registry says. A VM
+  /// that restarted while cut off from the registry stays listed for up to
+  /// three heartbeats, and retries at it would use up the retry limit. A change
+  /// of its registry entry ends this early (RegistryFollower).
   static constexpr Millis WrongTargetDuration{3600};
   static constexpr std::size_t MaxHeadBytes = 64 << 10;
   static constexpr std::size_t MaxEventBytes = 1 << 20;
@@ -93,8 +91,9 @@
         this->returnConnection(Ex, Attempt, Head, Info, Body);
       Attempt.Reason = "not taken, status " + std::to_string(Status);
       this->Log.suspectTarget(Attempt.To.Target->incarnation(),
-                              Info.WrongTarget ? WrongTargetDuration
-                                               : DeclinedDuration,
+                              Info.WrongTarget
+                                  ? WrongTargetDuration
+                                  : this->recordRejection(Ex, Attempt),
                               Attempt.Reason, Ex.Request.Info.Id);
       return AttemptOutcome::Refused;
     }
@@ -287,6 +286,16 @@
     Attempt.Connection.reset();
   }
 
+  /// Returns for how long the target of the rejected attempt is avoided.
+  Millis recordRejection(const RelayExchange &Ex, const RelayAttempt &Attempt) {
+    if (Ex.Progress.SentCount == 1)
+      this->Board.Counters.add(Counter::FirstAttemptsRejected);
+    return this->Board.TargetStats.write([&](TargetStatsTable &Stats) {
+      return Stats.onRejected(Attempt.To.Target->incarnation(),
+                              SystemClock{}.now());
+    });
+  }
+
   void recordFirstByte(const RelayExchange &Ex, RelayAttempt &Attempt) {
     TimePoint Now = SystemClock{}.now();
     Attempt.FirstByteSeen = true;
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -76,10 +76,10 @@
       return AttemptOutcome::Stalled;
     }
     if (this->hasLostWay(Attempt, Now) &&
-        this->Policy.mayAbandon(Ex.Request, Ex.Progress, Now))
+        this->Retries.mayAbandon(Ex.Request, Ex.Progress, Now))
       return AttemptOutcome::Stalled;
     if (this->isUnresponsive(Ex, Attempt, Now) &&
-        this->Policy.mayAbandon(Ex.Request, Ex.Progress, Now)) {
+        this->Retries.mayAbandon(Ex.Request, Ex.Progress, Now)) {
       this->Log.suspectTarget(Attempt.To.Target->incarnation(),
                               UnresponsiveDuration, Attempt.Reason,
                               Ex.Request.Info.Id);
--- a/src/entry/response_wait.h
+++ b/src/entry/response_wait.h
@@ -6,7 +6,7 @@
 
 #include "control/reach_monitor.h"
 #include "entry/relay_log.h"
-#include "entry/relay_policy.h"
+#include "entry/retry_policy.h"
 
 namespace waycove {
 
@@ -14,9 +14,9 @@
 /// distinguishes an unresponsive target from a busy one. Thread-safe.
 class ResponseWait {
 public:
-  ResponseWait(EntryBoard &Board, RelayPolicy &Policy, RelayLog &Log,
+  ResponseWait(EntryBoard &Board, RetryPolicy &Retries, RelayLog &Log,
                BufferBudget &Buffers)
-      : Board(Board), Policy(Policy), Log(Log), Buffers(Buffers),
+      : Board(Board), Retries(Retries), Log(Log), Buffers(Buffers),
         Monitor(Board) {}
 
   /// Waits for bytes from the target. Returns how the attempt ends, or nothing
@@ -37,7 +37,7 @@
                       TimePoint Now);
 
   EntryBoard &Board;
-  RelayPolicy &Policy;
+  RetryPolicy &Retries;
   RelayLog &Log;
   BufferBudget &Buffers;
   ReachMonitor Monitor;
--- a/src/entry/target_connector.cpp
+++ b/src/entry/target_connector.cpp
@@ -65,7 +65,7 @@
   TimePoint Begin = SystemClock{}.now();
   TimePoint Until = std::min(Ex.Request.Deadline, Begin + SearchTimeout);
   bool WasDeclined = false;
-  for (const NodeInfo &Node : this->Policy.carriers(Ex.Request, Begin)) {
+  for (const NodeInfo &Node : this->Carriers.carriers(Ex.Request, Begin)) {
     TimePoint Now = SystemClock{}.now();
     if (Now >= Until)
       break;
--- a/src/entry/target_connector.h
+++ b/src/entry/target_connector.h
@@ -5,7 +5,8 @@
 #pragma once
 
 #include "control/reach_monitor.h"
-#include "entry/relay_policy.h"
+#include "entry/carrier_selector.h"
+#include "entry/relay_attempt.h"
 #include "entry/target_connection_pool.h"
 
 namespace waycove {
@@ -27,8 +28,8 @@
 class TargetConnector {
 public:
   TargetConnector(EntryBoard &Board, TargetConnectionPool &Pool,
-                  const RelayPolicy &Policy)
-      : Board(Board), Pool(Pool), Policy(Policy), Monitor(Board) {}
+                  const CarrierSelector &Carriers)
+      : Board(Board), Pool(Pool), Carriers(Carriers), Monitor(Board) {}
 
   /// Sets the attempt's connection, or its reason if there is none. Nothing
   /// has been sent to the target then.
@@ -55,7 +56,7 @@
 
   EntryBoard &Board;
   TargetConnectionPool &Pool;
-  const RelayPolicy &Policy;
+  const CarrierSelector &Carriers;
   ReachMonitor Monitor;
 };
 
--- a/src/policy/centre_balance.cpp
+++ b/src/policy/centre_balance.cpp
@@ -49,12 +49,6 @@
                          : std::min(Excess / Overall, -MinDeficit);
 }
 
-double inFlight(const VmIncarnation &Target, const TargetStatsTable &Stats,
-                TimePoint Now) {
-  const TargetLoad *Others = Stats.reportedLoad(Target, Now);
-  return Stats.of(Target).InFlight + (Others ? Others->InFlight : 0.0);
-}
-
 } // namespace
 
 CentreLoads centreLoads(const ServingView &View, const TargetStatsTable &Stats,
@@ -69,7 +63,7 @@
       const VmIncarnation Target = Serving.Target->incarnation();
       if (Serving.Retained || Stats.isSuspect(Target, Now))
         continue;
-      double Requests = inFlight(Target, Stats, Now);
+      double Requests = Stats.inFlight(Target, Now);
       All[Serving.Model].add(Requests);
       if (Serving.Target->DataCentre == Here)
         Local[Serving.Model].add(Requests);
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -24,6 +24,9 @@
 constexpr double OtherCentreMs = 8;
 /// Penalty for a suspect target; exceeds all other terms.
 constexpr double SuspectMs = 1e6;
+/// Penalty for a target at which this node has no free place; exceeds the
+/// expected waits at others.
+constexpr double NoPlaceMs = 1e5;
 /// Range of the random term, in milliseconds; keeps nodes from all choosing the
 /// same target.
 constexpr double JitterMs = 10;
@@ -74,6 +77,17 @@
   return Expected;
 }
 
+/// Returns whether this node has a free place at the target. Answers targets at
+/// which the requests of many nodes pile up while others have free slots.
+bool hasPlace(const ServingTarget &Candidate, const TargetStatsTable &Stats,
+              const ChoiceQuery &Query) {
+  if (!Query.Places || Candidate.Slots == 0)
+    return true;
+  const VmIncarnation Target = Candidate.Target->incarnation();
+  return Stats.of(Target).InFlight <
+         Query.Places->placesAt(hashOf(Target), Candidate.Slots);
+}
+
 double expectedWaitMs(const ServingTarget &Candidate,
                       const TargetStatsTable &Stats, const ChoiceQuery &Query,
                       double ModelMean) {
@@ -124,6 +138,8 @@
       continue;
     double Wait = expectedWaitMs(Candidate, Stats, Query, ModelMean) +
                   jitter(Query.Random, I);
+    if (!hasPlace(Candidate, Stats, Query))
+      Wait += NoPlaceMs;
     if (!Best || Wait < BestWait) {
       Best = &Candidate;
       BestWait = Wait;
--- a/src/policy/choice.h
+++ b/src/policy/choice.h
@@ -4,8 +4,7 @@
 
 #pragma once
 
-#include "policy/fleet.h"
-#include "policy/target_stats.h"
+#include "policy/place_limit.h"
 
 #include <vector>
 
@@ -18,6 +17,8 @@
   DataCentreId Here;
   /// Do not prefer targets of this data centre.
   bool AnyDataCentre = false;
+  /// This node's part of the targets' places; unset if it is not limited.
+  std::optional<PlaceShare> Places;
   /// Targets that this request was already sent to.
   std::vector<VmId> Avoid;
   TimePoint Now;
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -69,6 +69,12 @@
   return Until;
 }
 
+/// Slots of a model engine belong to the engine, whichever VMs run it.
+unsigned slotsOf(const ServiceSpec &Spec, const TargetInfo &Target) {
+  return Spec.Engine && Spec.Engine->Slots > 0 ? Spec.Engine->Slots
+                                               : Target.Slots;
+}
+
 } // namespace
 
 bool TargetInfo::hasStaged(const std::string &Model) const {
@@ -114,10 +120,11 @@
     TimePoint Cold = coldUntil(*Target, *Spec, Current, Evacuated);
     if (!Spec->hasGroups())
       View->ByService[Target->Service].push_back(
-          {Target, "", IsRetained, Cold});
+          {Target, "", IsRetained, Cold, slotsOf(*Spec, *Target)});
     else if (isServingHead(*Target, *Spec->Engine, Ranks))
       View->ByService[Target->Service].push_back(
-          {Target, modelOf(Target->Group->Group.Name), IsRetained, Cold});
+          {Target, modelOf(Target->Group->Group.Name), IsRetained, Cold,
+           slotsOf(*Spec, *Target)});
   }
   return View;
 }
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -47,6 +47,9 @@
   /// Incremented with each write of this incarnation; the entry with the larger
   /// number is the later one.
   std::uint64_t Sequence = 0;
+  /// Requests that it runs at the same time; 0 if unknown. Does not hold for
+  /// members of a group, whose slots belong to the group.
+  unsigned Slots = 0;
   /// How much longer it stayed cold when it wrote this.
   Millis ColdRemaining{0};
   /// Models whose weights are staged on its host.
@@ -110,6 +113,8 @@
   bool Retained = false;
   /// Takes few requests until then.
   TimePoint ColdUntil{};
+  /// Requests that it runs at the same time; 0 if unknown.
+  unsigned Slots = 0;
 };
 
 /// Targets that requests are routed to, by service. Immutable; rebuilt after
--- a/src/policy/load_reports.h
+++ b/src/policy/load_reports.h
@@ -18,6 +18,13 @@
   return TargetHash(hashText(Target.Id.Text, Target.StartedAt.Value));
 }
 
+/// Hashes targets by their incarnation.
+struct IncarnationHash {
+  std::size_t operator()(const VmIncarnation &Target) const {
+    return hashOf(Target).Value;
+  }
+};
+
 /// The load of one target as observed by a set of nodes.
 struct TargetLoad {
   /// Their requests in flight.
--- a/src/policy/node_rank.cpp
+++ b/src/policy/node_rank.cpp
@@ -60,6 +60,11 @@
   return At == this->Readers.end() ? None : At->second;
 }
 
+std::size_t NodeRanking::indexOf(const NodeId &Node) const {
+  return static_cast<std::size_t>(
+      std::distance(this->Nodes.begin(), this->Nodes.lower_bound(Node)));
+}
+
 std::size_t NodeRanking::placeOf(const NodeInfo &Node) const {
   auto Listed = this->Nodes.find(Node.Node);
   bool IsListed = Listed != this->Nodes.end() &&
--- a/src/policy/node_rank.h
+++ b/src/policy/node_rank.h
@@ -51,6 +51,8 @@
   /// the others: fastest links first, then by hash. It differs between data
   /// centres.
   const std::vector<NodeInfo> &readers(const DataCentreId &Centre) const;
+  /// Returns the index of \p Node in nodes(), or where it will be listed.
+  std::size_t indexOf(const NodeId &Node) const;
   /// Returns all data centres in the order in which their first nodes read
   /// updates for those of the others.
   const std::vector<DataCentreId> &centres() const { return this->Centres; }
--- a/src/policy/place_request.h
+++ b/src/policy/place_request.h
@@ -20,17 +20,21 @@
   /// Latest time at which it may be sent and still meet its latency objective;
   /// unset without an objective, in the past if it is late already.
   std::optional<TimePoint> InTimeUntil;
-  /// Latest time at which sending it is still useful.
+  /// Latest time at which sending it is still useful; it is refused then. Some
+  /// seconds after its arrival at most, whatever the deadline.
   TimePoint UsefulUntil;
-  /// The caller was told to come back with this request, and did.
+  /// Callers honour a Retry-After up to this.
+  Millis MaxRetryAfter{0};
+  /// The caller was refused before and came back, as inferred from its timeout.
   bool HasReturned = false;
 
+  /// Whether it can no longer meet its objective; false without one.
   bool isLate(TimePoint Now) const {
     return this->InTimeUntil && Now > *this->InTimeUntil;
   }
 };
 
-/// What admission knows about a request before it needs a place.
+/// What a node knows about a request, its route and its pool.
 struct PlaceRequestSources {
   const HttpRoute &Route;
   /// Null if there is none.
@@ -40,14 +44,19 @@
   std::uint64_t MaxOutputTokens = 0;
   TimePoint ArrivedAt;
   TimePoint Deadline;
-  /// How long the caller said that it waits; unset if it did not.
-  std::optional<Millis> CallerTimeout;
-  /// Expected time to the first byte at a free place; 0 if unknown.
+  /// How long the caller had waited when the request arrived.
+  Millis PriorWait{0};
+  /// Time to the first byte of the fastest target, in milliseconds; 0 if
+  /// unknown.
   double FirstByteMs = 0;
   /// Usual time that a request of the pool holds its place; 0 if unknown.
   Millis UsualHold{0};
 };
 
+/// Returns the longest Retry-After that callers honour: a third of the time
+/// that they have left, zero after the deadline.
+Millis maxRetryAfter(TimePoint Deadline, TimePoint Now);
+
 /// Returns when the request has to be sent to be in time or useful at all.
 /// Objectives and deadlines that are absent or absurd get defaults.
 PlaceRequest makePlaceRequest(const PlaceRequestSources &From);
--- a/src/policy/pool_report.cpp
+++ b/src/policy/pool_report.cpp
@@ -8,6 +8,16 @@
 
 namespace waycove {
 
+namespace {
+
+/// Far above what a fleet of any size has in flight; larger numbers are
+/// damaged.
+constexpr double MaxRequests = 1e8;
+/// As MaxRequests, for nodes. Sums of valid reports do not overflow.
+constexpr unsigned MaxNodes = 1000000;
+
+} // namespace
+
 void PoolReport::add(const PoolReport &Other) {
   this->Arrivals += Other.Arrivals;
   this->InFlight += Other.InFlight;
@@ -17,9 +27,9 @@
 
 bool PoolReport::isValid() const {
   for (double Number : {this->Arrivals, this->InFlight, this->Waiting})
-    if (!std::isfinite(Number) || Number < 0)
+    if (!std::isfinite(Number) || Number < 0 || Number > MaxRequests)
       return false;
-  return true;
+  return this->Nodes <= MaxNodes;
 }
 
 } // namespace waycove
--- a/src/policy/pool_report.h
+++ b/src/policy/pool_report.h
@@ -23,10 +23,12 @@
 
   /// Adds the report of other nodes.
   void add(const PoolReport &Other);
-  /// Whether all numbers are finite and not negative.
+  /// Whether all numbers are plausible: finite, not negative and not absurdly
+  /// large.
   bool isValid() const;
 };
 
+/// By pool.
 using PoolReports = std::map<PoolKey, PoolReport>;
 
 } // namespace waycove
--- a/src/policy/routing.h
+++ b/src/policy/routing.h
@@ -51,6 +51,8 @@
   Millis Goal{0};
   /// Latency objective for the time between two events of a stream.
   Millis PauseGoal{0};
+  /// Callers give up when nothing arrives for this long; 0 if unknown.
+  Millis Patience{0};
   /// 0 is the most urgent. Not the scale of FairOffer::Priority, where a higher
   /// value is served first; the two are never converted.
   unsigned Priority = 0;
--- a/src/policy/target_stats.cpp
+++ b/src/policy/target_stats.cpp
@@ -23,6 +23,13 @@
 constexpr unsigned MinResponses = 6;
 /// How long a failing target stays suspect.
 constexpr Millis FailureSuspectTime(1500);
+/// For how long a target that rejected a request is avoided; doubled with each
+/// further rejection. A broken or full target rejects at once and would
+/// otherwise look idle to all nodes.
+constexpr Millis RejectedDuration(300);
+constexpr unsigned MaxDoublings = 3;
+/// Rejections count as successive within this time.
+constexpr Millis RejectionMemory(5000);
 
 } // namespace
 
@@ -74,6 +81,7 @@
           ? Sample
           : Stats.FirstByteMs + WaitSmoothing * (Sample - Stats.FirstByteMs);
   Stats.FirstByteAt = Now;
+  Stats.Rejections = 0;
   stopWaiting(Stats, SentAt, PromptTokens);
   ++Stats.Responding;
   Stats.LastProgress = Now;
@@ -106,6 +114,15 @@
     --Stats.Responding;
 }
 
+Millis TargetStatsTable::onRejected(const VmIncarnation &Target,
+                                    TimePoint Now) {
+  TargetStats &Stats = this->Targets[Target];
+  if (Now - Stats.RejectedAt > RejectionMemory)
+    Stats.Rejections = 0;
+  Stats.RejectedAt = Now;
+  return RejectedDuration * (1 << std::min(Stats.Rejections++, MaxDoublings));
+}
+
 void TargetStatsTable::onResponseHead(const VmIncarnation &Target,
                                       bool Closes) {
   this->Targets[Target].Closing = Closes;
@@ -178,6 +195,12 @@
   return At == this->Reported.end() ? nullptr : &At->second;
 }
 
+double TargetStatsTable::inFlight(const VmIncarnation &Target,
+                                  TimePoint Now) const {
+  const TargetLoad *Others = this->reportedLoad(Target, Now);
+  return this->of(Target).InFlight + (Others ? Others->InFlight : 0.0);
+}
+
 bool TargetStatsTable::isStalled(const VmIncarnation &Target,
                                  TimePoint Now) const {
   const TargetStats &Here = this->of(Target);
@@ -193,9 +216,16 @@
   if (Here.SuspectUntil > Now || this->isStalled(Target, Now))
     return true;
   const TargetLoad *There = this->reportedLoad(Target, Now);
-  bool HasProgress = Here.Responding > 0 && !Here.isStalled(Now);
   return There && Now - this->ReportedAt < There->SuspectDuration &&
-         !There->hasProgress() && !HasProgress;
+         !this->hasProgress(Target, Now);
+}
+
+bool TargetStatsTable::hasProgress(const VmIncarnation &Target,
+                                   TimePoint Now) const {
+  const TargetStats &Here = this->of(Target);
+  const TargetLoad *There = this->reportedLoad(Target, Now);
+  return (Here.Responding > 0 && !Here.isStalled(Now)) ||
+         (There && There->hasProgress());
 }
 
 Millis TargetStatsTable::silence(const VmIncarnation &Target,
--- a/src/policy/target_stats.h
+++ b/src/policy/target_stats.h
@@ -35,6 +35,9 @@
   /// Smoothed fraction of responses that were errors of the target itself.
   double FailureRate = 0;
   unsigned Responses = 0;
+  /// Successive requests that it rejected, and when it rejected the last one.
+  unsigned Rejections = 0;
+  TimePoint RejectedAt;
   /// Its last response announced the end of the connection: it may be leaving.
   bool Closing = false;
 
@@ -68,6 +71,9 @@
              double PromptTokens);
   /// Counts a response of the target as failed or successful.
   void onOutcome(const VmIncarnation &Target, bool Failed, TimePoint Now);
+  /// Records that the target rejected a request without running it. Returns for
+  /// how long it should receive no more of this node's requests.
+  Millis onRejected(const VmIncarnation &Target, TimePoint Now);
   /// Records whether a response of the target closes the connection.
   void onResponseHead(const VmIncarnation &Target, bool Closes);
   /// Marks the target as suspect for \p Duration.
@@ -91,6 +97,9 @@
   /// is known.
   const TargetLoad *reportedLoad(const VmIncarnation &Target,
                                  TimePoint Now) const;
+  /// Returns the requests in flight at the target, of this node and as other
+  /// nodes report.
+  double inFlight(const VmIncarnation &Target, TimePoint Now) const;
   /// Returns true if responses are in progress and stalled, here and at other
   /// nodes.
   bool isStalled(const VmIncarnation &Target, TimePoint Now) const;
@@ -99,6 +108,9 @@
   /// no node receives bytes from it. A stalled target must count as suspect
   /// since requests leave it and it would look idle.
   bool isSuspect(const VmIncarnation &Target, TimePoint Now) const;
+  /// Returns true if responses of the target are in progress and move, here or
+  /// at other nodes.
+  bool hasProgress(const VmIncarnation &Target, TimePoint Now) const;
   /// Time since any byte was received from it, here or at other nodes; zero if
   /// no request is in flight.
   Millis silence(const VmIncarnation &Target, TimePoint Now) const;
@@ -108,7 +120,7 @@
 private:
   static void stopWaiting(TargetStats &Stats, TimePoint SentAt,
                           double PromptTokens);
-  std::map<VmIncarnation, TargetStats> Targets;
+  std::unordered_map<VmIncarnation, TargetStats, IncarnationHash> Targets;
   /// Summed reports of other nodes, by the hash of the target.
   TargetLoads Reported;
   TimePoint ReportedAt;
--- a/src/policy/urgency.cpp
+++ b/src/policy/urgency.cpp
@@ -15,15 +15,13 @@
 
 } // namespace
 
-Millis priorWait(const HttpRoute &Route, std::optional<Millis> Remaining) {
-  if (!Remaining || Route.Timeout.count() <= 0)
-    return Millis(0);
-  return std::max(Millis(0), Route.Timeout - *Remaining);
+unsigned priorityOf(const HttpRoute &Route, const KeyOwner *Owner) {
+  return Owner && Owner->Priority ? *Owner->Priority : Route.Priority;
 }
 
 unsigned urgencyOf(const HttpRoute &Route, const KeyOwner *Owner,
                    Millis Waited) {
-  unsigned Rank = Owner && Owner->Priority ? *Owner->Priority : Route.Priority;
+  unsigned Rank = priorityOf(Route, Owner);
   bool Late = Route.Goal.count() > 0 && Waited + MinFirstByteTime > Route.Goal;
   return std::min(2 * Rank + (Late ? 1U : 0U), LeastUrgent);
 }
--- a/src/policy/urgency.h
+++ b/src/policy/urgency.h
@@ -11,10 +11,9 @@
 /// Largest rank, and so the least urgent, that the targets' header supports.
 inline constexpr unsigned LeastUrgent = 9;
 
-/// How long the caller had waited when its request arrived, as far as can be
-/// inferred: a first request comes with the whole route timeout, a repeated one
-/// with less. Zero if the remaining time is unknown or exceeds the timeout.
-Millis priorWait(const HttpRoute &Route, std::optional<Millis> Remaining);
+/// Operators' priority of a request: the owner's if set, or else the route's.
+/// 0 is the most urgent.
+unsigned priorityOf(const HttpRoute &Route, const KeyOwner *Owner);
 
 /// Urgency of a request at a target, from 0 (first) to LeastUrgent. Determined
 /// by the operators' priority; within the same priority, requests that can
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -152,6 +152,37 @@
   return Demand;
 }
 
+std::vector<std::unique_ptr<wire::PoolRowT>>
+packPools(const PoolReports &Pools) {
+  std::vector<std::unique_ptr<wire::PoolRowT>> Rows;
+  for (const auto &[Pool, Report] : Pools) {
+    Rows.push_back(std::make_unique<wire::PoolRowT>());
+    Rows.back()->service = Pool.Service.Text;
+    Rows.back()->model = Pool.Model;
+    Rows.back()->arrivals = static_cast<float>(Report.Arrivals);
+    Rows.back()->in_flight = static_cast<float>(Report.InFlight);
+    Rows.back()->waiting = static_cast<float>(Report.Waiting);
+    Rows.back()->nodes = Report.Nodes;
+  }
+  return Rows;
+}
+
+absl::Status
+unpackPools(const std::vector<std::unique_ptr<wire::PoolRowT>> &Rows,
+            PoolReports &Out) {
+  absl::Status Read = absl::OkStatus();
+  for (const auto &Row : Rows) {
+    PoolReport Report{Row->arrivals, Row->in_flight, Row->waiting, Row->nodes};
+    if (Report.isValid())
+      Out[{ServiceId(Row->service), Row->model}] = Report;
+    else
+      Read = makeError(ErrorKind::BadRequest,
+                       "requests for " + Row->service +
+                           ": expected finite numbers that are not negative");
+  }
+  return Read;
+}
+
 std::vector<std::unique_ptr<wire::CrashRowT>>
 packCrashes(const CrashEvidenceMap &Crashes) {
   std::vector<std::unique_ptr<wire::CrashRowT>> Rows;
--- a/src/wire/news_frames.h
+++ b/src/wire/news_frames.h
@@ -9,6 +9,7 @@
 #include "policy/group_load.h"
 #include "policy/load_reports.h"
 #include "policy/partition_membership.h"
+#include "policy/pool_report.h"
 #include "policy/stated_limits.h"
 #include "wire/wire_generated.h"
 
@@ -40,6 +41,15 @@
 DemandTable
 unpackDemand(const std::vector<std::unique_ptr<wire::DemandRowT>> &Rows);
 
+/// Converts the requests for pools to their rows on the wire.
+std::vector<std::unique_ptr<wire::PoolRowT>>
+packPools(const PoolReports &Pools);
+/// Errors: BadRequest if a number is negative, not finite or absurdly large;
+/// the other rows are in \p Out all the same.
+absl::Status
+unpackPools(const std::vector<std::unique_ptr<wire::PoolRowT>> &Rows,
+            PoolReports &Out);
+
 std::vector<std::unique_ptr<wire::CrashRowT>>
 packCrashes(const CrashEvidenceMap &Crashes);
 CrashEvidenceMap
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -142,6 +142,10 @@
 
 struct LimitRow;
 
+struct PoolRow;
+struct PoolRowBuilder;
+struct PoolRowT;
+
 struct NewsWanted;
 struct NewsWantedBuilder;
 struct NewsWantedT;
@@ -4382,6 +4386,141 @@
 
 flatbuffers::Offset<DemandRow> CreateDemandRow(flatbuffers::FlatBufferBuilder &_fbb, const DemandRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PoolRowT : public flatbuffers::NativeTable {
+  typedef PoolRow TableType;
+  std::string service{};
+  std::string model{};
+  float arrivals = 0.0f;
+  float in_flight = 0.0f;
+  float waiting = 0.0f;
+  uint32_t nodes = 0;
+};
+
+struct PoolRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PoolRowT NativeTableType;
+  typedef PoolRowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_MODEL = 6,
+    VT_ARRIVALS = 8,
+    VT_IN_FLIGHT = 10,
+    VT_WAITING = 12,
+    VT_NODES = 14
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  float arrivals() const {
+    return GetField<float>(VT_ARRIVALS, 0.0f);
+  }
+  float in_flight() const {
+    return GetField<float>(VT_IN_FLIGHT, 0.0f);
+  }
+  float waiting() const {
+    return GetField<float>(VT_WAITING, 0.0f);
+  }
+  uint32_t nodes() const {
+    return GetField<uint32_t>(VT_NODES, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           VerifyField<float>(verifier, VT_ARRIVALS, 4) &&
+           VerifyField<float>(verifier, VT_IN_FLIGHT, 4) &&
+           VerifyField<float>(verifier, VT_WAITING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_NODES, 4) &&
+           verifier.EndTable();
+  }
+  PoolRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PoolRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PoolRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PoolRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PoolRowBuilder {
+  typedef PoolRow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(PoolRow::VT_SERVICE, service);
+  }
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(PoolRow::VT_MODEL, model);
+  }
+  void add_arrivals(float arrivals) {
+    fbb_.AddElement<float>(PoolRow::VT_ARRIVALS, arrivals, 0.0f);
+  }
+  void add_in_flight(float in_flight) {
+    fbb_.AddElement<float>(PoolRow::VT_IN_FLIGHT, in_flight, 0.0f);
+  }
+  void add_waiting(float waiting) {
+    fbb_.AddElement<float>(PoolRow::VT_WAITING, waiting, 0.0f);
+  }
+  void add_nodes(uint32_t nodes) {
+    fbb_.AddElement<uint32_t>(PoolRow::VT_NODES, nodes, 0);
+  }
+  explicit PoolRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PoolRow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PoolRow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PoolRow> CreatePoolRow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> model = 0,
+    float arrivals = 0.0f,
+    float in_flight = 0.0f,
+    float waiting = 0.0f,
+    uint32_t nodes = 0) {
+  PoolRowBuilder builder_(_fbb);
+  builder_.add_nodes(nodes);
+  builder_.add_waiting(waiting);
+  builder_.add_in_flight(in_flight);
+  builder_.add_arrivals(arrivals);
+  builder_.add_model(model);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct PoolRow::Traits {
+  using type = PoolRow;
+  static auto constexpr Create = CreatePoolRow;
+};
+
+inline flatbuffers::Offset<PoolRow> CreatePoolRowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *model = nullptr,
+    float arrivals = 0.0f,
+    float in_flight = 0.0f,
+    float waiting = 0.0f,
+    uint32_t nodes = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  return waycove::wire::CreatePoolRow(
+      _fbb,
+      service__,
+      model__,
+      arrivals,
+      in_flight,
+      waiting,
+      nodes);
+}
+
+flatbuffers::Offset<PoolRow> CreatePoolRow(flatbuffers::FlatBufferBuilder &_fbb, const PoolRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct NewsWantedT : public flatbuffers::NativeTable {
   typedef NewsWanted TableType;
   std::string node{};
@@ -4394,6 +4533,7 @@
   std::vector<std::unique_ptr<waycove::wire::CrashRowT>> crashes{};
   bool all_crashes = false;
   std::vector<waycove::wire::LimitRow> limits{};
+  std::vector<std::unique_ptr<waycove::wire::PoolRowT>> pools{};
   NewsWantedT() = default;
   NewsWantedT(const NewsWantedT &o);
   NewsWantedT(NewsWantedT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4414,7 +4554,8 @@
     VT_RESTORED = 16,
     VT_CRASHES = 18,
     VT_ALL_CRASHES = 20,
-    VT_LIMITS = 22
+    VT_LIMITS = 22,
+    VT_POOLS = 24
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -4446,6 +4587,9 @@
   const flatbuffers::Vector<const waycove::wire::LimitRow *> *limits() const {
     return GetPointer<const flatbuffers::Vector<const waycove::wire::LimitRow *> *>(VT_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>> *pools() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>> *>(VT_POOLS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -4469,6 +4613,9 @@
            VerifyField<uint8_t>(verifier, VT_ALL_CRASHES, 1) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
+           VerifyOffset(verifier, VT_POOLS) &&
+           verifier.VerifyVector(pools()) &&
+           verifier.VerifyVectorOfTables(pools()) &&
            verifier.EndTable();
   }
   NewsWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4510,6 +4657,9 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LimitRow *>> limits) {
     fbb_.AddOffset(NewsWanted::VT_LIMITS, limits);
   }
+  void add_pools(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>>> pools) {
+    fbb_.AddOffset(NewsWanted::VT_POOLS, pools);
+  }
   explicit NewsWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4532,8 +4682,10 @@
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::FeedMark *>> restored = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crashes = 0,
     bool all_crashes = false,
-    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LimitRow *>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LimitRow *>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>>> pools = 0) {
   NewsWantedBuilder builder_(_fbb);
+  builder_.add_pools(pools);
   builder_.add_limits(limits);
   builder_.add_crashes(crashes);
   builder_.add_restored(restored);
@@ -4563,7 +4715,8 @@
     const std::vector<waycove::wire::FeedMark> *restored = nullptr,
     const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crashes = nullptr,
     bool all_crashes = false,
-    const std::vector<waycove::wire::LimitRow> *limits = nullptr) {
+    const std::vector<waycove::wire::LimitRow> *limits = nullptr,
+    const std::vector<flatbuffers::Offset<waycove::wire::PoolRow>> *pools = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto next__ = next ? _fbb.CreateVector<uint64_t>(*next) : 0;
@@ -4573,6 +4726,7 @@
   auto restored__ = restored ? _fbb.CreateVectorOfStructs<waycove::wire::FeedMark>(*restored) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*crashes) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<waycove::wire::LimitRow>(*limits) : 0;
+  auto pools__ = pools ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::PoolRow>>(*pools) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       node__,
@@ -4584,7 +4738,8 @@
       restored__,
       crashes__,
       all_crashes,
-      limits__);
+      limits__,
+      pools__);
 }
 
 flatbuffers::Offset<NewsWanted> CreateNewsWanted(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4597,6 +4752,7 @@
   std::vector<std::unique_ptr<waycove::wire::DemandRowT>> demand{};
   std::vector<std::unique_ptr<waycove::wire::CrashRowT>> crashes{};
   std::vector<waycove::wire::LimitRow> limits{};
+  std::vector<std::unique_ptr<waycove::wire::PoolRowT>> pools{};
   NewsT() = default;
   NewsT(const NewsT &o);
   NewsT(NewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4613,7 +4769,8 @@
     VT_RENEWALS = 8,
     VT_DEMAND = 10,
     VT_CRASHES = 12,
-    VT_LIMITS = 14
+    VT_LIMITS = 14,
+    VT_POOLS = 16
   };
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>> *feeds() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>> *>(VT_FEEDS);
@@ -4633,6 +4790,9 @@
   const flatbuffers::Vector<const waycove::wire::LimitRow *> *limits() const {
     return GetPointer<const flatbuffers::Vector<const waycove::wire::LimitRow *> *>(VT_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>> *pools() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>> *>(VT_POOLS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FEEDS) &&
@@ -4650,6 +4810,9 @@
            verifier.VerifyVectorOfTables(crashes()) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
+           VerifyOffset(verifier, VT_POOLS) &&
+           verifier.VerifyVector(pools()) &&
+           verifier.VerifyVectorOfTables(pools()) &&
            verifier.EndTable();
   }
   NewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4679,6 +4842,9 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LimitRow *>> limits) {
     fbb_.AddOffset(News::VT_LIMITS, limits);
   }
+  void add_pools(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>>> pools) {
+    fbb_.AddOffset(News::VT_POOLS, pools);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4697,8 +4863,10 @@
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::RenewalRow *>> renewals = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LimitRow *>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LimitRow *>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>>> pools = 0) {
   NewsBuilder builder_(_fbb);
+  builder_.add_pools(pools);
   builder_.add_limits(limits);
   builder_.add_crashes(crashes);
   builder_.add_demand(demand);
@@ -4720,13 +4888,15 @@
     const std::vector<waycove::wire::RenewalRow> *renewals = nullptr,
     const std::vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand = nullptr,
     const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crashes = nullptr,
-    const std::vector<waycove::wire::LimitRow> *limits = nullptr) {
+    const std::vector<waycove::wire::LimitRow> *limits = nullptr,
+    const std::vector<flatbuffers::Offset<waycove::wire::PoolRow>> *pools = nullptr) {
   auto feeds__ = feeds ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedNews>>(*feeds) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<waycove::wire::LoadRow>(*loads) : 0;
   auto renewals__ = renewals ? _fbb.CreateVectorOfStructs<waycove::wire::RenewalRow>(*renewals) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>>(*demand) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*crashes) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<waycove::wire::LimitRow>(*limits) : 0;
+  auto pools__ = pools ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::PoolRow>>(*pools) : 0;
   return waycove::wire::CreateNews(
       _fbb,
       feeds__,
@@ -4734,7 +4904,8 @@
       renewals__,
       demand__,
       crashes__,
-      limits__);
+      limits__,
+      pools__);
 }
 
 flatbuffers::Offset<News> CreateNews(flatbuffers::FlatBufferBuilder &_fbb, const NewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6378,6 +6549,47 @@
       _answer_tokens);
 }
 
+inline PoolRowT *PoolRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PoolRowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PoolRow::UnPackTo(PoolRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = arrivals(); _o->arrivals = _e; }
+  { auto _e = in_flight(); _o->in_flight = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = nodes(); _o->nodes = _e; }
+}
+
+inline flatbuffers::Offset<PoolRow> PoolRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PoolRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePoolRow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PoolRow> CreatePoolRow(flatbuffers::FlatBufferBuilder &_fbb, const PoolRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PoolRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _model = _o->model.empty() ? 0 : _fbb.CreateString(_o->model);
+  auto _arrivals = _o->arrivals;
+  auto _in_flight = _o->in_flight;
+  auto _waiting = _o->waiting;
+  auto _nodes = _o->nodes;
+  return waycove::wire::CreatePoolRow(
+      _fbb,
+      _service,
+      _model,
+      _arrivals,
+      _in_flight,
+      _waiting,
+      _nodes);
+}
+
 inline NewsWantedT::NewsWantedT(const NewsWantedT &o)
       : node(o.node),
         data_centre(o.data_centre),
@@ -6391,6 +6603,8 @@
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new waycove::wire::DemandRowT(*demand_) : nullptr); }
   crashes.reserve(o.crashes.size());
   for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new waycove::wire::CrashRowT(*crashes_) : nullptr); }
+  pools.reserve(o.pools.size());
+  for (const auto &pools_ : o.pools) { pools.emplace_back((pools_) ? new waycove::wire::PoolRowT(*pools_) : nullptr); }
 }
 
 inline NewsWantedT &NewsWantedT::operator=(NewsWantedT o) FLATBUFFERS_NOEXCEPT {
@@ -6404,6 +6618,7 @@
   std::swap(crashes, o.crashes);
   std::swap(all_crashes, o.all_crashes);
   std::swap(limits, o.limits);
+  std::swap(pools, o.pools);
   return *this;
 }
 
@@ -6426,6 +6641,7 @@
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<waycove::wire::CrashRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = all_crashes(); _o->all_crashes = _e; }
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
+  { auto _e = pools(); if (_e) { _o->pools.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pools[_i] = std::unique_ptr<waycove::wire::PoolRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<NewsWanted> NewsWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6446,6 +6662,7 @@
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRow(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _all_crashes = _o->all_crashes;
   auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
+  auto _pools = _o->pools.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::PoolRow>> (_o->pools.size(), [](size_t i, _VectorArgs *__va) { return CreatePoolRow(*__va->__fbb, __va->__o->pools[i].get(), __va->__rehasher); }, &_va ) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       _node,
@@ -6457,7 +6674,8 @@
       _restored,
       _crashes,
       _all_crashes,
-      _limits);
+      _limits,
+      _pools);
 }
 
 inline NewsT::NewsT(const NewsT &o)
@@ -6470,6 +6688,8 @@
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new waycove::wire::DemandRowT(*demand_) : nullptr); }
   crashes.reserve(o.crashes.size());
   for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new waycove::wire::CrashRowT(*crashes_) : nullptr); }
+  pools.reserve(o.pools.size());
+  for (const auto &pools_ : o.pools) { pools.emplace_back((pools_) ? new waycove::wire::PoolRowT(*pools_) : nullptr); }
 }
 
 inline NewsT &NewsT::operator=(NewsT o) FLATBUFFERS_NOEXCEPT {
@@ -6479,6 +6699,7 @@
   std::swap(demand, o.demand);
   std::swap(crashes, o.crashes);
   std::swap(limits, o.limits);
+  std::swap(pools, o.pools);
   return *this;
 }
 
@@ -6497,6 +6718,7 @@
   { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<waycove::wire::DemandRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<waycove::wire::CrashRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
+  { auto _e = pools(); if (_e) { _o->pools.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pools[_i] = std::unique_ptr<waycove::wire::PoolRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<News> News::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6513,6 +6735,7 @@
   auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::DemandRow>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateDemandRow(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRow(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
+  auto _pools = _o->pools.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::PoolRow>> (_o->pools.size(), [](size_t i, _VectorArgs *__va) { return CreatePoolRow(*__va->__fbb, __va->__o->pools[i].get(), __va->__rehasher); }, &_va ) : 0;
   return waycove::wire::CreateNews(
       _fbb,
       _feeds,
@@ -6520,7 +6743,8 @@
       _renewals,
       _demand,
       _crashes,
-      _limits);
+      _limits,
+      _pools);
 }
 
 inline JoinT *Join::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -35,12 +35,19 @@
 // --cuts also cuts one entry at a time off from all targets, while callers, the
 // store and the other entry still reach it. All checks apply.
 //
+// --bursts also bounds the targets' slots and sends several times as many
+// requests as these serve, for some seconds now and then. All checks apply, and
+// - no caller waits longer than its deadline and a second for the end of its
+//   response, unless a fault was active at its entry.
+//
 //   soak --seed=N --seconds=S [--seeds=K] [--restores] [--crashes] [--suspends]
-//   [--statements] [--cuts] runs K consecutive seeds
+//   [--statements] [--cuts] [--bursts] runs K consecutive seeds
 //
 // Exits with 0 if all checks pass. A failed run prints its seed and keeps its
 // logs.
-#include "support/cluster.h"
+#include "soak/soak_config.h"
+#include "soak/store_restores.h"
+#include "soak/target_statements.h"
 #include "support/proxy.h"
 #include "support/socket_owners.h"
 
@@ -51,7 +58,6 @@
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
-#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -70,6 +76,7 @@
 DEFINE_bool(statements, false,
             "let targets state limits, rests and that they leave");
 DEFINE_bool(suspends, false, "suspend the machines of entries");
+DEFINE_bool(bursts, false, "send more requests than there are slots");
 DEFINE_bool(cuts, false, "cut entries off from all targets");
 
 namespace waycove::test {
@@ -79,41 +86,24 @@
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-constexpr int Events = 40;
 constexpr int Engines = 6;
 constexpr int Plains = 2;
 constexpr int CallerThreads = 6;
+/// Additional callers in a burst, about twice the slots of all groups.
+constexpr int BurstThreads = 60;
+constexpr milliseconds MaxOverrun(1000);
 /// Maximum number of concurrent faults; leaves enough targets to serve.
 constexpr int MaxFaults = 3;
 constexpr milliseconds RecoveryTime(15000);
-constexpr milliseconds RevokeBound(1500);
-/// Time after a restore for targets and operators to publish again.
-constexpr int RepublishMs = 1000;
 /// Seed offsets that keep the random sequences of the options independent.
-constexpr std::uint64_t RestoreSeedOffset = 1'000'000;
 constexpr std::uint64_t CrashSeedOffset = 2'000'000;
 constexpr std::uint64_t SuspendSeedOffset = 3'000'000;
-constexpr std::uint64_t StatementSeedOffset = 4'000'000;
 constexpr std::uint64_t CutSeedOffset = 5'000'000;
+constexpr std::uint64_t BurstSeedOffset = 6'000'000;
 /// How an entry's connections to targets behave in a cut.
 constexpr std::array CutFaults{LinkFault::Silent, LinkFault::Reset,
                                LinkFault::RefuseNew,
                                LinkFault::SilentRefuseNew};
-/// Requests per second that targets state, what they may get in a window of
-/// four seconds on top of one and a half times that, and for how long they
-/// state it.
-constexpr std::array StatedRates{"0.5", "1.7", "4"};
-constexpr double RateTolerance = 1.5;
-constexpr double RequestTolerance = 5;
-constexpr double RateWindowSeconds = 4;
-constexpr milliseconds LimitTime(9000);
-constexpr milliseconds RestPeriod(3000);
-constexpr milliseconds LeavingTime(4000);
-constexpr std::uint64_t RestMs = 2000;
-/// Requests that are under way as a target states something arrive in this
-/// time, and this many may come in a rest after it.
-constexpr std::uint64_t UnderWayMs = 500;
-constexpr int MaxWhileResting = 2;
 /// Crashes after which a request must be blocked, the time for entries to learn
 /// of them, and the maximum number of crashes after that.
 constexpr int CrashesToBlock = 3;
@@ -121,41 +111,10 @@
 constexpr int MaxFurtherCrashes = 3;
 const std::string CrashBody = "crash 20";
 
-std::string versionKey(int Version) {
-  return "turn-" + std::to_string(Version);
-}
-
-/// Each version has a key that the next version revokes.
-std::string config(int Version) {
-  const std::string Route =
-      R"("host":"a.example","timeout_ms":6000,"goal_ms":300,"priority":1,)";
-  return R"({"version":)" + std::to_string(Version) +
-         R"(,"routes":[{"name":"chat",)" + Route +
-         R"("path_prefix":"/chat/","type":"streaming","service":"llm",)"
-         R"("max_attempts":2,"resumable":true,"gap_target_ms":200},)"
-         R"({"name":"once",)" +
-         Route +
-         R"("path_prefix":"/once/","type":"non_idempotent","service":"plain",)"
-         R"("max_attempts":1}],"services":[{"name":"plain","max_conns":50},)"
-         R"({"name":"llm","max_conns":50,"engine":{"slots":8,"retains":1,)"
-         R"("loads_per_s":50,"models":[{"name":"model","size":2,"share":1,)"
-         R"("pace":1,"load_s":0.1,"warm_s":0.05}]}}],)"
-         R"("tenants":[{"name":"w1","api_keys":["key-1",")" +
-         versionKey(Version) + R"("]}]})";
-}
-
-std::string wholeStream() {
-  std::string Text;
-  for (int I = 1; I <= Events; ++I)
-    Text += "id: " + std::to_string(I) + "\ndata: piece " + std::to_string(I) +
-            "\n\n";
-  return Text;
-}
-
 /// One run: a small system behind proxies, with callers and injected faults.
-class Soak {
+class Soak : SoakSystem {
 public:
-  explicit Soak(std::uint64_t Seed) : Seed(Seed), Random(Seed) {
+  explicit Soak(std::uint64_t Seed) : SoakSystem(Seed), Random(Seed) {
     this->Run.Suspendable = FLAGS_suspends;
     this->startAll();
   }
@@ -172,7 +131,7 @@
       });
     std::thread Operator([&] {
       if (FLAGS_restores)
-        this->restoreRepeatedly(Stop);
+        this->Restores.restoreRepeatedly();
     });
     std::thread CrashCaller([&] {
       if (FLAGS_crashes)
@@ -180,22 +139,27 @@
     });
     std::thread RevokedKeyCaller([&] {
       while (FLAGS_restores && !Stop)
-        this->callWithRevokedKey();
+        this->Restores.callWithRevokedKey();
     });
     std::thread Statements([&] {
       while (FLAGS_statements && !this->FaultsOver)
-        this->stateSomething();
+        this->Targets.stateSomething();
     });
     std::thread Cuts([&] {
       if (FLAGS_cuts)
         this->cutRepeatedly();
     });
+    std::thread Bursts([&] {
+      if (FLAGS_bursts)
+        this->burstRepeatedly();
+    });
     this->injectFaults();
     this->endFaults();
     this->FaultsOver = true;
     Operator.join();
     Statements.join();
     Cuts.join();
+    Bursts.join();
     bool Recovered = eventually(
         [&] {
           this->restartCrashed();
@@ -203,19 +167,20 @@
         },
         RecoveryTime);
     if (FLAGS_restores && !this->isLastConfigInForce())
-      this->fail("the last configuration is not in force everywhere");
+      this->Failures.add("the last configuration is not in force everywhere");
     Stop = true;
     for (std::thread &Row : Callers)
       Row.join();
     RevokedKeyCaller.join();
     CrashCaller.join();
     if (!Recovered)
-      this->fail("not served " + std::to_string(RecoveryTime.count()) +
-                 " ms after the last fault");
+      this->Failures.add("not served " + std::to_string(RecoveryTime.count()) +
+                         " ms after the last fault");
     this->checkRuns();
-    this->checkStatements();
-    this->Run.KeepLogs = !this->Failures.empty();
-    return this->Failures;
+    this->Targets.checkRequests();
+    std::string Failed = this->Failures.text();
+    this->Run.KeepLogs = !Failed.empty();
+    return Failed;
   }
 
   unsigned long served() const { return this->Served; }
@@ -227,18 +192,13 @@
     return std::uniform_int_distribution<int>(0, Below - 1)(this->Random);
   }
 
-  void fail(const std::string &What) {
-    std::lock_guard Lock(this->Mutex);
-    this->Failures += What + "\n";
-  }
-
   void startAll() {
     this->Run.addVms("e", Engines, "a", "d");
     this->Run.addVms("p", Plains, "a", "", "plain");
     for (const char *Node : {"n1", "n2"})
       this->Run.addNode(Node, "a");
     this->Run.startPlatform();
-    this->publish();
+    this->Restores.publish();
     for (int I = 1; I <= Engines; ++I)
       this->addVm("e-" + std::to_string(I));
     for (int I = 1; I <= Plains; ++I)
@@ -246,7 +206,7 @@
     for (const char *Node : {"n1", "n2"})
       this->startNode(Node);
     if (!eventually([&] { return this->isServing(); }, RecoveryTime))
-      this->fail("does not start");
+      this->Failures.add("does not start");
   }
 
   void addVm(const std::string &Id) {
@@ -266,6 +226,9 @@
         "--token_ms=8", "--load_ms=50",
         "--registry=127.0.0.1:" + std::to_string(this->Run.platformPort()),
         "--advertise=127.0.0.1:" + std::to_string(this->Links[Id]->port())};
+    if (FLAGS_bursts)
+      this->Run.TargetFlags.insert(this->Run.TargetFlags.end(),
+                                   {"--slots=8", "--queue=16"});
     this->Run.startVm(Id);
   }
 
@@ -283,6 +246,25 @@
     this->Owners.set(Node, this->Run.node(Node).id());
   }
 
+  /// Sends more requests than the targets serve, now and then.
+  void burstRepeatedly() {
+    std::mt19937_64 Times(this->Seed + BurstSeedOffset);
+    // Numbers of requests go on from burst to burst, since IDs are unique.
+    std::vector<int> Numbers(BurstThreads, 0);
+    while (!this->FaultsOver) {
+      std::this_thread::sleep_for(milliseconds(500 + Times() % 2500));
+      auto End = Clock::now() + milliseconds(1000 + Times() % 3000);
+      std::vector<std::jthread> Callers;
+      Callers.reserve(BurstThreads);
+      for (int I = 0; I < BurstThreads; ++I)
+        Callers.emplace_back(
+            [&, I, Number = &Numbers[static_cast<std::size_t>(I)]] {
+              while (Clock::now() < End && !this->FaultsOver)
+                this->callOnce(CallerThreads + I, (*Number)++);
+            });
+    }
+  }
+
   /// Cuts entries off from all targets, one after the other.
   void cutRepeatedly() {
     std::mt19937_64 Cuts(this->Seed + CutSeedOffset);
@@ -298,21 +280,6 @@
     }
   }
 
-  Reply call(const std::string &Node, const std::string &Path,
-             const std::string &Id, const std::string &Key = "key-1",
-             const std::string &Body = "body") {
-    return this->Run.ask(Node, {"POST",
-                                Path,
-                                Body,
-                                {{"Host", "a.example"},
-                                 {"Authorization", "Bearer " + Key},
-                                 {"X-Request-Id", Id},
-                                 {"X-Model", "model"},
-                                 {"X-Token-Count", "100,50"},
-                                 {"X-Deadline-Ms", "6000"}},
-                                milliseconds(8000)});
-  }
-
   bool isServing() {
     static std::atomic<int> Count{0};
     std::string Id = "probe-" + std::to_string(++Count);
@@ -322,9 +289,11 @@
 
   void callOnce(int Thread, int Number) {
     std::string Id = std::to_string(Thread) + "-" + std::to_string(Number);
-    std::string Node = Number % 2 ? "n1" : "n2";
+    std::string Node = entryOfCall(Number);
     bool Stream = (Thread + Number) % 3 != 0;
+    std::uint64_t Begin = wallMs();
     Reply Response = this->call(Node, Stream ? "/chat/x" : "/once/x", Id);
+    this->checkDuration(Id, Node, Begin);
     if (Response.Refused || Response.Status == 0) {
       std::this_thread::sleep_for(milliseconds(50));
       return;
@@ -338,7 +307,18 @@
     else
       this->checkCall(Id, Response);
     if (Response.Status == 401 || Response.Status == 404)
-      this->fail(Id + ": refused with " + std::to_string(Response.Status));
+      this->Failures.add(Id + ": refused with " +
+                         std::to_string(Response.Status));
+  }
+
+  void checkDuration(const std::string &Id, const std::string &Node,
+                     std::uint64_t Begin) {
+    std::uint64_t End = wallMs();
+    milliseconds Duration(End - Begin);
+    if (FLAGS_bursts && Duration > CallerDeadline + MaxOverrun &&
+        !this->Faults.wasDisturbed(Node, Begin, End))
+      this->Failures.add(Id + ": " + std::to_string(Duration.count()) +
+                         " ms at " + Node + " until the response ended");
   }
 
   void checkStream(const std::string &Id, const Reply &Response) {
@@ -347,13 +327,13 @@
     const std::string Whole = wholeStream();
     bool Prefix = Whole.compare(0, Response.Body.size(), Response.Body) == 0;
     if (!Prefix || (!Response.Cut && Response.Body != Whole))
-      this->fail(Id + ": a stream that is not whole or not in order");
+      this->Failures.add(Id + ": a stream that is not whole or not in order");
   }
 
   void checkCall(const std::string &Id, const Reply &Response) {
     if (Response.Status == 200 && !Response.Cut &&
         Response.Body != "ran " + Id + " for w1 body")
-      this->fail(Id + ": another's answer: " + Response.Body);
+      this->Failures.add(Id + ": another's answer: " + Response.Body);
     if (Response.Status == 503 || Response.Status == 429) {
       ++this->Refused;
       std::lock_guard Lock(this->Mutex);
@@ -361,13 +341,6 @@
     }
   }
 
-  /// In Unix milliseconds; the end is 0 while it lasts.
-  struct Period {
-    std::string Name;
-    std::uint64_t Begin = 0;
-    std::uint64_t End = 0;
-  };
-
   /// Injects overlapping faults of random duration.
   void injectFaults() {
     auto End = Clock::now() + std::chrono::seconds(FLAGS_seconds);
@@ -396,7 +369,7 @@
       return;
     int Kind = this->randomBelow(8);
     if (Kind != 7)
-      this->beginDisturbance(Target);
+      this->Faults.begin(Target);
     if (Kind >= 3 && Kind < 7) {
       this->Links[Target]->set(static_cast<LinkFault>(Kind - 2));
       this->ActiveFaults[Target] = {
@@ -417,21 +390,10 @@
     }
   }
 
-  void beginDisturbance(const std::string &Name) {
-    std::lock_guard Lock(this->Mutex);
-    this->Disturbances.push_back({Name, wallMs(), 0});
-  }
-  void endDisturbance(const std::string &Name) {
-    std::lock_guard Lock(this->Mutex);
-    for (Period &Row : this->Disturbances)
-      if (Row.Name == Name && Row.End == 0)
-        Row.End = wallMs();
-  }
-
   void beginSuspension(const std::string &Node, Clock::time_point Until) {
     if (this->ActiveFaults.contains(Node))
       return;
-    this->beginDisturbance(Node);
+    this->Faults.begin(Node);
     this->Run.suspend(Node);
     this->ActiveFaults[Node] = {Until,
                                 [this, Node] { this->Run.resume(Node); }};
@@ -444,8 +406,7 @@
     for (const std::string &Vm : this->Vms)
       if (!this->ActiveFaults.contains(Vm) &&
           this->Run.vm(Vm).wait(milliseconds(0)) != -1) {
-        this->Run.atPlatform(
-            {"POST", "/store/put?topic=keyed.servers&key=" + Vm, "", {}});
+        this->removeFromRegistry(Vm);
         this->startVm(Vm);
       }
   }
@@ -479,147 +440,15 @@
     }
     if (int Crashes = this->countCrashes();
         CrashesBefore && Crashes - *CrashesBefore > MaxFurtherCrashes)
-      this->fail(std::to_string(Crashes - *CrashesBefore) +
-                 " targets ended under a request that had ended three");
-  }
-
-  /// Lets a target state one thing for some seconds.
-  void stateSomething() {
-    const std::string &Vm =
-        this->Vms[this->StatementRandom() % this->Vms.size()];
-    switch (this->StatementRandom() % 3) {
-    case 0:
-      return this->stateLimit(Vm);
-    case 1:
-      this->setFaults(Vm, R"({"call":"busy","rest":"2"})");
-      this->waitForPeriod(Vm, RestPeriod);
-      return this->setFaults(Vm, R"({"call":"","rest":""})");
-    default:
-      this->setFaults(Vm, R"({"leaving":"yes"})");
-      this->waitForPeriod(Vm, LeavingTime);
-      this->setFaults(Vm, R"({"leaving":""})");
-      // Another process takes its place.
-      this->Run.atVm(Vm, {"POST", "/restart", "", {}, milliseconds(500)});
-    }
-  }
-
-  void waitForPeriod(const std::string &Vm, milliseconds Duration) {
-    std::uint64_t Begin = wallMs();
-    auto End = Clock::now() + Duration;
-    while (Clock::now() < End && !this->FaultsOver)
-      std::this_thread::sleep_for(milliseconds(50));
-    std::lock_guard Lock(this->Mutex);
-    this->Periods.push_back({Vm, Begin, wallMs()});
-  }
-
-  /// Also checks that the limit holds.
-  void stateLimit(const std::string &Vm) {
-    const std::string Rate =
-        StatedRates[this->StatementRandom() % StatedRates.size()];
-    this->setFaults(Vm, R"({"limit":")" + Rate + "\"}");
-    auto End = Clock::now() + LimitTime;
-    double Peak = 0;
-    while (Clock::now() < End && !this->FaultsOver) {
-      std::this_thread::sleep_for(milliseconds(200));
-      Reply Seen =
-          this->Run.atVm(Vm, {.Path = "/runs", .Timeout = milliseconds(500)});
-      if (Seen.Status == 200)
-        Peak = std::max(Peak, static_cast<double>(Seen.number("limited_peak")));
-    }
-    this->setFaults(Vm, R"({"limit":""})");
-    if (Peak >
-        RateTolerance * RateWindowSeconds * std::stod(Rate) + RequestTolerance)
-      this->fail(Vm + ": " + std::to_string(Peak) +
-                 " requests in 4 s at a limit of " + Rate + " a second");
-  }
-
-  /// The target may be stopped or gone.
-  void setFaults(const std::string &Vm, const std::string &Json) {
-    this->Run.atVm(Vm, {"POST", "/faults", Json, {}, milliseconds(500)});
-  }
-
-  static std::uint64_t wallMs() {
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count());
-  }
-
-  /// The entry that callOnce() sends a request to; empty for other requests.
-  static std::string entryOf(const std::string &Id) {
-    std::size_t Dash = Id.find('-');
-    bool IsCall = Dash != std::string::npos &&
-                  Id.find_first_not_of("0123456789-") == std::string::npos;
-    if (!IsCall)
-      return "";
-    return std::stoi(Id.substr(Dash + 1)) % 2 ? "n1" : "n2";
-  }
-
-  /// Whether a fault was active at an entry, a target or its link.
-  bool wasDisturbed(const std::string &Name, std::uint64_t From,
-                    std::uint64_t Until) {
-    std::lock_guard Lock(this->Mutex);
-    return std::any_of(this->Disturbances.begin(), this->Disturbances.end(),
-                       [&](const Period &Row) {
-                         return Row.Name == Name && Row.Begin <= Until &&
-                                (Row.End == 0 || Row.End + UnderWayMs >= From);
-                       });
-  }
-
-  /// A request of callOnce() as its target logged it.
-  struct Arrival {
-    std::string Entry;
-    std::uint64_t At = 0;
-    std::string Stated;
-  };
-
-  std::vector<Arrival> arrivalsIn(const Period &Within) {
-    std::vector<Arrival> Rows;
-    std::istringstream Lines(this->Run.logOf(Within.Name));
-    Arrival Row;
-    for (std::string Word, Id; Lines >> Word;)
-      if (Word == "got" && Lines >> Id >> Row.At >> Row.Stated) {
-        Row.Entry = entryOf(Id);
-        if (Row.At >= Within.Begin && Row.At < Within.End && !Row.Entry.empty())
-          Rows.push_back(Row);
-      }
-    return Rows;
-  }
-
-  /// Compares what targets stated with the requests that came afterwards.
-  void checkStatements() {
-    for (const Period &Stated : this->Periods) {
-      if (this->wasDisturbed(Stated.Name, Stated.Begin, Stated.End))
-        continue;
-      std::vector<Arrival> Rows = this->arrivalsIn(Stated);
-      for (const Arrival &Told : Rows)
-        if (Told.Stated != "-")
-          this->checkAfter(Told, Rows, Stated.Name);
-    }
-  }
-
-  void checkAfter(const Arrival &Told, const std::vector<Arrival> &Rows,
-                  const std::string &Vm) {
-    bool Leaves = Told.Stated == "leaving";
-    std::uint64_t Until =
-        Leaves ? std::numeric_limits<std::uint64_t>::max() : Told.At + RestMs;
-    int Count = 0;
-    for (const Arrival &Row : Rows)
-      if (Row.Entry == Told.Entry && Row.At > Told.At + UnderWayMs &&
-          Row.At < Until && !this->wasDisturbed(Told.Entry, Told.At, Row.At))
-        ++Count;
-    if (Count > (Leaves ? 0 : MaxWhileResting))
-      this->fail(Vm + ": " + std::to_string(Count) + " requests from " +
-                 Told.Entry + " after it had stated \"" + Told.Stated +
-                 "\" at " + std::to_string(Told.At));
+      this->Failures.add(std::to_string(Crashes - *CrashesBefore) +
+                         " targets ended under a request that had ended three");
   }
 
   void kill(const std::string &Target, bool OnNode, bool Graceful,
             Clock::time_point Until) {
     if (!OnNode) {
       this->Run.killVm(Target);
-      this->Run.atPlatform(
-          {"POST", "/store/put?topic=keyed.servers&key=" + Target, "", {}});
+      this->removeFromRegistry(Target);
       this->ActiveFaults[Target] = {Until,
                                     [this, Target] { this->startVm(Target); }};
       return;
@@ -641,102 +470,18 @@
         continue;
       }
       At->second.End();
-      this->endDisturbance(At->first);
+      this->Faults.end(At->first);
       At = this->ActiveFaults.erase(At);
     }
   }
 
   void endFaults() { this->endExpiredFaults(Clock::time_point::max()); }
 
-  /// Publishes the next version, which revokes the key of the previous one.
-  void publish() {
-    int Version = ++this->Version;
-    this->Run.atPlatform(
-        {"POST", "/store/put?topic=keyed.op&key=config", config(Version), {}});
-    std::lock_guard Lock(this->Mutex);
-    if (Version > 1)
-      this->RevokedKeys.push_back({versionKey(Version - 1), Clock::now()});
-  }
-
-  /// Uses a separate generator to keep the other faults of a seed unchanged.
-  void restoreRepeatedly(const std::atomic<bool> &Stop) {
-    std::mt19937_64 Generator(this->Seed + RestoreSeedOffset);
-    auto Pause = [&](int Min, int Max) {
-      std::this_thread::sleep_for(milliseconds(
-          std::uniform_int_distribution<int>(Min, Max)(Generator)));
-    };
-    while (!Stop && !this->FaultsOver) {
-      this->Run.atPlatform({"POST", "/store/copy", "", {}});
-      for (int Changes = static_cast<int>(Generator() % 4); Changes >= 0;
-           --Changes) {
-        Pause(50, 1200);
-        this->publish();
-      }
-      Pause(0, 500);
-      this->Run.atPlatform({"POST", "/store/down?how=refuse", "", {}});
-      Pause(100, 1200);
-      this->Run.atPlatform({"POST", "/store/restore", "", {}});
-      this->Run.atPlatform({"POST", "/store/down?how=no", "", {}});
-      std::thread Targets([&] { this->republishTargets(); });
-      Pause(0, RepublishMs);
-      this->publish();
-      Targets.join();
-      Pause(0, 2000);
-    }
-  }
-
-  /// Running targets publish their entries again; those of others are removed.
-  void republishTargets() {
-    auto Publish = [this](const std::string &Vm) {
-      return this->Run.atVm(Vm,
-                            {"POST", "/publish", "", {}, milliseconds(500)});
-    };
-    for (const std::string &Vm : this->Vms) {
-      std::this_thread::sleep_for(milliseconds(RepublishMs / this->Vms.size()));
-      if (!Publish(Vm).Refused)
-        continue;
-      this->Run.atPlatform(
-          {"POST", "/store/put?topic=keyed.servers&key=" + Vm, "", {}});
-      // The target may have started in the meantime.
-      Publish(Vm);
-    }
-  }
-
-  /// Sends a request with a revoked key.
-  void callWithRevokedKey() {
-    std::this_thread::sleep_for(milliseconds(20));
-    std::string Key;
-    {
-      std::lock_guard Lock(this->Mutex);
-      auto Latest = std::find_if(
-          this->RevokedKeys.rbegin(), this->RevokedKeys.rend(),
-          [](const auto &Row) { return Clock::now() - Row.At > RevokeBound; });
-      if (Latest == this->RevokedKeys.rend())
-        return;
-      auto Count = this->RevokedKeys.rend() - Latest;
-      Key = this->RevokedKeys[this->RevokedCalls % static_cast<unsigned>(Count)]
-                .Key;
-      // Half of the requests use the newest key, which a copy may still hold.
-      if (this->RevokedCalls % 2 == 0)
-        Key = Latest->Key;
-    }
-    unsigned Number = ++this->RevokedCalls;
-    std::string Node = Number % 4 < 2 ? "n1" : "n2";
-    Reply Response =
-        this->call(Node, "/once/x", "thief-" + std::to_string(Number), Key);
-    if (Response.Status == 200)
-      this->fail(Node + ": served a request with " + Key +
-                 ", which was taken away");
-  }
-
   bool isLastConfigInForce() {
-    std::string Key = versionKey(this->Version);
     return eventually(
         [&] {
           this->restartCrashed();
-          std::string Id = "last-" + std::to_string(++this->RevokedCalls);
-          return this->call("n1", "/once/x", Id, Key).Status == 200 &&
-                 this->call("n2", "/once/x", Id + "b", Key).Status == 200;
+          return this->Restores.isLastVersionServed();
         },
         RecoveryTime);
   }
@@ -752,9 +497,9 @@
     }
     for (const auto &[Id, Count] : Runs) {
       if (Count > 1)
-        this->fail(Id + ": ran " + std::to_string(Count) + " times");
+        this->Failures.add(Id + ": ran " + std::to_string(Count) + " times");
       if (this->NotRun.contains(Id))
-        this->fail(Id + ": ran, and was refused as not run");
+        this->Failures.add(Id + ": ran, and was refused as not run");
     }
   }
 
@@ -763,32 +508,15 @@
     std::function<void()> End;
   };
 
-  const std::uint64_t Seed;
   std::mt19937_64 Random;
-  /// Used by one thread.
-  std::mt19937_64 StatementRandom{Seed + StatementSeedOffset};
+  StoreRestores Restores{*this};
+  TargetStatements Targets{*this};
   /// Read by the threads of proxies.
   SocketOwners Owners;
-  Cluster Run;
-  std::vector<std::string> Vms;
   std::map<std::string, std::unique_ptr<LoopbackProxy>> Links;
   std::map<std::string, ActiveFault> ActiveFaults;
   std::mutex Mutex;
-  std::string Failures;
   std::set<std::string> NotRun;
-  /// Faults at entries and targets.
-  std::vector<Period> Disturbances;
-  /// When targets rested or left.
-  std::vector<Period> Periods;
-  /// A revoked key and the time at which the store acknowledged its revocation.
-  struct RevokedKey {
-    std::string Key;
-    Clock::time_point At;
-  };
-  std::vector<RevokedKey> RevokedKeys;
-  std::atomic<int> Version{0};
-  std::atomic<unsigned> RevokedCalls{0};
-  std::atomic<bool> FaultsOver{false};
   std::atomic<unsigned long> Served{0};
   std::atomic<unsigned long> Refused{0};
 };
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -14,6 +14,7 @@
 //   die_after   resets the connection after 5 events
 //   still       stalls for 4 s before each event after the first 5
 //   disorder    repeats event 1 after each event that follows the first 5
+//   half_second responds after 500 ms
 //   slow        responds after 700 ms
 //   hang        responds after 4 s
 //   failed      500
@@ -35,6 +36,7 @@
 // POST /restart simulates a restart under the same ID; with ?unseen=1 the
 // registry keeps the old entry until the target publishes again.
 #include "base/json.h"
+#include "standins/bounded_slots.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -64,6 +66,10 @@
   std::string Role;
   int TokenMs = 5;
   int LoadMs = 50;
+  /// Requests that run at once, and that are queued behind them; others get
+  /// 503 as not run. 0 slots: all run at once.
+  unsigned Slots = 0;
+  unsigned QueueSize = 0;
 };
 
 /// The faults that are set, by their names in this file's first comment.
@@ -123,7 +129,8 @@
 
 class Replica {
 public:
-  explicit Replica(ReplicaSetup Setup) : Setup(std::move(Setup)) {}
+  explicit Replica(ReplicaSetup From)
+      : Setup(std::move(From)), Slots(Setup.Slots, Setup.QueueSize) {}
 
   /// Handles requests of the users' platform; returns false for all others.
   bool handle(Poco::Net::HTTPServerRequest &Request,
@@ -175,6 +182,9 @@
   }
 
 private:
+  /// Slots that a target states which does not bound them.
+  static constexpr unsigned UnboundSlots = 8;
+
   void addGroup(Poco::JSON::Object &Out) const {
     if (this->Group.empty())
       return;
@@ -194,7 +204,7 @@
     Out.set("zone", this->Setup.DataCentre);
     Out.set("domain", this->Setup.Domain);
     Out.set("version", std::string("v1"));
-    Out.set("slots", 8);
+    Out.set("slots", this->Setup.Slots > 0 ? this->Setup.Slots : UnboundSlots);
     Out.set("state", std::string("ready"));
     Out.set("cold_left_ms", 0);
     Out.set("sequence", this->Sequence);
@@ -314,6 +324,11 @@
     Poco::JSON::Object Out;
     Out.set("runs", this->Runs.load());
     Out.set("left", this->AbortedStreams.load());
+    BoundedSlots::Counts Counts = this->Slots.counts();
+    Out.set("running", Counts.Running);
+    Out.set("present", Counts.Present);
+    Out.set("peak", Counts.Peak);
+    Out.set("rejected", Counts.Rejected);
     std::lock_guard Lock(this->Mutex);
     Out.set("limited", this->Limited.count());
     Out.set("limited_peak", this->Limited.peak());
@@ -350,6 +365,11 @@
         Response.set("Retry-After", Faults.Rest);
       return reply(Response, 503, "");
     }
+    HeldSlot Slot(this->Slots);
+    if (!Slot) {
+      Response.set("X-Not-Executed", "1");
+      return reply(Response, 503, "");
+    }
     ++this->Runs;
     if (Body.rfind("crash", 0) == 0)
       crash(Body);
@@ -361,6 +381,8 @@
       return drop(Request, Response);
     if (Fault == "failed")
       return reply(Response, 500, "failed");
+    if (Fault == "half_second")
+      std::this_thread::sleep_for(std::chrono::milliseconds(500));
     if (Fault == "slow")
       std::this_thread::sleep_for(std::chrono::milliseconds(700));
     if (Fault == "hang")
@@ -423,6 +445,7 @@
   }
 
   const ReplicaSetup Setup;
+  BoundedSlots Slots;
   std::mutex Mutex;
   std::uint64_t StartedAt = nowMs();
   std::uint64_t Sequence = 0;
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -38,6 +38,9 @@
 DEFINE_string(registry, "",
               "address of the store to register with; empty for none");
 DEFINE_string(advertise, "", "address to register; empty for the VM's own");
+DEFINE_uint32(slots, 0,
+              "requests of the users' platform that run at once; 0: all");
+DEFINE_uint32(queue, 0, "requests that are queued when all slots are in use");
 DEFINE_bool(checks_fence, true, "refuse orders with an older fence");
 
 namespace {
@@ -398,7 +401,9 @@
                                   Row["domain"].as<std::string>(),
                                   Row["labels"]["role"].as<std::string>(),
                                   FLAGS_token_ms,
-                                  FLAGS_load_ms};
+                                  FLAGS_load_ms,
+                                  FLAGS_slots,
+                                  FLAGS_queue};
       Vms.back()->Target = std::make_unique<standin::Replica>(Setup);
       Vms.back()->Target->publish();
     }
--- a/tests/unit/choice_load_test.cpp
+++ b/tests/unit/choice_load_test.cpp
@@ -6,14 +6,15 @@
 // when each node chooses targets by its own observations and delayed reports.
 // Guards against two failures: all nodes send their next request to a group
 // that has just opened, and a data centre that loses groups overloads the
-// remaining ones while others are idle.
+// remaining ones while others are idle. Also, under full load, against requests
+// that pile up at some targets while others have free slots.
 #include "policy/centre_balance.h"
 #include "policy/choice.h"
+#include "support/simulated_engine.h"
 #include "support/times.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
-#include <list>
 #include <random>
 
 namespace waycove::test {
@@ -21,30 +22,18 @@
 namespace {
 
 constexpr int StepMs = 5;
-constexpr unsigned Slots = 22;
-constexpr double PromptTokens = 700;
-constexpr double PromptTokensPerMs = 46;
-constexpr int Events = 18;
+constexpr unsigned Slots = SimulatedEngine::Slots;
+constexpr double PromptTokens = SimulatedEngine::PromptTokens;
 /// Age of reports between nodes.
 constexpr int ReportAgeMs = 500;
 constexpr int ReportIntervalMs = 250;
 /// Latency objective for the first event.
 constexpr int ObjectiveMs = 400;
 
+/// A request that was sent.
 struct Job {
   std::size_t Node = 0;
   TimePoint SentAt;
-  double Unread = PromptTokens;
-  double NextEventMs = 0;
-  int Made = 0;
-};
-
-/// A group that processes prompts one after the other and generates for up to
-/// Slots requests at a time, slower with more of them.
-struct Engine {
-  std::deque<Job> Queue;
-  std::list<Job> Running;
-  std::size_t inFlight() const { return Queue.size() + Running.size(); }
 };
 
 } // namespace
@@ -92,6 +81,21 @@
         ++Row;
       }
   }
+  /// Gives each node its share of the places; requests wait without one.
+  void limitPlaces() {
+    this->Loads.resize(this->Seen.size());
+    for (std::size_t I = 0; I < this->Loads.size(); ++I) {
+      this->Loads[I].KnownNodes = this->Loads.size();
+      this->Loads[I].NodeIndex = I;
+    }
+    for (ServingTarget &Row : this->Rows) {
+      Row.Slots = Slots;
+      for (PoolLoad &Load : this->Loads) {
+        Load.Offers.push_back({hashOf(Row.Target->incarnation()), Slots});
+        Load.Places += Slots;
+      }
+    }
+  }
   void run(int Ms) {
     double PerStep = this->PerSecond * StepMs / 1000;
     for (int End = this->NowMs + Ms; this->NowMs < End; this->NowMs += StepMs) {
@@ -99,7 +103,7 @@
         this->spreadNews();
       std::poisson_distribution<int> Draw(PerStep);
       for (int Left = Draw(this->Random); Left > 0; --Left)
-        this->arrive();
+        this->arrive(this->draw());
       for (std::size_t I = 0; I < this->Engines.size(); ++I)
         this->work(I);
       for (std::size_t I = 0; I < this->Engines.size(); ++I)
@@ -138,7 +142,7 @@
   double PerSecond = 0;
   /// By data centre of the request.
   std::vector<double> Weights;
-  std::vector<Engine> Engines;
+  std::vector<SimulatedEngine> Engines;
   std::map<std::size_t, std::size_t> MostInFlight;
   std::vector<Sample> Samples;
   /// When each request was sent, and whether to another data centre.
@@ -162,8 +166,17 @@
            this->Random() % this->NodesEach;
   }
 
-  void arrive() {
-    std::size_t Node = this->draw();
+  void arrive(std::size_t Node) {
+    std::optional<PlaceShare> Share;
+    if (!this->Loads.empty()) {
+      PoolLoad &Load = this->Loads[Node];
+      Share = placeShare(Load);
+      if (Load.Own.InFlight >= static_cast<double>(placeLimit(Load, *Share))) {
+        ++Load.Own.Waiting;
+        return;
+      }
+      ++Load.Own.InFlight;
+    }
     std::uniform_real_distribution<double> Part;
     ChoiceQuery Query;
     Query.Model = "m";
@@ -171,6 +184,7 @@
     Query.AnyDataCentre =
         Part(this->Random) >= this->Balance[Node].localFraction(Pool);
     Query.Now = at(this->NowMs);
+    Query.Places = Share;
     Query.Random = this->Random();
     const ServingTarget *Row =
         chooseTarget(this->Rows, this->Seen[Node], Query);
@@ -178,50 +192,71 @@
     this->Sends.emplace_back(this->NowMs,
                              Row->Target->DataCentre != Query.Here);
     std::size_t Group = std::stoul(Row->Target->Id.Text.substr(1));
-    this->Engines[Group].Queue.push_back({Node, at(this->NowMs)});
+    this->Engines[Group].offer(this->Jobs.size());
+    this->Jobs.push_back({Node, at(this->NowMs)});
     this->Seen[Node].onStart(Row->Target->incarnation(), PromptTokens,
                              at(this->NowMs));
   }
 
   void work(std::size_t Group) {
-    Engine &Row = this->Engines[Group];
     VmIncarnation Id{VmId("g" + std::to_string(Group)), {}};
-    while (!Row.Queue.empty() && Row.Running.size() < Slots) {
-      Row.Running.push_back(Row.Queue.front());
-      Row.Queue.pop_front();
-    }
-    double Reads = PromptTokensPerMs * StepMs;
-    double EventMs =
-        8 * (6.07 + 0.12 * static_cast<double>(Row.Running.size()));
-    for (auto At = Row.Running.begin(); At != Row.Running.end();) {
-      double Read = std::min(Reads, At->Unread);
-      Reads -= Read;
-      At->Unread -= Read;
-      if (At->Unread <= 0)
-        At->NextEventMs += StepMs;
-      if (At->NextEventMs >= EventMs) {
-        At->NextEventMs = 0;
-        this->makeEvent(Group, Id, *At);
-      }
-      At = At->Made == Events ? Row.Running.erase(At) : std::next(At);
-    }
+    this->Engines[Group].work(StepMs, [&](std::size_t Request, int Made) {
+      this->onEvent(Group, Id, this->Jobs[Request], Made);
+    });
   }
 
-  void makeEvent(std::size_t Group, const VmIncarnation &Id, Job &Row) {
+  void onEvent(std::size_t Group, const VmIncarnation &Id, const Job &Row,
+               int Made) {
     TargetStatsTable &Stats = this->Seen[Row.Node];
     TimePoint Now = at(this->NowMs);
-    if (Row.Made++ == 0) {
+    if (Made == 1) {
       Stats.onFirstByte(Id, Row.SentAt, PromptTokens, Now);
       auto Took = std::chrono::duration_cast<Millis>(Now - Row.SentAt);
       this->Samples.push_back({this->NowMs - static_cast<int>(Took.count()),
                                static_cast<int>(Took.count()), Group});
     }
     Stats.onProgress(Id, Now);
-    if (Row.Made == Events)
-      Stats.onEnd(Id, Row.SentAt, true, PromptTokens);
+    if (Made == SimulatedEngine::Events)
+      this->end(Id, Row);
+  }
+
+  void end(const VmIncarnation &Id, const Job &Row) {
+    std::size_t Node = Row.Node;
+    this->Seen[Node].onEnd(Id, Row.SentAt, true, PromptTokens);
+    if (this->Loads.empty())
+      return;
+    PoolReport &Own = this->Loads[Node].Own;
+    --Own.InFlight;
+    if (Own.Waiting > 0) {
+      --Own.Waiting;
+      this->arrive(Node);
+    }
+  }
+
+  /// Tells each node what the others had in flight and waiting ReportAgeMs ago.
+  void spreadPoolLoads() {
+    std::vector<PoolReport> Now;
+    for (const PoolLoad &Load : this->Loads)
+      Now.push_back({this->PerSecond, Load.Own.InFlight, Load.Own.Waiting, 1});
+    this->PoolReports.push_back(std::move(Now));
+    if (this->PoolReports.size() <= ReportAgeMs / ReportIntervalMs)
+      return;
+    PoolReport Sum;
+    for (const PoolReport &Row : this->PoolReports.front())
+      Sum.add(Row);
+    for (std::size_t I = 0; I < this->Loads.size(); ++I) {
+      const PoolReport &Own = this->PoolReports.front()[I];
+      PoolLoad &Load = this->Loads[I];
+      Load.Own.Arrivals = Own.Arrivals;
+      Load.Others = {Sum.Arrivals - Own.Arrivals, Sum.InFlight - Own.InFlight,
+                     Sum.Waiting - Own.Waiting, Sum.Nodes - 1};
+      Load.ReportAge = Millis(ReportAgeMs);
+    }
+    this->PoolReports.pop_front();
   }
 
   void spreadNews() {
+    this->spreadPoolLoads();
     TargetLoads Sum;
     for (const TargetStatsTable &Row : this->Seen)
       for (const auto &[Target, Load] : Row.loads(at(this->NowMs)))
@@ -242,6 +277,11 @@
 
   const PoolKey Pool{ServiceId("s"), "m"};
   std::deque<TargetLoads> Reports;
+  std::deque<std::vector<PoolReport>> PoolReports;
+  /// By node, if places are limited.
+  std::vector<PoolLoad> Loads;
+  /// By the number of the request at its engine.
+  std::vector<Job> Jobs;
 };
 
 TEST_CASE_METHOD(
@@ -304,6 +344,71 @@
   CHECK(this->left(3000) < 0.02);
 }
 
+TEST_CASE_METHOD(ChoiceLoadFixture,
+                 "choice of many nodes: full load: equal groups have equally "
+                 "many requests",
+                 "[unit]") {
+  std::size_t Nodes = GENERATE(9, 86, 984);
+  std::size_t Groups = Nodes > 100 ? 230 : 18;
+  this->build(Nodes, Groups);
+  this->limitPlaces();
+  // More than the groups can run, about 17 per second each.
+  this->PerSecond = 27 * static_cast<double>(Groups);
+  // Until it has settled, reports lag behind and more are sent.
+  this->run(5000);
+  this->MostInFlight.clear();
+  this->run(3000);
+  double Sum = 0;
+  for (std::size_t I = 0; I < Groups; ++I) {
+    CAPTURE(Nodes, I);
+    CHECK(3 * this->MostInFlight[I] <= std::size_t{4} * Slots);
+    Sum += static_cast<double>(this->Engines[I].inFlight());
+  }
+  CAPTURE(Nodes);
+  CHECK(Sum / static_cast<double>(Groups * Slots) == Approx(1).margin(0.1));
+}
+
+// Guards against a target that is full or broken, rejects at once, and takes a
+// request of each node again and again since it looks idle.
+TEST_CASE("choice: a target rejects each request: avoided longer each time",
+          "[unit]") {
+  TargetStatsTable Stats;
+  std::vector<ServingTarget> Rows;
+  for (const char *Id : {"busy", "rejects"}) {
+    auto Row = std::make_shared<TargetInfo>();
+    Row->Id = VmId(Id);
+    Rows.push_back({Row, "m"});
+  }
+  const VmIncarnation Busy = Rows[0].Target->incarnation();
+  const VmIncarnation Rejects = Rows[1].Target->incarnation();
+  for (int I = 0; I < 5; ++I)
+    Stats.onStart(Busy, PromptTokens, at(0));
+  int NowMs = 0;
+  auto Chosen = [&](int Ms) {
+    ChoiceQuery Query;
+    Query.Model = "m";
+    Query.Now = at(Ms);
+    return chooseTarget(Rows, Stats, Query)->Target->incarnation();
+  };
+  auto RejectFor = [&](int Ms) {
+    CHECK(Chosen(NowMs) == Rejects);
+    Stats.suspect(Rejects, at(NowMs), Stats.onRejected(Rejects, at(NowMs)));
+    CHECK(Chosen(NowMs + Ms - 1) == Busy);
+    CHECK(Chosen(NowMs + Ms) == Rejects);
+    NowMs += Ms;
+  };
+  for (int Ms : {300, 600, 1200, 2400, 2400})
+    RejectFor(Ms);
+  // A success ends it, as does a time without rejections.
+  Stats.onStart(Rejects, 0, at(NowMs));
+  Stats.onFirstByte(Rejects, at(NowMs), 0, at(NowMs));
+  Stats.onEnd(Rejects, at(NowMs), true, 0);
+  RejectFor(300);
+  RejectFor(600);
+  NowMs += 5001;
+  RejectFor(300);
+}
+
 class CentreBalanceFixture {
 public:
   const PoolKey Pool{ServiceId("s"), "m"};
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -6,7 +6,7 @@
 // regions, cold targets, and targets that state a limit.
 #include "control/cached_feed.h"
 #include "control/config_follower.h"
-#include "entry/relay_policy.h"
+#include "entry/target_selector.h"
 #include "platform/decode.h"
 #include "support/nodes.h"
 #include "support/times.h"
@@ -15,8 +15,8 @@
 
 namespace waycove::test {
 
-/// Two targets of a plain service, one in each data centre, and the policy that
-/// chooses between them at a node in the data centre "a".
+/// Two targets of a plain service, one in each data centre, and the selector
+/// that chooses between them at a node in the data centre "a".
 struct PlacementFixture {
   PlacementFixture() : Board(entrySettings(), IncarnationId("i")) {
     auto Config = std::make_shared<RoutingConfig>();
@@ -57,7 +57,7 @@
   /// Target of the request at \p Now; empty if there is none.
   std::string chosenAt(TimePoint Now) {
     std::optional<SelectedTarget> To =
-        this->Policy.choose(this->Request, this->Progress, Now);
+        this->Selector.choose(this->Request, this->Progress, Now);
     return To ? To->To.Target->Id.Text : "";
   }
   /// The target states that it takes \p PerSecond requests a second.
@@ -98,7 +98,8 @@
   HttpRoute Route;
   RelayRequest Request;
   RelayProgress Progress;
-  RelayPolicy Policy{Board};
+  TargetBounds Bounds{Board};
+  TargetSelector Selector{Board, Bounds};
   CachedFeed Feed{Board.feed(FeedKind::Config)};
   ConfigFollower<CachedFeed, platform::ConfigDecoder> Follower{Board, Feed, {}};
   std::uint64_t End = 0;
@@ -192,12 +193,12 @@
   TimePoint Now = SystemClock{}.now();
   this->limit("in-a", 0.5, Now);
   CHECK(this->chosenAt(Now) == "in-b");
-  CHECK_FALSE(this->Policy.nextOpening(this->Request, {}, Now) == Millis(0));
+  CHECK_FALSE(this->Selector.nextOpening(this->Request, {}, Now) == Millis(0));
   this->Progress.Tried = {VmId("in-b")};
   CHECK(this->chosenAt(Now).empty());
   // One node of one uses nearly all of half a request a second.
   std::optional<Millis> Wait =
-      this->Policy.nextOpening(this->Request, this->Progress, Now);
+      this->Selector.nextOpening(this->Request, this->Progress, Now);
   REQUIRE(Wait);
   CHECK(*Wait > Millis(2000));
   CHECK(*Wait < Millis(2500));
@@ -205,7 +206,7 @@
   CHECK(this->chosenAt(Now + *Wait + Millis(10)).empty());
   // The target was tried, too: its limit is not what the request waits for.
   this->Progress.Tried = {VmId("in-a"), VmId("in-b")};
-  CHECK_FALSE(this->Policy.nextOpening(this->Request, this->Progress, Now));
+  CHECK_FALSE(this->Selector.nextOpening(this->Request, this->Progress, Now));
 }
 
 // Guards against a node that uses its whole share although it may have missed
@@ -231,16 +232,16 @@
                  "[unit]") {
   TimePoint Now = SystemClock{}.now();
   std::optional<SelectedTarget> Selected =
-      this->Policy.choose(this->Request, this->Progress, Now);
+      this->Selector.choose(this->Request, this->Progress, Now);
   REQUIRE(Selected);
   this->rest("in-a", Millis(3000), Now);
-  CHECK_FALSE(this->Policy.confirm(this->Request, *Selected, Now));
+  CHECK_FALSE(this->Selector.confirm(this->Request, *Selected, Now));
   CHECK(this->chosenAt(Now) == "in-b");
   // A shorter rest that it asks for later takes nothing back.
   this->rest("in-a", Millis(100), Now + Millis(10));
   this->rest("in-b", Millis(5000), Now);
   CHECK(this->chosenAt(Now + Millis(2999)).empty());
-  CHECK(this->Policy.nextOpening(this->Request, {}, Now) == Millis(3000));
+  CHECK(this->Selector.nextOpening(this->Request, {}, Now) == Millis(3000));
   CHECK(this->chosenAt(Now + Millis(3000)) == "in-a");
   // An absurd rest ends some day, and a new process has none.
   StatedPauses Pauses;
@@ -262,7 +263,7 @@
                  "[unit]") {
   TimePoint Now = SystemClock{}.now();
   std::optional<SelectedTarget> Selected =
-      this->Policy.choose(this->Request, this->Progress, Now);
+      this->Selector.choose(this->Request, this->Progress, Now);
   REQUIRE(Selected);
   TargetStatement Leaving;
   Leaving.Leaving = true;
@@ -272,11 +273,11 @@
     });
   };
   State("in-a");
-  CHECK_FALSE(this->Policy.confirm(this->Request, *Selected, Now));
+  CHECK_FALSE(this->Selector.confirm(this->Request, *Selected, Now));
   CHECK(this->chosenAt(Now) == "in-b");
   State("in-b");
   CHECK(this->chosenAt(Now + Millis(3'600'000)).empty());
-  CHECK_FALSE(this->Policy.nextOpening(this->Request, {}, Now));
+  CHECK_FALSE(this->Selector.nextOpening(this->Request, {}, Now));
   this->Board.TargetPauses.write([&](StatedPauses &Known) {
     VmIncarnation Target{VmId("in-a"), {}};
     CHECK_FALSE(Known.of({Target.Id, WallMs(1)}, Now).any());
@@ -296,17 +297,17 @@
                  "[unit]") {
   TimePoint Now = SystemClock{}.now();
   std::optional<SelectedTarget> Selected =
-      this->Policy.choose(this->Request, this->Progress, Now);
+      this->Selector.choose(this->Request, this->Progress, Now);
   REQUIRE(Selected);
   SelectedTarget Again = *Selected;
-  CHECK(this->Policy.confirm(this->Request, *Selected, Now));
+  CHECK(this->Selector.confirm(this->Request, *Selected, Now));
   this->limit(Selected->To.Target->Id.Text.c_str(), 2, Now);
-  CHECK_FALSE(this->Policy.confirm(this->Request, *Selected, Now));
+  CHECK_FALSE(this->Selector.confirm(this->Request, *Selected, Now));
   TimePoint Later = Now + Millis(1000);
-  CHECK(this->Policy.confirm(this->Request, *Selected, Later));
-  CHECK_FALSE(this->Policy.confirm(this->Request, Again, Later));
+  CHECK(this->Selector.confirm(this->Request, *Selected, Later));
+  CHECK_FALSE(this->Selector.confirm(this->Request, Again, Later));
   // What was counted once is not counted again.
-  CHECK(this->Policy.confirm(this->Request, *Selected, Later));
+  CHECK(this->Selector.confirm(this->Request, *Selected, Later));
 }
 
 } // namespace waycove::test
--- a/tests/unit/urgency_test.cpp
+++ b/tests/unit/urgency_test.cpp
@@ -4,6 +4,7 @@
 
 // Urgency of requests at a target, and the platform's request headers.
 #include "platform/callers.h"
+#include "policy/caller_timeouts.h"
 #include "policy/urgency.h"
 
 #include <catch2/catch.hpp>
@@ -45,12 +46,32 @@
 }
 
 TEST_CASE_METHOD(UrgencyFixture,
-                 "urgency: a caller comes back: it has waited before",
+                 "caller timeouts: all callers state the same: one that comes "
+                 "back has waited before",
                  "[unit]") {
-  CHECK(priorWait(this->Route, Millis(6000)) == Millis(0));
-  CHECK(priorWait(this->Route, Millis(4500)) == Millis(1500));
-  CHECK(priorWait(this->Route, Millis(9000)) == Millis(0));
-  CHECK(priorWait(this->Route, std::nullopt) == Millis(0));
+  CallerTimeouts Known;
+  for (int I = 0; I < 100; ++I)
+    CHECK(Known.onRequest(this->Route, Millis(6000)) == Millis(0));
+  CHECK(Known.onRequest(this->Route, Millis(4500)) > Millis(1400));
+  CHECK(Known.onRequest(this->Route, Millis(9000)) == Millis(0));
+  CHECK(Known.onRequest(this->Route, std::nullopt) == Millis(0));
+  CHECK(Known.onRequest(this->Route, Millis(-5)) == Millis(0));
+}
+
+// Guards against first requests that count as late because their callers wait
+// for less than the route allows.
+TEST_CASE_METHOD(UrgencyFixture,
+                 "caller timeouts: callers differ: first requests are not late",
+                 "[unit]") {
+  CallerTimeouts Known;
+  std::uint64_t Late = 0;
+  for (std::uint64_t I = 0; I < 2000; ++I) {
+    Millis Stated(5100 + mixHash(I, 1) % 900);
+    Millis Waited = Known.onRequest(this->Route, Stated);
+    Late += I >= 200 && Waited > this->Route.Goal / 2;
+  }
+  CHECK(Late < 20);
+  CHECK(Known.onRequest(this->Route, Millis(3500)) > Millis(1400));
 }
 
 TEST_CASE("platform headers: a request: both token counts are read", "[unit]") {
@@ -63,6 +84,18 @@
   CHECK(platform::Callers::readRequestInfo(Request).MaxOutputTokens == 0);
 }
 
+// Guards against deadlines that overflow into the past.
+TEST_CASE("platform headers: an absurd timeout: at most a year", "[unit]") {
+  Poco::Net::HTTPRequest Request;
+  Request.set("X-Deadline-Ms", "2500");
+  CHECK(platform::Callers::readRequestInfo(Request).Timeout == Millis(2500));
+  for (const char *Absurd : {"9999999999999", "18446744073709551615"}) {
+    Request.set("X-Deadline-Ms", Absurd);
+    CHECK(platform::Callers::readRequestInfo(Request).Timeout ==
+          std::chrono::days(365));
+  }
+}
+
 TEST_CASE("platform headers: a send: its urgency is this node's to say",
           "[unit]") {
   Poco::Net::HTTPRequest Request("POST", "/x/");
--- a/tools/without.py
+++ b/tools/without.py
@@ -45,7 +45,7 @@
         "CLOCK_BOOTTIME", "CLOCK_MONOTONIC",
         "suspended machine"),
     "blame": (
-        "src/entry/relay_policy.cpp",
+        "src/entry/crash_guard.cpp",
         "return Current == Verdict::Allow;", "return true;",
         "crashing request"),
     "blame-explains": (
@@ -85,8 +85,8 @@
         "if (Statement.Leaving)", "if (false)",
         "leaving target: it says|placement: a target states that it leaves"),
     "statement-confirmed": (
-        "src/entry/relay_policy.cpp",
-        "if (this->pauseOf(Selected.To, Now).any())", "if (false)",
+        "src/entry/target_selector.cpp",
+        "if (this->Bounds.isPaused(Selected.To, Now))", "if (false)",
         "placement: a target asks for rest"),
     "statement-sender": (
         "platform/callers.cpp",
