Tell what VMs of services with groups spend their time on

Each listed VM is in one state by the registry (serving, forming, loading, headless, incomplete, closing, draining, evacuated, reserve); the sums are exported by state, logged every 5 s by the first node of each data centre, and added up by tools/losses.py. A VM counts in its state of the last update.

Before: not tellable.

No functional change of what is served

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -240,6 +240,11 @@
        "refused."},
       {PoolRelieved, Info, "pool_relieved",
        "The targets of a pool can run all requests again."},
+      {VmTimeSpent, Info, "vm_time",
+       "How many VMs of a service with groups are in each state now. Logged "
+       "every 5 s by the first node of each data centre. The field "
+       "`loading_staged` tells by model which of the loading VMs load weights "
+       "that their hosts have staged."},
       {ServingChanged, Info, "serving_changed",
        "The set of targets that serve requests has changed."},
       {DomainsOwned, Info, "domains_owned",
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -73,6 +73,7 @@
   EvacuationEnded = 231,
   PoolOverloaded = 232,
   PoolRelieved = 233,
+  VmTimeSpent = 234,
   DomainsOwned = 310,
   DomainOrder = 311,
   DomainOrderEnded = 312,
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -66,7 +66,7 @@
     if (std::int64_t Value = this->Gauges[I].load(); Value != UnsetGauge)
       Out << "# TYPE waycove_" << GaugeNames[I] << " gauge\nwaycove_"
           << GaugeNames[I] << " " << Value << "\n";
-  Out << this->Calls.text() << this->Refusals.text();
+  Out << this->Calls.text() << this->Refusals.text() << this->VmTimes.text();
   std::lock_guard Lock(this->Mutex);
   for (std::size_t I = 0; I < TimerNames.size(); ++I) {
     const Series &Data = this->Timers[I];
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -7,6 +7,7 @@
 #include "base/ids.h"
 #include "base/refusal_counts.h"
 #include "base/store_calls.h"
+#include "base/vm_seconds.h"
 
 #include <array>
 #include <atomic>
@@ -89,6 +90,8 @@
   StoreCalls Calls;
   /// Refused requests by kind of error and workspace.
   RefusalCounts Refusals;
+  /// What the VMs of services with groups spent their time on.
+  VmSeconds VmTimes;
   void add(Counter Which, std::uint64_t Amount = 1) {
     this->Counters[static_cast<std::size_t>(Which)].fetch_add(
         Amount, std::memory_order_relaxed);
--- a/src/base/refusal_counts.cpp
+++ b/src/base/refusal_counts.cpp
@@ -4,6 +4,8 @@
 
 #include "base/refusal_counts.h"
 
+#include "base/metric_label.h"
+
 #include <sstream>
 
 namespace waycove {
@@ -12,17 +14,6 @@
 
 constexpr std::string_view OtherWorkspaces = "other";
 
-/// Escapes a label value of the Prometheus text format.
-std::string escapeLabel(const std::string &Text) {
-  std::string Out;
-  for (char Character : Text) {
-    if (Character == '\\' || Character == '"')
-      Out += '\\';
-    Out += Character == '\n' ? ' ' : Character;
-  }
-  return Out;
-}
-
 } // namespace
 
 void RefusalCounts::add(std::string_view Kind, std::string_view Workspace) {
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -17,6 +17,7 @@
 #include "entry/caller_server.h"
 #include "entry/carrier.h"
 #include "entry/ready_server.h"
+#include "entry/vm_time_report.h"
 
 #include <thread>
 
@@ -139,8 +140,8 @@
 
 private:
   static constexpr Millis SweepInterval{1000};
-  /// Store calls are logged once in this many sweeps.
-  static constexpr unsigned SweepsPerCallLog = 5;
+  /// Store calls and the states of VMs are logged once in this many sweeps.
+  static constexpr unsigned SweepsPerLog = 5;
   /// The load balancer checks every second and acts on the second failure.
   static constexpr Millis BalancerDelay{2600};
   /// After this time a thread without work ends.
@@ -179,8 +180,8 @@
     return IsReady;
   }
 
-  /// Discards what is kept about targets that are no longer listed, and lets
-  /// the demand decay.
+  /// Discards what is kept about targets that are no longer listed, lets the
+  /// demand decay, and counts the time of VMs.
   void sweep() {
     std::set<VmIncarnation> Listed =
         this->Board.Targets.read([](const Fleet &Known) {
@@ -205,8 +206,11 @@
       for (auto &[Model, Demand] : Table)
         Demand = Demand.scaled(DemandDecay);
     });
-    if (++this->SweepCount % SweepsPerCallLog == 0)
+    this->VmTimes.update(Now);
+    if (++this->SweepCount % SweepsPerLog == 0) {
       this->logStoreCalls();
+      this->VmTimes.log();
+    }
   }
 
   void sweepLimits(const std::set<VmIncarnation> &Listed, TimePoint Now) {
@@ -308,6 +312,8 @@
   Relay<typename Platform::Callers> RequestRelay;
   CallerServer<typename Platform::Callers> Callers;
   std::atomic<bool> WasReady{false};
+  /// Used by sweep() alone.
+  VmTimeReport VmTimes{this->Board};
   unsigned SweepCount = 0;
   std::uint64_t LoggedCalls = 0;
   TimePoint StopBegan;
--- a/tools/losses.py
+++ b/tools/losses.py
@@ -10,6 +10,8 @@
 - VMs, as all nodes together tell it, by the registry's positions, since only
   some nodes tell each change: in groups that serve, by model, and why the
   others serve nobody; with --domains by domain, too;
+- VM-seconds by state, from the vm_time lines: a service's states hold until its
+  next line, from whichever node, but no longer than --hold seconds;
 - with --centres: first events later than --late milliseconds, of all, by the
   data centre of the node that the caller came to.
 
@@ -23,6 +25,8 @@
 
 STATES = ["joining", "ready", "open", "closing", "broken"]
 OPEN = 2
+VM_STATES = ["serving", "forming", "loading", "headless", "incomplete",
+             "closing", "draining", "evacuated", "reserve"]
 
 
 def read(path):
@@ -98,6 +102,58 @@
         return STATES[head["state"]] + " " + model
 
 
+class VmTimes:
+    """VM-seconds by service and state, from vm_time lines."""
+
+    def __init__(self, begin, hold):
+        self.begin = begin
+        self.hold = hold
+        self.last = {}
+        self.seconds = collections.Counter()
+        self.unknown = collections.Counter()
+
+    def take(self, at, row):
+        self.add_until(at, row["subject"])
+        self.last[row["subject"]] = (at, self.states(row))
+
+    def add_until(self, at, service):
+        """Counts the states of the service's last line until then."""
+        if service not in self.last:
+            return
+        since, states = self.last[service]
+        since = max(since, self.begin)
+        known = max(0, min(at - since, self.hold))
+        for state, count in states.items():
+            self.seconds[(service, state)] += count * known
+        self.unknown[service] += max(0, at - since - known)
+
+    @staticmethod
+    def states(row):
+        states = {state: row[state] for state in VM_STATES if state in row}
+        for part in row.get("loading_staged", "").split():
+            model, count = part.rsplit("=", 1)
+            states["loading, " + model + " staged"] = int(count)
+            states["loading"] -= int(count)
+        return states
+
+    def show(self, end):
+        for service in self.last:
+            self.add_until(end, service)
+        self.last = {}
+        print("# VM-seconds by state, of vm_time lines")
+        for service in sorted({service for service, _ in self.seconds}):
+            rows = [(seconds, state)
+                    for (of, state), seconds in self.seconds.items()
+                    if of == service and seconds > 0]
+            total = sum(seconds for seconds, _ in rows)
+            print(f"  {total:8.0f}         {service}")
+            for seconds, state in sorted(rows, reverse=True):
+                share = 100 * seconds / total
+                print(f"  {seconds:8.0f}  {share:4.1f}%    {state}")
+            if self.unknown[service] > 0:
+                print(f"  unknown for {self.unknown[service]:.0f} s: no lines")
+
+
 class Requests:
     """What became of the requests of one moment."""
 
@@ -161,6 +217,8 @@
     args.add_argument("--begin", type=float, default=0)
     args.add_argument("--late", type=int, default=400,
                       help="operators' objective for the first event, in ms")
+    args.add_argument("--hold", type=float, default=10,
+                      help="longest time that a vm_time line holds, in s")
     args.add_argument("--domains", action="store_true")
     args.add_argument("--centres", action="store_true")
     return args.parse_args()
@@ -176,6 +234,7 @@
     vms, requests = Vms(), Requests(opt.late)
     end = opt.begin + opt.step
     totals = collections.Counter()
+    times = VmTimes(opt.begin, opt.hold)
 
     def close():
         show_moment(end - opt.step, vms, requests, opt)
@@ -189,12 +248,15 @@
             end += opt.step
         if row["name"] in ("target_changed", "target_gone"):
             vms.take(row)
+        elif row["name"] == "vm_time":
+            times.take(at, row)
         elif at >= opt.begin and row["name"].startswith("request_"):
             requests.take(row, centres.get(node, ""))
     close()
     print("# VM-seconds by use")
     for use, count in totals.most_common():
         print(f"  {count:8.0f}  {use}")
+    times.show(rows[-1][0])
 
 
 if __name__ == "__main__":
