Keep a way that was found slowly

An attempt dropped its open connection if the target had been selected more than 250 ms before, as if the machine had stood still. A frozen node that is asked first for a way costs 250 ms by itself, so most requests that asked it found a way through the next node, dropped it ("this machine stood still") and searched again.

The bound now applies to the step that opened the connection. If only the search before it took longer, the selection is renewed: the deadline, the crash guard and the newest state of the registry must allow the target, as when a target is selected, and then pauses and limits are checked as before. A target that left, restarted or was evacuated meanwhile is still not sent to. Lines of attempts that ended give opened_in_ms.

--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -44,8 +44,8 @@
   }
 
 private:
-  /// A target selection that is older is made again before the request is
-  /// sent.
+  /// A target selection that is older is renewed before the request is sent,
+  /// and made again if the connection was being opened for longer.
   static constexpr Millis MaxSelectionAge{250};
   /// An unreachable target is avoided for about as long as the registry needs
   /// to remove it.
@@ -62,15 +62,14 @@
     return Connection == ConnectOutcome::Connected;
   }
 
-  /// Returns whether the request may still be sent. The target may have left,
-  /// or asked for fewer requests, since it was selected; it stays eligible.
+  /// Returns whether the request may still be sent; if not, another target is
+  /// selected, which may be the same one.
   bool confirm(RelayExchange &Ex, RelayAttempt &Attempt,
                SelectedTarget &Selected, TimePoint SelectedAt) {
     Attempt.SentAt = SystemClock{}.now();
-    if (Attempt.SentAt - SelectedAt > MaxSelectionAge)
-      Attempt.Reason = "this machine stood still";
-    else if (!this->Selector.confirm(Ex.Request, Selected, Attempt.SentAt))
-      Attempt.Reason = "the target takes no request by now";
+    Attempt.Reason = this->reasonNotToSend(
+        Ex, Attempt, Selected,
+        std::chrono::ceil<Millis>(Attempt.SentAt - SelectedAt));
     if (Attempt.Reason.empty())
       return true;
     Ex.Progress.Tried.pop_back();
@@ -101,6 +100,34 @@
     });
   }
 
+  /// Why the request must not be sent over the open connection: the target may
+  /// have left, or asked for fewer requests, since it was selected. Empty if
+  /// the request may be sent.
+  std::string reasonNotToSend(const RelayExchange &Ex,
+                              const RelayAttempt &Attempt,
+                              SelectedTarget &Selected, Millis SelectionAge) {
+    const TimePoint Now = Attempt.SentAt;
+    if (Now - Attempt.OpenedSince > MaxSelectionAge)
+      return "this machine stood still";
+    // The search for a way passes the bound where a frozen node is asked first,
+    // which costs 250 ms. The way is kept if the target may still be sent to:
+    // searching again would delay the request once more.
+    if (SelectionAge > MaxSelectionAge && !this->renew(Ex, Selected, Now))
+      return "the target was selected too long ago";
+    if (!this->Selector.confirm(Ex.Request, Selected, Now))
+      return "the target takes no request by now";
+    return "";
+  }
+
+  /// Checks again what Relay checked when it selected the target.
+  bool renew(const RelayExchange &Ex, SelectedTarget &Selected, TimePoint Now) {
+    if (Now >= Ex.Request.Deadline || !this->Crashes.maySend(Ex.Request, Now) ||
+        !this->Selector.renew(Ex.Request, Selected, Now))
+      return false;
+    Ex.Progress.Snapshot = Selected.Snapshot;
+    return true;
+  }
+
   /// Records an attempt that ended without any byte of the target. What a
   /// connection through another node shows is no evidence on this node's links.
   void recordReach(const RelayAttempt &Attempt) {
--- a/src/entry/relay_attempt.h
+++ b/src/entry/relay_attempt.h
@@ -33,6 +33,9 @@
 struct RelayAttempt {
   ServingTarget To;
   std::optional<TargetConnection> Connection;
+  /// Start of the step that opened the connection. Steps before it, at other
+  /// nodes that offered no way, are not included.
+  TimePoint OpenedSince;
   TimePoint SentAt;
   TimePoint LastByte;
   bool FirstByteSeen = false;
@@ -46,6 +49,13 @@
   bool Succeeded = false;
   std::string Reason;
 
+  /// How long the step took that opened the connection, until the request could
+  /// be sent; zero if nothing was to be sent.
+  Millis openedIn() const {
+    return this->SentAt == TimePoint() ? Millis(0)
+                                       : std::chrono::duration_cast<Millis>(
+                                             this->SentAt - this->OpenedSince);
+  }
   /// The node through which the request goes; empty if it goes directly.
   NodeId carrier() const {
     bool IsCarried = this->Connection && this->Connection->through();
--- a/src/entry/relay_log.cpp
+++ b/src/entry/relay_log.cpp
@@ -143,6 +143,7 @@
                            .add("address", Attempt.To.Target->Address.text())
                            .add("first_byte", Attempt.FirstByteSeen)
                            .add("carrier", Attempt.carrier().Text)
+                           .add("opened_in_ms", Attempt.openedIn())
                            .add("last_event", Ex.Progress.LastEvent.value_or(0))
                            .add("reason", Attempt.Reason));
 }
--- a/src/entry/target_connector.cpp
+++ b/src/entry/target_connector.cpp
@@ -32,6 +32,7 @@
                                       RelayAttempt &Attempt) {
   TimePoint Now = SystemClock{}.now();
   Attempt.Reason.clear();
+  Attempt.OpenedSince = Now;
   const VmIncarnation Target = Attempt.To.Target->incarnation();
   bool MayRepeat = Ex.Request.Route->mayRepeat();
   // The target may be closing an idle connection at this moment. A request
@@ -73,6 +74,7 @@
         Attempt.To.Target->incarnation(), Ex.Request.Info.Id,
         std::chrono::duration_cast<Millis>(Ex.Request.Deadline - Now),
         Ex.Request.Route->mayRepeat()};
+    Attempt.OpenedSince = Now;
     std::optional<WayStatus> Status = this->ask(Node, Wanted, Attempt);
     this->recordWay(Node, Status, Ex.Request.Info.Id);
     if (Status == WayStatus::Open)
--- a/src/entry/target_connector.h
+++ b/src/entry/target_connector.h
@@ -31,8 +31,8 @@
                   const CarrierSelector &Carriers)
       : Board(Board), Pool(Pool), Carriers(Carriers), Monitor(Board) {}
 
-  /// Sets the attempt's connection, or its reason if there is none. Nothing
-  /// has been sent to the target then.
+  /// Sets the attempt's connection and since when it was being opened, or its
+  /// reason if there is none. Nothing has been sent to the target then.
   ConnectOutcome connect(const RelayExchange &Ex, RelayAttempt &Attempt);
 
 private:
--- a/src/entry/target_selector.cpp
+++ b/src/entry/target_selector.cpp
@@ -56,6 +56,34 @@
       });
 }
 
+bool TargetSelector::renew(const RelayRequest &Request,
+                           SelectedTarget &Selected, TimePoint Now) {
+  // Read before the view, so that the age is never understated.
+  TimePoint ProvenAt = this->Board.RegistryProvenAt.get();
+  ServingViewRef View =
+      this->Board.Serving.read([](const ServingViewRef &View) { return View; });
+  auto Targets = View->ByService.find(Request.Service);
+  if (Targets == View->ByService.end())
+    return false;
+  const VmIncarnation Wanted = Selected.To.Target->incarnation();
+  ChoiceQuery Query;
+  Query.Model = poolOf(Request).Model;
+  Query.Now = Now;
+  Query.RegistryStale = isRegistryStale(this->Board, ProvenAt, Now);
+  for (const ServingTarget &To : Targets->second)
+    if (To.Target->incarnation() != Wanted || !this->isAllowed(Request, To))
+      Query.Avoid.push_back(To.Target->Id);
+  return this->Board.TargetStats.read([&](const TargetStatsTable &Stats) {
+    const ServingTarget *Found = chooseTarget(Targets->second, Stats, Query);
+    if (!Found)
+      return false;
+    Selected.To = *Found;
+    Selected.Snapshot = {View->Registry,
+                         std::chrono::ceil<Millis>(Now - ProvenAt)};
+    return true;
+  });
+}
+
 bool TargetSelector::confirm(const RelayRequest &Request,
                              SelectedTarget &Selected, TimePoint Now) {
   if (this->Bounds.isPaused(Selected.To, Now))
--- a/src/entry/target_selector.h
+++ b/src/entry/target_selector.h
@@ -32,6 +32,11 @@
   std::optional<SelectedTarget> select(const RelayRequest &Request,
                                        const RelayProgress &Progress,
                                        TimePoint Now);
+  /// Whether the newest state of the registry still allows \p Selected, to
+  /// which a connection is open: other targets may look better by now. Sets the
+  /// state by which it was selected.
+  bool renew(const RelayRequest &Request, SelectedTarget &Selected,
+             TimePoint Now);
   /// Whether the request may still be sent to \p Selected: the target may have
   /// stated since it was selected that it leaves, rests or takes only some.
   /// Counts the request against a limit.
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -310,4 +310,51 @@
   CHECK(this->Selector.confirm(this->Request, *Selected, Later));
 }
 
+// Guards against a way that is dropped after a long search although its target
+// still serves, and against requests to a target that left meanwhile.
+TEST_CASE_METHOD(PlacementFixture,
+                 "placement: a selection is renewed: only while its target is "
+                 "listed as the same VM",
+                 "[unit]") {
+  TimePoint Now = SystemClock{}.now();
+  std::optional<SelectedTarget> Old =
+      this->Selector.choose(this->Request, this->Progress, Now);
+  REQUIRE(Old);
+  // Another target looks better by now, which is no reason to change.
+  this->Board.TargetStats.write([&](TargetStatsTable &Stats) {
+    Stats.suspect({VmId("in-a"), {}}, Now, Millis(3000));
+  });
+  REQUIRE(this->chosenAt(Now) == "in-b");
+  CHECK(this->Selector.renew(this->Request, *Old, Now));
+  CHECK(Old->To.Target->Id.Text == "in-a");
+
+  auto Restarted = std::make_shared<TargetInfo>(*Old->To.Target);
+  Restarted->StartedAt = WallMs(7);
+  this->Board.Targets.write(
+      [&](Fleet &Rows) { Rows.Targets[Restarted->Id] = Restarted; });
+  rebuildServingView(this->Board);
+  CHECK_FALSE(this->Selector.renew(this->Request, *Old, Now));
+
+  this->Board.Targets.write(
+      [](Fleet &Rows) { Rows.Targets.erase(VmId("in-a")); });
+  rebuildServingView(this->Board);
+  CHECK_FALSE(this->Selector.renew(this->Request, *Old, Now));
+}
+
+// Guards against requests to a target that must be avoided since a search for a
+// way began.
+TEST_CASE_METHOD(PlacementFixture,
+                 "placement: a selection is renewed: not where the data centre "
+                 "was evacuated meanwhile",
+                 "[unit]") {
+  TimePoint Now = SystemClock{}.now();
+  std::optional<SelectedTarget> Old =
+      this->Selector.choose(this->Request, this->Progress, Now);
+  REQUIRE(Old);
+  this->show({{"evacuate/a", "{}"}});
+  CHECK_FALSE(this->Selector.renew(this->Request, *Old, Now));
+  this->show({{"evacuate/a", std::nullopt}}, false);
+  CHECK(this->Selector.renew(this->Request, *Old, SystemClock{}.now()));
+}
+
 } // namespace waycove::test
