--- a/src/policy/request_queue.cpp
+++ b/src/policy/request_queue.cpp
@@ -19,7 +19,7 @@
 /// Fraction of the freed places on which late requests count at least, even if
 /// new requests use all of them now. Most overloads end within the callers'
 /// deadlines, and a late response is worth more to a caller than a refusal.
-constexpr double MinLateFraction = 0.5;
+constexpr double MinLateFraction = 0.25;
 
 } // namespace
 
