--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -178,7 +178,7 @@
                             const RelayAttempt &Attempt, AttemptOutcome End) {
     Ex.Progress.Reason = Attempt.Reason;
     if (End != AttemptOutcome::Done)
-      this->Log.attemptEnded(Ex, Attempt);
+      this->Log.attemptEnded(Ex, Attempt, End);
     return End;
   }
 
--- a/src/entry/caller_protocol.h
+++ b/src/entry/caller_protocol.h
@@ -12,6 +12,7 @@
 #include <concepts>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace waycove {
 
@@ -26,8 +27,15 @@
   std::uint64_t PromptTokens = 0;
   /// Upper bound on generated tokens.
   std::uint64_t MaxOutputTokens = 0;
+  /// IDs of the parts of the prompt that other requests may share, in order and
+  /// without repeats: all but the last part, and at most MaxSharedParts.
+  std::vector<std::string> SharedParts;
   /// The last event of the stream that the caller already has.
   std::optional<std::uint64_t> LastEvent;
+
+  /// Prompts usually have a few parts. The bound limits what a single request
+  /// adds to the evidence of a crash.
+  static constexpr std::size_t MaxSharedParts = 32;
 };
 
 /// What this node tells a target with one attempt of a request.
--- a/src/entry/relay_log.cpp
+++ b/src/entry/relay_log.cpp
@@ -10,6 +10,34 @@
 
 namespace {
 
+/// The shared parts of a prompt, separated by commas.
+std::string joinParts(const std::vector<std::string> &Parts) {
+  std::string Text;
+  for (const std::string &Part : Parts)
+    Text += (Text.empty() ? "" : ",") + Part;
+  return Text;
+}
+
+const char *nameOf(AttemptOutcome End) {
+  switch (End) {
+  case AttemptOutcome::Done:
+    return "done";
+  case AttemptOutcome::Refused:
+    return "refused";
+  case AttemptOutcome::Broken:
+    return "broken";
+  case AttemptOutcome::Stalled:
+    return "stalled";
+  case AttemptOutcome::NotSent:
+    return "not sent";
+  case AttemptOutcome::CallerGone:
+    return "caller gone";
+  case AttemptOutcome::Count:
+    break;
+  }
+  return "";
+}
+
 /// The fields of every line about a request.
 LogFields requestFields(const RelayExchange &Ex) {
   LogFields Fields;
@@ -23,7 +51,8 @@
         .add("service", Ex.Request.Service.Text)
         .add("model", Ex.Request.Info.Model)
         .add("workspace", Ex.Request.Workspace.Text)
-        .add("content", Ex.Request.Content.Value);
+        .add("content", Ex.Request.Content.Value)
+        .add("parts", joinParts(Ex.Request.Info.SharedParts));
   if (Ex.Progress.Snapshot)
     Fields.add("registry", Ex.Progress.Snapshot->Position.At.Value)
         .add("registry_age_ms", Ex.Progress.Snapshot->Age);
@@ -136,11 +165,15 @@
 }
 
 void RelayLog::attemptEnded(const RelayExchange &Ex,
-                            const RelayAttempt &Attempt) {
+                            const RelayAttempt &Attempt, AttemptOutcome End) {
   this->Board.Log.emit(EventCode::AttemptEnded, Ex.Request.Info.Id.Text,
                        requestFields(Ex)
                            .add("target", Attempt.To.Target->Id.Text)
                            .add("address", Attempt.To.Target->Address.text())
+                           .add("incarnation_ms",
+                                Attempt.To.Target->StartedAt.Value)
+                           .add("end", nameOf(End))
+                           .add("lost", Attempt.ConnectionLost)
                            .add("first_byte", Attempt.FirstByteSeen)
                            .add("carrier", Attempt.carrier().Text)
                            .add("opened_in_ms", Attempt.openedIn())
@@ -159,6 +192,7 @@
         EventCode::RequestDone, Ex.Request.Info.Id.Text,
         requestFields(Ex)
             .add("target", To.Target->Id.Text)
+            .add("incarnation_ms", To.Target->StartedAt.Value)
             .add("first_byte_ms", Ex.Progress.FirstByte.value_or(Millis(0))));
 }
 
--- a/src/entry/relay_log.h
+++ b/src/entry/relay_log.h
@@ -33,7 +33,8 @@
   void recordStatement(const StatementSource &From,
                        const TargetStatement &Statement);
   /// An attempt ended without a whole response.
-  void attemptEnded(const RelayExchange &Ex, const RelayAttempt &Attempt);
+  void attemptEnded(const RelayExchange &Ex, const RelayAttempt &Attempt,
+                    AttemptOutcome End);
   /// The request ended with the response of \p To, or because the caller left.
   void requestDone(const RelayExchange &Ex, const ServingTarget &To,
                    AttemptOutcome End);
