--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -19,6 +19,9 @@
 //   hang        responds after 4 s
 //   failed      500
 //   closing     responds with "Connection: close"
+//   unframed    responds without a length and ends the connection
+//   unframed_cut  the same, but a stream ends within an event
+//   unframed_reset  the same, but resets the connection within the response
 //
 // Set as "limit" at /faults: the requests per second that the target states in
 // its responses; empty for none.
@@ -28,9 +31,11 @@
 //
 // Each request is logged as "got ID MS STATED", with the time in Unix
 // milliseconds and what the response states: "leaving", "rest=SECONDS" or "-".
-//
 // A request body that starts with "crash" ends the process when it starts to
-// run; "crash N" does so after N milliseconds.
+// run; "crash N" does so after N milliseconds. A prompt part whose ID starts
+// with "dead", if it is not the last part, does so after 40 ms. Both are
+// logged: "crashed BODY" or "crashed part ID MS", with the time in Unix
+// milliseconds.
 //
 // POST /publish writes the target's entry to the registry.
 // POST /restart simulates a restart under the same ID; with ?unseen=1 the
@@ -182,6 +187,8 @@
   }
 
 private:
+  /// Time from the start of a request with a crashing part to the crash.
+  static constexpr int PartCrashMs = 40;
   /// Slots that a target states which does not bound them.
   static constexpr unsigned UnboundSlots = 8;
 
@@ -222,6 +229,12 @@
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
     Response.sendBuffer(Body.data(), Body.size());
   }
+  /// The end of the connection ends the body.
+  static void replyUnframed(Poco::Net::HTTPServerResponse &Response,
+                            const std::string &Body) {
+    Response.setKeepAlive(false);
+    Response.send() << Body << std::flush;
+  }
   static void drop(Poco::Net::HTTPServerRequest &Request,
                    Poco::Net::HTTPServerResponse &Response) {
     Response.setKeepAlive(false);
@@ -372,7 +385,10 @@
     }
     ++this->Runs;
     if (Body.rfind("crash", 0) == 0)
-      crash(Body);
+      crash(Body, std::atoi(Body.c_str() + std::strlen("crash")));
+    if (std::string Part = crashingPart(Request.get("X-Prefix-Hash", ""));
+        !Part.empty())
+      crash("part " + Part + " " + std::to_string(nowMs()), PartCrashMs);
     // Log before the run: the log survives a kill.
     if (this->Setup.Role != "engine")
       std::cout << "ran " + Request.get("X-Request-Id", "") + "\n"
@@ -395,16 +411,33 @@
       this->sendStrayResponse(Request);
     if (Fault == "closing")
       Response.setKeepAlive(false);
-    reply(Response, 200,
-          "ran " + Request.get("X-Request-Id", "") + " for " +
-              Request.get("X-Tenant", "nobody") + " " + Body);
+    const std::string Text = "ran " + Request.get("X-Request-Id", "") +
+                             " for " + Request.get("X-Tenant", "nobody") + " " +
+                             Body;
+    if (Fault == "unframed")
+      return replyUnframed(Response, Text);
+    if (Fault == "unframed_reset") {
+      replyUnframed(Response, "ran ");
+      return drop(Request, Response);
+    }
+    reply(Response, 200, Text);
+  }
+
+  /// Returns the ID of the first part that crashes targets; empty if there is
+  /// none. \p Parts is a list of ID:TOKENS.
+  static std::string crashingPart(const std::string &Parts) {
+    std::size_t Begin = 0;
+    for (std::size_t End; (End = Parts.find(',', Begin)) != std::string::npos;
+         Begin = End + 1)
+      if (Parts.compare(Begin, 4, "dead") == 0)
+        return Parts.substr(Begin, Parts.find(':', Begin) - Begin);
+    return "";
   }
 
   /// Ends the process, as an engine does that crashes on a prompt.
-  [[noreturn]] static void crash(const std::string &Body) {
-    std::cout << "crashed " + Body + "\n" << std::flush;
-    int After = std::atoi(Body.c_str() + std::strlen("crash"));
-    std::this_thread::sleep_for(std::chrono::milliseconds(After));
+  [[noreturn]] static void crash(const std::string &Cause, int AfterMs) {
+    std::cout << "crashed " + Cause + "\n" << std::flush;
+    std::this_thread::sleep_for(std::chrono::milliseconds(AfterMs));
     std::_Exit(1);
   }
 
@@ -424,12 +457,19 @@
     constexpr int Events = 40;
     constexpr int FaultAfter = 5;
     int From = std::stoi("0" + Request.get("Last-Event-Id", ""));
+    const bool IsUnframed = Fault.rfind("unframed", 0) == 0;
     Response.setContentType("text/event-stream");
-    Response.setChunkedTransferEncoding(true);
+    Response.setChunkedTransferEncoding(!IsUnframed);
+    if (IsUnframed)
+      Response.setKeepAlive(false);
     std::ostream &Out = Response.send();
     for (int Id = From + 1; Id <= Events && Out.good(); ++Id) {
       if (Id - From > FaultAfter && Fault == "die_after")
         return drop(Request, Response);
+      if (Id - From > FaultAfter && Fault == "unframed_cut") {
+        Out << "id: " << Id << "\ndata: pie" << std::flush;
+        return;
+      }
       if (Id - From > FaultAfter && Fault == "still")
         std::this_thread::sleep_for(std::chrono::seconds(4));
       if (Id - From > FaultAfter && Fault == "disorder")
