--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -171,10 +171,10 @@
        "An attempt to send a request to a target ended without a complete "
        "response."},
       {RequestBlamed, Warning, "request_blamed",
-       "Targets crashed while running requests with this content; such "
-       "requests are now refused."},
+       "Targets crashed while running requests with this content or these "
+       "parts of prompts; such requests are now refused."},
       {RequestCleared, Info, "request_cleared",
-       "Requests with this content are accepted again."},
+       "Requests with this content or these parts are accepted again."},
       {RequestTried, Info, "request_tried",
        "A request with blamed content is sent once to find out whether its "
        "target crashes."},
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -29,7 +29,7 @@
         "requests_queued",    "first_attempts",   "first_attempts_rejected"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Count)>
-    GaugeNames{"requests_waiting", "places", "report_age_ms"};
+    GaugeNames{"requests_waiting", "places", "report_age_ms", "crash_culprits"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Timer::Count)>
     TimerNames{"first_token_seconds",    "between_tokens_seconds",
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -64,6 +64,9 @@
   /// Milliseconds since the newest report of another node about the targets'
   /// loads.
   ReportAgeMs,
+  /// Requests and parts of prompts that are refused because targets crash under
+  /// them.
+  CrashCulprits,
   Count
 };
 
--- a/src/control/shared_observations.cpp
+++ b/src/control/shared_observations.cpp
@@ -8,6 +8,22 @@
 
 namespace waycove {
 
+namespace {
+
+/// The hashes of the suspects that are blamed together.
+std::string textOf(const Culprit &Blamed) {
+  std::string Text;
+  for (const CrashSuspect &Suspect : Blamed)
+    Text += (Text.empty() ? "" : "+") + std::to_string(Suspect.Content.Value);
+  return Text;
+}
+
+const char *kindOf(const Culprit &Blamed) {
+  return Blamed.front().Kind == SuspectKind::Request ? "request" : "part";
+}
+
+} // namespace
+
 void SharedObservations::addTo(wire::NewsWantedT &Request,
                                const NodeInfo &Receiver, TimePoint Now) const {
   TargetLoads Own = this->ownLoads(Now);
@@ -22,7 +38,9 @@
   auto Received = this->CrashesReceivedAt.find(Receiver.Node);
   Request.all_crashes = Received == this->CrashesReceivedAt.end() ||
                         Now - Received->second >= CrashBlame::ReportDuration;
-  Request.crashes = packCrashes(this->crashes(Request.all_crashes, Now));
+  CrashEvidenceMap Crashes = this->crashes(Request.all_crashes, Now);
+  Request.crashes = packCrashes(Crashes, SuspectKind::Request);
+  Request.crash_parts = packCrashes(Crashes, SuspectKind::PromptPart);
   Request.limits = packLimits(this->limits(Request.all_crashes, Now), Now);
 }
 
@@ -34,8 +52,10 @@
     Response.renewals = this->renewals(Now);
   }
   NodeId From(Request.node);
-  this->applyCrashes(Request.crashes, Now);
-  Response.crashes = packCrashes(this->crashes(Request.all_crashes, Now));
+  this->applyCrashes(unpackCrashes(Request.crashes, Request.crash_parts), Now);
+  CrashEvidenceMap Crashes = this->crashes(Request.all_crashes, Now);
+  Response.crashes = packCrashes(Crashes, SuspectKind::Request);
+  Response.crash_parts = packCrashes(Crashes, SuspectKind::PromptPart);
   this->applyLimits(Request.limits, From, Now, Now);
   Response.limits = packLimits(this->limits(Request.all_crashes, Now), Now);
   TargetLoads Own = this->ownLoads(Now);
@@ -63,7 +83,8 @@
 void SharedObservations::apply(const wire::NewsT &Response, const NodeId &From,
                                TimePoint SentAt, TimePoint Now) {
   this->applyRenewals(Response.renewals, SentAt);
-  this->applyCrashes(Response.crashes, Now);
+  this->applyCrashes(unpackCrashes(Response.crashes, Response.crash_parts),
+                     Now);
   this->applyLimits(Response.limits, From, SentAt, Now);
   PoolReports Pools = this->readPools(Response.pools, From);
   std::lock_guard Lock(this->Mutex);
@@ -217,11 +238,10 @@
   });
 }
 
-void SharedObservations::applyCrashes(
-    const std::vector<std::unique_ptr<wire::CrashRowT>> &Rows, TimePoint Now) {
-  if (Rows.empty())
+void SharedObservations::applyCrashes(const CrashEvidenceMap &Crashes,
+                                      TimePoint Now) {
+  if (Crashes.empty())
     return;
-  CrashEvidenceMap Crashes = unpackCrashes(Rows);
   this->Board.Crashes.write(
       [&](CrashBlame &Into) { Into.merge(Crashes, Now); });
 }
@@ -271,19 +291,24 @@
           return Seen.of(Target).LastProgress;
         };
         return this->Board.Crashes.write([&](CrashBlame &Rows) {
-          return Rows.resolveLosses(LastProgress, Now);
+          auto Changes = Rows.resolveLosses(LastProgress, Now);
+          this->Board.Counters.set(
+              Gauge::CrashCulprits,
+              static_cast<std::int64_t>(Rows.blamedCount()));
+          return Changes;
         });
       });
-  for (const auto &[Content, Row] : Found.Blamed)
-    this->Board.Log.emit(EventCode::RequestBlamed,
-                         std::to_string(Content.Value),
+  for (const auto &[Blamed, Row] : Found.Blamed)
+    this->Board.Log.emit(EventCode::RequestBlamed, textOf(Blamed),
                          LogFields()
+                             .add("kind", kindOf(Blamed))
                              .add("ends", Row.CrashedTargets.size())
                              .add("served", Row.TimesServed)
+                             .add("served_before", Row.wasServed())
                              .add("tried", Row.TrialDone));
-  for (ContentHash Content : Found.Cleared)
-    this->Board.Log.emit(EventCode::RequestCleared,
-                         std::to_string(Content.Value));
+  for (const Culprit &Cleared : Found.Cleared)
+    this->Board.Log.emit(EventCode::RequestCleared, textOf(Cleared),
+                         LogFields().add("kind", kindOf(Cleared)));
 }
 
 /// Renewals of members in this data centre; other data centres do not need
--- a/src/control/shared_observations.h
+++ b/src/control/shared_observations.h
@@ -39,8 +39,7 @@
   std::vector<wire::RenewalRow> renewals(TimePoint Now) const;
   /// Requests that crash targets: all known ones, or the recent ones alone.
   CrashEvidenceMap crashes(bool All, TimePoint Now) const;
-  void applyCrashes(const std::vector<std::unique_ptr<wire::CrashRowT>> &Rows,
-                    TimePoint Now);
+  void applyCrashes(const CrashEvidenceMap &Crashes, TimePoint Now);
   void updateBlame(TimePoint Now);
   PoolReports ownPools(TimePoint Now) const;
   PoolReports
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -8,25 +8,42 @@
 
 namespace waycove {
 
-bool CrashGuard::maySend(const RelayRequest &Request, TimePoint Now) {
-  using Verdict = CrashBlame::Verdict;
-  Verdict Current = this->Board.Crashes.read([&](const CrashBlame &Crashes) {
-    return Crashes.judge(Request.Content, Now);
+using Verdict = CrashBlame::Verdict;
+
+CrashBlame::Judgement CrashGuard::judge(const RelayRequest &Request,
+                                        TimePoint Now) const {
+  return this->Board.Crashes.read([&](const CrashBlame &Crashes) {
+    return Crashes.judge(Request.Suspects, Now);
   });
-  if (Current != Verdict::Trial)
-    return Current == Verdict::Allow;
-  if (!isTrialNode(Request.Content, this->Board.Config.Node,
-                   this->Board.nodes()->nodes()))
+}
+
+bool CrashGuard::isTrialNode(const CrashBlame::Judgement &Judged) const {
+  return waycove::isTrialNode(Judged.Culprit, this->Board.Config.Node,
+                              this->Board.nodes()->nodes());
+}
+
+bool CrashGuard::isBlamed(const RelayRequest &Request, TimePoint Now) const {
+  CrashBlame::Judgement Judged = this->judge(Request, Now);
+  return Judged.Found == Verdict::Refuse ||
+         (Judged.Found == Verdict::Trial && !this->isTrialNode(Judged));
+}
+
+bool CrashGuard::maySend(const RelayRequest &Request, TimePoint Now) {
+  CrashBlame::Judgement Judged = this->judge(Request, Now);
+  if (Judged.Found != Verdict::Trial)
+    return Judged.Found == Verdict::Allow;
+  if (!this->isTrialNode(Judged))
     return false;
   bool TrialTaken = this->Board.Crashes.write([&](CrashBlame &Crashes) {
-    bool StillTry = Crashes.judge(Request.Content, Now) == Verdict::Trial;
+    bool StillTry =
+        Crashes.judge(Request.Suspects, Now).Found == Verdict::Trial;
     if (StillTry)
-      Crashes.recordTrial(Request.Content, Now);
+      Crashes.recordTrial(Request.Suspects, Now);
     return StillTry;
   });
   if (TrialTaken)
     this->Board.Log.emit(EventCode::RequestTried, Request.Info.Id.Text,
-                         LogFields().add("content", Request.Content.Value));
+                         LogFields().add("culprit", Judged.Culprit.Value));
   return TrialTaken;
 }
 
@@ -35,18 +52,22 @@
                                TimePoint Now) {
   bool IsDoubtful = Attempt.carrier().empty() &&
                     this->Board.ReachState != TargetReach::State::Sound;
-  if (End == AttemptOutcome::Broken && Attempt.ConnectionLost)
-    this->Board.Crashes.write([&](CrashBlame &Crashes) {
-      const VmIncarnation Target = Attempt.To.Target->incarnation();
-      if (IsDoubtful)
-        Crashes.holdLost(Request.Content, Target, Now);
-      else
-        Crashes.recordLost(Request.Content, Target, Now);
-    });
-  else if (End == AttemptOutcome::Done && Attempt.Succeeded)
-    this->Board.Crashes.write([&](CrashBlame &Crashes) {
-      Crashes.recordServed(Request.Content, Now);
-    });
+  bool IsLost = End == AttemptOutcome::Broken && Attempt.ConnectionLost;
+  bool IsServed = End == AttemptOutcome::Done && Attempt.Succeeded;
+  if (!IsLost && !IsServed)
+    return;
+  this->Board.Crashes.write([&](CrashBlame &Crashes) {
+    const CrashSuspects &Suspects = Request.Suspects;
+    const VmIncarnation Target = Attempt.To.Target->incarnation();
+    if (IsLost && IsDoubtful)
+      Crashes.holdLost(Suspects, Target, Attempt.SentAt, Now);
+    else if (IsLost)
+      Crashes.recordLost(Suspects, Target, Attempt.SentAt, Now);
+    else if (Attempt.ConnectionLost)
+      Crashes.recordEnded(Suspects, Target, Now);
+    else
+      Crashes.recordServed(Suspects, Now);
+  });
 }
 
 } // namespace waycove
--- a/src/entry/crash_guard.h
+++ b/src/entry/crash_guard.h
@@ -14,6 +14,9 @@
 public:
   explicit CrashGuard(EntryBoard &Board) : Board(Board) {}
 
+  /// Whether the request is refused at this node, so that there is no use in
+  /// waiting. Does not use up a trial.
+  bool isBlamed(const RelayRequest &Request, TimePoint Now) const;
   /// Whether the request may be sent, given which requests are blamed for
   /// crashes of targets. If a single trial is allowed, this call uses it up.
   bool maySend(const RelayRequest &Request, TimePoint Now);
@@ -23,6 +26,10 @@
                      AttemptOutcome End, TimePoint Now);
 
 private:
+  CrashBlame::Judgement judge(const RelayRequest &Request, TimePoint Now) const;
+  /// Whether this node may run the trial of the culprit.
+  bool isTrialNode(const CrashBlame::Judgement &Judged) const;
+
   EntryBoard &Board;
 };
 
--- a/src/entry/failure_responder.h
+++ b/src/entry/failure_responder.h
@@ -61,6 +61,8 @@
       Ex.Response.abort();
       return this->Log.requestCut(Ex, "the caller left while it was queued");
     }
+    if (Entered.Outcome == PlaceOutcome::Blamed)
+      return this->failCrashing(Ex);
     Ex.Progress.Refusal = Entered.Refusal;
     bool IsStopping = Entered.Outcome == PlaceOutcome::Stopping;
     ErrorKind Kind = IsStopping ? ErrorKind::Stopping : ErrorKind::Overloaded;
--- a/src/entry/place_gate.cpp
+++ b/src/entry/place_gate.cpp
@@ -28,7 +28,8 @@
                                     SystemClock{}.now() - this->Since));
 }
 
-PlaceGate::PlaceGate(EntryBoard &Board) : Board(Board) {
+PlaceGate::PlaceGate(EntryBoard &Board, const CrashGuard &Crashes)
+    : Board(Board), Crashes(Crashes) {
   Board.OnPlacesChanged = [this] {
     std::lock_guard Lock(this->Mutex);
     this->grant(SystemClock{}.now());
@@ -36,6 +37,8 @@
 }
 
 PlaceResult PlaceGate::enter(const RelayExchange &Ex) {
+  if (this->Crashes.isBlamed(Ex.Request, SystemClock{}.now()))
+    return {PlaceOutcome::Blamed, {}, Millis(0), {}};
   PlaceRequest Wanted = this->describe(Ex.Request);
   std::unique_lock Lock(this->Mutex);
   auto Offered = this->Board.Admission.write([&](PoolAdmission &Pools) {
@@ -119,6 +122,8 @@
     return PlaceOutcome::CallerGone;
   if (this->Board.Refusing)
     return PlaceOutcome::Stopping;
+  if (this->Crashes.isBlamed(Ex.Request, Now))
+    return PlaceOutcome::Blamed;
   if (Now >= Wanted.UsefulUntil)
     return PlaceOutcome::Refused;
   return std::nullopt;
--- a/src/entry/place_gate.h
+++ b/src/entry/place_gate.h
@@ -4,7 +4,7 @@
 
 #pragma once
 
-#include "entry/relay_attempt.h"
+#include "entry/crash_guard.h"
 
 #include <condition_variable>
 
@@ -40,6 +40,8 @@
   CallerGone,
   /// The node refuses all requests since it stops.
   Stopping,
+  /// Targets crash under such requests.
+  Blamed,
 };
 
 /// The outcome, with the place or the grounds of the refusal.
@@ -57,7 +59,7 @@
 class PlaceGate {
 public:
   /// To be constructed before requests are served.
-  explicit PlaceGate(EntryBoard &Board);
+  PlaceGate(EntryBoard &Board, const CrashGuard &Crashes);
 
   /// Waits for a place for a new request.
   PlaceResult enter(const RelayExchange &Ex);
@@ -69,8 +71,8 @@
 
 private:
   friend class HeldPlace;
-  /// How often a waiting thread looks whether its caller has left or the node
-  /// stops.
+  /// How often a waiting thread looks whether its caller has left, the request
+  /// is blamed or the node stops.
   static constexpr Millis CheckInterval{100};
   struct Waiter {
     std::condition_variable Granted;
@@ -95,6 +97,7 @@
   void release(const PoolTicket &Ticket, Millis Held);
 
   EntryBoard &Board;
+  const CrashGuard &Crashes;
   /// Locked before any table of the board.
   std::mutex Mutex;
   std::map<PoolTicket, Waiter *> Waiters;
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -20,8 +20,9 @@
 public:
   Relay(EntryBoard &Board, TargetConnectionPool &Pool, BufferBudget &Buffers)
       : Board(Board), Log(Board), Bounds(Board), Selector(Board, this->Bounds),
-        Retries(Board, this->Selector), Crashes(Board), Places(Board),
-        Carriers(Board), Connector(Board, Pool, this->Carriers),
+        Retries(Board, this->Selector), Crashes(Board),
+        Places(Board, this->Crashes), Carriers(Board),
+        Connector(Board, Pool, this->Carriers),
         Waiter(Board, this->Retries, this->Log, Buffers),
         Forwarder(Board, Pool, this->Waiter, this->Log),
         Runner(Board, this->Log, this->Selector, this->Crashes, this->Connector,
--- a/src/entry/relay_request.cpp
+++ b/src/entry/relay_request.cpp
@@ -63,6 +63,8 @@
   Request.Workspace = std::move(Workspace);
   Request.Service = pickBackend(*Route, Request.Random);
   Request.Content = contentHashOf(Request);
+  Request.Suspects =
+      suspectsOf(Request.Content, poolOf(Request), Request.Info.SharedParts);
   return absl::OkStatus();
 }
 
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -9,6 +9,7 @@
 #include "entry/buffer_budget.h"
 #include "entry/caller_protocol.h"
 #include "policy/attempt_rules.h"
+#include "policy/crash_suspect.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <memory>
@@ -34,6 +35,8 @@
   ServiceId Service;
   /// The same whenever the caller sends the request again, at any node.
   ContentHash Content;
+  /// What a target that runs it may crash under.
+  CrashSuspects Suspects;
   /// How long the caller had waited when the request arrived.
   Millis PriorWait{0};
   /// Random bits of this request, for all random decisions about it.
--- a/src/policy/crash_blame.cpp
+++ b/src/policy/crash_blame.cpp
@@ -6,61 +6,29 @@
 
 #include <algorithm>
 #include <iterator>
-#include <tuple>
 #include <utility>
 
 namespace waycove {
 
 namespace {
 
-using CrashesByContent = std::map<ContentHash, std::set<TargetHash>>;
-/// Sort key of a content, weakest evidence first: its number of crashes, its
-/// last change and its hash.
-using SortKey = std::tuple<std::size_t, TimePoint, ContentHash>;
-
-std::size_t countUnexplained(const std::set<TargetHash> &CrashedTargets,
-                             const std::set<TargetHash> &Explained) {
-  return static_cast<std::size_t>(std::count_if(
-      CrashedTargets.begin(), CrashedTargets.end(),
-      [&](TargetHash Target) { return !Explained.contains(Target); }));
+/// The same on all nodes.
+ContentHash hashOf(const Culprit &Blamed) {
+  std::uint64_t Hash = 0;
+  for (const CrashSuspect &Suspect : Blamed)
+    Hash = mixHash(Hash, Suspect.Content.Value);
+  return ContentHash(Hash);
 }
 
-/// Returns the contents with the most unexplained crashes, if these are enough
-/// to blame them.
-template <typename F>
-std::vector<ContentHash> mostLikely(const CrashesByContent &Remaining,
-                                    const std::set<TargetHash> &Explained,
-                                    F CrashesNeeded) {
-  std::size_t Max = 0;
-  std::vector<ContentHash> Likely;
-  for (const auto &[Content, CrashedTargets] : Remaining) {
-    std::size_t Count = countUnexplained(CrashedTargets, Explained);
-    if (Count < std::max(Max, CrashesNeeded(Content)))
-      continue;
-    if (Count > Max)
-      Likely.clear();
-    Max = Count;
-    Likely.push_back(Content);
-  }
-  return Likely;
+bool hasPart(const Culprit &Blamed) {
+  return std::any_of(Blamed.begin(), Blamed.end(),
+                     [](const CrashSuspect &Suspect) {
+                       return Suspect.Kind == SuspectKind::PromptPart;
+                     });
 }
 
 } // namespace
 
-bool CrashEvidence::merge(const CrashEvidence &Other) {
-  if (Other.TimesServed < this->TimesServed)
-    return false;
-  CrashEvidence Before = *this;
-  if (Other.TimesServed > this->TimesServed)
-    *this = {Other.TimesServed, false, {}};
-  this->TrialDone |= Other.TrialDone;
-  this->CrashedTargets.insert(Other.CrashedTargets.begin(),
-                              Other.CrashedTargets.end());
-  while (this->CrashedTargets.size() > MaxCrashedTargets)
-    this->CrashedTargets.erase(std::prev(this->CrashedTargets.end()));
-  return *this != Before;
-}
-
 void CrashBlame::ServedMemory::add(ContentHash Content) {
   this->Newer.insert(Content);
   if (this->Newer.size() < MaxRemembered)
@@ -69,46 +37,75 @@
   this->Newer.clear();
 }
 
-CrashBlame::Verdict CrashBlame::judge(ContentHash Content,
-                                      TimePoint Now) const {
-  if (!this->Blamed.contains(Content))
-    return Verdict::Allow;
-  return this->mayRunTrial(Content, Now) ? Verdict::Trial : Verdict::Refuse;
+CrashBlame::Judgement CrashBlame::judge(const CrashSuspects &Request,
+                                        TimePoint Now) const {
+  const Culprit *Found = nullptr;
+  for (const Culprit &Candidate : this->Blamed) {
+    if (!containsAll(Request, Candidate))
+      continue;
+    // A trial of several culprits would not tell which of them is sound.
+    if (Found)
+      return {Verdict::Refuse, hashOf(*Found)};
+    Found = &Candidate;
+  }
+  if (!Found)
+    return {};
+  return {this->mayRunTrial(*Found, Now) ? Verdict::Trial : Verdict::Refuse,
+          hashOf(*Found)};
+}
+
+/// Returns true if a culprit should be sent once more. A part always is, since
+/// many requests would be refused with a part that is innocent; a request only
+/// on minimal evidence, or if another suspect ran at all of the same crashes.
+bool CrashBlame::mayRunTrial(const Culprit &Blamed, TimePoint Now) const {
+  for (const CrashSuspect &Suspect : Blamed) {
+    const CrashEvidenceTable::Row *Known = this->Evidence.find(Suspect);
+    if (!Known || Known->Evidence.TrialDone || Now < Known->TrialUntil ||
+        Now - Known->ChangedAt < TrialDelay)
+      return false;
+  }
+  if (hasPart(Blamed))
+    return true;
+  const CrashSuspect &Request = Blamed.front();
+  return this->Evidence.find(Request)->Evidence.CrashedTargets.size() ==
+             CrashesToBlame ||
+         this->isTied(Request);
 }
 
-/// Returns true if a blamed content should be sent once more: it has minimal
-/// evidence, or another blamed content ran at all of the same crashes.
-bool CrashBlame::mayRunTrial(ContentHash Content, TimePoint Now) const {
-  auto At = this->Rows.find(Content);
-  if (At == this->Rows.end() || At->second.Evidence.TrialDone ||
-      Now - At->second.ChangedAt < TrialDelay)
-    return false;
-  const std::set<TargetHash> &CrashedTargets =
-      At->second.Evidence.CrashedTargets;
-  auto RanAtAll = [&](ContentHash Other) {
-    auto OtherAt = this->Rows.find(Other);
-    return Other != Content && OtherAt != this->Rows.end() &&
-           std::includes(OtherAt->second.Evidence.CrashedTargets.begin(),
-                         OtherAt->second.Evidence.CrashedTargets.end(),
-                         CrashedTargets.begin(), CrashedTargets.end());
+bool CrashBlame::isTied(const CrashSuspect &Suspect) const {
+  const std::set<TargetHash> &Crashed =
+      this->Evidence.find(Suspect)->Evidence.CrashedTargets;
+  auto RanAtAll = [&](const CrashSuspect &Other) {
+    const CrashEvidenceTable::Row *Known = this->Evidence.find(Other);
+    return Other != Suspect && Known &&
+           std::includes(Known->Evidence.CrashedTargets.begin(),
+                         Known->Evidence.CrashedTargets.end(), Crashed.begin(),
+                         Crashed.end());
   };
-  return CrashedTargets.size() == CrashesToBlame ||
-         std::any_of(this->Blamed.begin(), this->Blamed.end(), RanAtAll);
+  return std::any_of(this->Blamed.begin(), this->Blamed.end(),
+                     [&](const Culprit &Other) {
+                       return std::any_of(Other.begin(), Other.end(), RanAtAll);
+                     });
 }
 
-std::size_t CrashBlame::crashesNeeded(ContentHash Content) const {
-  auto At = this->Rows.find(Content);
-  bool WasServed =
-      At != this->Rows.end() && At->second.Evidence.TimesServed > 0;
-  return WasServed || this->Served.contains(Content) ? CrashesToBlameServed
-                                                     : CrashesToBlame;
+bool CrashBlame::isBlamed(const CrashSuspect &Suspect) const {
+  return std::any_of(this->Blamed.begin(), this->Blamed.end(),
+                     [&](const Culprit &Culprit) {
+                       return std::find(Culprit.begin(), Culprit.end(),
+                                        Suspect) != Culprit.end();
+                     });
 }
 
-void CrashBlame::recordLost(ContentHash Content, const VmIncarnation &Target,
+void CrashBlame::recordLost(const CrashSuspects &Request,
+                            const VmIncarnation &Target, TimePoint SentAt,
                             TimePoint Now) {
-  this->Losses.push_back({Content, Target, Now});
-  // Most losses are the first of their content, and cannot change the blame.
-  if (this->crashedTargetsOf(Content).size() >= CrashesToBlame)
+  this->Losses.push_back({Request, Target, SentAt, Now});
+  // Most losses are the first of their suspects, and cannot change the blame.
+  bool MayBlame = std::any_of(
+      Request.begin(), Request.end(), [this](const CrashSuspect &Suspect) {
+        return this->crashedTargetsOf(Suspect).size() >= CrashesToBlame;
+      });
+  if (MayBlame)
     this->blame();
 }
 
@@ -124,165 +121,167 @@
   this->blame();
 }
 
-void CrashBlame::recordServed(ContentHash Content, TimePoint Now) {
-  this->Served.add(Content);
-  auto IsOfContent = [&](const Loss &Lost) { return Lost.Content == Content; };
-  std::size_t Dropped = std::erase_if(this->Losses, IsOfContent);
-  std::erase_if(this->Held, IsOfContent);
-  auto At = this->Rows.find(Content);
-  bool Suspected =
-      At != this->Rows.end() && !At->second.Evidence.CrashedTargets.empty();
-  if (Suspected)
-    At->second = {{At->second.Evidence.TimesServed + 1, false, {}}, Now};
-  if (Suspected || Dropped > 0)
+void CrashBlame::recordServed(const CrashSuspects &Request, TimePoint Now) {
+  bool Changed = false;
+  for (const CrashSuspect &Suspect : Request) {
+    this->Served.add(Suspect.Content);
+    Changed |= this->Evidence.clear(Suspect, Now);
+  }
+  for (std::vector<Loss> *Unresolved : {&this->Losses, &this->Held}) {
+    for (Loss &Lost : *Unresolved)
+      Changed |= std::erase_if(Lost.Suspects, [&](const CrashSuspect &Suspect) {
+                   return containsAll(Request, {Suspect});
+                 }) > 0;
+    std::erase_if(*Unresolved,
+                  [](const Loss &Lost) { return Lost.Suspects.empty(); });
+  }
+  if (Changed)
     this->blame();
 }
 
-void CrashBlame::recordTrial(ContentHash Content, TimePoint Now) {
-  auto At = this->Rows.find(Content);
-  if (At == this->Rows.end())
-    return;
-  At->second.Evidence.TrialDone = true;
-  At->second.ChangedAt = Now;
+Millis CrashBlame::trialDuration(unsigned Before) {
+  Millis Duration = TrialDuration;
+  for (unsigned I = 0; I < std::min(Before, MaxRepeatDelays); ++I)
+    Duration *= RepeatFactor;
+  return Duration;
+}
+
+void CrashBlame::recordTrial(const CrashSuspects &Request, TimePoint Now) {
+  for (const Culprit &Candidate : this->Blamed)
+    if (containsAll(Request, Candidate))
+      for (const CrashSuspect &Suspect : Candidate)
+        if (CrashEvidenceTable::Row *Known = this->Evidence.find(Suspect)) {
+          Known->TrialSince = Now;
+          Known->TrialUntil = Now + trialDuration(Known->Trials++);
+        }
 }
 
 void CrashBlame::confirm(const std::vector<Loss> &Crashes, TimePoint Now) {
-  for (const Loss &Lost : Crashes) {
-    Entry &Known = this->Rows[Lost.Content];
-    std::uint32_t Before = this->Served.contains(Lost.Content) ? 1 : 0;
-    if (Known.Evidence.merge({std::max(Known.Evidence.TimesServed, Before),
-                              Known.Evidence.TrialDone,
-                              {hashOf(Lost.Target)}}))
-      Known.ChangedAt = Now;
-  }
-  this->forget();
+  for (const Loss &Lost : Crashes)
+    for (const CrashSuspect &Suspect : Lost.Suspects) {
+      CrashEvidence New;
+      New.CrashedTargets = {waycove::hashOf(Lost.Target)};
+      New.ServedBefore = this->Served.contains(Suspect.Content);
+      if (const auto *Known = this->Evidence.find(Suspect)) {
+        New.TimesServed = Known->Evidence.TimesServed;
+        New.TrialDone =
+            Lost.SentAt >= Known->TrialSince && Lost.SentAt < Known->TrialUntil;
+        New.Recurred = !Known->Evidence.CrashedTargets.empty() &&
+                       Lost.SentAt > Known->SuspectSince;
+      }
+      this->Evidence.merge(Suspect, New, Now);
+    }
+  this->Evidence.forget();
   this->blame();
 }
 
+void CrashBlame::resolveEnded(TimePoint Now) {
+  std::vector<Loss> Completed;
+  std::erase_if(this->Ended, [&](const Loss &Response) {
+    if (Now - Response.At < EndedDelay)
+      return false;
+    if (!this->hasCrashed(waycove::hashOf(Response.Target)))
+      Completed.push_back(Response);
+    return true;
+  });
+  for (const Loss &Response : Completed)
+    this->recordServed(Response.Suspects, Now);
+}
+
+/// Whether any request is known to have been lost when the target crashed.
+bool CrashBlame::hasCrashed(TargetHash Target) const {
+  return std::any_of(this->Evidence.rows().begin(), this->Evidence.rows().end(),
+                     [&](const auto &Known) {
+                       return Known.second.Evidence.CrashedTargets.contains(
+                           Target);
+                     }) ||
+         std::any_of(this->Losses.begin(), this->Losses.end(),
+                     [&](const Loss &Lost) {
+                       return waycove::hashOf(Lost.Target) == Target;
+                     });
+}
+
 void CrashBlame::merge(const CrashEvidenceMap &Reported, TimePoint Now) {
   bool Changed = false;
-  for (const auto &[Content, Evidence] : Reported) {
-    Entry &Known = this->Rows[Content];
-    if (!Known.Evidence.merge(Evidence))
-      continue;
-    Known.ChangedAt = Now;
-    Changed = true;
-  }
+  for (const auto &[Suspect, Found] : Reported)
+    Changed |= this->Evidence.merge(Suspect, Found, Now);
   if (!Changed)
     return;
-  this->forget();
+  this->Evidence.forget();
   this->blame();
 }
 
-template <typename F>
-CrashEvidenceMap CrashBlame::pick(F IsWanted, std::size_t Max) const {
-  std::vector<SortKey> Order;
-  for (const auto &[Content, Known] : this->Rows)
-    if (IsWanted(Content, Known))
-      Order.emplace_back(Known.Evidence.CrashedTargets.size(), Known.ChangedAt,
-                         Content);
-  std::sort(Order.rbegin(), Order.rend());
-  Order.resize(std::min(Order.size(), Max));
-  CrashEvidenceMap Picked;
-  for (const SortKey &Key : Order) {
-    auto Content = std::get<ContentHash>(Key);
-    Picked[Content] = this->Rows.at(Content).Evidence;
-  }
-  return Picked;
-}
-
 CrashEvidenceMap CrashBlame::recentRows(TimePoint Now) const {
-  return this->pick(
-      [&](ContentHash, const Entry &Known) {
+  return this->Evidence.pick(
+      [&](const CrashSuspect &, const CrashEvidenceTable::Row &Known) {
         return Now - Known.ChangedAt < ReportDuration;
       },
       MaxReported);
 }
 
 CrashEvidenceMap CrashBlame::allRows() const {
-  return this->pick([](ContentHash, const Entry &) { return true; },
-                    MaxReported);
+  return this->Evidence.pick(
+      [](const CrashSuspect &, const CrashEvidenceTable::Row &) {
+        return true;
+      },
+      MaxReported);
 }
 
 CrashEvidenceMap CrashBlame::blamedRows() const {
-  return this->pick(
-      [this](ContentHash Content, const Entry &) {
-        return this->Blamed.contains(Content);
+  return this->Evidence.pick(
+      [this](const CrashSuspect &Suspect, const CrashEvidenceTable::Row &) {
+        return this->isBlamed(Suspect);
       },
       MaxPersisted);
 }
 
-std::set<TargetHash> CrashBlame::crashedTargetsOf(ContentHash Content) const {
-  std::set<TargetHash> CrashedTargets;
-  if (auto At = this->Rows.find(Content); At != this->Rows.end())
-    CrashedTargets = At->second.Evidence.CrashedTargets;
+std::set<TargetHash>
+CrashBlame::crashedTargetsOf(const CrashSuspect &Suspect) const {
+  std::set<TargetHash> Crashed;
+  if (const auto *Known = this->Evidence.find(Suspect))
+    Crashed = Known->Evidence.CrashedTargets;
   for (const Loss &Lost : this->Losses)
-    if (Lost.Content == Content)
-      CrashedTargets.insert(hashOf(Lost.Target));
-  return CrashedTargets;
+    if (containsAll(Lost.Suspects, {Suspect}))
+      Crashed.insert(waycove::hashOf(Lost.Target));
+  return Crashed;
 }
 
-CrashesByContent CrashBlame::evidence() const {
-  std::set<ContentHash> Likely;
-  for (const auto &[Content, Known] : this->Rows)
-    if (Known.Evidence.CrashedTargets.size() >= CrashesToBlame)
-      Likely.insert(Content);
+SuspectRecords CrashBlame::records() const {
+  SuspectRecords Records;
   for (const Loss &Lost : this->Losses)
-    Likely.insert(Lost.Content);
-  CrashesByContent Remaining;
-  for (ContentHash Content : Likely)
-    if (std::set<TargetHash> CrashedTargets = this->crashedTargetsOf(Content);
-        CrashedTargets.size() >= CrashesToBlame)
-      Remaining[Content] = std::move(CrashedTargets);
-  return Remaining;
-}
-
-/// Blames the contents with the most crashes first; the crashes that they
-/// explain do not count against the others.
-void CrashBlame::blame() {
-  this->Blamed.clear();
-  CrashesByContent Remaining = this->evidence();
-  std::set<TargetHash> Explained;
-  while (true) {
-    std::vector<ContentHash> Likely =
-        mostLikely(Remaining, Explained, [this](ContentHash Content) {
-          return this->crashesNeeded(Content);
-        });
-    if (Likely.empty())
-      break;
-    for (ContentHash Content : Likely) {
-      this->Blamed.insert(Content);
-      const std::set<TargetHash> &CrashedTargets = Remaining.at(Content);
-      Explained.insert(CrashedTargets.begin(), CrashedTargets.end());
+    for (const CrashSuspect &Suspect : Lost.Suspects) {
+      SuspectRecord &Record = Records[Suspect];
+      Record.CrashedTargets.insert(waycove::hashOf(Lost.Target));
+      Record.ServedBefore = this->Served.contains(Suspect.Content);
     }
-    for (ContentHash Content : Likely)
-      Remaining.erase(Content);
+  for (const auto &[Suspect, Known] : this->Evidence.rows()) {
+    const CrashEvidence &Found = Known.Evidence;
+    if (Found.CrashedTargets.size() < CrashesToBlame &&
+        !Records.contains(Suspect))
+      continue;
+    SuspectRecord &Record = Records[Suspect];
+    Record.CrashedTargets.insert(Found.CrashedTargets.begin(),
+                                 Found.CrashedTargets.end());
+    Record.ServedBefore |=
+        Found.wasServed() || this->Served.contains(Suspect.Content);
+    Record.Recurred = Found.Recurred;
   }
-}
-
-/// Drops the contents with the weakest and oldest evidence above MaxContents.
-void CrashBlame::forget() {
-  if (this->Rows.size() <= MaxContents)
-    return;
-  std::vector<SortKey> Order;
-  for (const auto &[Content, Known] : this->Rows)
-    Order.emplace_back(Known.Evidence.CrashedTargets.size(), Known.ChangedAt,
-                       Content);
-  std::sort(Order.begin(), Order.end());
-  for (std::size_t I = 0; I < Order.size() - MaxContents; ++I)
-    this->Rows.erase(std::get<ContentHash>(Order[I]));
+  std::erase_if(Records, [](const auto &Record) {
+    return Record.second.CrashedTargets.size() < CrashesToBlame;
+  });
+  return Records;
 }
 
 CrashBlame::Changes CrashBlame::takeChanges() {
-  std::set<ContentHash> Before =
-      std::exchange(this->ReportedBlamed, this->Blamed);
+  std::set<Culprit> Current(this->Blamed.begin(), this->Blamed.end());
+  std::set<Culprit> Before = std::exchange(this->ReportedBlamed, Current);
   Changes Found;
-  for (ContentHash Content : this->Blamed)
-    if (auto At = this->Rows.find(Content);
-        At != this->Rows.end() && !Before.contains(Content))
-      Found.Blamed[Content] = At->second.Evidence;
-  std::set_difference(Before.begin(), Before.end(), this->Blamed.begin(),
-                      this->Blamed.end(), std::back_inserter(Found.Cleared));
+  for (const Culprit &Blamed : Current)
+    if (const auto *Known = this->Evidence.find(Blamed.front());
+        Known && !Before.contains(Blamed))
+      Found.Blamed.push_back({Blamed, Known->Evidence});
+  std::set_difference(Before.begin(), Before.end(), Current.begin(),
+                      Current.end(), std::back_inserter(Found.Cleared));
   return Found;
 }
 
--- a/src/policy/crash_blame.h
+++ b/src/policy/crash_blame.h
@@ -4,75 +4,55 @@
 
 #pragma once
 
-#include "policy/load_reports.h"
+#include "policy/crash_culprits.h"
+#include "policy/crash_evidence.h"
 
-#include <map>
 #include <set>
 #include <unordered_set>
 #include <vector>
 
 namespace waycove {
 
-/// Evidence against one content that was running at targets when they crashed.
-struct CrashEvidence {
-  /// How often it was answered completely after a target had crashed under it.
-  /// Each time invalidates all earlier evidence.
-  std::uint32_t TimesServed = 0;
-  /// A node sent it once more, as a trial, after it was blamed.
-  bool TrialDone = false;
-  /// Targets that crashed under it since. Bounded: the smallest hashes are
-  /// retained, so that all nodes retain the same ones.
-  std::set<TargetHash> CrashedTargets;
-
-  /// Merges the evidence of another node and returns true if anything changed.
-  /// Commutative and idempotent.
-  bool merge(const CrashEvidence &Other);
-  // Defaulted by the compiler. NOLINTNEXTLINE
-  bool operator==(const CrashEvidence &) const = default;
-
-private:
-  /// Crashes under a blamed request exonerate the requests that ran beside it,
-  /// so more of them are retained than blaming takes.
-  static constexpr std::size_t MaxCrashedTargets = 16;
-};
-
-using CrashEvidenceMap = std::map<ContentHash, CrashEvidence>;
-
-/// Detects requests that crash the targets that run them. Such a request is
-/// retried, at any node, with the same content, and is never answered. A crash
-/// affects all requests that run at the target, and targets also crash by
-/// themselves, so the detection is heuristic:
-/// - a content is blamed after CrashesToBlame crashes without a complete
-///   response in between; one that was answered before only after
-///   CrashesToBlameServed;
-/// - the content with the most crashes is blamed first, and the crashes that it
-///   explains do not count against others;
-/// - a content that is blamed on minimal evidence, or together with another one
-///   that ran at all of the same crashes, is sent once more as a trial, by one
-///   node.
+/// Detects requests that crash the targets that run them: by a request that is
+/// retried, at any node, with the same content, or by a part of the prompt that
+/// requests share which differ in all else. Such a request is never answered. A
+/// crash affects all requests that run at the target, and targets also crash by
+/// themselves, so the detection is heuristic; see findCulprits(). A culprit
+/// that is blamed on little evidence is sent once more as a trial, by one node.
 ///
 /// Nodes exchange their evidence, and it merges to the same state on all of
 /// them; it holds no timestamps of other machines. Not thread-safe.
 class CrashBlame {
 public:
   enum class Verdict { Allow, Trial, Refuse };
-  /// Newly blamed contents with their evidence, and those no longer blamed.
+  struct Judgement {
+    Verdict Found = Verdict::Allow;
+    /// Identifies the culprit that the request contains, the same on all nodes.
+    ContentHash Culprit;
+  };
+  struct BlamedCulprit {
+    Culprit Suspects;
+    /// Of the first suspect.
+    CrashEvidence Evidence;
+  };
+  /// Newly blamed culprits, and those no longer blamed.
   struct Changes {
-    CrashEvidenceMap Blamed;
-    std::vector<ContentHash> Cleared;
+    std::vector<BlamedCulprit> Blamed;
+    std::vector<Culprit> Cleared;
   };
 
   /// Decides whether a request may be sent. Trial: this node alone may send it
   /// once; the caller calls recordTrial() before it sends.
-  Verdict judge(ContentHash Content, TimePoint Now) const;
-  /// Records that the connection to \p Target ended during a request.
-  void recordLost(ContentHash Content, const VmIncarnation &Target,
-                  TimePoint Now);
+  Judgement judge(const CrashSuspects &Request, TimePoint Now) const;
+  /// Records that the connection to \p Target ended during a request that was
+  /// sent at \p SentAt.
+  void recordLost(const CrashSuspects &Request, const VmIncarnation &Target,
+                  TimePoint SentAt, TimePoint Now);
   /// Records the same while it is in doubt whether this node reaches any
   /// target. It counts only after releaseHeldLosses().
-  void holdLost(ContentHash Content, const VmIncarnation &Target,
-                TimePoint Now) {
-    this->Held.push_back({Content, Target, Now});
+  void holdLost(const CrashSuspects &Request, const VmIncarnation &Target,
+                TimePoint SentAt, TimePoint Now) {
+    this->Held.push_back({Request, Target, SentAt, Now});
   }
   /// This node reaches targets: what was held counts.
   void releaseHeldLosses();
@@ -80,8 +60,15 @@
   /// resolved yet.
   void dropLosses();
   /// Records that a request was answered completely.
-  void recordServed(ContentHash Content, TimePoint Now);
-  void recordTrial(ContentHash Content, TimePoint Now);
+  void recordServed(const CrashSuspects &Request, TimePoint Now);
+  /// Records the same if the end of the connection was all that ended the
+  /// response: the target may have crashed. It counts unless other requests
+  /// show within EndedDelay that it did.
+  void recordEnded(const CrashSuspects &Request, const VmIncarnation &Target,
+                   TimePoint Now) {
+    this->Ended.push_back({Request, Target, Now, Now});
+  }
+  void recordTrial(const CrashSuspects &Request, TimePoint Now);
 
   /// Counts each lost connection as a crash of its target unless \p
   /// LastProgress, called with the incarnation of the target, shows that it was
@@ -98,6 +85,7 @@
     });
     if (Resolved > 0)
       this->confirm(Crashes, Now);
+    this->resolveEnded(Now);
     return this->takeChanges();
   }
   /// Merges the evidence of another node.
@@ -105,25 +93,19 @@
   /// Evidence that changed within ReportDuration, for nodes that exchange
   /// reports with this one continuously.
   CrashEvidenceMap recentRows(TimePoint Now) const;
-  /// Evidence of blamed contents, to be persisted.
+  /// Evidence of blamed suspects, to be persisted.
   CrashEvidenceMap blamedRows() const;
   /// All evidence, for a node that starts or was disconnected.
   CrashEvidenceMap allRows() const;
+  /// Number of culprits that are blamed.
+  std::size_t blamedCount() const { return this->Blamed.size(); }
 
   /// Changes are reported to other nodes for this long: several report
   /// intervals.
   static constexpr Millis ReportDuration{1500};
-  /// Crashes under a content after which it is blamed.
-  static constexpr std::size_t CrashesToBlame = 3;
-  /// The same for a content that was answered before. It is higher because a
-  /// frequent request is lost several times in a row if several targets crash
-  /// one after another for another reason.
-  static constexpr std::size_t CrashesToBlameServed = 12;
-  /// Maximum blamed contents that are persisted.
+  /// Maximum blamed suspects of each kind that are persisted.
   static constexpr std::size_t MaxPersisted = 32;
-  /// Maximum contents in the table.
-  static constexpr std::size_t MaxContents = 1024;
-  /// Maximum contents in one report.
+  /// Maximum suspects of each kind in one report.
   static constexpr std::size_t MaxReported = 256;
 
 private:
@@ -131,17 +113,24 @@
   static constexpr Millis ResolveDelay{250};
   /// Bytes that a target sent before its crash may be read this much later.
   static constexpr Millis LateReadDelay{100};
+  /// The same for responses that ended with their connection: until the other
+  /// nodes have reported a crash.
+  static constexpr Millis EndedDelay{1500};
   /// A trial starts this long after the last change of the evidence, when all
   /// nodes have it.
   static constexpr Millis TrialDelay{1500};
-
-  struct Entry {
-    CrashEvidence Evidence;
-    TimePoint ChangedAt;
-  };
+  /// A trial that has shown nothing by then, e.g. as its caller left, is
+  /// repeated; each time after RepeatFactor times as long, since trials that
+  /// reach a target may add up.
+  static constexpr Millis TrialDuration{10000};
+  static constexpr unsigned RepeatFactor = 4;
+  static constexpr unsigned MaxRepeatDelays = 5;
+
+  /// A request whose connection ended.
   struct Loss {
-    ContentHash Content;
+    CrashSuspects Suspects;
     VmIncarnation Target;
+    TimePoint SentAt;
     TimePoint At;
   };
 
@@ -160,28 +149,31 @@
     std::unordered_set<ContentHash> Older;
   };
 
-  /// Returns at most \p Max of the rows that \p IsWanted selects: those with
-  /// the most crashes, and of these the newest.
-  template <typename F>
-  CrashEvidenceMap pick(F IsWanted, std::size_t Max) const;
-  bool mayRunTrial(ContentHash Content, TimePoint Now) const;
-  std::size_t crashesNeeded(ContentHash Content) const;
+  /// How long a trial counts as under way after \p Before earlier ones.
+  static Millis trialDuration(unsigned Before);
+  bool mayRunTrial(const Culprit &Blamed, TimePoint Now) const;
+  /// Whether another blamed suspect ran at all of the same crashes.
+  bool isTied(const CrashSuspect &Suspect) const;
+  bool isBlamed(const CrashSuspect &Suspect) const;
   void confirm(const std::vector<Loss> &Crashes, TimePoint Now);
-  /// Targets that crashed under a content, with losses not resolved yet.
-  std::set<TargetHash> crashedTargetsOf(ContentHash Content) const;
-  /// The same for all contents with enough crashes to be blamed.
-  std::map<ContentHash, std::set<TargetHash>> evidence() const;
-  void blame();
-  void forget();
+  void resolveEnded(TimePoint Now);
+  bool hasCrashed(TargetHash Target) const;
+  /// Targets that crashed under a suspect, with losses not resolved yet.
+  std::set<TargetHash> crashedTargetsOf(const CrashSuspect &Suspect) const;
+  /// The same for all suspects with enough crashes to be blamed.
+  SuspectRecords records() const;
+  void blame() { this->Blamed = findCulprits(this->records()); }
   Changes takeChanges();
 
-  std::map<ContentHash, Entry> Rows;
+  CrashEvidenceTable Evidence;
   std::vector<Loss> Losses;
   std::vector<Loss> Held;
+  /// Complete responses that ended with their connection.
+  std::vector<Loss> Ended;
   ServedMemory Served;
-  std::set<ContentHash> Blamed;
-  /// The blamed contents at the last call of takeChanges.
-  std::set<ContentHash> ReportedBlamed;
+  std::vector<Culprit> Blamed;
+  /// The culprits at the last call of takeChanges.
+  std::set<Culprit> ReportedBlamed;
 };
 
 } // namespace waycove
--- a/src/wire/news_frames.cpp
+++ b/src/wire/news_frames.cpp
@@ -30,6 +30,19 @@
 /// time means that this machine was suspended meanwhile.
 constexpr Millis MaxResponseTime{500};
 
+void unpackCrashes(const CrashRows &Rows, SuspectKind Kind,
+                   CrashEvidenceMap &Into) {
+  for (const auto &Row : Rows) {
+    CrashEvidence &Known = Into[{Kind, ContentHash(Row->content)}];
+    Known.TimesServed = Row->served;
+    Known.TrialDone = Row->tried;
+    Known.ServedBefore = Row->served_before;
+    Known.Recurred = Row->recurred;
+    for (std::uint64_t End : Row->ends)
+      Known.CrashedTargets.insert(TargetHash(End));
+  }
+}
+
 std::uint16_t shortOf(std::int64_t Value) {
   return static_cast<std::uint16_t>(std::clamp<std::int64_t>(
       Value, 0, std::numeric_limits<std::uint16_t>::max()));
@@ -86,7 +99,8 @@
 
 std::string packAnnouncement(const Announcement &Entry) {
   wire::PeerRowT Row = packNode(Entry.Node);
-  Row.blamed = packCrashes(Entry.Blamed);
+  Row.blamed = packCrashes(Entry.Blamed, SuspectKind::Request);
+  Row.blamed_parts = packCrashes(Entry.Blamed, SuspectKind::PromptPart);
   flatbuffers::FlatBufferBuilder Builder;
   Builder.Finish(wire::PeerRow::Pack(Builder, &Row));
   return {reinterpret_cast<const char *>(Builder.GetBufferPointer()),
@@ -100,7 +114,8 @@
     return makeError(ErrorKind::BadRequest, "damaged announcement");
   wire::PeerRowT Row;
   flatbuffers::GetRoot<wire::PeerRow>(Data)->UnPackTo(&Row);
-  return Announcement{unpackNode(Row), unpackCrashes(Row.blamed)};
+  return Announcement{unpackNode(Row),
+                      unpackCrashes(Row.blamed, Row.blamed_parts)};
 }
 
 std::vector<wire::LoadRow> packLoads(const TargetLoads &Loads) {
@@ -183,30 +198,28 @@
   return Read;
 }
 
-std::vector<std::unique_ptr<wire::CrashRowT>>
-packCrashes(const CrashEvidenceMap &Crashes) {
-  std::vector<std::unique_ptr<wire::CrashRowT>> Rows;
-  for (const auto &[Content, Known] : Crashes) {
+CrashRows packCrashes(const CrashEvidenceMap &Crashes, SuspectKind Kind) {
+  CrashRows Rows;
+  for (const auto &[Suspect, Known] : Crashes) {
+    if (Suspect.Kind != Kind)
+      continue;
     Rows.push_back(std::make_unique<wire::CrashRowT>());
-    Rows.back()->content = Content.Value;
+    Rows.back()->content = Suspect.Content.Value;
     Rows.back()->served = Known.TimesServed;
     Rows.back()->tried = Known.TrialDone;
+    Rows.back()->served_before = Known.ServedBefore;
+    Rows.back()->recurred = Known.Recurred;
     for (TargetHash End : Known.CrashedTargets)
       Rows.back()->ends.push_back(End.Value);
   }
   return Rows;
 }
 
-CrashEvidenceMap
-unpackCrashes(const std::vector<std::unique_ptr<wire::CrashRowT>> &Rows) {
+CrashEvidenceMap unpackCrashes(const CrashRows &Requests,
+                               const CrashRows &Parts) {
   CrashEvidenceMap Crashes;
-  for (const auto &Row : Rows) {
-    CrashEvidence &Known = Crashes[ContentHash(Row->content)];
-    Known.TimesServed = Row->served;
-    Known.TrialDone = Row->tried;
-    for (std::uint64_t End : Row->ends)
-      Known.CrashedTargets.insert(TargetHash(End));
-  }
+  unpackCrashes(Requests, SuspectKind::Request, Crashes);
+  unpackCrashes(Parts, SuspectKind::PromptPart, Crashes);
   return Crashes;
 }
 
--- a/src/wire/news_frames.h
+++ b/src/wire/news_frames.h
@@ -50,10 +50,12 @@
 unpackPools(const std::vector<std::unique_ptr<wire::PoolRowT>> &Rows,
             PoolReports &Out);
 
-std::vector<std::unique_ptr<wire::CrashRowT>>
-packCrashes(const CrashEvidenceMap &Crashes);
-CrashEvidenceMap
-unpackCrashes(const std::vector<std::unique_ptr<wire::CrashRowT>> &Rows);
+/// Requests and parts of prompts are sent apart: nodes that know only requests
+/// then ignore the parts.
+using CrashRows = std::vector<std::unique_ptr<wire::CrashRowT>>;
+CrashRows packCrashes(const CrashEvidenceMap &Crashes, SuspectKind Kind);
+CrashEvidenceMap unpackCrashes(const CrashRows &Requests,
+                               const CrashRows &Parts);
 
 std::vector<wire::LimitRow> packLimits(const LimitReports &Limits,
                                        TimePoint Now);
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -2144,6 +2144,8 @@
   uint32_t served = 0;
   bool tried = false;
   std::vector<uint64_t> ends{};
+  bool served_before = false;
+  bool recurred = false;
 };
 
 struct CrashRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2154,7 +2156,9 @@
     VT_CONTENT = 4,
     VT_SERVED = 6,
     VT_TRIED = 8,
-    VT_ENDS = 10
+    VT_ENDS = 10,
+    VT_SERVED_BEFORE = 12,
+    VT_RECURRED = 14
   };
   uint64_t content() const {
     return GetField<uint64_t>(VT_CONTENT, 0);
@@ -2168,6 +2172,12 @@
   const flatbuffers::Vector<uint64_t> *ends() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ENDS);
   }
+  bool served_before() const {
+    return GetField<uint8_t>(VT_SERVED_BEFORE, 0) != 0;
+  }
+  bool recurred() const {
+    return GetField<uint8_t>(VT_RECURRED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONTENT, 8) &&
@@ -2175,6 +2185,8 @@
            VerifyField<uint8_t>(verifier, VT_TRIED, 1) &&
            VerifyOffset(verifier, VT_ENDS) &&
            verifier.VerifyVector(ends()) &&
+           VerifyField<uint8_t>(verifier, VT_SERVED_BEFORE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RECURRED, 1) &&
            verifier.EndTable();
   }
   CrashRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2198,6 +2210,12 @@
   void add_ends(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ends) {
     fbb_.AddOffset(CrashRow::VT_ENDS, ends);
   }
+  void add_served_before(bool served_before) {
+    fbb_.AddElement<uint8_t>(CrashRow::VT_SERVED_BEFORE, static_cast<uint8_t>(served_before), 0);
+  }
+  void add_recurred(bool recurred) {
+    fbb_.AddElement<uint8_t>(CrashRow::VT_RECURRED, static_cast<uint8_t>(recurred), 0);
+  }
   explicit CrashRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2214,11 +2232,15 @@
     uint64_t content = 0,
     uint32_t served = 0,
     bool tried = false,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ends = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ends = 0,
+    bool served_before = false,
+    bool recurred = false) {
   CrashRowBuilder builder_(_fbb);
   builder_.add_content(content);
   builder_.add_ends(ends);
   builder_.add_served(served);
+  builder_.add_recurred(recurred);
+  builder_.add_served_before(served_before);
   builder_.add_tried(tried);
   return builder_.Finish();
 }
@@ -2233,14 +2255,18 @@
     uint64_t content = 0,
     uint32_t served = 0,
     bool tried = false,
-    const std::vector<uint64_t> *ends = nullptr) {
+    const std::vector<uint64_t> *ends = nullptr,
+    bool served_before = false,
+    bool recurred = false) {
   auto ends__ = ends ? _fbb.CreateVector<uint64_t>(*ends) : 0;
   return waycove::wire::CreateCrashRow(
       _fbb,
       content,
       served,
       tried,
-      ends__);
+      ends__,
+      served_before,
+      recurred);
 }
 
 flatbuffers::Offset<CrashRow> CreateCrashRow(flatbuffers::FlatBufferBuilder &_fbb, const CrashRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2258,6 +2284,7 @@
   uint32_t link_mbps = 0;
   uint64_t settled_era = 0;
   std::vector<std::unique_ptr<waycove::wire::CrashRowT>> blamed{};
+  std::vector<std::unique_ptr<waycove::wire::CrashRowT>> blamed_parts{};
   PeerRowT() = default;
   PeerRowT(const PeerRowT &o);
   PeerRowT(PeerRowT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2279,7 +2306,8 @@
     VT_RELAY = 18,
     VT_LINK_MBPS = 20,
     VT_SETTLED_ERA = 22,
-    VT_BLAMED = 24
+    VT_BLAMED = 24,
+    VT_BLAMED_PARTS = 26
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -2314,6 +2342,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *blamed() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *>(VT_BLAMED);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *blamed_parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *>(VT_BLAMED_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -2333,6 +2364,9 @@
            VerifyOffset(verifier, VT_BLAMED) &&
            verifier.VerifyVector(blamed()) &&
            verifier.VerifyVectorOfTables(blamed()) &&
+           VerifyOffset(verifier, VT_BLAMED_PARTS) &&
+           verifier.VerifyVector(blamed_parts()) &&
+           verifier.VerifyVectorOfTables(blamed_parts()) &&
            verifier.EndTable();
   }
   PeerRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2377,6 +2411,9 @@
   void add_blamed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> blamed) {
     fbb_.AddOffset(PeerRow::VT_BLAMED, blamed);
   }
+  void add_blamed_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> blamed_parts) {
+    fbb_.AddOffset(PeerRow::VT_BLAMED_PARTS, blamed_parts);
+  }
   explicit PeerRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2400,10 +2437,12 @@
     bool relay = false,
     uint32_t link_mbps = 0,
     uint64_t settled_era = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> blamed = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> blamed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> blamed_parts = 0) {
   PeerRowBuilder builder_(_fbb);
   builder_.add_settled_era(settled_era);
   builder_.add_sequence(sequence);
+  builder_.add_blamed_parts(blamed_parts);
   builder_.add_blamed(blamed);
   builder_.add_link_mbps(link_mbps);
   builder_.add_host(host);
@@ -2433,12 +2472,14 @@
     bool relay = false,
     uint32_t link_mbps = 0,
     uint64_t settled_era = 0,
-    const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *blamed = nullptr) {
+    const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *blamed = nullptr,
+    const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *blamed_parts = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto blamed__ = blamed ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*blamed) : 0;
+  auto blamed_parts__ = blamed_parts ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*blamed_parts) : 0;
   return waycove::wire::CreatePeerRow(
       _fbb,
       node__,
@@ -2451,7 +2492,8 @@
       relay,
       link_mbps,
       settled_era,
-      blamed__);
+      blamed__,
+      blamed_parts__);
 }
 
 flatbuffers::Offset<PeerRow> CreatePeerRow(flatbuffers::FlatBufferBuilder &_fbb, const PeerRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4534,6 +4576,7 @@
   bool all_crashes = false;
   std::vector<waycove::wire::LimitRow> limits{};
   std::vector<std::unique_ptr<waycove::wire::PoolRowT>> pools{};
+  std::vector<std::unique_ptr<waycove::wire::CrashRowT>> crash_parts{};
   NewsWantedT() = default;
   NewsWantedT(const NewsWantedT &o);
   NewsWantedT(NewsWantedT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4555,7 +4598,8 @@
     VT_CRASHES = 18,
     VT_ALL_CRASHES = 20,
     VT_LIMITS = 22,
-    VT_POOLS = 24
+    VT_POOLS = 24,
+    VT_CRASH_PARTS = 26
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -4590,6 +4634,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>> *pools() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>> *>(VT_POOLS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crash_parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *>(VT_CRASH_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -4616,6 +4663,9 @@
            VerifyOffset(verifier, VT_POOLS) &&
            verifier.VerifyVector(pools()) &&
            verifier.VerifyVectorOfTables(pools()) &&
+           VerifyOffset(verifier, VT_CRASH_PARTS) &&
+           verifier.VerifyVector(crash_parts()) &&
+           verifier.VerifyVectorOfTables(crash_parts()) &&
            verifier.EndTable();
   }
   NewsWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4660,6 +4710,9 @@
   void add_pools(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>>> pools) {
     fbb_.AddOffset(NewsWanted::VT_POOLS, pools);
   }
+  void add_crash_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crash_parts) {
+    fbb_.AddOffset(NewsWanted::VT_CRASH_PARTS, crash_parts);
+  }
   explicit NewsWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4683,8 +4736,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crashes = 0,
     bool all_crashes = false,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LimitRow *>> limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>>> pools = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>>> pools = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crash_parts = 0) {
   NewsWantedBuilder builder_(_fbb);
+  builder_.add_crash_parts(crash_parts);
   builder_.add_pools(pools);
   builder_.add_limits(limits);
   builder_.add_crashes(crashes);
@@ -4716,7 +4771,8 @@
     const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crashes = nullptr,
     bool all_crashes = false,
     const std::vector<waycove::wire::LimitRow> *limits = nullptr,
-    const std::vector<flatbuffers::Offset<waycove::wire::PoolRow>> *pools = nullptr) {
+    const std::vector<flatbuffers::Offset<waycove::wire::PoolRow>> *pools = nullptr,
+    const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crash_parts = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto next__ = next ? _fbb.CreateVector<uint64_t>(*next) : 0;
@@ -4727,6 +4783,7 @@
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*crashes) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<waycove::wire::LimitRow>(*limits) : 0;
   auto pools__ = pools ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::PoolRow>>(*pools) : 0;
+  auto crash_parts__ = crash_parts ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*crash_parts) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       node__,
@@ -4739,7 +4796,8 @@
       crashes__,
       all_crashes,
       limits__,
-      pools__);
+      pools__,
+      crash_parts__);
 }
 
 flatbuffers::Offset<NewsWanted> CreateNewsWanted(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4753,6 +4811,7 @@
   std::vector<std::unique_ptr<waycove::wire::CrashRowT>> crashes{};
   std::vector<waycove::wire::LimitRow> limits{};
   std::vector<std::unique_ptr<waycove::wire::PoolRowT>> pools{};
+  std::vector<std::unique_ptr<waycove::wire::CrashRowT>> crash_parts{};
   NewsT() = default;
   NewsT(const NewsT &o);
   NewsT(NewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4770,7 +4829,8 @@
     VT_DEMAND = 10,
     VT_CRASHES = 12,
     VT_LIMITS = 14,
-    VT_POOLS = 16
+    VT_POOLS = 16,
+    VT_CRASH_PARTS = 18
   };
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>> *feeds() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::FeedNews>> *>(VT_FEEDS);
@@ -4793,6 +4853,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>> *pools() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>> *>(VT_POOLS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crash_parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>> *>(VT_CRASH_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FEEDS) &&
@@ -4813,6 +4876,9 @@
            VerifyOffset(verifier, VT_POOLS) &&
            verifier.VerifyVector(pools()) &&
            verifier.VerifyVectorOfTables(pools()) &&
+           VerifyOffset(verifier, VT_CRASH_PARTS) &&
+           verifier.VerifyVector(crash_parts()) &&
+           verifier.VerifyVectorOfTables(crash_parts()) &&
            verifier.EndTable();
   }
   NewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4845,6 +4911,9 @@
   void add_pools(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>>> pools) {
     fbb_.AddOffset(News::VT_POOLS, pools);
   }
+  void add_crash_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crash_parts) {
+    fbb_.AddOffset(News::VT_CRASH_PARTS, crash_parts);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4864,8 +4933,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::DemandRow>>> demand = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const waycove::wire::LimitRow *>> limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>>> pools = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::PoolRow>>> pools = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waycove::wire::CrashRow>>> crash_parts = 0) {
   NewsBuilder builder_(_fbb);
+  builder_.add_crash_parts(crash_parts);
   builder_.add_pools(pools);
   builder_.add_limits(limits);
   builder_.add_crashes(crashes);
@@ -4889,7 +4960,8 @@
     const std::vector<flatbuffers::Offset<waycove::wire::DemandRow>> *demand = nullptr,
     const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crashes = nullptr,
     const std::vector<waycove::wire::LimitRow> *limits = nullptr,
-    const std::vector<flatbuffers::Offset<waycove::wire::PoolRow>> *pools = nullptr) {
+    const std::vector<flatbuffers::Offset<waycove::wire::PoolRow>> *pools = nullptr,
+    const std::vector<flatbuffers::Offset<waycove::wire::CrashRow>> *crash_parts = nullptr) {
   auto feeds__ = feeds ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::FeedNews>>(*feeds) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<waycove::wire::LoadRow>(*loads) : 0;
   auto renewals__ = renewals ? _fbb.CreateVectorOfStructs<waycove::wire::RenewalRow>(*renewals) : 0;
@@ -4897,6 +4969,7 @@
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*crashes) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<waycove::wire::LimitRow>(*limits) : 0;
   auto pools__ = pools ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::PoolRow>>(*pools) : 0;
+  auto crash_parts__ = crash_parts ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>>(*crash_parts) : 0;
   return waycove::wire::CreateNews(
       _fbb,
       feeds__,
@@ -4905,7 +4978,8 @@
       demand__,
       crashes__,
       limits__,
-      pools__);
+      pools__,
+      crash_parts__);
 }
 
 flatbuffers::Offset<News> CreateNews(flatbuffers::FlatBufferBuilder &_fbb, const NewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5736,6 +5810,8 @@
   { auto _e = served(); _o->served = _e; }
   { auto _e = tried(); _o->tried = _e; }
   { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = _e->Get(_i); } } }
+  { auto _e = served_before(); _o->served_before = _e; }
+  { auto _e = recurred(); _o->recurred = _e; }
 }
 
 inline flatbuffers::Offset<CrashRow> CrashRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5750,12 +5826,16 @@
   auto _served = _o->served;
   auto _tried = _o->tried;
   auto _ends = _o->ends.size() ? _fbb.CreateVector(_o->ends) : 0;
+  auto _served_before = _o->served_before;
+  auto _recurred = _o->recurred;
   return waycove::wire::CreateCrashRow(
       _fbb,
       _content,
       _served,
       _tried,
-      _ends);
+      _ends,
+      _served_before,
+      _recurred);
 }
 
 inline PeerRowT::PeerRowT(const PeerRowT &o)
@@ -5771,6 +5851,8 @@
         settled_era(o.settled_era) {
   blamed.reserve(o.blamed.size());
   for (const auto &blamed_ : o.blamed) { blamed.emplace_back((blamed_) ? new waycove::wire::CrashRowT(*blamed_) : nullptr); }
+  blamed_parts.reserve(o.blamed_parts.size());
+  for (const auto &blamed_parts_ : o.blamed_parts) { blamed_parts.emplace_back((blamed_parts_) ? new waycove::wire::CrashRowT(*blamed_parts_) : nullptr); }
 }
 
 inline PeerRowT &PeerRowT::operator=(PeerRowT o) FLATBUFFERS_NOEXCEPT {
@@ -5785,6 +5867,7 @@
   std::swap(link_mbps, o.link_mbps);
   std::swap(settled_era, o.settled_era);
   std::swap(blamed, o.blamed);
+  std::swap(blamed_parts, o.blamed_parts);
   return *this;
 }
 
@@ -5808,6 +5891,7 @@
   { auto _e = link_mbps(); _o->link_mbps = _e; }
   { auto _e = settled_era(); _o->settled_era = _e; }
   { auto _e = blamed(); if (_e) { _o->blamed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->blamed[_i] = std::unique_ptr<waycove::wire::CrashRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = blamed_parts(); if (_e) { _o->blamed_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->blamed_parts[_i] = std::unique_ptr<waycove::wire::CrashRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<PeerRow> PeerRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PeerRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5829,6 +5913,7 @@
   auto _link_mbps = _o->link_mbps;
   auto _settled_era = _o->settled_era;
   auto _blamed = _o->blamed.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>> (_o->blamed.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRow(*__va->__fbb, __va->__o->blamed[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _blamed_parts = _o->blamed_parts.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>> (_o->blamed_parts.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRow(*__va->__fbb, __va->__o->blamed_parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return waycove::wire::CreatePeerRow(
       _fbb,
       _node,
@@ -5841,7 +5926,8 @@
       _relay,
       _link_mbps,
       _settled_era,
-      _blamed);
+      _blamed,
+      _blamed_parts);
 }
 
 inline HealthRowT *HealthRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6605,6 +6691,8 @@
   for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new waycove::wire::CrashRowT(*crashes_) : nullptr); }
   pools.reserve(o.pools.size());
   for (const auto &pools_ : o.pools) { pools.emplace_back((pools_) ? new waycove::wire::PoolRowT(*pools_) : nullptr); }
+  crash_parts.reserve(o.crash_parts.size());
+  for (const auto &crash_parts_ : o.crash_parts) { crash_parts.emplace_back((crash_parts_) ? new waycove::wire::CrashRowT(*crash_parts_) : nullptr); }
 }
 
 inline NewsWantedT &NewsWantedT::operator=(NewsWantedT o) FLATBUFFERS_NOEXCEPT {
@@ -6619,6 +6707,7 @@
   std::swap(all_crashes, o.all_crashes);
   std::swap(limits, o.limits);
   std::swap(pools, o.pools);
+  std::swap(crash_parts, o.crash_parts);
   return *this;
 }
 
@@ -6642,6 +6731,7 @@
   { auto _e = all_crashes(); _o->all_crashes = _e; }
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
   { auto _e = pools(); if (_e) { _o->pools.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pools[_i] = std::unique_ptr<waycove::wire::PoolRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = crash_parts(); if (_e) { _o->crash_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crash_parts[_i] = std::unique_ptr<waycove::wire::CrashRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<NewsWanted> NewsWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6663,6 +6753,7 @@
   auto _all_crashes = _o->all_crashes;
   auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   auto _pools = _o->pools.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::PoolRow>> (_o->pools.size(), [](size_t i, _VectorArgs *__va) { return CreatePoolRow(*__va->__fbb, __va->__o->pools[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _crash_parts = _o->crash_parts.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>> (_o->crash_parts.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRow(*__va->__fbb, __va->__o->crash_parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return waycove::wire::CreateNewsWanted(
       _fbb,
       _node,
@@ -6675,7 +6766,8 @@
       _crashes,
       _all_crashes,
       _limits,
-      _pools);
+      _pools,
+      _crash_parts);
 }
 
 inline NewsT::NewsT(const NewsT &o)
@@ -6690,6 +6782,8 @@
   for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new waycove::wire::CrashRowT(*crashes_) : nullptr); }
   pools.reserve(o.pools.size());
   for (const auto &pools_ : o.pools) { pools.emplace_back((pools_) ? new waycove::wire::PoolRowT(*pools_) : nullptr); }
+  crash_parts.reserve(o.crash_parts.size());
+  for (const auto &crash_parts_ : o.crash_parts) { crash_parts.emplace_back((crash_parts_) ? new waycove::wire::CrashRowT(*crash_parts_) : nullptr); }
 }
 
 inline NewsT &NewsT::operator=(NewsT o) FLATBUFFERS_NOEXCEPT {
@@ -6700,6 +6794,7 @@
   std::swap(crashes, o.crashes);
   std::swap(limits, o.limits);
   std::swap(pools, o.pools);
+  std::swap(crash_parts, o.crash_parts);
   return *this;
 }
 
@@ -6719,6 +6814,7 @@
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<waycove::wire::CrashRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
   { auto _e = pools(); if (_e) { _o->pools.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pools[_i] = std::unique_ptr<waycove::wire::PoolRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = crash_parts(); if (_e) { _o->crash_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crash_parts[_i] = std::unique_ptr<waycove::wire::CrashRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<News> News::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6736,6 +6832,7 @@
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRow(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
   auto _pools = _o->pools.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::PoolRow>> (_o->pools.size(), [](size_t i, _VectorArgs *__va) { return CreatePoolRow(*__va->__fbb, __va->__o->pools[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _crash_parts = _o->crash_parts.size() ? _fbb.CreateVector<flatbuffers::Offset<waycove::wire::CrashRow>> (_o->crash_parts.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashRow(*__va->__fbb, __va->__o->crash_parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return waycove::wire::CreateNews(
       _fbb,
       _feeds,
@@ -6744,7 +6841,8 @@
       _demand,
       _crashes,
       _limits,
-      _pools);
+      _pools,
+      _crash_parts);
 }
 
 inline JoinT *Join::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/unit/crash_blame_test.cpp
+++ b/tests/unit/crash_blame_test.cpp
@@ -28,6 +28,12 @@
 
 TimePoint neverSince(const VmIncarnation &) { return {}; }
 
+CrashSuspect suspect(ContentHash Content) {
+  return {SuspectKind::Request, Content};
+}
+/// The suspects of a request without shared parts.
+CrashSuspects only(ContentHash Content) { return {suspect(Content)}; }
+
 } // namespace
 
 /// The crash evidence of one node.
@@ -35,11 +41,11 @@
   /// Target \p Number crashes while it runs the contents.
   void crash(int Number, const std::vector<ContentHash> &Running, int Ms) {
     for (ContentHash Content : Running)
-      this->Blame.recordLost(Content, target(Number), at(Ms));
+      this->Blame.recordLost(only(Content), target(Number), at(Ms), at(Ms));
     this->Blame.resolveLosses(neverSince, at(Ms + 300));
   }
   Verdict judge(ContentHash Content, int Ms) const {
-    return this->Blame.judge(Content, at(Ms));
+    return this->Blame.judge(only(Content), at(Ms)).Found;
   }
   CrashBlame Blame;
 };
@@ -50,15 +56,16 @@
                  "crash blame: connections lost in doubt: they count only if "
                  "this node reaches targets",
                  "[unit]") {
-  this->Blame.recordLost(Poison, target(1), at(0));
+  this->Blame.recordLost(only(Poison), target(1), at(0), at(0));
   for (int Number : {2, 3, 4})
-    this->Blame.holdLost(Poison, target(Number), at(10 * Number));
+    this->Blame.holdLost(only(Poison), target(Number), at(10 * Number),
+                         at(10 * Number));
   CHECK(this->judge(Poison, 100) == Verdict::Allow);
   this->Blame.dropLosses();
   this->Blame.resolveLosses(neverSince, at(500));
   CHECK(this->judge(Poison, 500) == Verdict::Allow);
   for (int Number : {2, 3, 4})
-    this->Blame.holdLost(Poison, target(Number), at(600));
+    this->Blame.holdLost(only(Poison), target(Number), at(600), at(600));
   this->Blame.releaseHeldLosses();
   CHECK(this->judge(Poison, 610) == Verdict::Refuse);
 }
@@ -79,7 +86,7 @@
                  "crash blame: the third end is not settled: refused at once",
                  "[unit]") {
   for (int I = 1; I <= 3; ++I)
-    this->Blame.recordLost(Poison, target(I), at(I));
+    this->Blame.recordLost(only(Poison), target(I), at(I), at(I));
   CHECK(this->judge(Poison, 4) == Verdict::Refuse);
 }
 
@@ -88,7 +95,7 @@
                  "crash blame: the targets answer others afterwards: served",
                  "[unit]") {
   for (int I = 1; I <= 5; ++I)
-    this->Blame.recordLost(Poison, target(I), at(I));
+    this->Blame.recordLost(only(Poison), target(I), at(I), at(I));
   this->Blame.resolveLosses([](const VmIncarnation &) { return at(200); },
                             at(400));
   CHECK(this->judge(Poison, 400) == Verdict::Allow);
@@ -116,7 +123,7 @@
   for (int I = 1; I <= 3; ++I)
     this->crash(I, {Poison, Popular}, 1000 * I);
   CHECK(this->judge(Popular, 3400) == Verdict::Refuse);
-  this->Blame.recordServed(Popular, at(3500));
+  this->Blame.recordServed(only(Popular), at(3500));
   CHECK(this->judge(Popular, 3500) == Verdict::Allow);
   CHECK(this->judge(Poison, 3500) == Verdict::Refuse);
 }
@@ -127,7 +134,7 @@
                  "[unit]") {
   for (int I = 1; I <= 9; ++I) {
     this->crash(I, {Popular}, 1000 * I);
-    this->Blame.recordServed(Popular, at(1000 * I + 500));
+    this->Blame.recordServed(only(Popular), at(1000 * I + 500));
   }
   CHECK(this->judge(Popular, 10000) == Verdict::Allow);
 }
@@ -138,7 +145,7 @@
                  "crash blame: answered before, and at the same ends as the "
                  "culprit: served on",
                  "[unit]") {
-  this->Blame.recordServed(Popular, at(0));
+  this->Blame.recordServed(only(Popular), at(0));
   for (int I = 1; I <= 6; ++I)
     this->crash(I, {Poison, Popular}, 1000 * I);
   CHECK(this->judge(Popular, 6400) == Verdict::Allow);
@@ -146,8 +153,8 @@
   SECTION("another node, where it was not answered, hears of it") {
     CrashBlame Other;
     Other.merge(this->Blame.allRows(), at(7000));
-    CHECK(Other.judge(Popular, at(7000)) == Verdict::Allow);
-    CHECK(Other.judge(Poison, at(7000)) == Verdict::Refuse);
+    CHECK(Other.judge(only(Popular), at(7000)).Found == Verdict::Allow);
+    CHECK(Other.judge(only(Poison), at(7000)).Found == Verdict::Refuse);
   }
 }
 
@@ -157,7 +164,7 @@
                  "crash blame: answered before, twelve targets ended under it "
                  "since: refused",
                  "[unit]") {
-  this->Blame.recordServed(Poison, at(0));
+  this->Blame.recordServed(only(Poison), at(0));
   for (int I = 1; I <= 12; ++I)
     this->crash(I, {Poison}, 1000 * I);
   CHECK(this->judge(Poison, 13000) == Verdict::Refuse);
@@ -171,7 +178,7 @@
   for (int I = 1; I <= 5; ++I)
     this->crash(I, {Poison, Popular}, 1000 * I);
   CHECK(this->judge(Popular, 8000) == Verdict::Trial);
-  this->Blame.recordServed(Popular, at(8100));
+  this->Blame.recordServed(only(Popular), at(8100));
   CHECK(this->judge(Popular, 8100) == Verdict::Allow);
   CHECK(this->judge(Poison, 8100) == Verdict::Refuse);
 }
@@ -183,10 +190,10 @@
   for (int I = 1; I <= 3; ++I)
     this->crash(I, {Poison}, 1000 * I);
   REQUIRE(this->judge(Poison, 5000) == Verdict::Trial);
-  this->Blame.recordTrial(Poison, at(5000));
+  this->Blame.recordTrial(only(Poison), at(5000));
   CHECK(this->judge(Poison, 9000) == Verdict::Refuse);
   SECTION("it is answered: served from here on") {
-    this->Blame.recordServed(Poison, at(9000));
+    this->Blame.recordServed(only(Poison), at(9000));
     CHECK(this->judge(Poison, 9000) == Verdict::Allow);
   }
   SECTION("its target ends: refused for good") {
@@ -206,7 +213,7 @@
     this->crash(10 + I, {ContentHash(Once + I)}, 1000 + I);
   CHECK(this->Blame.allRows().size() <= CrashBlame::MaxReported);
   CHECK(this->Blame.recentRows(at(6300)).size() <= CrashBlame::MaxReported);
-  CHECK(this->Blame.allRows().contains(Poison));
+  CHECK(this->Blame.allRows().contains(suspect(Poison)));
   CHECK(this->judge(Poison, 7000) != Verdict::Allow);
 }
 
@@ -222,8 +229,8 @@
   for (std::uint64_t I = 0; I < 2 * CrashBlame::MaxReported; ++I)
     this->crash(3, {ContentHash(Once + I)}, 20);
   this->crash(4, {Newest}, 30);
-  CHECK(this->Blame.recentRows(at(400)).contains(Twice));
-  CHECK(this->Blame.recentRows(at(400)).contains(Newest));
+  CHECK(this->Blame.recentRows(at(400)).contains(suspect(Twice)));
+  CHECK(this->Blame.recentRows(at(400)).contains(suspect(Newest)));
 }
 
 // Nodes that merge in a different order would disagree.
@@ -235,6 +242,8 @@
     for (CrashEvidence &Row : Reports) {
       Row.TimesServed = static_cast<std::uint32_t>(Random() % 2);
       Row.TrialDone = Random() % 2 == 0;
+      Row.ServedBefore = Random() % 2 == 0;
+      Row.Recurred = Random() % 2 == 0;
       for (std::uint64_t Ends = Random() % 30; Ends > 0; --Ends)
         Row.CrashedTargets.insert(TargetHash(Random() % 60));
     }
@@ -300,6 +309,7 @@
     ContentHash Content;
     int Node;
     int Target;
+    int SentAt;
     int EndsAt;
     bool IsRetry;
   };
@@ -315,11 +325,11 @@
   void send(ContentHash Content, bool IsRetry = false) {
     int Node = this->pick(NodeCount);
     CrashBlame &Blame = this->Nodes[static_cast<std::size_t>(Node)];
-    Verdict Found = Blame.judge(Content, at(this->Ms));
+    Verdict Found = Blame.judge(only(Content), at(this->Ms)).Found;
     // Only node 0 may run the trial, whichever node received the request.
     bool RunsTrial = Found == Verdict::Trial && Node == 0;
     if (RunsTrial)
-      Blame.recordTrial(Content, at(this->Ms));
+      Blame.recordTrial(only(Content), at(this->Ms));
     bool Sent = Found == Verdict::Allow || RunsTrial;
     this->count(Content, Sent);
     if (!Sent)
@@ -328,7 +338,8 @@
     for (int I = 0; I < Targets && at(this->Ms) < this->BackAt[Target]; ++I)
       Target = (Target + 1) % Targets;
     int Takes = Content == Poison ? 60 : RunMs;
-    this->Running.push_back({Content, Node, Target, this->Ms + Takes, IsRetry});
+    this->Running.push_back(
+        {Content, Node, Target, this->Ms, this->Ms + Takes, IsRetry});
   }
 
   void count(ContentHash Content, bool Sent) {
@@ -353,15 +364,15 @@
                           static_cast<std::ptrdiff_t>(I--));
       if (Row.Content == Poison) {
         this->Nodes[static_cast<std::size_t>(Row.Node)].recordLost(
-            Poison, incarnation(Row.Target, this->Lives[Row.Target]),
-            at(this->Ms));
+            only(Poison), incarnation(Row.Target, this->Lives[Row.Target]),
+            at(Row.SentAt), at(this->Ms));
         if (++this->PoisonCrashes == 3)
           this->ThirdAt = this->Ms;
         this->crashOne(Row.Target);
         I = static_cast<std::size_t>(-1);
       } else {
         this->Nodes[static_cast<std::size_t>(Row.Node)].recordServed(
-            Row.Content, at(this->Ms));
+            only(Row.Content), at(this->Ms));
       }
     }
   }
@@ -375,7 +386,8 @@
     });
     for (const Run &Row : Lost)
       this->Nodes[static_cast<std::size_t>(Row.Node)].recordLost(
-          Row.Content, incarnation(Target, this->Lives[Target]), at(this->Ms));
+          only(Row.Content), incarnation(Target, this->Lives[Target]),
+          at(Row.SentAt), at(this->Ms));
     ++this->Lives[Target];
     this->BackAt[Target] = at(this->Ms + 3000);
     for (const Run &Row : Lost)
@@ -392,8 +404,9 @@
     for (std::size_t I = 0; I < this->Nodes.size(); ++I)
       this->Nodes[I].merge(Reports[(I + 1) % Reports.size()], at(this->Ms));
     int Plain = 0;
-    for (const auto &[Content, Row] : this->Nodes[0].allRows())
-      Plain += Content != Poison && Row.CrashedTargets.size() >= 3 ? 1 : 0;
+    for (const auto &[Found, Row] : this->Nodes[0].allRows())
+      Plain +=
+          Found.Content != Poison && Row.CrashedTargets.size() >= 3 ? 1 : 0;
     this->OthersOfThreeCrashes = std::max(this->OthersOfThreeCrashes, Plain);
   }
 
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -312,8 +312,12 @@
   NodeInfo Node{NodeId("n"), IncarnationId("i"), DataCentreId("a"), "10.0.0.1",
                 7000};
   CrashEvidenceMap Blamed;
-  Blamed[ContentHash(7)].CrashedTargets = {TargetHash(1), TargetHash(2),
-                                           TargetHash(3)};
+  for (SuspectKind Kind : {SuspectKind::Request, SuspectKind::PromptPart}) {
+    CrashEvidence &Known = Blamed[{Kind, ContentHash(7)}];
+    Known.CrashedTargets = {TargetHash(1), TargetHash(2), TargetHash(3)};
+    Known.ServedBefore = Kind == SuspectKind::PromptPart;
+    Known.Recurred = true;
+  }
   std::string Bytes = packAnnouncement({Node, Blamed});
   CHECK(unpackAnnouncement(Bytes)->Node.Port == 7000);
   CHECK(unpackAnnouncement(Bytes)->Blamed == Blamed);
--- a/tests/unit/node_follower_test.cpp
+++ b/tests/unit/node_follower_test.cpp
@@ -209,7 +209,7 @@
 // Guards against nodes that start at once and run a blamed request again.
 TEST_CASE("directory: an announcement blames a content: it is refused here",
           "[unit]") {
-  const ContentHash Content(7);
+  const CrashSuspect Content{SuspectKind::Request, ContentHash(7)};
   EntryBoard Board(settingsOf("me"), IncarnationId("i"));
   FakeDirectory Directory;
   NodeInfo Other;
@@ -223,7 +223,7 @@
                                                       Directory};
   Follower.step();
   CHECK(Board.Crashes.read([&](const CrashBlame &Rows) {
-    return Rows.judge(Content, SystemClock{}.now());
+    return Rows.judge({Content}, SystemClock{}.now()).Found;
   }) == CrashBlame::Verdict::Refuse);
 }
 
@@ -241,8 +241,8 @@
   Follower.step();
   int Before = Directory.Announcements;
   CrashEvidenceMap Blamed;
-  Blamed[ContentHash(7)].CrashedTargets = {TargetHash(1), TargetHash(2),
-                                           TargetHash(3)};
+  Blamed[{SuspectKind::Request, ContentHash(7)}].CrashedTargets = {
+      TargetHash(1), TargetHash(2), TargetHash(3)};
   Board.Crashes.write(
       [&](CrashBlame &Rows) { Rows.merge(Blamed, SystemClock{}.now()); });
   CHECK(eventually([&] {
--- a/tools/without.py
+++ b/tools/without.py
@@ -46,16 +46,29 @@
         "suspended machine"),
     "blame": (
         "src/entry/crash_guard.cpp",
-        "return Current == Verdict::Allow;", "return true;",
-        "crashing request"),
+        "return Judged.Found == Verdict::Allow;", "return true;",
+        "crashing (request|part)"),
     "blame-explains": (
-        "src/policy/crash_blame.cpp",
-        "Explained.insert(CrashedTargets.begin(), CrashedTargets.end());", "",
+        "src/policy/crash_culprits.cpp",
+        "countMissing(Record.CrashedTargets, this->Explained);",
+        "Record.CrashedTargets.size();",
         "crash blame: others ran beside"),
     "blame-served": (
         "src/policy/crash_blame.cpp",
-        "WasServed || this->Served.contains(Content)", "false",
+        "Found.wasServed() || this->Served.contains(Suspect.Content)", "false",
         "crash blame: answered before"),
+    "blame-parts": (
+        "src/entry/relay_request.cpp",
+        "poolOf(Request), Request.Info.SharedParts", "poolOf(Request), {}",
+        "crashing part"),
+    "blame-together": (
+        "src/policy/crash_culprits.cpp",
+        "Apart < MinSeparateCrashes)", "Suspect == Part)",
+        "part blame: (two parts ran|one more target)"),
+    "blame-of-one-moment": (
+        "src/policy/crash_culprits.cpp",
+        "Record.ServedBefore && !Record.Recurred;", "false;",
+        "part blame: ten targets end"),
     "blame-lasts": (
         "src/control/node_follower.h",
         "this->applyBlamed(Read->Blamed);", "",
