--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -23,6 +23,19 @@
 //   three more targets crash;
 // - ordinary requests are served after the faults have ended.
 //
+// --parts repeatedly sends requests that share a part of their prompts, which
+// crashes each target that runs them, and differ in all else:
+// - after five crashes and the time for all entries to learn of them, at most
+//   three more targets crash;
+// - ordinary requests, which share the first part, are served after the faults
+//   have ended.
+//
+// --unframed also lets targets end responses with their connections, and
+// streams inside an event. All checks apply.
+//
+// --skew also lets all callers turn to one entry for some seconds. All checks
+// apply.
+//
 // --statements also lets targets state limits on their requests per second, ask
 // for rest, and state that they leave:
 // - from some seconds after the first statement, a target gets at most what its
@@ -41,10 +54,12 @@
 //   response, unless a fault was active at its entry.
 //
 //   soak --seed=N --seconds=S [--seeds=K] [--restores] [--crashes] [--suspends]
-//   [--statements] [--cuts] [--bursts] runs K consecutive seeds
+//   [--statements] [--cuts] [--bursts] [--parts] [--unframed] [--skew] runs K
+//   consecutive seeds
 //
 // Exits with 0 if all checks pass. A failed run prints its seed and keeps its
 // logs.
+#include "soak/prompt_faults.h"
 #include "soak/soak_config.h"
 #include "soak/store_restores.h"
 #include "soak/target_statements.h"
@@ -73,6 +88,11 @@
 DEFINE_bool(restores, false, "restore the store from older copies");
 DEFINE_bool(crashes, false,
             "send a request that crashes the targets that run it");
+DEFINE_bool(parts, false,
+            "send requests with a part that crashes the targets that run them");
+DEFINE_bool(unframed, false,
+            "let targets end responses with their connections");
+DEFINE_bool(skew, false, "let all callers turn to one entry now and then");
 DEFINE_bool(statements, false,
             "let targets state limits, rests and that they leave");
 DEFINE_bool(suspends, false, "suspend the machines of entries");
@@ -98,6 +118,7 @@
 /// Seed offsets that keep the random sequences of the options independent.
 constexpr std::uint64_t CrashSeedOffset = 2'000'000;
 constexpr std::uint64_t SuspendSeedOffset = 3'000'000;
+constexpr std::uint64_t SkewSeedOffset = 9'000'000;
 constexpr std::uint64_t CutSeedOffset = 5'000'000;
 constexpr std::uint64_t BurstSeedOffset = 6'000'000;
 /// How an entry's connections to targets behave in a cut.
@@ -137,6 +158,18 @@
       if (FLAGS_crashes)
         this->crashRepeatedly(Stop);
     });
+    std::thread PartCaller([&] {
+      if (FLAGS_parts)
+        CrashingParts(*this).sendRepeatedly([&] { return Stop.load(); });
+    });
+    std::thread Unframed([&] {
+      if (FLAGS_unframed)
+        respondUnframedRepeatedly(*this);
+    });
+    std::thread Skew([&] {
+      if (FLAGS_skew)
+        this->skewRepeatedly();
+    });
     std::thread RevokedKeyCaller([&] {
       while (FLAGS_restores && !Stop)
         this->Restores.callWithRevokedKey();
@@ -157,6 +190,8 @@
     this->endFaults();
     this->FaultsOver = true;
     Operator.join();
+    Unframed.join();
+    Skew.join();
     Statements.join();
     Cuts.join();
     Bursts.join();
@@ -173,6 +208,7 @@
       Row.join();
     RevokedKeyCaller.join();
     CrashCaller.join();
+    PartCaller.join();
     if (!Recovered)
       this->Failures.add("not served " + std::to_string(RecoveryTime.count()) +
                          " ms after the last fault");
@@ -265,6 +301,17 @@
     }
   }
 
+  /// Lets all callers turn to one entry now and then.
+  void skewRepeatedly() {
+    std::mt19937_64 Times(this->Seed + SkewSeedOffset);
+    while (!this->FaultsOver) {
+      std::this_thread::sleep_for(milliseconds(500 + Times() % 2500));
+      this->SkewedEntry = Times() % 2 ? 1 : 2;
+      std::this_thread::sleep_for(milliseconds(1000 + Times() % 4000));
+      this->SkewedEntry = 0;
+    }
+  }
+
   /// Cuts entries off from all targets, one after the other.
   void cutRepeatedly() {
     std::mt19937_64 Cuts(this->Seed + CutSeedOffset);
@@ -289,7 +336,9 @@
 
   void callOnce(int Thread, int Number) {
     std::string Id = std::to_string(Thread) + "-" + std::to_string(Number);
-    std::string Node = entryOfCall(Number);
+    int Skewed = this->SkewedEntry;
+    std::string Node =
+        Skewed > 0 ? "n" + std::to_string(Skewed) : entryOfCall(Number);
     bool Stream = (Thread + Number) % 3 != 0;
     std::uint64_t Begin = wallMs();
     Reply Response = this->call(Node, Stream ? "/chat/x" : "/once/x", Id);
@@ -401,7 +450,7 @@
 
   /// Restarts targets that a request has crashed.
   void restartCrashed() {
-    if (!FLAGS_crashes)
+    if (!FLAGS_crashes && !FLAGS_parts)
       return;
     for (const std::string &Vm : this->Vms)
       if (!this->ActiveFaults.contains(Vm) &&
@@ -517,6 +566,8 @@
   std::map<std::string, ActiveFault> ActiveFaults;
   std::mutex Mutex;
   std::set<std::string> NotRun;
+  /// Number of the entry to which all callers turn; 0 for none.
+  std::atomic<int> SkewedEntry{0};
   std::atomic<unsigned long> Served{0};
   std::atomic<unsigned long> Refused{0};
 };
--- a/tests/soak/soak_system.cpp
+++ b/tests/soak/soak_system.cpp
@@ -51,7 +51,7 @@
 
 Reply SoakSystem::call(const std::string &Node, const std::string &Path,
                        const std::string &Id, const std::string &Key,
-                       const std::string &Body) {
+                       const std::string &Body, const std::string &Parts) {
   return this->Run.ask(
       Node, {"POST",
              Path,
@@ -61,10 +61,15 @@
               {"X-Request-Id", Id},
               {"X-Model", "model"},
               {"X-Token-Count", "100,50"},
+              {"X-Prefix-Hash", Parts},
               {"X-Deadline-Ms", std::to_string(CallerDeadline.count())}},
              milliseconds(8000)});
 }
 
+void SoakSystem::setFaults(const std::string &Vm, const std::string &Json) {
+  this->Run.atVm(Vm, {"POST", "/faults", Json, {}, milliseconds(500)});
+}
+
 void SoakSystem::removeFromRegistry(const std::string &Vm) {
   this->Run.atPlatform(
       {"POST", "/store/put?topic=keyed.servers&key=" + Vm, "", {}});
--- a/tests/soak/soak_system.h
+++ b/tests/soak/soak_system.h
@@ -60,7 +60,10 @@
   /// Sends a request with the usual headers. Thread-safe.
   Reply call(const std::string &Node, const std::string &Path,
              const std::string &Id, const std::string &Key = "key-1",
-             const std::string &Body = "body");
+             const std::string &Body = "body",
+             const std::string &Parts = "a1:40,b1:20,c1:5");
+  /// Sets faults of a target, which may be stopped or gone.
+  void setFaults(const std::string &Vm, const std::string &Json);
   /// Removes the entry of a target from the registry.
   void removeFromRegistry(const std::string &Vm);
 
--- a/tests/soak/target_statements.cpp
+++ b/tests/soak/target_statements.cpp
@@ -57,13 +57,13 @@
   case 0:
     return this->stateLimit(Vm);
   case 1:
-    this->setFaults(Vm, R"({"call":"busy","rest":"2"})");
+    this->System.setFaults(Vm, R"({"call":"busy","rest":"2"})");
     this->waitForPeriod(Vm, RestPeriod);
-    return this->setFaults(Vm, R"({"call":"","rest":""})");
+    return this->System.setFaults(Vm, R"({"call":"","rest":""})");
   default:
-    this->setFaults(Vm, R"({"leaving":"yes"})");
+    this->System.setFaults(Vm, R"({"leaving":"yes"})");
     this->waitForPeriod(Vm, LeavingTime);
-    this->setFaults(Vm, R"({"leaving":""})");
+    this->System.setFaults(Vm, R"({"leaving":""})");
     // Another process takes its place.
     this->System.Run.atVm(Vm, {"POST", "/restart", "", {}, milliseconds(500)});
   }
@@ -80,7 +80,7 @@
 
 void TargetStatements::stateLimit(const std::string &Vm) {
   const std::string Rate = StatedRates[this->Random() % StatedRates.size()];
-  this->setFaults(Vm, R"({"limit":")" + Rate + "\"}");
+  this->System.setFaults(Vm, R"({"limit":")" + Rate + "\"}");
   auto End = Clock::now() + LimitTime;
   double Peak = 0;
   while (Clock::now() < End && !this->System.FaultsOver) {
@@ -90,7 +90,7 @@
     if (Seen.Status == 200)
       Peak = std::max(Peak, static_cast<double>(Seen.number("limited_peak")));
   }
-  this->setFaults(Vm, R"({"limit":""})");
+  this->System.setFaults(Vm, R"({"limit":""})");
   if (Peak >
       RateTolerance * RateWindowSeconds * std::stod(Rate) + RequestTolerance)
     this->System.Failures.add(Vm + ": " + std::to_string(Peak) +
@@ -98,11 +98,6 @@
                               " a second");
 }
 
-void TargetStatements::setFaults(const std::string &Vm,
-                                 const std::string &Json) {
-  this->System.Run.atVm(Vm, {"POST", "/faults", Json, {}, milliseconds(500)});
-}
-
 auto TargetStatements::arrivalsIn(const Period &Within)
     -> std::vector<Arrival> {
   std::vector<Arrival> Rows;
--- a/tests/soak/target_statements.h
+++ b/tests/soak/target_statements.h
@@ -32,8 +32,6 @@
   /// Records that \p Vm states something for \p Duration, or until the faults
   /// are over.
   void waitForPeriod(const std::string &Vm, std::chrono::milliseconds Duration);
-  /// The target may be stopped or gone.
-  void setFaults(const std::string &Vm, const std::string &Json);
   std::vector<Arrival> arrivalsIn(const Period &Within);
   void checkAfter(const Arrival &Told, const std::vector<Arrival> &Rows,
                   const std::string &Vm);
