--- a/src/policy/crash_blame.cpp
+++ b/src/policy/crash_blame.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// The same on all nodes.
-ContentHash hashOf(const Culprit &Blamed) {
+/// Identifies the culprit, the same on all nodes.
+ContentHash keyOf(const Culprit &Blamed) {
   std::uint64_t Hash = 0;
   for (const CrashSuspect &Suspect : Blamed)
     Hash = mixHash(Hash, Suspect.Content.Value);
@@ -45,13 +45,13 @@
       continue;
     // A trial of several culprits would not tell which of them is sound.
     if (Found)
-      return {Verdict::Refuse, hashOf(*Found)};
+      return {Verdict::Refuse, keyOf(*Found)};
     Found = &Candidate;
   }
   if (!Found)
     return {};
   return {this->mayRunTrial(*Found, Now) ? Verdict::Trial : Verdict::Refuse,
-          hashOf(*Found)};
+          keyOf(*Found)};
 }
 
 /// Returns true if a culprit should be sent once more. A part always is, since
@@ -160,7 +160,7 @@
   for (const Loss &Lost : Crashes)
     for (const CrashSuspect &Suspect : Lost.Suspects) {
       CrashEvidence New;
-      New.CrashedTargets = {waycove::hashOf(Lost.Target)};
+      New.CrashedTargets = {hashOf(Lost.Target)};
       New.ServedBefore = this->Served.contains(Suspect.Content);
       if (const auto *Known = this->Evidence.find(Suspect)) {
         New.TimesServed = Known->Evidence.TimesServed;
@@ -180,7 +180,7 @@
   std::erase_if(this->Ended, [&](const Loss &Response) {
     if (Now - Response.At < EndedDelay)
       return false;
-    if (!this->hasCrashed(waycove::hashOf(Response.Target)))
+    if (!this->hasCrashed(hashOf(Response.Target)))
       Completed.push_back(Response);
     return true;
   });
@@ -195,10 +195,9 @@
                        return Known.second.Evidence.CrashedTargets.contains(
                            Target);
                      }) ||
-         std::any_of(this->Losses.begin(), this->Losses.end(),
-                     [&](const Loss &Lost) {
-                       return waycove::hashOf(Lost.Target) == Target;
-                     });
+         std::any_of(
+             this->Losses.begin(), this->Losses.end(),
+             [&](const Loss &Lost) { return hashOf(Lost.Target) == Target; });
 }
 
 void CrashBlame::merge(const CrashEvidenceMap &Reported, TimePoint Now) {
@@ -242,7 +241,7 @@
     Crashed = Known->Evidence.CrashedTargets;
   for (const Loss &Lost : this->Losses)
     if (containsAll(Lost.Suspects, {Suspect}))
-      Crashed.insert(waycove::hashOf(Lost.Target));
+      Crashed.insert(hashOf(Lost.Target));
   return Crashed;
 }
 
@@ -251,7 +250,7 @@
   for (const Loss &Lost : this->Losses)
     for (const CrashSuspect &Suspect : Lost.Suspects) {
       SuspectRecord &Record = Records[Suspect];
-      Record.CrashedTargets.insert(waycove::hashOf(Lost.Target));
+      Record.CrashedTargets.insert(hashOf(Lost.Target));
       Record.ServedBefore = this->Served.contains(Suspect.Content);
     }
   for (const auto &[Suspect, Known] : this->Evidence.rows()) {
