Sort the crash evidence only when a kind may have too many rows

Each report that changed a row sorted up to 2,048 rows to find that none had to go; a node that others report to does so dozens of times a second while targets crash.

No functional change.

--- a/src/policy/crash_evidence.cpp
+++ b/src/policy/crash_evidence.cpp
@@ -51,6 +51,8 @@
 }
 
 void CrashEvidenceTable::forget() {
+  if (this->Rows.size() <= MaxRows)
+    return;
   for (SuspectKind Kind : {SuspectKind::Request, SuspectKind::PromptPart}) {
     std::vector<SortKey> Order = this->order(
         Kind, [](const CrashSuspect &, const Row &) { return true; });
