Test parts at nodes in doubt, and at a node that hears of them later

What held for whole requests had no test for parts: losses that are held while a node doubts its links, and the evidence of a node that was away when the others gathered it.

No functional change.

--- a/tests/unit/part_blame_test.cpp
+++ b/tests/unit/part_blame_test.cpp
@@ -184,6 +184,46 @@
   }
 }
 
+// Guards against a part that is blamed because this node lost its own links,
+// and against one that is forgotten when it had not.
+TEST_CASE_METHOD(PartBlameFixture,
+                 "part blame: connections lost in doubt: they count only if "
+                 "this node reaches targets",
+                 "[unit]") {
+  this->crash(1, {{"bad"}}, 1000);
+  for (int I = 2; I <= 4; ++I)
+    this->Blame.holdLost(this->request({"bad"}), target(I), at(1900), at(2000));
+  SECTION("it was cut off") {
+    this->Blame.dropLosses();
+    this->Blame.resolveLosses(neverSince, at(2400));
+    CHECK(this->judge({"bad"}, 2400) == Verdict::Allow);
+  }
+  SECTION("it was not") {
+    this->Blame.releaseHeldLosses();
+    CHECK(this->judge({"bad"}, 2010) == Verdict::Refuse);
+  }
+}
+
+// Guards against a node that was suspended or starts, and does not take over
+// what the others know.
+TEST_CASE_METHOD(PartBlameFixture,
+                 "part blame: another node hears of it later: it refuses the "
+                 "same, and runs no second trial",
+                 "[unit]") {
+  for (int I = 1; I <= 3; ++I)
+    this->crash(I, {{"system", "bad"}}, 1000 * I);
+  this->serve({"system"}, 3500);
+  this->Blame.recordTrial(this->request({"bad"}), at(6000));
+  this->crash(4, {{"bad"}}, 6200);
+  CrashBlame Other;
+  Other.merge(this->Blame.allRows(), at(60000));
+  auto JudgeThere = [&](const std::vector<std::string> &Parts) {
+    return Other.judge(this->request(Parts), at(90000)).Found;
+  };
+  CHECK(JudgeThere({"system", "bad"}) == Verdict::Refuse);
+  CHECK(JudgeThere({"system"}) == Verdict::Allow);
+}
+
 // Guards against evidence that parts which never come again displace.
 TEST_CASE_METHOD(PartBlameFixture,
                  "part blame: a flood of parts that never come again: the one "
