--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -291,6 +291,7 @@
         self.stall_s = 5.0
         self.orders = 0
         self.late = 0
+        self.ran = set()
 
     def add(self, name, domain, zone):
         replica = Replica(self, name, domain, zone)
@@ -570,6 +571,7 @@
         headers += [("X-Replica-Seal", "seal." + self.name),
                     ("Content-Type", "text/event-stream"),
                     ("Transfer-Encoding", "chunked")]
+        self.fleet.ran.add(who)
         self.fleet.record("%s runs %s in %s" % (self.name, who, self.group))
         connection.sock.sendall(("HTTP/1.1 200 OK\r\n" + "".join(
             "%s: %s\r\n" % pair for pair in headers) + "\r\n").encode())
