Log how long requests are unread and written, their timeout, and what holds up the poller

No line told the four hypotheses' differences: a request's lines now have unread_ms, write_ms and timeout_ms, with histograms of the first two; request_overdue and its counter name each request that ended more than 250 ms after its timeout; poller_delayed tells what held up the thread that accepts connections and notices requests for more than 100 ms. Before: after_ms alone, from when a thread began to read.

No functional change

--- a/src/base/connection_server.h
+++ b/src/base/connection_server.h
@@ -24,8 +24,9 @@
 /// A connection of which a server serves one request after the other.
 template <typename C>
 concept ServedConnection = requires(C &Connection) {
-  /// Reads and serves the next request. Returns false if the connection ends.
-  { Connection.serve() } -> std::same_as<bool>;
+  /// Reads and serves the next request, of which bytes could be read since
+  /// the given time. Returns false if the connection ends.
+  { Connection.serve(TimePoint()) } -> std::same_as<bool>;
   /// Whether bytes of the next request have already been read.
   { Connection.hasInput() } -> std::same_as<bool>;
   /// How long to wait for the next request.
@@ -99,22 +100,25 @@
   /// Serves a session on a thread of the pool and deletes itself when done.
   class Call : public Poco::Runnable {
   public:
-    Call(ConnectionServer &Owner, SessionRef Called)
-        : Owner(Owner), Called(std::move(Called)) {}
+    Call(ConnectionServer &Owner, SessionRef Called, TimePoint ReadableSince)
+        : Owner(Owner), Called(std::move(Called)),
+          ReadableSince(ReadableSince) {}
     void run() override {
       std::unique_ptr<Call> Self(this);
-      this->Owner.serve(this->Called);
+      this->Owner.serve(this->Called, this->ReadableSince);
     }
 
   private:
     ConnectionServer &Owner;
     SessionRef Called;
+    TimePoint ReadableSince;
   };
 
   void awaitConnection() {
-    this->Poller.await(
-        this->Listener, TimePoint::max(),
-        {.OnReadable = [this] { this->accept(); }, .OnExpired = {}});
+    this->Poller.await(this->Listener, TimePoint::max(),
+                       {.OnReadable = [this] { this->accept(); },
+                        .OnExpired = {},
+                        .Name = "accept"});
   }
 
   void accept() {
@@ -123,8 +127,9 @@
       this->awaitConnection();
     } catch (const Poco::Exception &Error) {
       this->OnError(Error.displayText());
-      this->Poller.callLater(BootClock::now() + AcceptRetryDelay,
-                             [this] { this->awaitConnection(); });
+      this->Poller.callLater(
+          BootClock::now() + AcceptRetryDelay,
+          [this] { this->awaitConnection(); }, "accept again");
     }
   }
 
@@ -150,7 +155,8 @@
                if (this->endRest(Resting))
                  this->startServing(Resting);
              },
-         .OnExpired = [this, Resting] { this->endRest(Resting); }});
+         .OnExpired = [this, Resting] { this->endRest(Resting); },
+         .Name = "start to serve"});
     this->Idle.insert(Resting);
   }
 
@@ -161,7 +167,7 @@
   }
 
   void startServing(const SessionRef &Ready) {
-    auto Job = std::make_unique<Call>(*this, Ready);
+    auto Job = std::make_unique<Call>(*this, Ready, BootClock::now());
     try {
       this->Threads.start(*Job);
       // The call deletes itself at the end of run().
@@ -171,12 +177,13 @@
     }
   }
 
-  void serve(const SessionRef &Active) {
+  void serve(const SessionRef &Active, TimePoint ReadableSince) {
     try {
-      do
-        if (!Active->Served->serve())
+      do {
+        if (!Active->Served->serve(ReadableSince))
           return;
-      while (Active->Served->hasInput());
+        ReadableSince = BootClock::now();
+      } while (Active->Served->hasInput());
       this->rest(Active);
     } catch (const std::exception &Error) {
       this->OnError(Error.what());
--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -84,6 +84,9 @@
       {ThreadNotStarted, Warning, "thread_not_started",
        "No thread could be started for a part of the work, which is done by "
        "others or refused."},
+      {PollerDelayed, Warning, "poller_delayed",
+       "The thread that accepts connections and notices requests was held up; "
+       "the fields give by what and for how long."},
       {RecordAccepted, Info, "record_accepted",
        "A log record was accepted into the folded state."},
       {RecordRefused, Info, "record_refused",
@@ -178,6 +181,10 @@
       {RequestTried, Info, "request_tried",
        "A request with blamed content is sent once to find out whether its "
        "target crashes."},
+      {RequestOverdue, Warning, "request_overdue",
+       "A request was ended too long after its timeout; the fields give the "
+       "timeout, how long it was unread and how long its response took to be "
+       "written."},
       {RequestCut, Warning, "request_cut",
        "A response that had started could not be completed."},
       {SettingsReloaded, Info, "settings_reloaded",
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -26,7 +26,8 @@
         "target_bytes_in",    "target_bytes_out", "groups_formed",
         "affinity_hits",      "affinity_misses",  "configs_applied",
         "orders_sent",        "orders_failed",    "targets_suspected",
-        "requests_queued",    "first_attempts",   "first_attempts_rejected"};
+        "requests_queued",    "first_attempts",   "first_attempts_rejected",
+        "requests_overdue"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Count)>
     GaugeNames{"requests_waiting", "places", "report_age_ms", "crash_culprits"};
@@ -35,7 +36,8 @@
     TimerNames{"first_token_seconds",    "between_tokens_seconds",
                "whole_answer_seconds",   "queue_wait_seconds",
                "predicted_wait_seconds", "route_seconds",
-               "registry_age_seconds"};
+               "registry_age_seconds",   "request_unread_seconds",
+               "response_write_seconds"};
 
 } // namespace
 
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -52,6 +52,8 @@
   /// target rejected. Their ratio shows requests that go to full targets.
   FirstAttempts,
   FirstAttemptsRejected,
+  /// Requests that were not ended in time after their timeout.
+  RequestsOverdue,
   Count
 };
 
@@ -81,6 +83,10 @@
   PredictedWait,
   Route,
   RegistryAge,
+  /// From the first bytes of a request until a thread reads them.
+  RequestUnread,
+  /// How long it took to hand a response over to its connection.
+  ResponseWrite,
   Count
 };
 
--- a/src/base/socket_poller.cpp
+++ b/src/base/socket_poller.cpp
@@ -19,9 +19,10 @@
   this->Waits[Socket] = {Until, std::move(On)};
 }
 
-void SocketPoller::callLater(TimePoint Due, Callback Function) {
+void SocketPoller::callLater(TimePoint Due, Callback Function,
+                             std::string_view Name) {
   std::lock_guard Lock(this->Mutex);
-  this->DelayedCalls.push_back({Due, std::move(Function)});
+  this->DelayedCalls.push_back({Due, {std::move(Function), Name}});
 }
 
 bool SocketPoller::cancel(const Poco::Net::Socket &Socket) {
@@ -51,41 +52,49 @@
   }
 }
 
+void SocketPoller::runCallback(const NamedCall &Call) {
+  TimePoint Begin = BootClock::now();
+  Call.Function();
+  auto Took = std::chrono::duration_cast<Millis>(BootClock::now() - Begin);
+  if (Took > MaxCallbackTime && this->OnDelay)
+    this->OnDelay(Call.Name, Took);
+}
+
 void SocketPoller::onReadable(const Poco::Net::Socket &Socket) {
-  Callback Function;
+  NamedCall Call;
   {
     std::lock_guard Lock(this->Mutex);
     auto At = this->Waits.find(Socket);
     if (At == this->Waits.end())
       return;
-    Function = std::move(At->second.On.OnReadable);
+    Call = {std::move(At->second.On.OnReadable), At->second.On.Name};
     this->Sockets.remove(Socket);
     this->Waits.erase(At);
   }
-  Function();
+  this->runCallback(Call);
 }
 
 void SocketPoller::sweep(TimePoint Now) {
-  for (const Callback &Function : this->takeDue(Now))
-    Function();
+  for (const NamedCall &Call : this->takeDue(Now))
+    this->runCallback(Call);
 }
 
-std::vector<SocketPoller::Callback> SocketPoller::takeDue(TimePoint Now) {
+std::vector<SocketPoller::NamedCall> SocketPoller::takeDue(TimePoint Now) {
   std::lock_guard Lock(this->Mutex);
-  std::vector<Callback> Due;
+  std::vector<NamedCall> Due;
   for (auto At = this->Waits.begin(); At != this->Waits.end();) {
     if (At->second.Until > Now) {
       ++At;
       continue;
     }
-    Due.push_back(std::move(At->second.On.OnExpired));
+    Due.push_back({std::move(At->second.On.OnExpired), At->second.On.Name});
     this->Sockets.remove(At->first);
     At = this->Waits.erase(At);
   }
   std::erase_if(this->DelayedCalls, [&](DelayedCall &Call) {
     if (Call.Due > Now)
       return false;
-    Due.push_back(std::move(Call.Function));
+    Due.push_back(std::move(Call.Call));
     return true;
   });
   return Due;
--- a/src/base/socket_poller.h
+++ b/src/base/socket_poller.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <string_view>
 #include <vector>
 
 namespace waycove {
@@ -25,19 +26,34 @@
     Callback OnReadable;
     /// That was not the case for the whole time.
     Callback OnExpired;
+    /// What the callbacks do, for the log.
+    std::string_view Name;
   };
+  /// Gets the name of a callback that held up the poller's thread, and for how
+  /// long.
+  using DelayHandler = std::function<void(std::string_view, Millis)>;
+
+  /// \p OnDelay is called on the poller's thread after each callback that took
+  /// longer than MaxCallbackTime.
+  explicit SocketPoller(DelayHandler OnDelay = {})
+      : OnDelay(std::move(OnDelay)) {}
+  SocketPoller(const SocketPoller &) = delete;
+  SocketPoller &operator=(const SocketPoller &) = delete;
 
   void start();
   /// Calls one of \p On once, on the poller's thread, which must not be blocked
   /// there. Expired sockets are noticed within a second. Throws Poco::Exception
   /// if the socket cannot be polled.
   void await(const Poco::Net::Socket &Socket, TimePoint Until, Callbacks On);
-  /// Calls \p Function within a second after \p Due.
-  void callLater(TimePoint Due, Callback Function);
+  /// Calls \p Function within a second after \p Due. \p Name is for the log.
+  void callLater(TimePoint Due, Callback Function, std::string_view Name);
   /// Stops to wait for \p Socket, unless it can be read; returns whether it was
   /// waited for. Neither callback is called then.
   bool cancel(const Poco::Net::Socket &Socket);
 
+  /// Meanwhile no connection is accepted and no request read.
+  static constexpr Millis MaxCallbackTime{100};
+
 private:
   static constexpr Millis SweepInterval{1000};
 
@@ -45,16 +61,23 @@
     TimePoint Until;
     Callbacks On;
   };
+  struct NamedCall {
+    Callback Function;
+    std::string_view Name;
+  };
   struct DelayedCall {
     TimePoint Due;
-    Callback Function;
+    NamedCall Call;
   };
 
   void run();
+  /// Calls a callback, and OnDelay if it took too long.
+  void runCallback(const NamedCall &Call);
   void onReadable(const Poco::Net::Socket &Socket);
   void sweep(TimePoint Now);
-  std::vector<Callback> takeDue(TimePoint Now);
+  std::vector<NamedCall> takeDue(TimePoint Now);
 
+  const DelayHandler OnDelay;
   std::mutex Mutex;
   Poco::Net::PollSet Sockets;
   std::map<Poco::Net::Socket, Wait> Waits;
--- a/src/control/news_server.cpp
+++ b/src/control/news_server.cpp
@@ -68,7 +68,7 @@
   return News;
 }
 
-bool NewsServer::Connection::serve() {
+bool NewsServer::Connection::serve(TimePoint /*ReadableSince*/) {
   absl::StatusOr<wire::FrameT> Frame = this->Link.receive(RequestTimeout);
   if (!Frame.ok())
     return false;
--- a/src/control/news_server.h
+++ b/src/control/news_server.h
@@ -44,7 +44,7 @@
     Connection(NewsServer &Owner, const Poco::Net::StreamSocket &Socket)
         : Owner(Owner), Link(Socket, Owner.Board.Counters) {}
     /// The other node connects again, or to another one, if this one ends.
-    bool serve();
+    bool serve(TimePoint ReadableSince);
     bool hasInput() const { return this->Link.hasInput(); }
     Millis idleTimeout() const { return IdleTimeout; }
 
--- a/src/entry/caller_response.cpp
+++ b/src/entry/caller_response.cpp
@@ -10,7 +10,11 @@
 
 namespace waycove {
 
-IoStatus CallerResponse::recordStatus(IoStatus Status) {
+IoStatus CallerResponse::send(std::string_view Bytes, TimePoint Until,
+                              const std::function<void()> &OnHeldUp) {
+  TimePoint Begin = BootClock::now();
+  IoStatus Status = this->Caller.send(Bytes, Until, OnHeldUp);
+  this->WriteTime += BootClock::now() - Begin;
   this->Failed = this->Failed || Status != IoStatus::Ok;
   return Status;
 }
@@ -23,7 +27,7 @@
     Head.set("Connection", "close");
   std::ostringstream Out;
   Head.write(Out);
-  return this->recordStatus(this->Caller.send(Out.str() + Body, Until));
+  return this->send(Out.str() + Body, Until);
 }
 
 IoStatus CallerResponse::sendWhole(Poco::Net::HTTPResponse Head,
@@ -48,11 +52,11 @@
       std::to_chars(Size.data(), Size.data() + Size.size(), Bytes.size(), 16);
   std::string Chunk(Size.data(), End);
   Chunk.append("\r\n").append(Bytes).append("\r\n");
-  return this->recordStatus(this->Caller.send(Chunk, Until, OnHeldUp));
+  return this->send(Chunk, Until, OnHeldUp);
 }
 
 IoStatus CallerResponse::endStream(TimePoint Until) {
-  return this->recordStatus(this->Caller.send("0\r\n\r\n", Until));
+  return this->send("0\r\n\r\n", Until);
 }
 
 void CallerResponse::abort() { this->Failed = true; }
--- a/src/entry/caller_response.h
+++ b/src/entry/caller_response.h
@@ -30,19 +30,26 @@
   void abort();
 
   bool hasStarted() const { return this->Started; }
+  /// How long it took to hand the response over to the connection.
+  Millis writeTime() const {
+    return std::chrono::duration_cast<Millis>(this->WriteTime);
+  }
   /// Whether another request may follow on the connection.
   bool mayReuseConnection() const { return this->KeepAlive && !this->Failed; }
 
 private:
   IoStatus sendHead(Poco::Net::HTTPResponse &Head, const std::string &Body,
                     TimePoint Until);
-  IoStatus recordStatus(IoStatus Status);
+  /// Sends bytes, and records how long that took and whether it failed.
+  IoStatus send(std::string_view Bytes, TimePoint Until,
+                const std::function<void()> &OnHeldUp = {});
 
   Channel &Caller;
   bool KeepAlive;
   bool HasBody;
   bool Started = false;
   bool Failed = false;
+  BootClock::duration WriteTime{0};
 };
 
 } // namespace waycove
--- a/src/entry/caller_server.h
+++ b/src/entry/caller_server.h
@@ -41,7 +41,9 @@
   public:
     Connection(CallerServer &Owner, const Poco::Net::StreamSocket &Socket)
         : Owner(Owner), Caller(Socket) {}
-    bool serve() { return this->Owner.serveOne(this->Caller); }
+    bool serve(TimePoint ReadableSince) {
+      return this->Owner.serveOne(this->Caller, ReadableSince);
+    }
     bool hasInput() { return !this->Caller.buffer().empty(); }
     Millis idleTimeout() const { return this->Owner.limits().IdleTimeout; }
 
@@ -56,11 +58,12 @@
     return Config ? Config->Limits : CallerLimits();
   }
 
-  /// Reads and serves one request, of which bytes have arrived. Returns false
-  /// if the connection ends.
-  bool serveOne(Channel &Caller) {
+  /// Reads and serves one request, of which bytes could be read since \p
+  /// ReadableSince. Returns false if the connection ends.
+  bool serveOne(Channel &Caller, TimePoint ReadableSince) {
     CallerLimits Limits = this->limits();
     RelayRequest Request;
+    Request.ReadableSince = ReadableSince;
     Request.ArrivedAt = SystemClock{}.now();
     TimePoint Until = Request.ArrivedAt + Limits.HeaderTimeout;
     if (!this->readHead(Caller, Limits, Until, Request.Head))
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -296,7 +296,10 @@
   NodeFollower<CachedFeed, typename Platform::Feed> Nodes;
   SharedObservations Observations;
   NewsExchange News;
-  SocketPoller Poller;
+  SocketPoller Poller{[this](std::string_view What, Millis Took) {
+    this->Board.Log.emit(EventCode::PollerDelayed, std::string(What),
+                         LogFields().add("for_ms", Took));
+  }};
   /// Serve callers' requests.
   Poco::ThreadPool CallerThreads;
   /// Serve other nodes and readiness checks, and run steps that may block, so
--- a/src/entry/ready_server.cpp
+++ b/src/entry/ready_server.cpp
@@ -21,7 +21,7 @@
           },
           std::move(OnError)) {}
 
-bool ReadyServer::Connection::serve() {
+bool ReadyServer::Connection::serve(TimePoint /*ReadableSince*/) {
   this->Owner.serveRequest(this->Caller);
   return false;
 }
--- a/src/entry/ready_server.h
+++ b/src/entry/ready_server.h
@@ -40,7 +40,7 @@
   public:
     Connection(ReadyServer &Owner, const Poco::Net::StreamSocket &Socket)
         : Owner(Owner), Caller(Socket) {}
-    bool serve();
+    bool serve(TimePoint ReadableSince);
     bool hasInput() const { return false; }
     Millis idleTimeout() const { return IdleTimeout; }
 
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -39,15 +39,17 @@
                             Request.Head.getMethod() != "HEAD");
     RelayProgress Progress;
     Progress.LastEvent = Request.Info.LastEvent;
+    RelayExchange Ex{Caller, Request, Progress, Response};
     absl::Status Admitted = this->admit(Request);
     if (Admitted.ok()) {
       recordDemand(this->Board, Request.Info);
       Request.PriorWait = this->recordTimeout(Request);
       this->Retries.recordRequest(Request.Service);
-      this->serveAdmitted({Caller, Request, Progress, Response});
+      this->serveAdmitted(Ex);
     } else {
-      this->Failures.refuse({Caller, Request, Progress, Response}, Admitted);
+      this->Failures.refuse(Ex, Admitted);
     }
+    this->Log.requestEnded(Ex);
     this->Board.InFlight.fetch_sub(1);
     return Response.mayReuseConnection();
   }
--- a/src/entry/relay_log.cpp
+++ b/src/entry/relay_log.cpp
@@ -47,6 +47,11 @@
   TimePoint Now = SystemClock{}.now();
   Fields.add("after_ms",
              std::chrono::duration_cast<Millis>(Now - Ex.Request.ArrivedAt));
+  Fields.add("unread_ms", Ex.Request.unreadTime())
+      .add("write_ms", Ex.Response.writeTime());
+  if (Ex.Request.Deadline != TimePoint())
+    Fields.add("timeout_ms", std::chrono::duration_cast<Millis>(
+                                 Ex.Request.Deadline - Ex.Request.ArrivedAt));
   if (Ex.Request.Config)
     Fields.add("config", Ex.Request.Config->Version);
   if (Ex.Request.Route)
@@ -214,6 +219,18 @@
                        requestFields(Ex).add("reason", Reason));
 }
 
+void RelayLog::requestEnded(const RelayExchange &Ex) {
+  this->Board.Counters.observe(Timer::RequestUnread,
+                               Ex.Request.ArrivedAt - Ex.Request.ReadableSince);
+  this->Board.Counters.observe(Timer::ResponseWrite, Ex.Response.writeTime());
+  bool HasDeadline = Ex.Request.Deadline != TimePoint();
+  if (!HasDeadline || SystemClock{}.now() - Ex.Request.Deadline <= OverdueTime)
+    return;
+  this->Board.Counters.add(Counter::RequestsOverdue);
+  this->Board.Log.emit(EventCode::RequestOverdue, Ex.Request.Info.Id.Text,
+                       requestFields(Ex).add("reason", Ex.Progress.Reason));
+}
+
 void RelayLog::requestRefused(const RelayExchange &Ex,
                               const absl::Status &Error) {
   const ErrorResponse &Template = responseFor(kindOf(Error));
--- a/src/entry/relay_log.h
+++ b/src/entry/relay_log.h
@@ -42,6 +42,9 @@
   void requestFailed(const RelayExchange &Ex, const std::string &Reason);
   /// The response had been started and was aborted.
   void requestCut(const RelayExchange &Ex, const std::string &Reason);
+  /// The request has ended, in whatever way. Records what it waited for, and
+  /// whether it ended too late.
+  void requestEnded(const RelayExchange &Ex);
   /// The request was answered with \p Error of this node.
   void requestRefused(const RelayExchange &Ex, const absl::Status &Error);
 
@@ -53,6 +56,8 @@
   void recordUnreadable(const StatementSource &From,
                         const TargetStatement &Statement);
   static constexpr Millis UnreadableLogInterval{10000};
+  /// Half of the time after its timeout within which a request has to be ended.
+  static constexpr Millis OverdueTime{250};
 
   EntryBoard &Board;
   /// On the boot clock.
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -23,6 +23,8 @@
   /// The body was dropped because the node's buffers were full.
   bool HasNoRoom = false;
   CallerRequestInfo Info;
+  /// When its first bytes could be read, and when a thread began to read them.
+  TimePoint ReadableSince;
   TimePoint ArrivedAt;
   TimePoint Deadline;
   /// The configuration under which it was admitted. Owns Route and Owner.
@@ -39,6 +41,11 @@
   CrashSuspects Suspects;
   /// How long the caller had waited when the request arrived.
   Millis PriorWait{0};
+  /// How long it waited until a thread read it.
+  Millis unreadTime() const {
+    return std::chrono::duration_cast<Millis>(this->ArrivedAt -
+                                              this->ReadableSince);
+  }
   /// Random bits of this request, for all random decisions about it.
   std::uint64_t Random = 0;
 };
--- a/tests/unit/connection_server_test.cpp
+++ b/tests/unit/connection_server_test.cpp
@@ -60,7 +60,7 @@
 struct EchoConnection {
   EchoConnection(const Poco::Net::StreamSocket &Socket, Millis IdleTime)
       : Socket(Socket), IdleTime(IdleTime) {}
-  bool serve() {
+  bool serve(TimePoint /*ReadableSince*/) {
     char Byte = 0;
     if (this->Socket.receiveBytes(&Byte, 1) != 1 || Byte == 'e')
       return false;
