Test a connection that is gone before it is accepted, and a failed accept; both fail

On one thread a node accepts connections and notices requests on all kept ones. The first test takes an announced connection away before its turn: the thread waits in accept() for the next one, and a request on a kept connection is not read for 5 s (twice, each time it was run). The second lets accept() fail once for want of descriptors: the connection is accepted 1.0 s later, since the pause of 0.5 s is looked at once a second.

No functional change

--- a/tests/unit/connection_server_test.cpp
+++ b/tests/unit/connection_server_test.cpp
@@ -10,9 +10,13 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <semaphore>
+#include <sys/resource.h>
+#include <sys/socket.h>
 #include <thread>
 
 namespace waycove::test {
@@ -99,6 +103,67 @@
   ConnectionServer<EchoConnection> Server;
 };
 
+/// Three echo servers that share a poller, whose thread stops after each
+/// connection that it has accepted until the test lets it go on.
+struct SteppedServers {
+  struct Stepped {
+    Stepped(SteppedServers &Owner, ConnectionResources Shared)
+        : Server(
+              Shared, 100,
+              [this, &Owner](const Poco::Net::StreamSocket &Socket) {
+                Owner.stop(*this);
+                return std::make_unique<EchoConnection>(Socket, Millis(60000));
+              },
+              [this](const std::string &) { ++this->Failed; }) {
+      this->Server.start({"127.0.0.1", this->Port});
+    }
+
+    const std::uint16_t Port = freePort();
+    std::atomic<int> Failed{0};
+    ConnectionServer<EchoConnection> Server;
+  };
+
+  SteppedServers() { this->Poller.start(); }
+  void stop(Stepped &At) {
+    this->StoppedAt = &At;
+    this->Steps.acquire();
+  }
+  /// Lets the poller's thread go on to the next connection that it accepts.
+  Stepped &step() {
+    this->StoppedAt = nullptr;
+    this->Steps.release();
+    REQUIRE(eventually([&] { return this->StoppedAt.load() != nullptr; }));
+    return *this->StoppedAt;
+  }
+  void run() { this->Steps.release(1000); }
+
+  std::atomic<Stepped *> StoppedAt{nullptr};
+  std::counting_semaphore<> Steps{0};
+  SocketPoller Poller;
+  Poco::ThreadPool Threads{"echo", 1, 4};
+  Stepped First{*this, {Poller, Threads}};
+  Stepped Second{*this, {Poller, Threads}};
+  Stepped Third{*this, {Poller, Threads}};
+};
+
+/// The socket of this process that listens on \p Port.
+int listenerOf(std::uint16_t Port) {
+  constexpr int MaxDescriptor = 4096;
+  for (int Socket = 0; Socket < MaxDescriptor; ++Socket) {
+    int Listens = 0;
+    socklen_t Size = sizeof(Listens);
+    sockaddr_in Address{};
+    socklen_t AddressSize = sizeof(Address);
+    if (getsockopt(Socket, SOL_SOCKET, SO_ACCEPTCONN, &Listens, &Size) == 0 &&
+        Listens != 0 &&
+        getsockname(Socket, reinterpret_cast<sockaddr *>(&Address),
+                    &AddressSize) == 0 &&
+        ntohs(Address.sin_port) == Port)
+      return Socket;
+  }
+  return -1;
+}
+
 } // namespace
 
 // Guards against a connection whose exception ends the process.
@@ -197,6 +262,52 @@
   }));
 }
 
+// Guards against a thread that waits for the next connection in accept(), since
+// the announced one is gone, while requests on all others stay unread.
+TEST_CASE("connection server: a connection is gone when it is to be accepted: "
+          "requests on others are read",
+          "[unit]") {
+  auto &Servers = keep<SteppedServers>();
+  Poco::Net::StreamSocket Kept = connectTo(Servers.First.Port);
+  REQUIRE(eventually([&] { return Servers.StoppedAt == &Servers.First; }));
+  // Both are announced at once, and one is gone before its turn comes.
+  Poco::Net::StreamSocket Second = connectTo(Servers.Second.Port);
+  Poco::Net::StreamSocket Third = connectTo(Servers.Third.Port);
+  bool IsThirdNext = &Servers.step() == &Servers.Second;
+  auto &Next = IsThirdNext ? Servers.Third : Servers.Second;
+  int Gone = accept(listenerOf(Next.Port), nullptr, nullptr);
+  REQUIRE(Gone >= 0);
+  Servers.run();
+  CHECK(exchange(Kept, 'a') == 'a');
+  CHECK(exchange(IsThirdNext ? Second : Third, 'b') == 'b');
+  // Ends the wait of a thread that is in accept().
+  Poco::Net::StreamSocket Last = connectTo(Next.Port);
+  CHECK(exchange(Last, 'c') == 'c');
+}
+
+// Guards against a pause after a failed accept() in which new connections and
+// their requests wait for longer than a request may be held after its timeout.
+TEST_CASE("connection server: no descriptor is free for a moment: a waiting "
+          "connection is accepted soon after",
+          "[unit]") {
+  auto &Servers = keep<SteppedServers>();
+  Poco::Net::StreamSocket Kept = connectTo(Servers.First.Port);
+  REQUIRE(eventually([&] { return Servers.StoppedAt == &Servers.First; }));
+  Poco::Net::StreamSocket Waiting = connectTo(Servers.Second.Port);
+  rlimit Usual{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &Usual) == 0);
+  const rlimit None{0, Usual.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &None) == 0);
+  Servers.run();
+  bool HasFailed = eventually([&] { return Servers.Second.Failed > 0; });
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &Usual) == 0);
+  CHECK(HasFailed);
+  TimePoint Start = BootClock::now();
+  CHECK(exchange(Waiting, 'a') == 'a');
+  CHECK(BootClock::now() - Start < Millis(400));
+  CHECK(exchange(Kept, 'b') == 'b');
+}
+
 // Guards against a load balancer that takes the node for dead because something
 // else is connected and says nothing.
 TEST_CASE("ready server: a silent connection is open: checks are answered soon",
