--- a/tests/unit/connection_server_test.cpp
+++ b/tests/unit/connection_server_test.cpp
@@ -59,8 +59,14 @@
   }
 }
 
-/// Echoes bytes. Of special ones: 'e' ends the connection, 't' throws, 's' is
-/// served slowly.
+/// Ends its thread slowly.
+struct SlowThreadEnd {
+  ~SlowThreadEnd() { std::this_thread::sleep_for(Millis(300)); }
+  bool IsUsed = false;
+};
+
+/// Echoes bytes. Of special ones: 'e' ends the connection, 't' throws, 's' and
+/// 'x' are served slowly, and 'x' lets its thread end slowly.
 struct EchoConnection {
   EchoConnection(const Poco::Net::StreamSocket &Socket, Millis IdleTime)
       : Socket(Socket), IdleTime(IdleTime) {}
@@ -70,7 +76,11 @@
       return false;
     if (Byte == 't')
       throw Poco::IOException("broken");
-    if (Byte == 's')
+    if (Byte == 'x') {
+      static thread_local SlowThreadEnd End;
+      End.IsUsed = true;
+    }
+    if (Byte == 's' || Byte == 'x')
       std::this_thread::sleep_for(Millis(400));
     this->Socket.sendBytes(&Byte, 1);
     return true;
@@ -84,11 +94,16 @@
 
 /// An echo server with its own poller and threads.
 struct EchoServer {
+  static constexpr std::chrono::seconds ThreadIdleTime{1};
+
   explicit EchoServer(std::size_t MaxConnections = 1000,
-                      Millis IdleTime = Millis(60000))
-      : Server(
+                      Millis IdleTime = Millis(60000), int MaxThreads = 4)
+      : Threads("echo", 1, MaxThreads,
+                static_cast<int>(ThreadIdleTime.count())),
+        Server(
             {this->Poller, this->Threads}, MaxConnections,
-            [IdleTime](const Poco::Net::StreamSocket &Socket) {
+            [this, IdleTime](const Poco::Net::StreamSocket &Socket) {
+              ++this->Opened;
               return std::make_unique<EchoConnection>(Socket, IdleTime);
             },
             [this](const std::string &) { ++this->Failed; }) {
@@ -97,9 +112,10 @@
   }
 
   const std::uint16_t Port = freePort();
+  std::atomic<int> Opened{0};
   std::atomic<int> Failed{0};
   SocketPoller Poller;
-  Poco::ThreadPool Threads{"echo", 1, 4};
+  Poco::ThreadPool Threads;
   ConnectionServer<EchoConnection> Server;
 };
 
@@ -308,6 +324,33 @@
   CHECK(exchange(Kept, 'b') == 'b');
 }
 
+// Guards against a thread that notices no requests while it waits for the ends
+// of threads that are no longer needed.
+TEST_CASE("connection server: threads end slowly after a burst: requests are "
+          "read meanwhile",
+          "[unit]") {
+  constexpr int Count = 20;
+  auto &Echo = keep<EchoServer>(1000, Millis(60000), Count);
+  std::vector<Poco::Net::StreamSocket> Open;
+  Open.reserve(Count);
+  for (int I = 0; I < Count; ++I)
+    Open.push_back(connectTo(Echo.Port));
+  char Byte = 'x';
+  for (Poco::Net::StreamSocket &Socket : Open)
+    Socket.sendBytes(&Byte, 1);
+  for (Poco::Net::StreamSocket &Socket : Open)
+    REQUIRE(Socket.receiveBytes(&Byte, 1) == 1);
+  std::this_thread::sleep_for(2 * EchoServer::ThreadIdleTime);
+  Millis Longest(0);
+  for (int I = 0; I < 3 * Count; ++I) {
+    TimePoint Start = BootClock::now();
+    REQUIRE(exchange(Open[0], 'a') == 'a');
+    Longest = std::max(
+        Longest, std::chrono::duration_cast<Millis>(BootClock::now() - Start));
+  }
+  CHECK(Longest < Millis(250));
+}
+
 // Guards against a load balancer that takes the node for dead because something
 // else is connected and says nothing.
 TEST_CASE("ready server: a silent connection is open: checks are answered soon",
