Never wait for a connection in accept()

What callers saw: requests on all kept connections of a node without any answer, and no log line at the node. Cause: the thread that notices requests of all connections called accept() on a blocking socket; where the announced connection is gone by then (accept(2) warns of it), it waits for the next one, and a node that is not ready gets none. The listener is non-blocking now, and errors of the connection alone end no pause of 0.5 s. All waiting connections are accepted in a row, rather than one a poll.

--- a/src/base/connection_server.h
+++ b/src/base/connection_server.h
@@ -12,7 +12,10 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Runnable.h>
 #include <Poco/ThreadPool.h>
+#include <algorithm>
+#include <array>
 #include <atomic>
+#include <cerrno>
 #include <concepts>
 #include <functional>
 #include <memory>
@@ -62,6 +65,8 @@
     this->Listener.bind(Poco::Net::SocketAddress(Address.Host, Address.Port),
                         true, false);
     this->Listener.listen(Backlog);
+    // accept() would wait for another connection if the announced one is gone.
+    this->Listener.setBlocking(false);
     this->awaitConnection();
   }
 
@@ -77,6 +82,8 @@
 private:
   /// Connections waiting to be accepted; all nodes may start at once.
   static constexpr int Backlog = 1024;
+  /// Connections that are accepted in a row before requests are served again.
+  static constexpr int MaxAccepted = 64;
   /// Pause after a failed accept, e.g. while no descriptor is free.
   static constexpr Millis AcceptRetryDelay{500};
 
@@ -123,9 +130,12 @@
 
   void accept() {
     try {
-      this->open(this->Listener.acceptConnection());
+      for (int I = 0; I < MaxAccepted; ++I)
+        this->open(this->Listener.acceptConnection());
       this->awaitConnection();
     } catch (const Poco::Exception &Error) {
+      if (isOfConnection(Error.code()))
+        return this->awaitConnection();
       this->OnError(Error.displayText());
       this->Poller.callLater(
           BootClock::now() + AcceptRetryDelay,
@@ -133,6 +143,15 @@
     }
   }
 
+  /// Whether an error of accept() only concerns the connection, which is gone;
+  /// see accept(2).
+  static bool isOfConnection(int Error) {
+    constexpr std::array<int, 11> Gone{
+        EAGAIN, ECONNABORTED, ENETDOWN,   EPROTO,      ENOPROTOOPT, EHOSTDOWN,
+        ENONET, EHOSTUNREACH, EOPNOTSUPP, ENETUNREACH, EINTR};
+    return std::find(Gone.begin(), Gone.end(), Error) != Gone.end();
+  }
+
   void open(const Poco::Net::StreamSocket &Socket) {
     if (this->OpenCount >= this->MaxConnections)
       return this->OnError("too many connections are open");
