Accept again 50 ms after a failed accept()

A failed accept(), e.g. for want of descriptors, was followed by a pause of 0.5 s that the poller only looked at once a second: connections waited up to 1.5 s, three times what a request may be held after its timeout. Delayed calls now bound the poller's wait, and the pause is 50 ms.

--- a/src/base/connection_server.h
+++ b/src/base/connection_server.h
@@ -85,7 +85,7 @@
   /// Connections that are accepted in a row before requests are served again.
   static constexpr int MaxAccepted = 64;
   /// Pause after a failed accept, e.g. while no descriptor is free.
-  static constexpr Millis AcceptRetryDelay{500};
+  static constexpr Millis AcceptRetryDelay{50};
 
   /// An open connection.
   struct Session {
--- a/src/base/socket_poller.cpp
+++ b/src/base/socket_poller.cpp
@@ -4,6 +4,7 @@
 
 #include "base/socket_poller.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace waycove {
@@ -36,22 +37,32 @@
 }
 
 void SocketPoller::run() {
-  const Poco::Timespan Longest(SweepInterval.count() *
-                               Poco::Timespan::MILLISECONDS);
   TimePoint SweepDue;
   while (true) {
+    Millis Timeout = this->pollTimeout(BootClock::now());
     // Returns at once for an empty set.
     if (this->Sockets.empty())
-      std::this_thread::sleep_for(SweepInterval);
-    for (const auto &[Socket, Mode] : this->Sockets.poll(Longest))
+      std::this_thread::sleep_for(Timeout);
+    for (const auto &[Socket, Mode] : this->Sockets.poll(
+             Poco::Timespan(Timeout.count() * Poco::Timespan::MILLISECONDS)))
       this->onReadable(Socket);
-    if (TimePoint Now = BootClock::now(); Now >= SweepDue) {
+    TimePoint Now = BootClock::now();
+    this->runDelayed(Now);
+    if (Now >= SweepDue) {
       this->sweep(Now);
       SweepDue = Now + SweepInterval;
     }
   }
 }
 
+Millis SocketPoller::pollTimeout(TimePoint Now) {
+  std::lock_guard Lock(this->Mutex);
+  TimePoint Until = Now + SweepInterval;
+  for (const DelayedCall &Call : this->DelayedCalls)
+    Until = std::min(Until, Call.Due);
+  return std::max(std::chrono::ceil<Millis>(Until - Now), Millis(0));
+}
+
 void SocketPoller::runCallback(const NamedCall &Call) {
   TimePoint Begin = BootClock::now();
   Call.Function();
@@ -74,12 +85,27 @@
   this->runCallback(Call);
 }
 
+void SocketPoller::runDelayed(TimePoint Now) {
+  std::vector<NamedCall> Due;
+  {
+    std::lock_guard Lock(this->Mutex);
+    std::erase_if(this->DelayedCalls, [&](DelayedCall &Delayed) {
+      if (Delayed.Due > Now)
+        return false;
+      Due.push_back(std::move(Delayed.Call));
+      return true;
+    });
+  }
+  for (const NamedCall &Call : Due)
+    this->runCallback(Call);
+}
+
 void SocketPoller::sweep(TimePoint Now) {
-  for (const NamedCall &Call : this->takeDue(Now))
+  for (const NamedCall &Call : this->takeExpired(Now))
     this->runCallback(Call);
 }
 
-std::vector<SocketPoller::NamedCall> SocketPoller::takeDue(TimePoint Now) {
+std::vector<SocketPoller::NamedCall> SocketPoller::takeExpired(TimePoint Now) {
   std::lock_guard Lock(this->Mutex);
   std::vector<NamedCall> Due;
   for (auto At = this->Waits.begin(); At != this->Waits.end();) {
@@ -91,12 +117,6 @@
     this->Sockets.remove(At->first);
     At = this->Waits.erase(At);
   }
-  std::erase_if(this->DelayedCalls, [&](DelayedCall &Call) {
-    if (Call.Due > Now)
-      return false;
-    Due.push_back(std::move(Call.Call));
-    return true;
-  });
   return Due;
 }
 
--- a/src/base/socket_poller.h
+++ b/src/base/socket_poller.h
@@ -45,7 +45,8 @@
   /// there. Expired sockets are noticed within a second. Throws Poco::Exception
   /// if the socket cannot be polled.
   void await(const Poco::Net::Socket &Socket, TimePoint Until, Callbacks On);
-  /// Calls \p Function within a second after \p Due. \p Name is for the log.
+  /// Calls \p Function soon after \p Due if called on the poller's thread, and
+  /// else within a second. \p Name is for the log.
   void callLater(TimePoint Due, Callback Function, std::string_view Name);
   /// Stops to wait for \p Socket, unless it can be read; returns whether it was
   /// waited for. Neither callback is called then.
@@ -71,11 +72,14 @@
   };
 
   void run();
+  /// How long to wait for sockets at most: until the next delayed call is due.
+  Millis pollTimeout(TimePoint Now);
   /// Calls a callback, and OnDelay if it took too long.
   void runCallback(const NamedCall &Call);
   void onReadable(const Poco::Net::Socket &Socket);
+  void runDelayed(TimePoint Now);
   void sweep(TimePoint Now);
-  std::vector<NamedCall> takeDue(TimePoint Now);
+  std::vector<NamedCall> takeExpired(TimePoint Now);
 
   const DelayHandler OnDelay;
   std::mutex Mutex;
