Start and end threads without holding up the thread that notices requests

What callers saw: requests unread for hundreds of milliseconds at busy nodes, all connections of the node at once. Cause: Poco::ThreadPool::start() waits until a new thread runs, and now and then joins the idle ones, in the thread that notices requests of all connections (and in the one that runs the controllers' steps). GrowingPool hands a task to an idle thread or starts one, and waits for neither; idle threads end by themselves. Ruled out: a larger minimum of threads, which only moves the growth.

--- a/src/base/connection_server.h
+++ b/src/base/connection_server.h
@@ -4,14 +4,14 @@
 
 #pragma once
 
+#include "base/errors.h"
+#include "base/growing_pool.h"
 #include "base/settings.h"
 #include "base/socket_poller.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
-#include <Poco/Runnable.h>
-#include <Poco/ThreadPool.h>
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -39,7 +39,7 @@
 /// What servers share.
 struct ConnectionResources {
   SocketPoller &Poller;
-  Poco::ThreadPool &Threads;
+  GrowingPool &Threads;
 };
 
 /// Accepts connections and serves their requests on threads of a bounded pool.
@@ -104,23 +104,6 @@
   };
   using SessionRef = std::shared_ptr<Session>;
 
-  /// Serves a session on a thread of the pool and deletes itself when done.
-  class Call : public Poco::Runnable {
-  public:
-    Call(ConnectionServer &Owner, SessionRef Called, TimePoint ReadableSince)
-        : Owner(Owner), Called(std::move(Called)),
-          ReadableSince(ReadableSince) {}
-    void run() override {
-      std::unique_ptr<Call> Self(this);
-      this->Owner.serve(this->Called, this->ReadableSince);
-    }
-
-  private:
-    ConnectionServer &Owner;
-    SessionRef Called;
-    TimePoint ReadableSince;
-  };
-
   void awaitConnection() {
     this->Poller.await(this->Listener, TimePoint::max(),
                        {.OnReadable = [this] { this->accept(); },
@@ -186,14 +169,12 @@
   }
 
   void startServing(const SessionRef &Ready) {
-    auto Job = std::make_unique<Call>(*this, Ready, BootClock::now());
-    try {
-      this->Threads.start(*Job);
-      // The call deletes itself at the end of run().
-      static_cast<void>(Job.release());
-    } catch (const Poco::Exception &Error) {
-      this->OnError(Error.displayText());
-    }
+    TimePoint ReadableSince = BootClock::now();
+    if (absl::Status Started = this->Threads.post([this, Ready, ReadableSince] {
+          this->serve(Ready, ReadableSince);
+        });
+        !Started.ok())
+      this->OnError(messageOf(Started));
   }
 
   void serve(const SessionRef &Active, TimePoint ReadableSince) {
@@ -210,7 +191,7 @@
   }
 
   SocketPoller &Poller;
-  Poco::ThreadPool &Threads;
+  GrowingPool &Threads;
   const std::size_t MaxConnections;
   const Opener Open;
   const ErrorHandler OnError;
--- a/src/base/step_runner.cpp
+++ b/src/base/step_runner.cpp
@@ -4,28 +4,12 @@
 
 #include "base/step_runner.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Runnable.h>
-#include <memory>
+#include "base/errors.h"
+
 #include <thread>
 
 namespace waycove {
 
-/// Runs a step on a thread of the pool and deletes itself when done.
-class StepRunner::BlockingCall : public Poco::Runnable {
-public:
-  BlockingCall(StepRunner &Owner, Entry &Called)
-      : Owner(Owner), Called(Called) {}
-  void run() override {
-    std::unique_ptr<BlockingCall> Self(this);
-    this->Owner.runBlocking(this->Called);
-  }
-
-private:
-  StepRunner &Owner;
-  Entry &Called;
-};
-
 StepId StepRunner::add(Step Work) {
   this->Entries.push_back({std::move(Work), TimePoint(), false, false});
   return StepId(this->Entries.size() - 1);
@@ -91,10 +75,12 @@
 }
 
 void StepRunner::startRun(Entry &Next) {
-  auto Call = std::make_unique<BlockingCall>(*this, Next);
-  this->Threads.start(*Call);
-  // The call deletes itself at the end of run().
-  static_cast<void>(Call.release());
+  absl::Status Started =
+      this->Threads.post([this, &Next] { this->runBlocking(Next); });
+  if (Started.ok())
+    return;
+  this->OnError(messageOf(Started));
+  this->finish(Next, RetryDelay);
 }
 
 void StepRunner::runBlocking(Entry &Next) {
--- a/src/base/step_runner.h
+++ b/src/base/step_runner.h
@@ -4,9 +4,9 @@
 
 #pragma once
 
+#include "base/growing_pool.h"
 #include "base/ids.h"
 
-#include <Poco/ThreadPool.h>
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -36,7 +36,7 @@
 
   /// Steps that may block run on \p Threads. \p OnError gets the reason if one
   /// cannot be started or ends with an exception; it is called again later.
-  StepRunner(Poco::ThreadPool &Threads, ErrorHandler OnError)
+  StepRunner(GrowingPool &Threads, ErrorHandler OnError)
       : Threads(Threads), OnError(std::move(OnError)) {}
 
   /// Adds a step, before start().
@@ -59,7 +59,6 @@
     /// wake() was called meanwhile.
     bool WasWoken = false;
   };
-  class BlockingCall;
 
   void runAll();
   Entry &awaitDue();
@@ -70,7 +69,7 @@
   void runBlocking(Entry &Next);
   void finish(Entry &Done, Millis Pause);
 
-  Poco::ThreadPool &Threads;
+  GrowingPool &Threads;
   const ErrorHandler OnError;
   std::mutex Mutex;
   std::condition_variable Changed;
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -59,10 +59,8 @@
         Observations(this->Board),
         News(this->Board, this->Observations,
              [this] { return readAnnouncements(this->SomeNodes); }),
-        CallerThreads("callers", 1, static_cast<int>(Config.MaxStreams),
-                      IdleThreadSeconds, CallerStackBytes),
-        ControlThreads("control", 1, MaxControlThreads, IdleThreadSeconds,
-                       ControlStackBytes),
+        CallerThreads({Config.MaxStreams, IdleThreadTime, CallerStackBytes}),
+        ControlThreads({MaxControlThreads, IdleThreadTime, ControlStackBytes}),
         Steps(this->ControlThreads,
               [this](const std::string &Reason) {
                 this->Board.Log.emit(EventCode::ThreadNotStarted, "step",
@@ -145,12 +143,12 @@
   /// The load balancer checks every second and acts on the second failure.
   static constexpr Millis BalancerDelay{2600};
   /// After this time a thread without work ends.
-  static constexpr int IdleThreadSeconds = 5;
-  static constexpr int CallerStackBytes = 256 << 10;
+  static constexpr Millis IdleThreadTime{5000};
+  static constexpr std::size_t CallerStackBytes = 256 << 10;
   /// Larger, since plans of domains are made there.
-  static constexpr int ControlStackBytes = 1 << 20;
+  static constexpr std::size_t ControlStackBytes = 1 << 20;
   /// Twice as many as nodes may ask this one at a time.
-  static constexpr int MaxControlThreads = 512;
+  static constexpr std::size_t MaxControlThreads = 512;
 
   /// Whether API keys may be used: they are proven current, or the operators
   /// allow unproven keys, so that callers are served while the store is away.
@@ -301,10 +299,10 @@
                          LogFields().add("for_ms", Took));
   }};
   /// Serve callers' requests.
-  Poco::ThreadPool CallerThreads;
+  GrowingPool CallerThreads;
   /// Serve other nodes and readiness checks, and run steps that may block, so
   /// that callers cannot delay them.
-  Poco::ThreadPool ControlThreads;
+  GrowingPool ControlThreads;
   StepRunner Steps;
   Carrier<typename Platform::Callers> Carriers;
   NewsServer NewsService;
--- a/tests/unit/connection_server_test.cpp
+++ b/tests/unit/connection_server_test.cpp
@@ -94,12 +94,12 @@
 
 /// An echo server with its own poller and threads.
 struct EchoServer {
-  static constexpr std::chrono::seconds ThreadIdleTime{1};
+  static constexpr Millis ThreadIdleTime{1000};
 
   explicit EchoServer(std::size_t MaxConnections = 1000,
-                      Millis IdleTime = Millis(60000), int MaxThreads = 4)
-      : Threads("echo", 1, MaxThreads,
-                static_cast<int>(ThreadIdleTime.count())),
+                      Millis IdleTime = Millis(60000),
+                      std::size_t MaxThreads = 4)
+      : Threads({MaxThreads, ThreadIdleTime, 256 << 10}),
         Server(
             {this->Poller, this->Threads}, MaxConnections,
             [this, IdleTime](const Poco::Net::StreamSocket &Socket) {
@@ -115,7 +115,7 @@
   std::atomic<int> Opened{0};
   std::atomic<int> Failed{0};
   SocketPoller Poller;
-  Poco::ThreadPool Threads;
+  GrowingPool Threads;
   ConnectionServer<EchoConnection> Server;
 };
 
@@ -156,7 +156,7 @@
   std::atomic<Stepped *> StoppedAt{nullptr};
   std::counting_semaphore<> Steps{0};
   SocketPoller Poller;
-  Poco::ThreadPool Threads{"echo", 1, 4};
+  GrowingPool Threads{{4, Millis(60000), 256 << 10}};
   Stepped First{*this, {Poller, Threads}};
   Stepped Second{*this, {Poller, Threads}};
   Stepped Third{*this, {Poller, Threads}};
@@ -209,8 +209,8 @@
   for (int Round = 0; Round < 2; ++Round)
     for (Poco::Net::StreamSocket &Socket : Open)
       REQUIRE(exchange(Socket, 'a') == 'a');
-  CHECK(eventually([&] { return Echo.Threads.used() == 0; }));
-  CHECK(Echo.Threads.allocated() <= 4);
+  CHECK(eventually([&] { return Echo.Threads.busy() == 0; }));
+  CHECK(Echo.Threads.size() <= 4);
   CHECK(Echo.Failed == 0);
 }
 
@@ -251,7 +251,7 @@
   REQUIRE(exchange(Busy, 'a') == 'a');
   char Byte = 's';
   Busy.sendBytes(&Byte, 1);
-  REQUIRE(eventually([&] { return Echo.Threads.used() == 1; }));
+  REQUIRE(eventually([&] { return Echo.Threads.busy() == 1; }));
   Echo.Server.closeIdle();
   CHECK(isClosed(Idle));
   CHECK(Busy.receiveBytes(&Byte, 1) == 1);
@@ -358,7 +358,8 @@
   static Metrics Counters;
   static std::atomic<bool> IsReady{true};
   auto &Poller = keep<SocketPoller>();
-  auto &Threads = keep<Poco::ThreadPool>("ready", 1, 4);
+  auto &Threads =
+      keep<GrowingPool>(GrowingPool::Limits{4, Millis(60000), 256 << 10});
   auto &Server = keep<ReadyServer>(
       "/ready", [] { return IsReady.load(); }, Counters,
       ConnectionResources{Poller, Threads}, [](const std::string &) {});
--- a/tests/unit/step_runner_test.cpp
+++ b/tests/unit/step_runner_test.cpp
@@ -20,7 +20,7 @@
 /// A runner and its threads, which live until the process ends.
 struct Runner {
   std::atomic<int> Failed{0};
-  Poco::ThreadPool Threads{"steps", 1, 8};
+  GrowingPool Threads{{8, Millis(60000), 256 << 10}};
   StepRunner Steps{this->Threads,
                    [this](const std::string &) { ++this->Failed; }};
 };
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -4,7 +4,7 @@
 set -eu
 packages="g++ cmake ninja-build make curl python3-minimal git clang-format
   clang-tidy flatbuffers-compiler libflatbuffers-dev libpoco-dev
-  libboost-log-dev libboost-dev libabsl-dev catch2 libyaml-cpp-dev
+  libboost-log-dev libboost-thread-dev libboost-dev libabsl-dev catch2 libyaml-cpp-dev
   libgflags-dev librapidcheck-dev libxxhash-dev"
 missing=
 for package in $packages; do
