End a response at its deadline although its target never pauses

What callers saw: streams that went on after their timeout. Cause: the deadline was only looked at when nothing could be read from the target; one that sends faster than the node forwards never lets that happen, on a busy node any stream. What can be read without a wait is still taken for 100 ms, since ready responses are delivered, and no longer.

--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -19,6 +19,9 @@
 constexpr Millis CheckInterval{120};
 /// A first byte may take this many times as long as usual at the target.
 constexpr double SlowFactor = 4;
+/// What can be read without a wait is still read this long after the deadline,
+/// since a response that is ready is delivered.
+constexpr Millis ReadGrace{100};
 /// Limit on a body that is buffered whole.
 constexpr std::size_t MaxBodyBytes = 16 << 20;
 
@@ -61,7 +64,7 @@
         waitEither(Attempt.Connection->descriptor(),
                    Attempt.WatchCaller ? Ex.Caller.descriptor() : -1, Until);
     TimePoint Now = SystemClock{}.now();
-    if (Readable == Side::Target)
+    if (Readable == Side::Target && Now < Ex.Request.Deadline + ReadGrace)
       return receiveBytes(Attempt, Now);
     if (Readable == Side::Caller) {
       if (Ex.Caller.isClosedByPeer()) {
