--- a/src/entry/caller_response.h
+++ b/src/entry/caller_response.h
@@ -40,7 +40,8 @@
 private:
   IoStatus sendHead(Poco::Net::HTTPResponse &Head, const std::string &Body,
                     TimePoint Until);
-  /// Sends bytes, and records how long that took and whether it failed.
+  /// Sends bytes, and records how long that took and whether it failed. If they
+  /// could not be sent in time, the connection is reset.
   IoStatus send(std::string_view Bytes, TimePoint Until,
                 const std::function<void()> &OnHeldUp = {});
 
