Count a request's timeout from when its bytes arrived, not from its first read

What callers saw: requests held beyond their timeout by as long as the node had not read them, with a clean log. Cause: the time began when a thread read the request. It now begins when the poller saw the bytes, or when the kernel received the latest ones (TCP_INFO), whichever is earlier. A request that follows on another one on its connection counts from its turn. The same time is what deadlines of targets, places and urgency go by. Systems whose TCP_INFO has no such time go by the poller alone.

--- a/src/entry/caller_server.h
+++ b/src/entry/caller_server.h
@@ -63,9 +63,16 @@
   bool serveOne(Channel &Caller, TimePoint ReadableSince) {
     CallerLimits Limits = this->limits();
     RelayRequest Request;
-    Request.ReadableSince = ReadableSince;
-    Request.ArrivedAt = SystemClock{}.now();
-    TimePoint Until = Request.ArrivedAt + Limits.HeaderTimeout;
+    Request.ReadAt = SystemClock{}.now();
+    // What follows on another request has waited for that one, as its caller
+    // expects.
+    bool IsFirst = Caller.buffer().empty();
+    Request.ArrivedAt =
+        IsFirst ? std::min(ReadableSince,
+                           Request.ReadAt - std::min(Caller.sinceReceived(),
+                                                     Limits.IdleTimeout))
+                : Request.ReadAt;
+    TimePoint Until = Request.ReadAt + Limits.HeaderTimeout;
     if (!this->readHead(Caller, Limits, Until, Request.Head))
       return false;
     auto Body = requestBody(Request.Head);
--- a/src/entry/relay_log.cpp
+++ b/src/entry/relay_log.cpp
@@ -221,7 +221,7 @@
 
 void RelayLog::requestEnded(const RelayExchange &Ex) {
   this->Board.Counters.observe(Timer::RequestUnread,
-                               Ex.Request.ArrivedAt - Ex.Request.ReadableSince);
+                               Ex.Request.ReadAt - Ex.Request.ArrivedAt);
   this->Board.Counters.observe(Timer::ResponseWrite, Ex.Response.writeTime());
   bool HasDeadline = Ex.Request.Deadline != TimePoint();
   if (!HasDeadline || SystemClock{}.now() - Ex.Request.Deadline <= OverdueTime)
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -23,9 +23,10 @@
   /// The body was dropped because the node's buffers were full.
   bool HasNoRoom = false;
   CallerRequestInfo Info;
-  /// When its first bytes could be read, and when a thread began to read them.
-  TimePoint ReadableSince;
+  /// When bytes of it could be read, from which its timeout counts, and when a
+  /// thread began to read them.
   TimePoint ArrivedAt;
+  TimePoint ReadAt;
   TimePoint Deadline;
   /// The configuration under which it was admitted. Owns Route and Owner.
   RoutingConfigRef Config;
@@ -43,8 +44,7 @@
   Millis PriorWait{0};
   /// How long it waited until a thread read it.
   Millis unreadTime() const {
-    return std::chrono::duration_cast<Millis>(this->ArrivedAt -
-                                              this->ReadableSince);
+    return std::chrono::duration_cast<Millis>(this->ReadAt - this->ArrivedAt);
   }
   /// Random bits of this request, for all random decisions about it.
   std::uint64_t Random = 0;
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -144,6 +144,15 @@
   this->Socket.close();
 }
 
+Millis Channel::sinceReceived() const {
+  tcp_info Info{};
+  socklen_t Size = sizeof(Info);
+  if (::getsockopt(this->descriptor(), IPPROTO_TCP, TCP_INFO, &Info, &Size) !=
+      0)
+    return Millis(0);
+  return Millis(Info.tcpi_last_data_recv);
+}
+
 Side waitEither(int Target, int Caller, TimePoint Until) {
   // poll() ignores negative descriptors.
   std::array<pollfd, 2> Descriptors{{{Target, POLLIN, 0}, {Caller, POLLIN, 0}}};
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -58,6 +58,9 @@
   bool isClosedByPeer();
   /// Closes with a reset, which discards bytes that were not delivered.
   void abort();
+  /// Time since the kernel received the latest bytes of the peer; zero if it
+  /// does not tell.
+  Millis sinceReceived() const;
 
   std::string &buffer() { return this->Buffer; }
   int descriptor() const { return this->Socket.impl()->sockfd(); }
