Bound each wait for a neighbour by the request's deadline

A request on its way through another node could be held beyond its deadline by that node's freeze: 3 s for sending what the buffers do not hold, 0.3 s for the rest of a frame, 0.35 s for each question for a way; a request for which a way was found after its deadline was still sent, with a negative time left; and the node that carries looked at the deadline only when the target paused. Each of these waits now ends by the deadline, and nothing is sent after it. FrameSocket waits with poll() up to a moment of the boot clock, not with timeouts of the socket that count from each read. After: two contract tests.

--- a/src/control/reach_prober.h
+++ b/src/control/reach_prober.h
@@ -64,7 +64,8 @@
     for (const NodeInfo &Node : Others) {
       std::optional<WayResponse> Response =
           askForWay(this->Board, Node,
-                    {Target, RequestId("probe"), QuestionTimeout, true});
+                    {Target, RequestId("probe"), QuestionTimeout, true},
+                    SystemClock{}.now() + QuestionTimeout);
       if (Response && Response->Status == WayStatus::Open)
         return TargetReach::OthersView::Reachable;
       if (Response && Response->Status == WayStatus::NoTarget)
--- a/src/control/way_link.cpp
+++ b/src/control/way_link.cpp
@@ -4,6 +4,8 @@
 
 #include "control/way_link.h"
 
+#include <algorithm>
+
 namespace waycove {
 
 namespace {
@@ -17,8 +19,13 @@
 } // namespace
 
 std::optional<WayResponse> askForWay(EntryBoard &Board, const NodeInfo &Node,
-                                     const WayRequest &Wanted) {
-  auto Socket = FrameSocket::dial(Node.Host, Node.Port, ConnectTimeout);
+                                     const WayRequest &Wanted,
+                                     TimePoint Until) {
+  auto Left = std::chrono::ceil<Millis>(Until - SystemClock{}.now());
+  if (Left <= Millis(0))
+    return std::nullopt;
+  auto Socket =
+      FrameSocket::dial(Node.Host, Node.Port, std::min(ConnectTimeout, Left));
   if (!Socket.ok())
     return std::nullopt;
   auto Link = std::make_unique<FrameSocket>(*Socket, Board.Counters);
@@ -30,9 +37,10 @@
   Request.deadline_ms = static_cast<std::uint64_t>(Wanted.Remaining.count());
   Request.repeatable = Wanted.MayRepeat;
   std::uint64_t Clock = Board.Clock.tick(SystemClock{}.wall());
-  if (!Link->send(makeFrame(Clock, std::move(Request))))
+  Until = std::min(Until, SystemClock{}.now() + ResponseTimeout);
+  if (!Link->send(makeFrame(Clock, std::move(Request)), Until))
     return std::nullopt;
-  absl::StatusOr<wire::FrameT> Frame = Link->receive(ResponseTimeout);
+  absl::StatusOr<wire::FrameT> Frame = Link->receiveBy(Until);
   const auto *Head = Frame.ok() ? Frame->message.AsForwardHead() : nullptr;
   if (!Head)
     return std::nullopt;
--- a/src/control/way_link.h
+++ b/src/control/way_link.h
@@ -41,6 +41,6 @@
 /// Asks \p Node for a way to a target. Returns nothing if it does not respond:
 /// it is down or cut off, or is of a version that carries no requests.
 std::optional<WayResponse> askForWay(EntryBoard &Board, const NodeInfo &Node,
-                                     const WayRequest &Wanted);
+                                     const WayRequest &Wanted, TimePoint Until);
 
 } // namespace waycove
--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -107,6 +107,8 @@
                               const RelayAttempt &Attempt,
                               SelectedTarget &Selected, Millis SelectionAge) {
     const TimePoint Now = Attempt.SentAt;
+    if (Now >= Ex.Request.Deadline)
+      return "the deadline passed before it was sent";
     if (Now - Attempt.OpenedSince > MaxSelectionAge)
       return "this machine stood still";
     // The search for a way passes the bound where a frozen node is asked first,
--- a/src/entry/carrier.h
+++ b/src/entry/carrier.h
@@ -168,7 +168,8 @@
       // The other node has the whole response, or its caller left.
       if (Readable == Side::Caller)
         return true;
-      if (Readable == Side::Neither && this->isLost(From, Now))
+      bool IsLost = Readable == Side::Neither && this->isLost(From, Now);
+      if (IsLost || Now >= From.Until)
         return this->sendEnd(Peer, false);
       std::string &Bytes = From.Connection->buffer();
       if (Readable == Side::Target) {
@@ -186,8 +187,7 @@
   }
 
   bool isLost(const Way &From, TimePoint Now) const {
-    return Now >= From.Until ||
-           (this->Board.isCutOff() && Now - From.LastByte >= CutOffSilence);
+    return this->Board.isCutOff() && Now - From.LastByte >= CutOffSilence;
   }
 
   /// Applies what the target states in its response: it counts for this node,
--- a/src/entry/neighbour_channel.cpp
+++ b/src/entry/neighbour_channel.cpp
@@ -4,22 +4,26 @@
 
 #include "entry/neighbour_channel.h"
 
+#include <algorithm>
+
 namespace waycove {
 
-IoStatus NeighbourChannel::send(std::string_view Bytes) {
+IoStatus NeighbourChannel::send(std::string_view Bytes, TimePoint Until) {
   wire::ForwardDataT Data;
   Data.data.assign(Bytes.begin(), Bytes.end());
   std::uint64_t Clock = this->Board->Clock.tick(SystemClock{}.wall());
-  return this->Link->send(makeFrame(Clock, std::move(Data))) ? IoStatus::Ok
-                                                             : IoStatus::Broken;
+  return this->Link->send(makeFrame(Clock, std::move(Data)), Until)
+             ? IoStatus::Ok
+             : IoStatus::Broken;
 }
 
-IoStatus NeighbourChannel::fillNow() {
+IoStatus NeighbourChannel::fillNow(TimePoint Until) {
   if (this->Ended)
     return *this->Ended;
+  Until = std::min(Until, SystemClock{}.now() + FrameTimeout);
   std::size_t Before = this->Buffer.size();
   do {
-    absl::StatusOr<wire::FrameT> Frame = this->Link->receive(FrameTimeout);
+    absl::StatusOr<wire::FrameT> Frame = this->Link->receiveBy(Until);
     if (!Frame.ok())
       return IoStatus::Broken;
     this->LastFrameAt = SystemClock{}.now();
@@ -31,7 +35,7 @@
     } else {
       return IoStatus::Broken;
     }
-  } while (!this->Ended && this->Link->hasInput());
+  } while (!this->Ended && this->Link->hasInput() && this->LastFrameAt < Until);
   if (this->Buffer.size() > Before)
     return IoStatus::Ok;
   return this->Ended.value_or(IoStatus::Timeout);
--- a/src/entry/neighbour_channel.h
+++ b/src/entry/neighbour_channel.h
@@ -20,10 +20,11 @@
                    std::unique_ptr<FrameSocket> Link)
       : Board(&Board), Node(std::move(Node)), Link(std::move(Link)) {}
 
-  IoStatus send(std::string_view Bytes);
-  /// Reads what has arrived. Timeout if it holds no bytes of the target, but
-  /// shows that the other node is alive.
-  IoStatus fillNow();
+  IoStatus send(std::string_view Bytes, TimePoint Until);
+  /// Reads what has arrived, and the rest of a frame that arrives by \p Until.
+  /// Timeout if it holds no bytes of the target, but shows that the other node
+  /// is alive.
+  IoStatus fillNow(TimePoint Until);
   void abort() { this->Link->abort(); }
   std::string &buffer() { return this->Buffer; }
   int descriptor() const { return this->Link->descriptor(); }
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -35,9 +35,9 @@
   double FirstByteMs = 0;
 };
 
-std::optional<AttemptOutcome> receiveBytes(RelayAttempt &Attempt,
-                                           TimePoint Now) {
-  IoStatus Status = Attempt.Connection->fillNow();
+std::optional<AttemptOutcome> receiveBytes(RelayAttempt &Attempt, TimePoint Now,
+                                           TimePoint Until) {
+  IoStatus Status = Attempt.Connection->fillNow(Until);
   if (Status == IoStatus::Ok)
     Attempt.LastByte = Now;
   if (Status == IoStatus::Ok || Status == IoStatus::Timeout)
@@ -65,7 +65,7 @@
                    Attempt.WatchCaller ? Ex.Caller.descriptor() : -1, Until);
     TimePoint Now = SystemClock{}.now();
     if (Readable == Side::Target && Now < Ex.Request.Deadline + ReadGrace)
-      return receiveBytes(Attempt, Now);
+      return receiveBytes(Attempt, Now, Ex.Request.Deadline + ReadGrace);
     if (Readable == Side::Caller) {
       if (Ex.Caller.isClosedByPeer()) {
         Attempt.Reason = "the caller left";
--- a/src/entry/target_connection.h
+++ b/src/entry/target_connection.h
@@ -21,10 +21,14 @@
   IoStatus send(std::string_view Bytes, TimePoint Until) {
     if (auto *Direct = std::get_if<Channel>(&this->Way))
       return Direct->send(Bytes, Until);
-    return std::get<NeighbourChannel>(this->Way).send(Bytes);
+    return std::get<NeighbourChannel>(this->Way).send(Bytes, Until);
   }
-  IoStatus fillNow() {
-    return std::visit([](auto &Any) { return Any.fillNow(); }, this->Way);
+  /// Reads what has arrived, and over another node the rest of a frame that
+  /// arrives by \p Until.
+  IoStatus fillNow(TimePoint Until) {
+    if (auto *Direct = std::get_if<Channel>(&this->Way))
+      return Direct->fillNow();
+    return std::get<NeighbourChannel>(this->Way).fillNow(Until);
   }
   /// Closes with a reset, which discards bytes that were not delivered.
   void abort() {
--- a/src/entry/target_connector.cpp
+++ b/src/entry/target_connector.cpp
@@ -75,7 +75,8 @@
         std::chrono::duration_cast<Millis>(Ex.Request.Deadline - Now),
         Ex.Request.Route->mayRepeat()};
     Attempt.OpenedSince = Now;
-    std::optional<WayStatus> Status = this->ask(Node, Wanted, Attempt);
+    std::optional<WayStatus> Status =
+        this->ask(Node, Wanted, Ex.Request.Deadline, Attempt);
     this->recordWay(Node, Status, Ex.Request.Info.Id);
     if (Status == WayStatus::Open)
       return ConnectOutcome::Connected;
@@ -97,8 +98,10 @@
 
 std::optional<WayStatus> TargetConnector::ask(const NodeInfo &Node,
                                               const WayRequest &Wanted,
+                                              TimePoint Until,
                                               RelayAttempt &Attempt) {
-  std::optional<WayResponse> Response = askForWay(this->Board, Node, Wanted);
+  std::optional<WayResponse> Response =
+      askForWay(this->Board, Node, Wanted, Until);
   if (!Response)
     return std::nullopt;
   if (Response->Status == WayStatus::Open) {
--- a/src/entry/target_connector.h
+++ b/src/entry/target_connector.h
@@ -50,7 +50,7 @@
   ConnectOutcome connectThroughNode(const RelayExchange &Ex,
                                     RelayAttempt &Attempt);
   std::optional<WayStatus> ask(const NodeInfo &Node, const WayRequest &Wanted,
-                               RelayAttempt &Attempt);
+                               TimePoint Until, RelayAttempt &Attempt);
   void recordWay(const NodeInfo &Node, std::optional<WayStatus> Status,
                  const RequestId &Cause);
 
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -9,8 +9,10 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace waycove {
@@ -22,9 +24,17 @@
 constexpr std::size_t ReadBytes = 4096;
 constexpr std::size_t MaxKeptBytes = 64 << 10;
 constexpr Millis SendTimeout(3000);
+/// Of a read that does not have to wait.
+constexpr Millis MaxReadTime(1000);
 
 Poco::Timespan spanOf(Millis Duration) { return {Duration.count() * 1000}; }
 
+/// The time until \p Until; zero if it has passed.
+Poco::Timespan spanUntil(TimePoint Until) {
+  return spanOf(
+      std::max(std::chrono::ceil<Millis>(Until - BootClock::now()), Millis(0)));
+}
+
 } // namespace
 
 std::string packFrame(const wire::FrameT &Frame) {
@@ -49,7 +59,6 @@
                          Metrics &Counters)
     : Socket(Socket), Counters(Counters) {
   this->Socket.setNoDelay(true);
-  this->Socket.setSendTimeout(spanOf(SendTimeout));
 }
 
 absl::StatusOr<Poco::Net::StreamSocket>
@@ -63,7 +72,21 @@
   }
 }
 
+std::size_t FrameSocket::sendSome(std::string_view Bytes, TimePoint Until) {
+  if (!this->Socket.poll(spanUntil(Until), Poco::Net::Socket::SELECT_WRITE))
+    throw Poco::TimeoutException("the peer does not read");
+  ssize_t Sent = ::send(this->descriptor(), Bytes.data(), Bytes.size(),
+                        MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (Sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+    throw Poco::IOException("the connection broke", errno);
+  return static_cast<std::size_t>(std::max<ssize_t>(Sent, 0));
+}
+
 bool FrameSocket::send(const wire::FrameT &Frame) {
+  return this->send(Frame, BootClock::now() + SendTimeout);
+}
+
+bool FrameSocket::send(const wire::FrameT &Frame, TimePoint Until) {
   std::string Bytes = packFrame(Frame);
   auto Size = static_cast<std::uint32_t>(Bytes.size());
   std::string Out(LengthBytes, '\0');
@@ -72,14 +95,9 @@
   Out += Bytes;
   std::lock_guard Lock(this->SendMutex);
   try {
-    std::size_t Sent = 0;
-    while (Sent < Out.size()) {
-      int Wrote = this->Socket.sendBytes(Out.data() + Sent,
-                                         static_cast<int>(Out.size() - Sent));
-      if (Wrote <= 0)
-        return false;
-      Sent += static_cast<std::size_t>(Wrote);
-    }
+    std::string_view Rest = Out;
+    while (!Rest.empty())
+      Rest.remove_prefix(this->sendSome(Rest, Until));
     this->Counters.add(Counter::PeerBytesOut, Out.size());
     return true;
   } catch (const Poco::Exception &) {
@@ -91,6 +109,10 @@
 
 bool FrameSocket::fill(std::size_t Count) {
   while (this->Buffer.size() < Count) {
+    if (this->ReceiveUntil &&
+        !this->Socket.poll(spanUntil(*this->ReceiveUntil),
+                           Poco::Net::Socket::SELECT_READ))
+      throw Poco::TimeoutException("the frame is not complete in time");
     std::size_t Had = this->Buffer.size();
     this->Buffer.resize(std::max(Count, Had + ReadBytes));
     int Read = this->Socket.receiveBytes(
@@ -103,6 +125,14 @@
   return true;
 }
 
+absl::StatusOr<wire::FrameT> FrameSocket::receiveBy(TimePoint Until) {
+  this->ReceiveUntil = Until;
+  // Each read follows on a poll, so that it does not wait.
+  absl::StatusOr<wire::FrameT> Frame = this->receive(MaxReadTime);
+  this->ReceiveUntil.reset();
+  return Frame;
+}
+
 absl::StatusOr<wire::FrameT> FrameSocket::receive(Millis Timeout) {
   try {
     if (std::exchange(this->ReceiveTimeout, Timeout) != Timeout)
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -10,6 +10,8 @@
 #include <Poco/Net/StreamSocket.h>
 #include <absl/status/statusor.h>
 #include <mutex>
+#include <optional>
+#include <string_view>
 
 namespace waycove {
 
@@ -35,9 +37,13 @@
   /// Sends \p Frame. Returns false if the connection is broken; the frame may
   /// still have arrived.
   bool send(const wire::FrameT &Frame);
+  /// The same, but gives up at \p Until, also if the peer does not read.
+  bool send(const wire::FrameT &Frame, TimePoint Until);
   /// Receives the next frame. Errors: OutcomeUnknown if the connection ended or
   /// nothing arrived within \p Timeout; BadRequest for a damaged frame.
   absl::StatusOr<wire::FrameT> receive(Millis Timeout);
+  /// The same, but the whole frame has to arrive by \p Until.
+  absl::StatusOr<wire::FrameT> receiveBy(TimePoint Until);
   /// Whether bytes of the next frame have already been received.
   bool hasInput() const { return !this->Buffer.empty(); }
   /// Breaks the connection if sent bytes are not acknowledged for \p Timeout,
@@ -51,13 +57,19 @@
 
 private:
   /// Reads until the buffer holds \p Count bytes; false if the peer closed.
+  /// Throws Poco::TimeoutException.
   bool fill(std::size_t Count);
+  /// Sends what fits in the connection's buffer, after a wait until then at the
+  /// latest. Throws Poco::Exception if nothing could be sent.
+  std::size_t sendSome(std::string_view Bytes, TimePoint Until);
 
   Poco::Net::StreamSocket Socket;
   /// Bytes received after the last frame.
   std::string Buffer;
   /// Timeout that the socket has.
   Millis ReceiveTimeout{-1};
+  /// When the frame that is being received has to be complete, if it has to.
+  std::optional<TimePoint> ReceiveUntil;
   Metrics &Counters;
   std::mutex SendMutex;
 };
--- a/tests/contract/way_contract.cpp
+++ b/tests/contract/way_contract.cpp
@@ -5,6 +5,7 @@
 // How a node asks another one for a way to a target, and what it makes of
 // responses that are none.
 #include "control/way_link.h"
+#include "entry/neighbour_channel.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
@@ -59,7 +60,7 @@
 /// A node and another one that it asks.
 struct WayFixture {
   /// The response, and the frame that the other node got.
-  std::optional<WayResponse> ask(Peer Behaviour) {
+  std::optional<WayResponse> ask(Peer Behaviour, Millis Within = Millis(900)) {
     Poco::Net::ServerSocket Listener(Poco::Net::SocketAddress("127.0.0.1", 0));
     std::thread Other([&] {
       Poco::Net::StreamSocket Socket = Listener.acceptConnection();
@@ -75,12 +76,15 @@
     Node.Port = Listener.address().port();
     auto Response =
         askForWay(this->Board, Node,
-                  {{VmId("t"), WallMs(7)}, RequestId("r"), Millis(900), true});
+                  {{VmId("t"), WallMs(7)}, RequestId("r"), Millis(900), true},
+                  BootClock::now() + Within);
+    this->RespondedAt = BootClock::now();
     Other.join();
     return Response;
   }
 
   EntryBoard Board{entrySettings(), IncarnationId("i")};
+  TimePoint RespondedAt;
   absl::StatusOr<wire::FrameT> Question{absl::UnknownError("none")};
 };
 
@@ -98,6 +102,41 @@
 }
 
 // Guards against a target or a deadline that is lost on the way.
+// Guards against a request that is held beyond its deadline by a neighbour that
+// is frozen: it accepts connections and reads nothing.
+TEST_CASE_METHOD(WayFixture,
+                 "way: the deadline is near and the other node silent: the "
+                 "question ends by the deadline",
+                 "[contract]") {
+  TimePoint Begin = BootClock::now();
+  CHECK_FALSE(this->ask(Peer::Silent, Millis(60)));
+  CHECK(this->RespondedAt - Begin < Millis(160));
+}
+
+// Guards against the same with a request that is larger than the buffers of the
+// connection, and with a frame of which only a part arrives.
+TEST_CASE_METHOD(WayFixture,
+                 "way: the other node freezes after it has opened the way: "
+                 "sending and receiving end by the deadline",
+                 "[contract]") {
+  Poco::Net::ServerSocket Listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  auto Socket =
+      FrameSocket::dial("127.0.0.1", Listener.address().port(), Millis(1000));
+  REQUIRE(Socket.ok());
+  Poco::Net::StreamSocket Frozen = Listener.acceptConnection();
+  NeighbourChannel Way(
+      this->Board, NodeId("n1"),
+      std::make_unique<FrameSocket>(*Socket, this->Board.Counters));
+  Frozen.sendBytes("\x40\0\0\0part", 8);
+  TimePoint Begin = BootClock::now();
+  CHECK(Way.fillNow(Begin + Millis(60)) == IoStatus::Broken);
+  CHECK(BootClock::now() - Begin < Millis(160));
+  Begin = BootClock::now();
+  CHECK(Way.send(std::string(32 << 20, 'x'), Begin + Millis(200)) ==
+        IoStatus::Broken);
+  CHECK(BootClock::now() - Begin < Millis(400));
+}
+
 TEST_CASE_METHOD(WayFixture,
                  "way: the other node responds: the status is as it says, and "
                  "the question names the target's process",
