Check in the soak and the tests of earlier incidents that requests end at their timeout

The invariant: each request that reached its route's timeout gets its final answer within half a second of it, or of the moment from which its entry runs again, whatever stands behind the entry. Faults of targets, links and the store excuse nothing; only an entry that does not run does. TimeoutWatch checks it where the store is restored, all entries start again, entries are cut off beside a frozen neighbour; suspended machines have a test of their own.

No functional change

--- a/tests/failure/cut_off_test.cpp
+++ b/tests/failure/cut_off_test.cpp
@@ -6,6 +6,7 @@
 // have no link to any target, although their neighbours have.
 #include "support/entry_config.h"
 #include "support/neighbours.h"
+#include "support/timeout_watch.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -211,6 +212,31 @@
   CheckServed();
 }
 
+// Guards against requests that are held beyond their route's timeout by links
+// or neighbours that are silent.
+TEST_CASE_METHOD(CutOffFixture,
+                 "cut off: connections of two entries hang while a neighbour "
+                 "freezes: each request ends within half a second of its "
+                 "timeout",
+                 "[failure]") {
+  constexpr milliseconds Timeout(500);
+  this->shortenTimeout(2, Timeout);
+  TimeoutWatch Calls(this->Run, {"n1", "n3"}, Timeout);
+  for (LinkFault Fault : {LinkFault::Silent, LinkFault::SilentRefuseNew}) {
+    this->cutOff("n1", Fault);
+    this->cutOff("n3", Fault);
+    std::this_thread::sleep_for(milliseconds(1500));
+    this->Run.node("n2").signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(1500));
+    this->Run.node("n2").signal(SIGCONT);
+    this->cutOff("n1", LinkFault::None);
+    this->cutOff("n3", LinkFault::None);
+    std::this_thread::sleep_for(milliseconds(1000));
+  }
+  CHECK(Calls.stop() == "");
+  CHECK(Calls.timedOut() > 5);
+}
+
 /// The same with two groups of engines.
 struct CutOffStreamsFixture : CutOffFixture {
   CutOffStreamsFixture() : CutOffFixture(4) {
--- a/tests/failure/restored_test.cpp
+++ b/tests/failure/restored_test.cpp
@@ -6,6 +6,7 @@
 // its shorter logs for stale reads and miss later changes.
 #include "board/feed_cache.h"
 #include "support/neighbours.h"
+#include "support/timeout_watch.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -161,4 +162,40 @@
   CHECK(this->lastRunAt("p-1") < RemovedAt);
 }
 
+// Guards against requests that are held beyond their route's timeout by nodes
+// that fall back to an older one, or read all anew.
+TEST_CASE_METHOD(RestoredFixture,
+                 "store restored: targets hang meanwhile: each request ends "
+                 "within half a second of its timeout",
+                 "[failure]") {
+  this->copy();
+  this->shortenTimeout(2, milliseconds(700));
+  this->faultTargets(3, "hang");
+  TimeoutWatch Calls(this->Run, Entries, milliseconds(700));
+  std::this_thread::sleep_for(milliseconds(1000));
+  this->restore();
+  std::this_thread::sleep_for(milliseconds(1000));
+  this->publish(3, "key-1");
+  std::this_thread::sleep_for(milliseconds(2000));
+  CHECK(Calls.stop() == "");
+  CHECK(Calls.timedOut() > 20);
+}
+
+// Guards against the same at nodes in their first seconds, and at kept
+// connections of their callers.
+TEST_CASE_METHOD(RestoredFixture,
+                 "all entries start again while targets hang: each request "
+                 "ends within half a second of its timeout",
+                 "[failure]") {
+  this->shortenTimeout(2, milliseconds(700));
+  this->faultTargets(3, "hang");
+  TimeoutWatch Calls(this->Run, Entries, milliseconds(700));
+  std::this_thread::sleep_for(milliseconds(1000));
+  this->killAll();
+  this->startAll();
+  std::this_thread::sleep_for(milliseconds(4000));
+  CHECK(Calls.stop() == "");
+  CHECK(Calls.timedOut() > 20);
+}
+
 } // namespace waycove::test
--- a/tests/failure/suspended_test.cpp
+++ b/tests/failure/suspended_test.cpp
@@ -6,7 +6,9 @@
 #include "support/entry_fixture.h"
 
 #include <catch2/catch.hpp>
+#include <future>
 #include <thread>
+#include <vector>
 
 namespace waycove::test {
 
@@ -66,4 +68,32 @@
   CHECK(Response.Status == 504);
 }
 
+// Guards against requests that go on for as long as the machine was suspended,
+// since a wait counts the time that its clock stood still.
+TEST_CASE_METHOD(SuspendedFixture,
+                 "suspended machine: timeouts of many requests pass meanwhile: "
+                 "each ends within half a second of its end",
+                 "[failure]") {
+  this->faultAll("p", 2, "hang");
+  this->faultAll("e", 4, "hang");
+  this->Run.atPlatform({"POST",
+                        "/store/put?topic=keyed.op&key=config",
+                        entryConfig(2, "key-2", 1000),
+                        {}});
+  REQUIRE(eventually(
+      [&] { return this->call("/none/x", "r0", "key-2").Status == 404; }));
+  std::vector<std::future<std::chrono::steady_clock::time_point>> Ends;
+  for (int I = 0; I < 12; ++I)
+    Ends.push_back(std::async(std::launch::async, [this, I] {
+      const char *Path = I % 2 ? "/once/x" : "/chat/x";
+      this->call(Path, "r" + std::to_string(I + 1), "key-2");
+      return std::chrono::steady_clock::now();
+    }));
+  std::this_thread::sleep_for(milliseconds(300));
+  this->suspendFor(SuspendedDuration);
+  auto Resumed = std::chrono::steady_clock::now();
+  for (auto &End : Ends)
+    CHECK(End.get() - Resumed <= milliseconds(500));
+}
+
 } // namespace waycove::test
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -9,7 +9,9 @@
 // - a non-idempotent request runs at most once;
 // - a request refused as not run has not run;
 // - a response belongs to its request;
-// - requests are served after the faults have ended.
+// - requests are served after the faults have ended;
+// - a request that reached its route's timeout is ended within half a second of
+//   it, or of the moment from which its entry runs again, whatever the fault.
 //
 // --restores also restores the store from older copies repeatedly, while each
 // published configuration version replaces a key:
@@ -112,6 +114,10 @@
 /// Additional callers in a burst, about twice the slots of all groups.
 constexpr int BurstThreads = 60;
 constexpr milliseconds MaxOverrun(1000);
+/// The only version of the configuration in runs without restores.
+constexpr int FirstVersion = 1;
+/// By then after its route's timeout a request has to be ended.
+constexpr milliseconds EndBound(500);
 /// Maximum number of concurrent faults; leaves enough targets to serve.
 constexpr int MaxFaults = 3;
 constexpr milliseconds RecoveryTime(15000);
@@ -221,6 +227,8 @@
 
   unsigned long served() const { return this->Served; }
   unsigned long refused() const { return this->Refused; }
+  /// Requests that reached the longest timeout that their route may have had.
+  unsigned long timedOut() const { return this->TimedOut; }
   const std::string &folder() const { return this->Run.folder(); }
 
 private:
@@ -343,6 +351,8 @@
     std::uint64_t Begin = wallMs();
     Reply Response = this->call(Node, Stream ? "/chat/x" : "/once/x", Id);
     this->checkDuration(Id, Node, Begin);
+    if (!Response.Refused)
+      this->checkTimeout(Id, Node, Begin);
     if (Response.Refused || Response.Status == 0) {
       std::this_thread::sleep_for(milliseconds(50));
       return;
@@ -370,6 +380,23 @@
                          " ms at " + Node + " until the response ended");
   }
 
+  void checkTimeout(const std::string &Id, const std::string &Node,
+                    std::uint64_t Begin) {
+    // With restores, any version may be in force at an entry.
+    const int TimeoutMs =
+        FLAGS_restores ? LongestTimeoutMs : timeoutMsOf(FirstVersion);
+    std::uint64_t End = wallMs();
+    std::uint64_t Timeout = Begin + static_cast<std::uint64_t>(TimeoutMs);
+    if (End >= Timeout)
+      ++this->TimedOut;
+    std::uint64_t RunsSince = this->Outages.latestEnd(Node, Begin, End);
+    if (End > std::max(Timeout, RunsSince) + EndBound.count())
+      this->Failures.add(Id + ": ended " + std::to_string(End - Begin) +
+                         " ms after it was sent to " + Node + ", " +
+                         std::to_string(End - RunsSince) +
+                         " ms after that ran again");
+  }
+
   void checkStream(const std::string &Id, const Reply &Response) {
     if (Response.Status != 200)
       return;
@@ -419,6 +446,8 @@
     int Kind = this->randomBelow(8);
     if (Kind != 7)
       this->Faults.begin(Target);
+    if (Kind < 3)
+      this->Outages.begin(Target);
     if (Kind >= 3 && Kind < 7) {
       this->Links[Target]->set(static_cast<LinkFault>(Kind - 2));
       this->ActiveFaults[Target] = {
@@ -443,6 +472,7 @@
     if (this->ActiveFaults.contains(Node))
       return;
     this->Faults.begin(Node);
+    this->Outages.begin(Node);
     this->Run.suspend(Node);
     this->ActiveFaults[Node] = {Until,
                                 [this, Node] { this->Run.resume(Node); }};
@@ -520,6 +550,7 @@
       }
       At->second.End();
       this->Faults.end(At->first);
+      this->Outages.end(At->first);
       At = this->ActiveFaults.erase(At);
     }
   }
@@ -570,6 +601,7 @@
   std::atomic<int> SkewedEntry{0};
   std::atomic<unsigned long> Served{0};
   std::atomic<unsigned long> Refused{0};
+  std::atomic<unsigned long> TimedOut{0};
 };
 
 } // namespace
@@ -585,7 +617,8 @@
     waycove::test::Soak Run(Seed);
     std::string Failures = Run.run();
     std::cout << "seed " << Seed << ": " << Run.served() << " served, "
-              << Run.refused() << " refused: "
+              << Run.refused() << " refused, " << Run.timedOut()
+              << " at their timeout: "
               << (Failures.empty() ? "all promises held"
                                    : Failures + "logs: " + Run.folder())
               << std::endl;
--- a/tests/soak/soak_config.h
+++ b/tests/soak/soak_config.h
@@ -4,10 +4,20 @@
 
 #pragma once
 
+#include <array>
 #include <string>
 
 namespace waycove::test {
 
+/// Timeouts of the routes, which each version of the configuration changes.
+/// Callers wait longer.
+inline constexpr std::array RouteTimeoutsMs{2000, 1200, 2800};
+inline constexpr int LongestTimeoutMs = 2800;
+inline int timeoutMsOf(int Version) {
+  return RouteTimeoutsMs[static_cast<std::size_t>(Version) %
+                         RouteTimeoutsMs.size()];
+}
+
 /// Events of each stream.
 inline constexpr int Events = 40;
 
@@ -20,8 +30,9 @@
 
 /// Each version has a key that the next version revokes.
 inline std::string config(int Version) {
-  const std::string Route =
-      R"("host":"a.example","timeout_ms":6000,"goal_ms":300,"priority":1,)";
+  const std::string Route = R"("host":"a.example","timeout_ms":)" +
+                            std::to_string(timeoutMsOf(Version)) +
+                            R"(,"goal_ms":300,"priority":1,)";
   return R"({"version":)" + std::to_string(Version) +
          R"(,"routes":[{"name":"chat",)" + Route +
          R"("path_prefix":"/chat/","type":"streaming","service":"llm",)"
--- a/tests/soak/soak_system.cpp
+++ b/tests/soak/soak_system.cpp
@@ -39,6 +39,17 @@
                      });
 }
 
+std::uint64_t Disturbances::latestEnd(const std::string &Name,
+                                      std::uint64_t From, std::uint64_t Until) {
+  std::lock_guard Lock(this->Mutex);
+  std::uint64_t Latest = 0;
+  for (const Period &Row : this->Rows)
+    if (Row.Name == Name && Row.Begin <= Until &&
+        (Row.End == 0 || Row.End >= From))
+      Latest = std::max(Latest, Row.End == 0 ? Until : Row.End);
+  return Latest;
+}
+
 void FailedChecks::add(const std::string &What) {
   std::lock_guard Lock(this->Mutex);
   this->Lines += What + "\n";
--- a/tests/soak/soak_system.h
+++ b/tests/soak/soak_system.h
@@ -36,6 +36,10 @@
   /// Whether a fault was active at an entry, a target or its link.
   bool wasDisturbed(const std::string &Name, std::uint64_t From,
                     std::uint64_t Until);
+  /// When the latest fault between \p From and \p Until ended; 0 if there was
+  /// none, and \p Until if it lasts.
+  std::uint64_t latestEnd(const std::string &Name, std::uint64_t From,
+                          std::uint64_t Until);
 
 private:
   std::mutex Mutex;
@@ -74,6 +78,8 @@
   /// Set when no fault is injected any more.
   std::atomic<bool> FaultsOver{false};
   Disturbances Faults;
+  /// Times in which entries did not run, or were killed.
+  Disturbances Outages;
   FailedChecks Failures;
 };
 
--- a/tests/support/neighbours.cpp
+++ b/tests/support/neighbours.cpp
@@ -19,10 +19,11 @@
 constexpr int ReadyPorts = 10;
 constexpr std::chrono::milliseconds BetweenCalls(10);
 
-std::string configOf(int Version, const std::string &Key) {
+std::string configOf(int Version, const std::string &Key, int TimeoutMs) {
   return R"({"version":)" + std::to_string(Version) +
-         R"(,"routes":[{"name":"safe","host":"a.example","timeout_ms":6000,)"
-         R"("goal_ms":300,"priority":1,"path_prefix":"/safe/",)"
+         R"(,"routes":[{"name":"safe","host":"a.example","timeout_ms":)" +
+         std::to_string(TimeoutMs) +
+         R"(,"goal_ms":300,"priority":1,"path_prefix":"/safe/",)"
          R"("type":"idempotent","service":"plain","max_attempts":2}],)"
          R"("services":[{"name":"plain","max_conns":50}],)"
          R"("tenants":[{"name":"w1","api_keys":[")" +
@@ -117,11 +118,28 @@
 }
 
 void Neighbours::publish(int Version, const std::string &Key) {
-  this->Run.atPlatform(
-      {"POST",
-       "/store/put?topic=keyed.op&key=config",
-       this->HasEngines ? entryConfig(Version, Key) : configOf(Version, Key),
-       {}});
+  int TimeoutMs = static_cast<int>(this->RouteTimeout.count());
+  this->Run.atPlatform({"POST",
+                        "/store/put?topic=keyed.op&key=config",
+                        this->HasEngines ? entryConfig(Version, Key, TimeoutMs)
+                                         : configOf(Version, Key, TimeoutMs),
+                        {}});
+}
+
+void Neighbours::shortenTimeout(int Version,
+                                std::chrono::milliseconds Timeout) {
+  this->RouteTimeout = Timeout;
+  const std::string Key = "key-of-" + std::to_string(Version);
+  // The key shows that the version is in force.
+  this->publish(Version, "key-1\",\"" + Key);
+  if (!this->allReturnOk(Entries, Key))
+    throw std::runtime_error("the timeout is not in force");
+}
+
+void Neighbours::faultTargets(int Count, const std::string &Fault) {
+  for (int I = 1; I <= Count; ++I)
+    this->Run.vmFault("p-" + std::to_string(I),
+                      R"({"call":")" + Fault + R"("})");
 }
 
 int Neighbours::call(const std::string &Node, const std::string &Key,
--- a/tests/support/neighbours.h
+++ b/tests/support/neighbours.h
@@ -37,6 +37,11 @@
   static const std::vector<std::string> Entries;
 
   void publish(int Version, const std::string &Key);
+  /// Publishes a version in which the routes have another timeout, and waits
+  /// until it is in force at all entries.
+  void shortenTimeout(int Version, std::chrono::milliseconds Timeout);
+  /// Sets a fault of all plain targets; see standins/replica.h.
+  void faultTargets(int Count, const std::string &Fault);
   /// Sends one request and returns its status.
   int call(const std::string &Node, const std::string &Key,
            const std::string &Body = "body");
@@ -66,6 +71,8 @@
   /// Returns the start time of the last call that \p Vm ran.
   Time lastRunAt(const std::string &Vm);
 
+  /// Of the routes in versions that are published from now on.
+  std::chrono::milliseconds RouteTimeout{6000};
   Cluster Run;
   /// Proxies between each entry and the store.
   std::map<std::string, std::unique_ptr<LoopbackProxy>> Links;
