Close a group whose model is no longer configured, rather than end

What callers saw: all requests of an entry cut off about every two seconds, after a configuration had taken a model away of which a group was open. Cause: reviewGroup() counts a serving group under its model's name and took the name from the model of the configuration, which is not there; loadReserved() the same for a VM that is reserved for such a model. The group now serves on for 6 s, since this node's configuration may be the older one, and is closed then; such a reservation is dropped. Ruled out: closing at once, which would end a group of a model that this node does not know yet.

--- a/src/policy/domain_convert.cpp
+++ b/src/policy/domain_convert.cpp
@@ -153,9 +153,13 @@
     auto At = this->Reservations.find(Vm->incarnation());
     if (At == this->Reservations.end() || S.RemainingSpareLoads == 0)
       continue;
+    const ModelSpec *Model = S.Engine.model(At->second.Model);
+    if (!Model) {
+      this->Reservations.erase(At);
+      continue;
+    }
     --S.RemainingSpareLoads;
-    this->joinLoadGroup(S, Vm, *S.Engine.model(At->second.Model),
-                        "its group was converted");
+    this->joinLoadGroup(S, Vm, *Model, "its group was converted");
   }
 }
 
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -152,6 +152,8 @@
                   std::size_t Size);
   bool servesWhileDraining(const Step &S, const GroupKey &Key,
                            const AnnouncedGroup &Group);
+  void reviewUnlisted(Step &S, const GroupKey &Key,
+                      const AnnouncedGroup &Group);
   void reviewHeadless(Step &S, const GroupKey &Key,
                       const AnnouncedGroup &Group);
   void reviewForming(Step &S, const GroupKey &Key, const AnnouncedGroup &Group);
@@ -224,6 +226,8 @@
   std::set<GroupKey> AbandonedGroups;
   /// When a member of the group was first seen draining.
   std::map<GroupKey, TimePoint> DrainingSince;
+  /// Since when the configuration has not listed the model of a serving group.
+  std::map<GroupKey, TimePoint> UnlistedSince;
   std::map<std::tuple<GroupKey, OrderKind, VmIncarnation>, TimePoint>
       LastOrderAt;
   /// When staging of a model was last ordered on a VM's host.
--- a/src/policy/domain_review.cpp
+++ b/src/policy/domain_review.cpp
@@ -11,6 +11,13 @@
 
 namespace waycove {
 
+namespace {
+
+/// Longer than a configuration takes to be in force at all nodes.
+constexpr Millis UnlistedModelDelay(6000);
+
+} // namespace
+
 /// Determines the state of an announced group and adds the order that it needs.
 void DomainPlanner::reviewGroup(Step &S, const GroupKey &Key,
                                 const AnnouncedGroup &Group) {
@@ -34,6 +41,9 @@
   // While the head serves, no member may be reused.
   S.markBusy(Group);
   this->FormingGroups.erase(Key);
+  if (!Model)
+    return this->reviewUnlisted(S, Key, Group);
+  this->UnlistedSince.erase(Key);
   if (Complete &&
       (!Group.AnyDraining || this->servesWhileDraining(S, Key, Group))) {
     ++S.OwnCounts[Model->Name];
@@ -46,6 +56,19 @@
                  Complete ? "a member is draining" : "a member is gone");
 }
 
+/// Closes a serving group whose model the configuration does not list, once all
+/// nodes have had time to learn that: the model may also be newer than the
+/// configuration that this node has.
+void DomainPlanner::reviewUnlisted(Step &S, const GroupKey &Key,
+                                   const AnnouncedGroup &Group) {
+  TimePoint Since =
+      this->UnlistedSince.try_emplace(Key, S.View.Now).first->second;
+  if (S.View.Now - Since >= UnlistedModelDelay &&
+      Group.Head->Group->State == MemberState::Open)
+    this->addOrder(S, OrderKind::Close, Group.Head, Key,
+                   "its model is not configured");
+}
+
 /// Whether a group with a draining member, other than the head, still takes
 /// requests: the member serves on for the drain grace period.
 bool DomainPlanner::servesWhileDraining(const Step &S, const GroupKey &Key,
--- a/tests/unit/domain_stage_test.cpp
+++ b/tests/unit/domain_stage_test.cpp
@@ -240,4 +240,29 @@
   CHECK(ClosedAt(0) == 0);
 }
 
+// Guards against an owner that ends when a configuration takes a model away
+// while a group of it serves.
+TEST_CASE_METHOD(StageFixture,
+                 "staging: the model of a serving group is taken out of the "
+                 "configuration: the group serves on, then closes",
+                 "[unit]") {
+  this->addFree(4, "small");
+  std::erase_if(this->Engine.Models,
+                [](const ModelSpec &Model) { return Model.Name == "large"; });
+  auto ClosesBy = [&](int Ms) {
+    bool Closes = false;
+    for (int Now = 0; Now < Ms; Now += 100) {
+      this->View.Now = at(Now);
+      for (const GroupOrder &Order :
+           this->Planner.step(this->View, this->Engine)) {
+        CHECK(Order.Model != "large");
+        Closes |= Order.Kind == OrderKind::Close;
+      }
+    }
+    return Closes;
+  };
+  CHECK_FALSE(ClosesBy(5000));
+  CHECK(ClosesBy(8000));
+}
+
 } // namespace waycove::test
