Give up an earlier life's share of domains before the first lease

What callers saw: streams cut off when the head of an open group took a late order to join another one. Cause: an owner that starts again within its lease keeps its domains and the generation of the store, so its fence and epochs begin as in its earlier life, whose late orders then look newer than its own. A process now leaves the assignment before its first join, unless the whole system starts for the first time: the store assigns anew under another generation, and fence and epochs are above all of the earlier life. Ruled out: skipping epochs that were not seen, since how many is unknown; counting from the clock, which wraps within the 20 bits and may jump. Cost: one call a start of a member, and its share moves to others meanwhile, as after a stop of two seconds and more. Before: the test's second life orders with fence 12 and epoch again; after: with a later fence.

--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -47,6 +47,8 @@
                              : "enough other nodes participate");
       return RenewInterval;
     }
+    if (!this->HasEndedEarlierLife && !this->endEarlierLife())
+      return this->RetryBackoff.next();
     TimePoint SentAt = SystemClock{}.now();
     Millis Duration =
         std::max(LeaseDuration, this->Board.Config.Entry->MinLease);
@@ -54,10 +56,7 @@
     absl::StatusOr<PartitionAssignment> Assignment =
         this->Partitioner.join(this->knownGeneration(), Duration);
     if (!Assignment.ok()) {
-      if (!this->Unreachable.exchange(true))
-        this->Board.Log.emit(
-            EventCode::LogUnreachable, "ownership",
-            LogFields().add("reason", messageOf(Assignment.status())));
+      this->recordUnreachable(Assignment.status());
       return this->RetryBackoff.next();
     }
     if (this->Unreachable.exchange(false))
@@ -148,6 +147,26 @@
   /// Longest time between the check of the lease and an order's arrival.
   static constexpr Millis LeaseMargin{300};
 
+  /// Gives up what an earlier life of this process may still hold, so that this
+  /// one gets another generation: under the same fence it would give epochs a
+  /// second time, and late orders of the earlier life would look newer than
+  /// its own. Returns false if the store does not confirm that.
+  bool endEarlierLife() {
+    this->Board.Counters.Calls.add(StoreUse::Shares, CallCause::Start);
+    absl::Status Left = this->Partitioner.leave();
+    if (Left.ok())
+      this->HasEndedEarlierLife = true;
+    else
+      this->recordUnreachable(Left);
+    return Left.ok();
+  }
+
+  void recordUnreachable(const absl::Status &Error) {
+    if (!this->Unreachable.exchange(true))
+      this->Board.Log.emit(EventCode::LogUnreachable, "ownership",
+                           LogFields().add("reason", messageOf(Error)));
+  }
+
   /// Whether this node is one of the members that partitions are assigned to.
   bool shouldParticipate(TimePoint Now) {
     if (this->isCutOff(Now))
@@ -266,9 +285,8 @@
   }
 
   /// First epoch of this ownership: above every epoch that the domain's VMs
-  /// show, and above those that an earlier incarnation of this process may have
-  /// used unseen. A process that restarts within its lease keeps its domains
-  /// and the generation, so the fence alone does not separate the two.
+  /// show, and above those of this fence that may have been used unseen, e.g.
+  /// before the registry was read anew.
   static std::uint64_t firstFloor(const DomainView &View) {
     std::uint64_t Seen = 0;
     auto Include = [&](const TargetInfo &Target) {
@@ -335,7 +353,9 @@
     this->OwnLease.drop();
     this->Assigned.write(
         [](PartitionAssignment &Row) { Row.Partitions.clear(); });
-    this->Partitioner.leave();
+    // If the call fails, the lease expires by itself.
+    if (absl::Status Left = this->Partitioner.leave(); !Left.ok())
+      this->recordUnreachable(Left);
     this->Board.Log.emit(EventCode::DomainsOwned, this->Board.Config.Node.Text,
                          LogFields().add("parts", "").add("reason", Reason));
   }
@@ -360,6 +380,8 @@
   Lease OwnLease;
   Table<PartitionAssignment, LockRank::Peers> Assigned;
   std::atomic<bool> Joined{false};
+  /// The first start of the whole system has no earlier life.
+  bool HasEndedEarlierLife = this->Board.Config.Entry->FirstStart;
   std::atomic<bool> Unreachable{false};
   Backoff RetryBackoff;
   std::map<DomainId, OwnedDomain> Planners;
--- a/src/control/keyed_feed.h
+++ b/src/control/keyed_feed.h
@@ -96,7 +96,7 @@
   {
     Service.join(Generation, Time)
     } -> std::same_as<absl::StatusOr<PartitionAssignment>>;
-  Service.leave();
+  { Service.leave() } -> std::same_as<absl::Status>;
 };
 
 /// Exponential backoff between attempts to reach a dependency.
--- a/tests/unit/domain_owner_test.cpp
+++ b/tests/unit/domain_owner_test.cpp
@@ -19,11 +19,17 @@
 struct FakePartitioner {
   absl::StatusOr<PartitionAssignment> join(std::uint64_t Generation, Millis) {
     this->ReportedGeneration = Generation;
+    this->IsMember = true;
     return this->Assigned;
   }
-  void leave() {}
+  absl::Status leave() {
+    if (std::exchange(this->IsMember, false))
+      ++this->Assigned.Generation;
+    return absl::OkStatus();
+  }
 
   PartitionAssignment Assigned;
+  bool IsMember = false;
   std::uint64_t ReportedGeneration = 0;
 };
 
@@ -99,21 +105,27 @@
     this->Partitioner.Assigned.Generation = Generation;
     this->renewLease();
   }
-  void renewLease() {
-    if (!this->Owner.pollLease())
-      this->Owner.renewLease();
+  using TestedOwner = DomainOwner<FakePartitioner, FakeControl>;
+
+  void renewLease() { renewLeaseOf(this->Owner); }
+  static void renewLeaseOf(TestedOwner &Renewed) {
+    if (!Renewed.pollLease())
+      Renewed.renewLease();
   }
   /// Renews the lease and plans for \p Time or until targets accept an order;
   /// returns whether they did. The registry is read meanwhile unless \p Unread.
   bool plan(Millis Time, bool Unread = false) {
+    return this->planWith(this->Owner, Time, Unread);
+  }
+  bool planWith(TestedOwner &Planner, Millis Time, bool Unread = false) {
     int Before = this->Targets.Accepted;
     for (TimePoint End = SystemClock{}.now() + Time;
          SystemClock{}.now() < End && this->Targets.Accepted == Before;) {
       if (!Unread)
         this->Board.RegistryProvenAt.raise(SystemClock{}.now());
-      this->renewLease();
-      if (!this->Owner.pollPlan())
-        this->Owner.plan();
+      renewLeaseOf(Planner);
+      if (!Planner.pollPlan())
+        Planner.plan();
       std::this_thread::sleep_for(Millis(50));
     }
     return this->Targets.Accepted > Before;
@@ -122,7 +134,7 @@
   EntryBoard Board;
   FakePartitioner Partitioner;
   FakeControl Targets;
-  DomainOwner<FakePartitioner, FakeControl> Owner{Board, Partitioner, Targets};
+  TestedOwner Owner{Board, Partitioner, Targets};
 };
 
 TEST_CASE_METHOD(OwnerFixture,
@@ -183,6 +195,23 @@
   CHECK(this->plan(Millis(3000)));
 }
 
+// Guards against epochs that are given twice, so that a late order of before
+// the restart takes a target out of a group that serves.
+TEST_CASE_METHOD(OwnerFixture,
+                 "domain owner: its process starts again within the lease: it "
+                 "orders under another fence",
+                 "[unit]") {
+  this->list(0);
+  this->deal(0, 12);
+  REQUIRE(this->plan(Millis(5000)));
+  std::uint64_t Fence = this->Targets.NewestFence;
+  std::uint64_t Epoch = this->Targets.Epoch;
+  TestedOwner NextLife{this->Board, this->Partitioner, this->Targets};
+  CHECK(this->planWith(NextLife, Millis(5000)));
+  CHECK(this->Targets.NewestFence > Fence);
+  CHECK(this->Targets.Epoch > Epoch);
+}
+
 // Guards against planning after a suspension with an outdated registry.
 TEST_CASE_METHOD(OwnerFixture,
                  "domain owner: nothing was read since it got the domain: "
