--- a/tests/failure/entry_test.cpp
+++ b/tests/failure/entry_test.cpp
@@ -12,6 +12,8 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <set>
+#include <sstream>
 #include <thread>
 
 namespace waycove::test {
@@ -234,6 +236,34 @@
   CHECK(eventually([&] { return this->call("/chat/x", "r2").Status == 200; }));
 }
 
+// Guards against fences and epochs that are given a second time, and against a
+// restart after which no group is formed any more.
+TEST_CASE_METHOD(EntryFixture,
+                 "entry: killed and restarted within its lease after the first "
+                 "start: its share is assigned anew, and it repairs groups",
+                 "[failure]") {
+  auto Generations = [&] {
+    std::set<std::string> Seen;
+    std::istringstream Lines(this->Run.logOf("n1"));
+    const std::string Field = "\"generation\":";
+    for (std::string Line; std::getline(Lines, Line);)
+      if (std::size_t At = Line.find(Field); At != std::string::npos)
+        Seen.insert(Line.substr(At, Line.find_first_of(",}", At) - At));
+    return Seen;
+  };
+  REQUIRE(Generations().size() == 1);
+  this->Run.killNode("n1");
+  const std::string First = ", first_start: true";
+  this->Run.ExtraSettings.erase(this->Run.ExtraSettings.find(First),
+                                First.size());
+  this->Run.startNode("n1");
+  REQUIRE(eventually([&] { return this->isReady(); }));
+  CHECK(eventually([&] { return Generations().size() == 2; }));
+  CHECK(this->call("/chat/x", "r1").Status == 200);
+  this->Run.killVm("e-1");
+  CHECK(eventually([&] { return this->call("/chat/x", "r2").Status == 200; }));
+}
+
 TEST_CASE_METHOD(EntryFixture,
                  "entry: the caller leaves: the target's stream is dropped",
                  "[failure]") {
