Give up a frame without deadline only when its peer reads nothing

A frame of several megabytes takes longer than 3 s on a slow link. Since the waits are bounded by moments, the 3 s were for the whole frame, where they had been for each call of send(); they are for a lack of progress again.

--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -82,11 +82,8 @@
   return static_cast<std::size_t>(std::max<ssize_t>(Sent, 0));
 }
 
-bool FrameSocket::send(const wire::FrameT &Frame) {
-  return this->send(Frame, BootClock::now() + SendTimeout);
-}
-
-bool FrameSocket::send(const wire::FrameT &Frame, TimePoint Until) {
+bool FrameSocket::send(const wire::FrameT &Frame,
+                       std::optional<TimePoint> Until) {
   std::string Bytes = packFrame(Frame);
   auto Size = static_cast<std::uint32_t>(Bytes.size());
   std::string Out(LengthBytes, '\0');
@@ -97,7 +94,8 @@
   try {
     std::string_view Rest = Out;
     while (!Rest.empty())
-      Rest.remove_prefix(this->sendSome(Rest, Until));
+      Rest.remove_prefix(
+          this->sendSome(Rest, Until.value_or(BootClock::now() + SendTimeout)));
     this->Counters.add(Counter::PeerBytesOut, Out.size());
     return true;
   } catch (const Poco::Exception &) {
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -34,11 +34,11 @@
   static absl::StatusOr<Poco::Net::StreamSocket>
   dial(const std::string &Host, std::uint16_t Port, Millis Timeout);
 
-  /// Sends \p Frame. Returns false if the connection is broken; the frame may
-  /// still have arrived.
-  bool send(const wire::FrameT &Frame);
-  /// The same, but gives up at \p Until, also if the peer does not read.
-  bool send(const wire::FrameT &Frame, TimePoint Until);
+  /// Sends \p Frame. Gives up at \p Until, or if the peer reads nothing for 3
+  /// s. Returns false if the connection is broken then; the frame may still
+  /// have arrived.
+  bool send(const wire::FrameT &Frame,
+            std::optional<TimePoint> Until = std::nullopt);
   /// Receives the next frame. Errors: OutcomeUnknown if the connection ended or
   /// nothing arrived within \p Timeout; BadRequest for a damaged frame.
   absl::StatusOr<wire::FrameT> receive(Millis Timeout);
