--- a/tests/failure/suspended_test.cpp
+++ b/tests/failure/suspended_test.cpp
@@ -83,7 +83,9 @@
   REQUIRE(eventually(
       [&] { return this->call("/none/x", "r0", "key-2").Status == 404; }));
   std::vector<std::future<std::chrono::steady_clock::time_point>> Ends;
-  for (int I = 0; I < 12; ++I)
+  constexpr int Count = 12;
+  Ends.reserve(Count);
+  for (int I = 0; I < Count; ++I)
     Ends.push_back(std::async(std::launch::async, [this, I] {
       const char *Path = I % 2 ? "/once/x" : "/chat/x";
       this->call(Path, "r" + std::to_string(I + 1), "key-2");
--- a/tests/failure/timeouts_test.cpp
+++ b/tests/failure/timeouts_test.cpp
@@ -93,7 +93,7 @@
         Poco::Net::SocketAddress("127.0.0.1", this->Run.httpPort("n1")));
     std::string Text = "POST " + Path + " HTTP/1.1\r\nContent-Length: 4\r\n";
     for (const auto &[Name, Value] : this->requestOf(Path, Id).Headers)
-      Text += Name + ": " + Value + "\r\n";
+      Text.append(Name).append(": ").append(Value).append("\r\n");
     Text += "\r\nbody";
     Socket.sendBytes(Text.data(), static_cast<int>(Text.size()));
     return Socket;
