--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -87,6 +87,10 @@
       {PollerDelayed, Warning, "poller_delayed",
        "The thread that accepts connections and notices requests was held up; "
        "the fields give by what and for how long."},
+      {NodeStoodStill, Warning, "node_stood_still",
+       "No thread of this node ran for some time: its process was stopped, or "
+       "its machine was suspended or too busy. The time does not count as "
+       "silence of targets."},
       {RecordAccepted, Info, "record_accepted",
        "A log record was accepted into the folded state."},
       {RecordRefused, Info, "record_refused",
@@ -186,7 +190,9 @@
        "timeout, how long it was unread and how long its response took to be "
        "written."},
       {RequestCut, Warning, "request_cut",
-       "A response that had started could not be completed."},
+       "A response that had started could not be completed; the fields give "
+       "the "
+       "cause, the time that was left and how its last attempt ended."},
       {SettingsReloaded, Info, "settings_reloaded",
        "The settings file was read again and is valid; changes take effect "
        "after a restart."},
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -54,6 +54,8 @@
   FirstAttemptsRejected,
   /// Requests that were not ended in time after their timeout.
   RequestsOverdue,
+  /// Times at which this node found that it had stood still.
+  Standstills,
   Count
 };
 
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -123,6 +123,8 @@
   Lease RegistryLease;
   /// All changes of the registry up to this time are in Targets.
   LatestTime RegistryProvenAt;
+  /// When this node last noted that it runs; see StandstillMonitor.
+  LatestTime RunningAt;
   /// State of Reach, and whether it has failures that a success would clear;
   /// read without a lock for each request.
   std::atomic<TargetReach::State> ReachState{TargetReach::State::Sound};
@@ -172,6 +174,12 @@
       Newest = std::max(Newest, Feed.Cache.marks().Era);
     return Newest;
   }
+  /// How long this node has run between \p From and \p Until.
+  Millis runningTime(TimePoint From, TimePoint Until) const {
+    return this->TargetStats.read([&](const TargetStatsTable &Stats) {
+      return Stats.runningTime(From, Until);
+    });
+  }
   FeedCache &feed(FeedKind Kind) { return this->feedState(Kind).Cache; }
   /// Returns the configured time within which a change of the feed must be
   /// known; unset for feeds without such a bound.
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -13,6 +13,7 @@
 #include "control/node_follower.h"
 #include "control/reach_prober.h"
 #include "control/registry_follower.h"
+#include "control/standstill_monitor.h"
 #include "control/store_reader.h"
 #include "entry/caller_server.h"
 #include "entry/carrier.h"
@@ -256,6 +257,10 @@
         this->Steps.add({.Poll = [this] { return this->Reach.poll(); },
                          .Run = [this] { return this->Reach.probe(); }});
     this->Board.OnReachDoubt = [this, Reach] { this->Steps.wake(Reach); };
+    this->Steps.add([this] {
+      this->Standstills.onRunning(SystemClock{}.now());
+      return RunningInterval;
+    });
     this->Steps.add([this] {
       this->sweep();
       return SweepInterval;
@@ -276,6 +281,7 @@
   }
 
   EntryBoard Board;
+  StandstillMonitor Standstills{this->Board};
   TargetConnectionPool Pool;
   Reader ConfigReader;
   Reader RegistryReader;
--- a/src/entry/relay_log.cpp
+++ b/src/entry/relay_log.cpp
@@ -6,6 +6,8 @@
 
 #include "policy/urgency.h"
 
+#include <algorithm>
+
 namespace waycove {
 
 namespace {
@@ -202,6 +204,8 @@
             .add("target", To.Target->Id.Text)
             .add("incarnation_ms", To.Target->StartedAt.Value)
             .add("first_byte_ms", Ex.Progress.FirstByte.value_or(Millis(0))));
+  else if (Ex.Response.hasStarted())
+    this->emitCut(Ex, Ex.Progress.Reason);
 }
 
 void RelayLog::requestFailed(const RelayExchange &Ex,
@@ -215,8 +219,17 @@
 
 void RelayLog::requestCut(const RelayExchange &Ex, const std::string &Reason) {
   this->Board.Counters.add(Counter::RequestsCut);
+  this->emitCut(Ex, Reason);
+}
+
+void RelayLog::emitCut(const RelayExchange &Ex, const std::string &Reason) {
+  auto Left = std::chrono::duration_cast<Millis>(Ex.Request.Deadline -
+                                                 SystemClock{}.now());
   this->Board.Log.emit(EventCode::RequestCut, Ex.Request.Info.Id.Text,
-                       requestFields(Ex).add("reason", Reason));
+                       requestFields(Ex)
+                           .add("reason", Reason)
+                           .add("left_ms", std::max(Left, Millis(0)))
+                           .add("last_attempt", Ex.Progress.Reason));
 }
 
 void RelayLog::requestEnded(const RelayExchange &Ex) {
--- a/src/entry/relay_log.h
+++ b/src/entry/relay_log.h
@@ -49,6 +49,7 @@
   void requestRefused(const RelayExchange &Ex, const absl::Status &Error);
 
 private:
+  void emitCut(const RelayExchange &Ex, const std::string &Reason);
   void recordLimit(const StatementSource &From,
                    const TargetStatement &Statement);
   void recordPause(const StatementSource &From,
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -78,6 +78,7 @@
       Attempt.Reason = "the deadline passed";
       return AttemptOutcome::Stalled;
     }
+    this->Standstills.onRunning(Now);
     if (this->hasLostWay(Attempt, Now) &&
         this->Retries.mayAbandon(Ex.Request, Ex.Progress, Now))
       return AttemptOutcome::Stalled;
--- a/src/entry/response_wait.h
+++ b/src/entry/response_wait.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "control/reach_monitor.h"
+#include "control/standstill_monitor.h"
 #include "entry/relay_log.h"
 #include "entry/retry_policy.h"
 
@@ -17,7 +18,7 @@
   ResponseWait(EntryBoard &Board, RetryPolicy &Retries, RelayLog &Log,
                BufferBudget &Buffers)
       : Board(Board), Retries(Retries), Log(Log), Buffers(Buffers),
-        Monitor(Board) {}
+        Monitor(Board), Standstills(Board) {}
 
   /// Waits for bytes from the target. Returns how the attempt ends, or nothing
   /// if bytes were received.
@@ -41,6 +42,7 @@
   RelayLog &Log;
   BufferBudget &Buffers;
   ReachMonitor Monitor;
+  StandstillMonitor Standstills;
 };
 
 } // namespace waycove
--- a/src/policy/target_stats.cpp
+++ b/src/policy/target_stats.cpp
@@ -53,6 +53,11 @@
   return std::chrono::duration_cast<Millis>(Now - Since);
 }
 
+Millis TargetStatsTable::runningTime(TimePoint From, TimePoint Until) const {
+  return std::chrono::duration_cast<Millis>(
+      this->Standstills.runningTime(From, Until));
+}
+
 void TargetStatsTable::onStart(const VmIncarnation &Target, double PromptTokens,
                                TimePoint Now) {
   TargetStats &Stats = this->Targets[Target];
--- a/src/policy/target_stats.h
+++ b/src/policy/target_stats.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "policy/load_reports.h"
+#include "policy/standstill.h"
 
 #include <cstddef>
 #include <functional>
@@ -56,6 +57,10 @@
 /// fault of this node alone. Not thread-safe.
 class TargetStatsTable {
 public:
+  /// This node has stood still, which is no silence of any target.
+  void onStandstill(const Standstill &Found) { this->Standstills.add(Found); }
+  /// How long this node has run between \p From and \p Until.
+  Millis runningTime(TimePoint From, TimePoint Until) const;
   void onStart(const VmIncarnation &Target, double PromptTokens, TimePoint Now);
   /// Records the first byte of the response to the request sent at \p SentAt.
   void onFirstByte(const VmIncarnation &Target, TimePoint SentAt,
@@ -121,6 +126,7 @@
   static void stopWaiting(TargetStats &Stats, TimePoint SentAt,
                           double PromptTokens);
   std::unordered_map<VmIncarnation, TargetStats, IncarnationHash> Targets;
+  StandstillHistory Standstills;
   /// Summed reports of other nodes, by the hash of the target.
   TargetLoads Reported;
   TimePoint ReportedAt;
