--- /dev/null
+++ b/tests/failure/started_answers_test.cpp
@@ -0,0 +1,344 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+// An answer that an entry has started reaches its caller whole, as long as its
+// target would still finish it or another can go on: a standstill of the entry
+// is no silence of the target, and a running attempt is not given up before
+// another one is certain. What is cut says why in the log.
+#include "support/neighbours.h"
+#include "support/started_answers_fixture.h"
+
+#include <array>
+#include <csignal>
+
+namespace waycove::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Longer than a target may be silent within a stream.
+constexpr milliseconds TargetStandstill(1600);
+/// Of entries and targets that stand still at the same moment: the entries go
+/// on first.
+constexpr milliseconds EntryStandstill(1200);
+constexpr milliseconds TargetsLater(300);
+
+} // namespace
+
+struct StandstillFixture : StartedAnswersFixture {
+  StandstillFixture() : StartedAnswersFixture(StartedAnswersSetup{}) {}
+
+  static constexpr int Count = 200;
+  /// Targets that stand still.
+  static constexpr int Still = 6;
+};
+
+// Guards against streams that are given up for another target together, more
+// of them than there are retries, although their own targets go on.
+TEST_CASE_METHOD(StandstillFixture,
+                 "started answers: targets stand still for longer than a "
+                 "target may be silent, and go on: every stream ends whole",
+                 "[failure]") {
+  this->publishInSeries();
+  Streams Started = this->startStreams(Count);
+  this->bringIntoStep();
+  this->signalTargets(1, Still, SIGSTOP);
+  std::this_thread::sleep_for(TargetStandstill);
+  this->signalTargets(1, Still, SIGCONT);
+  this->checkAllWhole(Started);
+}
+
+// Guards against an entry that takes the time for which it stood still itself
+// for silence of its targets, and gives up many streams as soon as it goes on.
+TEST_CASE_METHOD(StandstillFixture,
+                 "started answers: entries and targets stand still at the same "
+                 "moment: every stream ends whole",
+                 "[failure]") {
+  this->publishInSeries();
+  Streams Started = this->startStreams(Count);
+  this->signalEntries(SIGSTOP);
+  this->signalTargets(1, Still, SIGSTOP);
+  std::this_thread::sleep_for(EntryStandstill);
+  this->signalEntries(SIGCONT);
+  std::this_thread::sleep_for(TargetsLater);
+  this->signalTargets(1, Still, SIGCONT);
+  this->checkAllWhole(Started);
+}
+
+// Guards against the same where all targets have gone on meanwhile.
+TEST_CASE_METHOD(StandstillFixture,
+                 "started answers: entries stand still and their targets go "
+                 "on: every stream ends whole",
+                 "[failure]") {
+  this->publishInSeries();
+  Streams Started = this->startStreams(Count);
+  this->signalEntries(SIGSTOP);
+  std::this_thread::sleep_for(TargetStandstill);
+  this->signalEntries(SIGCONT);
+  this->checkAllWhole(Started);
+}
+
+/// Few retries at a time, and more of them each second.
+struct FewRetriesFixture : StartedAnswersFixture {
+  FewRetriesFixture()
+      : StartedAnswersFixture({.TokenTime = milliseconds(75),
+                               .RetryWindow = milliseconds(1000)}) {}
+};
+
+// Guards against streams that are cut because no retry is left at the moment
+// at which their target ends, although others serve and time is left.
+TEST_CASE_METHOD(FewRetriesFixture,
+                 "started answers: targets end and the retries are used up: "
+                 "each stream goes on at another target later",
+                 "[failure]") {
+  constexpr int Killed = 3;
+  this->publishInSeries();
+  Streams Started = this->startStreams(120);
+  // The requests themselves earn no retries any more.
+  std::this_thread::sleep_for(this->Setup.RetryWindow);
+  for (int I = 1; I <= Killed; ++I)
+    this->Run.killVm(targetName(I));
+  this->checkAllWhole(Started);
+}
+
+/// One entry with more retries than streams.
+struct NoTargetFixture : StartedAnswersFixture {
+  NoTargetFixture()
+      : StartedAnswersFixture({.Entries = 1,
+                               .Targets = 4,
+                               .TokenTime = milliseconds(50),
+                               .RetrySlack = 1000}) {}
+  /// Whether the entry knows that the targets rest.
+  bool allRest(int First, int Last) {
+    std::string Log = this->Run.logOf("n1");
+    for (int I = First; I <= Last; ++I)
+      if (Log.find("\"target_rests\",\"node\":\"n1\",\"subject\":\"" +
+                   targetName(I) + "\"") == std::string::npos)
+        return false;
+    return true;
+  }
+};
+
+// Guards against streams that are cut when all other targets rest for a second.
+TEST_CASE_METHOD(NoTargetFixture,
+                 "started answers: a target ends while all others rest: its "
+                 "streams go on when they take requests again",
+                 "[failure]") {
+  Streams Started = this->startStreams(24);
+  REQUIRE(this->running(1, 1) > 0);
+  this->faultTargets(2, 4, R"({"call":"busy","rest":"1"})");
+  this->Run.killVm(targetName(1));
+  CHECK(eventually([&] { return this->allRest(2, 4); }, milliseconds(2000)));
+  this->faultTargets(2, 4, R"({"call":"ok"})");
+  this->checkAllWhole(Started);
+}
+
+// Guards against streams that are cut when the others are full for a second,
+// and turn requests away without saying for how long.
+TEST_CASE_METHOD(NoTargetFixture,
+                 "started answers: a target ends while all others are full: "
+                 "its streams go on when one has a slot",
+                 "[failure]") {
+  Streams Started = this->startStreams(24);
+  REQUIRE(this->running(1, 1) > 0);
+  this->faultTargets(2, 4, R"({"call":"busy","rest":""})");
+  this->Run.killVm(targetName(1));
+  std::this_thread::sleep_for(milliseconds(1000));
+  this->faultTargets(2, 4, R"({"call":"ok"})");
+  this->checkAllWhole(Started);
+}
+
+// Guards against streams that are cut when the registry lists no other target
+// for a second.
+TEST_CASE_METHOD(NoTargetFixture,
+                 "started answers: a target ends while no other is listed: its "
+                 "streams go on when one is",
+                 "[failure]") {
+  Streams Started = this->startStreams(24);
+  REQUIRE(this->running(1, 1) > 0);
+  for (int I = 2; I <= 4; ++I)
+    this->Run.atPlatform({"POST",
+                          "/store/put?topic=keyed.servers&key=" + targetName(I),
+                          "",
+                          {}});
+  REQUIRE(
+      eventually([&] { return this->serves("n1", 1); }, milliseconds(2000)));
+  this->Run.killVm(targetName(1));
+  std::this_thread::sleep_for(milliseconds(1000));
+  for (int I = 2; I <= 4; ++I)
+    this->Run.atVm(targetName(I), {"POST", "/publish", "", {}});
+  this->checkAllWhole(Started);
+}
+
+/// Three entries that reach their targets through links which can break.
+struct BrokenLinksFixture : Neighbours {
+  BrokenLinksFixture()
+      : Neighbours("retry_slack: 1000", NeighbourTargets{1, 4, true}) {
+    std::string Config = entryConfig(2, "key-1");
+    const std::string Attempts = R"("max_attempts":2,"resumable")";
+    Config.replace(Config.find(Attempts), Attempts.size(),
+                   R"("max_attempts":5,"resumable")");
+    this->Run.atPlatform(
+        {"POST", "/store/put?topic=keyed.op&key=config", Config, {}});
+    for (const std::string &Entry : Entries)
+      REQUIRE(eventually([&] {
+        return this->Run.logOf(Entry).find("\"config_applied\",\"node\":\"" +
+                                           Entry + "\",\"subject\":\"2\"") !=
+                   std::string::npos &&
+               this->stream(Entry).Status == 200;
+      }));
+  }
+  Reply stream(const std::string &Entry) {
+    std::string Id = "b" + std::to_string(++this->StreamCount);
+    return this->Run.ask(Entry, {"POST",
+                                 "/chat/x",
+                                 "body of " + Id,
+                                 {{"Host", "a.example"},
+                                  {"Authorization", "Bearer key-1"},
+                                  {"X-Request-Id", Id},
+                                  {"X-Model", "model"},
+                                  {"X-Token-Count", "100,50"},
+                                  {"X-Deadline-Ms", "6000"}}});
+  }
+  std::uint64_t running() {
+    std::uint64_t Sum = 0;
+    for (int I = 1; I <= 4; ++I)
+      Sum += this->Run.atVm("e-" + std::to_string(I), {.Path = "/runs"})
+                 .number("running");
+    return Sum;
+  }
+  /// Checks that streams end whole although \p Fault lasts for \p Duration
+  /// while they run.
+  void checkWholeDespite(LinkFault Fault, milliseconds Duration) {
+    constexpr std::size_t Count = 12;
+    std::vector<std::future<Reply>> Started;
+    for (std::size_t I = 0; I < Count; ++I)
+      Started.push_back(std::async(std::launch::async, [this, I] {
+        return this->stream(Entries[I % Entries.size()]);
+      }));
+    REQUIRE(eventually([&] { return this->running() == Count; }));
+    std::this_thread::sleep_for(milliseconds(50));
+    for (const std::string &Entry : Entries)
+      this->cutOff(Entry, Fault);
+    std::this_thread::sleep_for(Duration);
+    for (const std::string &Entry : Entries)
+      this->cutOff(Entry, LinkFault::None);
+    std::size_t Whole = 0;
+    for (auto &Stream : Started)
+      Whole += Stream.get().Body == wholeStream() ? 1 : 0;
+    CHECK(Whole == Count);
+  }
+  std::atomic<int> StreamCount{0};
+};
+
+// Guards against streams that are cut because neither this entry nor another
+// one reaches a target at this moment.
+TEST_CASE_METHOD(BrokenLinksFixture,
+                 "started answers: the links of all entries break for a "
+                 "second: every stream goes on when they are back",
+                 "[failure]") {
+  this->checkWholeDespite(LinkFault::Reset, milliseconds(1000));
+}
+
+/// One entry whose log is read.
+struct CutCauseFixture : StartedAnswersFixture {
+  CutCauseFixture()
+      : StartedAnswersFixture({.Entries = 1,
+                               .Targets = 4,
+                               .TokenTime = milliseconds(50),
+                               .RetrySlack = 1000,
+                               .GracePeriod = milliseconds(1500)}) {}
+  /// Reads until the caller has the start of a stream.
+  static void readStart(Poco::Net::StreamSocket &Caller) {
+    std::string Text;
+    std::array<char, 4096> Chunk{};
+    while (Text.find("id: 1\n") == std::string::npos) {
+      int Received = Caller.receiveBytes(Chunk.data(), Chunk.size());
+      REQUIRE(Received > 0);
+      Text.append(Chunk.data(), static_cast<std::size_t>(Received));
+    }
+  }
+  static void readToEnd(Poco::Net::StreamSocket &Caller) {
+    std::vector<char> Chunk(1 << 16);
+    try {
+      while (Caller.receiveBytes(Chunk.data(), static_cast<int>(Chunk.size())) >
+             0)
+        ;
+    } catch (const Poco::Exception &) {
+      // Reset, as a response may be that is cut.
+      return;
+    }
+  }
+  /// Sends a request whose stream is cut, and checks the line about it.
+  void checkCutFor(const std::string &Cause, const HttpRequest &Request) {
+    Reply Response = this->Run.ask("n1", Request);
+    CHECK(Response.Status == 200);
+    CHECK(Response.Cut);
+    this->checkCutOnce("n1", Request.Headers.at("X-Request-Id"), Cause);
+  }
+};
+
+// Guards against a cut stream whose log does not tell whether its caller left,
+// or stopped reading.
+TEST_CASE_METHOD(CutCauseFixture,
+                 "started answers: a caller leaves, or stops reading until its "
+                 "time is over or its target ends: one line says so",
+                 "[failure]") {
+  {
+    Poco::Net::StreamSocket Caller =
+        this->send(this->requestOf("/chat/x", "leaves"));
+    readStart(Caller);
+  }
+  this->checkCutOnce("n1", "leaves", "caller_left");
+
+  this->faultTargets(1, 4, R"({"call":"flood"})");
+  Poco::Net::StreamSocket Caller =
+      this->send(this->requestOf("/chat/x", "never-reads", milliseconds(1000)));
+  readStart(Caller);
+  this->checkCutOnce("n1", "never-reads", "caller_slow");
+
+  Poco::Net::StreamSocket Later =
+      this->send(this->requestOf("/chat/x", "reads-late"));
+  readStart(Later);
+  std::this_thread::sleep_for(milliseconds(1500));
+  for (int I = 1; I <= 4; ++I)
+    this->Run.killVm(targetName(I));
+  readToEnd(Later);
+  this->checkCutOnce("n1", "reads-late", "caller_slow");
+}
+
+// Guards against a cut stream whose log does not tell whether it could have
+// gone on at another target.
+TEST_CASE_METHOD(CutCauseFixture,
+                 "started answers: targets break streams off, or the time is "
+                 "over: one line says why each was cut",
+                 "[failure]") {
+  this->checkCutFor("timeout",
+                    this->requestOf("/chat/x", "short", milliseconds(700)));
+  this->faultTargets(1, 4, R"({"call":"flood"})");
+  this->checkCutFor("timeout",
+                    this->requestOf("/chat/x", "flooded", milliseconds(500)));
+  this->faultTargets(1, 4, R"({"call":"die_after"})");
+  this->checkCutFor("not_resumable", this->requestOf("/single/x", "single"));
+  this->checkCutFor("attempts_used", this->requestOf("/chat/x", "many"));
+}
+
+// Guards against a process that ends without a word about the streams that end
+// with it.
+TEST_CASE_METHOD(CutCauseFixture,
+                 "started answers: the grace is over while streams run: one "
+                 "line says so of each",
+                 "[failure]") {
+  Streams Started = this->startStreams(8);
+  this->Run.node("n1").signal(SIGTERM);
+  CHECK(this->Run.node("n1").wait(milliseconds(3000)) > 0);
+  for (auto &Stream : Started) {
+    EndedStream End = Stream.get();
+    CHECK(End.Response.Cut);
+    this->checkCutOnce(End.Entry, End.Id, "stopping", milliseconds(0));
+  }
+}
+
+} // namespace waycove::test
