Do not count a node's own standstill as its targets' silence

What callers saw: many streams of a node cut in one moment. Cause: on waking, a node that had stood still (stopped, suspended or starved) took the time for which it had not run for silence of each of its targets, and gave all of them up at once.

Silence of targets, of attempts and of nodes on the way counts only the time in which this node has run, wherever it is measured, so also in what it reports to others. A target that is silent afterwards is given up as before (unit test).

Ruled out: to start all clocks anew on waking, since a node that is starved again and again would then never give up a target. Class: a clock that goes on while the one that reads it does not.

--- a/src/base/events.h
+++ b/src/base/events.h
@@ -53,7 +53,7 @@
   DaemonNotReady = 107,
   ThreadNotStarted = 108,
   PollerDelayed = 109,
-  NodeStoodStill = 110,
+  NodeStoodStill = 115,
   ConfigApplied = 210,
   ConfigRefused = 211,
   ConfigUnproven = 212,
--- a/src/entry/carrier.h
+++ b/src/entry/carrier.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "control/reach_monitor.h"
+#include "control/standstill_monitor.h"
 #include "entry/neighbour_channel.h"
 #include "entry/relay_log.h"
 #include "net/framing.h"
@@ -21,7 +22,7 @@
 template <CallerProtocol Protocol> class Carrier {
 public:
   explicit Carrier(EntryBoard &Board)
-      : Board(Board), Log(Board), Monitor(Board) {}
+      : Board(Board), Log(Board), Monitor(Board), Standstills(Board) {}
 
   /// Serves a request for a way to a target that came over \p Peer, which is
   /// of no use afterwards.
@@ -168,6 +169,7 @@
       // The other node has the whole response, or its caller left.
       if (Readable == Side::Caller)
         return true;
+      this->Standstills.onRunning(Now);
       bool IsLost = Readable == Side::Neither && this->isLost(From, Now);
       if (IsLost || Now >= From.Until)
         return this->sendEnd(Peer, false);
@@ -187,7 +189,8 @@
   }
 
   bool isLost(const Way &From, TimePoint Now) const {
-    return this->Board.isCutOff() && Now - From.LastByte >= CutOffSilence;
+    return this->Board.isCutOff() &&
+           this->Board.runningTime(From.LastByte, Now) >= CutOffSilence;
   }
 
   /// Applies what the target states in its response: it counts for this node,
@@ -241,6 +244,7 @@
   EntryBoard &Board;
   RelayLog Log;
   ReachMonitor Monitor;
+  StandstillMonitor Standstills;
   std::atomic<unsigned> Carried{0};
 };
 
--- a/src/entry/neighbour_channel.h
+++ b/src/entry/neighbour_channel.h
@@ -31,9 +31,10 @@
   const NodeId &node() const { return this->Node; }
   /// Whether the target ended the connection, and not the other node.
   bool hasTargetEnded() const { return this->TargetEnded; }
-  /// Whether the other node has sent nothing for several intervals.
+  /// Whether the other node has sent nothing for several intervals, in which
+  /// this node has run.
   bool isSilent(TimePoint Now) const {
-    return Now - this->LastFrameAt >= SilenceTimeout;
+    return this->Board->runningTime(this->LastFrameAt, Now) >= SilenceTimeout;
   }
 
   /// While a target is silent, the other node shows at this interval that it
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -31,6 +31,8 @@
 struct Observation {
   bool IsStalled = false;
   Millis Silence{0};
+  /// Of the one attempt, in which this node has run.
+  Millis OwnSilence{0};
   /// Usual time to the first byte; 0 where other nodes' reports are current.
   double FirstByteMs = 0;
 };
@@ -136,7 +138,7 @@
     Attempt.Reason = "the other node on the way is silent";
     return true;
   }
-  if (Now - Attempt.LastByte < MinPatience)
+  if (this->Board.runningTime(Attempt.LastByte, Now) < MinPatience)
     return false;
   if (this->Board.ReachState == TargetReach::State::Sound)
     this->doubtIfAllSilent(Now);
@@ -167,6 +169,7 @@
       this->Board.TargetStats.read([&](const TargetStatsTable &Stats) {
         return Observation{
             Stats.isStalled(Target, Now), Stats.silence(Target, Now),
+            Stats.runningTime(Attempt.LastByte, Now),
             Stats.hasReports(Now) ? 0 : Stats.of(Target).FirstByteMs};
       });
   Millis Goal = Attempt.FirstByteSeen ? Route.PauseGoal : Route.Goal;
@@ -176,7 +179,7 @@
                                       SlowFactor * Observed.FirstByteMs)));
   bool Stalled = Observed.IsStalled && !Attempt.FirstByteSeen;
   bool TooLong =
-      Now - Attempt.LastByte >= Patience && Observed.Silence >= MinPatience;
+      Observed.OwnSilence >= Patience && Observed.Silence >= MinPatience;
   if (Stalled)
     Attempt.Reason = "none of its answers moves";
   else if (TooLong)
--- a/src/policy/target_stats.cpp
+++ b/src/policy/target_stats.cpp
@@ -33,8 +33,10 @@
 
 } // namespace
 
-bool TargetStats::isStalled(TimePoint Now) const {
-  return this->Responding > 0 && Now - this->LastProgress > StallTimeout;
+bool TargetStats::isStalled(const StandstillHistory &Standstills,
+                            TimePoint Now) const {
+  return this->Responding > 0 &&
+         Standstills.runningTime(this->LastProgress, Now) > StallTimeout;
 }
 
 std::optional<TimePoint> TargetStats::oldestWait() const {
@@ -44,13 +46,15 @@
                                         : std::optional<TimePoint>(*At);
 }
 
-Millis TargetStats::silence(TimePoint Now) const {
+Millis TargetStats::silence(const StandstillHistory &Standstills,
+                            TimePoint Now) const {
   if (this->InFlight == 0)
     return Millis(0);
   TimePoint Since = this->LastProgress;
   if (this->Responding == 0)
     Since = std::max(Since, this->oldestWait().value_or(Since));
-  return std::chrono::duration_cast<Millis>(Now - Since);
+  return std::chrono::duration_cast<Millis>(
+      Standstills.runningTime(Since, Now));
 }
 
 Millis TargetStatsTable::runningTime(TimePoint From, TimePoint Until) const {
@@ -172,7 +176,7 @@
     Load.InFlight = Stats.InFlight;
     Load.Responding = Stats.Responding;
     Load.PromptWaiting = Stats.PromptWaiting;
-    Load.SilentFor = Stats.silence(Now);
+    Load.SilentFor = Stats.silence(this->Standstills, Now);
     if (std::optional<TimePoint> Oldest = Stats.oldestWait())
       Load.LongestWait = std::chrono::duration_cast<Millis>(Now - *Oldest);
     Load.FirstByteMs = Sampled ? Stats.FirstByteMs : 0;
@@ -211,8 +215,9 @@
   const TargetStats &Here = this->of(Target);
   const TargetLoad *There = this->reportedLoad(Target, Now);
   if (!There || There->Responding == 0)
-    return Here.isStalled(Now);
-  return There->isStalled() && (Here.Responding == 0 || Here.isStalled(Now));
+    return Here.isStalled(this->Standstills, Now);
+  return There->isStalled() &&
+         (Here.Responding == 0 || Here.isStalled(this->Standstills, Now));
 }
 
 bool TargetStatsTable::isSuspect(const VmIncarnation &Target,
@@ -229,7 +234,7 @@
                                    TimePoint Now) const {
   const TargetStats &Here = this->of(Target);
   const TargetLoad *There = this->reportedLoad(Target, Now);
-  return (Here.Responding > 0 && !Here.isStalled(Now)) ||
+  return (Here.Responding > 0 && !Here.isStalled(this->Standstills, Now)) ||
          (There && There->hasProgress());
 }
 
@@ -238,10 +243,10 @@
   const TargetStats &Here = this->of(Target);
   const TargetLoad *There = this->reportedLoad(Target, Now);
   if (!There || There->InFlight == 0)
-    return Here.silence(Now);
+    return Here.silence(this->Standstills, Now);
   if (Here.InFlight == 0 || (Here.Responding == 0 && There->Responding > 0))
     return There->SilentFor;
-  return std::min(Here.silence(Now), There->SilentFor);
+  return std::min(Here.silence(this->Standstills, Now), There->SilentFor);
 }
 
 void TargetStatsTable::clearSuspicion() {
@@ -255,7 +260,7 @@
   for (const auto &[Target, Stats] : this->Targets) {
     if (Stats.InFlight == 0)
       continue;
-    if (Stats.silence(Now) < Silence)
+    if (Stats.silence(this->Standstills, Now) < Silence)
       return {};
     Silent.push_back(Target);
   }
--- a/src/policy/target_stats.h
+++ b/src/policy/target_stats.h
@@ -43,13 +43,14 @@
   bool Closing = false;
 
   /// Returns true if responses are in progress but none made progress within
-  /// StallTimeout.
-  bool isStalled(TimePoint Now) const;
+  /// StallTimeout, in which this node has run.
+  bool isStalled(const StandstillHistory &Standstills, TimePoint Now) const;
   /// Returns the send time of the request that has waited longest for its first
   /// byte.
   std::optional<TimePoint> oldestWait() const;
-  /// Time since the last byte received, or since the oldest request was sent.
-  Millis silence(TimePoint Now) const;
+  /// Time since the last byte received, or since the oldest request was sent,
+  /// in which this node has run.
+  Millis silence(const StandstillHistory &Standstills, TimePoint Now) const;
 };
 
 /// Per-target statistics from the requests of this node and from the latest
--- a/tests/unit/entry_policy_test.cpp
+++ b/tests/unit/entry_policy_test.cpp
@@ -110,10 +110,10 @@
   this->Query.Now = at(100);
   CHECK(this->choose() == "a");
   this->Query.Now = at(500);
-  CHECK(this->Stats.of({VmId("a"), {}}).isStalled(at(500)));
+  CHECK(this->Stats.of({VmId("a"), {}}).isStalled({}, at(500)));
   CHECK(this->choose() != "a");
   this->Stats.onProgress({VmId("a"), {}}, at(490));
-  CHECK_FALSE(this->Stats.of({VmId("a"), {}}).isStalled(at(500)));
+  CHECK_FALSE(this->Stats.of({VmId("a"), {}}).isStalled({}, at(500)));
 }
 
 TEST_CASE_METHOD(ChoiceFixture,
--- /dev/null
+++ b/tests/unit/standstill_test.cpp
@@ -0,0 +1,80 @@
+// waycove: serving models that span several VMs.
+// Copyright 2026 the waycove authors. Licensed under the Apache License,
+// Version 2.0; see LICENSE.
+
+#include "policy/target_stats.h"
+#include "support/times.h"
+
+#include <catch2/catch.hpp>
+
+namespace waycove::test {
+
+struct StandstillFixture {
+  TargetStatsTable Stats;
+  const VmIncarnation Target{VmId("a"), {}};
+
+  /// A response of the target has begun at 0 ms.
+  void beginResponse() {
+    this->Stats.onStart(this->Target, 1, at(0));
+    this->Stats.onFirstByte(this->Target, at(0), 1, at(0));
+  }
+};
+
+// Guards against a node that takes ordinary scheduling for a standstill.
+TEST_CASE_METHOD(StandstillFixture,
+                 "standstill: short delays between notes: none is found",
+                 "[unit]") {
+  CHECK_FALSE(findStandstill(TimePoint(), at(5000)));
+  CHECK_FALSE(findStandstill(at(1000), at(1000) + 3 * RunningInterval));
+}
+
+// Guards against a standstill that begins later than the node's last sign.
+TEST_CASE_METHOD(StandstillFixture,
+                 "standstill: nothing noted for long: found from the interval "
+                 "after the last note",
+                 "[unit]") {
+  std::optional<Standstill> Found = findStandstill(at(1000), at(2200));
+  REQUIRE(Found);
+  CHECK(Found->Begin == at(1000) + RunningInterval);
+  CHECK(Found->End == at(2200));
+}
+
+// Guards against targets that are given up after their node stood still.
+TEST_CASE_METHOD(StandstillFixture,
+                 "standstill: a target is silent meanwhile: only the time in "
+                 "which the node ran counts",
+                 "[unit]") {
+  this->beginResponse();
+  CHECK(this->Stats.silence(this->Target, at(1300)) == Millis(1300));
+  this->Stats.onStandstill({at(100), at(1300)});
+  CHECK(this->Stats.silence(this->Target, at(1300)) == Millis(100));
+  CHECK_FALSE(this->Stats.isStalled(this->Target, at(1300)));
+  CHECK(this->Stats.allSilentHere(Millis(500), at(1300)).empty());
+}
+
+// Guards against a node that never gives up a target, since it stood still
+// once.
+TEST_CASE_METHOD(StandstillFixture,
+                 "standstill: the target stays silent afterwards: it counts as "
+                 "stalled",
+                 "[unit]") {
+  this->beginResponse();
+  this->Stats.onStandstill({at(100), at(1300)});
+  CHECK(this->Stats.silence(this->Target, at(2000)) == Millis(800));
+  CHECK(this->Stats.isStalled(this->Target, at(2000)));
+}
+
+// Guards against silence that only a part of the latest standstills explains.
+TEST_CASE_METHOD(StandstillFixture,
+                 "standstill: several in a row, partly before the last byte: "
+                 "each counts for its part",
+                 "[unit]") {
+  StandstillHistory Known;
+  Known.add({at(0), at(1000)});
+  Known.add({at(1200), at(1500)});
+  Known.add({at(1800), at(2600)});
+  CHECK(Known.runningTime(at(500), at(2000)) == Millis(500));
+  CHECK(Known.runningTime(at(2700), at(2600)) == Millis(0));
+}
+
+} // namespace waycove::test
