Give up an attempt only for one that responds, and let started answers wait

What callers saw: streams that a target had begun, closed by their node with seconds of their time left: "no second sends left in this window", "no target serves", "the targets are overloaded", "all targets take no more requests now", "reaches no target, and no other node has a way".

Cause: an attempt was ended before its successor was certain. Whether a retry is left was asked (mayAbandon) and taken after the attempt had ended, when others had taken it; whether a target takes the request was asked of a table; and whatever then lacked a retry, a place, a target or a way was cut at once.

Now: a silent attempt goes on while a successor is made, which has its retry taken and its target selected first; whichever responds first goes on, and the others are ended then. A retry that is not sent is given back. A response that has started keeps its place, and where its target ended it waits for a retry, a target or a way until its deadline; after several failures in a row it pauses. What ends a started response is the closed list CutCause, each with its line (cause, left_ms, last_attempt): timeout, caller_left, caller_slow, not_resumable, attempts_used, crashes_targets, stopping. The end of the grace is one of them: requests end, with their line, 200 ms before the process does, and with a short grace new ones are refused from half of it.

Ruled out: a larger retry budget (the limit is the users'); to wait without a successor (a silent target that ended would hold its streams to their deadline).

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -189,6 +189,10 @@
        "A request was ended too long after its timeout; the fields give the "
        "timeout, how long it was unread and how long its response took to be "
        "written."},
+      {RequestWaits, Info, "request_waits",
+       "A response that had started lost its target and waits for another one, "
+       "for a retry or for a way; the fields give what is missing and the time "
+       "that is left. Logged once a request."},
       {RequestCut, Warning, "request_cut",
        "A response that had started could not be completed; the fields give "
        "the "
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -91,6 +91,7 @@
   NeighbourUnusable = 413,
   RequestCarried = 512,
   RequestOverdue = 513,
+  RequestWaits = 514,
   RequestBlamed = 509,
   RequestCleared = 510,
   RequestTried = 511,
--- a/src/board/entry_board.h
+++ b/src/board/entry_board.h
@@ -143,6 +143,8 @@
   /// Set late in a planned stop, when new requests could not be finished in
   /// time.
   std::atomic<bool> Refusing{false};
+  /// The time for a planned stop has passed: requests that are under way end.
+  std::atomic<bool> Ending{false};
   /// A request was received since the start.
   std::atomic<bool> RequestSeen{false};
   std::atomic<std::uint32_t> InFlight{0};
--- a/src/entry/caller_response.cpp
+++ b/src/entry/caller_response.cpp
@@ -16,8 +16,9 @@
   IoStatus Status = this->Caller.send(Bytes, Until, OnHeldUp);
   this->WriteTime += BootClock::now() - Begin;
   this->Failed = this->Failed || Status != IoStatus::Ok;
+  this->TimedOut = Status == IoStatus::Timeout;
   // Otherwise the kernel sends what it holds for as long as the caller reads.
-  if (Status == IoStatus::Timeout)
+  if (this->TimedOut)
     this->Caller.abort();
   return Status;
 }
--- a/src/entry/caller_response.h
+++ b/src/entry/caller_response.h
@@ -30,6 +30,8 @@
   void abort();
 
   bool hasStarted() const { return this->Started; }
+  /// Whether bytes could not be sent in time.
+  bool hasTimedOut() const { return this->TimedOut; }
   /// How long it took to hand the response over to the connection.
   Millis writeTime() const {
     return std::chrono::duration_cast<Millis>(this->WriteTime);
@@ -50,6 +52,7 @@
   bool HasBody;
   bool Started = false;
   bool Failed = false;
+  bool TimedOut = false;
   BootClock::duration WriteTime{0};
 };
 
--- a/src/entry/crash_guard.cpp
+++ b/src/entry/crash_guard.cpp
@@ -58,7 +58,7 @@
     return;
   this->Board.Crashes.write([&](CrashBlame &Crashes) {
     const CrashSuspects &Suspects = Request.Suspects;
-    const VmIncarnation Target = Attempt.To.Target->incarnation();
+    const VmIncarnation Target = Attempt.target();
     if (IsLost && IsDoubtful)
       Crashes.holdLost(Suspects, Target, Attempt.SentAt, Now);
     else if (IsLost)
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -120,7 +120,9 @@
   /// Whether the process may end: no request is in flight, and the load
   /// balancer has had time to notice the stop.
   bool isDrained() {
-    if (SystemClock{}.now() - this->StopBegan <= BalancerDelay)
+    // A short grace period leaves half of it to the requests under way.
+    if (SystemClock{}.now() - this->StopBegan <=
+        std::min(BalancerDelay, this->Board.Config.Entry->GracePeriod / 2))
       return false;
     // From now on, new requests are refused.
     bool Refused = this->Board.Refusing.exchange(true);
@@ -129,6 +131,9 @@
     return Refused && this->Board.InFlight == 0;
   }
 
+  /// Ends the requests that are still under way, each with its line in the log.
+  void endRequests() { this->Board.Ending = true; }
+
   void logStopped() {
     this->Board.Log.emit(
         EventCode::DaemonStopped, this->Board.Config.Node.Text,
--- a/src/entry/relay_attempt.h
+++ b/src/entry/relay_attempt.h
@@ -6,17 +6,25 @@
 
 #include "entry/caller_response.h"
 #include "entry/relay_request.h"
+#include "entry/retry_policy.h"
 #include "entry/target_connection.h"
 #include "policy/retry.h"
 
+#include <vector>
+
 namespace waycove {
 
+struct RelayAttempt;
+
 /// A request that is being served, its caller's connection and its response.
 struct RelayExchange {
   Channel &Caller;
   RelayRequest &Request;
   RelayProgress &Progress;
   CallerResponse &Response;
+  /// Earlier attempts whose targets are silent. Each may go on until a later
+  /// one responds.
+  std::vector<RelayAttempt> &Silent;
 
   /// Until when the response may be written. A slow reader gets a short time
   /// beyond the deadline.
@@ -25,13 +33,36 @@
   /// has left.
   bool deliver(const Poco::Net::HTTPResponse &Head, const std::string &Bytes);
 
+  /// The attempts so far, by which it is decided whether to make another.
+  AttemptCounts counts() const {
+    AttemptCounts Counts = this->Progress.counts();
+    Counts.HasStarted = this->Response.hasStarted();
+    return Counts;
+  }
+
   /// Time beyond the deadline for writing a response to a slow reader.
   static constexpr Millis WriteGrace{250};
 };
 
+/// What has arrived of a target's response.
+struct TargetResponse {
+  Poco::Net::HTTPResponse Head;
+  TargetResponseInfo Info;
+  BodyDecoder Body;
+  /// Bytes of a stream that are no whole event yet.
+  std::string Payload = {};
+  /// No event of the stream has arrived.
+  bool FirstEvent = true;
+  /// The body, if it is forwarded whole.
+  std::shared_ptr<BufferedBody> Whole = std::make_shared<BufferedBody>();
+};
+
 /// One attempt: the target, the connection, and the state of the response.
 struct RelayAttempt {
-  ServingTarget To;
+  SelectedTarget Selected;
+  TimePoint SelectedAt;
+  /// The retry that the attempt uses; unset for the first one that is sent.
+  std::optional<TakenRetry> Retry;
   std::optional<TargetConnection> Connection;
   /// Start of the step that opened the connection. Steps before it, at other
   /// nodes that offered no way, are not included.
@@ -47,8 +78,17 @@
   Millis HeldUpFor{0};
   /// The target responded with a success status.
   bool Succeeded = false;
+  /// Set once the head of the response has arrived.
+  std::optional<TargetResponse> Received;
+  /// It was counted as one that may have run.
+  bool IsCountedAsRun = false;
+  /// The attempt to make next, once this one is silent.
+  std::optional<Successor> Next;
   std::string Reason;
 
+  const ServingTarget &to() const { return this->Selected.To; }
+  VmIncarnation target() const { return this->to().Target->incarnation(); }
+
   /// How long the step took that opened the connection, until the request could
   /// be sent; zero if nothing was to be sent.
   Millis openedIn() const {
--- a/src/entry/relay_log.cpp
+++ b/src/entry/relay_log.cpp
@@ -33,6 +33,10 @@
     return "broken";
   case AttemptOutcome::Stalled:
     return "stalled";
+  case AttemptOutcome::Silent:
+    return "silent";
+  case AttemptOutcome::Overtaken:
+    return "overtaken";
   case AttemptOutcome::NotSent:
     return "not sent";
   case AttemptOutcome::CallerGone:
@@ -43,6 +47,13 @@
   return "";
 }
 
+/// Time until the deadline; zero after it.
+Millis timeLeft(const RelayExchange &Ex) {
+  auto Left = std::chrono::duration_cast<Millis>(Ex.Request.Deadline -
+                                                 SystemClock{}.now());
+  return std::max(Left, Millis(0));
+}
+
 /// The fields of every line about a request.
 LogFields requestFields(const RelayExchange &Ex) {
   LogFields Fields;
@@ -179,9 +190,9 @@
   this->Board.Log.emit(
       EventCode::AttemptEnded, Ex.Request.Info.Id.Text,
       requestFields(Ex)
-          .add("target", Attempt.To.Target->Id.Text)
-          .add("address", Attempt.To.Target->Address.text())
-          .add("incarnation_ms", Attempt.To.Target->StartedAt.Value)
+          .add("target", Attempt.to().Target->Id.Text)
+          .add("address", Attempt.to().Target->Address.text())
+          .add("incarnation_ms", Attempt.to().Target->StartedAt.Value)
           .add("end", nameOf(End))
           .add("lost", Attempt.ConnectionLost)
           .add("first_byte", Attempt.FirstByteSeen)
@@ -205,7 +216,10 @@
             .add("incarnation_ms", To.Target->StartedAt.Value)
             .add("first_byte_ms", Ex.Progress.FirstByte.value_or(Millis(0))));
   else if (Ex.Response.hasStarted())
-    this->emitCut(Ex, Ex.Progress.Reason);
+    this->emitCut(Ex,
+                  Ex.Progress.CallerIsSlow ? CutCause::CallerSlow
+                                           : CutCause::CallerLeft,
+                  Ex.Progress.Reason);
 }
 
 void RelayLog::requestFailed(const RelayExchange &Ex,
@@ -217,18 +231,28 @@
           .add("reason", Reason));
 }
 
-void RelayLog::requestCut(const RelayExchange &Ex, const std::string &Reason) {
+void RelayLog::requestCut(const RelayExchange &Ex, CutCause Cause,
+                          const std::string &Reason) {
   this->Board.Counters.add(Counter::RequestsCut);
-  this->emitCut(Ex, Reason);
+  this->emitCut(Ex, Cause, Reason);
 }
 
-void RelayLog::emitCut(const RelayExchange &Ex, const std::string &Reason) {
-  auto Left = std::chrono::duration_cast<Millis>(Ex.Request.Deadline -
-                                                 SystemClock{}.now());
+void RelayLog::requestWaits(const RelayExchange &Ex,
+                            const std::string &Missing) {
+  this->Board.Log.emit(EventCode::RequestWaits, Ex.Request.Info.Id.Text,
+                       requestFields(Ex)
+                           .add("reason", Missing)
+                           .add("left_ms", timeLeft(Ex))
+                           .add("last_attempt", Ex.Progress.Reason));
+}
+
+void RelayLog::emitCut(const RelayExchange &Ex, CutCause Cause,
+                       const std::string &Reason) {
   this->Board.Log.emit(EventCode::RequestCut, Ex.Request.Info.Id.Text,
                        requestFields(Ex)
+                           .add("cause", nameOf(Cause))
                            .add("reason", Reason)
-                           .add("left_ms", std::max(Left, Millis(0)))
+                           .add("left_ms", timeLeft(Ex))
                            .add("last_attempt", Ex.Progress.Reason));
 }
 
--- a/src/entry/relay_log.h
+++ b/src/entry/relay_log.h
@@ -40,8 +40,11 @@
                    AttemptOutcome End);
   /// The request ended with an error response of a target.
   void requestFailed(const RelayExchange &Ex, const std::string &Reason);
-  /// The response had been started and was aborted.
-  void requestCut(const RelayExchange &Ex, const std::string &Reason);
+  /// The response was ended before it was whole.
+  void requestCut(const RelayExchange &Ex, CutCause Cause,
+                  const std::string &Reason);
+  /// The response was started and waits, since \p Missing.
+  void requestWaits(const RelayExchange &Ex, const std::string &Missing);
   /// The request has ended, in whatever way. Records what it waited for, and
   /// whether it ended too late.
   void requestEnded(const RelayExchange &Ex);
@@ -49,7 +52,8 @@
   void requestRefused(const RelayExchange &Ex, const absl::Status &Error);
 
 private:
-  void emitCut(const RelayExchange &Ex, const std::string &Reason);
+  void emitCut(const RelayExchange &Ex, CutCause Cause,
+               const std::string &Reason);
   void recordLimit(const StatementSource &From,
                    const TargetStatement &Statement);
   void recordPause(const StatementSource &From,
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -68,6 +68,15 @@
   unsigned MayHaveRun = 0;
   /// This node has lost its links to targets, and no other node offers a way.
   bool HasNoWay = false;
+  /// A silent attempt is followed by no other before then, since the last one
+  /// that followed it failed.
+  TimePoint NoSuccessorBefore;
+  /// When an attempt of its started response last failed, and how many have
+  /// failed shortly after another one.
+  TimePoint FailedAt;
+  unsigned FailedInRow = 0;
+  /// Its started response has waited for a target, a retry or a way.
+  bool HasWaited = false;
   /// Of the latest target selection.
   std::optional<RegistrySnapshot> Snapshot;
   /// Last event that was sent to the caller.
@@ -79,6 +88,8 @@
   std::optional<Poco::Net::HTTPResponse> Failure;
   std::shared_ptr<const BufferedBody> FailureBody;
   std::string Reason;
+  /// The response ends because the caller does not read it.
+  bool CallerIsSlow = false;
   /// Set if the request got no place in its pool.
   std::optional<AdmissionRefusal> Refusal;
   /// Time that it waited at this node for places.
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -4,6 +4,8 @@
 
 #include "entry/response_wait.h"
 
+#include <utility>
+
 namespace waycove {
 
 namespace {
@@ -27,6 +29,11 @@
 
 constexpr const char *ClosedReason = "the connection closed";
 
+/// Indices of the sockets that an attempt waits for.
+constexpr std::size_t TargetSocket = 0;
+constexpr std::size_t CallerSocket = 1;
+constexpr std::size_t FirstEarlierSocket = 2;
+
 /// What all nodes together have observed of a target.
 struct Observation {
   bool IsStalled = false;
@@ -37,6 +44,15 @@
   double FirstByteMs = 0;
 };
 
+std::vector<int> socketsOf(const RelayExchange &Ex,
+                           const RelayAttempt &Attempt) {
+  std::vector<int> Sockets{Attempt.Connection->descriptor(),
+                           Attempt.WatchCaller ? Ex.Caller.descriptor() : -1};
+  for (const RelayAttempt &Earlier : Ex.Silent)
+    Sockets.push_back(Earlier.Connection->descriptor());
+  return Sockets;
+}
+
 std::optional<AttemptOutcome> receiveBytes(RelayAttempt &Attempt, TimePoint Now,
                                            TimePoint Until) {
   IoStatus Status = Attempt.Connection->fillNow(Until);
@@ -60,15 +76,20 @@
 std::optional<AttemptOutcome>
 ResponseWait::waitForBytes(RelayExchange &Ex, RelayAttempt &Attempt) {
   TimePoint Until =
-      std::min(Ex.Request.Deadline, Attempt.LastByte + FirstCheckDelay);
+      std::min(Ex.Request.Deadline,
+               Attempt.LastByte +
+                   (this->Board.Stopping ? CheckInterval : FirstCheckDelay));
   while (true) {
-    Side Readable =
-        waitEither(Attempt.Connection->descriptor(),
-                   Attempt.WatchCaller ? Ex.Caller.descriptor() : -1, Until);
+    if (this->Board.Ending) {
+      Attempt.Reason = "the time to stop has passed";
+      return AttemptOutcome::Stalled;
+    }
+    std::optional<std::size_t> Readable =
+        waitForAny(socketsOf(Ex, Attempt), Until);
     TimePoint Now = SystemClock{}.now();
-    if (Readable == Side::Target && Now < Ex.Request.Deadline + ReadGrace)
+    if (Readable == TargetSocket && Now < Ex.Request.Deadline + ReadGrace)
       return receiveBytes(Attempt, Now, Ex.Request.Deadline + ReadGrace);
-    if (Readable == Side::Caller) {
+    if (Readable == CallerSocket) {
       if (Ex.Caller.isClosedByPeer()) {
         Attempt.Reason = "the caller left";
         return AttemptOutcome::CallerGone;
@@ -80,22 +101,53 @@
       Attempt.Reason = "the deadline passed";
       return AttemptOutcome::Stalled;
     }
-    this->Standstills.onRunning(Now);
-    if (this->hasLostWay(Attempt, Now) &&
-        this->Retries.mayAbandon(Ex.Request, Ex.Progress, Now))
-      return AttemptOutcome::Stalled;
-    if (this->isUnresponsive(Ex, Attempt, Now) &&
-        this->Retries.mayAbandon(Ex.Request, Ex.Progress, Now)) {
-      this->Log.suspectTarget(Attempt.To.Target->incarnation(),
-                              UnresponsiveDuration, Attempt.Reason,
-                              Ex.Request.Info.Id);
-      return AttemptOutcome::Stalled;
+    if (Readable && this->goesOn(Ex, *Readable - FirstEarlierSocket, Now)) {
+      Attempt.Reason = "an earlier attempt goes on";
+      return AttemptOutcome::Overtaken;
     }
+    if (this->prepareNext(Ex, Attempt, Now))
+      return AttemptOutcome::Silent;
     // Check again later: reports of other nodes may show that it is stalled.
     Until = std::min(Ex.Request.Deadline, Now + CheckInterval);
   }
 }
 
+bool ResponseWait::goesOn(const RelayExchange &Ex, std::size_t Earlier,
+                          TimePoint Now) {
+  RelayAttempt &Other = Ex.Silent[Earlier];
+  std::size_t Before = Other.Connection->buffer().size();
+  std::optional<AttemptOutcome> End = receiveBytes(Other, Now, Now + ReadGrace);
+  bool IsComplete = End && Other.Received &&
+                    Other.Received->Body.kind() == Framing::UntilClose &&
+                    Other.Reason == ClosedReason;
+  if (IsComplete || Other.Connection->buffer().size() > Before) {
+    std::swap(Other, Ex.Silent.back());
+    return true;
+  }
+  if (End) {
+    this->Attempts.end(Ex, Other, *End);
+    Ex.Silent.erase(Ex.Silent.begin() + static_cast<std::ptrdiff_t>(Earlier));
+  }
+  return false;
+}
+
+bool ResponseWait::prepareNext(RelayExchange &Ex, RelayAttempt &Attempt,
+                               TimePoint Now) {
+  this->Standstills.onRunning(Now);
+  if (Now < Ex.Progress.NoSuccessorBefore)
+    return false;
+  bool HasLostWay = this->hasLostWay(Attempt, Now);
+  if (!HasLostWay && !this->isUnresponsive(Ex, Attempt, Now))
+    return false;
+  Attempt.Next = this->Retries.prepareSuccessor(Ex.Request, Ex.Progress, Now);
+  if (!Attempt.Next)
+    return false;
+  if (!HasLostWay)
+    this->Log.suspectTarget(Attempt.target(), UnresponsiveDuration,
+                            Attempt.Reason, Ex.Request.Info.Id);
+  return true;
+}
+
 std::optional<AttemptOutcome> ResponseWait::waitForBody(RelayExchange &Ex,
                                                         RelayAttempt &Attempt,
                                                         BodyDecoder &Body) {
@@ -164,7 +216,7 @@
 bool ResponseWait::isUnresponsive(const RelayExchange &Ex,
                                   RelayAttempt &Attempt, TimePoint Now) {
   const HttpRoute &Route = *Ex.Request.Route;
-  const VmIncarnation Target = Attempt.To.Target->incarnation();
+  const VmIncarnation Target = Attempt.target();
   Observation Observed =
       this->Board.TargetStats.read([&](const TargetStatsTable &Stats) {
         return Observation{
--- a/src/entry/response_wait.h
+++ b/src/entry/response_wait.h
@@ -6,8 +6,7 @@
 
 #include "control/reach_monitor.h"
 #include "control/standstill_monitor.h"
-#include "entry/relay_log.h"
-#include "entry/retry_policy.h"
+#include "entry/attempt_recorder.h"
 
 namespace waycove {
 
@@ -16,12 +15,13 @@
 class ResponseWait {
 public:
   ResponseWait(EntryBoard &Board, RetryPolicy &Retries, RelayLog &Log,
-               BufferBudget &Buffers)
-      : Board(Board), Retries(Retries), Log(Log), Buffers(Buffers),
-        Monitor(Board), Standstills(Board) {}
+               AttemptRecorder &Attempts, BufferBudget &Buffers)
+      : Board(Board), Retries(Retries), Log(Log), Attempts(Attempts),
+        Buffers(Buffers), Monitor(Board), Standstills(Board) {}
 
   /// Waits for bytes from the target. Returns how the attempt ends, or nothing
-  /// if bytes were received.
+  /// if bytes were received. Silent if its next attempt is prepared, and
+  /// Overtaken if the last of the earlier attempts goes on.
   std::optional<AttemptOutcome> waitForBytes(RelayExchange &Ex,
                                              RelayAttempt &Attempt);
   /// The same within a body, which the end of the connection may complete.
@@ -32,6 +32,12 @@
                           BodyDecoder &Body, BufferedBody &Payload);
 
 private:
+  /// Receives what the target of an earlier attempt has sent. Returns whether
+  /// that one goes on; it is the last one then. Ends it if its connection has
+  /// ended.
+  bool goesOn(const RelayExchange &Ex, std::size_t Earlier, TimePoint Now);
+  /// Prepares the next attempt of one without progress, if that is possible.
+  bool prepareNext(RelayExchange &Ex, RelayAttempt &Attempt, TimePoint Now);
   bool hasLostWay(RelayAttempt &Attempt, TimePoint Now);
   void doubtIfAllSilent(TimePoint Now);
   bool isUnresponsive(const RelayExchange &Ex, RelayAttempt &Attempt,
@@ -40,6 +46,7 @@
   EntryBoard &Board;
   RetryPolicy &Retries;
   RelayLog &Log;
+  AttemptRecorder &Attempts;
   BufferBudget &Buffers;
   ReachMonitor Monitor;
   StandstillMonitor Standstills;
--- a/src/entry/retry_policy.cpp
+++ b/src/entry/retry_policy.cpp
@@ -4,6 +4,8 @@
 
 #include "entry/retry_policy.h"
 
+#include <utility>
+
 namespace waycove {
 
 void RetryPolicy::recordRequest(const ServiceId &Service) {
@@ -16,21 +18,28 @@
   });
 }
 
-bool RetryPolicy::mayAbandon(const RelayRequest &Request,
-                             const RelayProgress &Progress, TimePoint Now) {
+std::optional<Successor>
+RetryPolicy::prepareSuccessor(const RelayRequest &Request,
+                              const RelayProgress &Progress, TimePoint Now) {
   AttemptCounts After = Progress.counts();
   ++After.MayHaveRun;
-  if (!Request.Route->mayRepeat() || !mayRetry(*Request.Route, After))
-    return false;
+  bool IsAllowed =
+      Request.Route->mayRepeat() && mayRetry(*Request.Route, After);
+  if (!IsAllowed || !this->hasLeft(Request.Service, Now))
+    return std::nullopt;
   std::optional<SelectedTarget> Other =
       this->Selector.select(Request, Progress, Now);
-  return Other && this->hasRetryLeft(Request.Service, Now) &&
-         this->Board.TargetStats.read([&](const TargetStatsTable &Stats) {
-           return !Stats.isSuspect(Other->To.Target->incarnation(), Now);
-         });
+  if (!Other || this->Board.TargetStats.read([&](const TargetStatsTable &Rows) {
+        return Rows.isSuspect(Other->To.Target->incarnation(), Now);
+      }))
+    return std::nullopt;
+  std::optional<TakenRetry> Retry = this->take(Request.Service, Now);
+  if (!Retry)
+    return std::nullopt;
+  return Successor{std::move(*Other), std::move(*Retry)};
 }
 
-bool RetryPolicy::hasRetryLeft(const ServiceId &Service, TimePoint Now) {
+bool RetryPolicy::hasLeft(const ServiceId &Service, TimePoint Now) {
   double Share = this->Board.perNodeShare();
   return this->Board.RetryLimiters.write([&](RetryLimiterTable &Limits) {
     auto At = Limits.find(Service);
@@ -38,15 +47,43 @@
   });
 }
 
-bool RetryPolicy::takeRetry(const ServiceId &Service, TimePoint Now) {
+std::optional<TakenRetry> RetryPolicy::take(const ServiceId &Service,
+                                            TimePoint Now) {
   double Share = this->Board.perNodeShare();
   bool Taken = this->Board.RetryLimiters.write([&](RetryLimiterTable &Limits) {
     auto At = Limits.find(Service);
     return At != Limits.end() && At->second.take(Share, Now);
   });
-  if (Taken)
-    this->Board.Counters.add(Counter::Retries);
-  return Taken;
+  if (!Taken)
+    return std::nullopt;
+  return TakenRetry(*this, Service, Now);
+}
+
+void RetryPolicy::giveBack(const ServiceId &Service, TimePoint TakenAt) {
+  this->Board.RetryLimiters.write([&](RetryLimiterTable &Limits) {
+    if (auto At = Limits.find(Service); At != Limits.end())
+      At->second.giveBack(TakenAt, SystemClock{}.now());
+  });
+}
+
+TakenRetry &TakenRetry::operator=(TakenRetry &&Other) noexcept {
+  if (this != &Other) {
+    this->release();
+    this->From = std::exchange(Other.From, nullptr);
+    this->Service = std::move(Other.Service);
+    this->At = Other.At;
+  }
+  return *this;
+}
+
+void TakenRetry::use() {
+  if (RetryPolicy *Owner = std::exchange(this->From, nullptr))
+    Owner->Board.Counters.add(Counter::Retries);
+}
+
+void TakenRetry::release() {
+  if (RetryPolicy *Owner = std::exchange(this->From, nullptr))
+    Owner->giveBack(this->Service, this->At);
 }
 
 } // namespace waycove
--- a/src/entry/retry_policy.h
+++ b/src/entry/retry_policy.h
@@ -8,6 +8,34 @@
 
 namespace waycove {
 
+class RetryPolicy;
+
+/// A retry that is taken from the limit of a service. Given back on
+/// destruction unless the request was sent.
+class TakenRetry {
+public:
+  TakenRetry(RetryPolicy &From, ServiceId Service, TimePoint At)
+      : From(&From), Service(std::move(Service)), At(At) {}
+  ~TakenRetry() { this->release(); }
+  TakenRetry(TakenRetry &&Other) noexcept { *this = std::move(Other); }
+  TakenRetry &operator=(TakenRetry &&Other) noexcept;
+  /// The request is sent.
+  void use();
+
+private:
+  void release();
+
+  RetryPolicy *From = nullptr;
+  ServiceId Service;
+  TimePoint At;
+};
+
+/// What a further attempt needs before an earlier one is given up.
+struct Successor {
+  SelectedTarget To;
+  TakenRetry Retry;
+};
+
 /// Decides whether a request is sent to another target, by its route and the
 /// retry limit that all requests of a service share. Thread-safe.
 class RetryPolicy {
@@ -17,16 +45,20 @@
 
   /// Counts an admitted request for the retry limit.
   void recordRequest(const ServiceId &Service);
-  /// Whether an attempt without progress should be abandoned for another
-  /// target. That requires one that is not suspected itself.
-  bool mayAbandon(const RelayRequest &Request, const RelayProgress &Progress,
-                  TimePoint Now);
-  /// Takes one retry from the limit. Returns false if none is left in this
-  /// window.
-  bool takeRetry(const ServiceId &Service, TimePoint Now);
+  /// Prepares another attempt for one without progress. Returns nothing if the
+  /// route allows none, no target that is not suspected itself takes the
+  /// request, or no retry is left.
+  std::optional<Successor> prepareSuccessor(const RelayRequest &Request,
+                                            const RelayProgress &Progress,
+                                            TimePoint Now);
+  /// Whether take() would return a retry.
+  bool hasLeft(const ServiceId &Service, TimePoint Now);
+  /// Takes one retry from the limit, if one is left in this window.
+  std::optional<TakenRetry> take(const ServiceId &Service, TimePoint Now);
 
 private:
-  bool hasRetryLeft(const ServiceId &Service, TimePoint Now);
+  friend class TakenRetry;
+  void giveBack(const ServiceId &Service, TimePoint TakenAt);
 
   EntryBoard &Board;
   TargetSelector &Selector;
--- a/src/entry/target_connector.cpp
+++ b/src/entry/target_connector.cpp
@@ -14,7 +14,9 @@
     bool MayStillRespond = this->Board.Reach.read([](const TargetReach &Known) {
       return Known.mayStillRespond(SystemClock{}.now());
     });
-    if (Found != ConnectOutcome::NoWay || !MayStillRespond)
+    // A started response has time to wait for its links, but few attempts.
+    if (Found != ConnectOutcome::NoWay || !MayStillRespond ||
+        Ex.Response.hasStarted())
       return Found;
   }
   if (this->connectDirectly(Ex, Attempt))
@@ -33,7 +35,7 @@
   TimePoint Now = SystemClock{}.now();
   Attempt.Reason.clear();
   Attempt.OpenedSince = Now;
-  const VmIncarnation Target = Attempt.To.Target->incarnation();
+  const VmIncarnation Target = Attempt.target();
   bool MayRepeat = Ex.Request.Route->mayRepeat();
   // The target may be closing an idle connection at this moment. A request
   // that must not be repeated therefore gets a new connection.
@@ -44,7 +46,7 @@
     }
   std::optional<Channel> Opened;
   IoStatus Status = Channel::connect(
-      Attempt.To.Target->Address,
+      Attempt.to().Target->Address,
       std::min(Ex.Request.Deadline, Now + ConnectTimeout), Opened);
   if (Status != IoStatus::Ok) {
     Attempt.Reason = Status == IoStatus::Timeout ? "no connection in time"
@@ -71,7 +73,7 @@
     if (Now >= Until)
       break;
     WayRequest Wanted{
-        Attempt.To.Target->incarnation(), Ex.Request.Info.Id,
+        Attempt.target(), Ex.Request.Info.Id,
         std::chrono::duration_cast<Millis>(Ex.Request.Deadline - Now),
         Ex.Request.Route->mayRepeat()};
     Attempt.OpenedSince = Now;
--- a/src/main/waycoved.cpp
+++ b/src/main/waycoved.cpp
@@ -126,10 +126,17 @@
   auto Until = BootClock::now() + Config.Entry->GracePeriod - StopMargin;
   while (!Process.isDrained() && BootClock::now() < Until)
     std::this_thread::sleep_for(Millis(50));
+  bool IsInterrupted = Process.inFlight() != 0;
+  // Threads look each 120 ms whether to end their requests.
+  constexpr Millis EndingTime(200);
+  Process.endRequests();
+  Until = BootClock::now() + EndingTime;
+  while (Process.inFlight() != 0 && BootClock::now() < Until)
+    std::this_thread::sleep_for(Millis(5));
   Process.logStopped();
   stopLogging();
   // Does not wait for threads of idle connections; there is no state on disk.
-  std::_Exit(Process.inFlight() == 0 ? 0 : ExitInterrupted);
+  std::_Exit(IsInterrupted ? ExitInterrupted : 0);
 }
 
 /// Runs a daemon until a planned stop ends or a second signal arrives.
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -153,6 +153,21 @@
   return Millis(Info.tcpi_last_data_recv);
 }
 
+std::optional<std::size_t> waitForAny(const std::vector<int> &Sockets,
+                                      TimePoint Until) {
+  // poll() ignores negative descriptors.
+  std::vector<pollfd> Descriptors;
+  Descriptors.reserve(Sockets.size());
+  for (int Socket : Sockets)
+    Descriptors.push_back({Socket, POLLIN, 0});
+  if (pollUntil(Descriptors.data(), Descriptors.size(), Until) <= 0)
+    return std::nullopt;
+  for (std::size_t I = 0; I < Descriptors.size(); ++I)
+    if (Descriptors[I].revents)
+      return I;
+  return std::nullopt;
+}
+
 Side waitEither(int Target, int Caller, TimePoint Until) {
   // poll() ignores negative descriptors.
   std::array<pollfd, 2> Descriptors{{{Target, POLLIN, 0}, {Caller, POLLIN, 0}}};
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace waycove {
 
@@ -70,6 +71,11 @@
   std::string Buffer;
 };
 
+/// Waits until one of \p Sockets can be read, and returns the first such one's
+/// index. Skips negative descriptors.
+std::optional<std::size_t> waitForAny(const std::vector<int> &Sockets,
+                                      TimePoint Until);
+
 /// Which of two connections can be read.
 enum class Side { Target, Caller, Neither };
 
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -30,6 +30,8 @@
               {AttemptOutcome::Refused, false, ErrorKind::TargetBusy},
               {AttemptOutcome::Broken, true, ErrorKind::OutcomeUnknown},
               {AttemptOutcome::Stalled, true, ErrorKind::OutcomeUnknown},
+              {AttemptOutcome::Silent, true, ErrorKind::OutcomeUnknown},
+              {AttemptOutcome::Overtaken, true, ErrorKind::OutcomeUnknown},
               {AttemptOutcome::CallerGone, true, ErrorKind::OutcomeUnknown}}};
 
 } // namespace
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -21,6 +21,11 @@
   Broken,
   /// Written, then nothing was received in time.
   Stalled,
+  /// Written, then nothing was received for longer than usual, and another
+  /// attempt can be made. This one goes on meanwhile.
+  Silent,
+  /// An earlier attempt, which had been silent, goes on.
+  Overtaken,
   /// The caller disconnected.
   CallerGone,
   Count
--- a/src/policy/retry_limiter.cpp
+++ b/src/policy/retry_limiter.cpp
@@ -16,11 +16,15 @@
 
 } // namespace
 
-void RetryLimiter::advance(TimePoint Now) {
+std::int64_t RetryLimiter::sliceOf(TimePoint At) const {
   auto SliceDuration =
       std::chrono::duration_cast<std::chrono::nanoseconds>(this->Limit.Window) /
       static_cast<std::int64_t>(Slices);
-  std::int64_t Index = Now.time_since_epoch() / SliceDuration;
+  return At.time_since_epoch() / SliceDuration;
+}
+
+void RetryLimiter::advance(TimePoint Now) {
+  std::int64_t Index = this->sliceOf(Now);
   std::int64_t Steps = std::min<std::int64_t>(
       Index - this->Newest, static_cast<std::int64_t>(Slices));
   for (std::int64_t I = 0; I < Steps; ++I)
@@ -52,4 +56,12 @@
   return true;
 }
 
+void RetryLimiter::giveBack(TimePoint TakenAt, TimePoint Now) {
+  this->advance(Now);
+  std::int64_t Index = this->sliceOf(TakenAt);
+  // Otherwise it has left the window.
+  if (this->Newest - Index < static_cast<std::int64_t>(Slices))
+    this->Ring[static_cast<std::size_t>(Index) % Slices].Retries -= 1;
+}
+
 } // namespace waycove
--- a/src/policy/retry_limiter.h
+++ b/src/policy/retry_limiter.h
@@ -33,6 +33,8 @@
   bool take(double SlackShare, TimePoint Now);
   /// Returns true if take() would allow a retry.
   bool allows(double SlackShare, TimePoint Now);
+  /// Returns a retry that was taken at \p TakenAt and not made.
+  void giveBack(TimePoint TakenAt, TimePoint Now);
 
 private:
   static constexpr std::size_t Slices = 20;
@@ -41,6 +43,7 @@
     double Retries = 0;
   };
   void advance(TimePoint Now);
+  std::int64_t sliceOf(TimePoint At) const;
 
   RetryLimit Limit;
   std::array<Slice, Slices> Ring{};
