Signal a test's process only until it has been waited for

Cause: Process::signal() sent signals to the ID of a process that had already been reaped (Cluster::killNode after a planned stop). Another process may have that ID by then. Ruled out: it was not seen to happen. Before: such a signal went to whichever process has the ID. After: it is not sent.

--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -101,7 +101,11 @@
   waitpid(this->Pid, &this->Status, 0);
 }
 
-void Process::signal(int Number) const { kill(this->Pid, Number); }
+void Process::signal(int Number) const {
+  // Another process may have the ID by now.
+  if (!this->Reaped)
+    kill(this->Pid, Number);
+}
 
 int Process::wait(std::chrono::milliseconds Within) {
   bool Ended = this->Reaped || eventually(
