--- a/tests/soak/prompt_faults.cpp
+++ b/tests/soak/prompt_faults.cpp
@@ -69,10 +69,13 @@
     const std::string &Vm = System.Vms[Random() % System.Vms.size()];
     // Only streams have events to break off within.
     bool IsCut = Vm.starts_with("e") && Random() % 2 == 0;
+    std::uint64_t Begin = wallMs();
     System.setFaults(Vm, IsCut ? R"({"call":"unframed_cut"})"
                                : R"({"call":"unframed"})");
     std::this_thread::sleep_for(milliseconds(500 + Random() % 2000));
     System.setFaults(Vm, R"({"call":""})");
+    if (IsCut)
+      System.Breaks.add({Vm, Begin, wallMs()});
   }
 }
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -11,14 +11,20 @@
 // - a response belongs to its request;
 // - requests are served after the faults have ended;
 // - a request that reached its route's timeout is ended within half a second of
-//   it, or of the moment from which its entry runs again, whatever the fault.
+//   it, or of the moment from which its entry runs again, whatever the fault;
+// - a response that has started reaches its caller whole, unless its entry cut
+//   it for one of a few causes, logged that, and the faults confirm the cause
+//   (StartedAnswers).
 //
-// --restores also restores the store from older copies repeatedly, while each
-// published configuration version replaces a key:
+// Beside the faults, versions of the configuration are published one after
+// another, each of which replaces a key:
 // - a revoked key is permanently refused after the revocation bound, whatever
 //   the store has lost;
 // - the last published configuration is in force at all entries.
 //
+// --restores also restores the store from older copies repeatedly. All checks
+// apply.
+//
 // --crashes repeatedly sends a request that crashes each target that runs it,
 // next to the ordinary requests:
 // - after three crashes and the time for all entries to learn of them, at most
@@ -45,7 +51,7 @@
 // - an entry sends nothing to a target that it knows to rest or to leave.
 //
 // --suspends also suspends entries' machines: their steady clocks exclude the
-// suspended time. All checks apply, including those of --restores.
+// suspended time. All checks apply.
 //
 // --cuts also cuts one entry at a time off from all targets, while callers, the
 // store and the other entry still reach it. All checks apply.
@@ -56,13 +62,14 @@
 //   response, unless a fault was active at its entry.
 //
 //   soak --seed=N --seconds=S [--seeds=K] [--restores] [--crashes] [--suspends]
-//   [--statements] [--cuts] [--bursts] [--parts] [--unframed] [--skew] runs K
-//   consecutive seeds
+//   [--statements] [--cuts] [--bursts] [--parts] [--unframed] [--skew] runs
+//   K consecutive seeds
 //
 // Exits with 0 if all checks pass. A failed run prints its seed and keeps its
 // logs.
 #include "soak/prompt_faults.h"
 #include "soak/soak_config.h"
+#include "soak/started_answers.h"
 #include "soak/store_restores.h"
 #include "soak/target_statements.h"
 #include "support/proxy.h"
@@ -114,19 +121,18 @@
 /// Additional callers in a burst, about twice the slots of all groups.
 constexpr int BurstThreads = 60;
 constexpr milliseconds MaxOverrun(1000);
-/// The only version of the configuration in runs without restores.
-constexpr int FirstVersion = 1;
-/// By then after its route's timeout a request has to be ended.
-constexpr milliseconds EndBound(500);
 /// Maximum number of concurrent faults; leaves enough targets to serve.
 constexpr int MaxFaults = 3;
 constexpr milliseconds RecoveryTime(15000);
+/// A process that takes this long to answer is not told to reload its settings.
+constexpr milliseconds ReloadWait(300);
 /// Seed offsets that keep the random sequences of the options independent.
 constexpr std::uint64_t CrashSeedOffset = 2'000'000;
 constexpr std::uint64_t SuspendSeedOffset = 3'000'000;
 constexpr std::uint64_t SkewSeedOffset = 9'000'000;
 constexpr std::uint64_t CutSeedOffset = 5'000'000;
 constexpr std::uint64_t BurstSeedOffset = 6'000'000;
+constexpr std::uint64_t ReloadSeedOffset = 13'000'000;
 /// How an entry's connections to targets behave in a cut.
 constexpr std::array CutFaults{LinkFault::Silent, LinkFault::Reset,
                                LinkFault::RefuseNew,
@@ -156,7 +162,8 @@
         for (int N = 0; !Stop; ++N)
           this->callOnce(I, N);
       });
-    std::thread Operator([&] {
+    std::thread Operator([&] { this->Configs.publishRepeatedly(); });
+    std::thread Restorer([&] {
       if (FLAGS_restores)
         this->Restores.restoreRepeatedly();
     });
@@ -177,8 +184,8 @@
         this->skewRepeatedly();
     });
     std::thread RevokedKeyCaller([&] {
-      while (FLAGS_restores && !Stop)
-        this->Restores.callWithRevokedKey();
+      while (!Stop)
+        this->Configs.callWithRevokedKey();
     });
     std::thread Statements([&] {
       while (FLAGS_statements && !this->FaultsOver)
@@ -196,6 +203,7 @@
     this->endFaults();
     this->FaultsOver = true;
     Operator.join();
+    Restorer.join();
     Unframed.join();
     Skew.join();
     Statements.join();
@@ -207,7 +215,7 @@
           return this->isServing();
         },
         RecoveryTime);
-    if (FLAGS_restores && !this->isLastConfigInForce())
+    if (!this->isLastConfigInForce())
       this->Failures.add("the last configuration is not in force everywhere");
     Stop = true;
     for (std::thread &Row : Callers)
@@ -219,6 +227,8 @@
       this->Failures.add("not served " + std::to_string(RecoveryTime.count()) +
                          " ms after the last fault");
     this->checkRuns();
+    this->checkDurations();
+    this->Answers.check();
     this->Targets.checkRequests();
     std::string Failed = this->Failures.text();
     this->Run.KeepLogs = !Failed.empty();
@@ -227,8 +237,7 @@
 
   unsigned long served() const { return this->Served; }
   unsigned long refused() const { return this->Refused; }
-  /// Requests that reached the longest timeout that their route may have had.
-  unsigned long timedOut() const { return this->TimedOut; }
+  const StartedAnswers &answers() const { return this->Answers; }
   const std::string &folder() const { return this->Run.folder(); }
 
 private:
@@ -242,7 +251,7 @@
     for (const char *Node : {"n1", "n2"})
       this->Run.addNode(Node, "a");
     this->Run.startPlatform();
-    this->Restores.publish();
+    this->Configs.publish();
     for (int I = 1; I <= Engines; ++I)
       this->addVm("e-" + std::to_string(I));
     for (int I = 1; I <= Plains; ++I)
@@ -326,11 +335,16 @@
     while (!this->FaultsOver) {
       std::string Node = Cuts() % 2 ? "n1" : "n2";
       LinkFault Fault = CutFaults[Cuts() % CutFaults.size()];
-      for (const std::string &Vm : this->Vms)
+      for (const std::string &Vm : this->Vms) {
+        if (Fault != LinkFault::Silent)
+          this->Breaks.begin(linkName(Node, Vm));
         this->Links.at(Vm)->setFor(Node, Fault);
+      }
       std::this_thread::sleep_for(milliseconds(500 + Cuts() % 4000));
-      for (const std::string &Vm : this->Vms)
+      for (const std::string &Vm : this->Vms) {
         this->Links.at(Vm)->setFor(Node, LinkFault::None);
+        this->Breaks.end(linkName(Node, Vm));
+      }
       std::this_thread::sleep_for(milliseconds(200 + Cuts() % 2000));
     }
   }
@@ -348,11 +362,9 @@
     std::string Node =
         Skewed > 0 ? "n" + std::to_string(Skewed) : entryOfCall(Number);
     bool Stream = (Thread + Number) % 3 != 0;
-    std::uint64_t Begin = wallMs();
-    Reply Response = this->call(Node, Stream ? "/chat/x" : "/once/x", Id);
-    this->checkDuration(Id, Node, Begin);
-    if (!Response.Refused)
-      this->checkTimeout(Id, Node, Begin);
+    bool Spare = Stream && Number / 2 % 3 == 2;
+    std::string Prefix = Spare ? SparePrefix : Stream ? "/chat/" : "/once/";
+    Reply Response = this->call(Node, Prefix + "x", Id);
     if (Response.Refused || Response.Status == 0) {
       std::this_thread::sleep_for(milliseconds(50));
       return;
@@ -365,36 +377,21 @@
       this->checkStream(Id, Response);
     else
       this->checkCall(Id, Response);
-    if (Response.Status == 401 || Response.Status == 404)
+    bool Denied = Response.Status == 401 || Response.Status == 403 ||
+                  (Response.Status == 404 && !Spare);
+    if (Denied)
       this->Failures.add(Id + ": refused with " +
                          std::to_string(Response.Status));
   }
 
-  void checkDuration(const std::string &Id, const std::string &Node,
-                     std::uint64_t Begin) {
-    std::uint64_t End = wallMs();
-    milliseconds Duration(End - Begin);
-    if (FLAGS_bursts && Duration > CallerDeadline + MaxOverrun &&
-        !this->Faults.wasDisturbed(Node, Begin, End))
-      this->Failures.add(Id + ": " + std::to_string(Duration.count()) +
-                         " ms at " + Node + " until the response ended");
-  }
-
-  void checkTimeout(const std::string &Id, const std::string &Node,
-                    std::uint64_t Begin) {
-    // With restores, any version may be in force at an entry.
-    const int TimeoutMs =
-        FLAGS_restores ? LongestTimeoutMs : timeoutMsOf(FirstVersion);
-    std::uint64_t End = wallMs();
-    std::uint64_t Timeout = Begin + static_cast<std::uint64_t>(TimeoutMs);
-    if (End >= Timeout)
-      ++this->TimedOut;
-    std::uint64_t RunsSince = this->Outages.latestEnd(Node, Begin, End);
-    if (End > std::max(Timeout, RunsSince) + EndBound.count())
-      this->Failures.add(Id + ": ended " + std::to_string(End - Begin) +
-                         " ms after it was sent to " + Node + ", " +
-                         std::to_string(End - RunsSince) +
-                         " ms after that ran again");
+  void checkDurations() {
+    if (!FLAGS_bursts)
+      return;
+    for (const EndedCall &Call : this->Calls.all())
+      if (milliseconds(Call.durationMs()) > this->CallerDeadline + MaxOverrun &&
+          !this->Faults.wasDisturbed(Call.Node, Call.Begin, Call.End))
+        this->Failures.add(Call.Id + ": " + std::to_string(Call.durationMs()) +
+                           " ms at " + Call.Node + " until the response ended");
   }
 
   void checkStream(const std::string &Id, const Reply &Response) {
@@ -422,6 +419,7 @@
     auto End = Clock::now() + std::chrono::seconds(FLAGS_seconds);
     // A separate generator keeps the other faults of a seed unchanged.
     std::mt19937_64 Suspends(this->Seed + SuspendSeedOffset);
+    std::mt19937_64 Reloads(this->Seed + ReloadSeedOffset);
     while (Clock::now() < End) {
       this->endExpiredFaults(Clock::now());
       this->restartCrashed();
@@ -431,10 +429,30 @@
       if (this->ActiveFaults.size() < MaxFaults)
         this->beginFault(Clock::now() +
                          milliseconds(300 + this->randomBelow(2500)));
+      if (Reloads() % 3 == 0)
+        this->reloadSettings(Reloads() % 2 ? "n1" : "n2");
       std::this_thread::sleep_for(milliseconds(100 + this->randomBelow(700)));
     }
   }
 
+  /// Those of \p Names whose processes run.
+  std::vector<std::string> running(std::vector<std::string> Names) {
+    std::erase_if(Names, [this](const std::string &Name) {
+      auto At = this->ActiveFaults.find(Name);
+      return At != this->ActiveFaults.end() && At->second.IsOutage;
+    });
+    return Names;
+  }
+
+  void reloadSettings(const std::string &Node) {
+    // The signal ends a process that does not wait for it yet.
+    bool IsReady =
+        !this->running({Node}).empty() &&
+        this->Run.ask(Node, {.Path = "/", .Timeout = ReloadWait}).Status != 0;
+    if (IsReady)
+      this->Run.node(Node).signal(SIGHUP);
+  }
+
   void beginFault(Clock::time_point Until) {
     bool OnNode = this->randomBelow(3) == 0;
     std::string Target =
@@ -449,16 +467,22 @@
     if (Kind < 3)
       this->Outages.begin(Target);
     if (Kind >= 3 && Kind < 7) {
-      this->Links[Target]->set(static_cast<LinkFault>(Kind - 2));
+      auto Fault = static_cast<LinkFault>(Kind - 2);
+      if (Fault == LinkFault::Reset)
+        this->Breaks.begin(Target);
+      this->Links[Target]->set(Fault);
       this->ActiveFaults[Target] = {
-          Until, [this, Target] { this->Links[Target]->set(LinkFault::None); }};
+          Until, [this, Target] { this->Links[Target]->set(LinkFault::None); },
+          false};
     } else if (Kind == 7) {
       std::string How = this->randomBelow(2) ? "refuse" : "silent";
       this->Run.atPlatform({"POST", "/store/down?how=" + How, "", {}});
       this->ActiveFaults["store"] = {
-          Until, [this] {
+          Until,
+          [this] {
             this->Run.atPlatform({"POST", "/store/down?how=no", "", {}});
-          }};
+          },
+          false};
     } else if (Kind == 0) {
       Process &Row = OnNode ? this->Run.node(Target) : this->Run.vm(Target);
       Row.signal(SIGSTOP);
@@ -478,13 +502,22 @@
                                 [this, Node] { this->Run.resume(Node); }};
   }
 
+  /// Whether a request has crashed the target; records when.
+  bool hasCrashed(const std::string &Vm) {
+    if (this->Run.vm(Vm).wait(milliseconds(0)) == -1) {
+      this->SeenRunning[Vm] = wallMs();
+      return false;
+    }
+    this->Breaks.add({Vm, this->SeenRunning[Vm], wallMs()});
+    return true;
+  }
+
   /// Restarts targets that a request has crashed.
   void restartCrashed() {
     if (!FLAGS_crashes && !FLAGS_parts)
       return;
-    for (const std::string &Vm : this->Vms)
-      if (!this->ActiveFaults.contains(Vm) &&
-          this->Run.vm(Vm).wait(milliseconds(0)) != -1) {
+    for (const std::string &Vm : this->running(this->Vms))
+      if (this->hasCrashed(Vm) && !this->ActiveFaults.contains(Vm)) {
         this->removeFromRegistry(Vm);
         this->startVm(Vm);
       }
@@ -526,6 +559,8 @@
   void kill(const std::string &Target, bool OnNode, bool Graceful,
             Clock::time_point Until) {
     if (!OnNode) {
+      this->hasCrashed(Target);
+      this->Breaks.begin(Target);
       this->Run.killVm(Target);
       this->removeFromRegistry(Target);
       this->ActiveFaults[Target] = {Until,
@@ -533,10 +568,16 @@
       return;
     }
     if (Graceful) {
+      this->Stops.begin(Target);
       this->Run.node(Target).signal(SIGTERM);
       this->Run.node(Target).wait(milliseconds(4000));
     }
-    this->Run.killNode(Target);
+    if (this->Run.node(Target).wait(milliseconds(0)) == -1) {
+      this->Kills.begin(Target);
+      this->Run.killNode(Target);
+      this->Kills.end(Target);
+    }
+    this->Stops.end(Target);
     this->ActiveFaults[Target] = {Until,
                                   [this, Target] { this->startNode(Target); }};
   }
@@ -551,6 +592,7 @@
       At->second.End();
       this->Faults.end(At->first);
       this->Outages.end(At->first);
+      this->Breaks.end(At->first);
       At = this->ActiveFaults.erase(At);
     }
   }
@@ -561,7 +603,7 @@
     return eventually(
         [&] {
           this->restartCrashed();
-          return this->Restores.isLastVersionServed();
+          return this->Configs.isLastVersionServed();
         },
         RecoveryTime);
   }
@@ -586,11 +628,17 @@
   struct ActiveFault {
     Clock::time_point Until;
     std::function<void()> End;
+    /// The process does not run.
+    bool IsOutage = true;
   };
 
   std::mt19937_64 Random;
-  StoreRestores Restores{*this};
+  ConfigSeries Configs{*this};
+  StoreRestores Restores{*this, this->Configs};
   TargetStatements Targets{*this};
+  StartedAnswers Answers{*this, this->Configs};
+  /// When targets last ran for sure, in Unix milliseconds.
+  std::map<std::string, std::uint64_t> SeenRunning;
   /// Read by the threads of proxies.
   SocketOwners Owners;
   std::map<std::string, std::unique_ptr<LoopbackProxy>> Links;
@@ -601,7 +649,6 @@
   std::atomic<int> SkewedEntry{0};
   std::atomic<unsigned long> Served{0};
   std::atomic<unsigned long> Refused{0};
-  std::atomic<unsigned long> TimedOut{0};
 };
 
 } // namespace
@@ -617,8 +664,8 @@
     waycove::test::Soak Run(Seed);
     std::string Failures = Run.run();
     std::cout << "seed " << Seed << ": " << Run.served() << " served, "
-              << Run.refused() << " refused, " << Run.timedOut()
-              << " at their timeout: "
+              << Run.refused() << " refused, " << Run.answers().timedOut()
+              << " at their timeout, " << Run.answers().cut() << " cut: "
               << (Failures.empty() ? "all promises held"
                                    : Failures + "logs: " + Run.folder())
               << std::endl;
--- a/tests/soak/soak_system.cpp
+++ b/tests/soak/soak_system.cpp
@@ -4,6 +4,8 @@
 
 #include "soak/soak_system.h"
 
+#include "soak/soak_config.h"
+
 #include <algorithm>
 
 namespace waycove::test {
@@ -29,6 +31,11 @@
       Row.End = wallMs();
 }
 
+void Disturbances::add(const Period &Ended) {
+  std::lock_guard Lock(this->Mutex);
+  this->Rows.push_back(Ended);
+}
+
 bool Disturbances::wasDisturbed(const std::string &Name, std::uint64_t From,
                                 std::uint64_t Until) {
   std::lock_guard Lock(this->Mutex);
@@ -50,6 +57,16 @@
   return Latest;
 }
 
+void EndedCalls::add(const EndedCall &Call) {
+  std::lock_guard Lock(this->Mutex);
+  this->Rows.push_back(Call);
+}
+
+std::vector<EndedCall> EndedCalls::all() {
+  std::lock_guard Lock(this->Mutex);
+  return this->Rows;
+}
+
 void FailedChecks::add(const std::string &What) {
   std::lock_guard Lock(this->Mutex);
   this->Lines += What + "\n";
@@ -60,21 +77,41 @@
   return this->Lines;
 }
 
+namespace {
+
+/// Returns the number of whole events in the body of a stream.
+int countEvents(const std::string &Body) {
+  int Count = 0;
+  for (std::size_t At = 0; (At = Body.find("\n\n", At)) != std::string::npos;
+       At += 2)
+    ++Count;
+  return Count;
+}
+
+} // namespace
+
 Reply SoakSystem::call(const std::string &Node, const std::string &Path,
                        const std::string &Id, const std::string &Key,
                        const std::string &Body, const std::string &Parts) {
-  return this->Run.ask(
+  EndedCall Call{.Id = Id, .Node = Node, .Begin = wallMs()};
+  Reply Response = this->Run.ask(
       Node, {"POST",
              Path,
              Body,
              {{"Host", "a.example"},
               {"Authorization", "Bearer " + Key},
               {"X-Request-Id", Id},
-              {"X-Model", "model"},
+              {"X-Model", Path.starts_with(SparePrefix) ? SpareModel : "model"},
               {"X-Token-Count", "100,50"},
               {"X-Prefix-Hash", Parts},
-              {"X-Deadline-Ms", std::to_string(CallerDeadline.count())}},
-             milliseconds(8000)});
+              {"X-Deadline-Ms", std::to_string(this->CallerDeadline.count())}},
+             this->callTimeout()});
+  Call.End = wallMs();
+  Call.Refused = Response.Refused;
+  Call.Events = Response.Status == 200 ? countEvents(Response.Body) : 0;
+  Call.Whole = !Response.Cut;
+  this->Calls.add(Call);
+  return Response;
 }
 
 void SoakSystem::setFaults(const std::string &Vm, const std::string &Json) {
--- a/tests/soak/soak_system.h
+++ b/tests/soak/soak_system.h
@@ -15,9 +15,6 @@
 
 /// Requests that are under way when something changes arrive within this time.
 inline constexpr std::uint64_t UnderWayMs = 500;
-/// Deadline that callers state.
-inline constexpr std::chrono::milliseconds CallerDeadline(6000);
-
 /// Unix time in milliseconds, as targets log it.
 std::uint64_t wallMs();
 
@@ -33,6 +30,8 @@
 public:
   void begin(const std::string &Name);
   void end(const std::string &Name);
+  /// Adds a fault that has ended.
+  void add(const Period &Ended);
   /// Whether a fault was active at an entry, a target or its link.
   bool wasDisturbed(const std::string &Name, std::uint64_t From,
                     std::uint64_t Until);
@@ -46,6 +45,33 @@
   std::vector<Period> Rows;
 };
 
+/// A request and how it ended for its caller; in Unix milliseconds.
+struct EndedCall {
+  std::string Id;
+  std::string Node;
+  std::uint64_t Begin = 0;
+  std::uint64_t End = 0;
+  /// The connection was never opened.
+  bool Refused = false;
+  /// Whole events of a stream that arrived.
+  int Events = 0;
+  /// The response is complete.
+  bool Whole = false;
+
+  std::uint64_t durationMs() const { return this->End - this->Begin; }
+};
+
+/// The requests of all callers. Thread-safe.
+class EndedCalls {
+public:
+  void add(const EndedCall &Call);
+  std::vector<EndedCall> all();
+
+private:
+  std::mutex Mutex;
+  std::vector<EndedCall> Rows;
+};
+
 /// Failed checks of a run, one a line. Thread-safe.
 class FailedChecks {
 public:
@@ -72,6 +98,12 @@
   void removeFromRegistry(const std::string &Vm);
 
   const std::uint64_t Seed;
+  /// Deadline that callers state.
+  const std::chrono::milliseconds CallerDeadline{6000};
+  /// When callers leave.
+  std::chrono::milliseconds callTimeout() const {
+    return this->CallerDeadline + std::chrono::milliseconds(2000);
+  }
   Cluster Run;
   /// IDs of all targets; constant once the system has started.
   std::vector<std::string> Vms;
@@ -80,6 +112,17 @@
   Disturbances Faults;
   /// Times in which entries did not run, or were killed.
   Disturbances Outages;
+  /// Moments at which entries were killed.
+  Disturbances Kills;
+  /// Times in which entries stopped as they were told to.
+  Disturbances Stops;
+  /// Times in which targets, or their connections, did not last: killed,
+  /// crashed, reset. Names one target, or linkName() for those of one entry.
+  Disturbances Breaks;
+  static std::string linkName(const std::string &Node, const std::string &Vm) {
+    return Node + " to " + Vm;
+  }
+  EndedCalls Calls;
   FailedChecks Failures;
 };
 
