--- a/tests/soak/config_series.cpp
+++ b/tests/soak/config_series.cpp
@@ -19,8 +19,11 @@
 
 /// Timeouts of the routes, which each version changes. Callers wait longer.
 constexpr std::array RouteTimeoutsMs{2000, 1200, 2800};
-/// Requests that run at once in a group.
+/// With long streams, which run for 4 s.
+constexpr std::array LongRouteTimeoutsMs{8000, 7600, 8400};
+/// Requests that run at once in a group, for few callers and for many.
 constexpr int Slots = 8;
+constexpr int LongStreamSlots = 20;
 /// Time between two versions.
 constexpr int MinPauseMs = 100;
 constexpr int MaxPauseMs = 1500;
@@ -31,7 +34,7 @@
 } // namespace
 
 const std::array<int, 3> &ConfigSeries::timeoutsMs() const {
-  return RouteTimeoutsMs;
+  return this->System.HasLongStreams ? LongRouteTimeoutsMs : RouteTimeoutsMs;
 }
 
 int ConfigSeries::timeoutMsOf(int Version) const {
@@ -75,8 +78,8 @@
          R"("services":[{"name":"plain",)" +
          MaxConnections + R"(},{"name":"llm",)" + MaxConnections +
          R"(,"engine":{"retains":1,"loads_per_s":50,"slots":)" +
-         std::to_string(Slots) + R"(,"models":[)" +
-         Model("model", 100 - SparePercent) +
+         std::to_string(this->System.HasLongStreams ? LongStreamSlots : Slots) +
+         R"(,"models":[)" + Model("model", 100 - SparePercent) +
          (SparePercent > 0 ? "," + Model(SpareModel, SparePercent) : "") +
          R"(]}}],"tenants":[{"name":"w1","api_keys":["key-1",")" +
          versionKey(Version) + R"("]}]})";
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -53,6 +53,10 @@
 // --suspends also suspends entries' machines: their steady clocks exclude the
 // suspended time. All checks apply.
 //
+// --standstills also lets all entries and targets stand still at the same
+// moment, with many streams that run for 4 s. All checks apply: no response
+// that has started is cut because all stood still.
+//
 // --cuts also cuts one entry at a time off from all targets, while callers, the
 // store and the other entry still reach it. All checks apply.
 //
@@ -62,13 +66,14 @@
 //   response, unless a fault was active at its entry.
 //
 //   soak --seed=N --seconds=S [--seeds=K] [--restores] [--crashes] [--suspends]
-//   [--statements] [--cuts] [--bursts] [--parts] [--unframed] [--skew] runs
-//   K consecutive seeds
+//   [--statements] [--cuts] [--bursts] [--parts] [--unframed] [--skew]
+//   [--standstills] runs K consecutive seeds
 //
 // Exits with 0 if all checks pass. A failed run prints its seed and keeps its
 // logs.
 #include "soak/prompt_faults.h"
 #include "soak/soak_config.h"
+#include "soak/standstills.h"
 #include "soak/started_answers.h"
 #include "soak/store_restores.h"
 #include "soak/target_statements.h"
@@ -107,6 +112,7 @@
 DEFINE_bool(suspends, false, "suspend the machines of entries");
 DEFINE_bool(bursts, false, "send more requests than there are slots");
 DEFINE_bool(cuts, false, "cut entries off from all targets");
+DEFINE_bool(standstills, false, "let all processes stand still at once");
 
 namespace waycove::test {
 
@@ -118,6 +124,9 @@
 constexpr int Engines = 6;
 constexpr int Plains = 2;
 constexpr int CallerThreads = 6;
+/// Callers with standstills: of the streams of one group, more are under way
+/// than may be sent a second time.
+constexpr int StandstillCallerThreads = 30;
 /// Additional callers in a burst, about twice the slots of all groups.
 constexpr int BurstThreads = 60;
 constexpr milliseconds MaxOverrun(1000);
@@ -147,7 +156,8 @@
 /// One run: a small system behind proxies, with callers and injected faults.
 class Soak : SoakSystem {
 public:
-  explicit Soak(std::uint64_t Seed) : SoakSystem(Seed), Random(Seed) {
+  explicit Soak(std::uint64_t Seed)
+      : SoakSystem(Seed, FLAGS_standstills), Random(Seed) {
     this->Run.Suspendable = FLAGS_suspends;
     this->startAll();
   }
@@ -156,8 +166,10 @@
   std::string run() {
     std::atomic<bool> Stop{false};
     std::vector<std::thread> Callers;
-    Callers.reserve(CallerThreads);
-    for (int I = 0; I < CallerThreads; ++I)
+    const int CallerCount =
+        FLAGS_standstills ? StandstillCallerThreads : CallerThreads;
+    Callers.reserve(static_cast<std::size_t>(CallerCount));
+    for (int I = 0; I < CallerCount; ++I)
       Callers.emplace_back([&, I] {
         for (int N = 0; !Stop; ++N)
           this->callOnce(I, N);
@@ -276,7 +288,7 @@
 
   void startVm(const std::string &Id) {
     this->Run.TargetFlags = {
-        "--token_ms=8", "--load_ms=50",
+        FLAGS_standstills ? "--token_ms=100" : "--token_ms=8", "--load_ms=50",
         "--registry=127.0.0.1:" + std::to_string(this->Run.platformPort()),
         "--advertise=127.0.0.1:" + std::to_string(this->Links[Id]->port())};
     if (FLAGS_bursts)
@@ -294,7 +306,8 @@
         "entry: {ready: '127.0.0.1:" +
         std::to_string(this->Run.peerPort(Node) + 5) +
         "', revoke_bound_ms: " + std::to_string(RevokeBound.count()) +
-        ", grace_ms: 3000, lease_least_ms: 500, target_heartbeat_ms: 400}";
+        ", grace_ms: 3000, lease_least_ms: 500, target_heartbeat_ms: 400" +
+        (FLAGS_standstills ? ", retry_slack: 4}" : "}");
     this->Run.startNode(Node);
     this->Owners.set(Node, this->Run.node(Node).id());
   }
@@ -431,6 +444,9 @@
                          milliseconds(300 + this->randomBelow(2500)));
       if (Reloads() % 3 == 0)
         this->reloadSettings(Reloads() % 2 ? "n1" : "n2");
+      if (FLAGS_standstills)
+        this->Still.maybeStandStill(this->running({"n1", "n2"}),
+                                    this->running(this->Vms));
       std::this_thread::sleep_for(milliseconds(100 + this->randomBelow(700)));
     }
   }
@@ -636,6 +652,7 @@
   ConfigSeries Configs{*this};
   StoreRestores Restores{*this, this->Configs};
   TargetStatements Targets{*this};
+  Standstills Still{*this};
   StartedAnswers Answers{*this, this->Configs};
   /// When targets last ran for sure, in Unix milliseconds.
   std::map<std::string, std::uint64_t> SeenRunning;
--- a/tests/soak/soak_system.h
+++ b/tests/soak/soak_system.h
@@ -86,7 +86,9 @@
 
 /// The system of one run, which its callers, faults and checks share.
 struct SoakSystem {
-  explicit SoakSystem(std::uint64_t Seed) : Seed(Seed) {}
+  SoakSystem(std::uint64_t Seed, bool HasLongStreams)
+      : Seed(Seed), HasLongStreams(HasLongStreams),
+        CallerDeadline(HasLongStreams ? 11000 : 6000) {}
   /// Sends a request with the usual headers. Thread-safe.
   Reply call(const std::string &Node, const std::string &Path,
              const std::string &Id, const std::string &Key = "key-1",
@@ -98,8 +100,10 @@
   void removeFromRegistry(const std::string &Vm);
 
   const std::uint64_t Seed;
+  /// Streams run for 4 s, and their callers wait accordingly.
+  const bool HasLongStreams;
   /// Deadline that callers state.
-  const std::chrono::milliseconds CallerDeadline{6000};
+  const std::chrono::milliseconds CallerDeadline;
   /// When callers leave.
   std::chrono::milliseconds callTimeout() const {
     return this->CallerDeadline + std::chrono::milliseconds(2000);
