Let the soak's spare model serve, and record its latest crashes

Targets are checked for crashes once more at the end.

Before: no request for the spare model was served.

--- a/tests/soak/config_series.cpp
+++ b/tests/soak/config_series.cpp
@@ -27,6 +27,8 @@
 /// Time between two versions.
 constexpr int MinPauseMs = 100;
 constexpr int MaxPauseMs = 1500;
+/// The spare model comes, goes or gets another share after so many versions.
+constexpr std::uint64_t VersionsPerModel = 4;
 /// Keep the random sequences independent.
 constexpr std::uint64_t PauseSeedOffset = 10'000'000;
 constexpr std::uint64_t VersionSeedOffset = 11'000'000;
@@ -65,7 +67,11 @@
       R"("max_conns":)" + std::string(Random() % 2 ? "50" : "3");
   const std::string SpareRoute =
       Random() % 2 ? this->routeOf(Version, "spare") + StreamKind + "," : "";
-  const int SparePercent = static_cast<int>(Random() % 3) * 25;
+  // Groups need some versions to follow.
+  std::mt19937_64 Models(this->System.Seed + VersionSeedOffset +
+                         static_cast<std::uint64_t>(Version) /
+                             VersionsPerModel);
+  const int SparePercent = static_cast<int>(Models() % 3) * 25;
   auto Model = [](const std::string &Name, int Percent) {
     return R"({"name":")" + Name + R"(","size":2,"share":)" +
            std::to_string(Percent / 100.0) +
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -238,6 +238,8 @@
     if (!Recovered)
       this->Failures.add("not served " + std::to_string(RecoveryTime.count()) +
                          " ms after the last fault");
+    // Records the crashes since the recovery.
+    this->restartCrashed();
     this->checkRuns();
     this->checkDurations();
     this->Answers.check();
@@ -289,6 +291,7 @@
   void startVm(const std::string &Id) {
     this->Run.TargetFlags = {
         FLAGS_standstills ? "--token_ms=100" : "--token_ms=8", "--load_ms=50",
+        "--staged=model," + SpareModel,
         "--registry=127.0.0.1:" + std::to_string(this->Run.platformPort()),
         "--advertise=127.0.0.1:" + std::to_string(this->Links[Id]->port())};
     if (FLAGS_bursts)
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -59,6 +59,7 @@
 #include <iostream>
 #include <mutex>
 #include <optional>
+#include <sstream>
 #include <thread>
 
 namespace waycove::standin {
@@ -77,6 +78,8 @@
   /// 503 as not run. 0 slots: all run at once.
   unsigned Slots = 0;
   unsigned QueueSize = 0;
+  /// Models whose weights are staged, separated by commas.
+  std::string Staged = "model";
 };
 
 /// The faults that are set, by their names in this file's first comment.
@@ -221,7 +224,9 @@
     Out.set("sequence", this->Sequence);
     Out.set("born", this->StartedAt);
     Poco::JSON::Array Staged;
-    Staged.add(std::string("model"));
+    std::istringstream Names(this->Setup.Staged);
+    for (std::string Name; std::getline(Names, Name, ',');)
+      Staged.add(Name);
     Out.set("staged", Staged);
     this->addGroup(Out);
     return Out;
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -41,6 +41,9 @@
 DEFINE_uint32(slots, 0,
               "requests of the users' platform that run at once; 0: all");
 DEFINE_uint32(queue, 0, "requests that are queued when all slots are in use");
+DEFINE_string(staged, "model",
+              "models of the users' platform whose weights are staged, "
+              "separated by commas");
 DEFINE_bool(checks_fence, true, "refuse orders with an older fence");
 
 namespace {
@@ -403,7 +406,8 @@
                                   FLAGS_token_ms,
                                   FLAGS_load_ms,
                                   FLAGS_slots,
-                                  FLAGS_queue};
+                                  FLAGS_queue,
+                                  FLAGS_staged};
       Vms.back()->Target = std::make_unique<standin::Replica>(Setup);
       Vms.back()->Target->publish();
     }
