--- a/tests/soak/standstills.cpp
+++ b/tests/soak/standstills.cpp
@@ -50,6 +50,7 @@
     this->System.Outages.add({Node, Begin, wallMs()});
   }
   std::vector<std::pair<int, std::string>> Delays;
+  Delays.reserve(Vms.size());
   for (const std::string &Vm : Vms)
     Delays.emplace_back(this->randomBelow(MaxTargetDelayMs + 1), Vm);
   std::ranges::sort(Delays);
