Run a keyed request that its dispatcher forwards, rather than send it back

Cause: where no target of its data centre serves, the dispatcher of a key forwards the request to another data centre. The daemon there looked for the key's dispatcher, found the first one and sent the request back to it, which waited for the response of the request with that key: for itself, until the deadline. Nothing ran, and the key's outcome stayed unknown for good. Now a request that another daemon forwards, and not to the key's dispatcher, comes from the dispatcher and is run. Ruled out: a peer's connection that is accepted and not served (the notification queue hands each one to a thread), a claim that the log does not confirm (n1 had it, or it would not have passed the request on).

Before: 502 outcome_unknown at the deadline and 0 runs, for claimed keys and tickets; n3 logs only then. After: 200 at once, one run, the same answer through each daemon.

--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -38,6 +38,10 @@
   bool Forwarded = false;
   /// Forwarded to this daemon as the dispatcher of the request's key.
   bool Bound = false;
+
+  /// Whether the dispatcher of its key, if it has one, forwarded it to this
+  /// daemon to be run.
+  bool isDispatched() const { return this->Forwarded && !this->Bound; }
 };
 
 /// Length of the response body in bytes; nullopt for a stream.
--- a/src/edge/serve.h
+++ b/src/edge/serve.h
@@ -92,8 +92,10 @@
     absl::StatusOr<RoutePlan> Plan = this->PlacementRules.plan(Request);
     if (!Plan.ok())
       return this->refuseUnclaimed(Request, Sink, Plan.status());
-    // 3. Keyed requests are dispatched at most once, by one daemon.
-    if (!Request.Key.empty() && !Request.Repeatable)
+    // 3. Keyed requests are dispatched at most once, by one daemon. It waits
+    // for the response while it forwards one to another data centre, so that
+    // must not come back to it.
+    if (!Request.Key.empty() && !Request.Repeatable && !Request.isDispatched())
       return this->serveOnce(Request, *Plan, Sink);
     return this->serveOrForward(Request, *Plan, Sink);
   }
--- a/tests/failure/once_test.cpp
+++ b/tests/failure/once_test.cpp
@@ -37,6 +37,16 @@
                                  {{"X-Waycove-Deadline-Ms", Deadline}});
   }
 
+  /// Takes the only target of data centre a off the VM list.
+  void takeLocalTarget() {
+    this->Run.atPlatform(
+        {"POST", "/vms/state", R"({"vm":"sa-1","state":"gone"})", {}});
+    for (const char *Node : {"n1", "n2"})
+      REQUIRE(eventually([&] {
+        return this->Run.callService(Node, "").text("vm") == "sb-1";
+      }));
+  }
+
   std::string ticket(const std::string &Node) {
     return this->Run
         .ask(Node,
@@ -159,6 +169,29 @@
   }
 }
 
+// Guards against a dispatcher that waits for itself until the deadline: the
+// daemon that it forwards a request to sent it back to the key's dispatcher.
+TEST_CASE_METHOD(OnceCluster,
+                 "once: no target in the dispatcher's data centre: the request "
+                 "runs in another one, once, and all get its answer",
+                 "[process]") {
+  this->takeLocalTarget();
+  for (bool Ticket : {false, true}) {
+    std::string Key = Ticket ? this->ticket("n1") : freshKey("far");
+    Reply First = this->call("n1", Key);
+    INFO(First.Status << " " << First.Body);
+    CHECK(First.Status == 200);
+    CHECK(First.text("vm") == "sb-1");
+    for (const char *Node : {"n3", "n2", "n1"}) {
+      Reply Retry = this->call(Node, Key);
+      INFO(Node << ": " << Retry.Status << " " << Retry.Body);
+      CHECK(Retry.Status == 200);
+      CHECK(Retry.Body == First.Body);
+    }
+    CHECK(this->Run.callsOf(Key) == 1);
+  }
+}
+
 TEST_CASE_METHOD(OnceCluster,
                  "once: dispatcher frozen while it runs: the retry is not run "
                  "elsewhere",
