Let a key's dispatcher forward what another daemon forwarded to it

Cause: the dispatcher took it for one that was forwarded to be run here, which is not forwarded on. As the dispatcher it now decides where the request runs, whoever received it; the next daemon runs or refuses it, so the way is three daemons at most. Before: 503 no_capacity, not run; after: 200, run once.

--- a/src/edge/serve.h
+++ b/src/edge/serve.h
@@ -283,6 +283,9 @@
     MemorySink Buffered;
     CallerRequest Run = Request;
     Run.Stream = false;
+    // As the dispatcher of the key, this daemon decides where it runs.
+    Run.Forwarded = false;
+    Run.Bound = false;
     absl::Status Result = this->serveOrForward(Run, Plan, Buffered);
     this->Tables.Idempotency.write([&](IdempotencyTable &Rows) {
       if (Buffered.ran() == Ran::No)
--- a/tests/failure/once_test.cpp
+++ b/tests/failure/once_test.cpp
@@ -192,6 +192,24 @@
   }
 }
 
+// Guards against a dispatcher that refuses what it may forward, since another
+// daemon has forwarded it to the dispatcher.
+TEST_CASE_METHOD(
+    OnceCluster,
+    "once: passed to a dispatcher whose data centre has no target: "
+    "the request runs in another one, once",
+    "[process]") {
+  this->takeLocalTarget();
+  std::string Key = this->ticket("n1");
+  for (const char *Node : {"n2", "n1", "n3"}) {
+    Reply Response = this->call(Node, Key);
+    INFO(Node << ": " << Response.Status << " " << Response.Body);
+    CHECK(Response.Status == 200);
+    CHECK(Response.text("vm") == "sb-1");
+    CHECK(this->Run.callsOf(Key) == 1);
+  }
+}
+
 TEST_CASE_METHOD(OnceCluster,
                  "once: dispatcher frozen while it runs: the retry is not run "
                  "elsewhere",
