Tell another node of crashes also when its request comes late

The other node counts from when the request arrives, up to 0.9 s later (a reset, a new connection, a late response). What changed just after the exchange before was then in no report, until it changed again. Now a node asks for all if its last exchange is 0.6 s old or older; a round in calm times is 0.25 s, so reports there stay as they are.

Before: the test's asker knows of no crash, after: of the one. "news:*" (6) and "part blame:*" pass.

--- a/src/control/shared_observations.cpp
+++ b/src/control/shared_observations.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/// By then a request has arrived, or its response is not waited for any more:
+/// the connection was reset, opened again, and the response is late.
+constexpr Millis MaxRequestDelay(900);
+
 /// The hashes of the suspects that are blamed together.
 std::string textOf(const Culprit &Blamed) {
   std::string Text;
@@ -39,8 +43,10 @@
   Request.demand = packDemand(this->Demand.sumForUpstream(OwnDemand, Now));
   Request.pools = packPools(this->Pools.sumForUpstream(OwnPools, Now));
   auto Received = this->CrashesReceivedAt.find(Receiver.Node);
-  Request.all_crashes = Received == this->CrashesReceivedAt.end() ||
-                        Now - Received->second >= CrashBlame::ReportDuration;
+  // Changes since the last request have to be reported when this one arrives.
+  Request.all_crashes =
+      Received == this->CrashesReceivedAt.end() ||
+      Now + MaxRequestDelay - Received->second >= CrashBlame::ReportDuration;
   CrashEvidenceMap Crashes = this->crashes(Request.all_crashes, Now);
   Request.crashes = packCrashes(Crashes, SuspectKind::Request);
   Request.crash_parts = packCrashes(Crashes, SuspectKind::PromptPart);
--- a/tests/unit/news_test.cpp
+++ b/tests/unit/news_test.cpp
@@ -4,6 +4,7 @@
 
 // What nodes exchange: feeds with their proofs and observations of targets, and
 // how upstream nodes are selected.
+#include "control/shared_observations.h"
 #include "policy/choice.h"
 #include "policy/connections.h"
 #include "policy/node_rank.h"
@@ -547,4 +548,51 @@
   CHECK_FALSE(inflateRecords({}).ok());
 }
 
+/// What two nodes know of crashes, of which one asks the other.
+struct CrashNewsFixture {
+  static Settings settingsOf(const std::string &Node) {
+    Settings Config;
+    Config.Node = NodeId(Node);
+    Config.DataCentre = DataCentreId("c");
+    Config.Entry.emplace();
+    return Config;
+  }
+  /// The asker sends its request at \p SentMs; the other node takes it at
+  /// \p TakenMs.
+  void ask(int SentMs, int TakenMs) {
+    wire::NewsWantedT Request;
+    Request.node = "asker";
+    Request.data_centre = "c";
+    this->Asker.addTo(Request, this->AskedBoard.nodeInfo(), at(SentMs));
+    wire::NewsT Response;
+    this->Asked.exchange(Request, Response, at(TakenMs));
+    this->Asker.apply(Response, NodeId("asked"), at(SentMs), at(TakenMs));
+  }
+  std::size_t crashesKnownToAsker() {
+    return this->AskerBoard.Crashes.read(
+        [](const CrashBlame &Rows) { return Rows.allRows().size(); });
+  }
+  EntryBoard AskerBoard{settingsOf("asker"), IncarnationId("i")};
+  EntryBoard AskedBoard{settingsOf("asked"), IncarnationId("j")};
+  SharedObservations Asker{this->AskerBoard};
+  SharedObservations Asked{this->AskedBoard};
+};
+
+// Guards against a crash that is told to nobody: it is too old for a report
+// when a slow request arrives, and was not known when the one before did.
+TEST_CASE_METHOD(CrashNewsFixture,
+                 "news: a request arrives late after a pause: what changed "
+                 "since the last one is told",
+                 "[unit]") {
+  this->ask(0, 10);
+  CrashEvidenceMap Crash;
+  Crash[{SuspectKind::PromptPart, ContentHash(7)}].CrashedTargets = {
+      TargetHash(1)};
+  this->AskedBoard.Crashes.write(
+      [&](CrashBlame &Rows) { Rows.merge(Crash, at(20)); });
+  SECTION("after a long pause") { this->ask(1400, 1700); }
+  SECTION("over a new connection") { this->ask(700, 1580); }
+  CHECK(this->crashesKnownToAsker() == 1);
+}
+
 } // namespace waycove::test
