Go on above a newer epoch of the own fence, rather than take it for a newer fence

Seen: a target that has seen a higher epoch than its owner knows of (a late order of an earlier life, a group that it left unseen) refuses a join with 412. OrderSender took that for a newer fence and sent it nothing more until the membership changed; its VMs formed no group. Cause: 412 has two reasons, and only a join is refused for its epoch. Now OrderRefusals tells them apart by what the target reports when it refuses a join: in a group of a newer fence: fenced, as before. In no group: the domain's next epochs are above what it may have seen. A refusal that does not tell its cause counts, and the third one under a fence is the last order, so an outdated owner repeats an order at most twice. Weighed: raising the epoch at each 412 without asking (a join could then pass into a group that is open and not listed yet); asking the store for the generation again (a call for each refusal).

--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -117,11 +117,10 @@
     for (std::size_t I = 0; I < Next.size(); ++I) {
       this->onMemberLeft(Next[I], Outcomes[I]);
       this->markUnreachable(Next[I], Outcomes[I]);
+      this->raiseEpochs(Next[I], Outcomes[I]);
     }
   }
 
-  /// Low bits of an epoch that hold the counter below the fence.
-  static constexpr unsigned EpochCounterBits = 20;
   /// Upper bound on the epochs that an earlier incarnation of this process used
   /// and that the registry does not show.
   static constexpr std::uint64_t UnseenEpochs = 1024;
@@ -254,7 +253,8 @@
       if (!Owned.Floor)
         Owned.Floor = firstFloor(View);
       View.PriorEpochMax = *Owned.Floor;
-      View.EpochFloor = std::max(View.EpochFloor, View.PriorEpochMax);
+      View.EpochFloor =
+          std::max({View.EpochFloor, View.PriorEpochMax, Owned.SeenEpoch});
       View.DrainGracePeriod = std::max(
           Millis(0), this->Board.Config.Entry->DrainBound - DrainMargin);
       std::vector<GroupOrder> Next = Owned.Planner.step(View, Engine);
@@ -326,6 +326,17 @@
       this->Prober.markUnreachable(Order.To->incarnation(), Now);
   }
 
+  /// A target has seen newer epochs of this fence than its entry in the
+  /// registry shows: the next groups of its domain get higher ones.
+  void raiseEpochs(const GroupOrder &Order, OrderOutcome Outcome) {
+    if (Outcome != OrderOutcome::EpochSeen)
+      return;
+    if (auto At = this->Planners.find(Order.To->Domain);
+        At != this->Planners.end())
+      At->second.SeenEpoch =
+          std::max(At->second.SeenEpoch, Order.Group.Epoch + UnseenEpochs);
+  }
+
   void updateAssignment(const PartitionAssignment &Next, Millis Duration) {
     PartitionAssignment Before = this->Assigned.write(
         [&](PartitionAssignment &Row) { return std::exchange(Row, Next); });
@@ -367,6 +378,8 @@
     /// Groups of an earlier ownership have epochs up to this one; set when the
     /// first step is planned.
     std::optional<std::uint64_t> Floor;
+    /// Targets of the domain may have seen epochs up to this one.
+    std::uint64_t SeenEpoch = 0;
     DomainPlanner Planner;
   };
 
--- a/src/control/order_sender.h
+++ b/src/control/order_sender.h
@@ -7,11 +7,13 @@
 #include "base/parallel.h"
 #include "board/entry_board.h"
 #include "control/group_control.h"
+#include "policy/order_refusals.h"
 
 namespace waycove {
 
 /// Sends orders to targets under the fence of an assignment and logs their
-/// outcomes. Used by one thread.
+/// outcomes. Sends nothing to a target that refused the fence for a newer one.
+/// Used by one thread.
 template <GroupControl Control> class OrderSender {
 public:
   OrderSender(EntryBoard &Board, Control &Targets)
@@ -22,24 +24,53 @@
   /// order.
   std::vector<OrderOutcome> send(const std::vector<GroupOrder> &Orders,
                                  std::uint64_t Fence, const Lease &HeldLease) {
-    std::vector<OrderOutcome> Outcomes(Orders.size(), OrderOutcome::NotSent);
+    std::vector<Delivery> Deliveries(Orders.size());
     bool Started = runInParallel(Orders.size(), [&](std::size_t I) {
       // The lease may have ended since planning, e.g. in a suspension.
       if (HeldLease.holds(SystemClock{}.now()) &&
-          !this->isFenced(Orders[I], Fence))
-        Outcomes[I] = this->Targets.order(Orders[I], Fence);
+          !this->Refusals.isFenced(Orders[I].To->incarnation(), Fence))
+        Deliveries[I] = this->deliver(Orders[I], Fence);
     });
     if (!Started)
       this->Board.Log.emit(EventCode::ThreadNotStarted, "orders");
-    for (std::size_t I = 0; I < Orders.size(); ++I)
+    std::vector<OrderOutcome> Outcomes;
+    Outcomes.reserve(Orders.size());
+    for (std::size_t I = 0; I < Orders.size(); ++I) {
+      Outcomes.push_back(this->outcomeOf(Orders[I], Deliveries[I], Fence));
       this->recordOutcome(Orders[I], Outcomes[I], Fence);
+    }
     return Outcomes;
   }
 
 private:
-  bool isFenced(const GroupOrder &Order, std::uint64_t Fence) const {
-    auto At = this->FencedAt.find(Order.To->incarnation());
-    return At != this->FencedAt.end() && At->second >= Fence;
+  struct Delivery {
+    OrderOutcome Outcome = OrderOutcome::NotSent;
+    /// Of a target that refused to join.
+    OrderRefusals::ReportedGroup Reported = std::nullopt;
+  };
+
+  Delivery deliver(const GroupOrder &Order, std::uint64_t Fence) {
+    Delivery Result;
+    Result.Outcome = this->Targets.order(Order, Fence);
+    if (Result.Outcome == OrderOutcome::Fenced && Order.Kind == OrderKind::Join)
+      Result.Reported = this->Targets.reportedGroup(*Order.To);
+    return Result;
+  }
+
+  OrderOutcome outcomeOf(const GroupOrder &Order, const Delivery &Result,
+                         std::uint64_t Fence) {
+    if (Result.Outcome != OrderOutcome::Fenced)
+      return Result.Outcome;
+    switch (this->Refusals.record(Order, Fence, Result.Reported)) {
+    case OrderRefusals::Cause::NewerFence:
+      return OrderOutcome::Fenced;
+    case OrderRefusals::Cause::NewerEpoch:
+      return OrderOutcome::EpochSeen;
+    case OrderRefusals::Cause::InNewerGroup:
+    case OrderRefusals::Cause::Unknown:
+      break;
+    }
+    return OrderOutcome::Refused;
   }
 
   void recordOutcome(const GroupOrder &Order, OrderOutcome Outcome,
@@ -47,8 +78,6 @@
     this->Board.Counters.add(Counter::OrdersSent);
     if (Outcome != OrderOutcome::Accepted)
       this->Board.Counters.add(Counter::OrdersFailed);
-    if (Outcome == OrderOutcome::Fenced)
-      this->FencedAt[Order.To->incarnation()] = Fence;
     this->Board.Log.emit(EventCode::DomainOrderEnded, Order.To->Id.Text,
                          LogFields()
                              .add("order", orderName(Order.Kind))
@@ -61,9 +90,7 @@
 
   EntryBoard &Board;
   Control &Targets;
-  /// Newest fence that a target refused because it has seen a newer one, by
-  /// incarnation: a target that restarts forgets the fences it has seen.
-  std::map<VmIncarnation, std::uint64_t> FencedAt;
+  OrderRefusals Refusals;
 };
 
 } // namespace waycove
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -152,8 +152,8 @@
       Response.set("X-Request-Id", Request.get("X-Request-Id", ""));
       Response.set("X-Replica-Id", this->Setup.Id);
       reply(Response, 421, "");
-    } else if (Path == "/api/order")
-      this->order(Response, Body);
+    } else if (Path.rfind("/api/order", 0) == 0)
+      this->order(Response, Body, Path.ends_with("unseen=1"));
     else if (Path == "/api/report")
       this->report(Response);
     else if (Path == "/runs")
@@ -253,14 +253,17 @@
     Socket.close();
   }
 
-  void order(Poco::Net::HTTPServerResponse &Response, const std::string &Body) {
+  /// The registry does not show an \p Unseen order.
+  void order(Poco::Net::HTTPServerResponse &Response, const std::string &Body,
+             bool Unseen) {
     auto Row = parseJson(Body);
     int Status = 0;
     {
       std::lock_guard Lock(this->Mutex);
       Status = this->applyOrder(*Row);
     }
-    this->publish();
+    if (!Unseen)
+      this->publish();
     reply(Response, Status, "{}");
   }
 
--- a/tests/unit/domain_owner_test.cpp
+++ b/tests/unit/domain_owner_test.cpp
@@ -3,7 +3,8 @@
 // Version 2.0; see LICENSE.
 
 // An owner of domains after the store was restored from an older copy, which
-// reuses generations and may assign a domain to two nodes for one lease.
+// reuses generations and may assign a domain to two nodes for one lease, and
+// before targets that have seen newer fences or epochs than it knows of.
 #include "control/domain_owner.h"
 #include "support/times.h"
 
@@ -34,24 +35,32 @@
 };
 
 /// Targets that accept every order, but refuse one with a smaller fence than
-/// they have seen.
+/// they have seen, and a join with a smaller epoch.
 struct FakeControl {
   OrderOutcome order(const GroupOrder &Order, std::uint64_t Fence) {
     std::lock_guard Lock(this->Mutex);
+    ++this->Sent;
     if (Fence < this->NewestFence)
       return OrderOutcome::Fenced;
     this->NewestFence = Fence;
+    if (Order.Kind == OrderKind::Join && Order.Group.Epoch < this->Epoch)
+      return OrderOutcome::Fenced;
     ++this->Accepted;
     this->Epoch = std::max(this->Epoch, Order.Group.Epoch);
     return OrderOutcome::Accepted;
   }
+  absl::StatusOr<std::optional<GroupKey>> reportedGroup(const TargetInfo &) {
+    return this->Reported;
+  }
   MemberStatus queryStatus(const TargetInfo &) { return MemberStatus::Unknown; }
   Reachability probe(const TargetInfo &) { return Reachability::Reachable; }
 
   std::mutex Mutex;
   std::uint64_t NewestFence = 0;
   std::uint64_t Epoch = 0;
+  int Sent = 0;
   int Accepted = 0;
+  absl::StatusOr<std::optional<GroupKey>> Reported = std::nullopt;
 };
 
 Settings entrySettings() {
@@ -224,4 +233,66 @@
   CHECK(this->plan(Millis(5000)));
 }
 
+/// An owner that gets its domain under fence 12.
+struct RefusedOwnerFixture : OwnerFixture {
+  RefusedOwnerFixture() {
+    this->list(0);
+    this->deal(0, Generation);
+  }
+  /// An epoch of a group that was formed under \p Fence.
+  static std::uint64_t epochOf(std::uint64_t Fence, std::uint64_t Count) {
+    return (Fence << EpochCounterBits) + Count;
+  }
+  static constexpr std::uint64_t Generation = 12;
+  /// Each target of the domain is sent a refused order at most so often.
+  static constexpr int MaxRefused = 3;
+  static constexpr int Vms = 2;
+};
+
+// Guards against an owner that takes the refusal of an epoch for that of its
+// fence, and sends the targets nothing until the membership changes.
+TEST_CASE_METHOD(RefusedOwnerFixture,
+                 "domain owner: targets have seen a newer epoch of its fence: "
+                 "it orders above that",
+                 "[unit]") {
+  this->Targets.Epoch = epochOf(Generation, 500);
+  CHECK(this->plan(Millis(6000)));
+  CHECK(this->Targets.Epoch > epochOf(Generation, 500));
+  CHECK(this->Targets.NewestFence == Generation);
+}
+
+// Guards against orders that go on under a fence that is outdated.
+TEST_CASE_METHOD(RefusedOwnerFixture,
+                 "domain owner: targets have seen a newer fence: few more "
+                 "orders are sent under its own",
+                 "[unit]") {
+  this->Targets.NewestFence = Generation + 1;
+  SECTION("they are in no group") {
+    CHECK_FALSE(this->plan(Millis(9000)));
+    CHECK(this->Targets.Sent <= Vms * MaxRefused);
+  }
+  SECTION("they are in a group of that fence") {
+    this->Targets.Reported = GroupKey{"m,d,newer", epochOf(Generation + 1, 1)};
+    CHECK_FALSE(this->plan(Millis(5000)));
+    CHECK(this->Targets.Sent == Vms);
+  }
+  SECTION("they do not report") {
+    this->Targets.Reported = makeError(ErrorKind::OutcomeUnknown, "silent");
+    CHECK_FALSE(this->plan(Millis(9000)));
+    CHECK(this->Targets.Sent <= Vms * MaxRefused);
+  }
+}
+
+// Guards against taking a target out of a group that the registry does not show
+// yet, by a join with a higher epoch.
+TEST_CASE_METHOD(RefusedOwnerFixture,
+                 "domain owner: targets are in a group with a newer epoch that "
+                 "is not listed: none is ordered above that",
+                 "[unit]") {
+  this->Targets.Epoch = epochOf(Generation, 500);
+  this->Targets.Reported = GroupKey{"m,d,late", this->Targets.Epoch};
+  CHECK_FALSE(this->plan(Millis(6000)));
+  CHECK(this->Targets.Epoch == epochOf(Generation, 500));
+}
+
 } // namespace waycove::test
--- a/tests/unit/member_prober_test.cpp
+++ b/tests/unit/member_prober_test.cpp
@@ -18,6 +18,9 @@
     return OrderOutcome::Accepted;
   }
   MemberStatus queryStatus(const TargetInfo &) { return MemberStatus::Unknown; }
+  absl::StatusOr<std::optional<GroupKey>> reportedGroup(const TargetInfo &) {
+    return std::nullopt;
+  }
   Reachability probe(const TargetInfo &Target) {
     if (this->Restarted.contains(Target.Id))
       return Reachability::ProcessEnded;
