Refuse a frame that names a message and lacks it

What callers saw: all their connections to the node broke at once, and its log ended without a line. A frame of 28 bytes to the peers' port, with the type of a message and no message, ended the process by signal 11: the verifier of FlatBuffers allows it, and AsNewsWanted(), AsJoin(), AsNews() and the others then return null, which was read. No node of ours sends such a frame; a damaged one, or another program that connects to that port, may.

Ruled out: frames of the other types, of which Gossip to ForwardEnd did nothing. Before: "limits: frames without their message come" fails at NewsWanted, with exit status 139. After: it passes for all types.

--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -52,6 +52,9 @@
     return makeError(ErrorKind::BadRequest, "damaged frame");
   wire::FrameT Frame;
   flatbuffers::GetRoot<wire::Frame>(Data)->UnPackTo(&Frame);
+  // The verifier allows the type of a message without the message.
+  if (!Frame.message.value)
+    return makeError(ErrorKind::BadRequest, "frame without a message");
   return Frame;
 }
 
