Write a last line where a process ends by a signal or an uncaught exception

A fatal signal left nothing; an exception that nobody catches left a text of the C++ library on standard error, without node, time or the number of requests; and lines that waited in the log's queue were lost with it.

logCrashes() sets handlers for the fatal signals and for std::terminate(). They write the event daemon_crashed (110) with write(2), from parts that were made before, with the reason and the number of requests in flight, give the log's thread 50 ms for what is queued, and let the process end as it would without. Each thread has a stack of its own for them, on its stack, whose pages are not used before. daemon_stopped says in addition whether the node was drained or the grace was over. Nothing is added to a request's path.

Ruled out: SIGKILL, also for memory, which nobody can log. Tests' clusters take the new line as the fault that "terminate called" was.

Not shown: a process that the system ends.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -81,6 +81,10 @@
        "finishes."},
       {DaemonStopped, Info, "daemon_stopped",
        "The process ends; the detail lists interrupted requests, if any."},
+      {DaemonCrashed, Error, "daemon_crashed",
+       "The process ends by a fatal signal or an exception that nobody "
+       "catches; the fields give the reason and the number of requests in "
+       "flight, which are cut."},
       {ThreadNotStarted, Warning, "thread_not_started",
        "No thread could be started for a part of the work, which is done by "
        "others or refused."},
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -54,6 +54,7 @@
   ThreadNotStarted = 108,
   PollerDelayed = 109,
   NodeStoodStill = 115,
+  DaemonCrashed = 110,
   ConfigApplied = 210,
   ConfigRefused = 211,
   ConfigUnproven = 212,
--- a/src/base/growing_pool.cpp
+++ b/src/base/growing_pool.cpp
@@ -4,6 +4,7 @@
 
 #include "base/growing_pool.h"
 
+#include "base/crash_log.h"
 #include "base/errors.h"
 
 #include <algorithm>
@@ -56,6 +57,7 @@
 }
 
 void GrowingPool::run(Task Next) {
+  SignalStack OfThisThread;
   while (Next) {
     Next();
     // Ends what the task holds before the thread counts as idle.
--- a/src/base/socket_poller.cpp
+++ b/src/base/socket_poller.cpp
@@ -4,6 +4,8 @@
 
 #include "base/socket_poller.h"
 
+#include "base/crash_log.h"
+
 #include <algorithm>
 #include <thread>
 
@@ -37,6 +39,7 @@
 }
 
 void SocketPoller::run() {
+  SignalStack OfThisThread;
   TimePoint SweepDue;
   while (true) {
     Millis Timeout = this->pollTimeout(BootClock::now());
--- a/src/base/step_runner.cpp
+++ b/src/base/step_runner.cpp
@@ -4,6 +4,7 @@
 
 #include "base/step_runner.h"
 
+#include "base/crash_log.h"
 #include "base/errors.h"
 
 #include <thread>
@@ -34,6 +35,7 @@
 }
 
 void StepRunner::runAll() {
+  SignalStack OfThisThread;
   while (true)
     this->poll(this->awaitDue());
 }
--- a/src/edge/daemon.cpp
+++ b/src/edge/daemon.cpp
@@ -292,8 +292,8 @@
   });
 }
 
-std::uint32_t Daemon::inFlight() const {
-  return this->Impl->Tables.InFlight.load();
+const std::atomic<std::uint32_t> &Daemon::inFlight() const {
+  return this->Impl->Tables.InFlight;
 }
 
 } // namespace waycove
--- a/src/edge/daemon.h
+++ b/src/edge/daemon.h
@@ -27,7 +27,8 @@
   /// control work, or the wait for that has timed out.
   bool isDrained() const;
   /// Number of requests in flight.
-  std::uint32_t inFlight() const;
+  /// Requests in flight.
+  const std::atomic<std::uint32_t> &inFlight() const;
 
 private:
   struct Parts;
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "base/crash_log.h"
 #include "base/step_runner.h"
 #include "control/cached_feed.h"
 #include "control/config_follower.h"
@@ -98,6 +99,7 @@
     this->Steps.start();
     // In a thread of its own, since it waits for other nodes all the time.
     this->NewsThread = std::jthread([this](const std::stop_token &Stop) {
+      SignalStack OfThisThread;
       while (!Stop.stop_requested())
         std::this_thread::sleep_for(this->News.step());
     });
@@ -135,12 +137,18 @@
   void endRequests() { this->Board.Ending = true; }
 
   void logStopped() {
+    std::uint32_t Rest = this->Board.InFlight;
     this->Board.Log.emit(
         EventCode::DaemonStopped, this->Board.Config.Node.Text,
-        LogFields().add("in_flight", this->Board.InFlight.load()));
+        LogFields()
+            .add("reason", Rest == 0 ? "drained" : "the grace is over")
+            .add("in_flight", Rest));
   }
   Events &log() { return this->Board.Log; }
-  std::uint32_t inFlight() const { return this->Board.InFlight; }
+  /// Requests in flight.
+  const std::atomic<std::uint32_t> &inFlight() const {
+    return this->Board.InFlight;
+  }
 
 private:
   static constexpr Millis SweepInterval{1000};
--- a/src/main/waycoved.cpp
+++ b/src/main/waycoved.cpp
@@ -2,6 +2,7 @@
 // Copyright 2026 the waycove authors. Licensed under the Apache License,
 // Version 2.0; see LICENSE.
 
+#include "base/crash_log.h"
 #include "edge/daemon.h"
 #include "platform/platform.h"
 
@@ -112,6 +113,7 @@
 /// Runs an entry on the platform until a planned stop ends.
 int runEntry(const Settings &Config, const sigset_t &Signals) {
   EntryDaemon<platform::Platform> Process(Config);
+  logCrashes(Config.Node, Process.inFlight());
   // Servers that have started do not end before the process.
   if (!startDaemon(Process)) {
     stopLogging();
@@ -143,6 +145,7 @@
 int runDaemon(const Settings &Config, sigset_t Signals) {
   sigdelset(&Signals, SIGHUP);
   Daemon Process(Config);
+  logCrashes(Config.Node, Process.inFlight());
   if (!startDaemon(Process))
     return ExitBadInput;
   int Signal = 0;
@@ -168,6 +171,7 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  SignalStack OfThisThread;
   gflags::SetUsageMessage(Usage);
   gflags::SetVersionString(WAYCOVE_VERSION);
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
--- a/tests/failure/limits_test.cpp
+++ b/tests/failure/limits_test.cpp
@@ -11,6 +11,9 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <array>
+#include <csignal>
+#include <future>
+#include <thread>
 
 namespace waycove::test {
 
@@ -18,6 +21,10 @@
 
 using std::chrono::milliseconds;
 
+/// A stream takes 4 s.
+constexpr int SlowTokenMs = 100;
+constexpr int Streams = 12;
+
 /// The bytes of a frame that names the type of its message and lacks it.
 std::string frameWithoutMessage(wire::Message Type) {
   flatbuffers::FlatBufferBuilder Builder;
@@ -49,6 +56,46 @@
 
 } // namespace
 
+struct LimitsFixture : EntryFixture {
+  LimitsFixture() : EntryFixture("", false, SlowTokenMs) {}
+
+  Process &node() { return this->Run.node("n1"); }
+  /// Starts streams, and waits until all of them run.
+  std::vector<std::future<Reply>> startStreams() {
+    std::vector<std::future<Reply>> Calls;
+    for (int I = 0; I < Streams; ++I)
+      Calls.push_back(std::async(std::launch::async, [this, I] {
+        return this->call("/chat/x", "s" + std::to_string(I));
+      }));
+    REQUIRE(eventually([&] {
+      std::uint64_t Running = 0;
+      for (const char *Vm : {"e-1", "e-2", "e-3", "e-4"})
+        Running += this->runs(Vm);
+      return Running >= Streams;
+    }));
+    std::this_thread::sleep_for(milliseconds(300));
+    return Calls;
+  }
+  /// Number of streams that ended whole.
+  static int countWhole(std::vector<std::future<Reply>> &Calls) {
+    int Whole = 0;
+    for (auto &Call : Calls) {
+      Reply Response = Call.get();
+      Whole += Response.Status == 200 && !Response.Cut &&
+                       Response.Body == wholeStream()
+                   ? 1
+                   : 0;
+    }
+    return Whole;
+  }
+  std::string lastLine() {
+    std::string Log = this->Run.logOf("n1");
+    while (!Log.empty() && Log.back() == '\n')
+      Log.pop_back();
+    return Log.substr(Log.rfind('\n') + 1);
+  }
+};
+
 // Guards against a process that ends by signal 11 on a frame of a peer that
 // names a message and lacks it.
 TEST_CASE_METHOD(EntryFixture,
@@ -63,4 +110,48 @@
   CHECK(this->call("/safe/x", "after").Status == 200);
 }
 
+// Guards against a node that ends by a signal without a line in its log.
+TEST_CASE_METHOD(LimitsFixture,
+                 "limits: a fatal signal comes while streams run: the last "
+                 "line gives it and how many requests were in flight",
+                 "[failure]") {
+  this->Run.ExpectsCrash = true;
+  for (int Signal : {SIGSEGV, SIGABRT}) {
+    INFO(Signal);
+    auto Calls = this->startStreams();
+    this->node().signal(Signal);
+    CHECK(this->node().wait(milliseconds(5000)) == 128 + Signal);
+    std::string Line = this->lastLine();
+    INFO(Line);
+    CHECK(Line.find("\"name\":\"daemon_crashed\"") != std::string::npos);
+    CHECK(Line.find("\"reason\":\"signal " + std::to_string(Signal) + "\"") !=
+          std::string::npos);
+    CHECK(Line.find("\"in_flight\":" + std::to_string(Streams) + "}") !=
+          std::string::npos);
+    CHECK(parseJson(Line).ok());
+    countWhole(Calls);
+    this->Run.startNode("n1");
+    REQUIRE(eventually([&] { return this->isReady(); }));
+  }
+}
+
+// Guards against a node whose grace ends while streams run and whose log does
+// not say so.
+TEST_CASE_METHOD(LimitsFixture,
+                 "limits: the grace ends while streams run: the last line says "
+                 "so and how many requests were in flight",
+                 "[failure]") {
+  auto Calls = this->startStreams();
+  // Longer than the grace.
+  this->faultAll("e", 4, "hang");
+  this->node().signal(SIGTERM);
+  CHECK(this->node().wait(milliseconds(6000)) != -1);
+  std::string Line = this->lastLine();
+  INFO(Line);
+  CHECK(Line.find("\"name\":\"daemon_stopped\"") != std::string::npos);
+  CHECK(Line.find("\"in_flight\":") != std::string::npos);
+  CHECK(Line.find("\"reason\":") != std::string::npos);
+  countWhole(Calls);
+}
+
 } // namespace waycove::test
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -23,6 +23,7 @@
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
+#include <string_view>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -251,10 +252,12 @@
 void Cluster::checkLogs() {
   for (const NodeSpec &Row : this->NodeSpecs) {
     std::string Text = this->logOf(Row.Name);
-    for (const char *Marker : {"Sanitizer", "runtime error:",
-                               "lock order breached", "terminate called"}) {
+    for (std::string_view Marker :
+         {"Sanitizer", "runtime error:", "lock order breached",
+          "terminate called", "daemon_crashed"}) {
       std::size_t At = Text.find(Marker);
-      if (At == std::string::npos)
+      if (At == std::string::npos ||
+          (this->ExpectsCrash && Marker == "daemon_crashed"))
         continue;
       std::cerr << Row.Name << ": " << Text.substr(At, 6000) << "\n";
       std::_Exit(FaultInLog);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -102,6 +102,8 @@
   static inline std::atomic<bool> TestFailed{false};
   /// Keeps folder() after destruction.
   bool KeepLogs = false;
+  /// A daemon is to crash; its log is not checked for that.
+  bool ExpectsCrash = false;
   /// Runs daemons with clocks that suspend() can stop.
   bool Suspendable = false;
   std::vector<std::string> TargetFlags{"--token_ms=5", "--load_ms=50"};
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -13,16 +13,17 @@
 
 /// One entry with four engines in two groups and two plain targets.
 struct EntryFixture {
-  /// \p More holds additional entry settings.
-  explicit EntryFixture(const std::string &More = "",
-                        bool Suspendable = false) {
+  /// \p More holds additional entry settings, and \p TokenMs is the time
+  /// between the events of a stream.
+  explicit EntryFixture(const std::string &More = "", bool Suspendable = false,
+                        int TokenMs = 10) {
     this->Run.Suspendable = Suspendable;
     this->Run.addVms("e", 4, "a", "d");
     this->Run.addVms("p", 2, "a", "", "plain");
     this->Run.addNode("n1", "a");
-    this->Run.TargetFlags = {"--token_ms=10", "--load_ms=50",
-                             "--registry=127.0.0.1:" +
-                                 std::to_string(this->Run.platformPort())};
+    this->Run.TargetFlags = {
+        "--token_ms=" + std::to_string(TokenMs), "--load_ms=50",
+        "--registry=127.0.0.1:" + std::to_string(this->Run.platformPort())};
     this->Run.ExtraSettings =
         "entry: {ready: '127.0.0.1:" +
         std::to_string(this->Run.peerPort("n1") + 1) +
