Drop information before warnings, and the ends of answers last

What users saw: requests that ended without an answer, and no line about them. The log takes 200 lines a second and 1,000 at once, whatever they say: a node that writes a line for each whole answer uses that up, and the line of a cut answer is dropped like any other.

Information now leaves 1,000 of 2,000 lines to others, so its burst is what it was, and warnings leave 500 to request_cut, errors and the lines of a stop. The rate is the same; the writer's queue has room for the whole burst.

Ruled out: a limit of its own for each level, since then the log's volume is their sum.

Before: after 5,000 lines of information none of 200 warnings and none of 200 cut answers was logged, and after 5,000 warnings neither cut answers (0 of 300) nor an error nor daemon_stopped (events_test, then with 300 each). After: all of them are; what is dropped is counted as before.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -29,7 +29,13 @@
 /// Rate limit on log lines. In normal operation, a node writes about one line
 /// per request.
 constexpr double LinesPerSecond = 200;
-constexpr double LineBurst = 1000;
+/// All lines that may come at once; the writer's queue has room for them.
+constexpr double LineBurst = 2000;
+/// Lines of the burst that information leaves to warnings, and those that both
+/// leave to the lines without which nobody knows how an answer or the process
+/// ended.
+constexpr double ReservedForWarnings = 500;
+constexpr double ReservedForEnds = 500;
 /// Capacity of the writer's queue, in lines.
 constexpr std::size_t QueuedLines = 2048;
 
@@ -63,6 +69,17 @@
   return boost::log::trivial::error;
 }
 
+/// How many lines have to be left for an event to be logged.
+double reservedFrom(const EventInfo &Info) {
+  bool IsEnd = Info.Level == Severity::Error || Info.Code == RequestCut ||
+               Info.Code == DaemonStopping || Info.Code == DaemonStopped;
+  if (IsEnd)
+    return 0;
+  return Info.Level == Severity::Warning
+             ? ReservedForEnds
+             : ReservedForEnds + ReservedForWarnings;
+}
+
 } // namespace
 
 const std::vector<EventInfo> &eventCatalogue() {
@@ -377,13 +394,13 @@
                Subject, "", Fields.text()});
 }
 
-bool Events::admitLine(TimePoint Now) {
+bool Events::admitLine(const EventInfo &Info, TimePoint Now) {
   double Seconds =
       std::chrono::duration<double>(Now - this->RefilledAt).count();
   this->AvailableLines =
       std::min(LineBurst, this->AvailableLines + Seconds * LinesPerSecond);
   this->RefilledAt = Now;
-  if (this->AvailableLines < 1) {
+  if (this->AvailableLines < 1 + reservedFrom(Info)) {
     ++this->Dropped;
     return false;
   }
@@ -392,7 +409,7 @@
 }
 
 void Events::write(const LoggedEvent &Event) {
-  auto Level = boostLevel(infoFor(Event.Code).Level);
+  const EventInfo &Info = infoFor(Event.Code);
   auto WriteLine = [](boost::log::trivial::severity_level LineLevel,
                       const LoggedEvent &Line) {
     BOOST_LOG_STREAM_WITH_PARAMS(boost::log::trivial::logger::get(),
@@ -403,7 +420,7 @@
   bool Admitted = false;
   {
     std::lock_guard Lock(this->Mutex);
-    Admitted = this->admitLine(SystemClock{}.now());
+    Admitted = this->admitLine(Info, SystemClock{}.now());
     if (Admitted)
       DroppedLines = std::exchange(this->Dropped, 0);
     this->Ring.push_back(Event);
@@ -415,7 +432,7 @@
               {Event.Clock, LogLinesDropped, this->Node, this->Node.Text, "",
                LogFields().add("lines", DroppedLines).text()});
   if (Admitted)
-    WriteLine(Level, Event);
+    WriteLine(boostLevel(Info.Level), Event);
 }
 
 std::vector<LoggedEvent> Events::since(std::uint64_t After) const {
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -180,9 +180,9 @@
 
 private:
   void write(const LoggedEvent &Event);
-  /// Returns whether the rate limit allows another line, and counts the dropped
-  /// lines; their number is logged later. Requires Mutex.
-  bool admitLine(TimePoint Now);
+  /// Returns whether the rate limit allows another line of this event, and
+  /// counts the dropped lines; their number is logged later. Requires Mutex.
+  bool admitLine(const EventInfo &Info, TimePoint Now);
 
   NodeId Node;
   HybridClock &Clock;
