Let no exception of a task end the process

An exception that nobody caught ended the process from these threads: the one that accepts connections and notices requests (SocketPoller had no handler at all; accept() caught POCO's own exceptions, and std::bad_alloc is none), the one that exchanges news with other nodes, those of runInParallel(), and the main thread while it reads the settings file after SIGHUP. In threads that did catch, the handler itself may throw where memory is short, and so may a thread that becomes idle. In all of these, what can throw is mostly std::bad_alloc, and sockets of POCO.

Now each of them tells the reason (task_failed, 111) and goes on; handlers that throw are caught (reportError), a pool's list of idle threads has its room from the start, a thread that finds no memory counts as not started, and no callback of the poller is lost where its list cannot grow. The steps' failures were called thread_not_started, which they are not, and are task_failed now.

Ruled out: to catch all in GrowingPool, whose tasks are only two and catch what they run. std::terminate stays for what is no std::exception.

The news thread, SIGHUP and the idle list are not shown by a test.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -112,6 +112,9 @@
       {ThreadNotStarted, Warning, "thread_not_started",
        "No thread could be started for a part of the work, which is done by "
        "others or refused."},
+      {TaskFailed, Warning, "task_failed",
+       "A task of the daemon itself ended with an exception and is tried "
+       "again; the fields give the reason."},
       {PollerDelayed, Warning, "poller_delayed",
        "The thread that accepts connections and notices requests was held up; "
        "the fields give by what and for how long."},
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -52,6 +52,7 @@
   LogLinesDropped = 106,
   DaemonNotReady = 107,
   ThreadNotStarted = 108,
+  TaskFailed = 111,
   PollerDelayed = 109,
   NodeStoodStill = 115,
   DaemonCrashed = 110,
--- a/src/base/growing_pool.cpp
+++ b/src/base/growing_pool.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <boost/thread/thread.hpp>
+#include <exception>
 #include <utility>
 
 namespace waycove {
@@ -50,8 +51,8 @@
       this->run(std::move(First));
     }).detach();
     return true;
-  } catch (const boost::thread_resource_error &) {
-    // The caller of post() logs that.
+  } catch (const std::exception &) {
+    // No thread or no memory for it. The caller of post() logs that.
     return false;
   }
 }
--- a/src/base/growing_pool.h
+++ b/src/base/growing_pool.h
@@ -31,7 +31,10 @@
     std::size_t StackBytes = 0;
   };
 
-  explicit GrowingPool(const Limits &Bounds) : Bounds(Bounds) {}
+  explicit GrowingPool(const Limits &Bounds) : Bounds(Bounds) {
+    // A thread that becomes idle must find memory to say so.
+    this->Idle.reserve(Bounds.MaxThreads);
+  }
   /// Waits until all tasks have ended.
   ~GrowingPool();
   GrowingPool(const GrowingPool &) = delete;
--- a/src/base/socket_poller.cpp
+++ b/src/base/socket_poller.cpp
@@ -5,6 +5,7 @@
 #include "base/socket_poller.h"
 
 #include "base/crash_log.h"
+#include "base/report_error.h"
 
 #include <algorithm>
 #include <thread>
@@ -18,8 +19,15 @@
 void SocketPoller::await(const Poco::Net::Socket &Socket, TimePoint Until,
                          Callbacks On) {
   std::lock_guard Lock(this->Mutex);
-  this->Sockets.add(Socket, Poco::Net::PollSet::POLL_READ);
-  this->Waits[Socket] = {Until, std::move(On)};
+  // First, since a socket that is polled without a callback would be noticed
+  // again and again.
+  auto At = this->Waits.insert_or_assign(Socket, Wait{Until, std::move(On)});
+  try {
+    this->Sockets.add(Socket, Poco::Net::PollSet::POLL_READ);
+  } catch (const std::exception &) {
+    this->Waits.erase(At.first);
+    throw;
+  }
 }
 
 void SocketPoller::callLater(TimePoint Due, Callback Function,
@@ -40,24 +48,39 @@
 
 void SocketPoller::run() {
   SignalStack OfThisThread;
-  TimePoint SweepDue;
   while (true) {
-    Millis Timeout = this->pollTimeout(BootClock::now());
-    // Returns at once for an empty set.
-    if (this->Sockets.empty())
-      std::this_thread::sleep_for(Timeout);
-    for (const auto &[Socket, Mode] : this->Sockets.poll(
-             Poco::Timespan(Timeout.count() * Poco::Timespan::MILLISECONDS)))
-      this->onReadable(Socket);
-    TimePoint Now = BootClock::now();
-    this->runDelayed(Now);
-    if (Now >= SweepDue) {
-      this->sweep(Now);
-      SweepDue = Now + SweepInterval;
+    try {
+      this->pollOnce();
+    } catch (const std::exception &Error) {
+      this->reportFailure("poll", Error.what());
+      std::this_thread::sleep_for(RetryDelay);
     }
   }
 }
 
+void SocketPoller::pollOnce() {
+  Millis Timeout = this->pollTimeout(BootClock::now());
+  // Returns at once for an empty set.
+  if (this->Sockets.empty())
+    std::this_thread::sleep_for(Timeout);
+  for (const auto &[Socket, Mode] : this->Sockets.poll(
+           Poco::Timespan(Timeout.count() * Poco::Timespan::MILLISECONDS)))
+    this->onReadable(Socket);
+  TimePoint Now = BootClock::now();
+  this->runDelayed(Now);
+  if (Now >= this->SweepDue) {
+    this->sweep(Now);
+    this->SweepDue = Now + SweepInterval;
+  }
+}
+
+void SocketPoller::reportFailure(std::string_view Name,
+                                 const char *Reason) noexcept {
+  if (this->OnFailure)
+    reportError([&](const std::string &Text) { this->OnFailure(Name, Text); },
+                Reason);
+}
+
 Millis SocketPoller::pollTimeout(TimePoint Now) {
   std::lock_guard Lock(this->Mutex);
   TimePoint Until = Now + SweepInterval;
@@ -68,7 +91,11 @@
 
 void SocketPoller::runCallback(const NamedCall &Call) {
   TimePoint Begin = BootClock::now();
-  Call.Function();
+  try {
+    Call.Function();
+  } catch (const std::exception &Error) {
+    this->reportFailure(Call.Name, Error.what());
+  }
   auto Took = std::chrono::duration_cast<Millis>(BootClock::now() - Begin);
   if (Took > MaxCallbackTime && this->OnDelay)
     this->OnDelay(Call.Name, Took);
@@ -92,6 +119,8 @@
   std::vector<NamedCall> Due;
   {
     std::lock_guard Lock(this->Mutex);
+    // No call is lost where memory is short.
+    Due.reserve(this->DelayedCalls.size());
     std::erase_if(this->DelayedCalls, [&](DelayedCall &Delayed) {
       if (Delayed.Due > Now)
         return false;
@@ -111,6 +140,9 @@
 std::vector<SocketPoller::NamedCall> SocketPoller::takeExpired(TimePoint Now) {
   std::lock_guard Lock(this->Mutex);
   std::vector<NamedCall> Due;
+  Due.reserve(static_cast<std::size_t>(std::count_if(
+      this->Waits.begin(), this->Waits.end(),
+      [Now](const auto &Row) { return Row.second.Until <= Now; })));
   for (auto At = this->Waits.begin(); At != this->Waits.end();) {
     if (At->second.Until > Now) {
       ++At;
--- a/src/base/socket_poller.h
+++ b/src/base/socket_poller.h
@@ -32,11 +32,16 @@
   /// Gets the name of a callback that held up the poller's thread, and for how
   /// long.
   using DelayHandler = std::function<void(std::string_view, Millis)>;
+  /// Gets the name of a callback that threw an exception, and the reason.
+  using FailureHandler =
+      std::function<void(std::string_view Name, std::string_view Reason)>;
 
   /// \p OnDelay is called on the poller's thread after each callback that took
-  /// longer than MaxCallbackTime.
-  explicit SocketPoller(DelayHandler OnDelay = {})
-      : OnDelay(std::move(OnDelay)) {}
+  /// longer than MaxCallbackTime, and \p OnFailure after one that threw an
+  /// exception, which ends neither the thread nor the wait for other sockets.
+  explicit SocketPoller(DelayHandler OnDelay = {},
+                        FailureHandler OnFailure = {})
+      : OnDelay(std::move(OnDelay)), OnFailure(std::move(OnFailure)) {}
   SocketPoller(const SocketPoller &) = delete;
   SocketPoller &operator=(const SocketPoller &) = delete;
 
@@ -57,6 +62,8 @@
 
 private:
   static constexpr Millis SweepInterval{1000};
+  /// Pause after sockets could not be polled, e.g. while memory is short.
+  static constexpr Millis RetryDelay{20};
 
   struct Wait {
     TimePoint Until;
@@ -72,8 +79,12 @@
   };
 
   void run();
+  /// Waits once, and calls what is due.
+  void pollOnce();
   /// How long to wait for sockets at most: until the next delayed call is due.
   Millis pollTimeout(TimePoint Now);
+  /// Calls OnFailure, which may throw in turn.
+  void reportFailure(std::string_view Name, const char *Reason) noexcept;
   /// Calls a callback, and OnDelay if it took too long.
   void runCallback(const NamedCall &Call);
   void onReadable(const Poco::Net::Socket &Socket);
@@ -82,6 +93,9 @@
   std::vector<NamedCall> takeExpired(TimePoint Now);
 
   const DelayHandler OnDelay;
+  const FailureHandler OnFailure;
+  /// Used by the poller's thread alone.
+  TimePoint SweepDue;
   std::mutex Mutex;
   Poco::Net::PollSet Sockets;
   std::map<Poco::Net::Socket, Wait> Waits;
--- a/src/base/step_runner.cpp
+++ b/src/base/step_runner.cpp
@@ -71,7 +71,7 @@
     else
       this->startRun(Next);
   } catch (const std::exception &Error) {
-    this->OnError(Error.what());
+    reportError(this->OnError, Error.what());
     this->finish(Next, RetryDelay);
   }
 }
@@ -81,7 +81,7 @@
       this->Threads.post([this, &Next] { this->runBlocking(Next); });
   if (Started.ok())
     return;
-  this->OnError(messageOf(Started));
+  reportError(this->OnError, messageOf(Started).c_str());
   this->finish(Next, RetryDelay);
 }
 
@@ -96,7 +96,7 @@
     }
     this->finish(Next, *Pause);
   } catch (const std::exception &Error) {
-    this->OnError(Error.what());
+    reportError(this->OnError, Error.what());
     this->finish(Next, RetryDelay);
   }
 }
--- a/src/base/step_runner.h
+++ b/src/base/step_runner.h
@@ -6,6 +6,7 @@
 
 #include "base/growing_pool.h"
 #include "base/ids.h"
+#include "base/report_error.h"
 
 #include <condition_variable>
 #include <deque>
@@ -32,8 +33,6 @@
     /// Does what may block. Returns the pause until the next Poll.
     std::function<Millis()> Run;
   };
-  using ErrorHandler = std::function<void(const std::string &Reason)>;
-
   /// Steps that may block run on \p Threads. \p OnError gets the reason if one
   /// cannot be started or ends with an exception; it is called again later.
   StepRunner(GrowingPool &Threads, ErrorHandler OnError)
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -65,8 +65,7 @@
         ControlThreads({MaxControlThreads, IdleThreadTime, ControlStackBytes}),
         Steps(this->ControlThreads,
               [this](const std::string &Reason) {
-                this->Board.Log.emit(EventCode::ThreadNotStarted, "step",
-                                     LogFields().add("reason", Reason));
+                this->logFailure("step", Reason);
               }),
         Carriers(this->Board),
         NewsService(this->Board, this->Observations,
@@ -101,7 +100,7 @@
     this->NewsThread = std::jthread([this](const std::stop_token &Stop) {
       SignalStack OfThisThread;
       while (!Stop.stop_requested())
-        std::this_thread::sleep_for(this->News.step());
+        std::this_thread::sleep_for(this->stepNews());
     });
     this->Board.Log.emit(
         EventCode::DaemonStarted, this->Board.Config.Node.Text,
@@ -152,6 +151,8 @@
 
 private:
   static constexpr Millis SweepInterval{1000};
+  /// Pause after a round with other nodes that ended with an exception.
+  static constexpr Millis NewsRetryDelay{250};
   /// Store calls and the states of VMs are logged once in this many sweeps.
   static constexpr unsigned SweepsPerLog = 5;
   /// The load balancer checks every second and acts on the second failure.
@@ -164,6 +165,25 @@
   /// Twice as many as nodes may ask this one at a time.
   static constexpr std::size_t MaxControlThreads = 512;
 
+  /// Exchanges news once; returns the pause before the next time.
+  Millis stepNews() noexcept {
+    try {
+      return this->News.step();
+    } catch (const std::exception &Error) {
+      reportError(
+          [this](const std::string &Reason) {
+            this->logFailure("news", Reason);
+          },
+          Error.what());
+      return NewsRetryDelay;
+    }
+  }
+
+  void logFailure(std::string_view Task, std::string_view Reason) {
+    this->Board.Log.emit(EventCode::TaskFailed, std::string(Task),
+                         LogFields().add("reason", Reason));
+  }
+
   /// Whether API keys may be used: they are proven current, or the operators
   /// allow unproven keys, so that callers are served while the store is away.
   bool mayUseKeys() const {
@@ -314,9 +334,13 @@
   SharedObservations Observations;
   NewsExchange News;
   SocketPoller Poller{[this](std::string_view What, Millis Took) {
-    this->Board.Log.emit(EventCode::PollerDelayed, std::string(What),
-                         LogFields().add("for_ms", Took));
-  }};
+                        this->Board.Log.emit(EventCode::PollerDelayed,
+                                             std::string(What),
+                                             LogFields().add("for_ms", Took));
+                      },
+                      [this](std::string_view What, std::string_view Reason) {
+                        this->logFailure(What, Reason);
+                      }};
   /// Serve callers' requests.
   GrowingPool CallerThreads;
   /// Serve other nodes and readiness checks, and run steps that may block, so
--- a/src/main/waycoved.cpp
+++ b/src/main/waycoved.cpp
@@ -87,27 +87,38 @@
 /// Reads the settings file again and logs whether it is valid. Changes take
 /// effect only after a restart.
 void reloadSettings(Events &Log) {
-  std::ifstream File(FLAGS_settings);
-  std::stringstream Text;
-  Text << File.rdbuf();
-  ValidationErrors Errors;
-  parseSettings(FLAGS_settings, settingsText(Text.str()), Errors);
-  if (Errors.empty())
-    Log.emit(EventCode::SettingsReloaded, FLAGS_settings);
-  else
+  auto Refuse = [&](std::string_view Reason) {
     Log.emit(EventCode::SettingsRefused, FLAGS_settings,
-             LogFields().add("reason", Errors.text()));
+             LogFields().add("reason", Reason));
+  };
+  try {
+    std::ifstream File(FLAGS_settings);
+    std::stringstream Text;
+    Text << File.rdbuf();
+    ValidationErrors Errors;
+    parseSettings(FLAGS_settings, settingsText(Text.str()), Errors);
+    if (Errors.empty())
+      Log.emit(EventCode::SettingsReloaded, FLAGS_settings);
+    else
+      Refuse(Errors.text());
+  } catch (const std::exception &Error) {
+    // E.g. no memory for a large file.
+    Refuse(Error.what());
+  }
 }
 
-/// Starts a daemon; prints an error and returns false if it cannot listen.
+/// Starts a daemon; prints an error and returns false if it cannot listen or
+/// start its threads.
 template <typename Process> bool startDaemon(Process &Daemon) {
   try {
     Daemon.start();
     return true;
   } catch (const Poco::Exception &Error) {
     std::cerr << "cannot listen: " << Error.displayText() << "\n";
-    return false;
+  } catch (const std::exception &Error) {
+    std::cerr << "cannot start: " << Error.what() << "\n";
   }
+  return false;
 }
 
 /// Runs an entry on the platform until a planned stop ends.
