Let a request wait for a thread, and tell refused connections from cut answers

What callers saw: where no thread could be started, or all were busy for a moment, a connection with a request was closed without an answer, and the line for it was request_cut, "a response that had started could not be completed", with the subject "connection". The same line, 20 a second, came for each failed accept() while descriptors were short, so that request_cut did not tell whether any answer was cut.

Now such a request waits for a thread, 20 ms at a time and for 500 ms at most, so that it ends within half a second of its timeout however short that is.

Ruled out: a refusal with 503 from the poller's thread, which may not read.

In the unit tests a request waits for the only thread, and is given up after 500 ms.

--- a/src/base/connection_server.h
+++ b/src/base/connection_server.h
@@ -6,6 +6,7 @@
 
 #include "base/errors.h"
 #include "base/growing_pool.h"
+#include "base/report_error.h"
 #include "base/settings.h"
 #include "base/socket_poller.h"
 
@@ -19,6 +20,7 @@
 #include <concepts>
 #include <functional>
 #include <memory>
+#include <new>
 #include <set>
 #include <string>
 
@@ -50,15 +52,24 @@
 public:
   using Opener = std::function<std::unique_ptr<Connection>(
       const Poco::Net::StreamSocket &)>;
-  using ErrorHandler = std::function<void(const std::string &Reason)>;
+  struct ErrorHandlers {
+    /// A connection was not accepted or has to wait for a thread.
+    ErrorHandler OnRefused;
+    /// Serving a request ended with an exception, and so did its connection.
+    ErrorHandler OnBroken;
+  };
 
-  /// \p Open makes the connection of a socket. \p OnError gets the reason if
-  /// one is refused or ends with an exception.
+  /// \p Open makes the connection of a socket. \p Errors get the reasons.
   ConnectionServer(ConnectionResources Shared, std::size_t MaxConnections,
-                   Opener Open, ErrorHandler OnError)
+                   Opener Open, ErrorHandlers Errors)
       : Poller(Shared.Poller), Threads(Shared.Threads),
         MaxConnections(MaxConnections), Open(std::move(Open)),
-        OnError(std::move(OnError)) {}
+        Errors(std::move(Errors)) {}
+  /// The same with one handler for all errors.
+  ConnectionServer(ConnectionResources Shared, std::size_t MaxConnections,
+                   Opener Open, const ErrorHandler &OnError)
+      : ConnectionServer(Shared, MaxConnections, std::move(Open),
+                         ErrorHandlers{OnError, OnError}) {}
 
   /// Starts listening. Throws Poco::Exception if the address is in use.
   void start(const Endpoint &Address) {
@@ -86,6 +97,13 @@
   static constexpr int MaxAccepted = 64;
   /// Pause after a failed accept, e.g. while no descriptor is free.
   static constexpr Millis AcceptRetryDelay{50};
+  /// A lasting shortage is told once in this time.
+  static constexpr Millis RefusalTellInterval{1000};
+  /// Pause before a request whose connection found no thread is tried again.
+  static constexpr Millis ThreadRetryDelay{20};
+  /// How long it may wait for one in all; an unread request has to be ended
+  /// within half a second of its timeout, however short that is.
+  static constexpr Millis MaxThreadWait{500};
 
   /// An open connection.
   struct Session {
@@ -105,25 +123,43 @@
   using SessionRef = std::shared_ptr<Session>;
 
   void awaitConnection() {
-    this->Poller.await(this->Listener, TimePoint::max(),
-                       {.OnReadable = [this] { this->accept(); },
-                        .OnExpired = {},
-                        .Name = "accept"});
+    try {
+      this->Poller.await(this->Listener, TimePoint::max(),
+                         {.OnReadable = [this] { this->accept(); },
+                          .OnExpired = {},
+                          .Name = "accept"});
+    } catch (const std::exception &Error) {
+      this->acceptLater(Error.what());
+    }
+  }
+
+  void acceptLater(const char *Reason) {
+    this->reportRefusal(Reason);
+    this->Poller.callLater(
+        BootClock::now() + AcceptRetryDelay,
+        [this] { this->awaitConnection(); }, "accept again");
   }
 
   void accept() {
     try {
       for (int I = 0; I < MaxAccepted; ++I)
         this->open(this->Listener.acceptConnection());
-      this->awaitConnection();
     } catch (const Poco::Exception &Error) {
-      if (isOfConnection(Error.code()))
-        return this->awaitConnection();
-      this->OnError(Error.displayText());
-      this->Poller.callLater(
-          BootClock::now() + AcceptRetryDelay,
-          [this] { this->awaitConnection(); }, "accept again");
+      if (!isOfConnection(Error.code()))
+        return this->acceptLater(Error.displayText().c_str());
+    } catch (const std::exception &Error) {
+      return this->acceptLater(Error.what());
     }
+    this->awaitConnection();
+  }
+
+  /// Called on the poller's thread alone.
+  void reportRefusal(const char *Reason) noexcept {
+    TimePoint Now = BootClock::now();
+    if (Now - this->RefusalToldAt < RefusalTellInterval)
+      return;
+    this->RefusalToldAt = Now;
+    reportError(this->Errors.OnRefused, Reason);
   }
 
   /// Whether an error of accept() only concerns the connection, which is gone;
@@ -137,13 +173,15 @@
 
   void open(const Poco::Net::StreamSocket &Socket) {
     if (this->OpenCount >= this->MaxConnections)
-      return this->OnError("too many connections are open");
+      return this->reportRefusal("too many connections are open");
     try {
       this->rest(std::make_shared<Session>(Socket, this->Open(Socket),
                                            this->OpenCount));
     } catch (const Poco::Exception &Error) {
       // E.g. the peer has reset the connection.
-      this->OnError(Error.displayText());
+      this->reportRefusal(Error.displayText().c_str());
+    } catch (const std::exception &Error) {
+      this->reportRefusal(Error.what());
     }
   }
 
@@ -155,7 +193,7 @@
         {.OnReadable =
              [this, Resting] {
                if (this->endRest(Resting))
-                 this->startServing(Resting);
+                 this->startServing(Resting, BootClock::now());
              },
          .OnExpired = [this, Resting] { this->endRest(Resting); },
          .Name = "start to serve"});
@@ -168,13 +206,30 @@
     return this->Idle.erase(Resting) > 0;
   }
 
-  void startServing(const SessionRef &Ready) {
-    TimePoint ReadableSince = BootClock::now();
-    if (absl::Status Started = this->Threads.post([this, Ready, ReadableSince] {
-          this->serve(Ready, ReadableSince);
-        });
-        !Started.ok())
-      this->OnError(messageOf(Started));
+  /// Serves the next request of a session on a thread. Where none is free, the
+  /// request waits for one for a while, as its bytes cannot be refused unread.
+  void startServing(const SessionRef &Ready, TimePoint ReadableSince) {
+    absl::Status Started = this->post(Ready, ReadableSince);
+    if (Started.ok())
+      return;
+    this->reportRefusal(messageOf(Started).c_str());
+    TimePoint Now = BootClock::now();
+    if (Now - ReadableSince < MaxThreadWait)
+      this->Poller.callLater(
+          Now + ThreadRetryDelay,
+          [this, Ready, ReadableSince] {
+            this->startServing(Ready, ReadableSince);
+          },
+          "start to serve");
+  }
+
+  absl::Status post(const SessionRef &Ready, TimePoint ReadableSince) {
+    try {
+      return this->Threads.post(
+          [this, Ready, ReadableSince] { this->serve(Ready, ReadableSince); });
+    } catch (const std::bad_alloc &) {
+      return makeError(ErrorKind::NoCapacity, "no memory for a task");
+    }
   }
 
   void serve(const SessionRef &Active, TimePoint ReadableSince) {
@@ -186,7 +241,7 @@
       } while (Active->Served->hasInput());
       this->rest(Active);
     } catch (const std::exception &Error) {
-      this->OnError(Error.what());
+      reportError(this->Errors.OnBroken, Error.what());
     }
   }
 
@@ -194,7 +249,9 @@
   GrowingPool &Threads;
   const std::size_t MaxConnections;
   const Opener Open;
-  const ErrorHandler OnError;
+  const ErrorHandlers Errors;
+  /// When a refusal was told last.
+  TimePoint RefusalToldAt;
   Poco::Net::ServerSocket Listener;
   std::atomic<std::size_t> OpenCount{0};
   /// Guards Idle. Locked before the poller's own mutex.
--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -224,10 +224,13 @@
        "A response that had started lost its target and waits for another one, "
        "for a retry or for a way; the fields give what is missing and the time "
        "that is left. Logged once a request."},
+      {ConnectionRefused, Warning, "connection_refused",
+       "A connection could not be accepted or served, or has to wait, since "
+       "descriptors, threads, memory or allowed connections are short; the "
+       "fields give the reason. None of its requests was read."},
       {RequestCut, Warning, "request_cut",
        "A response that had started could not be completed; the fields give "
-       "the "
-       "cause, the time that was left and how its last attempt ended."},
+       "the cause, the time that was left and how its last attempt ended."},
       {SettingsReloaded, Info, "settings_reloaded",
        "The settings file was read again and is valid; changes take effect "
        "after a restart."},
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -94,6 +94,7 @@
   RequestCarried = 512,
   RequestOverdue = 513,
   RequestWaits = 514,
+  ConnectionRefused = 515,
   RequestBlamed = 509,
   RequestCleared = 510,
   RequestTried = 511,
--- a/src/entry/caller_server.h
+++ b/src/entry/caller_server.h
@@ -20,10 +20,16 @@
             [this](const Poco::Net::StreamSocket &Socket) {
               return std::make_unique<Connection>(*this, Socket);
             },
-            [this](const std::string &Reason) {
-              this->Board.Log.emit(EventCode::RequestCut, "connection",
-                                   LogFields().add("reason", Reason));
-            }) {}
+            {.OnRefused =
+                 [this](const std::string &Reason) {
+                   this->Board.Log.emit(EventCode::ConnectionRefused, "callers",
+                                        LogFields().add("reason", Reason));
+                 },
+             .OnBroken =
+                 [this](const std::string &Reason) {
+                   this->Board.Log.emit(EventCode::RequestCut, "connection",
+                                        LogFields().add("reason", Reason));
+                 }}) {}
 
   /// Starts listening. Throws Poco::Exception if the address is in use.
   void start() { this->Connections.start(this->Board.Config.Http); }
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -83,7 +83,8 @@
             Platform::ReadyPath, [this] { return this->isReady(); },
             this->Board.Counters, {this->Poller, this->ControlThreads},
             [this](const std::string &Reason) {
-              this->Board.Log.emit(EventCode::RequestCut, "readiness check",
+              this->Board.Log.emit(EventCode::ConnectionRefused,
+                                   "readiness check",
                                    LogFields().add("reason", Reason));
             }) {}
 
--- a/tests/failure/limits_test.cpp
+++ b/tests/failure/limits_test.cpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <csignal>
 #include <future>
+#include <sys/resource.h>
 #include <thread>
 
 namespace waycove::test {
@@ -24,6 +25,7 @@
 /// A stream takes 4 s.
 constexpr int SlowTokenMs = 100;
 constexpr int Streams = 12;
+constexpr int ManyRoutes = 450;
 
 /// The bytes of a frame that names the type of its message and lacks it.
 std::string frameWithoutMessage(wire::Message Type) {
@@ -54,12 +56,40 @@
   }
 }
 
+/// The usual configuration with further routes, whose names take \p NameBytes.
+std::string manyRoutes(int Version, int Count, std::size_t NameBytes = 8) {
+  std::string Routes;
+  for (int I = 0; I < Count; ++I) {
+    std::string Name = "r" + std::to_string(I);
+    Routes += R"({"name":")" + Name + std::string(NameBytes, 'x') +
+              R"(","host":"b.example","path_prefix":"/)" + Name +
+              R"(/","type":"idempotent","service":"plain","timeout_ms":2000,)"
+              R"("goal_ms":300,"priority":1,"max_attempts":2},)";
+  }
+  std::string Text = entryConfig(Version, "key-1");
+  const std::string Begin = R"("routes":[)";
+  return Text.insert(Text.find(Begin) + Begin.size(), Routes);
+}
+
 } // namespace
 
 struct LimitsFixture : EntryFixture {
   LimitsFixture() : EntryFixture("", false, SlowTokenMs) {}
 
   Process &node() { return this->Run.node("n1"); }
+  void publishRoutes(int Version, int Count, std::size_t NameBytes = 8) {
+    this->Run.atPlatform({"POST",
+                          "/store/put?topic=keyed.op&key=config",
+                          manyRoutes(Version, Count, NameBytes),
+                          {}});
+  }
+  bool logHas(const std::string &Text) {
+    return this->Run.logOf("n1").find(Text) != std::string::npos;
+  }
+  bool isApplied(int Version) {
+    return this->logHas("\"config_applied\",\"node\":\"n1\",\"subject\":\"" +
+                        std::to_string(Version) + "\"");
+  }
   /// Starts streams, and waits until all of them run.
   std::vector<std::future<Reply>> startStreams() {
     std::vector<std::future<Reply>> Calls;
@@ -154,4 +184,56 @@
   countWhole(Calls);
 }
 
+// Guards against streams that are cut, or a node that ends or serves nobody
+// afterwards, where no descriptor is free.
+TEST_CASE_METHOD(LimitsFixture,
+                 "limits: descriptors are short while configurations come: "
+                 "streams end whole and new connections wait",
+                 "[failure]") {
+  auto Calls = this->startStreams();
+  this->node().limit(RLIMIT_NOFILE, this->node().descriptors() + 4);
+  std::vector<Poco::Net::StreamSocket> Waiting;
+  for (int I = 0; I < 60; ++I)
+    Waiting.emplace_back(
+        Poco::Net::SocketAddress("127.0.0.1", this->Run.httpPort("n1")));
+  for (int Version = 2; Version < 22; ++Version) {
+    this->publishRoutes(Version, ManyRoutes);
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  CHECK(countWhole(Calls) == Streams);
+  REQUIRE(this->node().wait(milliseconds(0)) == -1);
+  CHECK(this->logHas("\"connection_refused\""));
+  Waiting.clear();
+  CHECK(
+      eventually([&] { return this->call("/safe/x", "after").Status == 200; }));
+  CHECK(eventually([&] { return this->isApplied(21); }));
+  CHECK_FALSE(this->logHas("\"request_cut\""));
+}
+
+// Guards against streams that are cut, or a request that is lost, where no
+// thread can be started.
+TEST_CASE_METHOD(LimitsFixture,
+                 "limits: no thread can be started for a while: streams end "
+                 "whole and new requests are served later",
+                 "[failure]") {
+  auto Calls = this->startStreams();
+  this->node().limit(RLIMIT_AS, this->node().mappedBytes());
+  std::vector<std::future<Reply>> Late;
+  for (int I = 0; I < 4; ++I)
+    Late.push_back(std::async(std::launch::async, [this, I] {
+      return this->call("/safe/x", "late" + std::to_string(I));
+    }));
+  this->publishRoutes(2, ManyRoutes);
+  std::this_thread::sleep_for(milliseconds(300));
+  this->node().limit(RLIMIT_AS, RLIM_INFINITY);
+  for (auto &Call : Late) {
+    Reply Response = Call.get();
+    INFO(Response.Body);
+    CHECK(Response.Status == 200);
+  }
+  CHECK(countWhole(Calls) == Streams);
+  REQUIRE(this->node().wait(milliseconds(0)) == -1);
+  CHECK(eventually([&] { return this->isApplied(2); }));
+}
+
 } // namespace waycove::test
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -12,6 +12,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
@@ -24,6 +25,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <string_view>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -108,6 +110,29 @@
     kill(this->Pid, Number);
 }
 
+void Process::limit(int Resource, std::uint64_t Value) const {
+  rlimit New{};
+  // The upper limit stays, so that a test can lift this one again.
+  prlimit(this->Pid, static_cast<__rlimit_resource>(Resource), nullptr, &New);
+  New.rlim_cur = std::min<rlim_t>(Value, New.rlim_max);
+  if (prlimit(this->Pid, static_cast<__rlimit_resource>(Resource), &New,
+              nullptr) != 0)
+    throw std::runtime_error("cannot set a limit");
+}
+
+std::uint64_t Process::descriptors() const {
+  std::filesystem::directory_iterator Open("/proc/" +
+                                           std::to_string(this->Pid) + "/fd");
+  return static_cast<std::uint64_t>(std::distance(begin(Open), end(Open)));
+}
+
+std::uint64_t Process::mappedBytes() const {
+  std::ifstream File("/proc/" + std::to_string(this->Pid) + "/statm");
+  std::uint64_t Pages = 0;
+  File >> Pages;
+  return Pages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
 int Process::wait(std::chrono::milliseconds Within) {
   bool Ended = this->Reaped || eventually(
                                    [&] {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -24,6 +24,13 @@
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
   void signal(int Number) const;
+  /// Sets a limit of the running process, as setrlimit(2) does. Errors:
+  /// runtime_error.
+  void limit(int Resource, std::uint64_t Value) const;
+  /// Open descriptors.
+  std::uint64_t descriptors() const;
+  /// Mapped address space, in bytes.
+  std::uint64_t mappedBytes() const;
   /// Returns the exit status, 128 plus the signal number, or -1 if the process
   /// still runs after \p Within.
   int wait(std::chrono::milliseconds Within);
--- a/tests/unit/connection_server_test.cpp
+++ b/tests/unit/connection_server_test.cpp
@@ -9,6 +9,7 @@
 #include "support/cluster.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
 #include <atomic>
@@ -59,6 +60,17 @@
   }
 }
 
+/// Waits until the peer closes or resets \p Socket; false if it does not.
+bool isEnded(Poco::Net::StreamSocket &Socket) {
+  Socket.setReceiveTimeout(Poco::Timespan(5, 0));
+  char Byte = 0;
+  try {
+    return Socket.receiveBytes(&Byte, 1) == 0;
+  } catch (const Poco::Net::ConnectionResetException &) {
+    return true;
+  }
+}
+
 /// Ends its thread slowly.
 struct SlowThreadEnd {
   ~SlowThreadEnd() { std::this_thread::sleep_for(Millis(300)); }
@@ -66,7 +78,8 @@
 };
 
 /// Echoes bytes. Of special ones: 'e' ends the connection, 't' throws, 's' and
-/// 'x' are served slowly, and 'x' lets its thread end slowly.
+/// 'x' are served slowly and 'l' takes longest, and 'x' lets its thread end
+/// slowly.
 struct EchoConnection {
   EchoConnection(const Poco::Net::StreamSocket &Socket, Millis IdleTime)
       : Socket(Socket), IdleTime(IdleTime) {}
@@ -82,6 +95,8 @@
     }
     if (Byte == 's' || Byte == 'x')
       std::this_thread::sleep_for(Millis(400));
+    if (Byte == 'l')
+      std::this_thread::sleep_for(Millis(1500));
     this->Socket.sendBytes(&Byte, 1);
     return true;
   }
@@ -257,6 +272,40 @@
   CHECK(Busy.receiveBytes(&Byte, 1) == 1);
 }
 
+// Guards against a request that is lost since, for a moment, no thread is free
+// or can be started.
+TEST_CASE("connection server: no thread is free for a moment: a request waits "
+          "for one",
+          "[unit]") {
+  auto &Echo = keep<EchoServer>(1000, Millis(60000), 1);
+  Poco::Net::StreamSocket Slow = connectTo(Echo.Port);
+  Poco::Net::StreamSocket Waiting = connectTo(Echo.Port);
+  char Byte = 's';
+  Slow.sendBytes(&Byte, 1);
+  REQUIRE(eventually([&] { return Echo.Threads.busy() == 1; }));
+  CHECK(exchange(Waiting, 'a') == 'a');
+  CHECK(Slow.receiveBytes(&Byte, 1) == 1);
+  CHECK(Echo.Failed == 1);
+}
+
+// Guards against a request that waits for a thread beyond its timeout.
+TEST_CASE("connection server: no thread is free: a request is given up within "
+          "half a second, and told once",
+          "[unit]") {
+  auto &Echo = keep<EchoServer>(1000, Millis(60000), 1);
+  Poco::Net::StreamSocket Slow = connectTo(Echo.Port);
+  Poco::Net::StreamSocket Waiting = connectTo(Echo.Port);
+  char Byte = 'l';
+  Slow.sendBytes(&Byte, 1);
+  REQUIRE(eventually([&] { return Echo.Threads.busy() == 1; }));
+  TimePoint Begin = BootClock::now();
+  Waiting.sendBytes(&Byte, 1);
+  CHECK(isEnded(Waiting));
+  CHECK(BootClock::now() - Begin < Millis(800));
+  CHECK(Slow.receiveBytes(&Byte, 1) == 1);
+  CHECK(Echo.Failed == 1);
+}
+
 // Guards against connections without bound, which use up the descriptors.
 TEST_CASE("connection server: more connections than allowed: the rest is "
           "refused until one ends",
