Do not take this node's own shortage of descriptors for a fault of its targets

What callers saw: where a node has no descriptor for a connection to a target, sound targets were suspected for 3 s ("connection refused"), the node took its links to all targets for lost (targets_unreachable) and looked for a way through other nodes, and most requests were refused at once. The cause: connect() said "broken" whatever the error was, and who asked took it for the target's.

Now EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL are IoStatus::Exhausted: connections at rest are closed, the request waits 20 ms at a time, for 1 s and to its deadline at most, and then ends with the reason in attempt_ended. Neither the target nor the node's links are doubted. A node that carries requests for others and has no descriptor offers no way.

Ruled out: fewer callers than half of the limit, since connections at rest need descriptors too and their number changes.

Not shown: that the users' nodes met it.

--- a/src/entry/carrier.h
+++ b/src/entry/carrier.h
@@ -110,6 +110,8 @@
         Found.Connection->setAckTimeout(AckTimeout);
       return WayStatus::Open;
     }
+    if (Status == IoStatus::Exhausted)
+      return WayStatus::NoWay;
     this->Monitor.onNoConnection(Found.Target);
     return this->Board.ReachState == TargetReach::State::Sound
                ? WayStatus::NoTarget
--- a/src/entry/target_connection_pool.cpp
+++ b/src/entry/target_connection_pool.cpp
@@ -46,6 +46,11 @@
     Connections.pop_front();
 }
 
+void TargetConnectionPool::closeIdle() {
+  std::lock_guard Lock(this->Mutex);
+  this->ByTarget.clear();
+}
+
 void TargetConnectionPool::sweep(
     const std::function<bool(const VmIncarnation &)> &IsListed, TimePoint Now) {
   std::lock_guard Lock(this->Mutex);
--- a/src/entry/target_connection_pool.h
+++ b/src/entry/target_connection_pool.h
@@ -24,6 +24,8 @@
   /// target, the oldest is closed.
   void put(const VmIncarnation &Target, Channel Connection, Millis KeepAlive,
            unsigned Max, TimePoint Now);
+  /// Closes all idle connections, for their descriptors.
+  void closeIdle();
   /// Closes connections that were idle too long and those to targets that are
   /// not listed.
   void sweep(const std::function<bool(const VmIncarnation &)> &IsListed,
--- a/src/entry/target_connector.cpp
+++ b/src/entry/target_connector.cpp
@@ -4,6 +4,9 @@
 
 #include "entry/target_connector.h"
 
+#include <algorithm>
+#include <thread>
+
 namespace waycove {
 
 ConnectOutcome TargetConnector::connect(const RelayExchange &Ex,
@@ -19,8 +22,9 @@
         Ex.Response.hasStarted())
       return Found;
   }
-  if (this->connectDirectly(Ex, Attempt))
-    return ConnectOutcome::Connected;
+  if (ConnectOutcome Found = this->connectDirectly(Ex, Attempt);
+      Found != ConnectOutcome::NoTarget)
+    return Found;
   if (HasSearched || this->Board.ReachState == TargetReach::State::Sound)
     return ConnectOutcome::NoTarget;
   ConnectOutcome Found = this->connectThroughNode(Ex, Attempt);
@@ -30,8 +34,8 @@
              : Found;
 }
 
-bool TargetConnector::connectDirectly(const RelayExchange &Ex,
-                                      RelayAttempt &Attempt) {
+ConnectOutcome TargetConnector::connectDirectly(const RelayExchange &Ex,
+                                                RelayAttempt &Attempt) {
   TimePoint Now = SystemClock{}.now();
   Attempt.Reason.clear();
   Attempt.OpenedSince = Now;
@@ -42,23 +46,43 @@
   if (MayRepeat)
     if (auto Idle = this->Pool.take(Target, Now)) {
       Attempt.Connection.emplace(std::move(*Idle));
-      return true;
+      return ConnectOutcome::Connected;
     }
   std::optional<Channel> Opened;
-  IoStatus Status = Channel::connect(
-      Attempt.to().Target->Address,
-      std::min(Ex.Request.Deadline, Now + ConnectTimeout), Opened);
+  IoStatus Status = this->open(Ex, *Attempt.to().Target, Opened);
+  if (Status == IoStatus::Exhausted) {
+    Attempt.Reason = "this node has no descriptor for a connection";
+    return ConnectOutcome::Exhausted;
+  }
   if (Status != IoStatus::Ok) {
     Attempt.Reason = Status == IoStatus::Timeout ? "no connection in time"
                                                  : "connection refused";
     this->Monitor.onNoConnection(Target);
-    return false;
+    return ConnectOutcome::NoTarget;
   }
   this->Monitor.onConnected();
   if (MayRepeat)
     Opened->setAckTimeout(AckTimeout);
   Attempt.Connection.emplace(std::move(*Opened));
-  return true;
+  return ConnectOutcome::Connected;
+}
+
+IoStatus TargetConnector::open(const RelayExchange &Ex,
+                               const TargetInfo &Target,
+                               std::optional<Channel> &Out) {
+  TimePoint Begin = SystemClock{}.now();
+  TimePoint Until = std::min(Ex.Request.Deadline, Begin + MaxDescriptorWait);
+  while (true) {
+    TimePoint Now = SystemClock{}.now();
+    IoStatus Status = Channel::connect(
+        Target.Address, std::min(Ex.Request.Deadline, Now + ConnectTimeout),
+        Out);
+    if (Status != IoStatus::Exhausted || Now + DescriptorRetryDelay >= Until)
+      return Status;
+    // Connections at rest are needed least.
+    this->Pool.closeIdle();
+    std::this_thread::sleep_for(DescriptorRetryDelay);
+  }
 }
 
 /// Asks other nodes in turn until one has a connection to the target or says
--- a/src/entry/target_connector.h
+++ b/src/entry/target_connector.h
@@ -21,6 +21,9 @@
   /// This node has lost its links to targets, and no other node offers a way
   /// to this one. That says nothing about the target.
   NoWay,
+  /// This node has no descriptor for a connection. That says nothing about the
+  /// target either.
+  Exhausted,
 };
 
 /// Opens connections to targets: directly, or through other nodes while this
@@ -46,7 +49,16 @@
   /// How long this node counts as not ready after no other node offered a way.
   static constexpr Millis NoWayDuration{2000};
 
-  bool connectDirectly(const RelayExchange &Ex, RelayAttempt &Attempt);
+  /// Pause before a connection for which no descriptor was free is tried again,
+  /// and how long a request waits for one in all.
+  static constexpr Millis DescriptorRetryDelay{20};
+  static constexpr Millis MaxDescriptorWait{1000};
+
+  ConnectOutcome connectDirectly(const RelayExchange &Ex,
+                                 RelayAttempt &Attempt);
+  /// Opens a new connection; waits where no descriptor is free.
+  IoStatus open(const RelayExchange &Ex, const TargetInfo &Target,
+                std::optional<Channel> &Out);
   ConnectOutcome connectThroughNode(const RelayExchange &Ex,
                                     RelayAttempt &Attempt);
   std::optional<WayStatus> ask(const NodeInfo &Node, const WayRequest &Wanted,
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -36,6 +36,14 @@
   }
 }
 
+/// Whether an error of socket() or connect() is due to this process or machine.
+bool isExhaustion(int Error) {
+  constexpr std::array<int, 5> Shortages{EMFILE, ENFILE, ENOBUFS, ENOMEM,
+                                         EADDRNOTAVAIL};
+  return std::find(Shortages.begin(), Shortages.end(), Error) !=
+         Shortages.end();
+}
+
 } // namespace
 
 Channel::Channel(const Poco::Net::StreamSocket &Socket) : Socket(Socket) {
@@ -53,9 +61,9 @@
     return IoStatus::Ok;
   } catch (const Poco::TimeoutException &) {
     return IoStatus::Timeout;
-  } catch (const Poco::Exception &) {
+  } catch (const Poco::Exception &Error) {
     // The caller of this function logs the failure with the target's name.
-    return IoStatus::Broken;
+    return isExhaustion(Error.code()) ? IoStatus::Exhausted : IoStatus::Broken;
   }
 }
 
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -23,6 +23,9 @@
   Closed,
   /// The connection was reset, or the socket failed.
   Broken,
+  /// This process has no descriptor, port or memory for a connection, which
+  /// says nothing about the peer.
+  Exhausted,
 };
 
 /// A TCP connection with a buffer of received bytes. All waits end at a time on
--- a/tests/failure/limits_test.cpp
+++ b/tests/failure/limits_test.cpp
@@ -210,6 +210,38 @@
   CHECK_FALSE(this->logHas("\"request_cut\""));
 }
 
+// Guards against a node that takes its own shortage for a fault of its targets,
+// and so refuses requests, or gives up streams, that sound targets run.
+TEST_CASE_METHOD(LimitsFixture,
+                 "limits: descriptors are short while requests come: streams "
+                 "end whole and no target is suspected",
+                 "[failure]") {
+  constexpr int Callers = 40;
+  auto Calls = this->startStreams();
+  this->node().limit(RLIMIT_NOFILE, this->node().descriptors() + 8);
+  std::vector<std::future<int>> Others;
+  Others.reserve(Callers);
+  for (int I = 0; I < Callers; ++I)
+    Others.push_back(std::async(std::launch::async, [this, I] {
+      int Served = 0;
+      for (int Round = 0; Round < 5; ++Round)
+        Served += this->call(I % 2 == 0 ? "/safe/x" : "/once/x",
+                             std::to_string(I) + "-" + std::to_string(Round))
+                              .Status == 200
+                      ? 1
+                      : 0;
+      return Served;
+    }));
+  int Served = 0;
+  for (auto &Other : Others)
+    Served += Other.get();
+  CHECK(countWhole(Calls) == Streams);
+  CHECK(Served == 5 * Callers);
+  REQUIRE(this->node().wait(milliseconds(0)) == -1);
+  CHECK_FALSE(this->logHas("\"target_suspected\""));
+  CHECK_FALSE(this->logHas("\"targets_unreachable\""));
+}
+
 // Guards against streams that are cut, or a request that is lost, where no
 // thread can be started.
 TEST_CASE_METHOD(LimitsFixture,
