Apply a configuration or entries again for which memory was short

What callers would see: a node that keeps an older configuration, or lacks a target, until the next change. A follower's position moves on when it reads a page; where std::bad_alloc ended its step, the page was never applied. parseJson turned the same exception into "the text is invalid": a configuration was refused for good, and an entry removed its target.

Now a page that could not be applied is read again with all records in the next step, the serving view is built again if that was what failed, and parseJson lets the exception through.

Ruled out: to apply records one by one, since followers handle whole pages.

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Base64Encoder.h>
 #include <Poco/JSON/Parser.h>
 #include <iterator>
+#include <new>
 #include <sstream>
 
 namespace waycove {
@@ -29,6 +30,9 @@
     return Value.extract<JsonObject>();
   } catch (const Poco::Exception &Error) {
     return makeError(ErrorKind::BadRequest, "JSON: " + Error.displayText());
+  } catch (const std::bad_alloc &) {
+    // Says nothing about the text, which may be parsed later.
+    throw;
   } catch (const std::exception &Error) {
     return makeError(ErrorKind::BadRequest,
                      std::string("JSON: ") + Error.what());
--- a/src/control/config_follower.h
+++ b/src/control/config_follower.h
@@ -26,8 +26,14 @@
   /// step, which a change of the feed ends.
   Millis step() {
     absl::StatusOr<KeyedPage> Page = this->Source.read(Millis(0));
-    if (Page.ok())
-      this->applyPage(*Page);
+    try {
+      if (Page.ok())
+        this->applyPage(*Page);
+    } catch (const std::exception &) {
+      // Memory is short; the caller logs that. The page comes again.
+      this->Source.reset();
+      throw;
+    }
     this->updateProof();
     return this->checkInterval();
   }
@@ -160,19 +166,26 @@
       Row = Config;
       return true;
     });
-    if (!Applied)
+    if (Applied)
+      this->onApplied(*Config, Before);
+    if (!this->ViewIsOld)
       return;
+    rebuildServingView(this->Board);
+    this->ViewIsOld = false;
+  }
+
+  void onApplied(const RoutingConfig &Config, std::uint64_t Before) {
+    this->ViewIsOld = true;
     this->Board.Counters.add(Counter::ConfigsApplied);
     this->Board.Log.emit(EventCode::ConfigApplied,
-                         std::to_string(Config->Version),
+                         std::to_string(Config.Version),
                          LogFields()
                              .add("before", Before)
-                             .add("routes", Config->routeCount())
-                             .add("services", Config->Services.size())
-                             .add("keys", Config->Keys.size())
+                             .add("routes", Config.routeCount())
+                             .add("services", Config.Services.size())
+                             .add("keys", Config.Keys.size())
                              .add("routes_without_region",
-                                  this->countRoutesWithoutRegion(*Config)));
-    rebuildServingView(this->Board);
+                                  this->countRoutesWithoutRegion(Config)));
   }
 
   /// Number of routes that no known data centre may serve.
@@ -191,6 +204,8 @@
   RestoreWait Restore;
   /// Evacuations that the store no longer shows, but are still in force.
   std::set<DataCentreId> Vanished;
+  /// The serving view was not built since the version in force was applied.
+  bool ViewIsOld = false;
   bool WasProven = false;
   bool WasLost = false;
   /// Versions below this one, which the store lost, are not applied.
--- a/src/control/keyed_feed.h
+++ b/src/control/keyed_feed.h
@@ -46,6 +46,9 @@
       this->Next.reset();
     return Page;
   }
+  /// The next read returns all records, e.g. since the last page could not be
+  /// applied.
+  void reset() { this->Next.reset(); }
 
 private:
   Feed &Source;
--- a/src/control/node_follower.h
+++ b/src/control/node_follower.h
@@ -59,11 +59,16 @@
     if (this->mustAnnounceJoined() && !this->announceJoined())
       return this->RetryBackoff.next();
     this->RetryBackoff.reset();
-    if (absl::StatusOr<KeyedPage> Page = this->Source.read(Millis(0));
-        Page.ok()) {
-      this->apply(*Page);
-      this->Read = true;
+    absl::StatusOr<KeyedPage> Page = this->Source.read(Millis(0));
+    try {
+      if (Page.ok())
+        this->apply(*Page);
+    } catch (const std::exception &) {
+      // Memory is short; the caller logs that. The page comes again.
+      this->Source.reset();
+      throw;
     }
+    this->Read |= Page.ok();
     return this->checkInterval();
   }
 
--- a/src/control/registry_follower.h
+++ b/src/control/registry_follower.h
@@ -35,8 +35,14 @@
   /// step, which a change of the feed ends.
   Millis step() {
     absl::StatusOr<KeyedPage> Page = this->Source.read(Millis(0));
-    if (Page.ok())
-      this->applyPage(*Page);
+    try {
+      if (Page.ok())
+        this->applyPage(*Page);
+    } catch (const std::exception &) {
+      // Memory is short; the caller logs that. The page comes again.
+      this->Source.reset();
+      throw;
+    }
     return CheckInterval;
   }
 
--- a/tests/failure/limits_test.cpp
+++ b/tests/failure/limits_test.cpp
@@ -242,6 +242,27 @@
   CHECK_FALSE(this->logHas("\"targets_unreachable\""));
 }
 
+// Guards against streams that are cut, or a node that ends or keeps an old
+// configuration, where memory is short.
+TEST_CASE_METHOD(LimitsFixture,
+                 "limits: memory is short while a large configuration comes: "
+                 "streams end whole and the configuration applies later",
+                 "[failure]") {
+  constexpr int LargeRoutes = 6000;
+  constexpr std::size_t LargeNames = 800;
+  auto Calls = this->startStreams();
+  this->node().limit(RLIMIT_AS, this->node().mappedBytes() + (4 << 20));
+  for (int Version = 2; Version < 12; ++Version) {
+    this->publishRoutes(Version, LargeRoutes, LargeNames);
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  CHECK(countWhole(Calls) == Streams);
+  REQUIRE(this->node().wait(milliseconds(0)) == -1);
+  this->node().limit(RLIMIT_AS, RLIM_INFINITY);
+  CHECK(eventually([&] { return this->isApplied(11); }));
+  CHECK(this->call("/safe/x", "after").Status == 200);
+}
+
 // Guards against streams that are cut, or a request that is lost, where no
 // thread can be started.
 TEST_CASE_METHOD(LimitsFixture,
--- a/tests/unit/config_follower_test.cpp
+++ b/tests/unit/config_follower_test.cpp
@@ -28,13 +28,17 @@
 /// Longer than the time that operators have to write again.
 constexpr Millis LongBound = FeedCache::RecoveryTimeout + Millis(500);
 
-/// Parses a value that is a version number.
+/// Parses a value that is a version number, and finds no memory as often as it
+/// is told.
 struct VersionDecoder {
+  int *Failures = nullptr;
   static constexpr const char *Key = "config";
   static std::optional<DataCentreId> evacuatedCentre(const std::string &) {
     return std::nullopt;
   }
   absl::StatusOr<RoutingConfig> operator()(const std::string &Value) const {
+    if (*this->Failures > 0 && (*this->Failures)-- > 0)
+      throw std::bad_alloc();
     RoutingConfig Config;
     Config.Version = std::stoull(Value);
     return Config;
@@ -78,9 +82,26 @@
 
   EntryBoard Board;
   CachedFeed Feed{Board.feed(FeedKind::Config)};
-  ConfigFollower<CachedFeed, VersionDecoder> Follower{Board, Feed, {}};
+  int Failures = 0;
+  ConfigFollower<CachedFeed, VersionDecoder> Follower{
+      Board, Feed, {&this->Failures}};
 };
 
+// Guards against a configuration that is never applied, since memory was short
+// when it came.
+TEST_CASE_METHOD(ConfigFollowerFixture,
+                 "config: memory is short when a version comes: it is applied "
+                 "in a later step",
+                 "[unit]") {
+  this->show(1, 1, 0);
+  this->Failures = 2;
+  CHECK_THROWS_AS(this->show(2, 2, 0), std::bad_alloc);
+  CHECK_THROWS_AS(this->Follower.step(), std::bad_alloc);
+  CHECK(this->inForce() == 1);
+  this->Follower.step();
+  CHECK(this->inForce() == 2);
+}
+
 TEST_CASE_METHOD(ConfigFollowerFixture,
                  "config: the store came back with an older version: the newer "
                  "one stays, and its keys are not proven",
--- a/tests/unit/registry_follower_test.cpp
+++ b/tests/unit/registry_follower_test.cpp
@@ -34,6 +34,19 @@
          Start + More + R"("sequence":)" + std::to_string(Sequence) + "}";
 }
 
+/// Finds no memory as often as it is told.
+struct ScarceDecoder {
+  int *Failures = nullptr;
+  platform::TargetDecoder Decode = {};
+
+  absl::StatusOr<TargetInfo> operator()(const std::string &Id,
+                                        const std::string &Value) const {
+    if (*this->Failures > 0 && (*this->Failures)-- > 0)
+      throw std::bad_alloc();
+    return this->Decode(Id, Value);
+  }
+};
+
 } // namespace
 
 struct RegistryFixture {
@@ -68,12 +81,28 @@
 
   EntryBoard Board;
   CachedFeed Feed{this->Board.feed(FeedKind::Registry)};
-  RegistryFollower<CachedFeed, platform::TargetDecoder> Follow{
-      this->Board, this->Feed, {}};
+  int Failures = 0;
+  RegistryFollower<CachedFeed, ScarceDecoder> Follow{
+      this->Board, this->Feed, {&this->Failures}};
   std::uint64_t End = 0;
   std::uint64_t Era = 0;
 };
 
+// Guards against a target that is never listed, since memory was short when its
+// entry came.
+TEST_CASE_METHOD(RegistryFixture,
+                 "registry: memory is short when entries come: they are listed "
+                 "in a later step",
+                 "[unit]") {
+  this->show({{"i-1", entryOf(100)}}, true);
+  this->Failures = 1;
+  CHECK_THROWS_AS(this->show({{"i-2", entryOf(100)}, {"i-1", std::nullopt}}),
+                  std::bad_alloc);
+  this->Follow.step();
+  CHECK(this->startOf("i-2") == 100);
+  CHECK_FALSE(this->startOf("i-1"));
+}
+
 TEST_CASE_METHOD(RegistryFixture,
                  "registry: a target starts again under its id: the newer life "
                  "is listed, and told of once",
