--- a/tests/failure/limits_test.cpp
+++ b/tests/failure/limits_test.cpp
@@ -61,9 +61,9 @@
   std::string Routes;
   for (int I = 0; I < Count; ++I) {
     std::string Name = "r" + std::to_string(I);
-    Routes += R"({"name":")" + Name + std::string(NameBytes, 'x') +
-              R"(","host":"b.example","path_prefix":"/)" + Name +
-              R"(/","type":"idempotent","service":"plain","timeout_ms":2000,)"
+    Routes.append(R"({"name":")").append(Name).append(NameBytes, 'x');
+    Routes.append(R"(","host":"b.example","path_prefix":"/)").append(Name);
+    Routes += R"(/","type":"idempotent","service":"plain","timeout_ms":2000,)"
               R"("goal_ms":300,"priority":1,"max_attempts":2},)";
   }
   std::string Text = entryConfig(Version, "key-1");
@@ -93,6 +93,7 @@
   /// Starts streams, and waits until all of them run.
   std::vector<std::future<Reply>> startStreams() {
     std::vector<std::future<Reply>> Calls;
+    Calls.reserve(Streams);
     for (int I = 0; I < Streams; ++I)
       Calls.push_back(std::async(std::launch::async, [this, I] {
         return this->call("/chat/x", "s" + std::to_string(I));
@@ -192,8 +193,10 @@
                  "[failure]") {
   auto Calls = this->startStreams();
   this->node().limit(RLIMIT_NOFILE, this->node().descriptors() + 4);
+  constexpr int Connections = 60;
   std::vector<Poco::Net::StreamSocket> Waiting;
-  for (int I = 0; I < 60; ++I)
+  Waiting.reserve(Connections);
+  for (int I = 0; I < Connections; ++I)
     Waiting.emplace_back(
         Poco::Net::SocketAddress("127.0.0.1", this->Run.httpPort("n1")));
   for (int Version = 2; Version < 22; ++Version) {
@@ -271,8 +274,10 @@
                  "[failure]") {
   auto Calls = this->startStreams();
   this->node().limit(RLIMIT_AS, this->node().mappedBytes());
+  constexpr int Requests = 4;
   std::vector<std::future<Reply>> Late;
-  for (int I = 0; I < 4; ++I)
+  Late.reserve(Requests);
+  for (int I = 0; I < Requests; ++I)
     Late.push_back(std::async(std::launch::async, [this, I] {
       return this->call("/safe/x", "late" + std::to_string(I));
     }));
--- a/tests/unit/crash_log_test.cpp
+++ b/tests/unit/crash_log_test.cpp
@@ -121,8 +121,10 @@
 // threads crash at once.
 TEST_CASE("crash log: several threads crash: one line is written", "[unit]") {
   auto CrashAll = [] {
+    constexpr int Count = 8;
     std::vector<std::thread> Threads;
-    for (int I = 0; I < 8; ++I)
+    Threads.reserve(Count);
+    for (int I = 0; I < Count; ++I)
       Threads.emplace_back([] { std::abort(); });
     for (std::thread &Thread : Threads)
       Thread.join();
