--- a/tests/failure/started_answers_test.cpp
+++ b/tests/failure/started_answers_test.cpp
@@ -193,8 +193,31 @@
 /// One entry before targets with few slots.
 struct FewSlotsFixture : StartedAnswersFixture {
   FewSlotsFixture()
-      : StartedAnswersFixture(
-            {.Entries = 1, .Targets = 3, .Slots = 4, .RetrySlack = 1000}) {}
+      : StartedAnswersFixture({.Entries = 1,
+                               .Targets = 3,
+                               .Slots = 4,
+                               .TokenTime = milliseconds(125),
+                               .RetrySlack = 1000,
+                               .GracePeriod = milliseconds(8000)}) {}
+  /// Sends more requests than there are slots, and waits until the entry knows.
+  Streams overload() {
+    Streams Waiting = this->sendStreams(8);
+    REQUIRE(eventually(
+        [&] {
+          return this->Run.logOf("n1").find("\"pool_overloaded\"") !=
+                 std::string::npos;
+        },
+        milliseconds(1500)));
+    return Waiting;
+  }
+  /// Ends a target while the others turn requests away for a moment.
+  void endTarget() {
+    REQUIRE(this->running(1, 1) > 0);
+    this->faultTargets(2, 3, R"({"call":"busy","rest":""})");
+    this->Run.killVm(targetName(1));
+    std::this_thread::sleep_for(milliseconds(500));
+    this->faultTargets(2, 3, R"({"call":"ok"})");
+  }
 };
 
 // Guards against streams that are refused a place because they are older than
@@ -207,18 +230,26 @@
   constexpr milliseconds AgeAtOverload(1800);
   Streams Started = this->startStreams(12);
   std::this_thread::sleep_for(AgeAtOverload);
-  Streams Waiting = this->sendStreams(8);
-  REQUIRE(eventually(
-      [&] {
-        return this->Run.logOf("n1").find("\"pool_overloaded\"") !=
-               std::string::npos;
-      },
-      milliseconds(1500)));
-  this->faultTargets(2, 3, R"({"call":"busy","rest":""})");
-  this->Run.killVm(targetName(1));
-  std::this_thread::sleep_for(milliseconds(500));
-  this->faultTargets(2, 3, R"({"call":"ok"})");
+  Streams Waiting = this->overload();
+  this->endTarget();
+  this->checkAllWhole(Started);
+}
+
+// Guards against streams that are cut because the node takes no new requests
+// any more, although its grace goes on.
+TEST_CASE_METHOD(FewSlotsFixture,
+                 "started answers: a target ends in an overload while the node "
+                 "stops: its streams go on within the grace",
+                 "[failure]") {
+  // The node refuses requests by then.
+  constexpr milliseconds AfterSignal(2800);
+  Streams Started = this->startStreams(12);
+  Streams Waiting = this->overload();
+  this->Run.node("n1").signal(SIGTERM);
+  std::this_thread::sleep_for(AfterSignal);
+  this->endTarget();
   this->checkAllWhole(Started);
+  CHECK(this->Run.node("n1").wait(this->Setup.GracePeriod) == 0);
 }
 
 /// Three entries that reach their targets through links which can break.
