--- a/tests/failure/started_answers_test.cpp
+++ b/tests/failure/started_answers_test.cpp
@@ -408,6 +408,41 @@
   this->checkCutFor("crashes_targets", this->requestOf("/chat/x", "three"));
 }
 
+// Guards against cut streams without a line where the log drops lines.
+TEST_CASE_METHOD(CutCauseFixture,
+                 "started answers: more lines than the log takes: each stream "
+                 "that is cut has its line",
+                 "[failure]") {
+  constexpr int Callers = 2;
+  constexpr int Count = 8;
+  // Each request is refused, with a line.
+  std::vector<std::jthread> Refused;
+  Refused.reserve(Callers);
+  for (int I = 0; I < Callers; ++I)
+    Refused.emplace_back([this](const std::stop_token &Stop) {
+      while (!Stop.stop_requested())
+        this->Run.ask("n1", this->requestOf("/none/x", "none"));
+    });
+  REQUIRE(eventually([&] {
+    return this->Run.logOf("n1").find("\"log_lines_dropped\"") !=
+           std::string::npos;
+  }));
+  std::vector<std::future<Reply>> Cut;
+  Cut.reserve(Count);
+  for (int I = 0; I < Count; ++I)
+    Cut.push_back(std::async(std::launch::async, [this, I] {
+      return this->Run.ask("n1", this->requestOf("/chat/x",
+                                                 "short" + std::to_string(I),
+                                                 milliseconds(700)));
+    }));
+  for (auto &Stream : Cut)
+    CHECK(Stream.get().Cut);
+  std::this_thread::sleep_for(milliseconds(300));
+  for (int I = 0; I < Count; ++I)
+    this->checkCutOnce("n1", "short" + std::to_string(I), "timeout",
+                       milliseconds(0));
+}
+
 // Guards against a process that ends without a word about the streams that end
 // with it.
 TEST_CASE_METHOD(CutCauseFixture,
