Wake a waiting answer when a place is free, and excuse targets that left or ended

- An answer that waits looks again when any request gives up its place.
- After a standstill the second attempt is made sooner, by as much as the caller has already waited, 320 ms at the least (patienceAfter); the first one goes on beside it.

--- a/src/entry/place_gate.cpp
+++ b/src/entry/place_gate.cpp
@@ -4,6 +4,8 @@
 
 #include "entry/place_gate.h"
 
+#include "base/boot_clock.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -60,6 +62,13 @@
   return this->wait(Lock, Ex, Ticket, Wanted);
 }
 
+bool PlaceGate::waitForRelease(TimePoint Until) {
+  std::unique_lock Lock(this->Mutex);
+  return waitUntil(
+      this->Released, Lock, Until,
+      [this, Before = this->Releases] { return this->Releases != Before; });
+}
+
 bool PlaceGate::isOverloaded(const PoolKey &Pool) const {
   return this->Board.Admission.read(
       [&](const PoolAdmission &Pools) { return Pools.isOverloaded(Pool); });
@@ -162,6 +171,8 @@
   this->Board.Admission.write(
       [&](PoolAdmission &Pools) { Pools.release(Ticket, Held); });
   this->grant(SystemClock{}.now());
+  ++this->Releases;
+  this->Released.notify_all();
 }
 
 } // namespace waycove
--- a/src/entry/place_gate.h
+++ b/src/entry/place_gate.h
@@ -66,6 +66,9 @@
   /// Gives up \p Place and waits for another one, after a target rejected the
   /// request.
   PlaceResult reenter(const RelayExchange &Ex, HeldPlace Place);
+  /// Waits until some request gives up its place, so that targets may take
+  /// another one, or until \p Until. Returns whether one has.
+  bool waitForRelease(TimePoint Until);
   /// Whether the pool is overloaded, over all nodes.
   bool isOverloaded(const PoolKey &Pool) const;
 
@@ -101,6 +104,9 @@
   /// Locked before any table of the board.
   std::mutex Mutex;
   std::map<PoolTicket, Waiter *> Waiters;
+  /// Counts places that were given up.
+  std::uint64_t Releases = 0;
+  std::condition_variable Released;
 };
 
 } // namespace waycove
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -158,7 +158,7 @@
       return Earlier;
     }
     if (Ex.Response.hasStarted())
-      return this->attemptToGoOn(Ex);
+      return this->attemptToGoOn(Ex, Last, End);
     if (Ex.Progress.HasNoWay || !mayRetry(*Ex.Request.Route, Ex.counts())) {
       this->endUnserved(Ex, Last.Reason);
       return std::nullopt;
@@ -185,21 +185,44 @@
     return true;
   }
 
-  /// The attempt with which a started response goes on after one that ended. It
+  /// The attempts by which it is decided whether a started response goes on.
+  /// Those at targets that have left or ended since do not count against its
+  /// route's limit, up to as many again as that allows.
+  AttemptCounts countsToGoOn(const RelayExchange &Ex) {
+    AttemptCounts Counts = Ex.counts();
+    unsigned Excused = 0;
+    for (LostTarget &Row : Ex.Progress.Lost) {
+      Row.HasEnded = Row.HasEnded || this->Selector.hasEnded(Row.Target);
+      Excused += Row.HasEnded ? 1 : 0;
+    }
+    Counts.MayHaveRun -=
+        std::min({Excused, Counts.MayHaveRun, Ex.Request.Route->MaxAttempts});
+    return Counts;
+  }
+
+  /// The attempt with which a started response goes on after \p Last ended. It
   /// keeps its place, and may return to targets that declined it. Pauses if
   /// several have ended shortly after each other: their targets may be ending
   /// together, or this node may be losing its links.
-  std::optional<RelayAttempt> attemptToGoOn(RelayExchange &Ex) {
-    if (auto Cause = causeToCut(*Ex.Request.Route, Ex.counts())) {
-      this->Failures.cut(Ex, *Cause, Ex.Progress.Reason);
-      return std::nullopt;
-    }
+  std::optional<RelayAttempt> attemptToGoOn(RelayExchange &Ex,
+                                            const RelayAttempt &Last,
+                                            AttemptOutcome End) {
     RelayProgress &Progress = Ex.Progress;
     TimePoint Now = SystemClock{}.now();
-    bool IsInRow = Now - std::exchange(Progress.FailedAt, Now) < RecentFailure;
-    Progress.FailedInRow = IsInRow ? Progress.FailedInRow + 1 : 0;
-    unsigned Pauses =
-        std::min(1U << std::min(Progress.FailedInRow, 8U) >> 1U, MaxPauses);
+    if (Last.ConnectionLost)
+      Progress.Lost.push_back({Last.target(), Now});
+    if (auto Cause = causeToCut(*Ex.Request.Route, this->countsToGoOn(Ex))) {
+      this->Failures.cut(Ex, *Cause, Progress.Reason);
+      return std::nullopt;
+    }
+    unsigned Pauses = 1;
+    if (End != AttemptOutcome::NotSent) {
+      bool IsInRow =
+          Now - std::exchange(Progress.FailedAt, Now) < RecentFailure;
+      Progress.FailedInRow = IsInRow ? Progress.FailedInRow + 1 : 0;
+      Pauses =
+          std::min(1U << std::min(Progress.FailedInRow, 8U) >> 1U, MaxPauses);
+    }
     if (Pauses > 0 && !this->pause(Ex, Pauses, Progress.Reason))
       return std::nullopt;
     return this->nextAttempt(Ex);
@@ -233,13 +256,23 @@
         this->Failures.fail(Ex, Missing, false, Opening);
         return std::nullopt;
       }
-      // It may go to a target again rather than to none.
-      Ex.Progress.Tried.clear();
       if (!this->pause(Ex, 1, Missing))
         return std::nullopt;
+      this->allowAgain(Ex);
     }
   }
 
+  /// Lets a started response go to a target again rather than to none, but for
+  /// those that may have ended.
+  void allowAgain(RelayExchange &Ex) {
+    RelayProgress &Progress = Ex.Progress;
+    TimePoint Now = SystemClock{}.now();
+    Progress.Tried.clear();
+    for (const LostTarget &Row : Progress.Lost)
+      if (this->Selector.mayHaveEnded(Row, Now))
+        Progress.Tried.push_back(Row.Target.Id);
+  }
+
   /// Selects a target and takes a retry, if the request needs one. Returns
   /// nothing, and tells in \p Missing and \p Opening what is missing and about
   /// how long until there is one, if either is not to be had.
@@ -275,15 +308,19 @@
     return Next;
   }
 
-  /// Lets a started response wait for \p Count intervals, since \p Missing.
-  /// Ends it and returns false if its caller leaves or this node ends.
+  /// Lets a started response wait for \p Count intervals, since \p Missing, or
+  /// less if another request ends after the first one. Ends it and returns
+  /// false if its caller leaves or this node ends.
   bool pause(RelayExchange &Ex, unsigned Count, const std::string &Missing) {
     if (!std::exchange(Ex.Progress.HasWaited, true))
       this->Log.requestWaits(Ex, Missing);
     Ex.Progress.Reason = Missing;
-    TimePoint Until = std::min(Ex.Request.Deadline,
-                               SystemClock{}.now() + Count * LookInterval);
-    while (SystemClock{}.now() < Until) {
+    for (unsigned I = 0; I < Count; ++I) {
+      TimePoint Until =
+          std::min(Ex.Request.Deadline, SystemClock{}.now() + LookInterval);
+      bool HasRoom = I > 0 && this->Places.waitForRelease(Until);
+      if (I == 0)
+        std::this_thread::sleep_for(Until - SystemClock{}.now());
       if (Ex.Caller.isClosedByPeer()) {
         this->Failures.cut(Ex, CutCause::CallerLeft, "the caller left");
         return false;
@@ -292,8 +329,8 @@
         this->Failures.cut(Ex, CutCause::Stopping, Missing);
         return false;
       }
-      std::this_thread::sleep_for(std::min<TimePoint::duration>(
-          LookInterval, Until - SystemClock{}.now()));
+      if (HasRoom || Until == Ex.Request.Deadline)
+        return true;
     }
     return true;
   }
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -58,6 +58,14 @@
   Millis Age{0};
 };
 
+/// A target that ended a response before it was whole.
+struct LostTarget {
+  VmIncarnation Target;
+  TimePoint At;
+  /// It has left or ended, as far as is known.
+  bool HasEnded = false;
+};
+
 /// What the attempts for a request have led to so far.
 struct RelayProgress {
   /// Targets to which an attempt was made.
@@ -71,6 +79,8 @@
   /// A silent attempt is followed by no other before then, since the last one
   /// that followed it failed.
   TimePoint NoSuccessorBefore;
+  /// Targets whose connections ended attempts of its started response.
+  std::vector<LostTarget> Lost;
   /// When an attempt of its started response last failed, and how many have
   /// failed shortly after another one.
   TimePoint FailedAt;
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -230,8 +230,11 @@
     Patience = std::max(Patience, Millis(static_cast<std::int64_t>(
                                       SlowFactor * Observed.FirstByteMs)));
   bool Stalled = Observed.IsStalled && !Attempt.FirstByteSeen;
-  bool TooLong =
-      Observed.OwnSilence >= Patience && Observed.Silence >= MinPatience;
+  Millis StoodStill =
+      std::chrono::duration_cast<Millis>(Now - Attempt.LastByte) -
+      Observed.OwnSilence;
+  bool TooLong = Observed.OwnSilence >= patienceAfter(StoodStill, Patience) &&
+                 Observed.Silence >= patienceAfter(StoodStill, MinPatience);
   if (Stalled)
     Attempt.Reason = "none of its answers moves";
   else if (TooLong)
--- a/src/entry/target_selector.cpp
+++ b/src/entry/target_selector.cpp
@@ -110,6 +110,33 @@
   return Least;
 }
 
+bool TargetSelector::mayHaveEnded(const LostTarget &Lost, TimePoint Now) const {
+  // Then this node's own links have ended the responses.
+  if (this->Board.isCutOff() || Now - Lost.At >= RemovalTime)
+    return false;
+  bool IsAlive =
+      this->Board.TargetStats.read([&](const TargetStatsTable &Stats) {
+        return Stats.of(Lost.Target).LastProgress > Lost.At;
+      });
+  return !IsAlive && this->isListed(Lost.Target);
+}
+
+bool TargetSelector::hasEnded(const VmIncarnation &Target) const {
+  bool HasStatedIt =
+      this->Board.TargetPauses.read([&](const StatedPauses &Known) {
+        return Known.of(Target, SystemClock{}.now()).Leaves;
+      });
+  return HasStatedIt || !this->isListed(Target);
+}
+
+bool TargetSelector::isListed(const VmIncarnation &Target) const {
+  return this->Board.Targets.read([&](const Fleet &Known) {
+    auto At = Known.Targets.find(Target.Id);
+    return At != Known.Targets.end() && At->second->incarnation() == Target &&
+           !At->second->Draining;
+  });
+}
+
 bool TargetSelector::takeFromRate(const RelayRequest &Request,
                                   SelectedTarget &Selected, TimePoint Now) {
   RateUse Use = this->Bounds.take(Request, Selected.To, Now);
--- a/src/policy/standstill.cpp
+++ b/src/policy/standstill.cpp
@@ -12,6 +12,9 @@
 
 /// A node that noted nothing for longer has stood still.
 constexpr Millis MaxDelay = 3 * RunningInterval;
+/// Events of a busy engine may be 180 ms apart, and processes that stood still
+/// together may go on a little later than this one.
+constexpr Millis MinPatience{320};
 
 } // namespace
 
@@ -21,6 +24,10 @@
   return Standstill{LastNoted + RunningInterval, Now};
 }
 
+Millis patienceAfter(Millis StoodStill, Millis Patience) {
+  return std::max(Patience - StoodStill, std::min(Patience, MinPatience));
+}
+
 void StandstillHistory::add(const Standstill &Found) {
   this->Kept[this->Oldest] = Found;
   this->Oldest = (this->Oldest + 1) % MaxKept;
--- a/src/policy/standstill.h
+++ b/src/policy/standstill.h
@@ -27,6 +27,12 @@
 /// scheduling.
 std::optional<Standstill> findStandstill(TimePoint LastNoted, TimePoint Now);
 
+/// Returns how long another process may be silent, in time in which this node
+/// runs, before a second attempt is made beside one that waits for it. The
+/// caller sees the whole pause, of which \p StoodStill is this node's own;
+/// after it, the other process gets a short time to show itself.
+Millis patienceAfter(Millis StoodStill, Millis Patience);
+
 /// The latest standstills of this node. While it stands still it reads nothing,
 /// so that time must not count as another process's silence. Not thread-safe.
 class StandstillHistory {
--- a/tests/unit/standstill_test.cpp
+++ b/tests/unit/standstill_test.cpp
@@ -77,4 +77,16 @@
   CHECK(Known.runningTime(at(2700), at(2600)) == Millis(0));
 }
 
+// Guards against callers that leave, since after a standstill their node waits
+// as long again as if they had seen no pause yet.
+TEST_CASE_METHOD(StandstillFixture,
+                 "standstill: part of a silence: the rest may be shorter, but "
+                 "never nothing",
+                 "[unit]") {
+  CHECK(patienceAfter(Millis(0), Millis(600)) == Millis(600));
+  CHECK(patienceAfter(Millis(200), Millis(600)) == Millis(400));
+  CHECK(patienceAfter(Millis(1000), Millis(600)) == Millis(320));
+  CHECK(patienceAfter(Millis(1000), Millis(100)) == Millis(100));
+}
+
 } // namespace waycove::test
