Plan the VMs of each service in a domain by themselves

Seen in a test: where two services have VMs in one fabric domain, one view held the VMs of both, under the service of the last one listed. By the code, VMs of one were then ordered to join models of the other, and the groups of the one whose engine it was not would have been closed as "its model is not configured". Nothing ended. Cause: views and planners went by domain alone. They go by service and domain now; a domain still belongs to one node. The count of serving groups, by model name over all services, is by service too: the start of one looked like that of the other. Left: demand is counted by model name, so two services that give a model the same name share its demand.

Before: domain_views_test 5 checks and domain_owner_test 1 check fail (three of four VMs are ordered to join); after: each VM joins a group of its own service's model. "domain owner*" (10), "domain views*" (3), "group load*" (3) and "groups follow*" pass.

--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -228,25 +228,24 @@
                                   const PartitionAssignment &Assignment,
                                   TimePoint Now) {
     std::vector<GroupOrder> Orders;
-    std::map<std::string, unsigned> Serving = servingGroups(this->Board);
+    auto Serving = servingGroups(this->Board);
     this->Prober.expireStatuses(Now);
-    std::map<DomainId, DomainView> Views =
+    std::map<ServiceDomain, DomainView> Views =
         ownedDomains(this->Board, Config, Assignment, Now);
     // Plans of an earlier ownership are dropped.
     std::erase_if(this->Planners, [&](const auto &Entry) {
       return !Views.contains(Entry.first);
     });
-    for (auto &[Domain, View] : Views) {
+    for (auto &[Key, View] : Views) {
       const EngineSpec &Engine = *Config.service(View.Service)->Engine;
       View.EpochFloor = Assignment.fence() << EpochCounterBits;
       View.LoadsAllowed = this->Budget.allowed(View.LoadsAllowed, Engine, Now);
       View.SpareLoads = this->Budget.allowed(View.SpareLoads, Engine, Now);
       View.Statuses = this->Prober.statuses();
-      View.ServingGroups = Serving;
+      View.ServingGroups = Serving[View.Service];
       View.Demand = this->demandOf(Engine);
       this->Prober.detectLost(View);
-      OwnedDomain &Owned =
-          this->Planners.try_emplace(Domain, Now).first->second;
+      OwnedDomain &Owned = this->Planners.try_emplace(Key, Now).first->second;
       if (Now - Owned.Since < TakeoverDelay ||
           this->isRegistryUnread(Owned.Since))
         continue;
@@ -308,9 +307,8 @@
                 Outcome == OrderOutcome::ProcessEnded;
     if (!Left || Order.Kind != OrderKind::Leave)
       return;
-    if (auto At = this->Planners.find(Order.To->Domain);
-        At != this->Planners.end())
-      At->second.Planner.onLeaveConfirmed(Order);
+    if (OwnedDomain *Owned = this->ownedDomainOf(*Order.To))
+      Owned->Planner.onLeaveConfirmed(Order);
   }
 
   /// Excludes a target from the next group if an order to join did not reach it
@@ -331,10 +329,9 @@
   void raiseEpochs(const GroupOrder &Order, OrderOutcome Outcome) {
     if (Outcome != OrderOutcome::EpochSeen)
       return;
-    if (auto At = this->Planners.find(Order.To->Domain);
-        At != this->Planners.end())
-      At->second.SeenEpoch =
-          std::max(At->second.SeenEpoch, Order.Group.Epoch + UnseenEpochs);
+    if (OwnedDomain *Owned = this->ownedDomainOf(*Order.To))
+      Owned->SeenEpoch =
+          std::max(Owned->SeenEpoch, Order.Group.Epoch + UnseenEpochs);
   }
 
   void updateAssignment(const PartitionAssignment &Next, Millis Duration) {
@@ -371,7 +368,8 @@
                          LogFields().add("parts", "").add("reason", Reason));
   }
 
-  /// A domain's planner and the time since which this node owns the domain.
+  /// The planner of a service's VMs in a domain, and the time since which this
+  /// node owns the domain.
   struct OwnedDomain {
     explicit OwnedDomain(TimePoint Since) : Since(Since) {}
     TimePoint Since;
@@ -383,6 +381,12 @@
     DomainPlanner Planner;
   };
 
+  /// Returns null if this node plans nothing for the target any more.
+  OwnedDomain *ownedDomainOf(const TargetInfo &Target) {
+    auto At = this->Planners.find({Target.Service, Target.Domain});
+    return At == this->Planners.end() ? nullptr : &At->second;
+  }
+
   EntryBoard &Board;
   Service &Partitioner;
   const TimePoint StartTime = SystemClock{}.now();
@@ -397,7 +401,7 @@
   bool HasEndedEarlierLife = this->Board.Config.Entry->FirstStart;
   std::atomic<bool> Unreachable{false};
   Backoff RetryBackoff;
-  std::map<DomainId, OwnedDomain> Planners;
+  std::map<ServiceDomain, OwnedDomain> Planners;
   /// Holds after a restore while a lease unknown to the store may be in force.
   Lease OtherOwnersLease;
   /// Fence under which the last step planned.
--- a/src/control/domain_views.cpp
+++ b/src/control/domain_views.cpp
@@ -60,10 +60,10 @@
 
 } // namespace
 
-std::map<DomainId, DomainView>
+std::map<ServiceDomain, DomainView>
 ownedDomains(const EntryBoard &Board, const RoutingConfig &Config,
              const PartitionAssignment &Assignment, TimePoint Now) {
-  std::map<DomainId, DomainView> Views;
+  std::map<ServiceDomain, DomainView> Views;
   std::map<ServiceId, std::set<DomainId>> Domains;
   std::map<ServiceId, std::vector<TargetRef>> All;
   auto IsOwned = [&](const TargetInfo &Target) {
@@ -74,7 +74,7 @@
     return owns(Board, Assignment, Target.Domain);
   };
   auto ViewOf = [&](const TargetInfo &Target) -> DomainView & {
-    DomainView &View = Views[Target.Domain];
+    DomainView &View = Views[{Target.Service, Target.Domain}];
     View.Domain = Target.Domain;
     View.Service = Target.Service;
     View.Now = Now;
@@ -97,7 +97,8 @@
   });
   std::map<ServiceId, LoadSchedule> Schedules;
   std::map<ServiceId, std::map<DomainId, DomainForecast>> Outlooks;
-  for (auto &[Domain, View] : Views) {
+  for (auto &[Key, View] : Views) {
+    const DomainId &Domain = Key.Domain;
     const std::set<DomainId> &Order = Domains[View.Service];
     View.DomainIndex = static_cast<std::size_t>(
         std::distance(Order.begin(), Order.find(Domain)));
@@ -119,14 +120,15 @@
   return Views;
 }
 
-std::map<std::string, unsigned> servingGroups(const EntryBoard &Board) {
-  std::map<std::string, unsigned> Counts;
+std::map<ServiceId, std::map<std::string, unsigned>>
+servingGroups(const EntryBoard &Board) {
+  std::map<ServiceId, std::map<std::string, unsigned>> Counts;
   ServingViewRef View =
       Board.Serving.read([](const ServingViewRef &Row) { return Row; });
   for (const auto &[Service, Targets] : View->ByService)
     for (const ServingTarget &Target : Targets)
       if (!Target.Model.empty())
-        ++Counts[Target.Model];
+        ++Counts[Service][Target.Model];
   return Counts;
 }
 
--- a/src/control/domain_views.h
+++ b/src/control/domain_views.h
@@ -10,13 +10,15 @@
 
 namespace waycove {
 
-/// Views of the domains that \p Assignment gives to this node, built from the
-/// registry. Each domain belongs to one partition by the hash of its name.
-std::map<DomainId, DomainView>
+/// Views of the domains that \p Assignment gives to this node, one for each
+/// service that has VMs there, built from the registry. Each domain belongs to
+/// one partition by the hash of its name.
+std::map<ServiceDomain, DomainView>
 ownedDomains(const EntryBoard &Board, const RoutingConfig &Config,
              const PartitionAssignment &Assignment, TimePoint Now);
 
-/// Number of serving groups by model, over all domains.
-std::map<std::string, unsigned> servingGroups(const EntryBoard &Board);
+/// Number of serving groups by service and model, over all domains.
+std::map<ServiceId, std::map<std::string, unsigned>>
+servingGroups(const EntryBoard &Board);
 
 } // namespace waycove
--- a/src/policy/domain_plan.h
+++ b/src/policy/domain_plan.h
@@ -45,6 +45,15 @@
 /// Value of DomainView::LoadsAllowed where weight loads are not limited.
 inline constexpr unsigned UnlimitedLoads = 1000;
 
+/// The VMs of one service in a fabric domain. Other services may have VMs
+/// there.
+struct ServiceDomain {
+  ServiceId Service;
+  DomainId Domain;
+  // Defaulted by the compiler. NOLINTNEXTLINE
+  auto operator<=>(const ServiceDomain &) const = default;
+};
+
 /// Input of one planning step: the state of a domain and of the service.
 struct DomainView {
   DomainId Domain;
@@ -52,9 +61,9 @@
   /// Position among all domains of the service. Domains that are too small for
   /// one group of each model start with different models by it.
   std::size_t DomainIndex = 0;
-  /// All listed targets of the domain.
+  /// All listed targets of the service in the domain.
   std::vector<TargetRef> Targets;
-  /// Targets that the registry removed recently.
+  /// Those that the registry removed recently.
   std::vector<RemovedTarget> Removed;
   /// Statuses of removed members that were queried.
   std::map<VmIncarnation, MemberStatus> Statuses;
--- a/tests/unit/domain_convert_test.cpp
+++ b/tests/unit/domain_convert_test.cpp
@@ -136,15 +136,15 @@
       if (unsigned Count = this->open(Model); Count > 0)
         ServingGroups[Model] = Count;
     std::vector<GroupOrder> Orders;
-    for (auto &[Domain, View] : ownedDomains(
-             this->Board, this->Config, this->Assignment, at(this->NowMs))) {
+    for (auto &[Key, View] : ownedDomains(this->Board, this->Config,
+                                          this->Assignment, at(this->NowMs))) {
       View.ServingGroups = ServingGroups;
       View.Demand = this->Demand;
       View.EpochFloor = 1;
       if (this->UnlimitedPhase)
         View.LoadsAllowed = UnlimitedLoads;
       for (GroupOrder &Order :
-           this->Planners[Domain].step(View, this->engine()))
+           this->Planners[Key.Domain].step(View, this->engine()))
         Orders.push_back(std::move(Order));
     }
     for (const GroupOrder &Order : Orders)
--- a/tests/unit/domain_owner_test.cpp
+++ b/tests/unit/domain_owner_test.cpp
@@ -46,6 +46,8 @@
     if (Order.Kind == OrderKind::Join && Order.Group.Epoch < this->Epoch)
       return OrderOutcome::Fenced;
     ++this->Accepted;
+    if (Order.Kind == OrderKind::Join)
+      this->JoinedModels[Order.To->Id] = Order.Model;
     this->Epoch = std::max(this->Epoch, Order.Group.Epoch);
     return OrderOutcome::Accepted;
   }
@@ -60,6 +62,7 @@
   std::uint64_t Epoch = 0;
   int Sent = 0;
   int Accepted = 0;
+  std::map<VmId, std::string> JoinedModels;
   absl::StatusOr<std::optional<GroupKey>> Reported = std::nullopt;
 };
 
@@ -76,16 +79,7 @@
 /// The owner of a domain with two free VMs, enough for one group.
 struct OwnerFixture {
   OwnerFixture() : Board(entrySettings(), IncarnationId("i")) {
-    auto Config = std::make_shared<RoutingConfig>();
-    ServiceSpec Spec;
-    Spec.Id = ServiceId("llm");
-    Spec.Engine.emplace();
-    ModelSpec Model;
-    Model.Name = "m";
-    Model.GroupSize = 2;
-    Spec.Engine->Models.push_back(Model);
-    Config->Services[Spec.Id] = Spec;
-    this->Board.Routing.write([&](RoutingConfigRef &Row) { Row = Config; });
+    this->addService("llm", "m");
     this->Board.Nodes.write([&](NodeRankingRef &Row) {
       Row = std::make_shared<const NodeRanking>(
           NodeTable{{this->Board.Config.Node, this->Board.nodeInfo()}});
@@ -93,17 +87,35 @@
     for (std::uint64_t Partition = 0; Partition < AllPartitions; ++Partition)
       this->Partitioner.Assigned.Partitions.push_back(Partition);
   }
-  /// The registry, as of the store's era \p Era.
-  void list(std::uint64_t Era) {
+  /// Configures a service with one model of two VMs.
+  void addService(const std::string &Id, const std::string &ModelName) {
+    ServiceSpec Spec;
+    Spec.Id = ServiceId(Id);
+    Spec.Engine.emplace();
+    ModelSpec Model;
+    Model.Name = ModelName;
+    Model.GroupSize = 2;
+    Spec.Engine->Models.push_back(Model);
+    this->Board.Routing.write([&](RoutingConfigRef &Row) {
+      auto Next = Row ? std::make_shared<RoutingConfig>(*Row)
+                      : std::make_shared<RoutingConfig>();
+      Next->Services[Spec.Id] = Spec;
+      Row = Next;
+    });
+  }
+  /// Lists VMs in the registry, as of the store's era \p Era.
+  void list(std::uint64_t Era, const std::string &Service = "llm",
+            const std::vector<std::string> &Vms = {"vm1", "vm2"},
+            const std::string &Staged = "m") {
     this->Board.Targets.write([&](Fleet &Rows) {
       Rows.Registry = atOffset(10, Era);
-      for (const char *Id : {"vm1", "vm2"}) {
+      for (const std::string &Id : Vms) {
         auto Row = std::make_shared<TargetInfo>();
         Row->Id = VmId(Id);
-        Row->Service = ServiceId("llm");
+        Row->Service = ServiceId(Service);
         Row->Domain = DomainId("d");
         Row->DataCentre = DataCentreId("c");
-        Row->Staged = {"m"};
+        Row->Staged = {Staged};
         Rows.Targets[Row->Id] = Row;
       }
     });
@@ -233,6 +245,24 @@
   CHECK(this->plan(Millis(5000)));
 }
 
+// Guards against VMs of one service that are ordered into groups of another.
+TEST_CASE_METHOD(OwnerFixture,
+                 "domain owner: VMs of two services share a domain: groups of "
+                 "each are formed of its own VMs",
+                 "[unit]") {
+  this->addService("other", "k");
+  this->list(0);
+  this->list(0, "other", {"vm3", "vm4"}, "k");
+  this->deal(0, 12);
+  REQUIRE(this->plan(Millis(5000)));
+  this->plan(Millis(500));
+  CHECK(this->Targets.JoinedModels ==
+        std::map<VmId, std::string>{{VmId("vm1"), "m"},
+                                    {VmId("vm2"), "m"},
+                                    {VmId("vm3"), "k"},
+                                    {VmId("vm4"), "k"}});
+}
+
 /// An owner that gets its domain under fence 12.
 struct RefusedOwnerFixture : OwnerFixture {
   RefusedOwnerFixture() {
--- a/tests/unit/domain_views_test.cpp
+++ b/tests/unit/domain_views_test.cpp
@@ -11,6 +11,14 @@
 
 namespace waycove::test {
 
+namespace {
+
+ServiceDomain llmIn(const std::string &Domain) {
+  return {ServiceId("llm"), DomainId(Domain)};
+}
+
+} // namespace
+
 /// A service with a large and a small model, all of whose domains this node
 /// owns.
 struct ViewsFixture {
@@ -44,6 +52,17 @@
     Row->Staged = {Staged};
     return Row;
   }
+  /// Adds a service with one model of three VMs.
+  void addService(const std::string &Id) {
+    ServiceSpec Spec;
+    Spec.Id = ServiceId(Id);
+    Spec.Engine.emplace();
+    ModelSpec Model;
+    Model.Name = "model of " + Id;
+    Model.GroupSize = 3;
+    Spec.Engine->Models.push_back(Model);
+    this->Config.Services[Spec.Id] = Spec;
+  }
   void list(const TargetRef &Row) {
     this->Board.Targets.write(
         [&](Fleet &Rows) { Rows.Targets[Row->Id] = Row; });
@@ -59,7 +78,7 @@
       this->list(Row);
     }
   }
-  std::map<DomainId, DomainView> views() {
+  std::map<ServiceDomain, DomainView> views() {
     return ownedDomains(this->Board, this->Config, this->Assignment, at(0));
   }
   EntryBoard Board;
@@ -76,10 +95,10 @@
     TargetRef Row = this->vm("a");
     Rows.Removed[Row->Id] = {Row, at(0)};
   });
-  std::map<DomainId, DomainView> Views = this->views();
+  std::map<ServiceDomain, DomainView> Views = this->views();
   REQUIRE(Views.size() == 2);
-  CHECK(Views.at(DomainId("a")).OtherGroups.at("large") == 1);
-  CHECK(Views.at(DomainId("b")).OtherGroups.empty());
+  CHECK(Views.at(llmIn("a")).OtherGroups.at("large") == 1);
+  CHECK(Views.at(llmIn("b")).OtherGroups.empty());
 }
 
 TEST_CASE_METHOD(ViewsFixture,
@@ -94,13 +113,38 @@
   // Enough free VMs for a large group.
   for (int I = 0; I < 4; ++I)
     this->list(this->vm("d"));
-  std::map<DomainId, DomainView> Views = this->views();
-  DomainView &Last = Views.at(DomainId("c"));
+  std::map<ServiceDomain, DomainView> Views = this->views();
+  DomainView &Last = Views.at(llmIn("c"));
   CHECK(Last.OtherGroups.at("large") == 1);
   CHECK(Last.OtherGroups.at("small") == 2);
   CHECK(Last.EarlierTrades.at("large") == 2);
   CHECK(Last.EarlierTrades.at("small") == -2);
-  CHECK(Views.at(DomainId("a")).EarlierTrades.empty());
+  CHECK(Views.at(llmIn("a")).EarlierTrades.empty());
+}
+
+// Guards against VMs of one service that are ordered into groups of another.
+TEST_CASE_METHOD(ViewsFixture,
+                 "domain views: VMs of two services share a domain: each is "
+                 "planned with its own service's alone",
+                 "[unit]") {
+  this->addService("other");
+  for (int I = 0; I < 2; ++I)
+    this->list(this->vm("d"));
+  this->group("d", "small", 2);
+  for (int I = 0; I < 3; ++I) {
+    auto Row = this->vm("d");
+    Row->Service = ServiceId("other");
+    this->list(Row);
+  }
+  std::map<ServiceId, std::size_t> Counts;
+  for (const auto &[Key, View] : this->views()) {
+    CHECK(View.Domain == DomainId("d"));
+    for (const TargetRef &Row : View.Targets)
+      CHECK(Row->Service == View.Service);
+    Counts[View.Service] += View.Targets.size();
+  }
+  CHECK(Counts == std::map<ServiceId, std::size_t>{{ServiceId("llm"), 4},
+                                                   {ServiceId("other"), 3}});
 }
 
 } // namespace waycove::test
