--- a/tests/contract/caller_contract.cpp
+++ b/tests/contract/caller_contract.cpp
@@ -17,6 +17,12 @@
   return platform::Callers::readRequestInfo(Request).SharedParts;
 }
 
+std::optional<Millis> keepAlive(const std::string &Value) {
+  Poco::Net::HTTPResponse Response;
+  Response.set("Keep-Alive", Value);
+  return platform::Callers::readResponseInfo(Response).KeepAlive;
+}
+
 struct PartsCase {
   const char *Value;
   std::vector<std::string> Parts;
@@ -55,4 +61,23 @@
         std::vector<std::string>{"b2"});
 }
 
+// Guards against a time that overflows, so that a connection which the target
+// keeps looks as if it had ended, or one that has ended is used.
+TEST_CASE("keep-alive: each form of the field: at most an hour, or unknown",
+          "[contract]") {
+  CHECK(keepAlive("timeout=5, max=100") == Millis(5000));
+  CHECK(keepAlive("max=100,timeout=5") == Millis(5000));
+  CHECK(keepAlive("timeout=0") == Millis(0));
+  for (const char *Unknown : {"", "5", "timeout=", "timeout=x", "timeout=-5",
+                              "timeout=99999999999999999999999"}) {
+    CAPTURE(Unknown);
+    CHECK_FALSE(keepAlive(Unknown));
+  }
+  for (const char *Long : {"timeout=86400", "timeout=9223372036854775807",
+                           "timeout=18446744073709551615"}) {
+    CAPTURE(Long);
+    CHECK(keepAlive(Long) == std::chrono::hours(1));
+  }
+}
+
 } // namespace waycove::test
