Make room for a chunk, a frame or a body as its bytes arrive

Room is made in steps of 64 KB and 256 KB now. A response with a length above the bound of chunked ones was read until its end; it is refused at its head.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -9,6 +9,7 @@
 #include <Poco/NumberParser.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/String.h>
+#include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sstream>
@@ -25,6 +26,8 @@
 constexpr Millis AckTimeout(400);
 constexpr std::size_t MaxSizeLineBytes = 1024;
 constexpr std::size_t MaxBodyBytes = 256 << 20;
+/// Room for a chunk is made in steps, as its bytes arrive.
+constexpr std::size_t ReadBytes = 64 << 10;
 
 } // namespace
 
@@ -41,6 +44,17 @@
   }
 }
 
+std::size_t WholeBodySession::readInto(std::string &Body, std::size_t Most) {
+  std::size_t Length = Body.size();
+  Body.resize(Length + Most);
+  std::streamsize Received =
+      this->read(Body.data() + Length, static_cast<std::streamsize>(Most));
+  if (Received <= 0)
+    throw Poco::Net::NetException("the answer was cut");
+  Body.resize(Length + static_cast<std::size_t>(Received));
+  return static_cast<std::size_t>(Received);
+}
+
 std::string WholeBodySession::readChunks() {
   std::string Body;
   while (true) {
@@ -55,16 +69,8 @@
     }
     if (Body.size() + Size > MaxBodyBytes)
       throw Poco::Net::NetException("the answer is too large");
-    std::size_t Length = Body.size();
-    Body.resize(Length + Size);
-    while (Size > 0) {
-      std::streamsize Received =
-          this->read(Body.data() + Length, static_cast<std::streamsize>(Size));
-      if (Received <= 0)
-        throw Poco::Net::NetException("the answer was cut");
-      Length += static_cast<std::size_t>(Received);
-      Size -= static_cast<std::size_t>(Received);
-    }
+    while (Size > 0)
+      Size -= this->readInto(Body, std::min(Size, ReadBytes));
     this->readSizeLine();
   }
 }
@@ -150,6 +156,8 @@
   } else if (!Bodyless) {
     if (!Response.hasContentLength())
       throw Poco::Net::NetException("an answer without length");
+    if (Response.getContentLength64() > static_cast<Poco::Int64>(MaxBodyBytes))
+      throw Poco::Net::NetException("the answer is too large");
     Poco::StreamCopier::copyToString(In, Reply.Body);
     if (static_cast<std::size_t>(Response.getContentLength()) !=
         Reply.Body.size())
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -66,6 +66,9 @@
 
 private:
   std::string readSizeLine();
+  /// Reads up to \p Most bytes and appends them to \p Body; returns their
+  /// number. Throws if there are none.
+  std::size_t readInto(std::string &Body, std::size_t Most);
 };
 
 /// A client of one HTTP server that keeps its connection open between calls and
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -20,8 +20,10 @@
 namespace {
 
 constexpr std::size_t LengthBytes = 4;
-/// Bytes that a read asks for; a usual frame and its length come with one.
+/// Bytes that a read asks for; a usual frame and its length come with one. Room
+/// for a larger one is made in steps, as its bytes arrive.
 constexpr std::size_t ReadBytes = 4096;
+constexpr std::size_t MaxReadBytes = 256 << 10;
 constexpr std::size_t MaxKeptBytes = 64 << 10;
 constexpr Millis SendTimeout(3000);
 /// Of a read that does not have to wait.
@@ -115,7 +117,7 @@
                            Poco::Net::Socket::SELECT_READ))
       throw Poco::TimeoutException("the frame is not complete in time");
     std::size_t Had = this->Buffer.size();
-    this->Buffer.resize(std::max(Count, Had + ReadBytes));
+    this->Buffer.resize(Had + std::clamp(Count - Had, ReadBytes, MaxReadBytes));
     int Read = this->Socket.receiveBytes(
         this->Buffer.data() + Had, static_cast<int>(this->Buffer.size() - Had));
     this->Buffer.resize(Had + static_cast<std::size_t>(std::max(Read, 0)));
