--- a/src/net/framing.cpp
+++ b/src/net/framing.cpp
@@ -138,10 +138,12 @@
 
 std::optional<std::string> BodyDecoder::takeLine(std::string &Input) {
   std::size_t End = Input.find("\r\n");
-  if (End == std::string::npos) {
-    this->Malformed = Input.size() > MaxChunkLine;
+  bool IsWhole = End != std::string::npos;
+  // The last byte of an incomplete line may be the first of its end.
+  this->Malformed =
+      IsWhole ? End > MaxChunkLine : Input.size() > MaxChunkLine + 1;
+  if (!IsWhole || this->Malformed)
     return std::nullopt;
-  }
   std::string Line = Input.substr(0, End);
   Input.erase(0, End + 2);
   return Line;
--- a/tests/unit/framing_test.cpp
+++ b/tests/unit/framing_test.cpp
@@ -68,6 +68,24 @@
   }
 }
 
+// Guards against a bound that holds only for bytes that come in pieces.
+TEST_CASE("framing: a chunk's size line is too long: refused, also at once",
+          "[unit]") {
+  const std::string Bytes =
+      "4;" + std::string(2000, 'x') + "\r\nwhol\r\n0\r\n\r\n";
+  for (std::size_t Step : {std::size_t(7), Bytes.size()}) {
+    BodyDecoder Body(Framing::Chunked, 0);
+    std::string Input;
+    std::string Payload;
+    for (std::size_t At = 0; At < Bytes.size(); At += Step) {
+      Input += Bytes.substr(At, Step);
+      Body.feed(Input, Payload);
+    }
+    CHECK(Body.isMalformed());
+    CHECK(Payload.empty());
+  }
+}
+
 TEST_CASE("framing: a body without length: done only by an orderly close",
           "[unit]") {
   BodyDecoder Body(Framing::UntilClose, 0);
