Give no epoch twice under one fence when a domain's VMs go and come back

A domain whose VMs all leave the registry loses its planner; the next one under the same fence began its epochs anew, so a group could get the name and epoch of an earlier one, and a late order to open that one would open the new one before it is complete. The owner keeps the highest epoch that it ordered, over all its domains. Ruled out: keeping planners of domains that are gone, which hold what no longer is. Before: the new test's group gets epoch again; after: a later one.

--- a/src/control/domain_owner.h
+++ b/src/control/domain_owner.h
@@ -238,7 +238,8 @@
     });
     for (auto &[Key, View] : Views) {
       const EngineSpec &Engine = *Config.service(View.Service)->Engine;
-      View.EpochFloor = Assignment.fence() << EpochCounterBits;
+      View.EpochFloor =
+          std::max(Assignment.fence() << EpochCounterBits, this->LastEpoch);
       View.LoadsAllowed = this->Budget.allowed(View.LoadsAllowed, Engine, Now);
       View.SpareLoads = this->Budget.allowed(View.SpareLoads, Engine, Now);
       View.Statuses = this->Prober.statuses();
@@ -257,8 +258,11 @@
       View.DrainGracePeriod = std::max(
           Millis(0), this->Board.Config.Entry->DrainBound - DrainMargin);
       std::vector<GroupOrder> Next = Owned.Planner.step(View, Engine);
-      for (const GroupOrder &Order : Next)
+      for (const GroupOrder &Order : Next) {
         this->Budget.recordOrder(Order, Engine, Now);
+        if (Order.Kind == OrderKind::Join)
+          this->LastEpoch = std::max(this->LastEpoch, Order.Group.Epoch);
+      }
       Orders.insert(Orders.end(), Next.begin(), Next.end());
       this->Prober.queryRemoved(View, Owned.Planner.statusQueries());
     }
@@ -404,6 +408,9 @@
   std::map<ServiceDomain, OwnedDomain> Planners;
   /// Holds after a restore while a lease unknown to the store may be in force.
   Lease OtherOwnersLease;
+  /// Highest epoch that a group was ordered with. Planners are dropped and made
+  /// anew under the same fence, and no epoch is given twice.
+  std::uint64_t LastEpoch = 0;
   /// Fence under which the last step planned.
   std::uint64_t PlannedFence = 0;
   bool LeaseLapsed = false;
--- a/tests/unit/domain_owner_test.cpp
+++ b/tests/unit/domain_owner_test.cpp
@@ -245,6 +245,24 @@
   CHECK(this->plan(Millis(5000)));
 }
 
+// Guards against two groups of one name and epoch, so that a late order to open
+// the first one opens the second before it is complete.
+TEST_CASE_METHOD(OwnerFixture,
+                 "domain owner: all VMs of a domain go and come back under its "
+                 "fence: their groups get new epochs",
+                 "[unit]") {
+  this->list(0);
+  this->deal(0, 12);
+  REQUIRE(this->plan(Millis(5000)));
+  std::uint64_t Epoch = this->Targets.Epoch;
+  this->Board.Targets.write([](Fleet &Rows) { Rows.Targets.clear(); });
+  CHECK_FALSE(this->plan(Millis(200)));
+  this->list(0);
+  CHECK(this->plan(Millis(5000)));
+  CHECK(this->Targets.NewestFence == 12);
+  CHECK(this->Targets.Epoch > Epoch);
+}
+
 // Guards against VMs of one service that are ordered into groups of another.
 TEST_CASE_METHOD(OwnerFixture,
                  "domain owner: VMs of two services share a domain: groups of "
