Refuse a response whose status POCO's type cannot hold

Such a response is malformed now, as one without a number in its place is; 100 to 511 are read. Left: HttpClient, for the store's and targets' own answers, reads the status in the same way from POCO's session.

--- a/src/net/framing.cpp
+++ b/src/net/framing.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t MaxChunkLine = 1024;
 constexpr std::uint64_t MaxChunkBytes = 1ULL << 40;
 constexpr std::string_view HeadEnd = "\r\n\r\n";
+/// Statuses that Poco::Net::HTTPResponse can hold.
+constexpr int MinStatus = 100;
+constexpr int MaxStatus = 511;
 
 /// Fields that concern one connection only (RFC 9110, 7.6.1).
 constexpr std::array<std::string_view, 8> HopByHop{
@@ -79,6 +82,15 @@
   return BodyDecoder(*Length ? Framing::Length : Framing::None, *Length);
 }
 
+/// Whether a response's first line has a status of three digits that POCO's
+/// type holds; to read another one from it is undefined.
+bool hasKnownStatus(std::string_view Bytes) {
+  std::string_view Rest = Bytes.substr(std::min(Bytes.find(' '), Bytes.size()));
+  Rest.remove_prefix(std::min(Rest.find_first_not_of(' '), Rest.size()));
+  auto Status = parseNumber<int>(Rest.substr(0, Rest.find_first_of(" \r\n")));
+  return Status && *Status >= MinStatus && *Status <= MaxStatus;
+}
+
 template <typename Message>
 std::optional<Message> parseHead(std::string_view Bytes) {
   try {
@@ -197,6 +209,8 @@
 
 std::optional<Poco::Net::HTTPResponse>
 parseResponseHead(std::string_view Bytes) {
+  if (!hasKnownStatus(Bytes))
+    return std::nullopt;
   auto Head = parseHead<Poco::Net::HTTPResponse>(Bytes);
   if (!Head || Head->getVersion().rfind("HTTP/1.", 0) != 0)
     return std::nullopt;
