Test requests that find no memory; a stop then waits for ones that have ended

12 streams run, 40 callers send bodies of 900 KB, and 8 MB of address space are left.

No functional change

--- a/tests/failure/limits_test.cpp
+++ b/tests/failure/limits_test.cpp
@@ -294,4 +294,40 @@
   CHECK(eventually([&] { return this->isApplied(2); }));
 }
 
+// Guards against a process that ends, streams that are cut, or requests that
+// count as in flight for good, where memory is short while requests come.
+TEST_CASE_METHOD(LimitsFixture,
+                 "limits: memory is short while requests come: streams end "
+                 "whole and a stop finds nothing in flight",
+                 "[failure]") {
+  constexpr int Callers = 40;
+  constexpr std::size_t LargeBody = 900'000;
+  auto Calls = this->startStreams();
+  this->node().limit(RLIMIT_AS, this->node().mappedBytes() + (8 << 20));
+  std::vector<std::future<void>> Others;
+  Others.reserve(Callers);
+  for (int I = 0; I < Callers; ++I)
+    Others.push_back(std::async(std::launch::async, [this, I] {
+      for (int Round = 0; Round < 4; ++Round)
+        this->Run.ask("n1", {"POST",
+                             I % 2 == 0 ? "/safe/x" : "/once/x",
+                             std::string(LargeBody, 'b'),
+                             {{"Host", "a.example"},
+                              {"Authorization", "Bearer key-1"},
+                              {"X-Request-Id",
+                               std::to_string(I) + "-" + std::to_string(Round)},
+                              {"X-Deadline-Ms", "3000"}}});
+    }));
+  for (auto &Other : Others)
+    Other.get();
+  CHECK(countWhole(Calls) == Streams);
+  REQUIRE(this->node().wait(milliseconds(0)) == -1);
+  this->node().limit(RLIMIT_AS, RLIM_INFINITY);
+  CHECK(
+      eventually([&] { return this->call("/safe/x", "after").Status == 200; }));
+  this->node().signal(SIGTERM);
+  CHECK(this->node().wait(milliseconds(6000)) == 0);
+  CHECK(this->lastLine().find("\"in_flight\":0}") != std::string::npos);
+}
+
 } // namespace waycove::test
