Keep no attempt and no count of a request that ends by an exception; smaller repairs

It now ends all attempts, counts down, and leaves a line with the cause "fault".

By reading, each in the same files: - A silent attempt that had gone on once was counted twice before a further one. - A request was sent up to a second after its caller had left, where a way or a descriptor was waited for; a caller with pipelined bytes was never seen to leave (POLLRDHUP). - A connection that was opened after a wait for a descriptor was thrown away. - A whole body that goes on took its share of the buffers anew. - A retry stayed taken by an attempt that cannot go on.

--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -32,7 +32,9 @@
       End = this->Forwarder.forward(Ex, Attempt);
     else if (this->connect(Ex, Attempt) && this->confirm(Ex, Attempt))
       End = this->send(Ex, Attempt);
-    if (End == AttemptOutcome::NotSent)
+    else if (Ex.Caller.isClosedByPeer())
+      End = this->callerLeft(Attempt);
+    if (Attempt.SentAt == TimePoint())
       this->Attempts.endUnsent(Ex, Attempt);
     else if (End != AttemptOutcome::Silent)
       this->Attempts.end(Ex, Attempt, End);
@@ -48,6 +50,11 @@
   /// to remove it.
   static constexpr Millis UnreachableDuration{3000};
 
+  static AttemptOutcome callerLeft(RelayAttempt &Attempt) {
+    Attempt.Reason = "the caller left before it was sent";
+    return AttemptOutcome::CallerGone;
+  }
+
   /// Opens a connection to the target. Returns false if there is none.
   bool connect(RelayExchange &Ex, RelayAttempt &Attempt) {
     Ex.Progress.Tried.push_back(Attempt.to().Target->Id);
@@ -80,6 +87,9 @@
     auto SelectionAge = std::chrono::ceil<Millis>(Now - Attempt.SelectedAt);
     if (Now >= Ex.Request.Deadline)
       return "the deadline passed before it was sent";
+    // The search for a way takes longer than a target may work in vain.
+    if (Ex.Caller.isClosedByPeer())
+      return "the caller left before it was sent";
     if (Now - Attempt.OpenedSince > MaxSelectionAge)
       return "this machine stood still";
     // The search for a way passes the bound where a frozen node is asked first,
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -36,7 +36,7 @@
   /// Serves \p Request and writes the response to \p Caller. Returns whether
   /// the connection may carry another request.
   bool serve(Channel &Caller, RelayRequest Request) {
-    this->Board.InFlight.fetch_add(1);
+    InFlightHold Counted(this->Board.InFlight);
     this->Board.RequestSeen = true;
     bool KeepAlive = Request.Head.getKeepAlive() && !this->Board.Stopping;
     CallerResponse Response(Caller, KeepAlive,
@@ -50,16 +50,33 @@
       recordDemand(this->Board, Request.Info);
       Request.PriorWait = this->recordTimeout(Request);
       this->Retries.recordRequest(Request.Service);
-      this->serveAdmitted(Ex);
+      try {
+        this->serveAdmitted(Ex);
+      } catch (const std::exception &Error) {
+        this->endFaulted(Ex, Error);
+      }
     } else {
       this->Failures.refuse(Ex, Admitted);
     }
     this->Log.requestEnded(Ex);
-    this->Board.InFlight.fetch_sub(1);
     return Response.mayReuseConnection();
   }
 
 private:
+  /// Counts a request as in flight for as long as it is served.
+  class InFlightHold {
+  public:
+    explicit InFlightHold(std::atomic<std::uint32_t> &Count) : Count(Count) {
+      ++this->Count;
+    }
+    ~InFlightHold() { --this->Count; }
+    InFlightHold(const InFlightHold &) = delete;
+    InFlightHold &operator=(const InFlightHold &) = delete;
+
+  private:
+    std::atomic<std::uint32_t> &Count;
+  };
+
   /// How often a request is queued again after targets rejected it. Each time
   /// costs the targets an attempt and the caller a wait.
   static constexpr unsigned MaxRequeues = 2;
@@ -111,7 +128,7 @@
   void runAttempts(RelayExchange Ex, HeldPlace Place) {
     std::optional<RelayAttempt> Attempt = this->nextAttempt(Ex);
     while (Attempt) {
-      AttemptOutcome End = this->Runner.run(Ex, *Attempt);
+      AttemptOutcome End = this->run(Ex, *Attempt);
       if (End == AttemptOutcome::Done || End == AttemptOutcome::CallerGone) {
         this->Attempts.endSilent(Ex);
         return this->Log.requestDone(Ex, Attempt->to(), End);
@@ -121,6 +138,25 @@
     }
   }
 
+  /// Makes an attempt or goes on with it. Leaves no attempt open if it throws.
+  AttemptOutcome run(RelayExchange &Ex, RelayAttempt &Attempt) {
+    try {
+      return this->Runner.run(Ex, Attempt);
+    } catch (const std::exception &) {
+      this->Attempts.endSilent(Ex);
+      if (Attempt.SentAt != TimePoint())
+        this->Attempts.end(Ex, Attempt, AttemptOutcome::Broken);
+      throw;
+    }
+  }
+
+  /// Ends a request that this node cannot go on with.
+  void endFaulted(RelayExchange &Ex, const std::exception &Error) {
+    if (Ex.Response.hasStarted())
+      return this->Failures.cut(Ex, CutCause::Fault, Error.what());
+    this->Failures.refuse(Ex, makeError(ErrorKind::Internal, Error.what()));
+  }
+
   /// Counts an attempt that may have run, once.
   static void countRun(RelayExchange &Ex, RelayAttempt &Attempt,
                        AttemptOutcome End) {
--- a/src/entry/relay_attempt.h
+++ b/src/entry/relay_attempt.h
@@ -70,7 +70,6 @@
   TimePoint SentAt;
   TimePoint LastByte;
   bool FirstByteSeen = false;
-  bool WatchCaller = true;
   /// The connection ended before the response did; the target may have crashed.
   bool ConnectionLost = false;
   /// How long the caller has held up the response by not reading it. Targets
--- a/src/entry/response_forwarder.h
+++ b/src/entry/response_forwarder.h
@@ -90,9 +90,11 @@
       BufferedBody Discarded;
       if (AttemptOutcome End =
               this->Waiter.readBody(Ex, Attempt, *Body, Discarded);
-          End != AttemptOutcome::Done)
+          End != AttemptOutcome::Done) {
         // Where the next response begins is no longer known.
+        Attempt.Next.reset();
         return End == AttemptOutcome::Silent ? AttemptOutcome::Broken : End;
+      }
     }
     Attempt.Reason = "what came is no answer";
     return AttemptOutcome::Broken;
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -29,10 +29,9 @@
 
 constexpr const char *ClosedReason = "the connection closed";
 
-/// Indices of the sockets that an attempt waits for.
+/// Index of an attempt's own socket among those that it waits for. Those of the
+/// earlier attempts follow.
 constexpr std::size_t TargetSocket = 0;
-constexpr std::size_t CallerSocket = 1;
-constexpr std::size_t FirstEarlierSocket = 2;
 
 /// What all nodes together have observed of a target.
 struct Observation {
@@ -46,8 +45,7 @@
 
 std::vector<int> socketsOf(const RelayExchange &Ex,
                            const RelayAttempt &Attempt) {
-  std::vector<int> Sockets{Attempt.Connection->descriptor(),
-                           Attempt.WatchCaller ? Ex.Caller.descriptor() : -1};
+  std::vector<int> Sockets{Attempt.Connection->descriptor()};
   for (const RelayAttempt &Earlier : Ex.Silent)
     Sockets.push_back(Earlier.Connection->descriptor());
   return Sockets;
@@ -84,24 +82,21 @@
       Attempt.Reason = "the time to stop has passed";
       return AttemptOutcome::Stalled;
     }
+    const std::vector<int> Sockets = socketsOf(Ex, Attempt);
     std::optional<std::size_t> Readable =
-        waitForAny(socketsOf(Ex, Attempt), Until);
+        waitForAny(Sockets, Ex.Caller.descriptor(), Until);
     TimePoint Now = SystemClock{}.now();
     if (Readable == TargetSocket && Now < Ex.Request.Deadline + ReadGrace)
       return receiveBytes(Attempt, Now, Ex.Request.Deadline + ReadGrace);
-    if (Readable == CallerSocket) {
-      if (Ex.Caller.isClosedByPeer()) {
-        Attempt.Reason = "the caller left";
-        return AttemptOutcome::CallerGone;
-      }
-      Attempt.WatchCaller = false;
-      continue;
+    if (Readable == Sockets.size()) {
+      Attempt.Reason = "the caller left";
+      return AttemptOutcome::CallerGone;
     }
     if (Now >= Ex.Request.Deadline) {
       Attempt.Reason = "the deadline passed";
       return AttemptOutcome::Stalled;
     }
-    if (Readable && this->goesOn(Ex, *Readable - FirstEarlierSocket, Now)) {
+    if (Readable && this->goesOn(Ex, *Readable - 1, Now)) {
       Attempt.Reason = "an earlier attempt goes on";
       return AttemptOutcome::Overtaken;
     }
@@ -139,7 +134,10 @@
   bool HasLostWay = this->hasLostWay(Attempt, Now);
   if (!HasLostWay && !this->isUnresponsive(Ex, Attempt, Now))
     return false;
-  Attempt.Next = this->Retries.prepareSuccessor(Ex.Request, Ex.Progress, Now);
+  AttemptCounts Counts = Ex.counts();
+  Counts.MayHaveRun += Attempt.IsCountedAsRun ? 0 : 1;
+  Attempt.Next =
+      this->Retries.prepareSuccessor(Ex.Request, Ex.Progress, Counts, Now);
   if (!Attempt.Next)
     return false;
   if (!HasLostWay)
@@ -162,7 +160,9 @@
 AttemptOutcome ResponseWait::readBody(RelayExchange &Ex, RelayAttempt &Attempt,
                                       BodyDecoder &Body,
                                       BufferedBody &Payload) {
-  Payload.Share = {this->Buffers, BufferBudget::Use::Response};
+  // One that goes on has its share.
+  if (Payload.Bytes.empty())
+    Payload.Share = {this->Buffers, BufferBudget::Use::Response};
   while (true) {
     Body.feed(Attempt.Connection->buffer(), Payload.Bytes);
     if (!Payload.Share.growTo(Payload.Bytes.size())) {
--- a/src/entry/retry_policy.cpp
+++ b/src/entry/retry_policy.cpp
@@ -20,11 +20,10 @@
 
 std::optional<Successor>
 RetryPolicy::prepareSuccessor(const RelayRequest &Request,
-                              const RelayProgress &Progress, TimePoint Now) {
-  AttemptCounts After = Progress.counts();
-  ++After.MayHaveRun;
+                              const RelayProgress &Progress,
+                              const AttemptCounts &Counts, TimePoint Now) {
   bool IsAllowed =
-      Request.Route->mayRepeat() && mayRetry(*Request.Route, After);
+      Request.Route->mayRepeat() && mayRetry(*Request.Route, Counts);
   if (!IsAllowed || !this->hasLeft(Request.Service, Now))
     return std::nullopt;
   std::optional<SelectedTarget> Other =
--- a/src/entry/retry_policy.h
+++ b/src/entry/retry_policy.h
@@ -48,8 +48,10 @@
   /// Prepares another attempt for one without progress. Returns nothing if the
   /// route allows none, no target that is not suspected itself takes the
   /// request, or no retry is left.
+  /// \p Counts are the attempts, with this one as one that may have run.
   std::optional<Successor> prepareSuccessor(const RelayRequest &Request,
                                             const RelayProgress &Progress,
+                                            const AttemptCounts &Counts,
                                             TimePoint Now);
   /// Whether take() would return a retry.
   bool hasLeft(const ServiceId &Service, TimePoint Now);
--- a/src/entry/target_connector.cpp
+++ b/src/entry/target_connector.cpp
@@ -49,7 +49,7 @@
       return ConnectOutcome::Connected;
     }
   std::optional<Channel> Opened;
-  IoStatus Status = this->open(Ex, *Attempt.to().Target, Opened);
+  IoStatus Status = this->open(Ex, Attempt, Opened);
   if (Status == IoStatus::Exhausted) {
     Attempt.Reason = "this node has no descriptor for a connection";
     return ConnectOutcome::Exhausted;
@@ -67,16 +67,16 @@
   return ConnectOutcome::Connected;
 }
 
-IoStatus TargetConnector::open(const RelayExchange &Ex,
-                               const TargetInfo &Target,
+IoStatus TargetConnector::open(const RelayExchange &Ex, RelayAttempt &Attempt,
                                std::optional<Channel> &Out) {
   TimePoint Begin = SystemClock{}.now();
   TimePoint Until = std::min(Ex.Request.Deadline, Begin + MaxDescriptorWait);
   while (true) {
     TimePoint Now = SystemClock{}.now();
+    Attempt.OpenedSince = Now;
     IoStatus Status = Channel::connect(
-        Target.Address, std::min(Ex.Request.Deadline, Now + ConnectTimeout),
-        Out);
+        Attempt.to().Target->Address,
+        std::min(Ex.Request.Deadline, Now + ConnectTimeout), Out);
     if (Status != IoStatus::Exhausted || Now + DescriptorRetryDelay >= Until)
       return Status;
     // Connections at rest are needed least.
--- a/src/entry/target_connector.h
+++ b/src/entry/target_connector.h
@@ -57,7 +57,7 @@
   ConnectOutcome connectDirectly(const RelayExchange &Ex,
                                  RelayAttempt &Attempt);
   /// Opens a new connection; waits where no descriptor is free.
-  IoStatus open(const RelayExchange &Ex, const TargetInfo &Target,
+  IoStatus open(const RelayExchange &Ex, RelayAttempt &Attempt,
                 std::optional<Channel> &Out);
   ConnectOutcome connectThroughNode(const RelayExchange &Ex,
                                     RelayAttempt &Attempt);
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -136,11 +136,9 @@
 }
 
 bool Channel::isClosedByPeer() {
-  char Byte = 0;
-  ssize_t Received =
-      ::recv(this->descriptor(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Received == 0 || (Received < 0 && errno != EAGAIN &&
-                           errno != EWOULDBLOCK && errno != EINTR);
+  // Also if bytes that were sent before are still unread.
+  pollfd Descriptor{this->descriptor(), POLLRDHUP, 0};
+  return pollUntil(&Descriptor, 1, TimePoint()) > 0;
 }
 
 void Channel::abort() {
@@ -162,12 +160,12 @@
 }
 
 std::optional<std::size_t> waitForAny(const std::vector<int> &Sockets,
-                                      TimePoint Until) {
-  // poll() ignores negative descriptors.
+                                      int Watched, TimePoint Until) {
   std::vector<pollfd> Descriptors;
-  Descriptors.reserve(Sockets.size());
+  Descriptors.reserve(Sockets.size() + 1);
   for (int Socket : Sockets)
     Descriptors.push_back({Socket, POLLIN, 0});
+  Descriptors.push_back({Watched, POLLRDHUP, 0});
   if (pollUntil(Descriptors.data(), Descriptors.size(), Until) <= 0)
     return std::nullopt;
   for (std::size_t I = 0; I < Descriptors.size(); ++I)
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -74,10 +74,12 @@
   std::string Buffer;
 };
 
-/// Waits until one of \p Sockets can be read, and returns the first such one's
-/// index. Skips negative descriptors.
+/// Waits until one of \p Sockets can be read, or the peer of \p Watched has
+/// closed or reset its connection, also if bytes of it are still unread.
+/// Returns the index of the first such socket, that of \p Watched being the
+/// number of \p Sockets.
 std::optional<std::size_t> waitForAny(const std::vector<int> &Sockets,
-                                      TimePoint Until);
+                                      int Watched, TimePoint Until);
 
 /// Which of two connections can be read.
 enum class Side { Target, Caller, Neither };
--- a/src/policy/attempt_rules.cpp
+++ b/src/policy/attempt_rules.cpp
@@ -16,7 +16,7 @@
 constexpr std::array<const char *, static_cast<std::size_t>(CutCause::Count)>
     CutCauseNames{"timeout",       "caller_left",   "caller_slow",
                   "not_resumable", "attempts_used", "crashes_targets",
-                  "stopping"};
+                  "stopping",      "fault"};
 
 } // namespace
 
--- a/src/policy/attempt_rules.h
+++ b/src/policy/attempt_rules.h
@@ -42,6 +42,8 @@
   CrashesTargets,
   /// The time for a planned stop of this node passed.
   Stopping,
+  /// This node failed, for example for want of memory: a fault to be mended.
+  Fault,
   Count
 };
 
