Note a standstill also before loads are reported and members are probed

After a standstill any thread may run first. Threads that wait for a response note the standstill before they judge silence; those that report loads to other nodes, fold their reports, or look for lost members did not. A node then told others a silence that was its own, which they take as it is for targets with none of their own responses, and probed members of sound groups.

Before: both tests fail; 1500 ms of silence reported and the target as stalled, and its head probed, 1500 ms after the node last noted that it runs. After: both pass, with the tests of the prober, of the news and of the owners. Ruled out: to rely on the regular note each 50 ms, since its thread may run later.

--- a/src/control/member_prober.h
+++ b/src/control/member_prober.h
@@ -7,6 +7,7 @@
 #include "base/parallel.h"
 #include "board/entry_board.h"
 #include "control/group_control.h"
+#include "control/standstill_monitor.h"
 
 #include <algorithm>
 
@@ -19,7 +20,7 @@
 template <GroupControl Control> class MemberProber {
 public:
   MemberProber(EntryBoard &Board, Control &Targets)
-      : Board(Board), Targets(Targets) {}
+      : Board(Board), Targets(Targets), Standstills(Board) {}
 
   /// Status of the members that were queried.
   const std::map<VmIncarnation, MemberStatus> &statuses() const {
@@ -50,6 +51,7 @@
   /// markUnreachable() to View.PresumedDead. A member that is used again is
   /// told to leave first, so a wrong guess costs a repair but is safe.
   void detectLost(DomainView &View) {
+    this->Standstills.onRunning(View.Now);
     std::erase_if(this->Suspects, [&](const auto &Entry) {
       return View.Now - Entry.second.At > LostRetention;
     });
@@ -194,6 +196,7 @@
 
   EntryBoard &Board;
   Control &Targets;
+  StandstillMonitor Standstills;
   std::map<VmIncarnation, MemberStatus> Statuses;
   std::map<VmIncarnation, ProbeState> Queries;
   std::map<VmIncarnation, ProbeState> Suspects;
--- a/src/control/shared_observations.cpp
+++ b/src/control/shared_observations.cpp
@@ -4,6 +4,7 @@
 
 #include "control/shared_observations.h"
 
+#include "control/standstill_monitor.h"
 #include "wire/news_frames.h"
 
 namespace waycove {
@@ -111,6 +112,7 @@
 }
 
 TargetLoads SharedObservations::ownLoads(TimePoint Now) const {
+  StandstillMonitor(this->Board).onRunning(Now);
   return this->Board.TargetStats.read(
       [&](const TargetStatsTable &Rows) { return Rows.loads(Now); });
 }
@@ -120,6 +122,7 @@
 }
 
 void SharedObservations::publish(TimePoint Now) {
+  StandstillMonitor(this->Board).onRunning(Now);
   this->updateBlame(Now);
   TargetLoads Others;
   DemandTable OthersDemand;
