Do not report a carrier's own end of a request as the target's end

A node that carried a request and lost its own links, or reached the time bound, ended the response with a ForwardEnd message, which means that the target ended the connection. The node that had asked counted that as a target which was lost under the request: such requests are blamed for crashes after some, refused, and their started responses cut. It now closes the connection between the nodes, which counts as a way that broke.

Before: the test fails, the channel says that the target has ended it. After: it passes.

--- a/src/entry/carrier.h
+++ b/src/entry/carrier.h
@@ -173,8 +173,9 @@
         return true;
       this->Standstills.onRunning(Now);
       bool IsLost = Readable == Side::Neither && this->isLost(From, Now);
+      // A ForwardEnd would tell that the target has ended the connection.
       if (IsLost || Now >= From.Until)
-        return this->sendEnd(Peer, false);
+        return false;
       std::string &Bytes = From.Connection->buffer();
       if (Readable == Side::Target) {
         IoStatus Status = From.Connection->fillNow();
