Let an answer wait as long as it needs, and judge targets by what they did

Only a target that the registry lists no longer has ended; of one that leaves, the answer waits for the end. - After a standstill every request that waited for its first byte made a second send; the shorter patience now holds for started answers alone. - An exception left silent attempts counted, and counted against the target.

--- a/src/entry/attempt_recorder.cpp
+++ b/src/entry/attempt_recorder.cpp
@@ -8,6 +8,7 @@
 
 void AttemptRecorder::start(const RelayExchange &Ex, RelayAttempt &Attempt) {
   Attempt.LastByte = Attempt.SentAt;
+  Attempt.IsOpen = true;
   this->Board.TargetStats.write([&](TargetStatsTable &Stats) {
     Stats.onStart(Attempt.target(),
                   static_cast<double>(Ex.Request.Info.PromptTokens),
@@ -17,6 +18,9 @@
 
 void AttemptRecorder::end(const RelayExchange &Ex, RelayAttempt &Attempt,
                           AttemptOutcome End) {
+  Attempt.IsOpen = false;
+  if (End == AttemptOutcome::Broken && Attempt.ConnectionLost)
+    Ex.Progress.Lost.push_back({Attempt.target(), SystemClock{}.now()});
   this->recordReach(Attempt);
   this->Crashes.recordOutcome(Ex.Request, Attempt, End, SystemClock{}.now());
   this->Board.TargetStats.write([&](TargetStatsTable &Stats) {
--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -60,6 +60,9 @@
     Ex.Progress.Tried.push_back(Attempt.to().Target->Id);
     ConnectOutcome Connection = this->Connector.connect(Ex, Attempt);
     Ex.Progress.HasNoWay = Connection == ConnectOutcome::NoWay;
+    // That says nothing about the target, which may be tried again.
+    if (Connection == ConnectOutcome::Exhausted)
+      Ex.Progress.Tried.pop_back();
     if (Connection == ConnectOutcome::NoTarget)
       this->Log.suspectTarget(Attempt.target(), UnreachableDuration,
                               Attempt.Reason, Ex.Request.Info.Id);
--- a/src/entry/place_gate.cpp
+++ b/src/entry/place_gate.cpp
@@ -62,11 +62,15 @@
   return this->wait(Lock, Ex, Ticket, Wanted);
 }
 
-bool PlaceGate::waitForRelease(TimePoint Until) {
+std::uint64_t PlaceGate::releases() {
+  std::lock_guard Lock(this->Mutex);
+  return this->Releases;
+}
+
+bool PlaceGate::waitForRelease(std::uint64_t Before, TimePoint Until) {
   std::unique_lock Lock(this->Mutex);
-  return waitUntil(
-      this->Released, Lock, Until,
-      [this, Before = this->Releases] { return this->Releases != Before; });
+  return waitUntil(this->Released, Lock, Until,
+                   [&] { return this->Releases != Before; });
 }
 
 bool PlaceGate::isOverloaded(const PoolKey &Pool) const {
--- a/src/entry/place_gate.h
+++ b/src/entry/place_gate.h
@@ -66,9 +66,12 @@
   /// Gives up \p Place and waits for another one, after a target rejected the
   /// request.
   PlaceResult reenter(const RelayExchange &Ex, HeldPlace Place);
-  /// Waits until some request gives up its place, so that targets may take
-  /// another one, or until \p Until. Returns whether one has.
-  bool waitForRelease(TimePoint Until);
+  /// How many places requests have given up so far.
+  std::uint64_t releases();
+  /// Waits until a request has given up its place since releases() returned \p
+  /// Before, so that targets may take another one, or until \p Until. Returns
+  /// whether one has.
+  bool waitForRelease(std::uint64_t Before, TimePoint Until);
   /// Whether the pool is overloaded, over all nodes.
   bool isOverloaded(const PoolKey &Pool) const;
 
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -138,20 +138,21 @@
     }
   }
 
-  /// Makes an attempt or goes on with it. Leaves no attempt open if it throws.
+  /// Makes an attempt or goes on with it. Ends it if it throws.
   AttemptOutcome run(RelayExchange &Ex, RelayAttempt &Attempt) {
     try {
       return this->Runner.run(Ex, Attempt);
     } catch (const std::exception &) {
-      this->Attempts.endSilent(Ex);
-      if (Attempt.SentAt != TimePoint())
-        this->Attempts.end(Ex, Attempt, AttemptOutcome::Broken);
+      // It says nothing about the target.
+      if (Attempt.IsOpen)
+        this->Attempts.end(Ex, Attempt, AttemptOutcome::Stalled);
       throw;
     }
   }
 
   /// Ends a request that this node cannot go on with.
   void endFaulted(RelayExchange &Ex, const std::exception &Error) {
+    this->Attempts.endSilent(Ex);
     if (Ex.Response.hasStarted())
       return this->Failures.cut(Ex, CutCause::Fault, Error.what());
     this->Failures.refuse(Ex, makeError(ErrorKind::Internal, Error.what()));
@@ -194,7 +195,7 @@
       return Earlier;
     }
     if (Ex.Response.hasStarted())
-      return this->attemptToGoOn(Ex, Last, End);
+      return this->attemptToGoOn(Ex, End);
     if (Ex.Progress.HasNoWay || !mayRetry(*Ex.Request.Route, Ex.counts())) {
       this->endUnserved(Ex, Last.Reason);
       return std::nullopt;
@@ -221,36 +222,37 @@
     return true;
   }
 
-  /// The attempts by which it is decided whether a started response goes on.
-  /// Those at targets that have left or ended since do not count against its
-  /// route's limit, up to as many again as that allows.
-  AttemptCounts countsToGoOn(const RelayExchange &Ex) {
-    AttemptCounts Counts = Ex.counts();
-    unsigned Excused = 0;
-    for (LostTarget &Row : Ex.Progress.Lost) {
-      Row.HasEnded = Row.HasEnded || this->Selector.hasEnded(Row.Target);
-      Excused += Row.HasEnded ? 1 : 0;
+  /// Whether another attempt of a started response is allowed. Waits for
+  /// targets that leave to end, if that may allow one. Otherwise ends the
+  /// response.
+  bool mayGoOn(RelayExchange &Ex) {
+    while (auto Cause =
+               causeToCut(*Ex.Request.Route, this->Retries.countsOf(Ex))) {
+      if (*Cause != CutCause::AttemptsUsed ||
+          !this->Retries.mayExcuseMore(Ex)) {
+        this->Failures.cut(Ex, *Cause, Ex.Progress.Reason);
+        return false;
+      }
+      if (SystemClock{}.now() >= Ex.Request.Deadline) {
+        this->endUnserved(Ex, Ex.Progress.Reason);
+        return false;
+      }
+      if (!this->pause(Ex, 1, Ex.Progress.Reason))
+        return false;
     }
-    Counts.MayHaveRun -=
-        std::min({Excused, Counts.MayHaveRun, Ex.Request.Route->MaxAttempts});
-    return Counts;
+    return true;
   }
 
-  /// The attempt with which a started response goes on after \p Last ended. It
+  /// The attempt with which a started response goes on after one has ended. It
   /// keeps its place, and may return to targets that declined it. Pauses if
   /// several have ended shortly after each other: their targets may be ending
   /// together, or this node may be losing its links.
   std::optional<RelayAttempt> attemptToGoOn(RelayExchange &Ex,
-                                            const RelayAttempt &Last,
                                             AttemptOutcome End) {
     RelayProgress &Progress = Ex.Progress;
     TimePoint Now = SystemClock{}.now();
-    if (Last.ConnectionLost)
-      Progress.Lost.push_back({Last.target(), Now});
-    if (auto Cause = causeToCut(*Ex.Request.Route, this->countsToGoOn(Ex))) {
-      this->Failures.cut(Ex, *Cause, Progress.Reason);
+    if (!this->mayGoOn(Ex))
       return std::nullopt;
-    }
     unsigned Pauses = 1;
     if (End != AttemptOutcome::NotSent) {
       bool IsInRow =
@@ -259,7 +261,8 @@
       Pauses =
           std::min(1U << std::min(Progress.FailedInRow, 8U) >> 1U, MaxPauses);
     }
-    if (Pauses > 0 && !this->pause(Ex, Pauses, Progress.Reason))
+    if (Pauses > 0 && !this->pause(Ex, Pauses, Progress.Reason,
+                                   End == AttemptOutcome::Refused))
       return std::nullopt;
     return this->nextAttempt(Ex);
   }
@@ -344,18 +347,22 @@
     return Next;
   }
 
-  /// Lets a started response wait for \p Count intervals, since \p Missing, or
-  /// less if another request ends after the first one. Ends it and returns
-  /// false if its caller leaves or this node ends.
-  bool pause(RelayExchange &Ex, unsigned Count, const std::string &Missing) {
+  /// Lets a started response wait for \p Count intervals, since \p Missing; if
+  /// targets are \p Full, less if another request ends after the first
+  /// interval. Ends it and returns false if its caller leaves or this node
+  /// ends.
+  bool pause(RelayExchange &Ex, unsigned Count, const std::string &Missing,
+             bool Full = false) {
     if (!std::exchange(Ex.Progress.HasWaited, true))
       this->Log.requestWaits(Ex, Missing);
     Ex.Progress.Reason = Missing;
+    std::uint64_t Releases = this->Places.releases();
     for (unsigned I = 0; I < Count; ++I) {
       TimePoint Until =
           std::min(Ex.Request.Deadline, SystemClock{}.now() + LookInterval);
-      bool HasRoom = I > 0 && this->Places.waitForRelease(Until);
-      if (I == 0)
+      bool MayWake = Full && I > 0;
+      bool HasRoom = MayWake && this->Places.waitForRelease(Releases, Until);
+      if (!MayWake)
         std::this_thread::sleep_for(Until - SystemClock{}.now());
       if (Ex.Caller.isClosedByPeer()) {
         this->Failures.cut(Ex, CutCause::CallerLeft, "the caller left");
--- a/src/entry/relay_attempt.h
+++ b/src/entry/relay_attempt.h
@@ -79,6 +79,8 @@
   bool Succeeded = false;
   /// Set once the head of the response has arrived.
   std::optional<TargetResponse> Received;
+  /// It was sent and has not ended.
+  bool IsOpen = false;
   /// It was counted as one that may have run.
   bool IsCountedAsRun = false;
   /// The attempt to make next, once this one is silent.
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -134,7 +134,7 @@
   bool HasLostWay = this->hasLostWay(Attempt, Now);
   if (!HasLostWay && !this->isUnresponsive(Ex, Attempt, Now))
     return false;
-  AttemptCounts Counts = Ex.counts();
+  AttemptCounts Counts = this->Retries.countsOf(Ex);
   Counts.MayHaveRun += Attempt.IsCountedAsRun ? 0 : 1;
   Attempt.Next =
       this->Retries.prepareSuccessor(Ex.Request, Ex.Progress, Counts, Now);
@@ -230,9 +230,13 @@
     Patience = std::max(Patience, Millis(static_cast<std::int64_t>(
                                       SlowFactor * Observed.FirstByteMs)));
   bool Stalled = Observed.IsStalled && !Attempt.FirstByteSeen;
+  // Where many requests wait for their first byte, a second send of each would
+  // use up the retries that started responses may need.
   Millis StoodStill =
-      std::chrono::duration_cast<Millis>(Now - Attempt.LastByte) -
-      Observed.OwnSilence;
+      Ex.Response.hasStarted()
+          ? std::chrono::duration_cast<Millis>(Now - Attempt.LastByte) -
+                Observed.OwnSilence
+          : Millis(0);
   bool TooLong = Observed.OwnSilence >= patienceAfter(StoodStill, Patience) &&
                  Observed.Silence >= patienceAfter(StoodStill, MinPatience);
   if (Stalled)
--- a/src/entry/retry_policy.cpp
+++ b/src/entry/retry_policy.cpp
@@ -4,10 +4,33 @@
 
 #include "entry/retry_policy.h"
 
+#include "entry/relay_attempt.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace waycove {
 
+AttemptCounts RetryPolicy::countsOf(const RelayExchange &Ex) {
+  AttemptCounts Counts = Ex.counts();
+  if (!Counts.HasStarted)
+    return Counts;
+  unsigned Excused = 0;
+  for (LostTarget &Row : Ex.Progress.Lost) {
+    Row.HasEnded = Row.HasEnded || this->Selector.hasEnded(Row.Target);
+    Excused += Row.HasEnded ? 1 : 0;
+  }
+  Counts.MayHaveRun -=
+      std::min({Excused, Counts.MayHaveRun, Ex.Request.Route->MaxAttempts});
+  return Counts;
+}
+
+bool RetryPolicy::mayExcuseMore(const RelayExchange &Ex) {
+  return std::ranges::any_of(Ex.Progress.Lost, [&](const LostTarget &Row) {
+    return !Row.HasEnded && this->Selector.isLeaving(Row.Target);
+  });
+}
+
 void RetryPolicy::recordRequest(const ServiceId &Service) {
   const EntrySettings &Config = *this->Board.Config.Entry;
   this->Board.RetryLimiters.write([&](RetryLimiterTable &Limits) {
--- a/src/entry/retry_policy.h
+++ b/src/entry/retry_policy.h
@@ -9,6 +9,7 @@
 namespace waycove {
 
 class RetryPolicy;
+struct RelayExchange;
 
 /// A retry that is taken from the limit of a service. Given back on
 /// destruction unless the request was sent.
@@ -43,6 +44,12 @@
   RetryPolicy(EntryBoard &Board, TargetSelector &Selector)
       : Board(Board), Selector(Selector) {}
 
+  /// The attempts by which it is decided whether to make another. Those of a
+  /// started response at targets that have ended since do not count against its
+  /// route's limit, up to as many again as that allows.
+  AttemptCounts countsOf(const RelayExchange &Ex);
+  /// Whether a target that ended the response may be about to end itself.
+  bool mayExcuseMore(const RelayExchange &Ex);
   /// Counts an admitted request for the retry limit.
   void recordRequest(const ServiceId &Service);
   /// Prepares another attempt for one without progress. Returns nothing if the
--- a/src/entry/target_selector.cpp
+++ b/src/entry/target_selector.cpp
@@ -118,22 +118,24 @@
       this->Board.TargetStats.read([&](const TargetStatsTable &Stats) {
         return Stats.of(Lost.Target).LastProgress > Lost.At;
       });
-  return !IsAlive && this->isListed(Lost.Target);
+  return !IsAlive && !this->hasEnded(Lost.Target);
 }
 
 bool TargetSelector::hasEnded(const VmIncarnation &Target) const {
+  return this->Board.Targets.read([&](const Fleet &Known) {
+    auto At = Known.Targets.find(Target.Id);
+    return At == Known.Targets.end() || At->second->incarnation() != Target;
+  });
+}
+
+bool TargetSelector::isLeaving(const VmIncarnation &Target) const {
   bool HasStatedIt =
       this->Board.TargetPauses.read([&](const StatedPauses &Known) {
         return Known.of(Target, SystemClock{}.now()).Leaves;
       });
-  return HasStatedIt || !this->isListed(Target);
-}
-
-bool TargetSelector::isListed(const VmIncarnation &Target) const {
-  return this->Board.Targets.read([&](const Fleet &Known) {
+  return HasStatedIt || this->Board.Targets.read([&](const Fleet &Known) {
     auto At = Known.Targets.find(Target.Id);
-    return At != Known.Targets.end() && At->second->incarnation() == Target &&
-           !At->second->Draining;
+    return At != Known.Targets.end() && At->second->Draining;
   });
 }
 
--- a/src/entry/target_selector.h
+++ b/src/entry/target_selector.h
@@ -39,8 +39,6 @@
              TimePoint Now);
   /// Whether the request may still be sent to \p Selected: the target may have
   /// stated since it was selected that it leaves, rests or takes only some.
-  /// Whether the registry lists this incarnation, and not as leaving.
-  bool isListed(const VmIncarnation &Target) const;
   /// Counts the request against a limit.
   bool confirm(const RelayRequest &Request, SelectedTarget &Selected,
                TimePoint Now);
@@ -53,8 +51,10 @@
   /// Whether a target that ended a response is to be avoided by its request: it
   /// may have ended, and has shown no sign of life since.
   bool mayHaveEnded(const LostTarget &Lost, TimePoint Now) const;
-  /// Whether the target has left or ended, by the registry and its own word.
+  /// Whether the registry lists this incarnation no longer.
   bool hasEnded(const VmIncarnation &Target) const;
+  /// Whether the target leaves, by the registry or its own word.
+  bool isLeaving(const VmIncarnation &Target) const;
 
 private:
   /// Targets that end are removed from the registry about as soon.
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -136,6 +136,8 @@
 }
 
 bool Channel::isClosedByPeer() {
+  if (this->descriptor() < 0)
+    return true;
   // Also if bytes that were sent before are still unread.
   pollfd Descriptor{this->descriptor(), POLLRDHUP, 0};
   return pollUntil(&Descriptor, 1, TimePoint()) > 0;
--- a/tests/failure/started_answers_test.cpp
+++ b/tests/failure/started_answers_test.cpp
@@ -83,12 +83,33 @@
 
 /// Few retries at a time, and more of them each second.
 struct FewRetriesFixture : StartedAnswersFixture {
-  FewRetriesFixture()
-      : StartedAnswersFixture({.Targets = 4,
+  explicit FewRetriesFixture(int Targets = 4)
+      : StartedAnswersFixture({.Targets = Targets,
                                .TokenTime = milliseconds(75),
                                .RetryWindow = milliseconds(1000)}) {}
 };
 
+/// Several targets end at once.
+struct TargetsEndFixture : FewRetriesFixture {
+  TargetsEndFixture() : FewRetriesFixture(8) {}
+};
+
+// Guards against streams that are blamed, since they are sent to one target
+// after the other that ends at the same time.
+TEST_CASE_METHOD(TargetsEndFixture,
+                 "started answers: targets end and the retries are used up: "
+                 "each stream goes on at another target later",
+                 "[failure]") {
+  constexpr int Killed = 3;
+  this->publishInSeries();
+  Streams Started = this->startStreams(120);
+  // The requests themselves earn no retries any more.
+  std::this_thread::sleep_for(this->Setup.RetryWindow);
+  for (int I = 1; I <= Killed; ++I)
+    this->Run.killVm(targetName(I));
+  this->checkAllWhole(Started);
+}
+
 // Guards against streams that are cut because no retry is left at the moment
 // at which their target ends, although others serve and time is left.
 TEST_CASE_METHOD(FewRetriesFixture,
