Count attempts that broke, not targets, where a started answer used all of them

Both attempts of each had run at the same target, the only one that served, which ended every stream inside an event at that time; its log has the request twice. LOST does not count what the replica broke off.

Ruled out: to let "attempts_used" pass for one broken target.

--- a/src/control/shared_observations.cpp
+++ b/src/control/shared_observations.cpp
@@ -15,6 +15,9 @@
 /// the connection was reset, opened again, and the response is late.
 constexpr Millis MaxRequestDelay(900);
 
+/// After a standstill, threads have read by then what has arrived.
+constexpr Millis ReadAgainTime(250);
+
 /// The hashes of the suspects that are blamed together.
 std::string textOf(const Culprit &Blamed) {
   std::string Text;
@@ -297,6 +300,9 @@
   // Connections may have been lost because this node is cut off.
   if (this->Board.ReachState != TargetReach::State::Sound)
     return;
+  // After a standstill, what targets have sent meanwhile has to be read first.
+  if (this->Board.runningTime(Now - ReadAgainTime, Now) < ReadAgainTime)
+    return;
   CrashBlame::Changes Found =
       this->Board.TargetStats.read([&](const TargetStatsTable &Seen) {
         auto LastProgress = [&](const VmIncarnation &Target) {
--- a/tests/soak/started_answers.h
+++ b/tests/soak/started_answers.h
@@ -51,8 +51,10 @@
   bool mayMissLine(const EndedCall &Call);
   /// Why the response cannot have been cut for \p Cause; empty if it can.
   std::string refute(const EndedCall &Call, const std::string &Cause);
-  /// Returns how many targets, or the entry's connections to them, broke.
+  /// Returns how many attempts may have broken: one at each target that broke,
+  /// or whose connections did, or as many as that target got.
   int countBroken(const EndedCall &Call);
+  int countArrivals(const std::string &Id, const std::string &Vm);
 
   SoakSystem &System;
   const ConfigSeries &Configs;
