Do not take a node's own standstill for a crash of a target

A connection that is lost counts as a crash of its target if the node reads nothing of the target for 250 ms afterwards. A node that stood still in that time read nothing either; the thread that exchanges reports may run before those that read, counts the crash, and tells all nodes. Requests that are blamed are refused, and their started responses cut.

The 250 ms now count only while the node runs.

Before: the test fails, one crash 1.5 s after a connection broke and the node last ran, although the target's bytes are read 20 ms later. After: it passes; a target that then stays silent for 250 ms counts as crashed as before. Run: the unit tests of crash blame, parts, news and standstills, with the objects of this change alone built anew.

--- a/src/control/shared_observations.cpp
+++ b/src/control/shared_observations.cpp
@@ -308,8 +308,11 @@
         auto LastProgress = [&](const VmIncarnation &Target) {
           return Seen.of(Target).LastProgress;
         };
+        auto RunningTime = [&](TimePoint From, TimePoint Until) {
+          return Seen.runningTime(From, Until);
+        };
         return this->Board.Crashes.write([&](CrashBlame &Rows) {
-          auto Changes = Rows.resolveLosses(LastProgress, Now);
+          auto Changes = Rows.resolveLosses(LastProgress, RunningTime, Now);
           this->Board.Counters.set(
               Gauge::CrashCulprits,
               static_cast<std::int64_t>(Rows.blamedCount()));
--- a/src/policy/crash_blame.h
+++ b/src/policy/crash_blame.h
@@ -72,12 +72,14 @@
 
   /// Counts each lost connection as a crash of its target unless \p
   /// LastProgress, called with the incarnation of the target, shows that it was
-  /// alive afterwards. Call several times a second. Returns what changed since
-  /// the last call.
-  template <typename F> Changes resolveLosses(F LastProgress, TimePoint Now) {
+  /// alive afterwards. \p RunningTime returns for how long this node has run
+  /// between two times: while it stands still it reads nothing. Call several
+  /// times a second. Returns what changed since the last call.
+  template <typename F, typename G>
+  Changes resolveLosses(F LastProgress, G RunningTime, TimePoint Now) {
     std::vector<Loss> Crashes;
     std::size_t Resolved = std::erase_if(this->Losses, [&](const Loss &Lost) {
-      if (Now - Lost.At < ResolveDelay)
+      if (RunningTime(Lost.At, Now) < ResolveDelay)
         return false;
       if (LastProgress(Lost.Target) <= Lost.At + LateReadDelay)
         Crashes.push_back(Lost);
@@ -88,6 +90,12 @@
     this->resolveEnded(Now);
     return this->takeChanges();
   }
+  /// The same for a node that has run all the time.
+  template <typename F> Changes resolveLosses(F LastProgress, TimePoint Now) {
+    return this->resolveLosses(
+        LastProgress,
+        [](TimePoint From, TimePoint Until) { return Until - From; }, Now);
+  }
   /// Merges the evidence of another node.
   void merge(const CrashEvidenceMap &Reported, TimePoint Now);
   /// Evidence that changed within ReportDuration, for nodes that exchange
--- a/tests/unit/standstill_monitor_test.cpp
+++ b/tests/unit/standstill_monitor_test.cpp
@@ -60,6 +60,12 @@
     });
   }
 
+  /// The node runs without a pause.
+  void runUntil(int Ms) {
+    for (int At = WokenAtMs; At <= Ms; At += 50)
+      StandstillMonitor(this->Board).onRunning(at(At));
+  }
+
   EntryBoard Board{entrySettings(), IncarnationId("i")};
   TargetRef Target = makeTarget("a");
 };
@@ -101,4 +107,36 @@
   CHECK(View.PresumedDead.empty());
 }
 
+// Guards against requests that are blamed for a crash of a target, of which the
+// node read nothing because it stood still itself.
+TEST_CASE_METHOD(WokenNodeFixture,
+                 "standstill: a connection broke before it: its target does "
+                 "not count as crashed before the node has run on",
+                 "[unit]") {
+  const CrashSuspects Suspects{{SuspectKind::Request, ContentHash(7)}};
+  this->Board.Crashes.write([&](CrashBlame &Crashes) {
+    Crashes.recordLost(Suspects, this->Target->incarnation(), at(-100), at(0));
+  });
+  SharedObservations Observations(this->Board);
+  auto CountCrashes = [&] {
+    return this->Board.Crashes.read(
+        [](const CrashBlame &Crashes) { return Crashes.allRows().size(); });
+  };
+  Observations.publish(at(WokenAtMs));
+  CHECK(CountCrashes() == 0);
+  SECTION("the target's bytes are read then") {
+    this->Board.TargetStats.write([&](TargetStatsTable &Stats) {
+      Stats.onProgress(this->Target->incarnation(), at(WokenAtMs + 20));
+    });
+    this->runUntil(WokenAtMs + 400);
+    Observations.publish(at(WokenAtMs + 400));
+    CHECK(CountCrashes() == 0);
+  }
+  SECTION("nothing comes of it") {
+    this->runUntil(WokenAtMs + 400);
+    Observations.publish(at(WokenAtMs + 400));
+    CHECK(CountCrashes() == 1);
+  }
+}
+
 } // namespace waycove::test
