--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -81,8 +81,9 @@
   /// costs the targets an attempt and the caller a wait.
   static constexpr unsigned MaxRequeues = 2;
   /// After an attempt that followed a silent one has failed, the next one waits
-  /// this long.
-  static constexpr Millis SuccessorPause{500};
+  /// this long, doubled with each failure in a row.
+  static constexpr Millis SuccessorPause{100};
+  static constexpr unsigned MaxDoublings = 3;
   /// How often a started response that has no target, no retry or no way looks
   /// for one.
   static constexpr Millis LookInterval{100};
@@ -188,8 +189,13 @@
       return std::nullopt;
     }
     if (!Ex.Silent.empty()) {
-      if (End != AttemptOutcome::Overtaken)
-        Ex.Progress.NoSuccessorBefore = SystemClock{}.now() + SuccessorPause;
+      unsigned &Failures = Ex.Progress.SuccessorFailures;
+      if (End == AttemptOutcome::Overtaken)
+        Failures = 0;
+      else
+        Ex.Progress.NoSuccessorBefore =
+            SystemClock{}.now() +
+            SuccessorPause * (1U << std::min(Failures++, MaxDoublings));
       RelayAttempt Earlier = std::move(Ex.Silent.back());
       Ex.Silent.pop_back();
       return Earlier;
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -79,6 +79,8 @@
   /// A silent attempt is followed by no other before then, since the last one
   /// that followed it failed.
   TimePoint NoSuccessorBefore;
+  /// How many that followed silent ones have failed in a row.
+  unsigned SuccessorFailures = 0;
   /// Targets whose connections ended attempts of its started response.
   std::vector<LostTarget> Lost;
   /// When an attempt of its started response last failed, and how many have
