Pace attempts in one policy, and excuse only targets that left as announced

Suspected cause: attempts at targets that had ended did not count against max_attempts, so a request that crashes its targets got as many again. Only targets that left as announced are excused now; the others may have crashed under it.

--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -80,17 +80,9 @@
   /// How often a request is queued again after targets rejected it. Each time
   /// costs the targets an attempt and the caller a wait.
   static constexpr unsigned MaxRequeues = 2;
-  /// After an attempt that followed a silent one has failed, the next one waits
-  /// this long, doubled with each failure in a row.
-  static constexpr Millis SuccessorPause{100};
-  static constexpr unsigned MaxDoublings = 3;
   /// How often a started response that has no target, no retry or no way looks
   /// for one.
   static constexpr Millis LookInterval{100};
-  /// After several attempts that failed shortly after each other a started
-  /// response pauses so many times as long at most.
-  static constexpr unsigned MaxPauses = 8;
-  static constexpr Millis RecentFailure{1000};
 
   absl::Status admit(RelayRequest &Request) const {
     if (this->Board.Refusing)
@@ -189,13 +181,10 @@
       return std::nullopt;
     }
     if (!Ex.Silent.empty()) {
-      unsigned &Failures = Ex.Progress.SuccessorFailures;
       if (End == AttemptOutcome::Overtaken)
-        Failures = 0;
+        Ex.Progress.Pacer.onSilentWentOn();
       else
-        Ex.Progress.NoSuccessorBefore =
-            SystemClock{}.now() +
-            SuccessorPause * (1U << std::min(Failures++, MaxDoublings));
+        Ex.Progress.Pacer.onSuccessorFailed(SystemClock{}.now());
       RelayAttempt Earlier = std::move(Ex.Silent.back());
       Ex.Silent.pop_back();
       return Earlier;
@@ -243,7 +232,7 @@
         this->endUnserved(Ex, Ex.Progress.Reason);
         return false;
       }
-      if (!this->pause(Ex, 1, Ex.Progress.Reason))
+      if (!this->pause(Ex, LookInterval, Ex.Progress.Reason))
         return false;
     }
     return true;
@@ -255,20 +244,14 @@
   /// together, or this node may be losing its links.
   std::optional<RelayAttempt> attemptToGoOn(RelayExchange &Ex,
                                             AttemptOutcome End) {
-    RelayProgress &Progress = Ex.Progress;
-    TimePoint Now = SystemClock{}.now();
     if (!this->mayGoOn(Ex))
       return std::nullopt;
-    unsigned Pauses = 1;
-    if (End != AttemptOutcome::NotSent) {
-      bool IsInRow =
-          Now - std::exchange(Progress.FailedAt, Now) < RecentFailure;
-      Progress.FailedInRow = IsInRow ? Progress.FailedInRow + 1 : 0;
-      Pauses =
-          std::min(1U << std::min(Progress.FailedInRow, 8U) >> 1U, MaxPauses);
-    }
-    if (Pauses > 0 && !this->pause(Ex, Pauses, Progress.Reason,
-                                   End == AttemptOutcome::Refused))
+    Millis Pause =
+        End == AttemptOutcome::NotSent
+            ? LookInterval
+            : Ex.Progress.Pacer.pauseAfterFailure(SystemClock{}.now());
+    if (Pause > Millis(0) && !this->pause(Ex, Pause, Ex.Progress.Reason,
+                                          End == AttemptOutcome::Refused))
       return std::nullopt;
     return this->nextAttempt(Ex);
   }
@@ -301,7 +284,7 @@
         this->Failures.fail(Ex, Missing, false, Opening);
         return std::nullopt;
       }
-      if (!this->pause(Ex, 1, Missing))
+      if (!this->pause(Ex, LookInterval, Missing))
         return std::nullopt;
       this->allowAgain(Ex);
     }
@@ -353,23 +336,25 @@
     return Next;
   }
 
-  /// Lets a started response wait for \p Count intervals, since \p Missing; if
-  /// targets are \p Full, less if another request ends after the first
-  /// interval. Ends it and returns false if its caller leaves or this node
-  /// ends.
-  bool pause(RelayExchange &Ex, unsigned Count, const std::string &Missing,
+  /// Lets a started response wait for \p Duration, since \p Missing; if targets
+  /// are \p Full, less if another request ends after the first interval. Ends
+  /// it and returns false if its caller leaves or this node ends.
+  bool pause(RelayExchange &Ex, Millis Duration, const std::string &Missing,
              bool Full = false) {
     if (!std::exchange(Ex.Progress.HasWaited, true))
       this->Log.requestWaits(Ex, Missing);
     Ex.Progress.Reason = Missing;
     std::uint64_t Releases = this->Places.releases();
-    for (unsigned I = 0; I < Count; ++I) {
-      TimePoint Until =
-          std::min(Ex.Request.Deadline, SystemClock{}.now() + LookInterval);
-      bool MayWake = Full && I > 0;
-      bool HasRoom = MayWake && this->Places.waitForRelease(Releases, Until);
-      if (!MayWake)
-        std::this_thread::sleep_for(Until - SystemClock{}.now());
+    TimePoint Begin = SystemClock{}.now();
+    TimePoint End = std::min(Ex.Request.Deadline, Begin + Duration);
+    bool HasRoom = false;
+    for (TimePoint Now = Begin; Now < End && !HasRoom;
+         Now = SystemClock{}.now()) {
+      TimePoint Until = std::min<TimePoint>(End, Now + LookInterval);
+      if (Full && Now > Begin)
+        HasRoom = this->Places.waitForRelease(Releases, Until);
+      else
+        std::this_thread::sleep_for(Until - Now);
       if (Ex.Caller.isClosedByPeer()) {
         this->Failures.cut(Ex, CutCause::CallerLeft, "the caller left");
         return false;
@@ -378,8 +363,6 @@
         this->Failures.cut(Ex, CutCause::Stopping, Missing);
         return false;
       }
-      if (HasRoom || Until == Ex.Request.Deadline)
-        return true;
     }
     return true;
   }
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -8,6 +8,7 @@
 #include "board/entry_board.h"
 #include "entry/buffer_budget.h"
 #include "entry/caller_protocol.h"
+#include "policy/attempt_pacer.h"
 #include "policy/attempt_rules.h"
 #include "policy/crash_suspect.h"
 
@@ -62,7 +63,8 @@
 struct LostTarget {
   VmIncarnation Target;
   TimePoint At;
-  /// It has left or ended, as far as is known.
+  /// It had announced that it leaves, and has ended since.
+  bool IsLeaving = false;
   bool HasEnded = false;
 };
 
@@ -76,17 +78,10 @@
   unsigned MayHaveRun = 0;
   /// This node has lost its links to targets, and no other node offers a way.
   bool HasNoWay = false;
-  /// A silent attempt is followed by no other before then, since the last one
-  /// that followed it failed.
-  TimePoint NoSuccessorBefore;
-  /// How many that followed silent ones have failed in a row.
-  unsigned SuccessorFailures = 0;
+  /// When further attempts may be made.
+  AttemptPacer Pacer;
   /// Targets whose connections ended attempts of its started response.
   std::vector<LostTarget> Lost;
-  /// When an attempt of its started response last failed, and how many have
-  /// failed shortly after another one.
-  TimePoint FailedAt;
-  unsigned FailedInRow = 0;
   /// Its started response has waited for a target, a retry or a way.
   bool HasWaited = false;
   /// Of the latest target selection.
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -129,7 +129,7 @@
 bool ResponseWait::prepareNext(RelayExchange &Ex, RelayAttempt &Attempt,
                                TimePoint Now) {
   this->Standstills.onRunning(Now);
-  if (Now < Ex.Progress.NoSuccessorBefore)
+  if (!Ex.Progress.Pacer.maySucceed(Now))
     return false;
   bool HasLostWay = this->hasLostWay(Attempt, Now);
   if (!HasLostWay && !this->isUnresponsive(Ex, Attempt, Now))
--- a/src/entry/retry_policy.cpp
+++ b/src/entry/retry_policy.cpp
@@ -17,7 +17,8 @@
     return Counts;
   unsigned Excused = 0;
   for (LostTarget &Row : Ex.Progress.Lost) {
-    Row.HasEnded = Row.HasEnded || this->Selector.hasEnded(Row.Target);
+    Row.IsLeaving = Row.IsLeaving || this->Selector.isLeaving(Row.Target);
+    Row.HasEnded = Row.IsLeaving && this->Selector.hasEnded(Row.Target);
     Excused += Row.HasEnded ? 1 : 0;
   }
   Counts.MayHaveRun -=
@@ -27,7 +28,7 @@
 
 bool RetryPolicy::mayExcuseMore(const RelayExchange &Ex) {
   return std::ranges::any_of(Ex.Progress.Lost, [&](const LostTarget &Row) {
-    return !Row.HasEnded && this->Selector.isLeaving(Row.Target);
+    return Row.IsLeaving && !Row.HasEnded;
   });
 }
 
--- a/src/entry/retry_policy.h
+++ b/src/entry/retry_policy.h
@@ -45,8 +45,9 @@
       : Board(Board), Selector(Selector) {}
 
   /// The attempts by which it is decided whether to make another. Those of a
-  /// started response at targets that have ended since do not count against its
-  /// route's limit, up to as many again as that allows.
+  /// started response at targets that left as announced do not count against
+  /// its route's limit, up to as many again as that allows. Targets that end
+  /// without a word may have crashed under the request.
   AttemptCounts countsOf(const RelayExchange &Ex);
   /// Whether a target that ended the response may be about to end itself.
   bool mayExcuseMore(const RelayExchange &Ex);
