Let a test wait until keys are proven again, after memory was short

The node is right: keys had been unproven for four seconds, and are refused until the store confirms them; that a version is applied is no proof. The test asked once; it now asks until it is served, and guards what it guarded: streams end whole, the process goes on, and the configuration and the keys are in force again.

No functional change.

--- a/tests/failure/limits_test.cpp
+++ b/tests/failure/limits_test.cpp
@@ -263,7 +263,12 @@
   REQUIRE(this->node().wait(milliseconds(0)) == -1);
   this->node().limit(RLIMIT_AS, RLIM_INFINITY);
   CHECK(eventually([&] { return this->isApplied(11); }));
-  CHECK(this->call("/safe/x", "after").Status == 200);
+  // Keys are refused until the store has confirmed them again.
+  int Asked = 0;
+  CHECK(eventually([&] {
+    return this->call("/safe/x", "after" + std::to_string(++Asked)).Status ==
+           200;
+  }));
 }
 
 // Guards against streams that are cut, or a request that is lost, where no
