--- a/tests/failure/started_answers_test.cpp
+++ b/tests/failure/started_answers_test.cpp
@@ -81,6 +81,24 @@
   this->checkAllWhole(Started);
 }
 
+// Guards against streams that are cut, or go elsewhere, when operators evacuate
+// the data centre of their targets, which takes no new requests then.
+TEST_CASE_METHOD(
+    StandstillFixture,
+    "started answers: their data centre is evacuated: every stream "
+    "ends whole",
+    "[failure]") {
+  this->publishInSeries();
+  Streams Started = this->startStreams(Count);
+  this->Run.atPlatform(
+      {"POST", "/store/put?topic=keyed.op&key=evacuate/a", "{}", {}});
+  REQUIRE(eventually([&] {
+    return this->Run.ask("n1", this->requestOf("/chat/x", "after")).Status ==
+           503;
+  }));
+  this->checkAllWhole(Started);
+}
+
 /// Few retries at a time, and more of them each second.
 struct FewRetriesFixture : StartedAnswersFixture {
   explicit FewRetriesFixture(int Targets = 4)
