--- a/src/entry/relay_attempt.h
+++ b/src/entry/relay_attempt.h
@@ -53,8 +53,8 @@
   std::string Payload = {};
   /// No event of the stream has arrived.
   bool FirstEvent = true;
-  /// The body, if it is forwarded whole.
-  std::shared_ptr<BufferedBody> Whole = std::make_shared<BufferedBody>();
+  /// What has arrived of a body that is forwarded whole; else null.
+  std::shared_ptr<BufferedBody> Whole = {};
 };
 
 /// One attempt: the target, the connection, and the state of the response.
--- a/src/entry/response_forwarder.h
+++ b/src/entry/response_forwarder.h
@@ -150,6 +150,8 @@
   AttemptOutcome forwardWhole(RelayExchange &Ex, RelayAttempt &Attempt) {
     TargetResponse &Received = *Attempt.Received;
     const Poco::Net::HTTPResponse &Head = Received.Head;
+    if (!Received.Whole)
+      Received.Whole = std::make_shared<BufferedBody>();
     if (AttemptOutcome End =
             this->Waiter.readBody(Ex, Attempt, Received.Body, *Received.Whole);
         End != AttemptOutcome::Done)
