Let an answer go on at a third target where the second one has ended

Targets that the registry drops do not count where one of the attempts was given up as silent; it is waited for that for two seconds, after which callers leave. Where all attempts ended with their targets the request may have crashed them, so they count as before: excusing these was seen to let a request end five targets.

Ruled out: to excuse a target whose connection broke and which stays listed; it may run on, and a third run of the request would then count.

--- a/src/entry/attempt_recorder.cpp
+++ b/src/entry/attempt_recorder.cpp
@@ -49,6 +49,11 @@
   Ex.Silent.clear();
 }
 
+void AttemptRecorder::giveUpSilent(const RelayExchange &Ex) {
+  Ex.Progress.GivenUp += static_cast<unsigned>(Ex.Silent.size());
+  this->endSilent(Ex);
+}
+
 void AttemptRecorder::recordReach(const RelayAttempt &Attempt) {
   bool IsDirect = Attempt.Connection && Attempt.Connection->isDirect();
   if (IsDirect && Attempt.ConnectionLost && Attempt.LastByte == Attempt.SentAt)
--- a/src/entry/attempt_recorder.h
+++ b/src/entry/attempt_recorder.h
@@ -23,8 +23,10 @@
   void end(const RelayExchange &Ex, RelayAttempt &Attempt, AttemptOutcome End);
   /// The attempt has ended before it was sent.
   void endUnsent(const RelayExchange &Ex, const RelayAttempt &Attempt);
-  /// Ends the earlier attempts, since a later one responds or the request ends.
+  /// Ends the earlier attempts, since the request ends.
   void endSilent(const RelayExchange &Ex);
+  /// The same, since a later one responds.
+  void giveUpSilent(const RelayExchange &Ex);
 
 private:
   /// Records an attempt that ended without any byte of the target. What a
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -217,18 +217,19 @@
     return true;
   }
 
-  /// Whether another attempt of a started response is allowed. Waits for
-  /// targets that leave to end, if that may allow one. Otherwise ends the
+  /// Whether another attempt of a started response is allowed. Waits a while to
+  /// learn that targets have ended, if that may allow one. Otherwise ends the
   /// response.
   bool mayGoOn(RelayExchange &Ex) {
     while (auto Cause =
                causeToCut(*Ex.Request.Route, this->Retries.countsOf(Ex))) {
+      TimePoint Now = SystemClock{}.now();
       if (*Cause != CutCause::AttemptsUsed ||
-          !this->Retries.mayExcuseMore(Ex)) {
+          !this->Retries.mayExcuseMore(Ex, Now)) {
         this->Failures.cut(Ex, *Cause, Ex.Progress.Reason);
         return false;
       }
-      if (SystemClock{}.now() >= Ex.Request.Deadline) {
+      if (Now >= Ex.Request.Deadline) {
         this->endUnserved(Ex, Ex.Progress.Reason);
         return false;
       }
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -63,9 +63,10 @@
 struct LostTarget {
   VmIncarnation Target;
   TimePoint At;
-  /// It had announced that it leaves, and has ended since.
+  /// It had announced that it leaves.
   bool IsLeaving = false;
-  bool HasEnded = false;
+  /// It has ended since, and not by the request as far as is known.
+  bool IsExcused = false;
 };
 
 /// What the attempts for a request have led to so far.
@@ -80,6 +81,8 @@
   bool HasNoWay = false;
   /// When further attempts may be made.
   AttemptPacer Pacer;
+  /// Attempts that were silent and given up for one that responded.
+  unsigned GivenUp = 0;
   /// Targets whose connections ended attempts of its started response.
   std::vector<LostTarget> Lost;
   /// Its started response has waited for a target, a retry or a way.
--- a/src/entry/response_forwarder.h
+++ b/src/entry/response_forwarder.h
@@ -169,7 +169,7 @@
       Ex.Progress.FailureBody = Received.Whole;
       return AttemptOutcome::Broken;
     }
-    this->Attempts.endSilent(Ex);
+    this->Attempts.giveUpSilent(Ex);
     return Ex.deliver(Head, Received.Whole->Bytes) ? AttemptOutcome::Done
                                                    : callerGone(Ex, Attempt);
   }
@@ -264,7 +264,7 @@
     if (Ready.empty())
       return true;
     // They could not continue after these events.
-    this->Attempts.endSilent(Ex);
+    this->Attempts.giveUpSilent(Ex);
     if (!Ex.Response.hasStarted()) {
       const Poco::Net::HTTPResponse &Head = Attempt.Received->Head;
       Poco::Net::HTTPResponse Out(Head.getStatus(), Head.getReason());
@@ -297,7 +297,7 @@
       return AttemptOutcome::Broken;
     }
     this->returnConnection(Ex, Attempt);
-    this->Attempts.endSilent(Ex);
+    this->Attempts.giveUpSilent(Ex);
     bool IsWhole = Ex.Response.hasStarted()
                        ? Ex.Response.endStream(Ex.writeUntil()) == IoStatus::Ok
                        : Ex.deliver(Attempt.Received->Head, "");
--- a/src/entry/retry_policy.cpp
+++ b/src/entry/retry_policy.cpp
@@ -15,20 +15,23 @@
   AttemptCounts Counts = Ex.counts();
   if (!Counts.HasStarted)
     return Counts;
+  bool MayHaveCausedAll = Ex.Progress.GivenUp == 0;
   unsigned Excused = 0;
   for (LostTarget &Row : Ex.Progress.Lost) {
     Row.IsLeaving = Row.IsLeaving || this->Selector.isLeaving(Row.Target);
-    Row.HasEnded = Row.IsLeaving && this->Selector.hasEnded(Row.Target);
-    Excused += Row.HasEnded ? 1 : 0;
+    Row.IsExcused = Row.IsExcused || ((Row.IsLeaving || !MayHaveCausedAll) &&
+                                      this->Selector.hasEnded(Row.Target));
+    Excused += Row.IsExcused ? 1 : 0;
   }
   Counts.MayHaveRun -=
       std::min({Excused, Counts.MayHaveRun, Ex.Request.Route->MaxAttempts});
   return Counts;
 }
 
-bool RetryPolicy::mayExcuseMore(const RelayExchange &Ex) {
+bool RetryPolicy::mayExcuseMore(const RelayExchange &Ex, TimePoint Now) const {
   return std::ranges::any_of(Ex.Progress.Lost, [&](const LostTarget &Row) {
-    return Row.IsLeaving && !Row.HasEnded;
+    bool MayBeNoticed = Ex.Progress.GivenUp > 0 && Now - Row.At < EndNoticeTime;
+    return !Row.IsExcused && (Row.IsLeaving || MayBeNoticed);
   });
 }
 
--- a/src/entry/retry_policy.h
+++ b/src/entry/retry_policy.h
@@ -45,12 +45,14 @@
       : Board(Board), Selector(Selector) {}
 
   /// The attempts by which it is decided whether to make another. Those of a
-  /// started response at targets that left as announced do not count against
-  /// its route's limit, up to as many again as that allows. Targets that end
-  /// without a word may have crashed under the request.
+  /// started response at targets that have ended do not count against its
+  /// route's limit, up to as many again as that allows: targets that left as
+  /// announced, and others unless all attempts ended so, which the request
+  /// itself may have caused.
   AttemptCounts countsOf(const RelayExchange &Ex);
-  /// Whether a target that ended the response may be about to end itself.
-  bool mayExcuseMore(const RelayExchange &Ex);
+  /// Whether it may soon be known that a target which ended the response has
+  /// ended itself.
+  bool mayExcuseMore(const RelayExchange &Ex, TimePoint Now) const;
   /// Counts an admitted request for the retry limit.
   void recordRequest(const ServiceId &Service);
   /// Prepares another attempt for one without progress. Returns nothing if the
@@ -67,6 +69,10 @@
   std::optional<TakenRetry> take(const ServiceId &Service, TimePoint Now);
 
 private:
+  /// For so long it is waited for the registry to drop a target that ended
+  /// without a word. Callers leave after a pause of some two seconds.
+  static constexpr Millis EndNoticeTime{2000};
+
   friend class TakenRetry;
   void giveBack(const ServiceId &Service, TimePoint TakenAt);
 
--- a/tests/failure/started_answers_test.cpp
+++ b/tests/failure/started_answers_test.cpp
@@ -142,6 +142,34 @@
   this->checkAllWhole(Started);
 }
 
+/// Routes of two attempts, and more retries than streams.
+struct TwoAttemptsFixture : StartedAnswersFixture {
+  TwoAttemptsFixture()
+      : StartedAnswersFixture({.Entries = 1,
+                               .Targets = 4,
+                               .TokenTime = milliseconds(75),
+                               .RetrySlack = 1000}) {}
+};
+
+// Guards against streams whose attempts are used up by a silent target and one
+// that ended, although a third one could go on.
+TEST_CASE_METHOD(TwoAttemptsFixture,
+                 "started answers: a target is silent and the next one ends: "
+                 "each stream of two attempts goes on at a third",
+                 "[failure]") {
+  Streams Started = this->startStreams(24, "/twice/x");
+  std::uint64_t Others = this->running(2, 4);
+  std::uint64_t Silent = this->running(1, 1);
+  REQUIRE(Silent > 0);
+  this->signalTargets(1, 1, SIGSTOP);
+  REQUIRE(eventually([&] { return this->running(2, 4) == Others + Silent; }));
+  std::this_thread::sleep_for(milliseconds(300));
+  this->Run.killVm(targetName(2));
+  this->Run.atPlatform(
+      {"POST", "/store/put?topic=keyed.servers&key=" + targetName(2), "", {}});
+  this->checkAllWhole(Started);
+}
+
 /// One entry with more retries than streams. One of its targets ends, the
 /// busiest; the others are spared.
 struct NoTargetFixture : StartedAnswersFixture {
