--- a/src/control/config_follower.h
+++ b/src/control/config_follower.h
@@ -25,15 +25,8 @@
   /// Applies what is new without waiting; returns the pause before the next
   /// step, which a change of the feed ends.
   Millis step() {
-    absl::StatusOr<KeyedPage> Page = this->Source.read(Millis(0));
-    try {
-      if (Page.ok())
-        this->applyPage(*Page);
-    } catch (const std::exception &) {
-      // Memory is short; the caller logs that. The page comes again.
-      this->Source.reset();
-      throw;
-    }
+    applyNewPage(this->Source,
+                 [this](const KeyedPage &Page) { this->applyPage(Page); });
     this->updateProof();
     return this->checkInterval();
   }
--- a/src/control/keyed_feed.h
+++ b/src/control/keyed_feed.h
@@ -56,6 +56,23 @@
   std::optional<StorePosition> Next;
 };
 
+/// Reads once from \p Source without waiting, and calls \p Apply with the page,
+/// if there is one. If that throws, for want of memory for example, the next
+/// read returns all records, so that none is lost, and the exception is passed
+/// on. Returns whether there was a page.
+template <typename Reader, typename F>
+bool applyNewPage(Reader &Source, F &&Apply) {
+  absl::StatusOr<KeyedPage> Page = Source.read(Millis(0));
+  try {
+    if (Page.ok())
+      Apply(*Page);
+  } catch (const std::exception &) {
+    Source.reset();
+    throw;
+  }
+  return Page.ok();
+}
+
 /// Directory in which each node is announced under its own key. putAll()
 /// announces several nodes in one call; oldest() returns up to that many of the
 /// records that the store still has in its history.
--- a/src/control/node_follower.h
+++ b/src/control/node_follower.h
@@ -59,16 +59,8 @@
     if (this->mustAnnounceJoined() && !this->announceJoined())
       return this->RetryBackoff.next();
     this->RetryBackoff.reset();
-    absl::StatusOr<KeyedPage> Page = this->Source.read(Millis(0));
-    try {
-      if (Page.ok())
-        this->apply(*Page);
-    } catch (const std::exception &) {
-      // Memory is short; the caller logs that. The page comes again.
-      this->Source.reset();
-      throw;
-    }
-    this->Read |= Page.ok();
+    this->Read |= applyNewPage(
+        this->Source, [this](const KeyedPage &Page) { this->apply(Page); });
     return this->checkInterval();
   }
 
