Tell a target's end from a link that a carrier lost

Cause: a node that carries requests for another told it that the target had ended whenever its connection was reset, as also happens when its own link breaks; the other node counted that as a crash under the request.

After a reset the carrier tries another connection. If the target takes it, or this node is in doubt about its links, the way ends without word of the target, as when the carrier is cut off. A connection that is closed in order is the target's own, as before.

Ruled out: to wait for the other nodes' view before telling the end; each stream whose target ends would pause for it.

--- a/src/entry/carrier.h
+++ b/src/entry/carrier.h
@@ -80,6 +80,7 @@
   struct Way {
     RequestId Request;
     VmIncarnation Target;
+    VmAddress Address;
     bool MayRepeat = false;
     TimePoint Until;
     TimePoint SentAt;
@@ -99,6 +100,7 @@
     if (!Target)
       return WayStatus::Declined;
     Found.Target = Target->incarnation();
+    Found.Address = Target->Address;
     TimePoint Now = SystemClock{}.now();
     if (this->isPaused(Found.Target, Now))
       return WayStatus::Declined;
@@ -180,7 +182,8 @@
       if (Readable == Side::Target) {
         IoStatus Status = From.Connection->fillNow();
         if (Status == IoStatus::Closed || Status == IoStatus::Broken)
-          return this->sendEnd(Peer, Status == IoStatus::Closed);
+          return this->hasTargetEnded(From, Status) &&
+                 this->sendEnd(Peer, Status == IoStatus::Closed);
         From.LastByte = Now;
         this->readHead(From, Bytes);
       }
@@ -191,6 +194,17 @@
     }
   }
 
+  /// Whether the target has ended a connection that ended with \p Status, and
+  /// not this node's link to it. A target that takes another one has not.
+  bool hasTargetEnded(const Way &From, IoStatus Status) const {
+    if (Status == IoStatus::Closed)
+      return true;
+    std::optional<Channel> Other;
+    return Channel::connect(From.Address, SystemClock{}.now() + ConnectTimeout,
+                            Other) != IoStatus::Ok &&
+           this->Board.ReachState == TargetReach::State::Sound;
+  }
+
   bool isLost(const Way &From, TimePoint Now) const {
     return this->Board.isCutOff() &&
            this->Board.runningTime(From.LastByte, Now) >= CutOffSilence;
--- a/tests/unit/carrier_test.cpp
+++ b/tests/unit/carrier_test.cpp
@@ -63,6 +63,40 @@
     });
   }
 
+  /// The way to the target, over which it got a byte.
+  NeighbourChannel openWay() {
+    auto Link =
+        std::make_unique<FrameSocket>(this->Asker, this->Board.Counters);
+    absl::StatusOr<wire::FrameT> Head = Link->receive(Millis(2000));
+    REQUIRE(Head.ok());
+    REQUIRE(Head->message.AsForwardHead()->status ==
+            static_cast<std::uint16_t>(WayStatus::Open));
+    NeighbourChannel Channel(this->Board, NodeId("n"), std::move(Link));
+    REQUIRE(Channel.send("x", SystemClock{}.now() + Millis(1000)) ==
+            IoStatus::Ok);
+    return Channel;
+  }
+  static void reset(Poco::Net::StreamSocket &Link) {
+    Link.setLinger(true, 0);
+    Link.close();
+  }
+  /// The link to the target once the request has arrived there.
+  Poco::Net::StreamSocket receiveRequest() {
+    Poco::Net::StreamSocket Link = this->TargetListener.acceptConnection();
+    char Byte = 0;
+    REQUIRE(Link.receiveBytes(&Byte, 1) == 1);
+    return Link;
+  }
+  /// Waits until the way ends. Returns whether the target ended it.
+  static bool seesTargetEnd(NeighbourChannel &Channel) {
+    TimePoint Until = SystemClock{}.now() + Millis(2500);
+    IoStatus Status = IoStatus::Timeout;
+    while (Status == IoStatus::Timeout && SystemClock{}.now() < Until)
+      Status = Channel.fillNow(Until);
+    Channel.abort();
+    return Channel.hasTargetEnded();
+  }
+
   EntryBoard Board{entrySettings(), IncarnationId("i")};
   Carrier<platform::Callers> Carriage{this->Board};
   Poco::Net::ServerSocket TargetListener{
@@ -79,21 +113,34 @@
                  "carrier: it loses its links: the other node does not take "
                  "that for the target's end",
                  "[unit]") {
-  auto Link = std::make_unique<FrameSocket>(this->Asker, this->Board.Counters);
-  absl::StatusOr<wire::FrameT> Head = Link->receive(Millis(2000));
-  REQUIRE(Head.ok());
-  REQUIRE(Head->message.AsForwardHead()->status ==
-          static_cast<std::uint16_t>(WayStatus::Open));
-  NeighbourChannel Channel(this->Board, NodeId("n"), std::move(Link));
-  REQUIRE(Channel.send("x", SystemClock{}.now() + Millis(1000)) ==
-          IoStatus::Ok);
+  NeighbourChannel Channel = this->openWay();
   this->cutOff();
-  TimePoint Until = SystemClock{}.now() + Millis(2500);
-  IoStatus Status = IoStatus::Timeout;
-  while (Status == IoStatus::Timeout && SystemClock{}.now() < Until)
-    Status = Channel.fillNow(Until);
-  CHECK_FALSE(Channel.hasTargetEnded());
-  Channel.abort();
+  CHECK_FALSE(this->seesTargetEnd(Channel));
+}
+
+// Guards against the same where a link is reset before the node knows that it
+// has lost any.
+TEST_CASE_METHOD(CarriedFixture,
+                 "carrier: its link to a target is reset: the other node does "
+                 "not take that for the target's end",
+                 "[unit]") {
+  NeighbourChannel Channel = this->openWay();
+  Poco::Net::StreamSocket Link = this->receiveRequest();
+  reset(Link);
+  CHECK_FALSE(this->seesTargetEnd(Channel));
+}
+
+// Guards against targets that crash, and of which the other node does not learn
+// that.
+TEST_CASE_METHOD(CarriedFixture,
+                 "carrier: a target ends with a reset: the other node learns "
+                 "that it ended",
+                 "[unit]") {
+  NeighbourChannel Channel = this->openWay();
+  Poco::Net::StreamSocket Link = this->receiveRequest();
+  this->TargetListener.close();
+  reset(Link);
+  CHECK(this->seesTargetEnd(Channel));
 }
 
 } // namespace waycove::test
