Let a started answer wait until it is cleared of crashes

Cause: a request that is blamed was ended the moment it looked for another target. Targets that end together leave the same crashes to all that ran there. An answer that has started now waits for two seconds, after which callers leave, and goes on when it is cleared.

Ruled out: to wait only while a trial is due; a content that was served before has none, and it is cleared all the same.

--- a/src/entry/crash_guard.h
+++ b/src/entry/crash_guard.h
@@ -17,6 +17,11 @@
   /// Whether the request is refused at this node, so that there is no use in
   /// waiting. Does not use up a trial.
   bool isBlamed(const RelayRequest &Request, TimePoint Now) const;
+  /// Whether nothing that the request contains is blamed. A response that has
+  /// started goes on only then: a trial is left to a request that is new.
+  bool isCleared(const RelayRequest &Request, TimePoint Now) const {
+    return this->judge(Request, Now).Found == CrashBlame::Verdict::Allow;
+  }
   /// Whether the request may be sent, given which requests are blamed for
   /// crashes of targets. If a single trial is allowed, this call uses it up.
   bool maySend(const RelayRequest &Request, TimePoint Now);
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -267,20 +267,22 @@
         this->endUnserved(Ex, "the deadline passed");
         return std::nullopt;
       }
-      if (this->Crashes.isBlamed(Ex.Request, Now)) {
-        this->Failures.failCrashing(Ex);
-        return std::nullopt;
-      }
       std::string Missing;
       std::optional<Millis> Opening;
-      std::optional<RelayAttempt> Next =
-          this->prepareAttempt(Ex, Now, Missing, Opening);
-      if (Next && !this->Crashes.maySend(Ex.Request, Now)) {
-        this->Failures.failCrashing(Ex);
-        return std::nullopt;
-      }
-      if (Next)
+      std::optional<RelayAttempt> Next;
+      bool IsBlamed = Ex.Response.hasStarted()
+                          ? !this->Crashes.isCleared(Ex.Request, Now)
+                          : this->Crashes.isBlamed(Ex.Request, Now);
+      if (!IsBlamed)
+        Next = this->prepareAttempt(Ex, Now, Missing, Opening);
+      if (Next && this->Crashes.maySend(Ex.Request, Now))
         return Next;
+      if (Next || IsBlamed) {
+        Next.reset();
+        if (!this->awaitClearing(Ex, Now))
+          return std::nullopt;
+        continue;
+      }
       if (!Ex.Response.hasStarted()) {
         this->Failures.fail(Ex, Missing, false, Opening);
         return std::nullopt;
@@ -291,6 +293,16 @@
     }
   }
 
+  /// Lets a started response that is blamed for crashes of targets wait until
+  /// it is cleared. Others, and those for which that takes too long, end, and
+  /// false is returned.
+  bool awaitClearing(RelayExchange &Ex, TimePoint Now) {
+    if (Ex.Response.hasStarted() && Ex.Progress.Pacer.mayAwaitClearing(Now))
+      return this->pause(Ex, LookInterval, "targets ended under it");
+    this->Failures.failCrashing(Ex);
+    return false;
+  }
+
   /// Lets a started response go to a target again rather than to none, but for
   /// those that may have ended.
   void allowAgain(RelayExchange &Ex) {
--- a/src/policy/attempt_pacer.cpp
+++ b/src/policy/attempt_pacer.cpp
@@ -15,6 +15,9 @@
 constexpr unsigned MaxDoublings = 3;
 /// A failure counts as in a row within this time after the last one.
 constexpr Millis RecentFailure{1000};
+/// For so long a blamed response waits. Callers leave after a pause of some two
+/// seconds.
+constexpr Millis ClearingTime{2000};
 
 Millis doubled(unsigned Times) {
   return FirstPause * (1U << std::min(Times, MaxDoublings));
@@ -30,6 +33,12 @@
                                   : doubled(this->FailuresInRow - 1);
 }
 
+bool AttemptPacer::mayAwaitClearing(TimePoint Now) {
+  if (!this->BlamedAt)
+    this->BlamedAt = Now;
+  return Now - *this->BlamedAt < ClearingTime;
+}
+
 void AttemptPacer::onSuccessorFailed(TimePoint Now) {
   this->NoSuccessorBefore = Now + doubled(this->SuccessorFailures);
   ++this->SuccessorFailures;
--- a/src/policy/attempt_pacer.h
+++ b/src/policy/attempt_pacer.h
@@ -6,6 +6,8 @@
 
 #include "base/ids.h"
 
+#include <optional>
+
 namespace waycove {
 
 /// Spaces the further attempts of one request. The first failure is followed at
@@ -21,6 +23,11 @@
   void onSuccessorFailed(TimePoint Now);
   /// A silent attempt goes on.
   void onSilentWentOn() { this->SuccessorFailures = 0; }
+  /// Whether a response that has started, and is blamed for crashes of targets,
+  /// waits until it is cleared. Targets that end together leave the same
+  /// crashes to all that ran there; those that run elsewhere clear the innocent
+  /// ones when they are whole.
+  bool mayAwaitClearing(TimePoint Now);
   /// Whether an attempt may be made beside a silent one.
   bool maySucceed(TimePoint Now) const {
     return Now >= this->NoSuccessorBefore;
@@ -32,6 +39,7 @@
   unsigned FailuresInRow = 0;
   unsigned SuccessorFailures = 0;
   TimePoint NoSuccessorBefore;
+  std::optional<TimePoint> BlamedAt;
 };
 
 } // namespace waycove
--- a/tests/failure/started_answers_test.cpp
+++ b/tests/failure/started_answers_test.cpp
@@ -142,6 +142,29 @@
   this->checkAllWhole(Started);
 }
 
+/// Streams of one content, and more retries than streams.
+struct SharedContentFixture : StartedAnswersFixture {
+  SharedContentFixture()
+      : StartedAnswersFixture({.TokenTime = milliseconds(60),
+                               .RetrySlack = 1000,
+                               .IsContentShared = true}) {}
+};
+
+// Guards against streams that are cut as culprits because targets that end
+// together all ran their content, although those at other targets clear it.
+TEST_CASE_METHOD(SharedContentFixture,
+                 "started answers: three targets end under one content: its "
+                 "streams go on when others with it are whole",
+                 "[failure]") {
+  constexpr int Killed = 3;
+  Streams Started = this->startStreams(48);
+  // The others are whole about a second after the targets end.
+  std::this_thread::sleep_for(milliseconds(1500));
+  for (int I = 1; I <= Killed; ++I)
+    this->Run.killVm(targetName(I));
+  this->checkAllWhole(Started);
+}
+
 /// Routes of two attempts, and more retries than streams.
 struct TwoAttemptsFixture : StartedAnswersFixture {
   TwoAttemptsFixture()
--- a/tests/support/started_answers_fixture.cpp
+++ b/tests/support/started_answers_fixture.cpp
@@ -129,7 +129,7 @@
                                              Milliseconds Timeout) const {
   return {"POST",
           Path,
-          "body of " + Id,
+          "body of " + (this->Setup.IsContentShared ? "all" : Id),
           {{"Host", "a.example"},
            {"Authorization", "Bearer key-1"},
            {"X-Request-Id", Id},
--- a/tests/support/started_answers_fixture.h
+++ b/tests/support/started_answers_fixture.h
@@ -32,6 +32,8 @@
   double RetryRatio = 0.2;
   std::chrono::milliseconds RetryWindow{10000};
   std::chrono::milliseconds GracePeriod{4000};
+  /// All streams have one content.
+  bool IsContentShared = false;
 };
 
 /// How a stream ended for its caller.
--- a/tests/unit/attempt_pacer_test.cpp
+++ b/tests/unit/attempt_pacer_test.cpp
@@ -47,6 +47,17 @@
   CHECK(this->Pacer.maySucceed(at(400)));
 }
 
+// Guards against an innocent response that is cut before others can clear it,
+// and against a culprit whose caller waits for long.
+TEST_CASE_METHOD(AttemptPacerFixture,
+                 "attempt pacer: a response is blamed: it waits two seconds to "
+                 "be cleared, also if it is blamed again",
+                 "[unit]") {
+  CHECK(this->Pacer.mayAwaitClearing(at(500)));
+  CHECK(this->Pacer.mayAwaitClearing(at(2400)));
+  CHECK_FALSE(this->Pacer.mayAwaitClearing(at(2500)));
+}
+
 // Guards against retries that are lost for the window although nothing was
 // sent.
 TEST_CASE_METHOD(AttemptPacerFixture,
