Give back a retry that was not used before its answer waits

Their node's log: attempts that ended as "connection refused" had their retry, waited with it in hand for the next one, and so each took a second one from a limit of eight a window; in one second four of eight were held so.

Cause: an attempt that was not sent gives its retry back when it is destroyed, which was only after its request had found the next one. With the usual window of ten seconds the answers that wait can hold all retries, and each waits for the others.

Ruled out: that the deadline is too short for the limit; the last stream had its retry 6.2 s after its target's end, and the limit alone asks for 4.3 s.

--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -127,6 +127,8 @@
         return this->Log.requestDone(Ex, Attempt->to(), End);
       }
       this->countRun(Ex, *Attempt, End);
+      // Given back if it was not used: others may be waiting for one.
+      Attempt->Retry.reset();
       Attempt = this->attemptAfter(Ex, std::move(*Attempt), End, Place);
     }
   }
--- a/tests/failure/started_answers_test.cpp
+++ b/tests/failure/started_answers_test.cpp
@@ -142,6 +142,39 @@
   this->checkAllWhole(Started);
 }
 
+/// One entry with eight retries for the whole test. One of its targets has
+/// ended, and is still listed.
+struct ExactRetriesFixture : StartedAnswersFixture {
+  ExactRetriesFixture()
+      : StartedAnswersFixture(
+            {.Entries = 1, .Targets = 4, .RetrySlack = 10, .RetryRatio = 0}) {
+    this->Run.killVm(targetName(this->Setup.Targets));
+  }
+  /// Of the targets that run, the one with the fewest requests.
+  int idlest() {
+    int Least = 1;
+    for (int I = 2; I < this->Setup.Targets; ++I)
+      if (this->running(I, I) < this->running(Least, Least))
+        Least = I;
+    return Least;
+  }
+};
+
+// Guards against streams that keep the retry of an attempt which reached no
+// target while they wait for another one, so that none is left for any.
+TEST_CASE_METHOD(ExactRetriesFixture,
+                 "started answers: their next target refuses connections: each "
+                 "stream goes on with the retry that this one did not use",
+                 "[failure]") {
+  // After a refused connection a target is avoided for three seconds.
+  constexpr milliseconds AvoidedTime(3300);
+  Streams Started = this->sendStreams(24);
+  REQUIRE(eventually([&] { return this->running(1, 3) == Started.size(); }));
+  std::this_thread::sleep_for(AvoidedTime);
+  this->Run.killVm(targetName(this->idlest()));
+  this->checkAllWhole(Started);
+}
+
 /// Streams of one content, and more retries than streams.
 struct SharedContentFixture : StartedAnswersFixture {
   SharedContentFixture()
