Let the test of few retries last as long as its limit asks for

Its own figures were short besides: eight retries a second, and an entry that loses 34 of its 60 streams (seen beside load) needs 5.3 s for the last one, of those left 2.4 s, and had 6.5 s. Such a run fails whatever the node does.

No functional change.

--- a/tests/failure/started_answers_test.cpp
+++ b/tests/failure/started_answers_test.cpp
@@ -99,12 +99,15 @@
   this->checkAllWhole(Started);
 }
 
-/// Few retries at a time, and more of them each second.
+/// Few retries at a time, and more of them each second: eight of each entry. If
+/// an entry loses most of its 60 streams, its last one goes on some seven
+/// seconds later, and needs three more.
 struct FewRetriesFixture : StartedAnswersFixture {
   explicit FewRetriesFixture(int Targets = 4)
       : StartedAnswersFixture({.Targets = Targets,
                                .TokenTime = milliseconds(75),
-                               .RetryWindow = milliseconds(1000)}) {}
+                               .RetryWindow = milliseconds(1000),
+                               .RouteTimeout = milliseconds(12000)}) {}
 };
 
 /// Several targets end at once.
--- a/tests/support/started_answers_fixture.cpp
+++ b/tests/support/started_answers_fixture.cpp
@@ -27,22 +27,25 @@
 constexpr int EventsInStep = 2;
 
 std::string streamRoute(const std::string &Name, unsigned MaxAttempts,
-                        bool Resumable) {
+                        bool Resumable, milliseconds Timeout) {
   return R"({"name":")" + Name + R"(","path_prefix":"/)" + Name +
          R"(/","host":"a.example","type":"streaming","service":"llm",)"
          R"("goal_ms":300,"gap_target_ms":200,"priority":1,"timeout_ms":)" +
-         std::to_string(StartedAnswersFixture::RouteTimeout.count()) +
-         R"(,"max_attempts":)" + std::to_string(MaxAttempts) +
-         R"(,"resumable":)" + (Resumable ? "true}" : "false}");
+         std::to_string(Timeout.count()) + R"(,"max_attempts":)" +
+         std::to_string(MaxAttempts) + R"(,"resumable":)" +
+         (Resumable ? "true}" : "false}");
 }
 
-std::string configOf(int Version, int Slots) {
+std::string configOf(int Version, const StartedAnswersSetup &Setup) {
+  milliseconds Timeout = Setup.RouteTimeout;
   return R"({"version":)" + std::to_string(Version) + R"(,"routes":[)" +
-         streamRoute("chat", StartedAnswersFixture::MaxAttempts, true) + "," +
-         streamRoute("twice", 2, true) + "," +
-         streamRoute("single", StartedAnswersFixture::MaxAttempts, false) +
+         streamRoute("chat", StartedAnswersFixture::MaxAttempts, true,
+                     Timeout) +
+         "," + streamRoute("twice", 2, true, Timeout) + "," +
+         streamRoute("single", StartedAnswersFixture::MaxAttempts, false,
+                     Timeout) +
          R"(],"services":[{"name":"llm","max_conns":400,"engine":{"slots":)" +
-         std::to_string(Slots) +
+         std::to_string(Setup.Slots) +
          R"(,"retains":1,"loads_per_s":50,"models":[{"name":"model",)"
          R"("size":1,"share":1,"pace":1,"load_s":0.1,"warm_s":0.05}]}}],)"
          R"("tenants":[{"name":"w1","api_keys":["key-1"]}]})";
@@ -111,7 +114,7 @@
 void StartedAnswersFixture::publish() {
   this->Run.atPlatform({"POST",
                         "/store/put?topic=keyed.op&key=config",
-                        configOf(++this->Version, this->Setup.Slots),
+                        configOf(++this->Version, this->Setup),
                         {}});
 }
 
@@ -124,19 +127,21 @@
   });
 }
 
-HttpRequest StartedAnswersFixture::requestOf(const std::string &Path,
-                                             const std::string &Id,
-                                             Milliseconds Timeout) const {
-  return {"POST",
-          Path,
-          "body of " + (this->Setup.IsContentShared ? "all" : Id),
-          {{"Host", "a.example"},
-           {"Authorization", "Bearer key-1"},
-           {"X-Request-Id", Id},
-           {"X-Model", "model"},
-           {"X-Token-Count", "100,50"},
-           {"X-Deadline-Ms", std::to_string(Timeout.count())}},
-          RouteTimeout + Milliseconds(2000)};
+HttpRequest
+StartedAnswersFixture::requestOf(const std::string &Path, const std::string &Id,
+                                 std::optional<Milliseconds> Timeout) const {
+  return {
+      "POST",
+      Path,
+      "body of " + (this->Setup.IsContentShared ? "all" : Id),
+      {{"Host", "a.example"},
+       {"Authorization", "Bearer key-1"},
+       {"X-Request-Id", Id},
+       {"X-Model", "model"},
+       {"X-Token-Count", "100,50"},
+       {"X-Deadline-Ms",
+        std::to_string(Timeout.value_or(this->Setup.RouteTimeout).count())}},
+      this->Setup.RouteTimeout + Milliseconds(2000)};
 }
 
 StartedAnswersFixture::Streams
--- a/tests/support/started_answers_fixture.h
+++ b/tests/support/started_answers_fixture.h
@@ -12,6 +12,7 @@
 #include <catch2/catch.hpp>
 #include <future>
 #include <map>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -32,6 +33,7 @@
   double RetryRatio = 0.2;
   std::chrono::milliseconds RetryWindow{10000};
   std::chrono::milliseconds GracePeriod{4000};
+  std::chrono::milliseconds RouteTimeout{8000};
   /// All streams have one content.
   bool IsContentShared = false;
 };
@@ -59,7 +61,6 @@
   using Milliseconds = std::chrono::milliseconds;
   using Streams = std::vector<std::future<EndedStream>>;
 
-  static constexpr Milliseconds RouteTimeout{8000};
   static constexpr unsigned MaxAttempts = 4;
 
   explicit StartedAnswersFixture(const StartedAnswersSetup &Setup);
@@ -77,8 +78,9 @@
   /// Publishes versions in series until the end of the test.
   void publishInSeries();
 
+  /// By default with the route's timeout as the caller's.
   HttpRequest requestOf(const std::string &Path, const std::string &Id,
-                        Milliseconds Timeout = RouteTimeout) const;
+                        std::optional<Milliseconds> Timeout = {}) const;
   /// Sends requests for \p Count streams, to the entries in turn.
   Streams sendStreams(int Count, const std::string &Path = "/chat/x");
   /// The same, and waits until targets run all of them.
