--- a/src/entry/ready_server.cpp
+++ b/src/entry/ready_server.cpp
@@ -10,16 +10,17 @@
 
 namespace waycove {
 
-ReadyServer::ReadyServer(std::string Path, std::function<bool()> IsReady,
-                         const Metrics &Counters, ConnectionResources Shared,
-                         std::function<void(const std::string &)> OnError)
+ReadyServer::ReadyServer(
+    std::string Path, std::function<bool()> IsReady, const Metrics &Counters,
+    ConnectionResources Shared,
+    const std::function<void(const std::string &)> &OnError)
     : Path(std::move(Path)), IsReady(std::move(IsReady)), Counters(Counters),
       Connections(
           Shared, MaxConnections,
           [this](const Poco::Net::StreamSocket &Socket) {
             return std::make_unique<Connection>(*this, Socket);
           },
-          std::move(OnError)) {}
+          OnError) {}
 
 bool ReadyServer::Connection::serve(TimePoint /*ReadableSince*/) {
   this->Owner.serveRequest(this->Caller);
--- a/src/entry/ready_server.h
+++ b/src/entry/ready_server.h
@@ -22,7 +22,7 @@
   /// connection is refused.
   ReadyServer(std::string Path, std::function<bool()> IsReady,
               const Metrics &Counters, ConnectionResources Shared,
-              std::function<void(const std::string &Reason)> OnError);
+              const std::function<void(const std::string &Reason)> &OnError);
 
   /// Starts listening. Throws Poco::Exception if the address is in use.
   void start(const Endpoint &Address) { this->Connections.start(Address); }
