Wait for frames without a descriptor of one's own

Poco's poll makes a descriptor for each call. A node that had none left could neither send nor receive a frame on a link that was sound: it closed its links to the other nodes, and the answers that came through them counted as broken.

Before: the test without descriptors fails in both directions, 2 of 2; after: passes, 2 of 2.

--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -31,10 +32,20 @@
 
 Poco::Timespan spanOf(Millis Duration) { return {Duration.count() * 1000}; }
 
-/// The time until \p Until; zero if it has passed.
-Poco::Timespan spanUntil(TimePoint Until) {
-  return spanOf(
-      std::max(std::chrono::ceil<Millis>(Until - BootClock::now()), Millis(0)));
+/// Waits for \p Events until \p Until. Returns whether one came. Unlike Poco's,
+/// it needs no descriptor of its own: a node that has none left would lose its
+/// links to all others.
+bool waitFor(int Descriptor, short Events, TimePoint Until) {
+  pollfd Waiting{Descriptor, Events, 0};
+  while (true) {
+    Millis Left = std::max(std::chrono::ceil<Millis>(Until - BootClock::now()),
+                           Millis(0));
+    int Ready = ::poll(&Waiting, 1, static_cast<int>(Left.count()));
+    if (Ready >= 0)
+      return Ready > 0;
+    if (errno != EINTR)
+      throw Poco::IOException("the connection cannot be waited for", errno);
+  }
 }
 
 } // namespace
@@ -78,7 +89,7 @@
 }
 
 std::size_t FrameSocket::sendSome(std::string_view Bytes, TimePoint Until) {
-  if (!this->Socket.poll(spanUntil(Until), Poco::Net::Socket::SELECT_WRITE))
+  if (!waitFor(this->descriptor(), POLLOUT, Until))
     throw Poco::TimeoutException("the peer does not read");
   ssize_t Sent = ::send(this->descriptor(), Bytes.data(), Bytes.size(),
                         MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -113,8 +124,7 @@
 bool FrameSocket::fill(std::size_t Count) {
   while (this->Buffer.size() < Count) {
     if (this->ReceiveUntil &&
-        !this->Socket.poll(spanUntil(*this->ReceiveUntil),
-                           Poco::Net::Socket::SELECT_READ))
+        !waitFor(this->descriptor(), POLLIN, *this->ReceiveUntil))
       throw Poco::TimeoutException("the frame is not complete in time");
     std::size_t Had = this->Buffer.size();
     this->Buffer.resize(Had + std::clamp(Count - Had, ReadBytes, MaxReadBytes));
