Count only a refused connection as a target's end at a carrier

While the link is still down after a reset, the carrier's second connection ran into its timeout, and that counted as the target's end for the node that asked.

Only a target that refuses a connection has ended, at a node that is sure of its links; what the second connection shows is told to the watch over these links as well. The tests wait for the way's end now, and require it, so that they can't pass on a frame that came late. Open: a short outage that answers with resets can't be told from the first target's end.

--- a/src/entry/carrier.h
+++ b/src/entry/carrier.h
@@ -195,13 +195,18 @@
   }
 
   /// Whether the target has ended a connection that ended with \p Status, and
-  /// not this node's link to it. A target that takes another one has not.
-  bool hasTargetEnded(const Way &From, IoStatus Status) const {
+  /// not this node's link to it. After a reset, only a target that refuses
+  /// another connection has.
+  bool hasTargetEnded(const Way &From, IoStatus Status) {
     if (Status == IoStatus::Closed)
       return true;
     std::optional<Channel> Other;
-    return Channel::connect(From.Address, SystemClock{}.now() + ConnectTimeout,
-                            Other) != IoStatus::Ok &&
+    IoStatus Again = Channel::connect(
+        From.Address, SystemClock{}.now() + ConnectTimeout, Other);
+    if (Again != IoStatus::Broken && Again != IoStatus::Timeout)
+      return false;
+    this->Monitor.onNoConnection(From.Target);
+    return Again == IoStatus::Broken &&
            this->Board.ReachState == TargetReach::State::Sound;
   }
 
--- a/tests/unit/carrier_test.cpp
+++ b/tests/unit/carrier_test.cpp
@@ -10,6 +10,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
 #include <thread>
+#include <vector>
 
 namespace waycove::test {
 
@@ -89,21 +90,32 @@
   }
   /// Waits until the way ends. Returns whether the target ended it.
   static bool seesTargetEnd(NeighbourChannel &Channel) {
-    TimePoint Until = SystemClock{}.now() + Millis(2500);
+    TimePoint Until = SystemClock{}.now() + Millis(5000);
     IoStatus Status = IoStatus::Timeout;
     while (Status == IoStatus::Timeout && SystemClock{}.now() < Until)
-      Status = Channel.fillNow(Until);
+      if (waitForAny({Channel.descriptor()}, -1, Until))
+        Status = Channel.fillNow(Until);
+    CHECK(Status != IoStatus::Timeout);
     Channel.abort();
     return Channel.hasTargetEnded();
   }
+  /// Leaves the target no room for another connection, so that one takes until
+  /// its timeout as over a link that is down.
+  void fillBacklog() {
+    for (int I = 0; I < 3; ++I) {
+      this->Waiting.emplace_back();
+      this->Waiting.back().connectNB(this->TargetListener.address());
+    }
+  }
 
   EntryBoard Board{entrySettings(), IncarnationId("i")};
   Carrier<platform::Callers> Carriage{this->Board};
   Poco::Net::ServerSocket TargetListener{
-      Poco::Net::SocketAddress("127.0.0.1", 0)};
+      Poco::Net::SocketAddress("127.0.0.1", 0), 1};
   Poco::Net::ServerSocket PeerListener{
       Poco::Net::SocketAddress("127.0.0.1", 0)};
   Poco::Net::StreamSocket Asker;
+  std::vector<Poco::Net::StreamSocket> Waiting;
   std::thread Carrying;
 };
 
@@ -130,6 +142,18 @@
   CHECK_FALSE(this->seesTargetEnd(Channel));
 }
 
+// Guards against the same where the link is still down after the reset.
+TEST_CASE_METHOD(CarriedFixture,
+                 "carrier: its link to a target is reset and stays down: the "
+                 "other node does not take that for the target's end",
+                 "[unit]") {
+  NeighbourChannel Channel = this->openWay();
+  Poco::Net::StreamSocket Link = this->receiveRequest();
+  this->fillBacklog();
+  reset(Link);
+  CHECK_FALSE(this->seesTargetEnd(Channel));
+}
+
 // Guards against targets that crash, and of which the other node does not learn
 // that.
 TEST_CASE_METHOD(CarriedFixture,
