Blame no request for a way that breaks while it is sent

A request that could not be written to the node that carries it was recorded as one whose target's connection was lost, and so counted towards its blame for crashes; the same where the target itself did not read until the deadline. What is received was told apart before, what is sent is now: only a broken direct connection counts.

Before and after: no test of its own.

--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -125,8 +125,10 @@
       this->Board.Counters.add(Counter::FirstAttempts);
     if (Attempt.Retry)
       Attempt.Retry->use();
-    if (Attempt.Connection->send(Bytes, Ex.Request.Deadline) != IoStatus::Ok) {
-      Attempt.ConnectionLost = true;
+    IoStatus Sent = Attempt.Connection->send(Bytes, Ex.Request.Deadline);
+    if (Sent != IoStatus::Ok) {
+      Attempt.ConnectionLost =
+          Sent == IoStatus::Broken && Attempt.carrier().empty();
       Attempt.Reason = "the connection broke while sending";
       return AttemptOutcome::Broken;
     }
