Close the connection of an attempt before its answer waits

Found by review, read in the code. An attempt that was not sent kept its connection, and with a way through another node one of the ways which that node has for all, for as long as its answer looked for the next target, possibly until the deadline. It is given up with the retry, as soon as the attempt has ended.

No test of its own; the tests of started answers and of ways through other nodes pass.

--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -127,8 +127,9 @@
         return this->Log.requestDone(Ex, Attempt->to(), End);
       }
       this->countRun(Ex, *Attempt, End);
-      // Given back if it was not used: others may be waiting for one.
-      Attempt->Retry.reset();
+      // Others may be waiting for what it holds.
+      if (End != AttemptOutcome::Silent)
+        Attempt->release();
       Attempt = this->attemptAfter(Ex, std::move(*Attempt), End, Place);
     }
   }
--- a/src/entry/relay_attempt.h
+++ b/src/entry/relay_attempt.h
@@ -90,6 +90,12 @@
   const ServingTarget &to() const { return this->Selected.To; }
   VmIncarnation target() const { return this->to().Target->incarnation(); }
 
+  /// Gives up what an attempt that has ended still holds: its connection, and
+  /// its retry if that was not used.
+  void release() {
+    this->Connection.reset();
+    this->Retry.reset();
+  }
   /// How long the step took that opened the connection, until the request could
   /// be sent; zero if nothing was to be sent.
   Millis openedIn() const {
