Send no second attempt of an answer that is blamed meanwhile

An attempt that was silent got its successor without the question whether its content is blamed for crashes by now, so that it could end one more target. The answer keeps its silent attempt until it is cleared. An answer that is blamed a second time waits its two seconds again; before, any blame more than two seconds after the first one cut it at once.

Before: the unit test of a second wait could not be written; the successor has no test of its own.

--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -27,7 +27,8 @@
         Places(Board, this->Crashes), Carriers(Board),
         Connector(Board, Pool, this->Carriers),
         Attempts(Board, this->Log, this->Crashes),
-        Waiter(Board, this->Retries, this->Log, this->Attempts, Buffers),
+        Waiter(Board, this->Retries, this->Crashes, this->Log, this->Attempts,
+               Buffers),
         Forwarder(Board, Pool, this->Waiter, this->Log, this->Attempts),
         Runner(Board, this->Log, this->Selector, this->Crashes, this->Connector,
                this->Attempts, this->Forwarder),
@@ -276,8 +277,10 @@
       bool IsBlamed = Ex.Response.hasStarted()
                           ? !this->Crashes.isCleared(Ex.Request, Now)
                           : this->Crashes.isBlamed(Ex.Request, Now);
-      if (!IsBlamed)
+      if (!IsBlamed) {
+        Ex.Progress.Pacer.onCleared();
         Next = this->prepareAttempt(Ex, Now, Missing, Opening);
+      }
       if (Next && this->Crashes.maySend(Ex.Request, Now))
         return Next;
       if (Next || IsBlamed) {
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -134,6 +134,8 @@
   bool HasLostWay = this->hasLostWay(Attempt, Now);
   if (!HasLostWay && !this->isUnresponsive(Ex, Attempt, Now))
     return false;
+  if (!this->Crashes.isCleared(Ex.Request, Now))
+    return false;
   AttemptCounts Counts = this->Retries.countsOf(Ex);
   Counts.MayHaveRun += Attempt.IsCountedAsRun ? 0 : 1;
   Attempt.Next =
--- a/src/entry/response_wait.h
+++ b/src/entry/response_wait.h
@@ -14,10 +14,12 @@
 /// distinguishes an unresponsive target from a busy one. Thread-safe.
 class ResponseWait {
 public:
-  ResponseWait(EntryBoard &Board, RetryPolicy &Retries, RelayLog &Log,
+  ResponseWait(EntryBoard &Board, RetryPolicy &Retries,
+               const CrashGuard &Crashes, RelayLog &Log,
                AttemptRecorder &Attempts, BufferBudget &Buffers)
-      : Board(Board), Retries(Retries), Log(Log), Attempts(Attempts),
-        Buffers(Buffers), Monitor(Board), Standstills(Board) {}
+      : Board(Board), Retries(Retries), Crashes(Crashes), Log(Log),
+        Attempts(Attempts), Buffers(Buffers), Monitor(Board),
+        Standstills(Board) {}
 
   /// Waits for bytes from the target. Returns how the attempt ends, or nothing
   /// if bytes were received. Silent if its next attempt is prepared, and
@@ -45,6 +47,7 @@
 
   EntryBoard &Board;
   RetryPolicy &Retries;
+  const CrashGuard &Crashes;
   RelayLog &Log;
   AttemptRecorder &Attempts;
   BufferBudget &Buffers;
--- a/src/policy/attempt_pacer.h
+++ b/src/policy/attempt_pacer.h
@@ -28,6 +28,8 @@
   /// crashes to all that ran there; those that run elsewhere clear the innocent
   /// ones when they are whole.
   bool mayAwaitClearing(TimePoint Now);
+  /// The response is not blamed, or no longer.
+  void onCleared() { this->BlamedAt.reset(); }
   /// Whether an attempt may be made beside a silent one.
   bool maySucceed(TimePoint Now) const {
     return Now >= this->NoSuccessorBefore;
--- a/tests/unit/attempt_pacer_test.cpp
+++ b/tests/unit/attempt_pacer_test.cpp
@@ -51,11 +51,14 @@
 // and against a culprit whose caller waits for long.
 TEST_CASE_METHOD(AttemptPacerFixture,
                  "attempt pacer: a response is blamed: it waits two seconds to "
-                 "be cleared, also if it is blamed again",
+                 "be cleared, each time",
                  "[unit]") {
   CHECK(this->Pacer.mayAwaitClearing(at(500)));
   CHECK(this->Pacer.mayAwaitClearing(at(2400)));
   CHECK_FALSE(this->Pacer.mayAwaitClearing(at(2500)));
+  this->Pacer.onCleared();
+  CHECK(this->Pacer.mayAwaitClearing(at(5000)));
+  CHECK_FALSE(this->Pacer.mayAwaitClearing(at(7000)));
 }
 
 // Guards against retries that are lost for the window although nothing was
