Wait on what targets have sent in the tests of started answers

Seen beside a load average of 28: "a caller leaves, or stops reading" failed with "timeout" for "caller_slow": the log shows 701 ms of writing in 1637 ms, where the node wants 1000 ms to say so; filling the buffers took the rest of the test's 1.5 s. It now waits until its targets could send nothing for 1.2 s, which is what it meant, and a caller that never reads has 3 s instead of 1 s for the same.

The stand-in counts the events that it has sent.

No functional change.

--- a/tests/failure/started_answers_test.cpp
+++ b/tests/failure/started_answers_test.cpp
@@ -149,8 +149,12 @@
 /// ended, and is still listed.
 struct ExactRetriesFixture : StartedAnswersFixture {
   ExactRetriesFixture()
-      : StartedAnswersFixture(
-            {.Entries = 1, .Targets = 4, .RetrySlack = 10, .RetryRatio = 0}) {
+      : StartedAnswersFixture({.Entries = 1,
+                               .Targets = 4,
+                               .TokenTime = milliseconds(150),
+                               .RetrySlack = 10,
+                               .RetryRatio = 0,
+                               .RouteTimeout = milliseconds(15000)}) {
     this->Run.killVm(targetName(this->Setup.Targets));
   }
   /// Of the targets that run, the one with the fewest requests.
@@ -174,7 +178,10 @@
   Streams Started = this->sendStreams(24);
   REQUIRE(eventually([&] { return this->running(1, 3) == Started.size(); }));
   std::this_thread::sleep_for(AvoidedTime);
-  this->Run.killVm(targetName(this->idlest()));
+  int Ending = this->idlest();
+  REQUIRE(this->running(Ending, Ending) > 0);
+  REQUIRE(this->serves("n1", this->Setup.Targets));
+  this->Run.killVm(targetName(Ending));
   this->checkAllWhole(Started);
 }
 
@@ -183,6 +190,7 @@
   SharedContentFixture()
       : StartedAnswersFixture({.TokenTime = milliseconds(60),
                                .RetrySlack = 1000,
+                               .RouteTimeout = milliseconds(12000),
                                .IsContentShared = true}) {}
 };
 
@@ -193,9 +201,14 @@
                  "streams go on when others with it are whole",
                  "[failure]") {
   constexpr int Killed = 3;
-  Streams Started = this->startStreams(48);
-  // The others are whole about a second after the targets end.
-  std::this_thread::sleep_for(milliseconds(1500));
+  constexpr std::size_t Count = 48;
+  // The others are whole within the two seconds for which a blamed one waits.
+  constexpr std::uint64_t MostEvents = Count * StreamEvents * 3 / 4;
+  Streams Started = this->startStreams(Count);
+  REQUIRE(eventually(
+      [&] { return this->events(1, this->Setup.Targets) >= MostEvents; }));
+  REQUIRE(this->running(1, 1) > 0);
+  REQUIRE(this->running(Killed, Killed) > 0);
   for (int I = 1; I <= Killed; ++I)
     this->Run.killVm(targetName(I));
   this->checkAllWhole(Started);
@@ -494,14 +507,14 @@
 
   this->faultTargets(1, 4, R"({"call":"flood"})");
   Poco::Net::StreamSocket Caller =
-      this->send(this->requestOf("/chat/x", "never-reads", milliseconds(1000)));
+      this->send(this->requestOf("/chat/x", "never-reads", milliseconds(3000)));
   readStart(Caller);
-  this->checkCutOnce("n1", "never-reads", "caller_slow");
+  this->checkCutOnce("n1", "never-reads", "caller_slow", milliseconds(5000));
 
   Poco::Net::StreamSocket Later =
       this->send(this->requestOf("/chat/x", "reads-late"));
   readStart(Later);
-  std::this_thread::sleep_for(milliseconds(1500));
+  this->waitUntilHeldUp(milliseconds(1200));
   for (int I = 1; I <= 4; ++I)
     this->Run.killVm(targetName(I));
   readToEnd(Later);
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -349,6 +349,7 @@
     Poco::JSON::Object Out;
     Out.set("runs", this->Runs.load());
     Out.set("left", this->AbortedStreams.load());
+    Out.set("events", this->Sent.load());
     BoundedSlots::Counts Counts = this->Slots.counts();
     Out.set("running", Counts.Running);
     Out.set("present", Counts.Present);
@@ -455,13 +456,14 @@
   }
 
   /// Sends events until the connection ends.
-  static void flood(std::ostream &Out) {
+  void flood(std::ostream &Out) {
     constexpr int EventsAtOnce = 100;
     for (int Id = 1; Out.good();) {
       std::string Events;
       for (int I = 0; I < EventsAtOnce; ++I, ++Id)
         Events += "id: " + std::to_string(Id) + "\ndata: piece\n\n";
       Out << Events << std::flush;
+      this->Sent += EventsAtOnce;
     }
   }
 
@@ -492,7 +494,7 @@
     std::string HeldBack;
     if (Fault == "flood")
       return flood(Out);
-    for (int Id = From + 1; Id <= Events && Out.good(); ++Id) {
+    for (int Id = From + 1; Id <= Events && Out.good(); ++Id, ++this->Sent) {
       if (Id - From > FaultAfter && Fault == "die_after")
         return drop(Request, Response);
       if (Id - From > FaultAfter && Fault == "unframed_cut") {
@@ -530,6 +532,8 @@
   std::atomic<int> Runs{0};
   /// Streams whose reader disconnected before their end.
   std::atomic<int> AbortedStreams{0};
+  /// Events of streams.
+  std::atomic<std::uint64_t> Sent{0};
 };
 
 } // namespace waycove::standin
--- a/tests/support/started_answers_fixture.cpp
+++ b/tests/support/started_answers_fixture.cpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <set>
 #include <sstream>
+#include <utility>
 
 namespace waycove::test {
 
@@ -273,6 +274,24 @@
   return Sum;
 }
 
+std::uint64_t StartedAnswersFixture::events(int First, int Last) {
+  std::uint64_t Sum = 0;
+  for (int I = First; I <= Last; ++I)
+    Sum += this->Run.atVm(targetName(I), {.Path = "/runs"}).number("events");
+  return Sum;
+}
+
+void StartedAnswersFixture::waitUntilHeldUp(Milliseconds Duration) {
+  std::uint64_t Sent = 0;
+  auto Since = std::chrono::steady_clock::now();
+  REQUIRE(eventually([&] {
+    std::uint64_t Now = this->events(1, this->Setup.Targets);
+    if (std::exchange(Sent, Now) != Now)
+      Since = std::chrono::steady_clock::now();
+    return std::chrono::steady_clock::now() - Since >= Duration;
+  }));
+}
+
 int StartedAnswersFixture::busiest() {
   int Busiest = 1;
   std::uint64_t Most = 0;
--- a/tests/support/started_answers_fixture.h
+++ b/tests/support/started_answers_fixture.h
@@ -101,6 +101,10 @@
   /// Requests that run at the targets; those that are stopped must not be
   /// asked.
   std::uint64_t running(int First, int Last);
+  /// Events that targets have sent; those that are stopped must not be asked.
+  std::uint64_t events(int First, int Last);
+  /// Waits until no target could send an event for \p Duration.
+  void waitUntilHeldUp(Milliseconds Duration);
   /// The target that runs most requests.
   int busiest();
   /// Targets in the entry's log line about those that serve.
