End an attempt whose target sends what is no answer

What callers would see: 504 though another target is free, since a target that sends interim responses, trailer lines or header fields is never silent; and a silent attempt that got a byte of such took its successor's place. Cause: each byte counted as progress. AnswerProgress counts what moves an answer on: its head, a part of a body, an event. Bytes that do not, for the patience with a slow target, end the attempt, as does what is over the bounds; another target is tried while there is time. The body of a refusal is read for 50 ms and 64 KB, of a late answer nothing is kept, and an earlier attempt goes on only if what came moves it on. Ruled out: measuring from when the request was sent, which would end a late head in two parts; counting time in which this node stood still.

--- a/src/entry/attempt_recorder.cpp
+++ b/src/entry/attempt_recorder.cpp
@@ -8,6 +8,7 @@
 
 void AttemptRecorder::start(const RelayExchange &Ex, RelayAttempt &Attempt) {
   Attempt.LastByte = Attempt.SentAt;
+  Attempt.Answer = AnswerProgress(Attempt.SentAt);
   Attempt.IsOpen = true;
   this->Board.TargetStats.write([&](TargetStatsTable &Stats) {
     Stats.onStart(Attempt.target(),
--- a/src/entry/relay_attempt.h
+++ b/src/entry/relay_attempt.h
@@ -8,6 +8,7 @@
 #include "entry/relay_request.h"
 #include "entry/retry_policy.h"
 #include "entry/target_connection.h"
+#include "policy/answer_progress.h"
 #include "policy/retry.h"
 
 #include <vector>
@@ -69,6 +70,9 @@
   TimePoint OpenedSince;
   TimePoint SentAt;
   TimePoint LastByte;
+  /// Whether what arrives is an answer.
+  AnswerProgress Answer;
+  ResponseHeadReader Heads;
   bool FirstByteSeen = false;
   /// The connection ended before the response did; the target may have crashed.
   bool ConnectionLost = false;
--- a/src/entry/response_forwarder.h
+++ b/src/entry/response_forwarder.h
@@ -41,7 +41,6 @@
   /// three heartbeats, and retries at it would use up the retry limit. A change
   /// of its registry entry ends this early (RegistryFollower).
   static constexpr Millis WrongTargetDuration{3600};
-  static constexpr std::size_t MaxHeadBytes = 64 << 10;
   static constexpr std::size_t MaxEventBytes = 1 << 20;
   /// Targets end a response that stays unread for some seconds.
   static constexpr Millis UnreadDuration{1000};
@@ -54,22 +53,16 @@
                                             RelayAttempt &Attempt) {
     std::string &Buffer = Attempt.Connection->buffer();
     for (unsigned Skipped = 0; Skipped <= MaxSkipped;) {
-      std::optional<std::size_t> Length = headLength(Buffer);
-      if (!Length) {
-        if (Buffer.size() > MaxHeadBytes)
-          break;
+      std::optional<Poco::Net::HTTPResponse> Head;
+      ResponseHeadReader::Result Read = Attempt.Heads.take(Buffer, Head);
+      if (Read == ResponseHeadReader::Result::Incomplete) {
         if (std::optional<AttemptOutcome> End =
                 this->Waiter.waitForBytes(Ex, Attempt))
           return *End;
         continue;
       }
-      auto Head =
-          parseResponseHead(std::string_view(Buffer).substr(0, *Length));
-      if (!Head)
+      if (Read == ResponseHeadReader::Result::Invalid)
         break;
-      Buffer.erase(0, *Length);
-      if (Head->getStatus() < 200)
-        continue;
       auto Body = responseBody(*Head, Ex.Request.Head.getMethod());
       if (!Body)
         break;
@@ -77,6 +70,7 @@
       if (Attempt.Connection->isDirect())
         this->Monitor.onContact();
       if (Info.Id == Ex.Request.Info.Id) {
+        Attempt.Answer.onProgress();
         if (Info.Statement)
           this->Log.recordStatement(
               {Attempt.target(), Attempt.SentAt, Ex.Request.Info.Id},
@@ -87,17 +81,14 @@
       }
       // A late response to an earlier request: discard it, ours follows.
       ++Skipped;
-      BufferedBody Discarded;
-      if (AttemptOutcome End =
-              this->Waiter.readBody(Ex, Attempt, *Body, Discarded);
+      if (AttemptOutcome End = this->Waiter.skipBody(Ex, Attempt, *Body);
           End != AttemptOutcome::Done) {
         // Where the next response begins is no longer known.
         Attempt.Next.reset();
         return End == AttemptOutcome::Silent ? AttemptOutcome::Broken : End;
       }
     }
-    Attempt.Reason = "what came is no answer";
-    return AttemptOutcome::Broken;
+    return this->Waiter.endOverBounds(Ex, Attempt, "what came is no answer");
   }
 
   static bool isEventStream(const RelayExchange &Ex,
@@ -132,11 +123,8 @@
   /// Ends an attempt whose target states that it did not run the request.
   AttemptOutcome endDeclined(RelayExchange &Ex, RelayAttempt &Attempt) {
     TargetResponse &Received = *Attempt.Received;
-    BufferedBody Unused;
-    if (this->Waiter.readBody(Ex, Attempt, Received.Body, Unused) ==
-        AttemptOutcome::Done)
+    if (this->Waiter.skipDeclinedBody(Ex, Attempt, Received.Body))
       this->returnConnection(Ex, Attempt);
-    Attempt.Next.reset();
     Attempt.Reason =
         "not taken, status " + std::to_string(Received.Head.getStatus());
     this->Log.suspectTarget(Attempt.target(),
@@ -182,10 +170,12 @@
       Received.Body.feed(Attempt.Connection->buffer(), Received.Payload);
       std::string Ready;
       bool InOrder = extractEvents(Ex, Received, Ready);
-      if (!Ready.empty())
+      if (!Ready.empty()) {
+        Attempt.Answer.onProgress();
         this->Board.TargetStats.write([&](TargetStatsTable &Stats) {
           Stats.onProgress(Attempt.target(), Attempt.LastByte);
         });
+      }
       // LastEvent already includes these events, so they are sent even if the
       // next one is out of order.
       if (!this->forwardEvents(Ex, Attempt, Ready))
@@ -197,10 +187,9 @@
       if (Received.Body.isDone())
         return this->endStream(Ex, Attempt);
       if (Received.Body.isMalformed() ||
-          Received.Payload.size() > MaxEventBytes) {
-        Attempt.Reason = "the stream's framing is damaged";
-        return AttemptOutcome::Broken;
-      }
+          Received.Payload.size() > MaxEventBytes)
+        return this->Waiter.endOverBounds(Ex, Attempt,
+                                          "the stream's framing is damaged");
       if (std::optional<AttemptOutcome> End =
               this->Waiter.waitForBody(Ex, Attempt, Received.Body))
         return endUnread(Ex, Attempt, *End);
@@ -284,6 +273,7 @@
       Attempt.HeldUpFor +=
           std::chrono::duration_cast<Millis>(Now - *HeldUpSince);
       Attempt.LastByte = Now;
+      Attempt.Answer = AnswerProgress(Now);
       this->Board.TargetStats.write(
           [&](TargetStatsTable &Stats) { Stats.onReleased(Target, Now); });
     }
--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -4,6 +4,8 @@
 
 #include "entry/response_wait.h"
 
+#include "control/over_bounds.h"
+
 #include <utility>
 
 namespace waycove {
@@ -24,8 +26,12 @@
 /// What can be read without a wait is still read this long after the deadline,
 /// since a response that is ready is delivered.
 constexpr Millis ReadGrace{100};
-/// Limit on a body that is buffered whole.
+/// Limit on a body that is buffered whole, or skipped.
 constexpr std::size_t MaxBodyBytes = 16 << 20;
+/// What is read of the body of a response that declines a request, to keep the
+/// connection: the request waits meanwhile.
+constexpr std::size_t MaxDeclinedBytes = 64 << 10;
+constexpr Millis DeclinedBodyTime{50};
 
 constexpr const char *ClosedReason = "the connection closed";
 
@@ -54,8 +60,10 @@
 std::optional<AttemptOutcome> receiveBytes(RelayAttempt &Attempt, TimePoint Now,
                                            TimePoint Until) {
   IoStatus Status = Attempt.Connection->fillNow(Until);
-  if (Status == IoStatus::Ok)
+  if (Status == IoStatus::Ok) {
     Attempt.LastByte = Now;
+    Attempt.Answer.onBytes(Now);
+  }
   if (Status == IoStatus::Ok || Status == IoStatus::Timeout)
     return std::nullopt;
   const NeighbourChannel *Through = Attempt.Connection->through();
@@ -69,13 +77,28 @@
   return AttemptOutcome::Broken;
 }
 
+/// How long a target may take for the next part of its answer.
+Millis patienceFor(const RelayExchange &Ex, const RelayAttempt &Attempt) {
+  const HttpRoute &Route = *Ex.Request.Route;
+  Millis Goal = Attempt.FirstByteSeen ? Route.PauseGoal : Route.Goal;
+  return std::max(MinPatience, 2 * Goal);
+}
+
 } // namespace
 
 std::optional<AttemptOutcome>
 ResponseWait::waitForBytes(RelayExchange &Ex, RelayAttempt &Attempt) {
+  auto RunningTime = [this](TimePoint From, TimePoint Until) {
+    return this->Board.runningTime(From, Until);
+  };
+  if (Millis Patience = patienceFor(Ex, Attempt);
+      Attempt.Answer.isNoAnswer(Patience, RunningTime))
+    return this->endOverBounds(Ex, Attempt,
+                               "bytes that are no answer for " +
+                                   std::to_string(Patience.count()) + " ms");
   TimePoint Until =
       std::min(Ex.Request.Deadline,
-               Attempt.LastByte +
+               Attempt.Answer.lastAt() +
                    (this->Board.Stopping ? CheckInterval : FirstCheckDelay));
   while (true) {
     if (this->Board.Ending) {
@@ -84,7 +107,9 @@
     }
     const std::vector<int> Sockets = socketsOf(Ex, Attempt);
     std::optional<std::size_t> Readable =
-        waitForAny(Sockets, Ex.Caller.descriptor(), Until);
+        Attempt.Connection->hasInput()
+            ? TargetSocket
+            : waitForAny(Sockets, Ex.Caller.descriptor(), Until);
     TimePoint Now = SystemClock{}.now();
     if (Readable == TargetSocket && Now < Ex.Request.Deadline + ReadGrace)
       return receiveBytes(Attempt, Now, Ex.Request.Deadline + ReadGrace);
@@ -110,15 +135,17 @@
 bool ResponseWait::goesOn(const RelayExchange &Ex, std::size_t Earlier,
                           TimePoint Now) {
   RelayAttempt &Other = Ex.Silent[Earlier];
-  std::size_t Before = Other.Connection->buffer().size();
   std::optional<AttemptOutcome> End = receiveBytes(Other, Now, Now + ReadGrace);
   bool IsComplete = End && Other.Received &&
                     Other.Received->Body.kind() == Framing::UntilClose &&
                     Other.Reason == ClosedReason;
-  if (IsComplete || Other.Connection->buffer().size() > Before) {
+  UnreadBytes Unread = judgeUnread(Other);
+  if (IsComplete || Unread == UnreadBytes::MoveOn) {
     std::swap(Other, Ex.Silent.back());
     return true;
   }
+  if (Unread == UnreadBytes::Invalid)
+    End = this->endOverBounds(Ex, Other, "what came is no answer");
   if (End) {
     this->Attempts.end(Ex, Other, *End);
     Ex.Silent.erase(Ex.Silent.begin() + static_cast<std::ptrdiff_t>(Earlier));
@@ -126,6 +153,32 @@
   return false;
 }
 
+ResponseWait::UnreadBytes ResponseWait::judgeUnread(RelayAttempt &Attempt) {
+  // Of copies: the attempt itself reads them if it goes on.
+  std::string Bytes = Attempt.Connection->buffer();
+  bool IsTooMuch = Bytes.size() > ResponseHeadReader::MaxBytes;
+  bool MovesOn = false;
+  if (!Attempt.Received) {
+    ResponseHeadReader Heads = Attempt.Heads;
+    std::optional<Poco::Net::HTTPResponse> Head;
+    ResponseHeadReader::Result Read = Heads.take(Bytes, Head);
+    IsTooMuch |= Read == ResponseHeadReader::Result::Invalid;
+    MovesOn = Read == ResponseHeadReader::Result::Complete;
+  } else {
+    BodyDecoder Body = Attempt.Received->Body;
+    std::string Payload = Attempt.Received->Payload;
+    std::size_t Before = Payload.size();
+    Body.feed(Bytes, Payload);
+    bool IsStream = !Attempt.Received->Whole;
+    MovesOn = Body.isDone() || (IsStream ? takeEvent(Payload).has_value()
+                                         : Payload.size() > Before);
+    IsTooMuch |= Body.isMalformed();
+  }
+  if (MovesOn)
+    return UnreadBytes::MoveOn;
+  return IsTooMuch ? UnreadBytes::Invalid : UnreadBytes::Incomplete;
+}
+
 bool ResponseWait::prepareNext(RelayExchange &Ex, RelayAttempt &Attempt,
                                TimePoint Now) {
   this->Standstills.onRunning(Now);
@@ -165,24 +218,82 @@
   // One that goes on has its share.
   if (Payload.Bytes.empty())
     Payload.Share = {this->Buffers, BufferBudget::Use::Response};
+  // It need not be read to know that it does not fit.
+  if (Body.remaining() > MaxBodyBytes && Body.kind() == Framing::Length) {
+    Attempt.Reason = "the answer is larger than what is buffered";
+    return AttemptOutcome::Broken;
+  }
   while (true) {
+    std::size_t Before = Payload.Bytes.size();
     Body.feed(Attempt.Connection->buffer(), Payload.Bytes);
+    if (Payload.Bytes.size() > Before)
+      Attempt.Answer.onProgress();
     if (!Payload.Share.growTo(Payload.Bytes.size())) {
       Attempt.Reason = "the buffers for bodies are full";
       return AttemptOutcome::Broken;
     }
     if (Body.isDone())
       return AttemptOutcome::Done;
-    if (Body.isMalformed() || Payload.Bytes.size() > MaxBodyBytes) {
-      Attempt.Reason = "the answer's framing is damaged";
-      return AttemptOutcome::Broken;
-    }
+    if (Body.isMalformed() || Payload.Bytes.size() > MaxBodyBytes)
+      return this->endOverBounds(Ex, Attempt,
+                                 "the answer's framing is damaged");
     if (std::optional<AttemptOutcome> End =
             this->waitForBody(Ex, Attempt, Body))
       return *End;
   }
 }
 
+AttemptOutcome ResponseWait::skipBody(RelayExchange &Ex, RelayAttempt &Attempt,
+                                      BodyDecoder &Body) {
+  for (std::size_t Skipped = 0; Skipped <= MaxBodyBytes;) {
+    std::string Dropped;
+    Body.feed(Attempt.Connection->buffer(), Dropped);
+    Skipped += Dropped.size();
+    if (Body.isDone())
+      return AttemptOutcome::Done;
+    if (Body.isMalformed())
+      break;
+    if (std::optional<AttemptOutcome> End =
+            this->waitForBody(Ex, Attempt, Body))
+      return *End;
+  }
+  return this->endOverBounds(Ex, Attempt, "a late answer without end");
+}
+
+bool ResponseWait::skipDeclinedBody(const RelayExchange &Ex,
+                                    RelayAttempt &Attempt, BodyDecoder &Body) {
+  TimePoint Until = SystemClock{}.now() + DeclinedBodyTime;
+  for (std::size_t Skipped = 0; Skipped <= MaxDeclinedBytes;) {
+    std::string Dropped;
+    Body.feed(Attempt.Connection->buffer(), Dropped);
+    Skipped += Dropped.size();
+    if (Body.isDone())
+      return true;
+    if (Body.isMalformed())
+      break;
+    TimePoint Now = SystemClock{}.now();
+    bool IsReadable = Now < Until &&
+                      waitForAny({Attempt.Connection->descriptor()},
+                                 Ex.Caller.descriptor(), Until) == TargetSocket;
+    if (!IsReadable || receiveBytes(Attempt, Now, Until))
+      return false;
+  }
+  // One that was announced ends.
+  if (Body.kind() != Framing::Length)
+    reportOverBounds(this->Board, Attempt.target(), Ex.Request.Info.Id.Text,
+                     "the body of a refusal without end");
+  return false;
+}
+
+AttemptOutcome ResponseWait::endOverBounds(const RelayExchange &Ex,
+                                           RelayAttempt &Attempt,
+                                           const std::string &Reason) {
+  Attempt.Reason = Reason;
+  reportOverBounds(this->Board, Attempt.target(), Ex.Request.Info.Id.Text,
+                   Reason);
+  return AttemptOutcome::Broken;
+}
+
 /// Whether the link to the target, rather than the target itself, is lost: this
 /// node's own, or the one through another node.
 bool ResponseWait::hasLostWay(RelayAttempt &Attempt, TimePoint Now) {
@@ -217,17 +328,15 @@
 /// a busy target still makes progress with other requests.
 bool ResponseWait::isUnresponsive(const RelayExchange &Ex,
                                   RelayAttempt &Attempt, TimePoint Now) {
-  const HttpRoute &Route = *Ex.Request.Route;
   const VmIncarnation Target = Attempt.target();
   Observation Observed =
       this->Board.TargetStats.read([&](const TargetStatsTable &Stats) {
         return Observation{
             Stats.isStalled(Target, Now), Stats.silence(Target, Now),
-            Stats.runningTime(Attempt.LastByte, Now),
+            Stats.runningTime(Attempt.Answer.lastAt(), Now),
             Stats.hasReports(Now) ? 0 : Stats.of(Target).FirstByteMs};
       });
-  Millis Goal = Attempt.FirstByteSeen ? Route.PauseGoal : Route.Goal;
-  Millis Patience = std::max(MinPatience, 2 * Goal);
+  Millis Patience = patienceFor(Ex, Attempt);
   if (!Attempt.FirstByteSeen)
     Patience = std::max(Patience, Millis(static_cast<std::int64_t>(
                                       SlowFactor * Observed.FirstByteMs)));
@@ -236,7 +345,7 @@
   // use up the retries that started responses may need.
   Millis StoodStill =
       Ex.Response.hasStarted()
-          ? std::chrono::duration_cast<Millis>(Now - Attempt.LastByte) -
+          ? std::chrono::duration_cast<Millis>(Now - Attempt.Answer.lastAt()) -
                 Observed.OwnSilence
           : Millis(0);
   bool TooLong = Observed.OwnSilence >= patienceAfter(StoodStill, Patience) &&
--- a/src/entry/response_wait.h
+++ b/src/entry/response_wait.h
@@ -32,11 +32,26 @@
   /// Reads a whole body. Returns Done if it is complete.
   AttemptOutcome readBody(RelayExchange &Ex, RelayAttempt &Attempt,
                           BodyDecoder &Body, BufferedBody &Payload);
+  /// The same for the body of a response to another request, of which nothing
+  /// is kept.
+  AttemptOutcome skipBody(RelayExchange &Ex, RelayAttempt &Attempt,
+                          BodyDecoder &Body);
+  /// Reads the body of a response that declines the request, as far as it comes
+  /// at once. Returns whether it is complete.
+  bool skipDeclinedBody(const RelayExchange &Ex, RelayAttempt &Attempt,
+                        BodyDecoder &Body);
+  /// Reports a target whose bytes are no answer, or more than one may have.
+  /// Returns how its attempt ends.
+  AttemptOutcome endOverBounds(const RelayExchange &Ex, RelayAttempt &Attempt,
+                               const std::string &Reason);
 
 private:
+  /// What the unread bytes of an attempt are to its answer.
+  enum class UnreadBytes { MoveOn, Incomplete, Invalid };
+  static UnreadBytes judgeUnread(RelayAttempt &Attempt);
   /// Receives what the target of an earlier attempt has sent. Returns whether
   /// that one goes on; it is the last one then. Ends it if its connection has
-  /// ended.
+  /// ended, or if what it sends is no answer.
   bool goesOn(const RelayExchange &Ex, std::size_t Earlier, TimePoint Now);
   /// Prepares the next attempt of one without progress, if that is possible.
   bool prepareNext(RelayExchange &Ex, RelayAttempt &Attempt, TimePoint Now);
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -133,6 +133,15 @@
   return Pages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::uint64_t Process::peakBytes() const {
+  std::ifstream File("/proc/" + std::to_string(this->Pid) + "/status");
+  std::uint64_t Kilobytes = 0;
+  for (std::string Word; File >> Word;)
+    if (Word == "VmHWM:" && File >> Kilobytes)
+      break;
+  return Kilobytes << 10;
+}
+
 int Process::wait(std::chrono::milliseconds Within) {
   bool Ended = this->Reaped || eventually(
                                    [&] {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -31,6 +31,8 @@
   std::uint64_t descriptors() const;
   /// Mapped address space, in bytes.
   std::uint64_t mappedBytes() const;
+  /// The most memory that it has had resident, in bytes.
+  std::uint64_t peakBytes() const;
   /// Returns the exit status, 128 plus the signal number, or -1 if the process
   /// still runs after \p Within.
   int wait(std::chrono::milliseconds Within);
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -40,10 +40,10 @@
     }));
   }
 
-  void publish(int Version, const std::string &Key) {
+  void publish(int Version, const std::string &Key, int TimeoutMs = 6000) {
     this->Run.atPlatform({"POST",
                           "/store/put?topic=keyed.op&key=config",
-                          entryConfig(Version, Key),
+                          entryConfig(Version, Key, TimeoutMs),
                           {}});
   }
   bool isReady() {
