Close kept connections on which bytes arrive unasked

Bytes that belong to no request stayed in the kernel's buffers, which count as the node's memory, until the connection was used again or timed out. Test: endless bytes: on a kept connection.

--- a/src/entry/target_connection_pool.cpp
+++ b/src/entry/target_connection_pool.cpp
@@ -56,9 +56,9 @@
   std::lock_guard Lock(this->Mutex);
   for (auto At = this->ByTarget.begin(); At != this->ByTarget.end();) {
     std::deque<IdleConnection> &Connections = At->second;
-    // The oldest are at the front.
-    while (!Connections.empty() && Connections.front().GoodUntil <= Now)
-      Connections.pop_front();
+    std::erase_if(Connections, [&](const IdleConnection &Idle) {
+      return Idle.GoodUntil <= Now || Idle.Connection.isReadable();
+    });
     bool Drop = Connections.empty() || !IsListed(At->first);
     At = Drop ? this->ByTarget.erase(At) : std::next(At);
   }
--- a/src/entry/target_connection_pool.h
+++ b/src/entry/target_connection_pool.h
@@ -26,8 +26,8 @@
            unsigned Max, TimePoint Now);
   /// Closes all idle connections, for their descriptors.
   void closeIdle();
-  /// Closes connections that were idle too long and those to targets that are
-  /// not listed.
+  /// Closes connections that were idle too long, those to targets that are not
+  /// listed, and those with unread bytes, which belong to no request.
   void sweep(const std::function<bool(const VmIncarnation &)> &IsListed,
              TimePoint Now);
 
