Read a part at a time of what comes through another node

One read of a way through another node took all frames that came within 300 ms. It takes 256 KB, and what is left is read before the next wait.

--- a/src/entry/neighbour_channel.cpp
+++ b/src/entry/neighbour_channel.cpp
@@ -35,7 +35,8 @@
     } else {
       return IoStatus::Broken;
     }
-  } while (!this->Ended && this->Link->hasInput() && this->LastFrameAt < Until);
+  } while (this->hasInput() && this->LastFrameAt < Until &&
+           this->Buffer.size() < Before + FillBytes);
   if (this->Buffer.size() > Before)
     return IoStatus::Ok;
   return this->Ended.value_or(IoStatus::Timeout);
--- a/src/entry/neighbour_channel.h
+++ b/src/entry/neighbour_channel.h
@@ -23,8 +23,10 @@
   IoStatus send(std::string_view Bytes, TimePoint Until);
   /// Reads what has arrived, and the rest of a frame that arrives by \p Until.
   /// Timeout if it holds no bytes of the target, but shows that the other node
-  /// is alive.
+  /// is alive. Leaves what is more than a response usually has for later.
   IoStatus fillNow(TimePoint Until);
+  /// Whether frames have been received that fillNow() has not read yet.
+  bool hasInput() const { return !this->Ended && this->Link->hasInput(); }
   void abort() { this->Link->abort(); }
   std::string &buffer() { return this->Buffer; }
   int descriptor() const { return this->Link->descriptor(); }
@@ -45,6 +47,8 @@
   /// For the rest of a frame of which some bytes have arrived.
   static constexpr Millis FrameTimeout{300};
   static constexpr Millis SilenceTimeout{600};
+  /// Bytes that one fillNow() reads, about: a target may send without end.
+  static constexpr std::size_t FillBytes = 256 << 10;
 
   EntryBoard *Board;
   NodeId Node;
--- a/src/entry/target_connection.h
+++ b/src/entry/target_connection.h
@@ -30,6 +30,11 @@
       return Direct->fillNow();
     return std::get<NeighbourChannel>(this->Way).fillNow(Until);
   }
+  /// Whether bytes can be read that a wait on the descriptor would not show.
+  bool hasInput() const {
+    const NeighbourChannel *Through = this->through();
+    return Through && Through->hasInput();
+  }
   /// Closes with a reset, which discards bytes that were not delivered.
   void abort() {
     std::visit([](auto &Any) { Any.abort(); }, this->Way);
