Bound the time of a frame of another node, not of its gaps

A frame that trickles in held its link's thread for as long as bytes came: the timeout was that of each read. The rest of a frame has 30 s now, the largest frames on the slowest links.

--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -27,8 +27,6 @@
 constexpr std::size_t MaxReadBytes = 256 << 10;
 constexpr std::size_t MaxKeptBytes = 64 << 10;
 constexpr Millis SendTimeout(3000);
-/// Of a read that does not have to wait.
-constexpr Millis MaxReadTime(1000);
 
 Poco::Timespan spanOf(Millis Duration) { return {Duration.count() * 1000}; }
 
@@ -138,18 +136,29 @@
   return true;
 }
 
+absl::StatusOr<wire::FrameT> FrameSocket::receive(Millis Timeout,
+                                                  Millis FrameTime) {
+  try {
+    if (std::exchange(this->ReceiveTimeout, Timeout) != Timeout)
+      this->Socket.setReceiveTimeout(spanOf(Timeout));
+    if (this->Buffer.empty() && !this->fill(1))
+      return makeError(ErrorKind::OutcomeUnknown, "the peer closed");
+  } catch (const Poco::Exception &Error) {
+    return makeError(ErrorKind::OutcomeUnknown, Error.displayText());
+  }
+  return this->receiveBy(BootClock::now() + FrameTime);
+}
+
 absl::StatusOr<wire::FrameT> FrameSocket::receiveBy(TimePoint Until) {
-  this->ReceiveUntil = Until;
   // Each read follows on a poll, so that it does not wait.
-  absl::StatusOr<wire::FrameT> Frame = this->receive(MaxReadTime);
+  this->ReceiveUntil = Until;
+  absl::StatusOr<wire::FrameT> Frame = this->receiveFrame();
   this->ReceiveUntil.reset();
   return Frame;
 }
 
-absl::StatusOr<wire::FrameT> FrameSocket::receive(Millis Timeout) {
+absl::StatusOr<wire::FrameT> FrameSocket::receiveFrame() {
   try {
-    if (std::exchange(this->ReceiveTimeout, Timeout) != Timeout)
-      this->Socket.setReceiveTimeout(spanOf(Timeout));
     if (!this->fill(LengthBytes))
       return makeError(ErrorKind::OutcomeUnknown, "the peer closed");
     std::uint32_t Size = 0;
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -17,6 +17,9 @@
 
 /// Maximum size of a frame.
 constexpr std::size_t MaxFrameBytes = 64 << 20;
+/// For the rest of a frame of which some bytes have arrived: the largest ones,
+/// on the slowest links.
+constexpr Millis MaxFrameTime(30000);
 
 /// Serialises a frame without its length prefix.
 std::string packFrame(const wire::FrameT &Frame);
@@ -40,8 +43,10 @@
   bool send(const wire::FrameT &Frame,
             std::optional<TimePoint> Until = std::nullopt);
   /// Receives the next frame. Errors: OutcomeUnknown if the connection ended or
-  /// nothing arrived within \p Timeout; BadRequest for a damaged frame.
-  absl::StatusOr<wire::FrameT> receive(Millis Timeout);
+  /// nothing arrived within \p Timeout, or not the rest of a frame within
+  /// \p FrameTime; BadRequest for a damaged frame.
+  absl::StatusOr<wire::FrameT> receive(Millis Timeout,
+                                       Millis FrameTime = MaxFrameTime);
   /// The same, but the whole frame has to arrive by \p Until.
   absl::StatusOr<wire::FrameT> receiveBy(TimePoint Until);
   /// Whether bytes of the next frame have already been received.
@@ -56,6 +61,7 @@
   void shutdown();
 
 private:
+  absl::StatusOr<wire::FrameT> receiveFrame();
   /// Reads until the buffer holds \p Count bytes; false if the peer closed.
   /// Throws Poco::TimeoutException.
   bool fill(std::size_t Count);
--- a/tests/unit/carrier_test.cpp
+++ b/tests/unit/carrier_test.cpp
@@ -6,6 +6,7 @@
 #include "entry/carrier.h"
 #include "entry/neighbour_channel.h"
 #include "platform/callers.h"
+#include "support/entry_settings.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
@@ -14,18 +15,6 @@
 
 namespace waycove::test {
 
-namespace {
-
-Settings entrySettings() {
-  Settings Config;
-  Config.Node = NodeId("n");
-  Config.DataCentre = DataCentreId("here");
-  Config.Entry.emplace();
-  return Config;
-}
-
-} // namespace
-
 /// A node that carries a request of another one to a target which is silent.
 struct CarriedFixture {
   CarriedFixture() {
--- a/tests/unit/standstill_monitor_test.cpp
+++ b/tests/unit/standstill_monitor_test.cpp
@@ -5,6 +5,7 @@
 // What the first thread of a node that stood still takes for silence.
 #include "control/member_prober.h"
 #include "control/shared_observations.h"
+#include "support/entry_settings.h"
 #include "support/times.h"
 #include "wire/news_frames.h"
 
@@ -15,14 +16,6 @@
 
 namespace {
 
-Settings entrySettings() {
-  Settings Config;
-  Config.Node = NodeId("n");
-  Config.DataCentre = DataCentreId("here");
-  Config.Entry.emplace();
-  return Config;
-}
-
 /// Counts the targets that are probed.
 struct CountingControl {
   OrderOutcome order(const GroupOrder &, std::uint64_t) {
