Refuse a request whose body has not arrived by its deadline

A body that trickles in was read past the request's deadline, as long as its gaps were below idle_timeout_ms (open in PLATFORM.md). It is refused with 408 at its route's timeout.

--- a/src/entry/caller_server.h
+++ b/src/entry/caller_server.h
@@ -121,6 +121,7 @@
                 RelayRequest &Request) {
     std::string &Payload = Request.Body.Bytes;
     std::size_t DroppedBytes = 0;
+    std::optional<TimePoint> Deadline;
     while (true) {
       Body.feed(Caller.buffer(), Payload);
       if (DroppedBytes + Payload.size() > Limits.BodyBytes)
@@ -136,7 +137,16 @@
         return this->refuse(Caller, 400, "the body's chunks are malformed");
       if (Body.isDone())
         return true;
-      if (Caller.fill(SystemClock{}.now() + Limits.IdleTimeout) != IoStatus::Ok)
+      if (!Deadline)
+        Deadline = bodyDeadline(this->Board, Request);
+      TimePoint Now = SystemClock{}.now();
+      if (Now >= *Deadline)
+        return this->refuse(Caller, 408, "the body did not arrive in time");
+      IoStatus Read =
+          Caller.fill(std::min(Now + Limits.IdleTimeout, *Deadline));
+      if (Read != IoStatus::Ok && Read != IoStatus::Timeout)
+        return false;
+      if (Read == IoStatus::Timeout && SystemClock{}.now() < *Deadline)
         return false;
     }
   }
--- a/src/entry/relay_request.cpp
+++ b/src/entry/relay_request.cpp
@@ -15,8 +15,29 @@
 constexpr Millis TypicalRepairTime(1500);
 constexpr Millis DefaultTimeout(10000);
 
+const HttpRoute *findRoute(const RoutingConfig &Config,
+                           const Poco::Net::HTTPRequest &Head) {
+  const std::string &Uri = Head.getURI();
+  std::string_view Path(Uri.data(), std::min(Uri.find('?'), Uri.size()));
+  return Config.find(Head.get("Host", ""), Path);
+}
+
+/// The route may be null.
+Millis timeoutOf(const HttpRoute *Route, const CallerRequestInfo &Info) {
+  Millis Timeout = Info.Timeout.value_or(DefaultTimeout);
+  return Route && Route->Timeout.count() > 0 ? std::min(Timeout, Route->Timeout)
+                                             : Timeout;
+}
+
 } // namespace
 
+TimePoint bodyDeadline(const EntryBoard &Board, const RelayRequest &Request) {
+  RoutingConfigRef Config =
+      Board.Routing.read([](const RoutingConfigRef &Config) { return Config; });
+  const HttpRoute *Route = Config ? findRoute(*Config, Request.Head) : nullptr;
+  return Request.ArrivedAt + timeoutOf(Route, Request.Info);
+}
+
 PoolKey poolOf(const RelayRequest &Request) {
   const ServiceSpec *Spec = Request.Config->service(Request.Service);
   return {Request.Service, Spec && Spec->hasGroups() ? Request.Info.Model : ""};
@@ -37,9 +58,7 @@
   if (!Config)
     return makeError(ErrorKind::NotReady, "no configuration yet",
                      TypicalRepairTime);
-  const std::string &Uri = Request.Head.getURI();
-  std::string_view Path(Uri.data(), std::min(Uri.find('?'), Uri.size()));
-  const HttpRoute *Route = Config->find(Request.Head.get("Host", ""), Path);
+  const HttpRoute *Route = findRoute(*Config, Request.Head);
   if (!Route || Route->Backends.empty())
     return makeError(ErrorKind::NotFound, "no route for this host and path");
   WorkspaceId Workspace;
@@ -54,10 +73,7 @@
     Workspace = Owner->second.Workspace;
     Request.Owner = &Owner->second;
   }
-  Millis Timeout = Request.Info.Timeout.value_or(DefaultTimeout);
-  if (Route->Timeout.count() > 0)
-    Timeout = std::min(Timeout, Route->Timeout);
-  Request.Deadline = Request.ArrivedAt + Timeout;
+  Request.Deadline = Request.ArrivedAt + timeoutOf(Route, Request.Info);
   Request.Config = std::move(Config);
   Request.Route = Route;
   Request.Workspace = std::move(Workspace);
--- a/src/entry/relay_request.h
+++ b/src/entry/relay_request.h
@@ -119,6 +119,10 @@
 /// the workspace, whose keys may change, or else the API key.
 ContentHash contentHashOf(const RelayRequest &Request);
 
+/// When the body of a request of which the head has arrived has to be there: at
+/// its deadline by the current configuration.
+TimePoint bodyDeadline(const EntryBoard &Board, const RelayRequest &Request);
+
 /// Sets the request's route, workspace, service and deadline by the current
 /// configuration. They hold for all attempts; later changes of the
 /// configuration only affect later requests. Errors: NotReady, NotFound,
