--- a/tools/without.py
+++ b/tools/without.py
@@ -363,6 +363,52 @@
         "GroupCounts After = Now;\n    ++After[Model->Name];\n"
         "    double Gain = S.lossOf(Now) - S.lossOf(After);",
         "forming: another model has no group"),
+    "earlier-life": (
+        "src/control/domain_owner.h",
+        "if (!this->HasEndedEarlierLife && !this->endEarlierLife())",
+        "if (false)",
+        "domain owner: its process starts again"),
+    "unlisted-model": (
+        "src/policy/domain_review.cpp",
+        "if (!Model)\n    return this->reviewUnlisted(S, Key, Group);", "",
+        "staging: the model of a serving group"),
+    "epochs-of-life": (
+        "src/control/domain_owner.h",
+        "std::max(Assignment.fence() << EpochCounterBits, this->LastEpoch)",
+        "Assignment.fence() << EpochCounterBits",
+        "domain owner: all VMs of a domain go"),
+    "framing-bound": (
+        "src/net/framing.cpp",
+        "this->Malformed = this->FramingBytes > this->maxFramingBytes();", "",
+        "chunked body: framing|endless"),
+    "heads-bound": (
+        "src/net/framing.cpp",
+        "this->TakenBytes += *Length;", "",
+        "response heads|endless answers: one of two targets sends"),
+    "answer-progress": (
+        "src/policy/answer_progress.h",
+        "return this->HasUnused &&", "return Patience < Millis(0) &&",
+        "answer progress|endless answers: one of two targets trickles"),
+    "reply-time": (
+        "src/net/response_reader.cpp",
+        "BootClock::now() < this->Bounds.Until", "true",
+        "endless reply"),
+    "kept-unread": (
+        "src/entry/target_connection_pool.cpp",
+        " || Idle.Connection.isReadable()", "",
+        "endless bytes: on a kept"),
+    "part-of-a-way": (
+        "src/entry/neighbour_channel.cpp",
+        "this->Buffer.size() < Before + FillBytes", "true",
+        "endless bytes: through another"),
+    "frame-time": (
+        "src/wire/frame.cpp",
+        "BootClock::now() + FrameTime", "BootClock::now() + MaxFrameTime",
+        "endless bytes: a frame"),
+    "body-deadline": (
+        "src/entry/caller_server.h",
+        "if (Now >= *Deadline)", "if (false)",
+        "endless request: its body"),
     "labels-deny": (
         "src/policy/labels.cpp",
         "if (!Value)\n      return false;", "if (!Value)\n      continue;",
