--- a/src/entry/response_wait.cpp
+++ b/src/entry/response_wait.cpp
@@ -28,6 +28,10 @@
 constexpr Millis ReadGrace{100};
 /// Limit on a body that is buffered whole, or skipped.
 constexpr std::size_t MaxBodyBytes = 16 << 20;
+/// Beyond this size a body gets room for the largest one and a read at once,
+/// rather than for twice its own.
+constexpr std::size_t LargeBodyBytes = MaxBodyBytes / 2;
+constexpr std::size_t LargeBodyRoom = MaxBodyBytes + (512 << 10);
 /// What is read of the body of a response that declines a request, to keep the
 /// connection: the request waits meanwhile.
 constexpr std::size_t MaxDeclinedBytes = 64 << 10;
@@ -224,8 +228,11 @@
     return AttemptOutcome::Broken;
   }
   while (true) {
+    std::string &Unread = Attempt.Connection->buffer();
     std::size_t Before = Payload.Bytes.size();
-    Body.feed(Attempt.Connection->buffer(), Payload.Bytes);
+    if (Before + Unread.size() > LargeBodyBytes)
+      Payload.Bytes.reserve(LargeBodyRoom);
+    Body.feed(Unread, Payload.Bytes);
     if (Payload.Bytes.size() > Before)
       Attempt.Answer.onProgress();
     if (!Payload.Share.growTo(Payload.Bytes.size())) {
