Let a stand-in's whole answer before endless bytes be its own

The stand-in answered "ok" with its own seal and the request's ID before its bytes without end (kind "after"), where the soak knows the body that belongs to the request: a fault of the test. The body is the request's own now; the check is as it was.

No functional change

--- a/tests/standins/endless.h
+++ b/tests/standins/endless.h
@@ -38,8 +38,9 @@
   static constexpr std::chrono::milliseconds TrickleInterval{20};
 
   /// \p Fields are the header fields of a sound response, each with its line
-  /// end.
-  EndlessResponse(const std::string &Fault, const std::string &Fields)
+  /// end, and \p Body is its body.
+  EndlessResponse(const std::string &Fault, const std::string &Fields,
+                  const std::string &Body = "ok")
       : IsSlow(Fault.starts_with("trickle:")) {
     const std::string Kind = Fault.substr(Fault.find(':') + 1);
     const std::string Ok = "HTTP/1.1 200 OK\r\n" + Fields;
@@ -68,7 +69,9 @@
                     "X-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
                 Chunk);
     else
-      this->set(Ok + "Content-Length: 2\r\n\r\nok", "aaaaaaaaaa");
+      this->set(Ok + "Content-Length: " + std::to_string(Body.size()) +
+                    "\r\n\r\n" + Body,
+                "aaaaaaaaaa");
   }
 
   /// Sends until the peer ends the connection. Returns the bytes that it took.
--- a/tests/standins/replica.h
+++ b/tests/standins/replica.h
@@ -265,7 +265,7 @@
   /// Sends bytes without end in place of a response.
   void sendEndless(Poco::Net::HTTPServerRequest &Request,
                    Poco::Net::HTTPServerResponse &Response,
-                   const std::string &Fault) {
+                   const std::string &Fault, const std::string &Body = "{}") {
     std::string Fields = "X-Request-Id: " + Request.get("X-Request-Id", "") +
                          "\r\nX-Replica-Seal: seal-" + this->Setup.Id + "\r\n";
     if (this->Setup.Role == "engine")
@@ -273,7 +273,7 @@
     auto &Socket =
         dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(Request).socket();
     auto Begin = std::chrono::steady_clock::now();
-    std::uint64_t Bytes = EndlessResponse(Fault, Fields).sendTo(Socket);
+    std::uint64_t Bytes = EndlessResponse(Fault, Fields, Body).sendTo(Socket);
     auto Took = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::steady_clock::now() - Begin);
     {
@@ -442,8 +442,11 @@
     if (this->Setup.Role != "engine")
       std::cout << "ran " + Request.get("X-Request-Id", "") + "\n"
                 << std::flush;
+    const std::string Text = "ran " + Request.get("X-Request-Id", "") +
+                             " for " + Request.get("X-Tenant", "nobody") + " " +
+                             Body;
     if (isEndless(Fault))
-      return this->sendEndless(Request, Response, Fault);
+      return this->sendEndless(Request, Response, Fault, Text);
     if (Fault == "run_reset")
       return drop(Request, Response);
     if (Fault == "failed")
@@ -462,9 +465,6 @@
       this->sendStrayResponse(Request);
     if (Fault == "closing")
       Response.setKeepAlive(false);
-    const std::string Text = "ran " + Request.get("X-Request-Id", "") +
-                             " for " + Request.get("X-Tenant", "nobody") + " " +
-                             Body;
     if (Fault == "unframed")
       return replyUnframed(Response, Text);
     if (Fault == "unframed_reset") {
