Let the test of a frame that trickles in announce one

It sends a length of 48 MB and trickles now, and the time is checked from both sides.

No functional change

--- a/tests/unit/endless_test.cpp
+++ b/tests/unit/endless_test.cpp
@@ -200,16 +200,28 @@
                  "endless bytes: a frame of another node that trickles in: no "
                  "frame within its time",
                  "[unit]") {
-  // The first four bytes announce a frame of 48 MB.
-  EndlessServer Server("trickle:after", std::string("X: \0\0\0\3", 7));
-  Poco::Net::StreamSocket Asker(
-      Poco::Net::SocketAddress("127.0.0.1", Server.port()));
-  FrameSocket Link(Asker, this->Board.Counters);
-  Asker.sendBytes("x", 1);
-  this->checkBounds(Server, [&] {
-    CHECK_FALSE(Link.receive(Millis(2000), CallTime).ok());
-    Link.abort();
+  Poco::Net::ServerSocket Listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  Poco::Net::StreamSocket Asker(Listener.address());
+  std::thread Sending([Peer = Poco::Net::StreamSocket(
+                           Listener.acceptConnection())]() mutable {
+    TimePoint End = BootClock::now() + 5 * CallTime;
+    try {
+      // A length of 48 MB.
+      Peer.sendBytes("\0\0\0\3", 4);
+      for (; BootClock::now() < End; std::this_thread::sleep_for(Millis(20)))
+        Peer.sendBytes("a", 1);
+    } catch (const Poco::Exception &) {
+      // The peer has closed the connection.
+    }
+    Peer.close();
   });
+  FrameSocket Link(Asker, this->Board.Counters);
+  TimePoint Begin = BootClock::now();
+  CHECK_FALSE(Link.receive(Millis(2000), CallTime).ok());
+  CHECK(BootClock::now() - Begin >= CallTime);
+  CHECK(BootClock::now() - Begin < CallTime + Leeway);
+  Link.abort();
+  Sending.join();
 }
 
 // Guards against a carrier that fills the memory of the node which asked it.
