A target whose connections have just broken is not taken for alive

Cause: a started answer goes again to a target that ended it once that has shown life. Any byte of it counted, read at any time after the loss. When the links of a target break, its connections end one after the other, and a busy node reads them later still: the last ones have bytes after the first have ended. If all other targets were full at that moment, the answer waited for 100 ms, took the target for alive, went to it again and had used up its two attempts.

Evidence: the times fit (cut 100 ms after the break, at both nodes, in a burst that fills the other targets).

The bound is LateReadDelay, which the blame for crashes has always used for the same question; time in which the node stood still does not count.

No functional change for targets that go on: they show it 100 ms later.

--- a/src/entry/target_selector.cpp
+++ b/src/entry/target_selector.cpp
@@ -116,7 +116,7 @@
     return false;
   bool IsAlive =
       this->Board.TargetStats.read([&](const TargetStatsTable &Stats) {
-        return Stats.of(Lost.Target).LastProgress > Lost.At;
+        return Stats.showedLifeAfter(Lost.Target, Lost.At);
       });
   return !IsAlive && !this->hasEnded(Lost.Target);
 }
--- a/src/policy/crash_blame.h
+++ b/src/policy/crash_blame.h
@@ -6,6 +6,7 @@
 
 #include "policy/crash_culprits.h"
 #include "policy/crash_evidence.h"
+#include "policy/target_stats.h"
 
 #include <set>
 #include <unordered_set>
@@ -119,8 +120,6 @@
 private:
   /// Time within which other connections show that a target is still alive.
   static constexpr Millis ResolveDelay{250};
-  /// Bytes that a target sent before its crash may be read this much later.
-  static constexpr Millis LateReadDelay{100};
   /// The same for responses that ended with their connection: until the other
   /// nodes have reported a crash.
   static constexpr Millis EndedDelay{1500};
--- a/src/policy/target_stats.cpp
+++ b/src/policy/target_stats.cpp
@@ -238,6 +238,12 @@
          (There && There->hasProgress());
 }
 
+bool TargetStatsTable::showedLifeAfter(const VmIncarnation &Target,
+                                       TimePoint LostAt) const {
+  return this->runningTime(LostAt, this->of(Target).LastProgress) >
+         LateReadDelay;
+}
+
 Millis TargetStatsTable::silence(const VmIncarnation &Target,
                                  TimePoint Now) const {
   const TargetStats &Here = this->of(Target);
--- a/src/policy/target_stats.h
+++ b/src/policy/target_stats.h
@@ -15,6 +15,11 @@
 
 namespace waycove {
 
+/// Bytes that a target sent before it ended, or before its links broke, may be
+/// read from other connections this much later. It also answers loads: a busy
+/// node reads its connections one after the other.
+inline constexpr Millis LateReadDelay{100};
+
 /// What this node observes of one target.
 struct TargetStats {
   /// Requests of this node in flight.
@@ -117,6 +122,9 @@
   /// Returns true if responses of the target are in progress and move, here or
   /// at other nodes.
   bool hasProgress(const VmIncarnation &Target, TimePoint Now) const;
+  /// Whether this node has received bytes of the target so long after a
+  /// connection to it ended, at \p LostAt, that it was alive then.
+  bool showedLifeAfter(const VmIncarnation &Target, TimePoint LostAt) const;
   /// Time since any byte was received from it, here or at other nodes; zero if
   /// no request is in flight.
   Millis silence(const VmIncarnation &Target, TimePoint Now) const;
--- a/tests/support/neighbours.h
+++ b/tests/support/neighbours.h
@@ -66,6 +66,10 @@
   bool isReady(const std::string &Node);
   /// Injects a fault into all links between the entry and targets.
   void cutOff(const std::string &Node, LinkFault Fault);
+  /// Injects a fault into the links between all entries and the target.
+  void breakLinksOf(const std::string &Vm, LinkFault Fault) {
+    this->TargetLinks.at(Vm)->set(Fault);
+  }
   /// Removes the target from the registry; the target keeps serving.
   void dropTarget(const std::string &Vm);
   /// Returns the start time of the last call that \p Vm ran.
--- a/tests/unit/standstill_test.cpp
+++ b/tests/unit/standstill_test.cpp
@@ -64,6 +64,21 @@
   CHECK(this->Stats.isStalled(this->Target, at(2000)));
 }
 
+// Guards against a target that seems to live since bytes that it sent before it
+// ended were read late, and against one that is avoided although it goes on.
+TEST_CASE_METHOD(StandstillFixture,
+                 "standstill: a connection to a target ends, others have bytes "
+                 "afterwards: only those read much later show that it lives",
+                 "[unit]") {
+  this->beginResponse();
+  this->Stats.onProgress(this->Target, at(1015));
+  CHECK_FALSE(this->Stats.showedLifeAfter(this->Target, at(1000)));
+  this->Stats.onProgress(this->Target, at(1150));
+  CHECK(this->Stats.showedLifeAfter(this->Target, at(1000)));
+  this->Stats.onStandstill({at(1020), at(1140)});
+  CHECK_FALSE(this->Stats.showedLifeAfter(this->Target, at(1000)));
+}
+
 // Guards against silence that only a part of the latest standstills explains.
 TEST_CASE_METHOD(StandstillFixture,
                  "standstill: several in a row, partly before the last byte: "
