Send forwarded bytes without copies before the deadline is looked at

Cause: the bytes were copied into the message, from there into the builder, whose buffer grew and copied them once more, from there into a string, and from there behind the length of the frame; only then was the deadline looked at.

The frames are the same on the wire. A test sends frames larger than the buffers of their connection.

Ruled out: frames of a few hundred KB in place of one, which a node of the last landing that carries the request would not take.

--- a/src/edge/forward.cpp
+++ b/src/edge/forward.cpp
@@ -20,9 +20,7 @@
 }
 
 bool PeerSink::data(std::string_view Bytes) {
-  wire::ForwardDataT Data;
-  Data.data.assign(Bytes.begin(), Bytes.end());
-  return this->send(std::move(Data));
+  return this->Frames.sendData(this->Clock.tick(SystemClock{}.wall()), Bytes);
 }
 
 bool PeerSink::end() {
--- a/src/entry/carrier.h
+++ b/src/entry/carrier.h
@@ -241,9 +241,7 @@
     return this->send(Peer, std::move(Head));
   }
   bool sendData(FrameSocket &Peer, const std::string &Bytes) {
-    wire::ForwardDataT Data;
-    Data.data.assign(Bytes.begin(), Bytes.end());
-    return this->send(Peer, std::move(Data));
+    return Peer.sendData(this->Board.Clock.tick(SystemClock{}.wall()), Bytes);
   }
   /// Returns \p Whole.
   bool sendEnd(FrameSocket &Peer, bool Whole) {
--- a/src/entry/neighbour_channel.cpp
+++ b/src/entry/neighbour_channel.cpp
@@ -9,12 +9,9 @@
 namespace waycove {
 
 IoStatus NeighbourChannel::send(std::string_view Bytes, TimePoint Until) {
-  wire::ForwardDataT Data;
-  Data.data.assign(Bytes.begin(), Bytes.end());
   std::uint64_t Clock = this->Board->Clock.tick(SystemClock{}.wall());
-  return this->Link->send(makeFrame(Clock, std::move(Data)), Until)
-             ? IoStatus::Ok
-             : IoStatus::Broken;
+  return this->Link->sendData(Clock, Bytes, Until) ? IoStatus::Ok
+                                                   : IoStatus::Broken;
 }
 
 IoStatus NeighbourChannel::fillNow(TimePoint Until) {
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -9,11 +9,13 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <utility>
 
 namespace waycove {
@@ -46,6 +48,19 @@
   }
 }
 
+/// Room for a usual frame.
+constexpr std::size_t UsualBytes = 1024;
+
+/// Drops the first \p Count bytes of both parts.
+void dropSent(std::array<iovec, 2> &Parts, std::size_t Count) {
+  for (iovec &Part : Parts) {
+    std::size_t Sent = std::min(Count, Part.iov_len);
+    Part.iov_base = static_cast<char *>(Part.iov_base) + Sent;
+    Part.iov_len -= Sent;
+    Count -= Sent;
+  }
+}
+
 } // namespace
 
 std::string packFrame(const wire::FrameT &Frame) {
@@ -86,11 +101,15 @@
   }
 }
 
-std::size_t FrameSocket::sendSome(std::string_view Bytes, TimePoint Until) {
+std::size_t FrameSocket::sendSome(std::array<iovec, 2> &Parts,
+                                  TimePoint Until) {
   if (!waitFor(this->descriptor(), POLLOUT, Until))
     throw Poco::TimeoutException("the peer does not read");
-  ssize_t Sent = ::send(this->descriptor(), Bytes.data(), Bytes.size(),
-                        MSG_DONTWAIT | MSG_NOSIGNAL);
+  msghdr Message{};
+  Message.msg_iov = Parts.data();
+  Message.msg_iovlen = Parts.size();
+  ssize_t Sent =
+      ::sendmsg(this->descriptor(), &Message, MSG_DONTWAIT | MSG_NOSIGNAL);
   if (Sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
     throw Poco::IOException("the connection broke", errno);
   return static_cast<std::size_t>(std::max<ssize_t>(Sent, 0));
@@ -98,19 +117,43 @@
 
 bool FrameSocket::send(const wire::FrameT &Frame,
                        std::optional<TimePoint> Until) {
-  std::string Bytes = packFrame(Frame);
-  auto Size = static_cast<std::uint32_t>(Bytes.size());
-  std::string Out(LengthBytes, '\0');
+  flatbuffers::FlatBufferBuilder Builder(UsualBytes);
+  Builder.Finish(wire::Frame::Pack(Builder, &Frame));
+  return this->sendBuilt(Builder, Until);
+}
+
+bool FrameSocket::sendData(std::uint64_t Clock, std::string_view Bytes,
+                           std::optional<TimePoint> Until) {
+  // Room for all at once: a buffer that grows copies what it has.
+  flatbuffers::FlatBufferBuilder Builder(UsualBytes + Bytes.size());
+  auto Data = wire::CreateForwardData(
+      Builder,
+      Builder.CreateVector(reinterpret_cast<const std::uint8_t *>(Bytes.data()),
+                           Bytes.size()));
+  Builder.Finish(wire::CreateFrame(
+      Builder, Clock, wire::MessageTraits<wire::ForwardData>::enum_value,
+      Data.Union()));
+  return this->sendBuilt(Builder, Until);
+}
+
+bool FrameSocket::sendBuilt(flatbuffers::FlatBufferBuilder &Built,
+                            std::optional<TimePoint> Until) {
+  std::array<unsigned char, LengthBytes> Length{};
   for (std::size_t I = 0; I < LengthBytes; ++I)
-    Out[I] = static_cast<char>((Size >> (8 * I)) & 0xFF);
-  Out += Bytes;
+    Length.at(I) = static_cast<unsigned char>(Built.GetSize() >> (8 * I));
+  std::array<iovec, 2> Rest{
+      {{Length.data(), Length.size()},
+       {Built.GetBufferPointer(), static_cast<std::size_t>(Built.GetSize())}}};
+  const std::size_t Size = LengthBytes + Built.GetSize();
   std::lock_guard Lock(this->SendMutex);
   try {
-    std::string_view Rest = Out;
-    while (!Rest.empty())
-      Rest.remove_prefix(
-          this->sendSome(Rest, Until.value_or(BootClock::now() + SendTimeout)));
-    this->Counters.add(Counter::PeerBytesOut, Out.size());
+    for (std::size_t Sent = 0; Sent < Size;) {
+      std::size_t Count =
+          this->sendSome(Rest, Until.value_or(BootClock::now() + SendTimeout));
+      dropSent(Rest, Count);
+      Sent += Count;
+    }
+    this->Counters.add(Counter::PeerBytesOut, Size);
     return true;
   } catch (const Poco::Exception &) {
     // The frame may be sent partially, so the stream cannot be used further.
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -9,9 +9,11 @@
 
 #include <Poco/Net/StreamSocket.h>
 #include <absl/status/statusor.h>
+#include <array>
 #include <mutex>
 #include <optional>
 #include <string_view>
+#include <sys/uio.h>
 
 namespace waycove {
 
@@ -42,6 +44,10 @@
   /// have arrived.
   bool send(const wire::FrameT &Frame,
             std::optional<TimePoint> Until = std::nullopt);
+  /// Sends \p Bytes of a forwarded request or response, without a copy of its
+  /// own, in a frame of the time \p Clock; else as send().
+  bool sendData(std::uint64_t Clock, std::string_view Bytes,
+                std::optional<TimePoint> Until = std::nullopt);
   /// Receives the next frame. Errors: OutcomeUnknown if the connection ended or
   /// nothing arrived within \p Timeout, or not the rest of a frame within
   /// \p FrameTime; BadRequest for a damaged frame.
@@ -65,9 +71,13 @@
   /// Reads until the buffer holds \p Count bytes; false if the peer closed.
   /// Throws Poco::TimeoutException.
   bool fill(std::size_t Count);
+  /// Sends a serialised frame after its length.
+  bool sendBuilt(flatbuffers::FlatBufferBuilder &Built,
+                 std::optional<TimePoint> Until);
   /// Sends what fits in the connection's buffer, after a wait until then at the
-  /// latest. Throws Poco::Exception if nothing could be sent.
-  std::size_t sendSome(std::string_view Bytes, TimePoint Until);
+  /// latest. Returns how many bytes. Throws Poco::Exception if nothing could be
+  /// sent.
+  std::size_t sendSome(std::array<iovec, 2> &Parts, TimePoint Until);
 
   Poco::Net::StreamSocket Socket;
   /// Bytes received after the last frame.
--- a/tests/unit/frame_test.cpp
+++ b/tests/unit/frame_test.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <catch2/catch.hpp>
+#include <future>
 #include <sys/resource.h>
 
 namespace waycove::test {
@@ -47,4 +48,35 @@
   CHECK(Frame->message.AsForwardData()->data == Data.data);
 }
 
+// Guards against data that are damaged where a frame does not fit in the
+// buffers of its connection and is sent in parts.
+TEST_CASE("frame socket: data larger than the buffers are sent without a copy: "
+          "they arrive as those of an ordinary frame",
+          "[unit]") {
+  Metrics Counters;
+  Poco::Net::ServerSocket Listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  Poco::Net::StreamSocket Near(Listener.address());
+  FrameSocket From(Near, Counters);
+  FrameSocket To(Listener.acceptConnection(), Counters);
+  std::string Bytes(16 << 20, '\0');
+  for (std::size_t I = 0; I < Bytes.size(); ++I)
+    Bytes[I] = static_cast<char>((I * 31) >> 8);
+  wire::ForwardDataT Data;
+  Data.data.assign(Bytes.begin(), Bytes.end());
+  TimePoint Until = BootClock::now() + Millis(10000);
+  auto Sent = std::async(std::launch::async, [&] {
+    return From.sendData(7, Bytes, Until) && From.send(makeFrame(8, Data)) &&
+           From.sendData(9, "", Until);
+  });
+  for (std::uint64_t Clock : {7, 8, 9}) {
+    absl::StatusOr<wire::FrameT> Frame = To.receiveBy(Until);
+    REQUIRE(Frame.ok());
+    CHECK(Frame->clock == Clock);
+    const auto *Found = Frame->message.AsForwardData();
+    REQUIRE(Found);
+    CHECK((Clock == 9 ? Found->data.empty() : Found->data == Data.data));
+  }
+  CHECK(Sent.get());
+}
+
 } // namespace waycove::test
