A target that is cut off does not use up an attempt of a started answer

What callers saw: streams cut with attempts_used, 3 to 6 s before their deadline, where one target had been silent and only one had broken.

Cause: a silent target is given up for another one, whose links are reset 60 to 550 ms later; both count towards max_attempts.

In each request that was cut, its silent target was given up, and 320 to 340 ms later all connections of the node to the next one closed within 14 ms; then it waited two seconds for the registry, and was cut with 3.1 to 4.4 s left.

Why this works: connections to one target that end without a byte of it between them and for 250 ms afterwards show that it has ended or is cut off, be it listed or not; a target that breaks single streams off shows life, or has one loss only, and counts as before. Only requests of which an attempt was given up as silent are excused: else the request itself may have ended its targets.

With it, what stood twice in tests: the peak memory of a process, and an entry's settings. A test compares forwarded bytes with an ordinary frame.

--- a/src/entry/attempt_recorder.cpp
+++ b/src/entry/attempt_recorder.cpp
@@ -20,16 +20,19 @@
 void AttemptRecorder::end(const RelayExchange &Ex, RelayAttempt &Attempt,
                           AttemptOutcome End) {
   Attempt.IsOpen = false;
-  if (End == AttemptOutcome::Broken && Attempt.ConnectionLost)
-    Ex.Progress.Lost.push_back({Attempt.target(), SystemClock{}.now()});
+  const TimePoint Now = SystemClock{}.now();
+  const bool IsLost = End == AttemptOutcome::Broken && Attempt.ConnectionLost;
+  if (IsLost)
+    Ex.Progress.Lost.push_back({Attempt.target(), Now});
   this->recordReach(Attempt);
-  this->Crashes.recordOutcome(Ex.Request, Attempt, End, SystemClock{}.now());
+  this->Crashes.recordOutcome(Ex.Request, Attempt, End, Now);
   this->Board.TargetStats.write([&](TargetStatsTable &Stats) {
     Stats.onEnd(Attempt.target(), Attempt.SentAt, Attempt.FirstByteSeen,
                 static_cast<double>(Ex.Request.Info.PromptTokens));
     if (End != AttemptOutcome::CallerGone)
-      Stats.onOutcome(Attempt.target(), End == AttemptOutcome::Broken,
-                      SystemClock{}.now());
+      Stats.onOutcome(Attempt.target(), End == AttemptOutcome::Broken, Now);
+    if (IsLost)
+      Stats.onLost(Attempt.target(), Now);
   });
   // Bytes that were not delivered must not reach the target later, when it may
   // have left the registry. Only a reset discards them.
--- a/src/entry/retry_policy.cpp
+++ b/src/entry/retry_policy.cpp
@@ -16,11 +16,14 @@
   if (!Counts.HasStarted)
     return Counts;
   bool MayHaveCausedAll = Ex.Progress.GivenUp == 0;
+  TimePoint Now = SystemClock{}.now();
   unsigned Excused = 0;
   for (LostTarget &Row : Ex.Progress.Lost) {
     Row.IsLeaving = Row.IsLeaving || this->Selector.isLeaving(Row.Target);
-    Row.IsExcused = Row.IsExcused || ((Row.IsLeaving || !MayHaveCausedAll) &&
-                                      this->Selector.hasEnded(Row.Target));
+    Row.IsExcused = Row.IsExcused ||
+                    ((Row.IsLeaving || !MayHaveCausedAll) &&
+                     this->Selector.hasEnded(Row.Target)) ||
+                    (!MayHaveCausedAll && this->Selector.wasCutOff(Row, Now));
     Excused += Row.IsExcused ? 1 : 0;
   }
   Counts.MayHaveRun -=
--- a/src/entry/target_selector.cpp
+++ b/src/entry/target_selector.cpp
@@ -121,6 +121,12 @@
   return !IsAlive && !this->hasEnded(Lost.Target);
 }
 
+bool TargetSelector::wasCutOff(const LostTarget &Lost, TimePoint Now) const {
+  return this->Board.TargetStats.read([&](const TargetStatsTable &Stats) {
+    return Stats.wasCutOff(Lost.Target, Lost.At, Now);
+  });
+}
+
 bool TargetSelector::hasEnded(const VmIncarnation &Target) const {
   return this->Board.Targets.read([&](const Fleet &Known) {
     auto At = Known.Targets.find(Target.Id);
--- a/src/entry/target_selector.h
+++ b/src/entry/target_selector.h
@@ -51,6 +51,9 @@
   /// Whether a target that ended a response is to be avoided by its request: it
   /// may have ended, and has shown no sign of life since.
   bool mayHaveEnded(const LostTarget &Lost, TimePoint Now) const;
+  /// Whether the connections of this node to a target that ended a response
+  /// have all ended.
+  bool wasCutOff(const LostTarget &Lost, TimePoint Now) const;
   /// Whether the registry lists this incarnation no longer.
   bool hasEnded(const VmIncarnation &Target) const;
   /// Whether the target leaves, by the registry or its own word.
--- a/src/policy/target_stats.cpp
+++ b/src/policy/target_stats.cpp
@@ -30,6 +30,9 @@
 constexpr unsigned MaxDoublings = 3;
 /// Rejections count as successive within this time.
 constexpr Millis RejectionMemory(5000);
+/// For so long a target shows no sign of life before lost connections count as
+/// its end; as long as for the blame of crashes.
+constexpr Millis CutOffDelay(250);
 
 } // namespace
 
@@ -244,6 +247,28 @@
          LateReadDelay;
 }
 
+void TargetStatsTable::onLost(const VmIncarnation &Target, TimePoint Now) {
+  TargetStats &Stats = this->Targets[Target];
+  if (Stats.LossesInRow == 0 ||
+      this->showedLifeAfter(Target, Stats.LastLossAt)) {
+    Stats.FirstLossAt = Now;
+    Stats.LastLossAt = Now;
+    Stats.LossesInRow = 0;
+  }
+  // Requests that end together may tell so in any order.
+  Stats.FirstLossAt = std::min(Stats.FirstLossAt, Now);
+  Stats.LastLossAt = std::max(Stats.LastLossAt, Now);
+  ++Stats.LossesInRow;
+}
+
+bool TargetStatsTable::wasCutOff(const VmIncarnation &Target, TimePoint LostAt,
+                                 TimePoint Now) const {
+  const TargetStats &Stats = this->of(Target);
+  return Stats.LossesInRow > 1 && LostAt >= Stats.FirstLossAt &&
+         this->runningTime(Stats.FirstLossAt, Now) >= CutOffDelay &&
+         !this->showedLifeAfter(Target, Stats.LastLossAt);
+}
+
 Millis TargetStatsTable::silence(const VmIncarnation &Target,
                                  TimePoint Now) const {
   const TargetStats &Here = this->of(Target);
--- a/src/policy/target_stats.h
+++ b/src/policy/target_stats.h
@@ -46,6 +46,11 @@
   TimePoint RejectedAt;
   /// Its last response announced the end of the connection: it may be leaving.
   bool Closing = false;
+  /// Connections that ended before their responses did, without a sign of life
+  /// between them, and when the first and the last one did.
+  unsigned LossesInRow = 0;
+  TimePoint FirstLossAt;
+  TimePoint LastLossAt;
 
   /// Returns true if responses are in progress but none made progress within
   /// StallTimeout, in which this node has run.
@@ -80,6 +85,8 @@
   /// after.
   void onEnd(const VmIncarnation &Target, TimePoint SentAt, bool FirstByteSeen,
              double PromptTokens);
+  /// A connection to the target ended before its response did.
+  void onLost(const VmIncarnation &Target, TimePoint Now);
   /// Counts a response of the target as failed or successful.
   void onOutcome(const VmIncarnation &Target, bool Failed, TimePoint Now);
   /// Records that the target rejected a request without running it. Returns for
@@ -125,6 +132,11 @@
   /// Whether this node has received bytes of the target so long after a
   /// connection to it ended, at \p LostAt, that it was alive then.
   bool showedLifeAfter(const VmIncarnation &Target, TimePoint LostAt) const;
+  /// Whether the connection that ended at \p LostAt was one of several that
+  /// ended without a sign of life between them and for a while afterwards: the
+  /// target has ended, or its links are cut.
+  bool wasCutOff(const VmIncarnation &Target, TimePoint LostAt,
+                 TimePoint Now) const;
   /// Time since any byte was received from it, here or at other nodes; zero if
   /// no request is in flight.
   Millis silence(const VmIncarnation &Target, TimePoint Now) const;
--- a/tests/failure/broken_links_test.cpp
+++ b/tests/failure/broken_links_test.cpp
@@ -9,23 +9,35 @@
 
 #include <algorithm>
 #include <array>
+#include <csignal>
 
 namespace waycove::test {
 
 using std::chrono::milliseconds;
 
+struct BrokenLinksSetup {
+  /// For each stream.
+  int MaxAttempts = 5;
+  /// Of each group.
+  int Slots = 8;
+  int GroupSize = 2;
+  int TokenMs = 10;
+};
+
 /// Three entries that reach their targets through links which can break.
 struct BrokenLinksFixture : Neighbours {
-  explicit BrokenLinksFixture(int MaxAttempts = 5, int Slots = 8)
-      : Neighbours("retry_slack: 1000", NeighbourTargets{1, 4, true}) {
+  explicit BrokenLinksFixture(const BrokenLinksSetup &Setup = {})
+      : Neighbours("retry_slack: 1000",
+                   NeighbourTargets{1, Targets, true, Setup.TokenMs}) {
     std::string Config = entryConfig(2, "key-1");
     auto Replace = [&](const std::string &Found, const std::string &With) {
       Config.replace(Config.find(Found), Found.size(), With);
     };
-    Replace(R"("max_attempts":2,"resumable")", R"("max_attempts":)" +
-                                                   std::to_string(MaxAttempts) +
-                                                   R"(,"resumable")");
-    Replace(R"("slots":8)", R"("slots":)" + std::to_string(Slots));
+    Replace(R"("max_attempts":2,"resumable")",
+            R"("max_attempts":)" + std::to_string(Setup.MaxAttempts) +
+                R"(,"resumable")");
+    Replace(R"("slots":8)", R"("slots":)" + std::to_string(Setup.Slots));
+    Replace(R"("size":2)", R"("size":)" + std::to_string(Setup.GroupSize));
     this->Run.atPlatform(
         {"POST", "/store/put?topic=keyed.op&key=config", Config, {}});
     for (const std::string &Entry : Entries)
@@ -102,12 +114,12 @@
 /// Two attempts a stream. While the links of one target are broken, the others
 /// turn requests away.
 struct OneLinkBrokenFixture : BrokenLinksFixture {
-  OneLinkBrokenFixture() : BrokenLinksFixture(2, 64) {}
+  OneLinkBrokenFixture() : BrokenLinksFixture({2, 64, 1, 50}) {}
 
-  /// The target that runs most streams.
-  int busiest() {
+  /// Of the first \p Among targets, the one that runs most streams.
+  int busiest(int Among = Targets) {
     int Found = 1;
-    for (int I = 2; I <= Targets; ++I)
+    for (int I = 2; I <= Among; ++I)
       if (this->running(I) > this->running(Found))
         Found = I;
     return Found;
@@ -136,4 +148,27 @@
   checkAllWhole(Started);
 }
 
+// Guards against streams whose two attempts are used up by a silent target and
+// by one whose links broke, although others would go on.
+TEST_CASE_METHOD(
+    OneLinkBrokenFixture,
+    "started answers: a target is silent and the links of the next "
+    "one break: each stream of two attempts goes on at a third",
+    "[failure]") {
+  Streams Started = this->startStreams(36);
+  std::uint64_t Moved = this->running(Targets);
+  REQUIRE(Moved > 0);
+  std::uint64_t Others = 36 - Moved;
+  this->Run.vm(targetName(Targets)).signal(SIGSTOP);
+  REQUIRE(eventually([&] {
+    std::uint64_t Sum = 0;
+    for (int I = 1; I < Targets; ++I)
+      Sum += this->running(I);
+    return Sum == Others + Moved;
+  }));
+  std::this_thread::sleep_for(milliseconds(100));
+  this->breakLinksOf(targetName(this->busiest(Targets - 1)), LinkFault::Reset);
+  checkAllWhole(Started);
+}
+
 } // namespace waycove::test
--- a/tests/support/neighbours.cpp
+++ b/tests/support/neighbours.cpp
@@ -43,8 +43,8 @@
     this->Run.addNode(Node, "a");
   this->Run.startPlatform();
   this->publish(1, "key-1");
-  this->startTargets("p", Targets.Plain, Targets.HasProxies);
-  this->startTargets("e", Targets.Engines, Targets.HasProxies);
+  this->startTargets("p", Targets.Plain, Targets);
+  this->startTargets("e", Targets.Engines, Targets);
   for (const std::string &Node : Entries) {
     this->Links[Node] =
         std::make_unique<LoopbackProxy>(this->Run.platformPort());
@@ -55,13 +55,13 @@
 }
 
 void Neighbours::startTargets(const std::string &Prefix, int Count,
-                              bool HasProxies) {
+                              const NeighbourTargets &Targets) {
   for (int I = 1; I <= Count; ++I) {
     std::string Vm = Prefix + "-" + std::to_string(I);
-    this->Run.TargetFlags = {"--token_ms=10", "--load_ms=50",
-                             "--registry=127.0.0.1:" +
-                                 std::to_string(this->Run.platformPort())};
-    if (HasProxies) {
+    this->Run.TargetFlags = {
+        "--token_ms=" + std::to_string(Targets.TokenMs), "--load_ms=50",
+        "--registry=127.0.0.1:" + std::to_string(this->Run.platformPort())};
+    if (Targets.HasProxies) {
       this->TargetLinks[Vm] = std::make_unique<LoopbackProxy>(
           this->Run.vmPort(Vm),
           [this](std::uint16_t Local, std::uint16_t Remote) {
--- a/tests/support/neighbours.h
+++ b/tests/support/neighbours.h
@@ -20,6 +20,8 @@
   int Engines = 0;
   /// Entries reach targets through proxies that can cut them off.
   bool HasProxies = false;
+  /// Between two events of a stream, in milliseconds.
+  int TokenMs = 10;
 };
 
 /// Three entries in one data centre with plain targets p-1, p-2 and so on, and
@@ -85,7 +87,8 @@
   /// Whether every entry knows all others.
   bool allKnown();
   void start(const std::string &Node, bool First);
-  void startTargets(const std::string &Prefix, int Count, bool HasProxies);
+  void startTargets(const std::string &Prefix, int Count,
+                    const NeighbourTargets &Targets);
 
   const std::string Bounds;
   const bool HasEngines;
--- a/tests/unit/endless_test.cpp
+++ b/tests/unit/endless_test.cpp
@@ -11,10 +11,10 @@
 #include "platform/control.h"
 #include "standins/endless.h"
 #include "support/entry_settings.h"
+#include "support/peak_memory.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
-#include <sys/resource.h>
 #include <thread>
 
 namespace waycove::test {
@@ -29,12 +29,6 @@
 constexpr Millis Leeway(400);
 constexpr Millis CallTime(400);
 
-long peakMemoryKb() {
-  rusage Usage{};
-  ::getrusage(RUSAGE_SELF, &Usage);
-  return Usage.ru_maxrss;
-}
-
 } // namespace
 
 /// A server that answers one request with bytes without end.
--- a/tests/unit/frame_test.cpp
+++ b/tests/unit/frame_test.cpp
@@ -79,4 +79,29 @@
   CHECK(Sent.get());
 }
 
+// Guards against nodes of an earlier landing that cannot read forwarded bytes
+// in a rolling update.
+TEST_CASE("frame socket: forwarded bytes: the same on the wire as an ordinary "
+          "frame",
+          "[unit]") {
+  Metrics Counters;
+  Poco::Net::ServerSocket Listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  Poco::Net::StreamSocket Near(Listener.address());
+  FrameSocket From(Near, Counters);
+  Poco::Net::StreamSocket Far = Listener.acceptConnection();
+  wire::ForwardDataT Data;
+  Data.data = {'a', 'b', 'c'};
+  const std::string Ordinary = packFrame(makeFrame(7, Data));
+  REQUIRE(From.sendData(7, "abc"));
+  From.shutdown();
+  std::string Received(4 + Ordinary.size() + 1, '\0');
+  std::size_t Size = 0;
+  for (int Read = 1; Read > 0; Size += static_cast<std::size_t>(Read))
+    Read = Far.receiveBytes(Received.data() + Size,
+                            static_cast<int>(Received.size() - Size));
+  Received.resize(Size);
+  CHECK(Received ==
+        std::string{static_cast<char>(Ordinary.size()), 0, 0, 0} + Ordinary);
+}
+
 } // namespace waycove::test
--- a/tests/unit/standstill_test.cpp
+++ b/tests/unit/standstill_test.cpp
@@ -79,6 +79,27 @@
   CHECK_FALSE(this->Stats.showedLifeAfter(this->Target, at(1000)));
 }
 
+// Guards against streams that are cut as their attempts are used up, one of
+// them by a target whose links broke, and against a target that breaks single
+// streams off and is not counted.
+TEST_CASE_METHOD(StandstillFixture,
+                 "standstill: connections to a target end: it was cut off if "
+                 "several did and nothing comes of it for a while",
+                 "[unit]") {
+  this->beginResponse();
+  this->Stats.onLost(this->Target, at(1000));
+  CHECK_FALSE(this->Stats.wasCutOff(this->Target, at(1000), at(1300)));
+  this->Stats.onLost(this->Target, at(1020));
+  this->Stats.onLost(this->Target, at(990));
+  CHECK_FALSE(this->Stats.wasCutOff(this->Target, at(990), at(1200)));
+  for (int LostAt : {990, 1000, 1020})
+    CHECK(this->Stats.wasCutOff(this->Target, at(LostAt), at(1300)));
+  this->Stats.onProgress(this->Target, at(1290));
+  CHECK_FALSE(this->Stats.wasCutOff(this->Target, at(1000), at(1300)));
+  this->Stats.onLost(this->Target, at(1310));
+  CHECK_FALSE(this->Stats.wasCutOff(this->Target, at(1310), at(1700)));
+}
+
 // Guards against silence that only a part of the latest standstills explains.
 TEST_CASE_METHOD(StandstillFixture,
                  "standstill: several in a row, partly before the last byte: "
--- a/tests/unit/start_test.cpp
+++ b/tests/unit/start_test.cpp
@@ -6,6 +6,7 @@
 // the store, and when the last node knows the feeds.
 #include "control/seed_service.h"
 #include "policy/upstream_selector.h"
+#include "support/entry_settings.h"
 #include "support/times.h"
 #include "wire/news_frames.h"
 
@@ -253,10 +254,9 @@
 /// A seed and a node's request to join.
 struct SeedFixture {
   static Settings settings() {
-    Settings Config;
+    Settings Config = entrySettings();
     Config.Node = NodeId("seed");
     Config.DataCentre = DataCentreId("c");
-    Config.Entry.emplace();
     return Config;
   }
   wire::JoinAnswerT join(const NodeInfo &Who) {
--- a/tests/unit/stated_sizes_test.cpp
+++ b/tests/unit/stated_sizes_test.cpp
@@ -5,12 +5,12 @@
 // Sizes that a peer states ahead of its bytes: they take no memory before the
 // bytes arrive.
 #include "net/http.h"
+#include "support/peak_memory.h"
 #include "wire/frame.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
-#include <sys/resource.h>
 #include <thread>
 
 namespace waycove::test {
@@ -19,13 +19,6 @@
 
 constexpr long MaxGrowthKb = 32 << 10;
 
-/// Largest memory that this process has used so far.
-long peakMemoryKb() {
-  rusage Usage{};
-  ::getrusage(RUSAGE_SELF, &Usage);
-  return Usage.ru_maxrss;
-}
-
 } // namespace
 
 /// A server on the loopback interface that sends some bytes to its first
