--- a/review/lib-2/drive.h
+++ b/review/lib-2/drive.h
@@ -77,23 +77,33 @@
   At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   At.sin_port = htons(static_cast<uint16_t>(Port));
   if (bind(Fd, reinterpret_cast<sockaddr *>(&At), sizeof At) != 0 ||
-      listen(Fd, 1024) != 0)
+      listen(Fd, 1024) != 0) {
+    close(Fd);
     return -1;
+  }
   socklen_t Size = sizeof At;
   getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &Size);
   Port = ntohs(At.sin_port);
   return Fd;
 }
 
-/// Ports stay taken until all are known, so that none is given twice.
+/// Ports below those of outgoing connections, which could take the port of a
+/// process that is started again. They stay taken until all are known, so that
+/// none is given twice.
 inline std::vector<int> freePorts(std::size_t Count) {
   std::vector<int> Ports;
   std::vector<int> Fds;
-  for (std::size_t I = 0; I < Count; ++I) {
-    int Port = 0;
-    Fds.push_back(listenOn(Port));
+  int Next = 12000 + static_cast<int>(getpid()) * 37 % 18000;
+  for (; Ports.size() < Count && Next < 32000; ++Next) {
+    int Port = Next;
+    int Fd = listenOn(Port);
+    if (Fd < 0)
+      continue;
+    Fds.push_back(Fd);
     Ports.push_back(Port);
   }
+  if (Ports.size() < Count)
+    _exit(2);
   for (int Fd : Fds)
     close(Fd);
   return Ports;
@@ -397,7 +407,25 @@
 public:
   Replica(Store &Registry, const std::string &Id, const std::string &Zone,
           unsigned Slots, Server::Handler Handle)
-      : Http(0, std::move(Handle)) {
+      : Http(0, [Id, Handle = std::move(Handle)](int Fd, const Message &In) {
+          std::string Field = "X-Replica-Id: " + Id + "\r\n";
+          // Reports and health checks need neither a slot nor an id.
+          if (In.First.find(" /api/report ") != std::string::npos)
+            return sendAll(Fd, reply(200,
+                                     "{\"phase\":\"unified\",\"models\":[],"
+                                     "\"utilization\":false,\"sequence\":0,"
+                                     "\"queued\":0,\"active\":0,\"kv_used\":0,"
+                                     "\"kv_total\":1,\"handles\":0}",
+                                     Field + "Content-Type: "
+                                             "application/json\r\n"));
+          if (In.First.find(" /health ") != std::string::npos)
+            return sendAll(Fd, reply(200, "", Field));
+          // At the address of another replica, which has ended.
+          std::string Wanted = In.field("x-expect-replica");
+          if (!Wanted.empty() && Wanted != Id)
+            return sendAll(Fd, reply(421, "", Field));
+          return Handle(Fd, In);
+        }) {
     std::thread([this, &Registry, Id, Zone, Slots] {
       for (int Sequence = 1;; ++Sequence) {
         Registry.put("keyed.servers", Id,
@@ -501,7 +529,7 @@
   pid_t Pid = -1;
 };
 
-/// Three machines in three zones. Ends them with the process.
+/// Three machines in three zones.
 class Deployment {
 public:
   Deployment() {
@@ -517,12 +545,15 @@
           this->Folder,
           std::vector<int>(Ports.begin() + 3 * I, Ports.begin() + 3 * I + 3)));
   }
-  ~Deployment() {
+  /// Ends all processes and this one, whose threads still serve.
+  [[noreturn]] void finish(int Result) {
     for (auto &Each : this->Machines)
       Each->end();
     std::string Remove = "rm -rf '" + this->Folder + "'";
     if (!getenv("KEEP") && system(Remove.c_str()) != 0)
       fprintf(stderr, "the folder stays\n");
+    fflush(nullptr);
+    _exit(Result);
   }
   std::vector<int> seeds() const {
     std::vector<int> Ports;
--- a/review/lib-2/memory.cpp
+++ b/review/lib-2/memory.cpp
@@ -22,7 +22,6 @@
 int main(int, char **Args) {
   signal(SIGPIPE, SIG_IGN);
   Record Out(Args[1]);
-  int Result = 2;
   {
     Deployment Site;
     const std::string Body(AnswerBytes, 'a');
@@ -39,7 +38,7 @@
     }
     if (!Site.startAll()) {
       Out.line("the machines do not become ready");
-      return 2;
+      Site.finish(2);
     }
     bool Slow = hasTrouble();
     Out.line("begin; clients read %s", Slow ? "slowly" : "at once");
@@ -56,7 +55,11 @@
           std::size_t &Peak = Peaks[Each->Name];
           Peak = std::max(Peak, Used);
           if (Each->hasEnded()) {
+            // Not counted here.
             Out.line("%s ended by itself", Each->Name.c_str());
+            pause(0.2);
+            Site.start(*Each, false);
+            continue;
           } else if (Used <= MemoryBytes) {
             continue;
           } else {
@@ -120,9 +123,8 @@
              "machines",
              Runs.load(), All, Kills.size());
     // Fault: three times in the day, on a tenth of the machines and on two.
-    Result = All >= 3 && Kills.size() >= 2 ? 1 : 0;
+    int Result = All >= 3 && Kills.size() >= 2 ? 1 : 0;
     Out.line(Result ? "BROKEN" : "held");
+    Site.finish(Result);
   }
-  fflush(nullptr);
-  _exit(Result);
 }
--- a/review/lib-2/resting.cpp
+++ b/review/lib-2/resting.cpp
@@ -78,7 +78,6 @@
 int main(int, char **Args) {
   signal(SIGPIPE, SIG_IGN);
   Record Out(Args[1]);
-  int Result = 2;
   {
     Deployment Site;
     std::atomic<unsigned> Runs{0};
@@ -95,7 +94,7 @@
     }
     if (!Site.startAll()) {
       Out.line("the machines do not become ready");
-      return 2;
+      Site.finish(2);
     }
     const double Start = now();
     Seen All;
@@ -211,9 +210,8 @@
     Out.line("run: %u; longest time without a new connection: %.2f s, allowed "
              "%.0f",
              Runs.load(), Longest, Contact);
-    Result = Longest > Contact ? 1 : 0;
+    int Result = Longest > Contact ? 1 : 0;
     Out.line(Result ? "BROKEN" : "held");
+    Site.finish(Result);
   }
-  fflush(nullptr);
-  _exit(Result);
 }
