The own interface takes only requests that POCO reads as the grammar does

What callers saw, with the own interface: a request with an odd line in its head was run without the fields behind that line, so with another body; bytes of a body were answered as a second request; a body in chunks that its caller cut off, or that was malformed, was run in part, with 200.

Cause: POCO's HTTP server parses these heads and chunks. Its reader of chunks takes the end of the connection, and a size that is none, for the end of the body, and skips one line of a trailer, so that the next request on the connection got 400.

Mend: CheckedServerSocket gives POCO's server the bytes that a RequestFilter passes: heads by parseRequestHead, whose values hold no word that POCO would decode, and bodies by BodyDecoder, chunks without extensions and trailers. Else 400, and the connection ends. A body that is malformed or cut fails the read, and readBody says so.

Ruled out: to end each connection after one response, which leaves the first request misread; to serve this interface with ConnectionServer, which is the better end of it, but a larger change than this incident's.

--- a/src/edge/callers.cpp
+++ b/src/edge/callers.cpp
@@ -281,6 +281,9 @@
       return makeError(ErrorKind::TooLarge,
                        "the body is larger than " + std::to_string(MaxBytes));
   }
+  // The connection refused to read on (CheckedServerSocket).
+  if (In.bad())
+    return makeError(ErrorKind::BadRequest, "the body is malformed or cut");
   if (Request.hasContentLength() &&
       Request.getContentLength64() != static_cast<std::int64_t>(Body.size()))
     return makeError(ErrorKind::BadRequest, "the body was cut");
--- a/src/edge/daemon.cpp
+++ b/src/edge/daemon.cpp
@@ -10,6 +10,7 @@
 #include "control/views.h"
 #include "control/vm_list_follower.h"
 #include "edge/callers.h"
+#include "edge/checked_socket.h"
 #include "edge/operators.h"
 #include "edge/platform.h"
 #include "edge/serve.h"
@@ -253,7 +254,7 @@
   Params->setTimeout(Poco::Timespan(20, 0));
   In.HttpThreads = std::make_unique<Poco::ThreadPool>(
       "http", 8, static_cast<int>(Config.MaxStreams), 30, RequestStackBytes);
-  Poco::Net::ServerSocket Socket;
+  CheckedServerSocket Socket;
   Socket.bind(Poco::Net::SocketAddress(Config.Http.Host, Config.Http.Port),
               true, false);
   Socket.listen(ListenBacklog);
--- a/tests/contract/edge_contract.cpp
+++ b/tests/contract/edge_contract.cpp
@@ -27,6 +27,10 @@
     REQUIRE(eventually(
         [&] { return this->Run.callService("n1", "").Status == 200; }));
   }
+  /// Requests that the target has run.
+  std::uint64_t runs() {
+    return this->Run.atVm("s-1", {.Path = "/counts"}).number("calls");
+  }
   Cluster Run;
 };
 
@@ -193,6 +197,61 @@
   CHECK(std::string(Head.data(), Head.size()) == "HTTP/1.1 400");
 }
 
+// Guards against the body of a request that is run as a second request, and
+// against a body that is run in part.
+TEST_CASE_METHOD(EdgeFixture,
+                 "caller: a line that is no field, or chunks that are cut: "
+                 "refused once, and no target runs anything",
+                 "[contract]") {
+  const std::string Head = "POST /v1/services/ledger/sale HTTP/1.1\r\nHost: x"
+                           "\r\nAuthorization: Bearer w1-key\r\n";
+  const std::string Hidden = Head + "Content-Length: 0\r\n\r\n";
+  const std::string Framed =
+      "Content-Length: " + std::to_string(Hidden.size()) + "\r\n\r\n" + Hidden;
+  REQUIRE(this->Run.callService("n1", "").Status == 200);
+  std::uint64_t RunsBefore = this->runs();
+  for (const char *Line :
+       {"X\nOdd: 1", "X-A: 1\rOdd: 1", " Odd: 1", "Odd one: 1",
+        "X-A: 1\r\n odd", "\rX-A: 1", "\nX-A: 1", "\n", "X-A: a\x01z",
+        "nothing", "Transfer-Encoding: =?utf-8?Q?chunked?="}) {
+    INFO(Line);
+    CHECK(statusLinesFor(this->Run.httpPort("n1"),
+                         Head + Line + "\r\n" + Framed) == 1);
+  }
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const char *Chunks :
+       {"4\r\nbody\r\nzz\r\n", "4;a\nb\r\nbody\r\n0\r\n\r\n",
+        "4\r\nbodyX\r\n0\r\n\r\n", "4\nbody\n0\n\n",
+        "4\r\nbody\r\n0\r\nX\nOdd: 1\r\n\r\n"}) {
+    INFO(Chunks);
+    CHECK(statusLinesFor(this->Run.httpPort("n1"), Chunked + Chunks) == 1);
+  }
+  // A caller that ends within its chunks.
+  Poco::Net::StreamSocket Leaving(
+      Poco::Net::SocketAddress("127.0.0.1", this->Run.httpPort("n1")));
+  const std::string Cut = Chunked + "4\r\nbody\r\n4\r\nbo";
+  Leaving.sendBytes(Cut.data(), static_cast<int>(Cut.size()));
+  Leaving.shutdownSend();
+  std::array<char, 12> Status{};
+  REQUIRE(Leaving.receiveBytes(Status.data(), Status.size()) == 12);
+  CHECK(std::string(Status.data(), Status.size()) == "HTTP/1.1 400");
+  CHECK(this->runs() == RunsBefore);
+}
+
+// Guards against requests that wait for bytes that have come with others.
+TEST_CASE_METHOD(EdgeFixture,
+                 "caller: requests that follow on one another: each is served",
+                 "[contract]") {
+  const std::string Head = "POST /v1/services/ledger/sale HTTP/1.1\r\nHost: x"
+                           "\r\nAuthorization: Bearer w1-key\r\n";
+  const std::string Sound = Head + "Content-Length: 4\r\n\r\nbody";
+  const std::string Chunked =
+      Head +
+      "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-A: 1\r\n\r\n";
+  CHECK(statusLinesFor(this->Run.httpPort("n1"),
+                       Sound + Chunked + Sound + "odd\r\n\r\n") == 4);
+}
+
 struct PublishCase {
   const char *Kind;
   const char *Name;
