One odd start time takes neither all targets away nor one for good

What callers saw: 503 at all routes, on a platform whose targets state no start time, from the moment that another writer left an entry with "born" far in the future; and still so after the entry had gone. Under the id of a live target, such an entry kept that target out for good.

Cause: the first start time that was ever seen made the list refuse all entries without one (StartTimesSeen), and the latest start of an id was believed, whatever it was (newestStart).

Mend: StartTimes, without I/O, judges what entries state. A start more than an hour ahead of the node's clock is refused as another writer's. Entries without a start are refused where at least as many state one as do not; where that turns, the whole list is read again. An entry with an earlier start than the known one is held back as after a restore: a live newer life writes within a heartbeat, and the entry of a dead target lapses after three, so one that outlasts four is the target's own, and the later start was of another writer.

Ruled out: to never refuse entries without a start, since on a platform that states them such an entry names no replica; to believe the newest record of an id, which the late entry of an earlier life is, too.

registry_follower.h: what is refused is logged by RefusedEntries; RestoredEntries is HeldEntries, as it now holds both; parse() decodes all entries before it judges them.

--- a/src/control/restored_entries.cpp
+++ b/src/control/held_entries.cpp
@@ -2,12 +2,12 @@
 // Copyright 2026 the waycove authors. Licensed under the Apache License,
 // Version 2.0; see LICENSE.
 
-#include "control/restored_entries.h"
+#include "control/held_entries.h"
 
 namespace waycove {
 
-std::optional<StaleReason>
-RestoredEntries::staleReasonOf(const TargetInfo &Read, const Fleet &Known) {
+std::optional<StaleReason> HeldEntries::staleReasonOf(const TargetInfo &Read,
+                                                      const Fleet &Known) {
   if (auto Gone = Known.Removed.find(Read.Id); Gone != Known.Removed.end())
     return Gone->second.Last->StartedAt == Read.StartedAt
                ? std::optional(StaleReason::TargetRemoved)
@@ -23,27 +23,42 @@
   return std::nullopt;
 }
 
-void RestoredEntries::hold(TargetRef Read, std::uint64_t Hash,
-                           StaleReason Reason, TimePoint Now) {
-  HeldEntry Stale{std::move(Read), Hash, std::nullopt};
-  if (Reason != StaleReason::TargetLeaving)
-    Stale.Until = Now + this->HoldDuration;
-  VmId Id = Stale.Entry->Id;
+void HeldEntries::hold(TargetRef Read, std::uint64_t Hash, StaleReason Reason,
+                       TimePoint Now) {
+  VmId Id = Read->Id;
+  HeldEntry Stale{std::move(Read), Hash, Reason, this->holdEnd(Reason, Now)};
+  if (auto At = this->Held.find(Id); At != this->Held.end() &&
+                                     Reason == StaleReason::EarlierLife &&
+                                     At->second.Reason == Reason)
+    Stale.Until = At->second.Until;
   this->Held.insert_or_assign(Id, std::move(Stale));
 }
 
-bool RestoredEntries::holds(const VmId &Id, std::uint64_t Hash) const {
+std::optional<TimePoint> HeldEntries::holdEnd(StaleReason Reason,
+                                              TimePoint Now) const {
+  switch (Reason) {
+  case StaleReason::TargetLeaving:
+    return std::nullopt;
+  case StaleReason::EarlierLife:
+    // Without a restore, the store may have had it for a while longer.
+    return Now + this->HoldDuration + this->Heartbeat;
+  default:
+    return Now + this->HoldDuration;
+  }
+}
+
+bool HeldEntries::holds(const VmId &Id, std::uint64_t Hash) const {
   auto At = this->Held.find(Id);
   return At != this->Held.end() && At->second.Hash == Hash;
 }
 
-void RestoredEntries::retainOnly(const std::set<VmId> &Listed) {
+void HeldEntries::retainOnly(const std::set<VmId> &Listed) {
   std::erase_if(this->Held, [&](const auto &Entry) {
     return !Listed.contains(Entry.first);
   });
 }
 
-std::vector<TargetRef> RestoredEntries::takeDue(TimePoint Now) {
+std::vector<TargetRef> HeldEntries::takeDue(TimePoint Now) {
   std::vector<TargetRef> Due;
   std::erase_if(this->Held, [&](const auto &Entry) {
     const HeldEntry &Stale = Entry.second;
--- a/src/control/registry_follower.h
+++ b/src/control/registry_follower.h
@@ -4,9 +4,11 @@
 
 #pragma once
 
+#include "control/held_entries.h"
 #include "control/keyed_feed.h"
-#include "control/restored_entries.h"
+#include "control/refused_entries.h"
 #include "control/serving_view.h"
+#include "policy/start_times.h"
 
 #include <map>
 #include <set>
@@ -18,18 +20,19 @@
 /// Entries that vanished while the store was unavailable are retained until
 /// KeyedPage::RetainUntil; they may have lapsed or left, so requests go there
 /// only if no listed target serves. A late entry of an earlier incarnation is
-/// ignored. An entry that cannot be parsed removes the target of its key and
-/// does not affect others.
+/// ignored unless it outlasts its lapse (HeldEntries). An entry that cannot be
+/// parsed, or whose start time cannot be true (StartTimes), removes the target
+/// of its key and does not affect others.
 ///
 /// After the store was restored from an older copy, entries that this node
-/// knows to be stale are not used (RestoredEntries), and no groups are planned
+/// knows to be stale are not used (HeldEntries), and no groups are planned
 /// until targets have written again: the copy does not show which orders were
 /// carried out. Used by one thread.
 template <KeyedFeed Feed, typename Decoder> class RegistryFollower {
 public:
   RegistryFollower(EntryBoard &Board, Feed &Source, Decoder Decode)
       : Board(Board), Source(Source), Decode(std::move(Decode)),
-        Restored(Board.Config.Entry->TargetHeartbeatInterval) {}
+        Held(Board.Config.Entry->TargetHeartbeatInterval), Refused(Board.Log) {}
 
   /// Applies what is new without waiting; returns the pause before the next
   /// step, which a change of the feed ends.
@@ -83,7 +86,7 @@
     ParsedPage Read = this->parse(Page, Now);
     if (Page.IsSnapshot)
       this->addMissing(Read);
-    for (TargetRef &Target : this->Restored.takeDue(Now))
+    for (TargetRef &Target : this->Held.takeDue(Now))
       Read.Updated.push_back(std::move(Target));
     bool Changed = !Read.Updated.empty();
     if (Now < Page.RetainUntil) {
@@ -97,103 +100,122 @@
       this->applyToFleet(Read.Updated, Read.Dropped, Page.Next, Now);
   }
 
+  /// An entry that is valid by itself.
+  struct ValidEntry {
+    TargetRef Target;
+    const std::string &Value;
+  };
+
   ParsedPage parse(const KeyedPage &Page, TimePoint Now) {
     ParsedPage Out;
+    const bool WereStated = this->Starts.areStated();
+    std::vector<ValidEntry> Entries = this->decodeEntries(Page, Out);
+    for (const ValidEntry &Entry : Entries)
+      this->judge(Entry, Now, Out);
+    if (Page.IsSnapshot)
+      this->Held.retainOnly(Out.Outdated);
+    else if (this->Starts.areStated() != WereStated)
+      // Entries of earlier pages are judged anew.
+      this->Source.reset();
+    this->pruneRefused(Page, Out);
+    return Out;
+  }
+
+  /// Returns the valid entries of a page; adds the other keys to \p Out.
+  std::vector<ValidEntry> decodeEntries(const KeyedPage &Page,
+                                        ParsedPage &Out) {
+    std::vector<ValidEntry> Valid;
+    if (Page.IsSnapshot)
+      this->Starts.clear();
+    const WallMs Now = SystemClock{}.wall();
     for (const KeyedRecord &Record : Page.Records) {
       VmId Id(Record.Key);
       if (!Record.Value) {
         Out.Dropped.insert(Id);
-        this->RefusedValues.erase(Id);
-        this->Restored.release(Id);
+        this->Starts.onGone(Id);
+        this->Refused.forget(Id);
+        this->Held.release(Id);
         continue;
       }
       absl::StatusOr<TargetInfo> Read = this->Decode(Record.Key, *Record.Value);
+      if (Read.ok() && !StartTimes::isPlausible(Read->StartedAt, Now))
+        Read = makeError(ErrorKind::BadRequest, "born: later than now");
       if (!Read.ok()) {
-        Out.Refused.insert(Id);
-        this->Retained.erase(Id);
-        this->logRefused(Id, *Record.Value, messageOf(Read.status()));
+        this->Starts.onGone(Id);
+        this->refuse(Id, *Record.Value, messageOf(Read.status()), Out);
         continue;
       }
-      this->StartTimesSeen |= Read->StartedAt != WallMs();
-      if (Read->StartedAt < this->newestStart(Id)) {
-        Out.Outdated.insert(Id);
-        this->logRefused(Id, *Record.Value, "an earlier life's entry");
-        continue;
-      }
-      if (this->isHeld(*Read, hashText(*Record.Value), Now)) {
-        Out.Outdated.insert(Id);
-        continue;
-      }
-      Out.Dropped.erase(Id);
-      this->Retained.erase(Id);
-      Out.Updated.push_back(
-          std::make_shared<const TargetInfo>(std::move(*Read)));
+      this->Starts.onEntry(Id, Read->StartedAt);
+      Valid.push_back({std::make_shared<const TargetInfo>(std::move(*Read)),
+                       *Record.Value});
     }
-    if (Page.IsSnapshot)
-      this->Restored.retainOnly(Out.Outdated);
-    if (this->StartTimesSeen)
-      this->refuseWithoutStart(Out);
-    this->pruneRefused(Page, Out);
-    return Out;
+    return Valid;
+  }
+
+  /// Adds the target of an entry to \p Out, by how it is handled.
+  void judge(const ValidEntry &Entry, TimePoint Now, ParsedPage &Out) {
+    const VmId &Id = Entry.Target->Id;
+    if (Entry.Target->StartedAt == WallMs() && this->Starts.areStated()) {
+      this->refuse(Id, Entry.Value, "its start time is missing", Out);
+      return;
+    }
+    if (Entry.Target->StartedAt < this->newestStart(Id)) {
+      Out.Outdated.insert(Id);
+      this->Refused.refuse(Id, Entry.Value, "an earlier life's entry");
+      this->Held.hold(Entry.Target, hashText(Entry.Value),
+                      StaleReason::EarlierLife, Now);
+      return;
+    }
+    if (this->isHeld(Entry, Now)) {
+      Out.Outdated.insert(Id);
+      return;
+    }
+    Out.Dropped.erase(Id);
+    this->Retained.erase(Id);
+    Out.Updated.push_back(Entry.Target);
+  }
+
+  /// The entry of \p Id names no target.
+  void refuse(const VmId &Id, const std::string &Value,
+              const std::string &Reason, ParsedPage &Out) {
+    Out.Refused.insert(Id);
+    this->Retained.erase(Id);
+    this->Refused.refuse(Id, Value, Reason);
   }
 
   /// Whether the entry came back with a restore and is stale.
-  bool isHeld(const TargetInfo &Read, std::uint64_t Hash, TimePoint Now) {
-    if (this->Restored.holds(Read.Id, Hash))
+  bool isHeld(const ValidEntry &Entry, TimePoint Now) {
+    const TargetInfo &Read = *Entry.Target;
+    const std::uint64_t Hash = hashText(Entry.Value);
+    if (this->Held.holds(Read.Id, Hash))
       return true;
-    this->Restored.release(Read.Id);
+    this->Held.release(Read.Id);
     if (!this->IsFirstOfEra)
       return false;
     std::optional<StaleReason> Reason =
         this->Board.Targets.read([&](const Fleet &Rows) {
-          return RestoredEntries::staleReasonOf(Read, Rows);
+          return HeldEntries::staleReasonOf(Read, Rows);
         });
     if (!Reason)
       return false;
-    this->Restored.hold(std::make_shared<const TargetInfo>(Read), Hash, *Reason,
-                        Now);
+    this->Held.hold(Entry.Target, Hash, *Reason, Now);
     this->Board.Log.emit(EventCode::EntryHeld, Read.Id.Text,
                          LogFields()
                              .add("reason", staleReasonText(*Reason))
                              .add("sequence", Read.Sequence)
-                             .add("for_ms", this->Restored.holdDuration()));
+                             .add("for_ms", this->Held.holdDuration()));
     return true;
   }
 
-  /// Refuses entries without a start time if other targets state one. Platforms
-  /// on which no target does are supported.
-  void refuseWithoutStart(ParsedPage &Out) {
-    std::erase_if(Out.Updated, [&](const TargetRef &Target) {
-      if (Target->StartedAt != WallMs())
-        return false;
-      Out.Refused.insert(Target->Id);
-      this->logRefused(Target->Id, Target->Address.text(),
-                       "its start time is missing");
-      return true;
-    });
-  }
-
   void pruneRefused(const KeyedPage &Page, const ParsedPage &Read) {
     for (const TargetRef &Target : Read.Updated)
-      this->RefusedValues.erase(Target->Id);
+      this->Refused.forget(Target->Id);
     if (Page.IsSnapshot)
-      std::erase_if(this->RefusedValues, [&](const auto &Entry) {
-        return !Read.Refused.contains(Entry.first) &&
-               !Read.Outdated.contains(Entry.first);
+      this->Refused.retainIf([&](const VmId &Id) {
+        return Read.Refused.contains(Id) || Read.Outdated.contains(Id);
       });
   }
 
-  /// Logs a refused value once, although the whole registry is read repeatedly.
-  void logRefused(const VmId &Id, const std::string &Value,
-                  const std::string &Reason) {
-    std::uint64_t Hash = hashText(Value);
-    auto [At, New] = this->RefusedValues.try_emplace(Id, Hash);
-    if (!New && std::exchange(At->second, Hash) == Hash)
-      return;
-    this->Board.Log.emit(EventCode::RegistryRefused, Id.Text,
-                         LogFields().add("reason", Reason));
-  }
-
   /// Start time of the newest incarnation that is listed under this id or was
   /// removed within RemovedRetention.
   WallMs newestStart(const VmId &Id) const {
@@ -333,7 +355,9 @@
   EntryBoard &Board;
   FeedCursor<Feed> Source;
   Decoder Decode;
-  RestoredEntries Restored;
+  HeldEntries Held;
+  RefusedEntries Refused;
+  StartTimes Starts;
   /// Era of the store as of the newest page.
   StoreEra Era;
   /// That page is the first of its era, and an earlier era was seen.
@@ -342,10 +366,6 @@
   TimePoint SettledAt;
   /// Missing in the registry, but not yet removed.
   std::set<VmId> Retained;
-  /// Some target stated its start time.
-  bool StartTimesSeen = false;
-  /// Hash of the newest refused value, by key.
-  std::map<VmId, std::uint64_t> RefusedValues;
   /// Something was applied since the start.
   bool HasApplied = false;
   /// The registry's proof is older than the drain bound.
--- a/tests/unit/registry_follower_test.cpp
+++ b/tests/unit/registry_follower_test.cpp
@@ -12,6 +12,7 @@
 #include <catch2/catch.hpp>
 #include <iostream>
 #include <sstream>
+#include <thread>
 
 namespace waycove::test {
 
@@ -167,6 +168,102 @@
   CHECK(this->startOf("i-2") == 0);
 }
 
+// Guards against one entry of another writer that takes all targets away.
+TEST_CASE_METHOD(RegistryFixture,
+                 "registry: one entry tells a start far in the future, beside "
+                 "others that tell none: these stay listed",
+                 "[unit]") {
+  const std::uint64_t Future = 9'000'000'000'000;
+  this->show({{"i-1", entryOf(0)}, {"i-2", entryOf(0)}}, true);
+  this->show({{"odd", entryOf(Future)}});
+  this->show({{"i-1", entryOf(0, "", 1)}, {"i-3", entryOf(0)}});
+  CHECK(this->startOf("i-1") == 0);
+  CHECK(this->startOf("i-2") == 0);
+  CHECK(this->startOf("i-3") == 0);
+  CHECK(this->startOf("odd") == std::nullopt);
+  this->show({{"odd", std::nullopt}});
+  this->show({{"i-4", entryOf(0)}});
+  CHECK(this->startOf("i-4") == 0);
+  CHECK(this->countEvents(EventCode::RegistryRefused) == 1);
+}
+
+TEST_CASE_METHOD(RegistryFixture,
+                 "registry: few entries tell a start, beside more that tell "
+                 "none: all are listed, whoever comes first",
+                 "[unit]") {
+  this->show({{"odd", entryOf(100)}}, true);
+  this->show({{"i-1", entryOf(0)}});
+  CHECK(this->startOf("i-1") == std::nullopt);
+  this->show({{"i-2", entryOf(0)}});
+  this->Follow.step();
+  CHECK(this->startOf("i-1") == 0);
+  CHECK(this->startOf("i-2") == 0);
+  this->show({{"odd", std::nullopt}, {"i-3", entryOf(0)}});
+  CHECK(this->startOf("i-3") == 0);
+}
+
+// Guards against a live target that one entry of another writer keeps out.
+TEST_CASE_METHOD(RegistryFixture,
+                 "registry: another writer tells a start in the future under a "
+                 "target's id: the target's next entry counts",
+                 "[unit]") {
+  for (std::uint64_t Start : {std::uint64_t(0), std::uint64_t(100)}) {
+    this->show({{"i-1", entryOf(Start)}, {"i-2", entryOf(Start)}}, true);
+    this->show({{"i-1", entryOf(9'000'000'000'000)}});
+    CHECK(this->startOf("i-1") == std::nullopt);
+    this->show({{"i-1", entryOf(Start, "", 1)}});
+    CHECK(this->startOf("i-1") == Start);
+    CHECK(this->startOf("i-2") == Start);
+  }
+}
+
+TEST_CASE_METHOD(RegistryFixture,
+                 "registry: another writer tells a later start under a "
+                 "target's id: the target's own entry counts once it outlasts "
+                 "its lapse, though it changes",
+                 "[unit]") {
+  for (std::uint64_t Start : {std::uint64_t(0), std::uint64_t(100)}) {
+    const std::vector<KeyedRecord> Others{{"i-2", entryOf(Start)},
+                                          {"i-3", entryOf(Start)}};
+    this->show(Others, true);
+    this->show({{"i-1", entryOf(Start)}});
+    this->show({{"i-1", entryOf(200)}});
+    CHECK(this->startOf("i-1") == 200);
+    const Millis Beat = this->Board.Config.Entry->TargetHeartbeatInterval;
+    for (int Sequence = 1; Sequence <= 6; ++Sequence) {
+      this->show({{"i-1", entryOf(Start, "", Sequence)}});
+      if (Sequence <= 3)
+        CHECK(this->startOf("i-1") == 200);
+      std::this_thread::sleep_for(Beat);
+    }
+    CHECK(this->startOf("i-1") == Start);
+    CHECK(this->startOf("i-2") == Start);
+  }
+}
+
+// Guards against an earlier life that is listed since its late entry outlasts
+// the newer one.
+TEST_CASE_METHOD(RegistryFixture,
+                 "registry: an earlier life's entry comes late, and the newer "
+                 "life writes on: the newer life stays",
+                 "[unit]") {
+  this->show({{"i-1", entryOf(200)}, {"i-2", entryOf(200)}}, true);
+  this->show({{"i-1", entryOf(100)}});
+  const Millis Beat = this->Board.Config.Entry->TargetHeartbeatInterval;
+  std::this_thread::sleep_for(Beat);
+  this->show({{"i-1", entryOf(200, "", 1)}});
+  std::this_thread::sleep_for(5 * Beat);
+  this->Follow.step();
+  CHECK(this->startOf("i-1") == 200);
+  // And where it lapses instead.
+  this->show({{"i-2", entryOf(100)}});
+  std::this_thread::sleep_for(Beat);
+  this->show({{"i-2", std::nullopt}});
+  std::this_thread::sleep_for(5 * Beat);
+  this->Follow.step();
+  CHECK(this->startOf("i-2") == std::nullopt);
+}
+
 /// A node that followed the registry before the store was restored from an
 /// older copy.
 struct RestoredRegistryFixture : RegistryFixture {
