--- a/tests/failure/extreme_values_test.cpp
+++ b/tests/failure/extreme_values_test.cpp
@@ -188,4 +188,55 @@
       eventually([&] { return this->call("/safe/x", "after").Status == 200; }));
 }
 
+// Guards against a node that ends, or follows the list of targets no more, for
+// one odd entry among them.
+TEST_CASE_METHOD(ExtremeValuesFixture,
+                 "odd entries: nested deeply, numbers too large, ports out of "
+                 "range: nodes go on, follow the list, and start with it",
+                 "[failure]") {
+  const std::string Sound = fullEntry(this->Run.vmPort("p-1"));
+  auto With = [&](const std::string &Old, const std::string &New) {
+    std::string Entry = Sound;
+    return Entry.replace(Entry.find(Old), Old.size(), New);
+  };
+  const std::string Port = ":" + std::to_string(this->Run.vmPort("p-1"));
+  const std::string Depth(100'000, '[');
+  std::vector<std::string> Entries{
+      Depth,
+      Depth + std::string(Depth.size(), ']'),
+      With(R"(["model"])", Depth + std::string(Depth.size(), ']')),
+      With(R"("slots":6)", R"("slots":)" + std::string(5000, '9')),
+      With(R"("sequence":1)", R"("sequence":18446744073709551616)"),
+      With(R"("epoch":3)", R"("epoch":1e999)"),
+      With(R"("cold_left_ms":5)", R"("cold_left_ms":1e999)"),
+      With(R"("born":5)", R"("born":9000000000000)")};
+  for (const char *Wrong : {":0", ":65536", ":-1", ":99999999999", ":1e4", ":"})
+    Entries.push_back(With(Port, Wrong));
+  auto Serves = [&](const std::string &Id) {
+    return this->call("/safe/x", Id).Status == 200;
+  };
+  for (std::size_t I = 0; I < Entries.size(); ++I)
+    this->put("keyed.servers", "odd-" + std::to_string(I), Entries[I]);
+  REQUIRE(eventually([&] {
+    return this->Run.logOf("n1").find(
+               "\"odd-" + std::to_string(Entries.size() - 1) + "\"") !=
+           std::string::npos;
+  }));
+  CHECK(Serves("beside"));
+  // The list is followed: one of two targets goes, the other takes all.
+  this->put("keyed.servers", "p-1", "");
+  REQUIRE(eventually([&] {
+    return this->Run.logOf("n1").find("target_gone") != std::string::npos;
+  }));
+  std::uint64_t RunsBefore = this->runs("p-1");
+  for (int I = 0; I < 6; ++I)
+    CHECK(Serves("gone-" + std::to_string(I)));
+  CHECK(this->runs("p-1") == RunsBefore);
+  CHECK(this->Run.node("n1").wait(milliseconds(0)) == -1);
+  this->Run.killNode("n1");
+  this->Run.startNode("n1");
+  REQUIRE(eventually([&] { return this->isReady(); }));
+  CHECK(eventually([&] { return Serves("again"); }));
+}
+
 } // namespace waycove::test
