--- a/src/control/registry_follower.h
+++ b/src/control/registry_follower.h
@@ -271,12 +271,18 @@
     });
   }
 
+  /// What a page changes in the fleet, beside the entries themselves.
+  struct FleetChanges {
+    /// The lives before and after.
+    std::vector<std::pair<TargetRef, TargetRef>> Restarted;
+    std::vector<VmIncarnation> Regrouped;
+    std::vector<VmId> Removed;
+  };
+
   void applyToFleet(const std::vector<TargetRef> &Updated,
                     const std::set<VmId> &Dropped, StorePosition Registry,
                     TimePoint Now) {
-    std::vector<VmId> RemovedIds;
-    std::vector<std::pair<TargetRef, TargetRef>> Restarted;
-    std::vector<VmIncarnation> Regrouped;
+    FleetChanges Changes;
     this->Board.Targets.write([&](Fleet &Rows) {
       ++Rows.Version;
       Rows.Registry = Registry;
@@ -284,47 +290,62 @@
       std::erase_if(Rows.Removed, [&](const auto &Entry) {
         return Now - Entry.second.Since > RemovedRetention;
       });
-      for (const TargetRef &Target : Updated) {
-        TargetRef &Last = Rows.Targets[Target->Id];
-        if (Last && Last->StartedAt != Target->StartedAt)
-          Restarted.emplace_back(Last, Target);
-        else if (Last && groupOf(*Last) != groupOf(*Target))
-          Regrouped.push_back(Target->incarnation());
-        Last = Target;
-        Rows.Removed.erase(Target->Id);
-        if (Target->ColdRemaining > Millis(0))
-          Rows.ColdUntil[Target->Id] = Now + Target->ColdRemaining;
-        else
-          Rows.ColdUntil.erase(Target->Id);
-      }
+      for (const TargetRef &Target : Updated)
+        updateTarget(Rows, Target, Now, Changes);
       for (const VmId &Id : Dropped)
-        if (auto At = Rows.Targets.find(Id); At != Rows.Targets.end()) {
-          Rows.Removed[Id] = {At->second, Now};
-          Rows.Targets.erase(At);
-          Rows.ColdUntil.erase(Id);
-          RemovedIds.push_back(Id);
-        }
+        removeTarget(Rows, Id, Now, Changes);
     });
     this->Board.TargetStats.write([&](TargetStatsTable &Rows) {
-      for (const VmIncarnation &Target : Regrouped)
+      for (const VmIncarnation &Target : Changes.Regrouped)
         Rows.onRegrouped(Target);
     });
     rebuildServingView(this->Board);
     this->HasApplied = true;
-    // All nodes see the same entries, so only the first node of each data
-    // centre and the owners of domains log every change. All log targets that
-    // leave, since each of them stops using these on its own.
+    this->logChanges(Updated, Changes, Registry);
+  }
+
+  static void updateTarget(Fleet &Rows, const TargetRef &Target, TimePoint Now,
+                           FleetChanges &Changes) {
+    TargetRef &Last = Rows.Targets[Target->Id];
+    if (Last && Last->StartedAt != Target->StartedAt)
+      Changes.Restarted.emplace_back(Last, Target);
+    else if (Last && groupOf(*Last) != groupOf(*Target))
+      Changes.Regrouped.push_back(Target->incarnation());
+    Last = Target;
+    Rows.Removed.erase(Target->Id);
+    if (Target->ColdRemaining > Millis(0))
+      Rows.ColdUntil[Target->Id] = Now + Target->ColdRemaining;
+    else
+      Rows.ColdUntil.erase(Target->Id);
+  }
+
+  static void removeTarget(Fleet &Rows, const VmId &Id, TimePoint Now,
+                           FleetChanges &Changes) {
+    auto At = Rows.Targets.find(Id);
+    if (At == Rows.Targets.end())
+      return;
+    Rows.Removed[Id] = {At->second, Now};
+    Rows.Targets.erase(At);
+    Rows.ColdUntil.erase(Id);
+    Changes.Removed.push_back(Id);
+  }
+
+  /// All nodes see the same entries, so only the first node of each data centre
+  /// and the owners of domains log every change. All log targets that leave,
+  /// since each of them stops using these on its own.
+  void logChanges(const std::vector<TargetRef> &Updated,
+                  const FleetChanges &Changes, StorePosition Registry) {
     bool LogsAll = this->Board.FirstInCentre || this->Board.PartitionShare > 0;
     for (const TargetRef &Target : Updated)
       if (LogsAll || Target->Draining)
         this->logTarget(*Target, Registry);
-    for (const auto &[Last, Target] : Restarted)
+    for (const auto &[Last, Target] : Changes.Restarted)
       this->Board.Log.emit(EventCode::TargetReborn, Target->Id.Text,
                            LogFields()
                                .add("born", Target->StartedAt.Value)
                                .add("before", Last->StartedAt.Value)
                                .add("registry", Registry.At.Value));
-    for (const VmId &Id : RemovedIds)
+    for (const VmId &Id : Changes.Removed)
       this->Board.Log.emit(EventCode::TargetGone, Id.Text,
                            LogFields().add("registry", Registry.At.Value));
   }
