--- a/src/edge/checked_socket.cpp
+++ b/src/edge/checked_socket.cpp
@@ -25,6 +25,8 @@
 
 constexpr std::size_t ReadBytes = 8192;
 constexpr const char *LastChunk = "0\r\n\r\n";
+
+/// One chunk, without extensions.
 std::string chunkOf(const std::string &Payload) {
   std::ostringstream Out;
   Out << std::hex << Payload.size() << "\r\n" << Payload << "\r\n";
@@ -116,6 +118,7 @@
   bool Ended = false;
 };
 
+/// Accepts connections as CheckedStreams.
 class CheckedListener : public Poco::Net::ServerSocketImpl {
 public:
   Poco::Net::SocketImpl *
--- a/src/entry/caller_response.h
+++ b/src/entry/caller_response.h
@@ -6,7 +6,6 @@
 
 #include "net/channel.h"
 #include "net/framing.h"
-#include "net/head.h"
 
 namespace waycove {
 
--- a/src/entry/caller_server.h
+++ b/src/entry/caller_server.h
@@ -6,6 +6,7 @@
 
 #include "base/connection_server.h"
 #include "entry/relay.h"
+#include "net/head.h"
 
 #include <Poco/String.h>
 #include <algorithm>
--- a/src/entry/relay_attempt.h
+++ b/src/entry/relay_attempt.h
@@ -8,6 +8,7 @@
 #include "entry/relay_request.h"
 #include "entry/retry_policy.h"
 #include "entry/target_connection.h"
+#include "net/head.h"
 #include "policy/answer_progress.h"
 #include "policy/retry.h"
 
