A request without a length takes no other for its body

What callers saw, with the own interface: a POST without a length that was followed by another request on its connection got no answer, and the second one was read as its body and not run.

By RFC 9112, 6.3, such a request has no body, and so says BodyDecoder; POCO reads one up to the end of the connection.

Mend: RequestFilter gives such a head a length of zero.

--- a/src/edge/checked_socket.cpp
+++ b/src/edge/checked_socket.cpp
@@ -24,7 +24,9 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 8192;
+constexpr std::string_view LineEnd = "\r\n";
 constexpr const char *LastChunk = "0\r\n\r\n";
+constexpr const char *NoBodyField = "Content-Length: 0\r\n";
 
 /// One chunk, without extensions.
 std::string chunkOf(const std::string &Payload) {
@@ -166,7 +168,10 @@
   this->Body = requestBody(*Head);
   if (!this->Body)
     return makeError(ErrorKind::BadRequest, "the body's end is ambiguous");
-  Output.append(Input, 0, *Length);
+  Output.append(Input, 0, *Length - LineEnd.size());
+  if (this->Body->kind() == Framing::None && !Head->hasContentLength())
+    Output += NoBodyField;
+  Output += LineEnd;
   Input.erase(0, *Length);
   return true;
 }
--- a/src/edge/checked_socket.h
+++ b/src/edge/checked_socket.h
@@ -16,7 +16,8 @@
 /// Passes on the bytes of requests that POCO reads as the grammar does, head by
 /// head and with the parts of their bodies, and stops at others. Chunks are
 /// passed on without extensions and trailers, since POCO skips one line of a
-/// trailer. To be used by one thread at a time.
+/// trailer, and a head without a length gets one of zero, since POCO reads such
+/// a body up to the end of the connection. To be used by one thread at a time.
 class RequestFilter {
 public:
   /// Limit on the bytes of a head.
--- a/tests/contract/edge_contract.cpp
+++ b/tests/contract/edge_contract.cpp
@@ -253,6 +253,21 @@
                        Sound + Chunked + Sound + "odd\r\n\r\n") == 4);
 }
 
+// Guards against a request without a length that takes the next one for its
+// body.
+TEST_CASE_METHOD(EdgeFixture,
+                 "caller: a request without a length: it has no body, and the "
+                 "next one is served",
+                 "[contract]") {
+  const std::string Head = "POST /v1/services/ledger/sale HTTP/1.1\r\nHost: x"
+                           "\r\nAuthorization: Bearer w1-key\r\n";
+  const std::uint64_t RunsBefore = this->runs();
+  CHECK(statusLinesFor(this->Run.httpPort("n1"),
+                       Head + "\r\n" + Head +
+                           "Content-Length: 4\r\n\r\nbody") == 2);
+  CHECK(this->runs() == RunsBefore + 2);
+}
+
 struct PublishCase {
   const char *Kind;
   const char *Name;
